Spoilt answers no longer make the whole fleet count as cold; SIGHUP reloads

Cause: upstream told an unreadable answer as RESET, and _learn turned every reset into an ejection plus 23 s of warm-up (balance.py, _learn); with all caches held for cold _fallback found none and _start held the request for half its time. SIGHUP had no handler, and PROXY_DISCOVERY won over the file. Now: SPOILT is an outcome of its own, one reset ejects nobody, at most a quarter of the caches count as cold on suspicion, a request that no cache may take is refused at once with -BUSY MS, SIGHUP reloads and moves the watch at once.

--- a/snowstall/adapter.py
+++ b/snowstall/adapter.py
@@ -58,7 +58,7 @@
         cross_zone_price=float(prices.get("crossZone", 0.0)),
         origin_price=float(prices.get("origin", 0.0)),
         waste_price=float(prices.get("waste", 0.0)),
-        max_backoff=float(caps.get("maxRetryAfterMs", 0.0)) if caps.get("retryAfter") else 0.0,
+        max_backoff=float(caps.get("maxRetryAfterMs", 0.0)),
         over_share_worth=float(conf.get("overShareWorth", 1.0)),
         tenants=tuple(
             b.Tenant(_need(t, "name", "realms[]."), float(t.get("share", 0.0)),
--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -3,7 +3,7 @@
 The ordinary path is D-Choices ("When Two Choices Are not Enough"): a SpaceSaving
 table counts keys, tail keys have two hashed candidates, head keys have d of them
 with d from FINDOPTIMALCHOICES, and the candidate with the least local load gets the
-request.  docs/design.md lists each departure, why it is there and when it acts.
+request.  Each departure from the paper is explained where it is made.
 
 No I/O, no clock, no globals: time (milliseconds) comes in with each event, actions
 go out, randomness comes from the seed alone.
@@ -39,6 +39,9 @@
 EJECT_FIRST, EJECT_MAX = 1_000.0, 8_000.0  # first and longest absence after failures
 EJECT_SHARE = 0.4  # never eject more than this share of the caches
 LATE_STREAK = 3  # time-outs in a row that mark a cache as stalled
+RESET_STREAK = 2  # broken connections in a row that mark one as gone: one alone, or an
+#                   answer that cannot be read, says something of a connection only
+SUSPECT_SHARE = 0.25  # more caches than this do not lose their memory in one warm-up
 REPEAT_MARGIN = 50.0  # a repeat must be on its way this long before its window ends
 STICKINESS = 3.0  # loads by which a tail key's second cache must be better: a copy there
 #                   costs a fetch, and the origin can serve few more than it must
@@ -58,6 +61,7 @@
 DEMAND_DECAY = 2_000.0  # demand by worth fades over this
 HEDGE_DEVIATIONS = 3.0  # an answer, hit or miss, this late is likely stuck in a jam
 HEDGE_LATEST = 0.7  # share of the aim; later, a second copy comes too late itself
+LEAST_BACKOFF = 40.0  # with nothing shed a moment is enough: another cache may take it
 HELD_SHARE = 0.5  # with no cache known, wait this share of the client's time
 REPORT_LIFE = 4_000.0  # a load report fades towards what caches report on average
 
@@ -165,6 +169,7 @@
     CANCELLED = "cancelled"
     NEVER_SENT = "never_sent"
     MISS = "miss"
+    SPOILT = "spoilt"  # an answer came that cannot be read: the request has run
 
 
 NEVER_RAN = frozenset({Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS})
@@ -363,9 +368,9 @@
     """What this proxy knows of one cache server."""
 
     __slots__ = ("absent_for", "absent_until", "cell", "cold_since", "id", "inflight", "kind",
-                 "late_streak", "listed", "points", "report_at", "reported", "salt", "sent",
-                 "sent_at", "slow_at", "slow_sum", "slow_weight", "started_at", "suspect", "weight",
-                 "zone")
+                 "late_streak", "listed", "points", "report_at", "reported", "reset_streak", "salt",
+                 "sent", "sent_at", "slow_at", "slow_sum", "slow_weight", "started_at", "suspect",
+                 "weight", "zone")
 
     def __init__(self, member: Member, weight: float) -> None:
         self.id, self.zone, self.kind, self.cell = member.id, member.zone, member.kind, member.cell
@@ -375,7 +380,7 @@
         self.points = [mix(member.id, index) for index in range(points)]
         self.salt = mix(member.id, 1 << 20)
         self.listed = True
-        self.inflight = self.late_streak = 0
+        self.inflight = self.late_streak = self.reset_streak = 0
         self.sent = self.sent_at = 0.0
         self.slow_sum = self.slow_weight = self.slow_at = 0.0
         self.absent_until = self.absent_for = 0.0
@@ -666,6 +671,31 @@
             self._start(pending, actions)
         return actions
 
+    def on_settings(self, now: float, settings: Settings) -> list[Action]:
+        """New figures hold from here on; open requests keep those they came under."""
+        self._tick(now)
+        if settings.tenants != self.settings.tenants:
+            self._gate = Gate(settings, now)
+        if settings.zone != self.settings.zone:
+            self._zone_ring = Ring()
+            self._zone_ring.add([c for c in self._ready if c.zone == settings.zone])
+            self._zone_placements.clear()
+        self.settings = settings
+        self._classes = {c.name: c for c in settings.classes}
+        self._zonal = settings.cross_zone_price >= ZONE_PRICE
+        return []
+
+    def on_discovery_moved(self, now: float) -> list[Action]:
+        """Discovery answers elsewhere from now on: what was asked before counts for nothing.
+
+        Asked at once, not after a random wait: silence counts as knowing soon after.
+        """
+        self._tick(now)
+        if not self.settings.must_subscribe:
+            return []
+        self._subscribed, self._asking, self._ask_failures = False, True, 0
+        return [Subscribe()]
+
     def on_request(self, now: float, request: Request) -> list[Action]:
         """A client's request: this balancer now owes exactly one final answer."""
         self._tick(now)
@@ -775,7 +805,7 @@
             return cache
         if member.started_at > cache.started_at:  # restarted: empty and cold again
             cache.started_at = cache.cold_since = member.started_at
-            cache.suspect, cache.late_streak = False, 0
+            cache.suspect, cache.late_streak, cache.reset_streak = False, 0, 0
             cache.absent_until = cache.absent_for = 0.0
             cache.slow_weight = cache.slow_sum = 0.0
         return None
@@ -950,6 +980,8 @@
                 if now >= c.absent_until and self._warmth(c, now) >= 1.0]
         if not warm:
             warm = [c for c in self._ready if self._admits(c, pending.key, now)]
+        if not warm:  # all are away or cold: those that failed lately can still carry more
+            warm = [c for c in self._ready if self._warmth(c, now) >= 1.0]
         return [self._least(warm, now)] if warm else []
 
     # --- attempts ---
@@ -960,6 +992,9 @@
             pending.held = False
             self._send(pending, cache, actions)
             self._plan_hedge(pending, actions)
+        elif self._ready:  # none of them may take it now: waiting would mend nothing
+            self._gate.learn(1.0, self._now)
+            self._end(pending, actions)
         elif not pending.held:
             pending.held = True
             self._held[pending.request.id] = pending
@@ -990,10 +1025,14 @@
     def _go_on(self, pending: Pending, result: Result, actions: list[Action]) -> None:
         """No attempt is out and none was served: try again or give the final answer."""
         now = self._now
-        if pending.streaming or result is Result.NEVER_SENT or now >= pending.request.give_up_at:
+        if pending.streaming or now >= pending.request.give_up_at:
             self._gate.learn(1.0, now)
             self._end(pending, actions, failed=True)
             return
+        if result is Result.NEVER_SENT:  # no socket was left: another attempt finds none
+            self._gate.learn(1.0, now)
+            self._end(pending, actions)
+            return
         cache = None
         if len(pending.attempts) < self.settings.max_attempts:
             if result is Result.MISS and self._origins:
@@ -1032,7 +1071,8 @@
     def _backoff(self) -> float:
         """How long a refused client should stay away: longer the more is being shed."""
         shed = 1.0 - self._gate.open
-        return self.settings.max_backoff * shed * self._random.uniform(0.5, 1.0)
+        wait = min(self.settings.max_backoff, max(LEAST_BACKOFF, self.settings.max_backoff * shed))
+        return wait * self._random.uniform(0.5, 1.0)
 
     def _finish(self, pending: Pending, actions: list[Action]) -> None:
         """The request has ended: call off what is still out for it."""
@@ -1066,17 +1106,24 @@
             if cache.suspect:
                 # Back after a break the list never showed: perhaps restarted, so cold.
                 cache.suspect = False
-                cache.cold_since = now
-            cache.late_streak, cache.absent_for = 0, 0.0
+                if self._may_suspect(now):
+                    cache.cold_since = now
+            cache.late_streak = cache.reset_streak = 0
+            cache.absent_for = 0.0
             mean = self._mean(pending.cls, outcome.hit is not False)
             if mean.count >= 3:
                 ratio = outcome.latency / max(mean.value, 0.1)
                 cache.observe(ratio, now)
                 self._kinds.setdefault(cache.kind, Mean(1.0)).add(min(ratio, RATIO_CAP))
             mean.add(outcome.latency)
-        elif result in (Result.NO_CONNECTION, Result.RESET):
-            cache.suspect = True
+        elif result is Result.NO_CONNECTION:
+            cache.suspect = True  # nothing listens there: only that hints at a restart
             self._eject(cache, now)
+        elif result is Result.RESET:
+            cache.reset_streak += 1
+            if cache.reset_streak >= RESET_STREAK:
+                cache.reset_streak = 0
+                self._eject(cache, now)
         elif result is Result.LATE:
             cache.observe(RATIO_CAP, now)
             cache.late_streak += 1
@@ -1093,6 +1140,17 @@
             mean = self._times[place] = Mean(cls.aim / 2)
         return mean
 
+    def _may_suspect(self, now: float) -> bool:
+        """Whether one more cache may be held for cold without the list saying so.
+
+        Guards against any trouble between this proxy and all caches (resets, refused or
+        silent connections) that looks like restarts: with all of them held for cold, hardly
+        a request was sent.  Should the whole fleet truly restart unlisted, the fourth rule
+        rests on what the list tells and on shedding alone.
+        """
+        cold = sum(self._warmth(c, now) < 1.0 for c in self._ready)
+        return cold + 1 <= max(1.0, SUSPECT_SHARE * len(self._ready))
+
     def _eject(self, cache: Cache, now: float) -> None:
         """Keep away for a while, longer each time; never from too many at once."""
         absent = sum(now < c.absent_until for c in self._ready)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,132 @@
+"""The program as `run` starts it: configuration, signals, exit."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from rig import CacheNode, Discovery, configuration, get, read_answer, soon, until
+
+ROOT = Path(__file__).parent.parent
+
+
+class Program:
+    """One process of the proxy, its log and its port."""
+
+    def __init__(self, process: asyncio.subprocess.Process, path: Path, raw: dict[str, Any]):
+        self.process, self.path, self.raw = process, path, raw
+        self.log: list[str] = []
+        self.port = int(raw["listen"].rpartition(":")[2])
+        self._reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        async for line in self.process.stderr:
+            self.log.append(line.decode())
+
+    async def logged(self, text: str) -> None:
+        await until(lambda: any(text in line for line in self.log))
+
+    def configure(self, text: str) -> None:
+        new = self.path.with_suffix(".new")
+        new.write_text(text)
+        new.replace(self.path)
+        self.process.send_signal(signal.SIGHUP)
+
+    async def ended(self) -> int:
+        code = await soon(self.process.wait())
+        await soon(self._reading)
+        return code
+
+
+async def launch(path: Path, **more: str) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "violetroute", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+        env=os.environ | {"PROXY_CONFIG": str(path)} | more)
+
+
+@asynccontextmanager
+async def program(tmp_path: Path, discovery: Discovery,
+                  node: CacheNode) -> AsyncIterator[Program]:
+    probe = await CacheNode().start()  # for a port that is free
+    await probe.stop()
+    raw = configuration(discovery.port, [node.entry("s-0")], listen=probe.port)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw))
+    # The environment names discovery as at the start, as it does in service.
+    one = Program(await launch(path, PROXY_DISCOVERY=raw["discovery"]), path, raw)
+    try:
+        await one.logged("listens on")
+        yield one
+    finally:
+        if one.process.returncode is None:
+            one.process.kill()
+            await one.ended()
+
+
+def test_hangup_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    # SIGHUP ended the process, and PROXY_DISCOVERY kept the old address for good.
+    async def play() -> None:
+        node = await CacheNode().start()
+        old, new = await Discovery().start(), await Discovery().start()
+        async with program(tmp_path, old, node) as one:
+            await until(lambda: old.open)
+            for bad in ("{", "[]", json.dumps(one.raw | {"discovery": "nowhere"}),
+                        json.dumps({k: v for k, v in one.raw.items() if k != "settings"})):
+                count = len(one.log)
+                one.configure(bad)
+                await until(lambda count=count: len(one.log) > count)
+                assert "not reloaded" in one.log[-1] and len(one.log) == count + 1
+            assert old.open, "the old watch goes on"
+            one.configure(json.dumps(one.raw | {"discovery": f"127.0.0.1:{new.port}"}))
+            await until(lambda: new.open and not old.open)
+            assert new.asked == ["/v1/servers?follow=1&since=0"]
+            reader, writer = await soon(asyncio.open_connection("127.0.0.1", one.port))
+            writer.write(get(1))
+            assert await read_answer(reader) == b"value of id1"
+            writer.close()
+            one.process.terminate()
+            assert await one.ended() == 0
+            assert "Traceback" not in "".join(one.log)
+        for part in (node, old, new):
+            await part.stop()
+
+    asyncio.run(play())
+
+
+def test_discovery_that_fails_after_a_move_is_asked_again(tmp_path: Path) -> None:
+    async def play() -> None:
+        node = await CacheNode().start()
+        old, new = await Discovery().start(), await Discovery().start()
+        new.refuse = True
+        async with program(tmp_path, old, node) as one:
+            await until(lambda: old.open)
+            one.configure(json.dumps(one.raw | {"discovery": f"127.0.0.1:{new.port}"}))
+            await until(lambda: len(new.asked) >= 2)
+            new.refuse = False
+            await until(lambda: new.open)
+        for part in (node, old, new):
+            await part.stop()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "{}", '{"settings": {}}', "[" * 100_000])
+def test_bad_configuration_is_one_line_and_no_start(tmp_path: Path, text: str) -> None:
+    async def play() -> None:
+        path = tmp_path / "config.json"
+        path.write_text(text)
+        process = await launch(path)
+        _, errors = await soon(process.communicate())
+        assert process.returncode == 2
+        assert errors.startswith(b"violetroute: ") and errors.count(b"\n") == 1
+
+    asyncio.run(play())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -24,6 +24,7 @@
     Result,
     Send,
     Settings,
+    Subscribe,
     Tenant,
     Timer,
 )
@@ -332,3 +333,45 @@
         took = 10.0 if hit else 90.0
         balancer.on_outcome(now + took, Outcome(number, 0, Result.OK, True, took, hit))
     assert not timers
+
+
+@pytest.mark.parametrize("result", [Result.SPOILT, Result.RESET, Result.NO_CONNECTION])
+def test_broken_answers_from_all_alike_do_not_stop_the_traffic(result: Result) -> None:
+    # One answer in twenty could not be read.  Each sent its node away, and on its return it
+    # counted as cold for 23 s: soon all did, and three requests in four came to nothing.
+    balancer = balancer_with([Member(i) for i in range(10)], second_copies=True)
+    rng, sent = random.Random(4), 0
+    for number in range(2_000):
+        now = number * 5.0
+        actions = balancer.on_request(now, Request(number, "read", now + 400, key=number % 300))
+        attempt = 0
+        sent += isinstance(actions[0], Send)
+        while actions and isinstance(actions[0], Send):
+            bad = rng.random() < 0.05
+            actions = balancer.on_outcome(now, Outcome(
+                number, attempt, result if bad else Result.OK, not bad, 10.0))
+            attempt += 1
+        balancer.on_timer(now, number)
+    assert sent > 1_950
+
+
+def test_nothing_is_held_while_caches_are_listed() -> None:
+    # Held for half the client's time though no list was missing: refused at once instead.
+    balancer = balancer_with([Member(1, started_at=1.0)], now=1.0, max_backoff=1_000.0)
+    for number in range(200):
+        actions = balancer.on_request(1.0, Request(number, "read", 400.0, key=number))
+        assert isinstance(actions[0], Send | Refuse)
+        assert isinstance(actions[0], Send) or actions[0].backoff > 0
+
+
+def test_a_request_that_no_socket_was_left_for_is_refused() -> None:
+    balancer = balancer_with([Member(i) for i in range(4)])
+    balancer.on_request(1.0, Request(1, "unsafe", 400.0, key=3))
+    assert isinstance(balancer.on_outcome(
+        2.0, Outcome(1, 0, Result.NEVER_SENT, False, 1.0))[0], Refuse)
+
+
+def test_discovery_that_moved_is_asked_at_once() -> None:
+    balancer = balancer_with([Member(1)], must_subscribe=True)
+    assert balancer.on_discovery_moved(5.0) == [Subscribe()]
+    assert balancer.on_list(6.0, ListKind.FAILED, ())[0] != Subscribe()
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -32,6 +32,22 @@
             log.error("%s", context.get("message"), exc_info=context.get("exception"))
 
 
+def reload(proxy: Proxy, before: Config) -> Config:
+    """SIGHUP: the new configuration if it can be used, else the one at hand goes on."""
+    try:
+        config = load()
+    except ConfigError as error:
+        log.error("not reloaded: %s", error)
+        return before
+    fixed = [name for name in ("name", "listen", "sockets")
+             if getattr(config, name) != getattr(before, name)]
+    if fixed:
+        log.warning("needs a restart to change: %s", ", ".join(fixed))
+    proxy.reload(config)
+    log.info("reloaded; discovery at %s:%d", config.discovery.host, config.discovery.port)
+    return config
+
+
 async def serve(config: Config) -> int:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(Reporter())
@@ -39,6 +55,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)  # a second one changes nothing
     proxy = Proxy(config, loop)
+
+    def reload_now() -> None:
+        nonlocal config
+        config = reload(proxy, config)
+
+    loop.add_signal_handler(signal.SIGHUP, reload_now)
     listener = Listener(proxy, config.client_sockets, loop)
     try:
         listener.start(config.listen)
@@ -49,6 +71,7 @@
     gc.freeze()  # what start-up made stays; collections need not walk it
     log.info("%s listens on %s:%d", config.name, config.listen.host, config.listen.port)
     await ended.wait()
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)  # nothing new on the way out
     await listener.drain(config.longest_deadline + DRAIN_SLACK)
     proxy.close()
     await asyncio.sleep(0)  # lets the loop close what was closed last
@@ -58,6 +81,7 @@
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(levelname)s %(message)s")
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before we can reload
     try:
         config = load()
     except ConfigError as error:
--- a/violetroute/config.py
+++ b/violetroute/config.py
@@ -1,4 +1,4 @@
-"""What the proxy is told: PROXY_* and the JSON file, checked once at the start."""
+"""What the proxy is told: PROXY_* and the JSON file, checked at the start and on SIGHUP."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class ConfigError(Exception):
-    """Said in one line; the proxy does not start."""
+    """Said in one line; the proxy does not start, or keeps what it had."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +57,8 @@
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
         return _config(raw, env)
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError,
+            RecursionError) as error:
         text = f"missing {error}" if isinstance(error, KeyError) else " ".join(str(error).split())
         raise ConfigError(f"bad configuration in {path}: {text}") from error
 
@@ -68,7 +69,8 @@
     config = Config(
         name=env.get("PROXY_NAME") or str(raw.get("name", "")),
         listen=parse_address(env.get("PROXY_LISTEN") or raw["listen"]),
-        discovery=parse_address(env.get("PROXY_DISCOVERY") or raw["discovery"]),
+        # The file first: it can be replaced and read anew, the environment never changes.
+        discovery=parse_address(raw.get("discovery") or env["PROXY_DISCOVERY"]),
         seed=int(str(raw.get("seed", "0")), 16),
         sockets=int(raw.get("limits", {}).get("sockets", 1024)),
         known=parse_listing(raw.get("known") or {"instances": []}),
--- a/violetroute/discovery.py
+++ b/violetroute/discovery.py
@@ -83,6 +83,14 @@
         self._follower, self._address = follower, address
         self._task: asyncio.Task[None] | None = None
 
+    def move(self, address: Address) -> bool:
+        """Where discovery is from now on; whether that is elsewhere."""
+        if address == self._address:
+            return False
+        self._address = address
+        self.stop()  # its end is not told: the module learns of the move instead
+        return True
+
     def start(self, since: int) -> None:
         self.stop()
         self._task = asyncio.get_running_loop().create_task(self._run(since))
@@ -95,8 +103,11 @@
     async def _run(self, since: int) -> None:
         try:
             await self._follow(since)
-        except (OSError, TimeoutError, ValueError, Broken, h11.ProtocolError) as error:
-            log.info("watch ended: %s", str(error) or type(error).__name__)
+        except Exception as error:
+            # Whatever discovery sends, and whatever taking it in does, ends one watch and is
+            # told: an end that nobody hears of would leave the list as it is for good.  It
+            # also hides our own faults, which is why they are logged with their kind.
+            log.info("watch ended: %s: %.200s", type(error).__name__, error)
         self._follower.list_failed()
 
     async def _follow(self, since: int) -> None:
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -74,6 +74,7 @@
         self._generation = 0
         self._faulted_at = -FAULT_PAUSE
         self._balancer = Balancer(config.settings, config.seed, self.clock())
+        self._settings = config.settings
         self._classes = {c.name for c in config.settings.classes}
         self._pool = Pool(self, loop, config.upstream_sockets, config.connect_timeout,
                           config.idle_timeout)
@@ -162,6 +163,16 @@
     def list_failed(self) -> None:
         self._tell(None, self._balancer.on_list, ListKind.FAILED, ())
 
+    def reload(self, config: Config) -> None:
+        """Take on what a new configuration may change while requests are open."""
+        if config.settings != self._settings:
+            self._settings = config.settings
+            self._classes = {c.name for c in config.settings.classes}
+            self._tell(None, self._balancer.on_settings, config.settings)
+        if self._watch.move(config.discovery):
+            self._generation = 0  # another discovery's versions may mean something else
+            self._tell(None, self._balancer.on_discovery_moved)
+
     def _tell_list(self, kind: ListKind, listing: Listing) -> None:
         self._generation = listing.generation
         members = []
--- a/violetroute/upstream.py
+++ b/violetroute/upstream.py
@@ -155,7 +155,9 @@
         try:
             self._read()
         except resp.ProtocolError:
-            self._break(Result.RESET)
+            # The request has run, and only this connection is spoilt: told as a reset, it
+            # would count against the node, though such answers can come from any alike.
+            self._break(Result.SPOILT)
 
     def eof_received(self) -> bool:
         return False
@@ -263,7 +265,7 @@
     def look(self, now: float) -> None:
         if self.attempt is not None and self.attempt.started_at and not self._read_paused \
                 and now - self.heard_at > SILENCE:
-            self._break(Result.RESET)
+            self._break(Result.LATE)
 
     def pause(self) -> None:
         if not self._read_paused and self.transport is not None:
