--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -119,7 +119,8 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize("text", ["", "{", "[]", "{}", '{"settings": {}}', "[" * 100_000])
+@pytest.mark.parametrize("text", ["", "{", "[]", "{}", '{"settings": {}}', "[" * 100_000],
+                         ids=["empty", "cut", "array", "nothing", "no figures", "deep"])
 def test_bad_configuration_is_one_line_and_no_start(tmp_path: Path, text: str) -> None:
     async def play() -> None:
         path = tmp_path / "config.json"
