--- a/tests/rig.py
+++ b/tests/rig.py
@@ -198,7 +198,8 @@
         self.config = self.load(configuration(self.discovery.port, known, **self.limits))
         loop = asyncio.get_running_loop()
         self.proxy = Proxy(self.config, loop)
-        self.listener = Listener(self.proxy, self.config.client_sockets, loop)
+        self.listener = Listener(self.proxy, self.config.client_sockets,
+                                 self.config.value_room, loop)
         self.port = self.listener.start(self.config.listen).port
         return self
 
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,231 @@
+"""Clients that are usual, hasty, rude, silent or gone, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from rig import (
+    CacheNode,
+    Rig,
+    bulk,
+    command,
+    get,
+    put,
+    read_answer,
+    reply,
+    soon,
+    until,
+)
+
+
+def play(part: Callable[..., Awaitable[None]], *nodes: Any, **limits: Any) -> None:
+    async def run() -> None:
+        built = [node() if callable(node) else node for node in nodes or (CacheNode,)]
+        async with Rig(*built, **limits) as rig:
+            await part(rig, *built)
+
+    asyncio.run(run())
+
+
+async def closed(reader: asyncio.StreamReader) -> bytes:
+    """What comes until the proxy closes, by an end or a reset."""
+    data = b""
+    try:
+        while piece := await soon(reader.read(4096)):
+            data += piece
+    except ConnectionError:
+        pass
+    return data
+
+
+def test_pipelined_answers_come_in_the_order_of_the_commands() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        first = asyncio.Event()
+
+        async def late_first(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            if words[2] == b"id0":
+                await first.wait()
+            writer.write(reply(words[2]))
+            if words[2] == b"id9":
+                first.set()
+
+        node.behaviour = late_first
+        answers = await rig.ask(*map(get, range(10)), command(b"PING"), put(11))
+        assert answers == [*(b"id%d" % n for n in range(10)), b"+PONG", b"id11"]
+
+    play(part)
+
+
+def test_a_client_that_closes_frees_its_request_and_its_node() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def never(words: list[bytes], writer: asyncio.StreamWriter) -> None: ...
+
+        node.behaviour = never
+        _, writer = await rig.client()
+        writer.write(get(1))
+        await until(lambda: node.commands)
+        writer.write_eof()  # the protocol knows no half-open client: it has gone
+        await until(lambda: not node.open and not rig.proxy.open_requests)
+
+    play(part)
+
+
+BAD = {
+    "noise": b"\x00\xff\x17\x80" * 8,
+    "endless line": b"*" + b"1" * 5000,
+    "endless status": b"+" + b"x" * 5000,
+    "negative": b"*-3\r\n",
+    "negative bulk": b"*1\r\n$-5\r\n",
+    "huge array": b"*999999999\r\n",
+    "huge value": b"*5\r\n" + bulk(b"OBJ.SET") + bulk(b"k") + bulk(b"i") + bulk(b"c=optout,d=9")
+                  + b"$60000000\r\n",
+    "wrong length": b"*4\r\n$3\r\nOBJ.GET\r\n",
+    "not a bulk": b"*1\r\n:5\r\n",
+    "letters": b"*4x\r\n",
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_what_cannot_be_read_is_answered_and_closed_at_once(name: str) -> None:
+    # An endless line was read to 8 KiB, and noise with no line end kept for 15 s.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        reader, writer = await rig.client()
+        writer.write(get(1) + BAD[name])
+        data = await closed(reader)
+        assert data.startswith(bulk(b"value of id1") + b"-ERR ") and data.endswith(b"\r\n")
+        writer.close()
+
+    play(part)
+
+
+SENSELESS = {
+    "class": get(1, cls=b"nothing"),
+    "wait": command(b"OBJ.GET", b"k", b"i", b"c=lookup,d=soon"),
+    "blank wait": command(b"OBJ.GET", b"k", b"i", b"c=lookup,d=1_0"),
+    "no end": command(b"OBJ.GET", b"k", b"i", b"c=lookup,d=nan"),
+    "negative wait": command(b"OBJ.GET", b"k", b"i", b"c=lookup,d=-5"),
+    "no id": command(b"OBJ.GET", b"k", b"", b"c=lookup,d=500"),
+    "no key": command(b"OBJ.GET", b"", b"i", b"c=lookup,d=500"),
+    "no idempotency key": command(b"OBJ.SET", b"k", b"i", b"c=optout,d=500", b"v"),
+    "unknown command": command(b"FLUSHALL"),
+    "too few": command(b"OBJ.GET", b"k"),
+}
+
+
+@pytest.mark.parametrize("name", SENSELESS)
+def test_senseless_commands_are_answered_and_reach_no_node(name: str) -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        answers = await rig.ask(SENSELESS[name], get(7))
+        assert answers[0].startswith(b"-ERR ") and answers[1] == b"value of id7"
+        assert [words[2] for words in node.commands] == [b"id7"]
+
+    play(part)
+
+
+def test_nothing_but_mistakes_ends_the_connection() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        reader, writer = await rig.client()
+        writer.write(SENSELESS["class"] * 500)
+        assert 0 < (await closed(reader)).count(b"-ERR") < 500
+        writer.close()
+
+    play(part)
+
+
+def test_the_id_of_an_open_request_is_turned_away() -> None:
+    # It went on to a node, which can't tell the two apart, and could be served.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        go = asyncio.Event()
+
+        async def waits(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(reply(b"mine"))
+
+        node.behaviour = waits
+        reader, writer = await rig.client()
+        writer.write(get(1))
+        await until(lambda: node.commands)
+        assert (await rig.ask(get(1)))[0].startswith(b"-ERR")
+        go.set()
+        assert await read_answer(reader) == b"mine"
+        assert await rig.ask(get(1)) == [b"mine"]  # it is free again
+        assert len(node.commands) == 2
+        writer.close()
+
+    play(part)
+
+
+def test_a_silent_crowd_at_the_limit_keeps_nobody_out() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        crowd = [await rig.client() for _ in range(2 * rig.config.client_sockets)]
+        assert await rig.ask(get(1)) == [b"value of id1"]
+        for reader, writer in crowd:  # and each is closed by itself
+            assert await closed(reader) == b""
+            writer.close()
+
+    play(part, sockets=80)
+
+
+def test_half_a_command_is_ended_in_bounded_time() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        reader, writer = await rig.client()
+        writer.write(get(1)[:-5])
+        assert (await closed(reader)).startswith(b"-ERR")
+        writer.close()
+
+    play(part)
+
+
+def test_connections_that_asked_once_and_stay_make_room() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        stay = []
+        for number in range(3 * rig.config.client_sockets):
+            reader, writer = await rig.client()
+            writer.write(get(number))
+            assert await read_answer(reader) == b"value of id%d" % number
+            stay.append(writer)
+        for writer in stay:
+            writer.close()
+
+    play(part, sockets=80)
+
+
+def test_ids_and_connections_that_are_ever_new_leave_nothing_behind() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def spell(start: int) -> int:
+            for number in range(start, start + 60):
+                await rig.ask(get(number, key=b"key%d" % number), put(number + 100_000),
+                              SENSELESS["class"])
+            await until(lambda: not rig.listener.connections and not rig.proxy.open_requests)
+            gc.collect()
+            return len(gc.get_objects())
+
+        for start in range(0, 5 * 60, 60):  # the module's tables of keys fill first
+            await spell(start)
+        before = await spell(1_000)
+        assert await spell(2_000) < before + 1_500
+
+    play(part)
+
+
+def test_values_that_do_not_fit_wait_for_room() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        value = b"x" * 64 * 1024
+        clients = []
+        for number in range(40):  # 2.5 MB where 1 MB has room
+            reader, writer = await rig.client()
+            writer.write(put(number, value)[:-10])
+            clients.append((reader, writer, put(number, value)[-10:]))
+        await until(lambda: rig.listener.budget.used > 800_000)
+        assert rig.listener.budget.used <= 1024 * 1024
+        for _, writer, rest in clients:
+            writer.write(rest)
+        for reader, writer, _ in clients:
+            assert (await read_answer(reader)).startswith((b"value", b"-ERR half"))
+            writer.close()
+
+    play(part, memory_mb=20)
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -39,7 +39,7 @@
     except ConfigError as error:
         log.error("not reloaded: %s", error)
         return before
-    fixed = [name for name in ("name", "listen", "sockets")
+    fixed = [name for name in ("name", "listen", "sockets", "memory_mb")
              if getattr(config, name) != getattr(before, name)]
     if fixed:
         log.warning("needs a restart to change: %s", ", ".join(fixed))
@@ -61,7 +61,7 @@
         config = reload(proxy, config)
 
     loop.add_signal_handler(signal.SIGHUP, reload_now)
-    listener = Listener(proxy, config.client_sockets, loop)
+    listener = Listener(proxy, config.client_sockets, config.value_room, loop)
     try:
         listener.start(config.listen)
     except OSError as error:
--- a/violetroute/clients.py
+++ b/violetroute/clients.py
@@ -18,17 +18,19 @@
 ACCEPT_AT_ONCE = 32  # connections taken in one turn, so that the others get theirs
 ACCEPT_PAUSE = 0.05  # s until the listener looks again when nothing could give way
 DEPTH = 128  # commands of one connection under way; beyond it reading pauses
-READ_SIZE = 32 * 1024  # bytes read at once, into a buffer that all connections share
+READ_SIZE = 16 * 1024  # bytes read at once, into a buffer that all connections share
 WRITE_HIGH = 32 * 1024  # bytes in a client's write buffer above which its answers wait
 SMALL = 4 * 1024  # bytes of an argument that needs no room from the budget
-SHORT = 64 * 1024  # bytes; values up to here may use the budget's last part
-LONG_BUDGET = 56 * 1024 * 1024  # bytes of values and answers held for all connections
-SHORT_BUDGET = 8 * 1024 * 1024  # bytes on top that only short values may take
+LAST_PART = 0.15  # of the budget, which only answers may take: they free more than they hold
 ARGUMENTS = 16  # of a command; the protocol's have five at most
+MISTAKES = 8  # senseless commands in a row after which a connection ends
 SWEEP = 0.25  # s between looks at what waits for something
-SILENT_PATIENCE = 1.0  # s for which one that says nothing keeps its slot in a crowd
-PARTIAL_PATIENCE = 2.2  # s likewise for half a command: a client may take 2 s over one
-COMMAND_PATIENCE = 15.0  # s over one command when there is no crowd
+SILENT_PATIENCE = 2.2  # s for a connection's first byte
+PARTIAL_PATIENCE = 2.4  # s over one command
+IDLE_PATIENCE = 2.0  # s without a request after which a client reckons with a close
+CROWD = 0.75  # of the slots: from here on idle connections end at IDLE_PATIENCE
+CROWD_PATIENCE = 0.15  # s for a first byte when no slot is left: a real client asks at once
+IDLE_LEAST = 0.2  # s that an idle one keeps its slot when nothing else can give way
 READER_PATIENCE = 15.0  # s without taking a byte of an answer
 LINGER = 0.5  # s to let the client read and close first, or a reset would eat the answer
 ACCEPT_AFTER_TERM = 0.55  # s; new connections come for 0.4 s, and all must be taken by 0.7 s
@@ -36,13 +38,6 @@
 _shared = memoryview(bytearray(READ_SIZE))
 
 
-class Source(Protocol):
-    """Where a long value comes from."""
-
-    def pause(self) -> None: ...
-    def resume(self) -> None: ...
-
-
 class Taker(Protocol):
     """What clients know of the proxy."""
 
@@ -53,7 +48,8 @@
 class Budget:
     """Room for values, shared by all connections: who asks for too much waits its turn."""
 
-    def __init__(self) -> None:
+    def __init__(self, size: int) -> None:
+        self._size, self._for_commands = size, int(size * (1.0 - LAST_PART))
         self.used = 0
         self._waiting: dict[ClientConnection, tuple[int, Callable[[], None]]] = {}
 
@@ -65,11 +61,11 @@
         return False
 
     def _fits(self, size: int) -> bool:
-        return self.used + size <= LONG_BUDGET + (SHORT_BUDGET if size <= SHORT else 0)
+        return self.used + size <= self._for_commands
 
     @property
     def full(self) -> bool:
-        return self.used > LONG_BUDGET
+        return self.used > self._for_commands
 
     def hold(self, size: int) -> None:
         self.used += size
@@ -91,52 +87,30 @@
 class Answer:
     """The place of one command's answer in its connection's order."""
 
-    __slots__ = ("_connection", "_held", "_source", "broken", "charge", "done", "request")
+    __slots__ = ("_connection", "_held", "charge", "done", "request")
 
     def __init__(self, connection: ClientConnection) -> None:
         self._connection = connection
         self._held: list[bytes | bytearray] = []  # what could not yet be written
-        self._source: Source | None = None
         self.charge = 0  # bytes that its command's value holds of the budget
-        self.done = self.broken = False
+        self.done = False
         self.request: object = None  # the proxy's own mark
 
     def finish(self, *parts: bytes | bytearray) -> None:
-        """The whole answer, or the last of it."""
+        """The whole answer; it is written when its turn has come."""
         self.done = True
-        self._source = None
+        self.request = None  # no cycle: its memory is free without the collector's help
         self._free()
-        self._put(*parts)
-
-    def begin(self, length: int, source: Source) -> None:
-        """A long value begins; from here on it comes in pieces."""
-        self._source = source
-        self._free()
-        self._put(b"$%d\r\n" % length)
-
-    def more(self, piece: bytes) -> None:
-        self._put(piece)
-
-    def break_off(self) -> None:
-        """The value will not be whole: only the end of the connection can say so."""
-        self.broken = True
-        self._source = None
-        self._connection.flush()
-
-    def _put(self, *parts: bytes | bytearray) -> None:
-        for part in parts:
-            self._connection.budget.hold(len(part))
-            self._held.append(part)
+        self._connection.budget.hold(sum(map(len, parts)))
+        self._held.extend(parts)
         self._connection.flush()
-        if self._held and self._source is not None:
-            self._source.pause()  # the client, or an earlier answer, is slower
 
     def _free(self) -> None:
         self._connection.budget.release(self.charge)
         self.charge = 0
 
     def write_to(self, transport: asyncio.Transport) -> None:
-        """Written as far as it has come; its turn has come."""
+        """Its turn has come."""
         if not self._held:
             return
         data = self._held[0] if len(self._held) == 1 else b"".join(self._held)
@@ -144,16 +118,11 @@
         self._connection.budget.release(len(data))
         transport.write(data)
 
-    def wake(self) -> None:
-        if self._source is not None:
-            self._source.resume()
-
     def drop(self) -> None:
         """The connection has ended: nothing is written any more."""
         self._free()
         self._connection.budget.release(sum(map(len, self._held)))
         self._held.clear()
-        self._source = None
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -176,6 +145,7 @@
         self.ending = False  # takes no further command and ends after what it owes
         self.lingers_since = 0.0
         self.since = 0.0  # of its present state: silent, in part, idle
+        self.mistakes = 0  # in a row
         self._unsent, self._unsent_since = 0, 0.0
 
     # --- transport ---
@@ -219,8 +189,9 @@
         answers, self._answers = self._answers, deque()
         for answer in answers:
             answer.drop()
-            if not answer.done and not answer.broken:
+            if not answer.done:
                 self._listener.taker.gone(answer)
+            answer.request = None
 
     # --- commands ---
     def _pump(self) -> None:
@@ -285,10 +256,16 @@
             return
         try:
             command = resp.parse_command(args)
+            self._listener.taker.take(command, answer)
         except resp.CommandError as error:
+            # Well framed, so an honest mistake is answered and no more.  Who makes nothing
+            # but mistakes is shut out: else a flood of them costs as much as its sender likes.
             answer.finish(b"-ERR %b\r\n" % str(error).encode())
-            return
-        self._listener.taker.take(command, answer)
+            self.mistakes += 1
+            if self.mistakes >= MISTAKES:
+                self.end_after_answers()
+        else:
+            self.mistakes = 0
 
     def _put_answer(self) -> Answer:
         answer = Answer(self)
@@ -301,7 +278,7 @@
         if transport is None or transport.is_closing() or self.lingers_since:
             return
         crowded = not self._missing and (len(self._answers) >= DEPTH or self.budget.full)
-        pause = crowded or self._awaited > 0 or self._decoder.unread > 2 * READ_SIZE
+        pause = crowded or self._awaited > 0 or self._decoder.unread > READ_SIZE
         if pause != self._reading_paused and not (self.ending and pause):
             self._reading_paused = pause
             (transport.pause_reading if pause else transport.resume_reading)()
@@ -325,13 +302,7 @@
         while self._answers and not self._write_paused and not transport.is_closing():
             answer = self._answers[0]
             answer.write_to(transport)
-            if answer.broken:
-                self._release_all()
-                transport.close()
-                break
             if not answer.done:
-                if not self._write_paused:
-                    answer.wake()
                 break
             self._answers.popleft()
             moved = True
@@ -392,19 +363,25 @@
         if self.lingers_since:
             if now - self.lingers_since > LINGER and not unsent:
                 transport.abort()
-        elif (self._missing or not self._decoder.idle) and not self._awaited \
-                and not self._answers and now - self.since > COMMAND_PATIENCE:
-            self.end()
         elif self._reading_paused:
             self._pump()
+        elif self._answers or self._awaited:
+            pass  # it is we who make it wait
+        elif self._missing or not self._decoder.idle:
+            if now - self.since > PARTIAL_PATIENCE:
+                self._put_answer().finish(b"-ERR half a command\r\n")
+                self.end_after_answers()
+        elif self._listener.overstays(self, now):
+            self.end()
 
 
 class Listener:
     """Accepts while a slot is free, and finds who must give way when none is."""
 
-    def __init__(self, taker: Taker, slots: int, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, taker: Taker, slots: int, room: int,
+                 loop: asyncio.AbstractEventLoop) -> None:
         self.taker, self.loop, self._slots = taker, loop, slots
-        self.budget = Budget()
+        self.budget = Budget(room)
         self.draining = False
         self._socket: socket.socket | None = None
         self._accepting = False
@@ -434,6 +411,10 @@
         self.loop.call_later(SWEEP, self._sweep)
         return Address(address.host, sock.getsockname()[1])
 
+    @property
+    def connections(self) -> int:
+        return self._taken
+
     # --- accepting ---
     def _accept_again(self) -> None:
         if self._socket is not None and not self._accepting:
@@ -482,17 +463,30 @@
                 self._taken -= 1
 
     def _give_way(self) -> bool:
-        """Free one slot, never that of a request that is being served."""
+        """Free one slot, never that of a request that is being served.
+
+        The longest in each state goes first, and those that cost nobody an answer before
+        those that might.  Guards against crowds that say nothing, say half, or asked once
+        and stay.  Harm: a client whose first byte needs longer than CROWD_PATIENCE is shut
+        out for as long as there is a crowd.
+        """
         now = self.loop.time()
-        for state, patience in ((self._lingering, 0.1), (self._idle, 0.0),
-                                (self._silent, SILENT_PATIENCE),
-                                (self._partial, PARTIAL_PATIENCE)):
+        for state, patience in ((self._lingering, 0.1), (self._idle, IDLE_PATIENCE),
+                                (self._silent, CROWD_PATIENCE),
+                                (self._partial, PARTIAL_PATIENCE), (self._idle, IDLE_LEAST)):
             for connection in state:
                 if now - connection.since >= patience and connection.give_way():
                     return True
                 break
         return False
 
+    def overstays(self, connection: ClientConnection, now: float) -> bool:
+        """Whether one that owes and is owed nothing has had its time."""
+        waited = now - connection.since
+        if connection in self._silent:
+            return waited > SILENT_PATIENCE
+        return self._taken > CROWD * self._slots and waited > IDLE_PATIENCE
+
     # --- states ---
     def _move(self, connection: ClientConnection, state: dict[ClientConnection, None]) -> None:
         if connection in state:
--- a/violetroute/config.py
+++ b/violetroute/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -15,7 +16,12 @@
 from .net import Address, parse_address
 
 RESERVED_SOCKETS = 32  # standard streams, event loop, listener, discovery, log, and some slack
-UPSTREAM_SHARE = 0.35  # of the sockets go to cache nodes: a served request needs one of each
+# Of the sockets.  Clients hold a third for requests at most; each of these can have two
+# attempts out, while a client's connection that has no request can be closed.
+UPSTREAM_SHARE = 0.45
+PROCESS_MB = 20  # what the program takes with no request open
+VALUE_SHARE = 0.4  # of the memory beyond that; as much again goes to connections' buffers
+LEAST_VALUES = 1024 * 1024  # bytes: some values of the longest kind must always fit
 
 
 class ConfigError(Exception):
@@ -29,6 +35,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: float
     known: Listing
     settings: Settings
     connect_timeout: float  # seconds
@@ -43,6 +50,11 @@
     def client_sockets(self) -> int:
         return max(1, self.sockets - RESERVED_SOCKETS - self.upstream_sockets)
 
+    @property
+    def value_room(self) -> int:
+        """Bytes of values and answers that all clients together may keep in memory."""
+        return max(LEAST_VALUES, int((self.memory_mb - PROCESS_MB) * VALUE_SHARE * 1024 * 1024))
+
     @property
     def longest_deadline(self) -> float:
         """Seconds."""
@@ -73,6 +85,7 @@
         discovery=parse_address(raw.get("discovery") or env["PROXY_DISCOVERY"]),
         seed=int(str(raw.get("seed", "0")), 16),
         sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+        memory_mb=float(raw.get("limits", {}).get("memory_mb", 64)),
         known=parse_listing(raw.get("known") or {"instances": []}),
         settings=parse_settings(settings),
         connect_timeout=float(caps.get("connectTimeoutMs", 250.0)) / 1000.0,
@@ -81,4 +94,6 @@
     )
     if config.sockets < 2 * RESERVED_SOCKETS:
         raise ValueError(f"limits.sockets must be at least {2 * RESERVED_SOCKETS}")
+    if not PROCESS_MB <= config.memory_mb < math.inf:
+        raise ValueError(f"limits.memory_mb must be at least {PROCESS_MB}")
     return config
--- a/violetroute/discovery.py
+++ b/violetroute/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any
@@ -21,7 +22,7 @@
 CALL_TIMEOUT = 3.0  # s until a call's first line; discovery itself lets a call wait 1 s
 SILENCE = 3.0  # s without a byte; an empty line comes every 2 s
 LINE_PATIENCE = 8.0  # s over one line, which may come in small pieces
-LINE_LIMIT = 1024 * 1024  # bytes of a line: several thousand entries
+LINE_LIMIT = 512 * 1024  # bytes of a line: some thousand entries
 READ_SIZE = 16 * 1024
 
 STATES = {"in_service": CacheState.READY, "terminating": CacheState.DRAINING,
@@ -48,21 +49,37 @@
 
 
 def parse_listing(raw: Any) -> Listing:
-    """Raises ValueError on anything that is not a list of cache nodes."""
+    """Raises ValueError on anything that is not a list of cache nodes.
+
+    One entry that makes no sense is left out and the others hold: as an error it would end
+    each watch anew, and a fleet that nobody hears of costs more than one node.
+    """
+    entries, senseless = [], 0
     try:
-        return Listing(int(raw.get("generation", 0)), bool(raw.get("reset", False)),
-                       tuple(_entry(item) for item in raw["instances"]))
-    except (KeyError, TypeError, AttributeError) as error:
+        for item in raw["instances"]:
+            try:
+                entries.append(_entry(item))
+            except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
+                senseless += 1
+        listing = Listing(int(raw.get("generation", 0)), bool(raw.get("reset", False)),
+                          tuple(entries))
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"not a list of cache nodes: {error!r}") from error
+    if senseless:
+        log.warning("left out %d entries of the list that make no sense", senseless)
+    return listing
 
 
 def _entry(raw: dict[str, Any]) -> Entry:
     state = STATES[raw["lifecycle"]]
     gone = state is CacheState.GONE  # nobody will connect there
+    weight, started_at = float(raw.get("weight", 1.0)), float(raw.get("startedAtMs", 0.0))
+    if not (0.0 <= weight < math.inf and 0.0 <= started_at < math.inf):
+        raise ValueError("weight or start is no number")
     return Entry(
         str(raw["instanceId"]), state, None if gone else parse_address(raw["hostPort"]),
         str(raw.get("zone", "")), str(raw.get("machineType", "")), int(raw.get("cell", 0)),
-        float(raw.get("weight", 1.0)), float(raw.get("startedAtMs", 0.0)))
+        weight, started_at)
 
 
 class Follower(Interface):
--- a/violetroute/net.py
+++ b/violetroute/net.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import socket
 from dataclasses import dataclass
 
 
@@ -10,9 +12,17 @@
     host: str
     port: int
 
+    @property
+    def family(self) -> socket.AddressFamily:
+        return socket.AF_INET6 if ":" in self.host else socket.AF_INET
+
 
 def parse_address(text: object) -> Address:
     host, colon, port = str(text).rpartition(":")
     if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
+    try:  # there is no DNS: a name would only fail later, and once for each attempt
+        host = str(ipaddress.ip_address(host.removeprefix("[").removesuffix("]")))
+    except ValueError:
+        raise ValueError(f"not an address: {text!r}") from None
     return Address(host, int(port))
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -12,12 +12,14 @@
 import sys
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from snowstall import (
     Action,
     Balancer,
     CacheState,
     Cancel,
+    Effect,
     Fail,
     ListKind,
     Member,
@@ -34,12 +36,15 @@
 from .clients import Answer
 from .config import Config
 from .discovery import Entry, Listing, Watch
-from .resp import Command
-from .upstream import Attempt, NodeConnection, Pool
+from .net import Address
+from .resp import Command, CommandError
+from .upstream import Attempt, Pool
 
 log = logging.getLogger(__name__)
 
 FAILED = b"-ERR failed\r\n"
+ANSWER_MARGIN = 10.0  # ms before the client's time is up, for the answer's own way to it
+MARGIN_SHARE = 0.05  # of that time at most
 FAULT_PAUSE = 5.0  # s between two reports of faults: one cause can strike each request
 
 
@@ -52,7 +57,7 @@
     """A request from its last byte until its answer is given and its attempts have ended."""
 
     __slots__ = ("answer", "answered", "attempts", "command", "deadline", "give_up_at", "id",
-                 "out", "stream")
+                 "out")
 
     def __init__(self, number: int, command: Command, answer: Answer, give_up_at: float) -> None:
         self.id, self.command, self.answer = number, command, answer
@@ -60,7 +65,6 @@
         self.answered = False
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts without an outcome
-        self.stream: Attempt | None = None  # whose long value is being passed on
         self.deadline: asyncio.TimerHandle | None = None
 
 
@@ -70,17 +74,23 @@
         self._offset = time.time() * 1000.0 - time.monotonic() * 1000.0
         self._now = 0.0
         self._open: dict[int, OpenRequest] = {}
+        self._named: dict[bytes, OpenRequest] = {}  # those not yet answered, by the client's id
+        self._places: dict[Address, tuple[int, float]] = {}  # the node at each, and its start
         self._last_id = 0
         self._generation = 0
         self._faulted_at = -FAULT_PAUSE
         self._balancer = Balancer(config.settings, config.seed, self.clock())
         self._settings = config.settings
-        self._classes = {c.name for c in config.settings.classes}
+        self._classes = {c.name: c for c in config.settings.classes}
         self._pool = Pool(self, loop, config.upstream_sockets, config.connect_timeout,
                           config.idle_timeout)
         self._watch = Watch(self, config.discovery)
         self._tell_list(ListKind.CACHED, config.known)
 
+    @property
+    def open_requests(self) -> int:
+        return len(self._open)
+
     def clock(self) -> float:
         """Unix milliseconds at the start, carried on by a clock that never steps back."""
         self._now = max(self._now, self._offset + time.monotonic() * 1000.0)
@@ -88,17 +98,25 @@
 
     # --- from clients ---
     def take(self, command: Command, answer: Answer) -> None:
-        """A whole request has come: one final answer is owed from here on."""
-        if command.class_name not in self._classes:
-            answer.finish(b"-ERR unknown class\r\n")
-            return
+        """A whole request has come: one final answer is owed from here on.
+
+        CommandError: it can't be one, and nothing is owed but to say so.
+        """
+        cls = self._classes.get(command.class_name)
+        if cls is None:
+            raise CommandError("unknown class")
+        if cls.effect is Effect.KEYED and not command.keyed:
+            raise CommandError("no idempotency key")  # its repeats would not be dropped
+        if command.id in self._named:
+            raise CommandError("id of an open request")  # nodes could not tell them apart
         now = self.clock()
         self._last_id += 1
-        request = OpenRequest(self._last_id, command, answer, now + command.wait)
+        wait = min(command.wait, cls.deadline)  # who says that it waits longer is not believed
+        wait -= min(ANSWER_MARGIN, MARGIN_SHARE * wait)
+        request = OpenRequest(self._last_id, command, answer, now + wait)
         answer.request = request
-        self._open[request.id] = request
-        request.deadline = self._loop.call_later(
-            command.wait / 1000.0, self._out_of_time, request)
+        self._open[request.id] = self._named[command.id] = request
+        request.deadline = self._loop.call_later(wait / 1000.0, self._out_of_time, request)
         self._tell(request, self._balancer.on_request, Request(
             request.id, command.class_name, request.give_up_at, stable_hash(command.key),
             command.value is not None, command.tenant))
@@ -108,29 +126,11 @@
         request = answer.request
         if not isinstance(request, OpenRequest) or request.answered:
             return
-        request.answered = True
+        self._settle(request)
         self._tell(request, self._balancer.on_gone, request.id)
-        if request.stream is not None:  # the module calls off no stream
-            self._give_up(request.stream, Result.CANCELLED)
         self._forget(request)
 
     # --- from cache nodes ---
-    def value_begins(self, attempt: Attempt, length: int, source: NodeConnection) -> None:
-        request = self._open.get(attempt.request_id)
-        if request is None or request.answered or request.stream is not None:
-            source.give_up()  # nobody is left to take it
-            self.attempt_ended(attempt, Result.CANCELLED)
-            return
-        attempt.started_at = self.clock()
-        request.stream = attempt
-        request.answer.begin(length, source)
-        self._tell(request, self._balancer.on_started, request.id, attempt.number)
-
-    def value_goes_on(self, attempt: Attempt, piece: bytes) -> None:
-        request = self._open.get(attempt.request_id)
-        if request is not None and not request.answered:
-            request.answer.more(piece)
-
     def attempt_ended(
         self, attempt: Attempt, result: Result, value: bytearray | None = None,
         hit: bool | None = None, report: dict[str, float] | None = None,
@@ -142,18 +142,11 @@
         attempt.ended = True
         request.out -= 1
         now = self.clock()
-        if not request.answered:
-            if request.stream is attempt:
-                if result is Result.OK:
-                    self._answer(request, b"\r\n")
-                else:
-                    request.answered = True  # the client can tell by the end of its connection
-                    request.answer.break_off()
-            elif result is Result.OK and value is not None:
-                self._answer(request, b"$%d\r\n" % len(value), value, b"\r\n")
+        if not request.answered and result is Result.OK and value is not None:
+            self._answer(request, b"$%d\r\n" % len(value), value, b"\r\n")
         self._tell(request, self._balancer.on_outcome, Outcome(
             request.id, attempt.number, result, request.answered,
-            (attempt.started_at or now) - attempt.sent_at, hit, report))
+            now - attempt.sent_at, hit, report))
         self._forget(request)
 
     # --- from discovery ---
@@ -167,7 +160,7 @@
         """Take on what a new configuration may change while requests are open."""
         if config.settings != self._settings:
             self._settings = config.settings
-            self._classes = {c.name for c in config.settings.classes}
+            self._classes = {c.name: c for c in config.settings.classes}
             self._tell(None, self._balancer.on_settings, config.settings)
         if self._watch.move(config.discovery):
             self._generation = 0  # another discovery's versions may mean something else
@@ -178,19 +171,50 @@
         members = []
         listed = set()
         for entry in listing.entries:
-            member = _member(entry)
-            members.append(member)
+            member = _member(entry, self.clock())
             listed.add(member.id)
             if entry.state is CacheState.READY and entry.address is not None:
-                self._pool.place(member.id, entry.address)
+                members += self._place(member, entry.address)
             else:
-                self._pool.remove(member.id)
+                members.append(member)
+                self._remove(member.id)
         if kind is not ListKind.CHANGES:
             for cache_id in self._pool.ids():
                 if cache_id not in listed:
-                    self._pool.remove(cache_id)
+                    self._remove(cache_id)
         self._tell(None, self._balancer.on_list, kind, members)
 
+    def _place(self, member: Member, address: Address) -> list[Member]:
+        """Reach a node at its address; what to tell of it, and of one that it replaces there.
+
+        An address has one node: of two ids the one that started later is there, and the
+        other is gone though the list may say so only later, or never.  Else a new and cold
+        node would be given all that its predecessor was due.
+        """
+        members = [member]
+        other, started_at = self._places.get(address, (member.id, 0.0))
+        if other != member.id:
+            loser = replace(member, state=CacheState.GONE)
+            if started_at <= member.started_at:
+                loser = replace(loser, id=other)
+            else:
+                members = []
+            members.append(loser)
+            self._remove(loser.id)
+            if loser.id == member.id:
+                return members
+        if self._pool.address(member.id) != address:
+            self._remove(member.id)
+        self._pool.place(member.id, address)
+        self._places[address] = member.id, member.started_at
+        return members
+
+    def _remove(self, cache_id: int) -> None:
+        address = self._pool.address(cache_id)
+        if address is not None:
+            self._places.pop(address, None)
+        self._pool.remove(cache_id)
+
     def close(self) -> None:
         self._watch.stop()
         self._pool.close()
@@ -237,7 +261,7 @@
                           self.clock(), until)
         request.attempts.append(attempt)
         request.out += 1
-        if request.answered or request.stream is not None:
+        if request.answered:
             self._loop.call_soon(self.attempt_ended, attempt, Result.NEVER_SENT)
             return
         if until < request.give_up_at:
@@ -252,16 +276,14 @@
                 self._forget(request)
 
     def _too_late(self, attempt: Attempt) -> None:
-        if not attempt.started_at:
-            self._give_up(attempt, Result.LATE)
+        self._give_up(attempt, Result.LATE)
 
     def _out_of_time(self, request: OpenRequest) -> None:
-        """The client gives up now; a value that it is already being given goes on."""
+        """The client is about to give up."""
         self._now = max(self._now, request.give_up_at)
         for attempt in list(request.attempts):
-            if attempt is not request.stream:
-                self._give_up(attempt, Result.LATE)
-        if not request.answered and request.stream is None:
+            self._give_up(attempt, Result.LATE)
+        if not request.answered:
             self._fault(f"request {request.id} had no final answer at its deadline")
             self._answer(request, FAILED)
             self._tell(request, self._balancer.on_gone, request.id)
@@ -269,17 +291,21 @@
 
     def _give_up(self, attempt: Attempt, result: Result) -> None:
         if not attempt.ended:
-            self._pool.give_up(attempt)
-            self.attempt_ended(attempt, result)
+            may_have_run = self._pool.give_up(attempt)
+            self.attempt_ended(attempt, result if may_have_run else Result.NEVER_SENT)
 
     def _answer(self, request: OpenRequest, *parts: bytes | bytearray) -> None:
         """The one place where a request gets its final answer."""
         if request.answered:
             self._fault(f"second final answer for request {request.id}")
             return
-        request.answered = True
+        self._settle(request)
         request.answer.finish(*parts)
 
+    def _settle(self, request: OpenRequest) -> None:
+        request.answered = True
+        self._named.pop(request.command.id, None)
+
     def _forget(self, request: OpenRequest) -> None:
         """Done with it once it is answered and each attempt has had its outcome."""
         if request.answered and not request.out:
@@ -294,6 +320,7 @@
             log.error("fault: %s", text, exc_info=sys.exc_info()[0] is not None)
 
 
-def _member(entry: Entry) -> Member:
+def _member(entry: Entry, now: float) -> Member:
+    # A start that is yet to come would keep the node cold until then.
     return Member(stable_hash(entry.instance.encode()), entry.state, entry.zone, entry.kind,
-                  entry.cell, entry.weight, entry.started_at)
+                  entry.cell, entry.weight, min(entry.started_at, now))
--- a/violetroute/resp.py
+++ b/violetroute/resp.py
@@ -1,16 +1,21 @@
 """RESP2 without I/O: bytes in, tokens out, cut anywhere.
 
-Bulk bodies come out in the pieces in which they arrive: a reply of 4 MiB must be passed
-on, not gathered, which is why no ready-made reader is used.
+Whatever breaks the framing is told with the first byte that shows it, not when a line is
+whole, and before the bytes that a length promises are kept: a peer that is wrong may
+never send the rest.  That is why no ready-made reader is used.
 """
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import Literal
 
-LINE_LIMIT = 8 * 1024  # bytes of a status or length line; more is no line that we know
-BULK_LIMIT = 4 * 1024 * 1024  # bytes, the protocol's longest value
+LINE_LIMIT = 1024  # bytes of a status line; more is no line that we know
+LENGTH_DIGITS = 10  # of a length line
+BULK_LIMIT = 64 * 1024  # bytes, the protocol's longest value
+WORD_LIMIT = 1024  # bytes of a command's name, key and id
+FIELDS_LIMIT = 4 * 1024  # bytes of its list
 ARRAY_LIMIT = 64  # items; commands have at most five, replies three
 CRLF = b"\r\n"
 
@@ -98,12 +103,21 @@
         return Piece(data, False)
 
     def _head(self) -> Token | None:
-        end = self._buffer.find(CRLF, self._at, self._at + LINE_LIMIT + 2)
+        have = len(self._buffer) - self._at
+        if not have:
+            return None
+        kind = bytes(self._buffer[self._at : self._at + 1])
+        if kind not in (b"*", b"$", b"+", b"-", b":"):
+            raise ProtocolError("unknown type byte")
+        limit = LENGTH_DIGITS + 1 if kind in (b"*", b"$") else LINE_LIMIT
+        end = self._buffer.find(CRLF, self._at, self._at + limit + 2)
         if end < 0:
-            if len(self._buffer) - self._at > LINE_LIMIT:
+            if have > limit + 1:
                 raise ProtocolError("line too long")
+            if kind in (b"*", b"$"):
+                _length_begins(bytes(self._buffer[self._at + 1 :]))
             return None
-        kind, text = self._buffer[self._at : self._at + 1], bytes(self._buffer[self._at + 1 : end])
+        text = bytes(self._buffer[self._at + 1 : end])
         if kind == b"$":
             length = _length(text, BULK_LIMIT)
             self._at = end + 2
@@ -115,18 +129,21 @@
             length = _length(text, ARRAY_LIMIT)
             self._at = end + 2
             return Array(length) if length >= 0 else Line("0", b"")
-        for known in ("+", "-", ":"):
-            if kind == known.encode():
-                self._at = end + 2
-                return Line(known, text)
-        raise ProtocolError("unknown type byte")
+        self._at = end + 2
+        return Line("-" if kind == b"-" else "+" if kind == b"+" else ":", text)
+
+
+def _length_begins(text: bytes) -> None:
+    digits = text.removesuffix(b"\r")
+    if digits and not digits.isdigit() and digits not in (b"-", b"-1"):
+        raise ProtocolError("senseless length")
 
 
 def _length(text: bytes, limit: int) -> int:
     # int() alone would take signs, blanks, underscores and endless digits.
     if text == b"-1":
         return -1
-    if not text.isdigit() or len(text) > 10:
+    if not text.isdigit() or len(text) > LENGTH_DIGITS:
         raise ProtocolError("senseless length")
     length = int(text)
     if length > limit:
@@ -142,7 +159,7 @@
     """A well formed command that makes no sense: answered, and the connection lives."""
 
 
-LONGEST_WAIT = 3_600_000.0  # ms; a client that says it waits longer is not believed
+_WAIT = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")  # ms; float() alone would take far more
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +177,15 @@
     def key(self) -> bytes:
         return self.words[1]
 
+    @property
+    def id(self) -> bytes:
+        return self.words[2]
+
+    @property
+    def keyed(self) -> bool:
+        """Carries an idempotency key."""
+        return any(name == b"k" and text for name, text in self.fields)
+
     def encode(self, wait: float) -> list[bytes | memoryview]:
         """The command unchanged but for d, in parts; a long value is not copied."""
         left = b"%d" % max(1, int(wait))
@@ -180,6 +206,8 @@
         raise CommandError("unknown command")
     if len(args) != (4 if name == b"OBJ.GET" else 5):
         raise CommandError("wrong number of arguments")
+    if not all(0 < len(word) <= WORD_LIMIT for word in args[:3]) or len(args[3]) > FIELDS_LIMIT:
+        raise CommandError("key, id or list is empty or too long")
     fields: dict[bytes, bytes] = {}
     for item in bytes(args[3]).split(b","):
         field, equals, text = item.partition(b"=")
@@ -188,10 +216,10 @@
         fields[field] = text
     try:
         class_name, tenant = fields[b"c"].decode(), fields.get(b"t", b"").decode()
-        wait = float(fields[b"d"])
+        wait = float(fields[b"d"]) if _WAIT.fullmatch(fields[b"d"]) else 0.0
     except (KeyError, ValueError):
         raise CommandError("class or wait is missing or senseless") from None
-    if not 0.0 < wait <= LONGEST_WAIT:  # also not a number
+    if wait <= 0.0:
         raise CommandError("senseless wait")
     return Command(
         (bytes(args[0]), bytes(args[1]), bytes(args[2])), tuple(fields.items()),
--- a/violetroute/upstream.py
+++ b/violetroute/upstream.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import logging
+import math
+import socket
 from collections import deque
 from typing import Protocol
 
@@ -16,17 +17,16 @@
 from . import resp
 from .net import Address
 
-log = logging.getLogger(__name__)
-
 READ_SIZE = 32 * 1024  # bytes read at once, into a buffer that all connections share
 WRITE_PIECE = 64 * 1024  # bytes handed to a transport at once, so that nothing piles up there
-HELD_VALUE = 64 * 1024  # bytes; up to here a value is held until whole, above it is passed on
 EXTRA_LIMIT = 4 * 1024  # bytes of the words behind the value
 IDLE_PER_NODE = 32  # connections kept for one node
 IDLE_SHARE = 0.6  # of the node's own idle time; a request must never meet its close
-SILENCE = 6.0  # s for which a long value that has begun may stand still
-SWEEP = 0.5  # s between looks at idle and silent connections
+REPLY_PATIENCE = 0.15  # s from an answer's first byte to its last
+QUIET = 0.002  # s after an answer in which what belongs to no request would come
+SWEEP = 0.5  # s between looks at idle connections
 
+ERRORS = {b"BUSY": Result.FULL, b"ERR": Result.ERROR}
 HITS = {b"hit": True, b"miss": False, b"pending": False}
 
 _shared = memoryview(bytearray(READ_SIZE))
@@ -36,14 +36,13 @@
     """One try of one request at one node, from the module's Send to its one outcome."""
 
     __slots__ = ("cache_id", "command", "connection", "ended", "number", "request_id", "sent_at",
-                 "started_at", "wait_until")
+                 "wait_until")
 
     def __init__(self, request_id: int, number: int, cache_id: int, command: resp.Command,
                  sent_at: float, wait_until: float) -> None:
         self.request_id, self.number, self.cache_id = request_id, number, cache_id
         self.command = command
         self.sent_at, self.wait_until = sent_at, wait_until  # ms on the module's clock
-        self.started_at = 0.0  # when a long value began
         self.connection: NodeConnection | None = None
         self.ended = False
 
@@ -52,8 +51,6 @@
     """What the pool knows of the proxy."""
 
     def clock(self) -> float: ...
-    def value_begins(self, attempt: Attempt, length: int, source: NodeConnection) -> None: ...
-    def value_goes_on(self, attempt: Attempt, piece: bytes) -> None: ...
     def attempt_ended(
         self, attempt: Attempt, result: Result, value: bytearray | None = None,
         hit: bool | None = None, report: dict[str, float] | None = None,
@@ -61,36 +58,38 @@
 
 
 class Reply:
-    """Reads one reply.  Its value comes whole if short, else through value_begins and on."""
+    """Reads one reply."""
 
-    __slots__ = ("_item", "_text", "extras", "line", "long", "value", "whole")
+    __slots__ = ("_item", "_text", "extras", "line", "value", "whole")
 
     def __init__(self) -> None:
         self._item = -1  # which of the array's items is being read
         self._text = bytearray()
         self.value = bytearray()
-        self.long = 0  # the length of a value that is passed on
         self.extras: list[bytes | None] = []  # how it went, the load report
         self.line: resp.Line | None = None
         self.whole = False
 
-    def take(self, token: resp.Token) -> bytes | None:
-        """Take one token; a piece of a long value is given back to be passed on."""
+    @property
+    def valued(self) -> bool:
+        """The value is whole: what follows only tells how it went."""
+        return self._item > 0
+
+    def take(self, token: resp.Token) -> None:
+        """Take one token."""
         match token:
             case resp.Line(kind) if self._item < 0 and kind == "-":
                 self.line, self.whole = token, True
             case resp.Array(3) if self._item < 0:
                 self._item = 0
-            case resp.Bulk(length) if self._item == 0:
-                self.long = length if length > HELD_VALUE else 0
+            case resp.Bulk() if self._item == 0:
+                pass  # the decoder bounds its length
             case resp.Bulk(length) if self._item > 0 and length <= EXTRA_LIMIT:
                 self._text.clear()
             case resp.Piece(data, last) if self._item == 0:
+                self.value += data
                 if last:
                     self._item = 1
-                if self.long:
-                    return data
-                self.value += data
             case resp.Piece(data, last) if self._item > 0:
                 self._text += data
                 if last:
@@ -99,7 +98,6 @@
                 self._extra(None)
             case _:
                 raise resp.ProtocolError("not a reply of a cache node")
-        return None
 
     def _extra(self, text: bytes | None) -> None:
         self.extras.append(text)
@@ -113,9 +111,11 @@
         return None
     try:
         pairs = [item.split("=") for item in text.decode().split(",")]
-        return {name: float(figure) for name, figure in pairs}
+        report = {name: float(figure) for name, figure in pairs}
     except ValueError:
         return None
+    # One figure that is not finite would spoil every mean that it enters.
+    return report if all(map(math.isfinite, report.values())) else None
 
 
 class NodeConnection(asyncio.BufferedProtocol):
@@ -127,13 +127,14 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
+        self.socket: socket.socket | None = None
         self.idle_since = 0.0
-        self.heard_at = 0.0
         self.retired = False  # its node left the list or moved: no further attempt
         self._decoder = resp.Decoder()
         self._reply = Reply()
         self._parts: deque[bytes | memoryview] = deque()
-        self._write_paused = self._read_paused = False
+        self._write_paused = False
+        self._patience: asyncio.TimerHandle | None = None  # with an answer that has begun
 
     # --- transport ---
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -150,14 +151,13 @@
         if self.attempt is None:  # speaks unasked: what comes next could be anyone's
             self.close()
             return
-        self.heard_at = self._pool.loop.time()
         self._decoder.feed(_shared[:nbytes])
         try:
             self._read()
         except resp.ProtocolError:
-            # The request has run, and only this connection is spoilt: told as a reset, it
-            # would count against the node, though such answers can come from any alike.
-            self._break(Result.SPOILT)
+            self._spoilt()
+        if self.attempt is not None and self._patience is None:
+            self._patience = self._pool.loop.call_later(REPLY_PATIENCE, self._spoilt)
 
     def eof_received(self) -> bool:
         return False
@@ -178,7 +178,6 @@
     def run(self, attempt: Attempt) -> None:
         self.attempt, attempt.connection = attempt, self
         self._reply = Reply()
-        self.heard_at = self._pool.loop.time()
         self._parts.extend(attempt.command.encode(attempt.wait_until - self._pool.sink.clock()))
         self._write()
 
@@ -206,34 +205,43 @@
 
     def _read(self) -> None:
         while self.attempt is not None and (token := self._decoder.next()) is not None:
-            piece = self._reply.take(token)
-            if piece is not None:
-                if not self.attempt.started_at:
-                    self._pool.sink.value_begins(self.attempt, self._reply.long, self)
-                if self.attempt is not None:
-                    self._pool.sink.value_goes_on(self.attempt, piece)
-            elif self._reply.whole:
+            self._reply.take(token)
+            if self._reply.whole:
                 self._complete()
 
-    def _complete(self) -> None:
+    def _spoilt(self) -> None:
+        """What came is no answer, or does not come to its end.
+
+        Guards against noise, lines and lengths that are wrong, values over the bound and
+        answers that stop half way; also against a node that hangs while it answers.  The
+        request has run and only this connection is of no use: told as a reset, it would
+        count against the node, though such answers can come from any alike.  A value that
+        was whole before the trouble began is as good as ever.  Harm: on a network that
+        stalls for longer than REPLY_PATIENCE within one answer good ones are thrown away.
+        """
+        if self.attempt is None:
+            return
+        if self.handed_over and self._reply.valued:
+            self._complete(clean=False)
+        else:
+            self._break(Result.SPOILT)
+
+    def _complete(self, clean: bool = True) -> None:
         attempt, reply = self.attempt, self._reply
         assert attempt is not None
-        clean = self.handed_over and self._decoder.idle
+        clean = clean and self.handed_over and self._decoder.idle
         self._leave()
         if clean:
             self._pool.rest(self)
         else:  # bytes behind an answer, or an answer ahead of its command
             self.close()
         if reply.line is None:
-            hit = HITS.get(reply.extras[0]) if reply.extras[0] else None
-            value = None if reply.long else reply.value
-            self._pool.sink.attempt_ended(
-                attempt, Result.OK, value, hit, parse_report(reply.extras[1]))
+            how, load = (*reply.extras, None, None)[:2]
+            self._pool.sink.attempt_ended(attempt, Result.OK, reply.value,
+                                          HITS.get(how) if how else None, parse_report(load))
             return
         word, _, rest = reply.line.text.partition(b" ")
-        result = Result.FULL if word == b"BUSY" else Result.ERROR
-        if word not in (b"BUSY", b"ERR"):
-            log.warning("unknown answer of a cache node: %.80r", reply.line.text)
+        result = ERRORS.get(word, Result.SPOILT)  # another word may be anything
         report = parse_report(rest.rpartition(b" ")[2]) if b"=" in rest else None
         self._pool.sink.attempt_ended(attempt, result, report=report)
 
@@ -242,7 +250,9 @@
         self.attempt.connection = None
         self.attempt = None
         self._parts.clear()
-        self._read_paused = False
+        if self._patience is not None:
+            self._patience.cancel()
+            self._patience = None
 
     def _break(self, result: Result) -> None:
         """The attempt ends with its connection."""
@@ -262,21 +272,22 @@
         if not self.handed_over:
             self._break(Result.NO_CONNECTION)
 
-    def look(self, now: float) -> None:
-        if self.attempt is not None and self.attempt.started_at and not self._read_paused \
-                and now - self.heard_at > SILENCE:
-            self._break(Result.LATE)
-
-    def pause(self) -> None:
-        if not self._read_paused and self.transport is not None:
-            self._read_paused = True
-            self.transport.pause_reading()
+    def quiet(self) -> bool:
+        """Nothing stands unread behind the last answer.
 
-    def resume(self) -> None:
-        if self._read_paused and self.transport is not None:
-            self._read_paused = False
-            self.heard_at = self._pool.loop.time()
-            self.transport.resume_reading()
+        Guards against a second copy, noise or the node's close that has come but was not
+        yet read: the next request's answer would be taken from it.  Asked of the kernel,
+        since the loop tells of it only in its next turn.
+        """
+        if self.transport is None or self.transport.is_closing() or self.socket is None:
+            return False
+        try:
+            self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
 
     def close(self) -> None:
         # Not close(): that would go on writing what is left of a command.
@@ -310,14 +321,14 @@
 
     # --- the list ---
     def place(self, cache_id: int, address: Address) -> None:
-        """A node is listed here; at a new address it is reached anew."""
-        node = self._nodes.get(cache_id)
-        if node is not None and node.address != address:
-            self.remove(cache_id)
-            node = None
-        if node is None:
+        """A node is listed here, and nowhere else: the one before it was removed."""
+        if cache_id not in self._nodes:
             self._nodes[cache_id] = Node(address)
 
+    def address(self, cache_id: int) -> Address | None:
+        node = self._nodes.get(cache_id)
+        return None if node is None else node.address
+
     def remove(self, cache_id: int) -> None:
         """Nothing new goes to this node, not even what waits for a connection to it."""
         node = self._nodes.pop(cache_id, None)
@@ -344,9 +355,13 @@
             return
         now = self.loop.time()
         while node.idle:
-            connection = node.idle.pop()
-            if now - connection.idle_since < self._idle_for and connection.transport is not None \
-                    and not connection.transport.is_closing():
+            connection = node.idle[-1]
+            if now - connection.idle_since < QUIET:  # the last used: look behind it
+                connection = node.idle[0]
+                if now - connection.idle_since < QUIET:
+                    break
+            node.idle.remove(connection)
+            if now - connection.idle_since < self._idle_for and connection.quiet():
                 connection.run(attempt)
                 return
             self._discard(connection)
@@ -359,14 +374,16 @@
         self._open.add(connection)
         connection.task = self.loop.create_task(self._connect(connection))
 
-    def give_up(self, attempt: Attempt) -> None:
-        """The attempt's outcome is known elsewhere; nothing of it may come back."""
+    def give_up(self, attempt: Attempt) -> bool:
+        """Nothing of it may come back; whether it can have run."""
         if attempt.connection is not None:
+            may_have_run = attempt.connection.handed_over
             attempt.connection.give_up()
-            return
+            return may_have_run
         node = self._nodes.get(attempt.cache_id)
         if node is not None:
             node.waiting.pop(attempt, None)  # what is being opened for it will find use
+        return False
 
     def _fail(self, attempt: Attempt, result: Result) -> None:
         # Later, not from within the module's own action.
@@ -375,40 +392,58 @@
     # --- connections ---
     async def _connect(self, connection: NodeConnection) -> None:
         address = connection.node.address
+        sock = None
         try:
+            sock = socket.socket(address.family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            connection.socket = sock
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self._connect_timeout):
-                await self.loop.create_connection(
-                    lambda: connection, address.host, address.port)
+                await self.loop.sock_connect(sock, (address.host, address.port))
+            await self.loop.create_connection(lambda: connection, sock=sock)
         except (OSError, TimeoutError):
+            pass
+        finally:  # also when it was called off: the socket has no other owner yet
             if connection.transport is None:
+                if sock is not None:
+                    sock.close()
                 self.closed(connection)
-            else:
-                connection.close()
 
     def opened(self, connection: NodeConnection) -> None:
         if connection.retired:
             connection.close()
-        else:
-            self.rest(connection)
+            return
+        connection.idle_since = self.loop.time() - QUIET  # nothing can stand behind nothing
+        connection.node.idle.append(connection)
+        self._offer(connection)
 
     def rest(self, connection: NodeConnection) -> None:
-        """Free for the attempt it was opened for, else for who waits longest, else idle."""
+        """Free after an answer: for who waits, once it has been quiet for a moment."""
         node = connection.node
         if connection.retired or connection.transport is None \
                 or connection.transport.is_closing():
             connection.close()
             return
+        connection.idle_since = self.loop.time()
+        node.idle.append(connection)
+        if node.waiting:
+            self.loop.call_later(QUIET, self._offer, connection)
+        elif len(node.idle) > IDLE_PER_NODE:
+            self._discard(node.idle[0])
+
+    def _offer(self, connection: NodeConnection) -> None:
+        """To the attempt it was opened for, else to the one that waits longest, else idle."""
+        node = connection.node
         attempt, connection.wanted_by = connection.wanted_by, None
         if attempt not in node.waiting:
             attempt = next(iter(node.waiting), None)
-        if attempt is not None:
-            del node.waiting[attempt]
-            connection.run(attempt)
+        if attempt is None or connection not in node.idle:
             return
-        connection.idle_since = self.loop.time()
-        node.idle.append(connection)
-        if len(node.idle) > IDLE_PER_NODE:
-            self._discard(node.idle[0])
+        node.idle.remove(connection)
+        if not connection.quiet():
+            self._discard(connection)
+            return
+        del node.waiting[attempt]
+        connection.run(attempt)
 
     def closed(self, connection: NodeConnection) -> None:
         """It is gone, or never came up."""
@@ -428,7 +463,7 @@
             connection.close()
         elif connection.task is not None:
             connection.task.cancel()
-            self.closed(connection)
+            self.closed(connection)  # now, not in the task's next turn
 
     def _close_an_idle_one(self) -> bool:
         idle = [node.idle[0] for node in self._nodes.values() if node.idle]
@@ -447,8 +482,6 @@
             for connection in list(node.idle):
                 if now - connection.idle_since >= self._idle_for:
                     self._discard(connection)
-        for connection in list(self._open):
-            connection.look(now)
 
     def close(self) -> None:
         for connection in list(self._open):
