Broken connections are no longer held against caches that serve

Cause: _learn ejected a cache on each refused or broken connection; a retry cost a whole unit of budget and went to a cache without the key; the pool trusted the stated idle time (upstream.send). Now: no ejection within 300 ms of an answer, retries of broken connections go to the same cache at no or half cost, kept connections are judged by idle age.

--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -39,8 +39,9 @@
 EJECT_FIRST, EJECT_MAX = 1_000.0, 8_000.0  # first and longest absence after failures
 EJECT_SHARE = 0.4  # never eject more than this share of the caches
 LATE_STREAK = 3  # time-outs in a row that mark a cache as stalled
-RESET_STREAK = 2  # broken connections in a row that mark one as gone: one alone, or an
-#                   answer that cannot be read, says something of a connection only
+LIFE_SIGN = 300.0  # an answer this lately proves that a cache is there, whatever became
+#                    of single connections to it since
+BROKEN_COST = 0.5  # of the retry budget: a broken connection was little work, or none
 SUSPECT_SHARE = 0.25  # more caches than this do not lose their memory in one warm-up
 REPEAT_MARGIN = 50.0  # a repeat must be on its way this long before its window ends
 STICKINESS = 3.0  # loads by which a tail key's second cache must be better: a copy there
@@ -172,6 +173,7 @@
     SPOILT = "spoilt"  # an answer came that cannot be read: the request has run
 
 
+RETRY_COST = {Result.NO_CONNECTION: 0.0, Result.RESET: BROKEN_COST, Result.SPOILT: BROKEN_COST}
 NEVER_RAN = frozenset({Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS})
 
 
@@ -368,8 +370,8 @@
     """What this proxy knows of one cache server."""
 
     __slots__ = ("absent_for", "absent_until", "cell", "cold_since", "id", "inflight", "kind",
-                 "late_streak", "listed", "points", "report_at", "reported", "reset_streak", "salt",
-                 "sent", "sent_at", "slow_at", "slow_sum", "slow_weight", "started_at", "suspect",
+                 "late_streak", "listed", "points", "report_at", "reported", "salt", "sent",
+                 "sent_at", "served_at", "slow_at", "slow_sum", "slow_weight", "started_at", "suspect",
                  "weight", "zone")
 
     def __init__(self, member: Member, weight: float) -> None:
@@ -380,7 +382,8 @@
         self.points = [mix(member.id, index) for index in range(points)]
         self.salt = mix(member.id, 1 << 20)
         self.listed = True
-        self.inflight = self.late_streak = self.reset_streak = 0
+        self.inflight = self.late_streak = 0
+        self.served_at = -math.inf
         self.sent = self.sent_at = 0.0
         self.slow_sum = self.slow_weight = self.slow_at = 0.0
         self.absent_until = self.absent_for = 0.0
@@ -805,7 +808,7 @@
             return cache
         if member.started_at > cache.started_at:  # restarted: empty and cold again
             cache.started_at = cache.cold_since = member.started_at
-            cache.suspect, cache.late_streak, cache.reset_streak = False, 0, 0
+            cache.suspect, cache.late_streak = False, 0
             cache.absent_until = cache.absent_for = 0.0
             cache.slow_weight = cache.slow_sum = 0.0
         return None
@@ -1037,12 +1040,12 @@
         if len(pending.attempts) < self.settings.max_attempts:
             if result is Result.MISS and self._origins:
                 cache = self._least(self._origins, now)  # not a retry: the way of a miss
-            elif self._budget >= 1.0 and (
+            elif self._budget >= (cost := RETRY_COST.get(result, 1.0)) and (
                 result is not Result.ERROR or self._errors < ERROR_LIMIT
             ):
-                cache = self._another(pending, now)
+                cache = self._again(pending, result, now) or self._another(pending, now)
                 if cache is not None:
-                    self._budget -= 1.0
+                    self._budget -= cost
         if cache is not None and pending.may_send(cache, now):
             self._send(pending, cache, actions)
         else:
@@ -1050,6 +1053,18 @@
             self._gate.learn(1.0, now)
             self._end(pending, actions)
 
+    def _again(self, pending: Pending, result: Result, now: float) -> Cache | None:
+        """The same cache once more, if a connection failed and the cache itself is well.
+
+        It has what the key asks for: another would have to fetch it.
+        """
+        cache = pending.attempts[-1].cache
+        if result not in RETRY_COST or not cache.listed or now < cache.absent_until \
+                or now - cache.served_at > LIFE_SIGN or self._warmth(cache, now) < 1.0 \
+                or sum(a.cache is cache for a in pending.attempts) > 1:
+            return None
+        return cache if pending.may_send(cache, now) else None
+
     def _another(self, pending: Pending, now: float) -> Cache | None:
         """A warm cache not tried yet, in the key's order: cold ones get no retries."""
         tried = {a.cache.id for a in pending.attempts}
@@ -1108,21 +1123,20 @@
                 cache.suspect = False
                 if self._may_suspect(now):
                     cache.cold_since = now
-            cache.late_streak = cache.reset_streak = 0
-            cache.absent_for = 0.0
+            cache.late_streak, cache.absent_for, cache.served_at = 0, 0.0, now
             mean = self._mean(pending.cls, outcome.hit is not False)
             if mean.count >= 3:
                 ratio = outcome.latency / max(mean.value, 0.1)
                 cache.observe(ratio, now)
                 self._kinds.setdefault(cache.kind, Mean(1.0)).add(min(ratio, RATIO_CAP))
             mean.add(outcome.latency)
-        elif result is Result.NO_CONNECTION:
-            cache.suspect = True  # nothing listens there: only that hints at a restart
-            self._eject(cache, now)
-        elif result is Result.RESET:
-            cache.reset_streak += 1
-            if cache.reset_streak >= RESET_STREAK:
-                cache.reset_streak = 0
+        elif result in (Result.NO_CONNECTION, Result.RESET):
+            # Guards against a network or a fleet that breaks connections at random: nodes
+            # that served all the while were sent away by turns, and the rest was overrun.
+            # Harm: a busy proxy goes on asking a cache that has died for LIFE_SIGN.
+            if now - cache.served_at > LIFE_SIGN:
+                # Nothing listens there: that hints at a restart, a reset alone does not.
+                cache.suspect = cache.suspect or result is Result.NO_CONNECTION
                 self._eject(cache, now)
         elif result is Result.LATE:
             cache.observe(RATIO_CAP, now)
--- a/violetroute/upstream.py
+++ b/violetroute/upstream.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 import socket
+from bisect import bisect_right
 from collections import deque
 from typing import Protocol
 
@@ -22,6 +23,10 @@
 EXTRA_LIMIT = 4 * 1024  # bytes of the words behind the value
 IDLE_PER_NODE = 32  # connections kept for one node
 IDLE_SHARE = 0.6  # of the node's own idle time; a request must never meet its close
+AGES = (0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0)  # s; idle times that are judged apart
+AGE_GAIN = 0.1  # of one more reuse at an age
+AGE_FORGETS = 10.0  # s over which what is known of an age fades, so that it is tried again
+AGE_LOSS = 0.1  # share of reuses that may break before connections of this age are closed
 REPLY_PATIENCE = 0.15  # s from an answer's first byte to its last
 QUIET = 0.002  # s after an answer in which what belongs to no request would come
 SWEEP = 0.5  # s between looks at idle connections
@@ -129,6 +134,8 @@
         self.task: asyncio.Task[None] | None = None
         self.socket: socket.socket | None = None
         self.idle_since = 0.0
+        self.idle_for = 0.0  # before the attempt at hand
+        self.used = False  # has given an answer
         self.retired = False  # its node left the list or moved: no further attempt
         self._decoder = resp.Decoder()
         self._reply = Reply()
@@ -151,6 +158,9 @@
         if self.attempt is None:  # speaks unasked: what comes next could be anyone's
             self.close()
             return
+        if self.used:
+            self.used = False  # until the answer is whole
+            self._pool.reused(self, broken=False)
         self._decoder.feed(_shared[:nbytes])
         try:
             self._read()
@@ -177,6 +187,7 @@
     # --- one attempt ---
     def run(self, attempt: Attempt) -> None:
         self.attempt, attempt.connection = attempt, self
+        self.idle_for = self._pool.loop.time() - self.idle_since
         self._reply = Reply()
         self._parts.extend(attempt.command.encode(attempt.wait_until - self._pool.sink.clock()))
         self._write()
@@ -231,6 +242,7 @@
         assert attempt is not None
         clean = clean and self.handed_over and self._decoder.idle
         self._leave()
+        self.used = True
         if clean:
             self._pool.rest(self)
         else:  # bytes behind an answer, or an answer ahead of its command
@@ -258,6 +270,8 @@
         """The attempt ends with its connection."""
         attempt = self.attempt
         assert attempt is not None
+        if self.used and result is not Result.SPOILT:
+            self._pool.reused(self, broken=True)
         self._leave()
         self.close()
         self._pool.sink.attempt_ended(attempt, result)
@@ -315,6 +329,8 @@
         self.sink, self.loop = sink, loop
         self._limit, self._connect_timeout = limit, connect_timeout
         self._idle_for = idle_timeout * IDLE_SHARE
+        # By age, the share of reuses that broke, and when it was last learned.
+        self._lost = [(0.0, 0.0)] * (len(AGES) + 1)
         self._nodes: dict[int, Node] = {}
         self._open: set[NodeConnection] = set()
         loop.call_later(SWEEP, self._sweep)
@@ -361,7 +377,7 @@
                 if now - connection.idle_since < QUIET:
                     break
             node.idle.remove(connection)
-            if now - connection.idle_since < self._idle_for and connection.quiet():
+            if self.fresh(now - connection.idle_since, now) and connection.quiet():
                 connection.run(attempt)
                 return
             self._discard(connection)
@@ -390,6 +406,24 @@
         self.loop.call_soon(self.sink.attempt_ended, attempt, result)
 
     # --- connections ---
+    def reused(self, connection: NodeConnection, broken: bool) -> None:
+        """Whether the first sign on a kept connection was a byte of an answer or its end."""
+        place = bisect_right(AGES, connection.idle_for)
+        share, _ = self._lost[place]
+        self._lost[place] = share + AGE_GAIN * (broken - share), self.loop.time()
+
+    def fresh(self, age: float, now: float) -> bool:
+        """Whether a connection that has been idle for so long is likely to be alive.
+
+        Guards against nodes, or boxes between, that drop kept connections long before the
+        stated time and say so only when the next request comes.  Should also catch nodes
+        that close after a number of requests.  Harm: where all connections break alike,
+        new ones cost their handshake and break as well.
+        """
+        share, learned_at = self._lost[bisect_right(AGES, age)]
+        return age < self._idle_for \
+            and share * math.exp((learned_at - now) / AGE_FORGETS) < AGE_LOSS
+
     async def _connect(self, connection: NodeConnection) -> None:
         address = connection.node.address
         sock = None
