A client's hurry is no longer taken for the caches' trouble

Ruled out: load (0 to 3 in flight at a node), misses (a third of the late keys were hits), resets (15% before and after). Cause: Gate.learn and _learn took each of them as a failure of the caches; the gate closed to 0.05 and nine in ten were refused at idle caches. Now: requests given under 0.8 of the aim judge nothing, and an attempt counts as late only when it was out longer than nearly all that are answered.

--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -63,6 +63,8 @@
 HEDGE_DEVIATIONS = 3.0  # an answer, hit or miss, this late is likely stuck in a jam
 HEDGE_LATEST = 0.7  # share of the aim; later, a second copy comes too late itself
 LEAST_BACKOFF = 40.0  # with nothing shed a moment is enough: another cache may take it
+FAIR_TIME = 0.8  # of the aim: who gives less learns nothing of the caches, whatever comes
+OVERDUE_DEVIATIONS = 2.0  # an attempt that was given less than this was cut off, not late
 HELD_SHARE = 0.5  # with no cache known, wait this share of the client's time
 REPORT_LIFE = 4_000.0  # a load report fades towards what caches report on average
 
@@ -371,8 +373,8 @@
 
     __slots__ = ("absent_for", "absent_until", "cell", "cold_since", "id", "inflight", "kind",
                  "late_streak", "listed", "points", "report_at", "reported", "salt", "sent",
-                 "sent_at", "served_at", "slow_at", "slow_sum", "slow_weight", "started_at", "suspect",
-                 "weight", "zone")
+                 "sent_at", "served_at", "slow_at", "slow_sum", "slow_weight", "started_at",
+                 "suspect", "weight", "zone")
 
     def __init__(self, member: Member, weight: float) -> None:
         self.id, self.zone, self.kind, self.cell = member.id, member.zone, member.kind, member.cell
@@ -486,6 +488,16 @@
     streaming: bool = False
     held: bool = False
 
+    @property
+    def fair(self) -> bool:
+        """Whether its outcome tells of the caches, and not of the client's hurry.
+
+        A client's last retry has what the others left of its time.  Counted as failures,
+        such requests closed the gate, and its refusals made more of them: a third of the
+        traffic came too short to be answered, and nine in ten were refused, at idle caches.
+        """
+        return self.request.give_up_at - self.arrived_at >= FAIR_TIME * self.cls.aim
+
     def outstanding(self) -> int:
         return sum(a.out for a in self.attempts)
 
@@ -759,7 +771,7 @@
         pending = self._pending.get(request_id)
         if pending is not None:
             if pending.outstanding() and now - pending.arrived_at > pending.cls.aim:
-                self._gate.learn(1.0, now)  # an answer later than the client would wait
+                self._judge(pending, 1.0)  # an answer later than the client would wait
             self._finish(pending, actions)
             self._forget(pending)
         return actions
@@ -996,7 +1008,7 @@
             self._send(pending, cache, actions)
             self._plan_hedge(pending, actions)
         elif self._ready:  # none of them may take it now: waiting would mend nothing
-            self._gate.learn(1.0, self._now)
+            self._judge(pending, 1.0)
             self._end(pending, actions)
         elif not pending.held:
             pending.held = True
@@ -1029,11 +1041,11 @@
         """No attempt is out and none was served: try again or give the final answer."""
         now = self._now
         if pending.streaming or now >= pending.request.give_up_at:
-            self._gate.learn(1.0, now)
+            self._judge(pending, 1.0)
             self._end(pending, actions, failed=True)
             return
         if result is Result.NEVER_SENT:  # no socket was left: another attempt finds none
-            self._gate.learn(1.0, now)
+            self._judge(pending, 1.0)
             self._end(pending, actions)
             return
         cache = None
@@ -1050,7 +1062,7 @@
             self._send(pending, cache, actions)
         else:
             # Errors count in full: an origin asked too much recovers only when asked less.
-            self._gate.learn(1.0, now)
+            self._judge(pending, 1.0)
             self._end(pending, actions)
 
     def _again(self, pending: Pending, result: Result, now: float) -> Cache | None:
@@ -1105,6 +1117,15 @@
             self._pending.pop(pending.request.id, None)
 
     # --- learning ---
+    def _judge(self, pending: Pending, badness: float) -> None:
+        if pending.fair:
+            self._gate.learn(badness, self._now)
+
+    def _overdue(self, cls: RequestClass, latency: float) -> bool:
+        """Whether it was out for longer than nearly all that are answered, hits or misses."""
+        known = [m for m in (self._mean(cls, True), self._mean(cls, False)) if m.count]
+        return all(latency >= m.value + OVERDUE_DEVIATIONS * m.deviation for m in known)
+
     def _learn(self, pending: Pending, attempt: Attempt, outcome: Outcome) -> None:
         now, cache, result = self._now, attempt.cache, outcome.result
         if outcome.report:
@@ -1112,12 +1133,13 @@
             cache.report_at = now
             self._reported.add(cache.reported)
         self._errors += ERROR_GAIN * ((result is Result.ERROR) - self._errors)
-        overloaded = result is Result.FULL or result is Result.LATE
+        late = result is Result.LATE and self._overdue(pending.cls, outcome.latency)
+        overloaded = result is Result.FULL or late
         self._overloads += ERROR_GAIN * (overloaded - self._overloads)
         if result is Result.OK:
             if not pending.done:
-                late = now - pending.arrived_at > pending.cls.aim
-                self._gate.learn(1.0 - pending.cls.late_value if late else 0.0, now)
+                tardy = now - pending.arrived_at > pending.cls.aim
+                self._judge(pending, 1.0 - pending.cls.late_value if tardy else 0.0)
             if cache.suspect:
                 # Back after a break the list never showed: perhaps restarted, so cold.
                 cache.suspect = False
@@ -1138,7 +1160,7 @@
                 # Nothing listens there: that hints at a restart, a reset alone does not.
                 cache.suspect = cache.suspect or result is Result.NO_CONNECTION
                 self._eject(cache, now)
-        elif result is Result.LATE:
+        elif late:
             cache.observe(RATIO_CAP, now)
             cache.late_streak += 1
             if cache.late_streak >= LATE_STREAK:
