--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -375,3 +375,31 @@
     balancer = balancer_with([Member(1)], must_subscribe=True)
     assert balancer.on_discovery_moved(5.0) == [Subscribe()]
     assert balancer.on_list(6.0, ListKind.FAILED, ())[0] != Subscribe()
+
+
+def test_requests_that_are_given_no_time_close_nothing() -> None:
+    # A third of the clients gave less time than an answer takes.  The gate took that for an
+    # overload and refused nine requests in ten, at caches that were idle.
+    balancer = balancer_with([Member(i) for i in range(10)])
+    refused = 0
+    for number in range(3_000):
+        now = number * 5.0
+        time = 30.0 if number > 500 and number % 2 else 300.0
+        first, *_ = balancer.on_request(now, Request(number, "read", now + time, key=number % 99))
+        refused += isinstance(first, Refuse)
+        if isinstance(first, Send):
+            result = Result.OK if time > 30.0 else Result.LATE
+            balancer.on_outcome(now, Outcome(number, 0, result, result is Result.OK, 20.0))
+    assert refused == 0
+
+
+def test_a_cache_that_serves_is_not_sent_away_for_broken_connections() -> None:
+    balancer = balancer_with([Member(i) for i in range(4)])
+    for number in range(200):
+        now = number * 5.0
+        send = balancer.on_request(now, Request(number, "read", now + 400, key=7))[0]
+        assert isinstance(send, Send)
+        if number % 4 == 3:
+            again = balancer.on_outcome(now, Outcome(number, 0, Result.RESET, False, 1.0))[0]
+            assert isinstance(again, Send) and again.cache_id == send.cache_id
+        balancer.on_outcome(now, Outcome(number, number % 4 == 3, Result.OK, True, 10.0))
