--- /dev/null
+++ b/tests/test_nodes.py
@@ -0,0 +1,264 @@
+"""Cache nodes and discovery that are late, wrong, gone or elsewhere, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from rig import CacheNode, Rig, bulk, get, put, read_answer, reply, serves, until
+
+
+def play(part: Callable[..., Awaitable[None]], count: int = 1, **limits: Any) -> None:
+    async def run() -> None:
+        nodes = [CacheNode() for _ in range(count)]
+        async with Rig(*nodes, **limits) as rig:
+            await part(rig, *nodes)
+
+    asyncio.run(run())
+
+
+SPOILT = {
+    "noise": b"\x81\x02\xff" * 20,
+    "noise like a line": b"-\x81\x02\xff" * 20,
+    "endless line": b"-" + b"e" * 4000,
+    "unknown word": b"-WHAT is this\r\n",
+    "no array": b"+OK\r\n",
+    "wrong count": b"*2\r\n" + bulk(b"v") + bulk(b"hit"),
+    "length too small": b"*3\r\n$2\r\nvalue\r\n",
+    "length too large": b"*3\r\n$900\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n",
+    "three gigabytes": b"*3\r\n$3000000000\r\n" + b"x" * 5000,
+    "stops half way": b"*3\r\n$10\r\nval",
+    "null value": b"*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n",
+}
+
+
+@pytest.mark.parametrize("name", SPOILT)
+def test_a_spoilt_answer_is_tried_again_and_never_passed_on(name: str) -> None:
+    # What had no line end, or a length that was too large, held its request to its deadline.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def spoils_first(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            if len(node.commands) == 2:
+                writer.write(SPOILT[name])
+            else:
+                await serves(words, writer)
+
+        node.behaviour = spoils_first
+        assert await rig.ask(get(0)) == [b"value of id0"]
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        assert await rig.ask(get(1)) == [b"value of id1"]
+        assert loop.time() - before < 4.0, "not held to its deadline of 8 s"
+        assert await rig.ask(get(2)) == [b"value of id2"]
+
+    play(part)
+
+
+@pytest.mark.parametrize("cls", [b"optout", b"once"])
+def test_a_write_that_may_have_run_is_repeated_only_with_a_key(cls: bytes) -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def spoils(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            writer.write(b"noise")
+
+        assert await rig.ask(get(0)) == [b"value of id0"]
+        node.behaviour = spoils
+        (answer,) = await rig.ask(put(1, cls=cls))
+        sent = [words for words in node.commands if words[2] == b"id1"]
+        if cls == b"once":
+            assert answer == b"-ERR failed" and len(sent) == 1
+        else:
+            assert answer.startswith(b"-BUSY ") and len(sent) > 1
+            assert len({words[3].partition(b",k=")[2] for words in sent}) == 1
+
+    play(part)
+
+
+@pytest.mark.parametrize("surplus", [reply(b"value of another"), b"\x00noise", b"*3\r\n"])
+def test_what_comes_behind_an_answer_meets_no_other_request(surplus: bytes) -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def brings_more(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            writer.write(reply(b"value of " + words[2]))
+            await writer.drain()
+            writer.write(surplus)
+
+        node.behaviour = brings_more
+        for number in range(30):
+            assert await rig.ask(get(number)) == [b"value of id%d" % number]
+
+    play(part)
+
+
+@pytest.mark.parametrize("load", [bulk(b"inflight=many"), bulk(b"\xff\xfe"), b":7\r\n",
+                                  bulk(b"inflight=nan"), b"$99\r\nshort"])
+def test_a_load_report_that_cannot_be_read_costs_no_value(load: bytes) -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def odd(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            writer.write(b"*3\r\n" + bulk(words[2]) + bulk(b"hit") + load)
+
+        node.behaviour = odd
+        for number in range(5):
+            assert await rig.ask(get(number)) == [b"id%d" % number]
+
+    play(part)
+
+
+def test_a_late_answer_reaches_nobody_else() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        held: list[tuple[asyncio.StreamWriter, bytes]] = []
+
+        async def holds_first(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            if words[2] == b"id0":
+                held.append((writer, words[2]))
+            else:
+                await serves(words, writer)
+
+        node.behaviour = holds_first
+        (answer,) = await rig.ask(get(0, wait=300))
+        assert answer.startswith(b"-")
+        for writer, name in held:
+            writer.write(reply(b"late " + name))
+        for number in range(1, 10):
+            assert await rig.ask(get(number)) == [b"value of id%d" % number]
+
+    play(part)
+
+
+def test_kept_connections_that_break_are_kept_for_less() -> None:
+    # The pool trusted the stated idle time; nodes closed after a tenth of it, unheard.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        fresh: set[asyncio.StreamWriter] = set()
+
+        async def once_each(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            if writer in fresh:
+                writer.transport.abort()
+                return
+            fresh.add(writer)
+            await serves(words, writer)
+
+        node.behaviour = once_each
+        for number in range(60):
+            await rig.ask(get(number))
+            await asyncio.sleep(0.004)
+        count = len(node.commands)
+        for number in range(60, 80):
+            assert await rig.ask(get(number)) == [b"value of id%d" % number]
+        assert len(node.commands) - count < 24, "hardly any on a connection that breaks"
+
+    play(part)
+
+
+def test_a_draining_node_gets_nothing_new() -> None:
+    async def part(rig: Rig, one: CacheNode, two: CacheNode) -> None:
+        await rig.watched()
+        rig.discovery.tell(one.entry("s-0", "terminating"))
+        await until(lambda: len(rig.proxy.nodes) == 1)
+        before = len(one.commands)
+        for number in range(40):
+            assert await rig.ask(get(number, key=b"%d" % number)) == [b"value of id%d" % number]
+        assert len(one.commands) == before and len(two.commands) >= 40
+
+    play(part, count=2)
+
+
+def test_a_draining_node_may_finish_what_it_has() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        go = asyncio.Event()
+
+        async def waits(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            await serves(words, writer)
+
+        node.behaviour = waits
+        await rig.watched()
+        reader, writer = await rig.client()
+        writer.write(get(1))
+        await until(lambda: node.commands)
+        rig.discovery.tell(node.entry("s-0", "terminating"))
+        await until(lambda: not rig.proxy.nodes)
+        go.set()
+        assert await read_answer(reader) == b"value of id1"
+        writer.close()
+
+    play(part)
+
+
+def test_a_node_at_a_new_address_is_reached_there() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        other = await CacheNode().start()
+        await rig.watched()
+        assert await rig.ask(get(1)) == [b"value of id1"]
+        rig.discovery.tell(other.entry("s-0"))
+        await until(lambda: not node.open)
+        assert await rig.ask(get(2)) == [b"value of id2"]
+        assert len(other.commands) == 1
+        await other.stop()
+
+    play(part)
+
+
+def test_an_address_under_a_new_id_is_one_node() -> None:
+    # The old id, not yet told to be gone, sent the new and cold node all its share.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        await rig.watched()
+        rig.discovery.tell(node.entry("s-new", startedAtMs=5))
+        await until(lambda: rig.proxy.generation == 100)
+        assert len(rig.proxy.nodes) == 1
+        assert await rig.ask(get(1)) == [b"value of id1"]
+        rig.discovery.tell(node.entry("s-0", "terminated"), node.entry("s-2", "terminated"))
+        await until(lambda: rig.proxy.generation == 101)
+        assert await rig.ask(get(2)) == [b"value of id2"]
+
+    play(part)
+
+
+def test_ids_that_are_ever_new_leave_nothing_behind() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        await rig.watched()
+        last = "s-0"
+        for number in range(60):
+            name = f"t-{number}"
+            rig.discovery.tell(node.entry(last, "terminated"), node.entry(name))
+            last = name
+            await until(lambda number=number: rig.proxy.generation == 100 + number)
+            assert await rig.ask(get(number)) == [b"value of id%d" % number]
+        assert len(rig.proxy.nodes) == 1
+        await until(lambda: len(node.open) <= 1)
+
+    play(part)
+
+
+def test_discovery_that_ends_or_talks_nonsense_is_asked_again() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        for nonsense in (b"{", b'{"instances": 5}', b"[" * 50_000, b"null", b'"x"'):
+            await rig.watched()
+            asked = len(rig.discovery.asked)
+            for writer in list(rig.discovery.open):
+                rig.discovery.send(writer, nonsense)
+            await until(lambda asked=asked: len(rig.discovery.asked) > asked)
+        await rig.watched()
+        rig.discovery.tell({"instanceId": "odd", "lifecycle": "in_service", "hostPort": "x"},
+                           node.entry("s-1", weight=float("nan")), node.entry("s-2"))
+        await until(lambda: rig.proxy.generation == 100)
+        assert await rig.ask(get(1)) == [b"value of id1"]
+
+    play(part)
+
+
+def test_no_descriptor_is_left_open_when_nodes_never_answer() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def never(words: list[bytes], writer: asyncio.StreamWriter) -> None: ...
+
+        node.behaviour = never
+        clients = [await rig.client() for _ in range(rig.config.client_sockets)]
+        for number, (_, writer) in enumerate(clients):
+            writer.write(get(number, wait=1500))
+        answers = [await read_answer(reader) for reader, _ in clients]
+        assert all(a.startswith((b"-BUSY", b"-ERR failed")) for a in answers)
+        assert sum(a.startswith(b"-BUSY ") for a in answers) >= \
+            len(clients) - rig.config.upstream_sockets, "what no socket was left for"
+        await until(lambda: not node.open and not rig.proxy.open_requests)
+        for _, writer in clients:
+            writer.close()
+
+    play(part, sockets=80)
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -91,6 +91,16 @@
     def open_requests(self) -> int:
         return len(self._open)
 
+    @property
+    def nodes(self) -> list[int]:
+        """Those that may get something new."""
+        return self._pool.ids()
+
+    @property
+    def generation(self) -> int:
+        """Of the list as it was last told."""
+        return self._generation
+
     def clock(self) -> float:
         """Unix milliseconds at the start, carried on by a clock that never steps back."""
         self._now = max(self._now, self._offset + time.monotonic() * 1000.0)
