The gate opens as fast as it closed; refused requests are forgotten at once

Cause: Gate.learn took its step from the rate of the last seconds, before the shedding, so each of the few outcomes counted for a 300th; Proxy.take left a request that was refused at once in the table until its deadline.

--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -605,7 +605,10 @@
         self._learned_at = now
         self._outcomes = self._outcomes * math.exp(-past / DEMAND_DECAY) + 1.0
         a_second = self._outcomes * 1_000.0 / DEMAND_DECAY
-        step = min(GATE_STEP, 1.0 / (GATE_WINDOW * max(a_second, 0.1)))
+        # An outcome stands for the time since the one before it: after heavy shedding few
+        # come, and by the rate of a moment ago the gate stayed shut at idle caches.
+        weight = max(1.0 / max(a_second, 0.1), past / 1_000.0)
+        step = min(GATE_STEP, weight / GATE_WINDOW)
         self._bad *= math.exp(-past / GATE_FORGETS)
         self._bad += step * (badness - self._bad)
         # At a quiet proxy a few failures prove nothing: count what is beyond chance.
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -74,6 +74,7 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: None)  # nothing new on the way out
     await listener.drain(config.longest_deadline + DRAIN_SLACK)
     proxy.close()
+    log.info("%s has drained", config.name)
     await asyncio.sleep(0)  # lets the loop close what was closed last
     return 0
 
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -130,6 +130,7 @@
         self._tell(request, self._balancer.on_request, Request(
             request.id, command.class_name, request.give_up_at, stable_hash(command.key),
             command.value is not None, command.tenant))
+        self._forget(request)  # it may have been refused at once
 
     def gone(self, answer: Answer) -> None:
         """The client has gone away: nothing more is owed, sent or written."""
