One budget for open requests, values and unsent answers; few proxies ask discovery sooner

Read in the code: what clients had not yet taken lay in transports uncounted (up to 96 KiB each), 128 pipelined requests a connection were free, and with two proxies a lost watch was asked for again only after up to 30 s, while its news count as told after 6. Now each open request and all unsent bytes count until the kernel has taken them, the wait for discovery goes by the number of proxies (at most 2 s with few), and a repeat of a keyed write is decided 200 ms before its window ends, since it may have to wait for a connection.

--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -43,7 +43,8 @@
 #                    of single connections to it since
 BROKEN_COST = 0.5  # of the retry budget: a broken connection was little work, or none
 SUSPECT_SHARE = 0.25  # more caches than this do not lose their memory in one warm-up
-REPEAT_MARGIN = 50.0  # a repeat must be on its way this long before its window ends
+REPEAT_MARGIN = 200.0  # a repeat must be decided this long before its window ends: it may
+#                        have to wait for a connection
 STICKINESS = 3.0  # loads by which a tail key's second cache must be better: a copy there
 #                   costs a fetch, and the origin can serve few more than it must
 STICKY_CALM, ERROR_WEIGHT = 0.05, 4.0  # how errors and overloads are set against each other
@@ -58,6 +59,7 @@
 BAD_TARGET = 0.1  # share of requests that may fail before others are shed
 GATE_FORGETS = 20_000.0  # without news, failures are forgotten over this
 OPEN_FLOOR = 0.05  # always ask with some, or recovery would never be seen
+ASK_LEAST, ASK_SPREAD = 500.0, 50.0  # wait before asking discovery: at least, and a proxy
 QUOTA_BURST = 1.0  # seconds of its quota that a tenant may save up
 DEMAND_DECAY = 2_000.0  # demand by worth fades over this
 HEDGE_DEVIATIONS = 3.0  # an answer, hit or miss, this late is likely stuck in a jam
@@ -849,11 +851,13 @@
     def _ask_later(self, actions: list[Action]) -> None:
         """Subscribe after a random wait: a fleet that asks at once is turned away.
 
-        The wait stays well inside ask_within, after which silence counts as knowing.
+        Few proxies need not wait for long, and what they miss counts as told.  The wait
+        stays well inside ask_within, after which silence counts as knowing.
         """
-        spread = self.settings.ask_within / 2
+        spread = min(self.settings.ask_within / 2,
+                     max(ASK_LEAST, ASK_SPREAD * self.settings.proxies))
         if self._ask_failures:
-            spread = min(spread * 2.0 ** (self._ask_failures - 1), 3 * self.settings.ask_within)
+            spread *= 2.0 ** min(2, self._ask_failures - 1)
         actions.append(Timer(self._random.uniform(0.02, 1.0) * spread, HOUSEKEEPING))
 
     # --- head and tail ---
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import pytest
-from rig import CacheNode, Discovery, configuration, get, read_answer, soon, until
+from rig import CacheNode, Discovery, configuration, get, read_answer, reply, soon, until
 
 ROOT = Path(__file__).parent.parent
 
@@ -131,3 +131,55 @@
         assert errors.startswith(b"violetroute: ") and errors.count(b"\n") == 1
 
     asyncio.run(play())
+
+
+def test_termination_under_load_answers_what_was_taken(tmp_path: Path) -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def waits(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(reply(words[2]))
+
+        node, discovery = await CacheNode(waits).start(), await Discovery().start()
+        async with program(tmp_path, discovery, node) as one:
+            clients = [await soon(asyncio.open_connection("127.0.0.1", one.port))
+                       for _ in range(24)]
+            for number, (_, writer) in enumerate(clients[:16]):
+                writer.write(get(number) + get(number + 100))
+            await until(lambda: len(node.commands) == 32)
+            one.process.terminate()
+            await one.logged("drains")
+            late = await soon(asyncio.open_connection("127.0.0.1", one.port))
+            late[1].write(get(500))  # new ones go on coming for a moment
+            await until(lambda: len(node.commands) == 33)
+            one.process.send_signal(signal.SIGHUP)  # both change nothing any more
+            one.process.terminate()
+            go.set()
+            for number, (reader, _) in enumerate(clients[:16]):
+                assert await read_answer(reader) == b"id%d" % number
+                assert await read_answer(reader) == b"id%d" % (number + 100)
+            assert await read_answer(late[0]) == b"id500"
+            for reader, writer in [*clients, late]:
+                assert await soon(reader.read()) == b"", "closed, and not reset"
+                writer.close()
+            assert await one.ended() == 0
+            assert "Traceback" not in "".join(one.log)
+        for part in (node, discovery):
+            await part.stop()
+
+    asyncio.run(play())
+
+
+def test_an_address_in_use_is_one_line_and_no_start(tmp_path: Path) -> None:
+    async def play() -> None:
+        taken = await CacheNode().start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration(1, [], listen=taken.port)))
+        process = await launch(path)
+        _, errors = await soon(process.communicate())
+        assert process.returncode == 1
+        assert errors.startswith(b"violetroute: cannot listen") and errors.count(b"\n") == 1
+        await taken.stop()
+
+    asyncio.run(play())
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -72,6 +72,7 @@
     log.info("%s listens on %s:%d", config.name, config.listen.host, config.listen.port)
     await ended.wait()
     loop.add_signal_handler(signal.SIGHUP, lambda: None)  # nothing new on the way out
+    log.info("%s drains", config.name)
     await listener.drain(config.longest_deadline + DRAIN_SLACK)
     proxy.close()
     log.info("%s has drained", config.name)
--- a/violetroute/clients.py
+++ b/violetroute/clients.py
@@ -19,7 +19,7 @@
 ACCEPT_PAUSE = 0.05  # s until the listener looks again when nothing could give way
 DEPTH = 128  # commands of one connection under way; beyond it reading pauses
 READ_SIZE = 16 * 1024  # bytes read at once, into a buffer that all connections share
-WRITE_HIGH = 32 * 1024  # bytes in a client's write buffer above which its answers wait
+OVERHEAD = 2 * 1024  # bytes that an open request takes beside its value
 SMALL = 4 * 1024  # bytes of an argument that needs no room from the budget
 LAST_PART = 0.15  # of the budget, which only answers may take: they free more than they hold
 ARGUMENTS = 16  # of a command; the protocol's have five at most
@@ -46,7 +46,12 @@
 
 
 class Budget:
-    """Room for values, shared by all connections: who asks for too much waits its turn."""
+    """Room for open requests, values and answers, until the kernel has taken them.
+
+    All connections share it: who asks for too much waits its turn.  Guards against many
+    that ask much, send slowly or read slowly, in whatever mixture.  Harm: clients that do
+    not read can keep the others waiting for up to READER_PATIENCE.
+    """
 
     def __init__(self, size: int) -> None:
         self._size, self._for_commands = size, int(size * (1.0 - LAST_PART))
@@ -92,7 +97,7 @@
     def __init__(self, connection: ClientConnection) -> None:
         self._connection = connection
         self._held: list[bytes | bytearray] = []  # what could not yet be written
-        self.charge = 0  # bytes that its command's value holds of the budget
+        self.charge = 0  # bytes that its command holds of the budget
         self.done = False
         self.request: object = None  # the proxy's own mark
 
@@ -109,14 +114,11 @@
         self._connection.budget.release(self.charge)
         self.charge = 0
 
-    def write_to(self, transport: asyncio.Transport) -> None:
-        """Its turn has come."""
-        if not self._held:
-            return
+    def take_held(self) -> bytes | bytearray:
+        """What is to be written, as its turn has come."""
         data = self._held[0] if len(self._held) == 1 else b"".join(self._held)
         self._held.clear()
-        self._connection.budget.release(len(data))
-        transport.write(data)
+        return data
 
     def drop(self) -> None:
         """The connection has ended: nothing is written any more."""
@@ -147,12 +149,14 @@
         self.since = 0.0  # of its present state: silent, in part, idle
         self.mistakes = 0  # in a row
         self._unsent, self._unsent_since = 0, 0.0
+        self._written = 0  # bytes that the kernel has not yet taken, in the budget
 
     # --- transport ---
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_HIGH)
+        # At 0, pause_writing tells exactly that the kernel has not yet taken everything.
+        transport.set_write_buffer_limits(high=0)
         self._listener.joined(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -170,6 +174,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._transport = None
+        self._release_written()
         self._release_all()
         self._listener.left(self)
 
@@ -178,8 +183,13 @@
 
     def resume_writing(self) -> None:
         self._write_paused = False
+        self._release_written()
         self.flush()
 
+    def _release_written(self) -> None:
+        written, self._written = self._written, 0
+        self.budget.release(written)
+
     def _release_all(self) -> None:
         """Nobody waits any more: everything that it held is given back."""
         self.ending = True
@@ -250,7 +260,8 @@
     def _command(self) -> None:
         args, self._args = self._args, []
         answer = self._put_answer()
-        answer.charge, self._charge = self._charge, 0
+        answer.charge += self._charge
+        self._charge = 0
         if len(args) == 1 and bytes(args[0]).upper() == b"PING":
             answer.finish(b"+PONG\r\n")
             return
@@ -269,6 +280,8 @@
 
     def _put_answer(self) -> Answer:
         answer = Answer(self)
+        answer.charge = OVERHEAD
+        self.budget.hold(OVERHEAD)
         self._answers.append(answer)
         return answer
 
@@ -300,11 +313,14 @@
         self._flushing = True
         moved = False
         while self._answers and not self._write_paused and not transport.is_closing():
-            answer = self._answers[0]
-            answer.write_to(transport)
-            if not answer.done:
+            if not self._answers[0].done:
                 break
-            self._answers.popleft()
+            data = self._answers.popleft().take_held()
+            transport.write(data)
+            if self._write_paused:
+                self._written += len(data)
+            else:
+                self.budget.release(len(data))
             moved = True
         self._flushing = False
         if moved and not self._pumping:
@@ -395,6 +411,7 @@
         self._lingering: dict[ClientConnection, None] = {}
         self._states = (self._silent, self._partial, self._idle, self._serving, self._lingering)
         self._ended = asyncio.Event()
+        self._sweeping: asyncio.TimerHandle | None = None
 
     def start(self, address: Address) -> Address:
         sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
@@ -408,7 +425,7 @@
         sock.setblocking(False)
         self._socket = sock
         self._accept_again()
-        self.loop.call_later(SWEEP, self._sweep)
+        self._sweeping = self.loop.call_later(SWEEP, self._sweep)
         return Address(address.host, sock.getsockname()[1])
 
     @property
@@ -522,7 +539,7 @@
             self._ended.set()
 
     def _sweep(self) -> None:
-        self.loop.call_later(SWEEP, self._sweep)
+        self._sweeping = self.loop.call_later(SWEEP, self._sweep)
         now = self.loop.time()
         for state in self._states:
             for connection in list(state):
@@ -552,6 +569,8 @@
                 for state in self._states:
                     for connection in list(state):
                         connection.abort()
+        if self._sweeping is not None:
+            self._sweeping.cancel()
 
     def _accept_the_rest(self) -> None:
         """What waits in the backlog would be reset when the listener closes."""
--- a/violetroute/upstream.py
+++ b/violetroute/upstream.py
@@ -333,7 +333,7 @@
         self._lost = [(0.0, 0.0)] * (len(AGES) + 1)
         self._nodes: dict[int, Node] = {}
         self._open: set[NodeConnection] = set()
-        loop.call_later(SWEEP, self._sweep)
+        self._sweeping = loop.call_later(SWEEP, self._sweep)
 
     # --- the list ---
     def place(self, cache_id: int, address: Address) -> None:
@@ -510,7 +510,7 @@
         return True
 
     def _sweep(self) -> None:
-        self.loop.call_later(SWEEP, self._sweep)
+        self._sweeping = self.loop.call_later(SWEEP, self._sweep)
         now = self.loop.time()
         for node in self._nodes.values():
             for connection in list(node.idle):
@@ -518,5 +518,6 @@
                     self._discard(connection)
 
     def close(self) -> None:
+        self._sweeping.cancel()
         for connection in list(self._open):
             self._discard(connection)
