--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -1049,7 +1049,7 @@
         now = self._now
         if pending.streaming or now >= pending.request.give_up_at:
             self._judge(pending, 1.0)
-            self._end(pending, actions, failed=True)
+            self._end(pending, actions, failed=pending.streaming)
             return
         if result is Result.NEVER_SENT:  # no socket was left: another attempt finds none
             self._judge(pending, 1.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -403,3 +403,13 @@
             again = balancer.on_outcome(now, Outcome(number, 0, Result.RESET, False, 1.0))[0]
             assert isinstance(again, Send) and again.cache_id == send.cache_id
         balancer.on_outcome(now, Outcome(number, number % 4 == 3, Result.OK, True, 10.0))
+
+
+@pytest.mark.parametrize(("class_name", "kind"), [("read", Refuse), ("keyed", Refuse),
+                                                  ("zoned", Fail), ("unsafe", Fail)])
+def test_when_time_is_up_a_refusal_is_given_where_it_is_true(class_name: str, kind: Any) -> None:
+    balancer = balancer_with([Member(i) for i in range(4)], max_backoff=500.0)
+    balancer.on_request(1.0, Request(1, class_name, 400.0, key=3))
+    (answer,) = balancer.on_outcome(400.0, Outcome(1, 0, Result.LATE, False, 399.0))
+    assert isinstance(answer, kind)
+    assert isinstance(answer, Fail) or answer.backoff > 0
