At most a quarter of the client slots stand idle

Cause: clients that ask once and keep their connection used up the clients' own limit; Listener closed idle ones only after 2 s or with no slot left.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -254,3 +254,22 @@
         await until(lambda: rig.listener.budget.used == 0)
 
     play(part, memory_mb=20)
+
+
+def test_those_that_asked_once_leave_the_others_something_to_ask_on() -> None:
+    # A front that may hold so many open had none left: all were idle, and slots were free.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        stay = []
+        for number in range(rig.config.client_sockets // 2):
+            reader, writer = await rig.client()
+            writer.write(get(number))
+            await read_answer(reader)
+            stay.append((reader, writer))
+        started = asyncio.get_running_loop().time()
+        assert await closed(stay[0][0]) == b""
+        assert asyncio.get_running_loop().time() - started < 1.9, "long before it overstays"
+        await until(lambda: rig.listener.connections <= rig.config.client_sockets // 4)
+        for _, writer in stay:
+            writer.close()
+
+    play(part, sockets=128)
--- a/violetroute/clients.py
+++ b/violetroute/clients.py
@@ -7,6 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from typing import Protocol
 
 from . import resp
@@ -30,7 +31,8 @@
 IDLE_PATIENCE = 2.0  # s without a request after which a client reckons with a close
 CROWD = 0.75  # of the slots: from here on idle connections end at IDLE_PATIENCE
 CROWD_PATIENCE = 0.15  # s for a first byte when no slot is left: a real client asks at once
-IDLE_LEAST = 0.2  # s that an idle one keeps its slot when nothing else can give way
+IDLE_LEAST = 0.2  # s that an idle one keeps its slot when others want it
+IDLE_SHARE = 0.25  # of the slots may be idle: a client's own limit must leave it some to ask with
 READER_PATIENCE = 15.0  # s without taking a byte of an answer
 LINGER = 0.5  # s to let the client read and close first, or a reset would eat the answer
 ACCEPT_AFTER_TERM = 0.55  # s; new connections come for 0.4 s, and all must be taken by 0.7 s
@@ -397,6 +399,7 @@
     def __init__(self, taker: Taker, slots: int, room: int,
                  loop: asyncio.AbstractEventLoop) -> None:
         self.taker, self.loop, self._slots = taker, loop, slots
+        self._idle_limit = max(1, int(slots * IDLE_SHARE))
         self.budget = Budget(room)
         self.draining = False
         self._socket: socket.socket | None = None
@@ -527,6 +530,21 @@
             connection.end()
         else:
             self._move(connection, self._idle)
+            self._trim_idle()
+
+    def _trim_idle(self) -> None:
+        """End the longest idle beyond IDLE_SHARE.
+
+        Guards against clients that ask once and keep their connection: they used up what
+        their front may hold open, and the others had none left to ask on while slots were
+        free here.  Should also keep memory down.  Harm: a large and steady pool of quiet
+        clients opens anew what it could have kept.
+        """
+        now = self.loop.time()
+        for connection in list(islice(self._idle, max(0, len(self._idle) - self._idle_limit))):
+            if now - connection.since < IDLE_LEAST:
+                break
+            connection.end()
 
     def lingering(self, connection: ClientConnection) -> None:
         self._move(connection, self._lingering)
@@ -544,6 +562,7 @@
         for state in self._states:
             for connection in list(state):
                 connection.look(now)
+        self._trim_idle()
 
     # --- draining ---
     async def drain(self, longest: float) -> None:
