--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -66,6 +66,7 @@
 HEDGE_LATEST = 0.7  # share of the aim; later, a second copy comes too late itself
 LEAST_BACKOFF = 40.0  # with nothing shed a moment is enough: another cache may take it
 FAIR_TIME = 0.4  # of the aim: who gives less learns nothing of the caches, whatever comes
+FAIR_ANSWERS = 10  # after this many, the time that most answers take is known
 OVERDUE_DEVIATIONS = 2.0  # an attempt that was given less than this was cut off, not late
 HELD_SHARE = 0.5  # with no cache known, wait this share of the client's time
 REPORT_LIFE = 4_000.0  # a load report fades towards what caches report on average
@@ -492,6 +493,7 @@
     cls: RequestClass
     arrived_at: float
     key: int
+    patient: bool  # it gave the caches the time that most answers take
     attempts: list[Attempt] = field(default_factory=list)
     done: bool = False
     streaming: bool = False
@@ -499,7 +501,7 @@
 
     @property
     def fair(self) -> bool:
-        """Whether its outcome tells of the caches, and not of the client's hurry.
+        """Whether its outcome can tell of the caches, and not of the client's hurry alone.
 
         A client's last retry has what the others left of its time.  Counted as failures,
         such requests closed the gate, and its refusals made more of them: a third of the
@@ -565,12 +567,12 @@
     """
 
     __slots__ = ("_bad", "_buckets", "_demand", "_demand_at", "_learned_at", "_outcomes",
-                 "_quotas", "_settings", "open")
+                 "_patient_bad", "_quotas", "_settings", "open")
 
     def __init__(self, settings: Settings, now: float) -> None:
         self._settings = settings
         self.open = 1.0
-        self._bad = self._outcomes = 0.0
+        self._bad = self._patient_bad = self._outcomes = 0.0
         self._learned_at = now
         self._demand: dict[float, float] = {}  # by worth
         self._demand_at = now
@@ -608,8 +610,14 @@
         room -= sum(d for w, d in self._demand.items() if w > worth)
         return draw * self._demand[worth] < room
 
-    def learn(self, badness: float, now: float) -> None:
-        """badness: 0 for an answer in time, 1 for a request that came to nothing."""
+    def learn(self, badness: float, now: float, patient: bool) -> None:
+        """badness: 0 for an answer in time, 1 for a request that came to nothing.
+
+        What became of hurried requests counts only while patient ones fail as well: then
+        it tells of the caches, and the simulator's overloads are worse without it.
+        """
+        if not patient and self._patient_bad <= BAD_TARGET:
+            return
         past = now - self._learned_at
         self._learned_at = now
         self._outcomes = self._outcomes * math.exp(-past / DEMAND_DECAY) + 1.0
@@ -620,6 +628,8 @@
         step = min(GATE_STEP, weight / GATE_WINDOW)
         self._bad *= math.exp(-past / GATE_FORGETS)
         self._bad += step * (badness - self._bad)
+        if patient:
+            self._patient_bad += step * (badness - self._patient_bad)
         # At a quiet proxy a few failures prove nothing: count what is beyond chance.
         # ledger-cache-za big-1: a fifth was shed with 5% failing, on noise alone.
         sure = self._bad - GATE_DEVIATIONS * math.sqrt(self._bad * step)
@@ -648,6 +658,7 @@
         self._choices = 2
         self._head_due = now
         self._times: dict[tuple[str, bool], Mean] = {}
+        self._answers: dict[str, Mean] = {}  # by class, of those who gave the caches time
         self._kinds: dict[str, Mean] = {}
         self._budget = RETRY_CAP
         self._unit_weight = 1.0
@@ -733,7 +744,7 @@
         if cls is None:
             raise ValueError(f"request {request.id}: unknown class {request.class_name!r}")
         key = request.key if request.key is not None else self._random.getrandbits(52)
-        pending = Pending(request, cls, now, key)
+        pending = Pending(request, cls, now, key, self._is_patient(cls, request.give_up_at - now))
         self._pending[request.id] = pending
         self._budget = min(RETRY_CAP, self._budget + RETRY_EARN * self._gate.open)
         worth = self._gate.count(cls, request.tenant, now)
@@ -1136,9 +1147,23 @@
             self._pending.pop(pending.request.id, None)
 
     # --- learning ---
+    def _is_patient(self, cls: RequestClass, given: float) -> bool:
+        """Whether a client gives the time that most answers take, or all of the aim.
+
+        Some have no patience, and in a crowd of these the others are the better witnesses:
+        where two in three gave 10 to 55 ms and half of the answers took longer, half of
+        those with time to spare were refused too, at idle caches.  Should also catch
+        clients whose clocks or settings are wrong.  Harm: an overload that falls on none
+        but hurried clients sheds nothing.
+        """
+        answers = self._answers.get(cls.name)
+        if answers is None or answers.count < FAIR_ANSWERS:
+            return True
+        return given >= min(cls.aim, answers.value + answers.deviation)
+
     def _judge(self, pending: Pending, badness: float) -> None:
         if pending.fair and not (badness and any(a.lost for a in pending.attempts)):
-            self._gate.learn(badness, self._now)
+            self._gate.learn(badness, self._now, pending.patient)
 
     def _overdue(self, cls: RequestClass, latency: float) -> bool:
         """Whether it was out for longer than nearly all that are answered, hits or misses."""
@@ -1204,6 +1229,8 @@
                 cache.observe(ratio, now)
                 self._kinds.setdefault(cache.kind, Mean(1.0)).add(min(ratio, RATIO_CAP))
             mean.add(outcome.latency)
+            if pending.patient:  # the others' answers are the quick ones alone
+                self._answers.setdefault(pending.cls.name, Mean(0.0)).add(outcome.latency)
         elif result in (Result.NO_CONNECTION, Result.RESET):
             # Guards against a network or a fleet that breaks connections at random: nodes
             # that served all the while were sent away by turns, and the rest was overrun.
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -288,3 +288,25 @@
         assert answers.count(b"v") >= 165, "of 180 that were not swallowed"
 
     play(part, count=4, classes=BRISK)
+
+
+def test_clients_without_patience_shed_none_of_the_others() -> None:
+    # Two in three give less time than the nodes take.  These failures closed the gate.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def takes_its_time(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.12)
+            writer.write(reply(b"v"))
+
+        node.behaviour = takes_its_time
+        await asyncio.gather(*(rig.ask(get(i, wait=400)) for i in range(15)))
+        patient, hurried = [], []
+        for i in range(100, 220):
+            wait, asked = (100, hurried) if i % 3 else (400, patient)
+            asked.append(asyncio.ensure_future(rig.ask(get(i, b"k%d" % i, wait=wait))))
+            await asyncio.sleep(0.008)
+        answers = [answer for task in patient for answer in await task]
+        assert answers.count(b"v") >= 38, "of 40"
+        refusals = [answer for task in hurried for answer in await task]
+        assert all(answer.startswith(b"-BUSY ") for answer in refusals)
+
+    play(part, classes=BRISK)
