--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -1265,14 +1265,15 @@
         makes them they kept their share, and no error was tried again elsewhere, lest the
         origin be asked twice.  An error that takes longer than a hit may be the origin's
         (with those counted too the simulator's overloads were worse).  Should also catch a
-        cache with a broken disk, a wrong configuration or no way to the origin.  Harm: where errors belong to keys that only
-        one cache is asked for, that cache is away for no use, for a second at a time.
+        cache with a broken disk, a wrong configuration or no way to the origin.  Harm:
+        where errors belong to keys that only one cache is asked for, that cache is away
+        for no use, for a second at a time.
         """
         cache, failed = attempt.cache, result is Result.ERROR
         if (failed and quick) or result is Result.OK:
             cache.errors += ERROR_GAIN * (failed - cache.errors)
-        if failed and quick and cache.errors >= OWN_ERRORS \
-                and self._warmth(cache, self._now) >= 1.0:
+        if failed and quick and cache.errors >= OWN_ERRORS and cache.listed \
+                and cache not in self._origins and self._warmth(cache, self._now) >= 1.0:
             # The middle one: of several at fault none may excuse the others.
             middle = sorted(c.errors for c in self._ready)[len(self._ready) // 2]
             attempt.own_error = middle < OTHERS_ERRORS
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -439,3 +439,13 @@
 def test_losses_among_quick_answers_shed_nothing_and_among_late_ones_do() -> None:
     assert sent_of_200(30.0) == 200
     assert sent_of_200(330.0) < 150, "late and lost together are an overload"
+
+
+def test_an_error_from_the_last_cache_after_it_has_left_the_list() -> None:
+    balancer = balancer_with([Member(1)])
+    for number in range(20):
+        balancer.on_request(1.0, Request(number, "read", 400.0, key=number))
+    balancer.on_list(2.0, ListKind.FULL, [])
+    for number in range(20):
+        last = balancer.on_outcome(3.0, Outcome(number, 0, Result.ERROR, False, 2.0))
+        assert [type(action) for action in last] == [Refuse]
