--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -399,10 +399,6 @@
         self.suspect = False  # gone away unlisted: cold when it answers again
         self.reported, self.report_at = 0.0, -math.inf
 
-    @property
-    def inflight(self) -> int:
-        return len(self.out)
-
     def load(self, now: float, typical: float) -> float:
         """Own requests in flight and sent lately, and what it reported, for its size.
 
@@ -410,7 +406,7 @@
         idle, it would draw every proxy that knows it least.
         """
         fade = math.exp((self.sent_at - now) / SENT_DECAY) if self.sent else 0.0
-        load = (self.inflight + self.sent * fade) / self.weight + typical
+        load = (len(self.out) + self.sent * fade) / self.weight + typical
         if typical:
             load += (self.reported - typical) * math.exp((self.report_at - now) / REPORT_LIFE)
         return load
@@ -931,7 +927,7 @@
         if cache.cold_since:
             warmth = self._warmth(cache, now)
             if warmth < 1.0:
-                if cache.inflight:  # never two at once from one proxy: a burst is enough
+                if cache.out:  # never two at once from one proxy: a burst is enough
                     return False
                 take = warmth * (COLD_CAUTION + (1 - COLD_CAUTION) * warmth)
                 # Incident i2c4cb1: in an overload a share of what is asked is several times
@@ -1212,9 +1208,7 @@
             cache.reported = outcome.report.get("inflight", 0.0) / cache.weight
             cache.report_at = now
             self._reported.add(cache.reported)
-        hit = self._mean(pending.cls, True)
-        quick = outcome.latency <= hit.value + hit.deviation
-        self._learn_error(attempt, result, quick)
+        self._learn_error(pending.cls, attempt, outcome)
         attempt.lost = result is Result.LATE and self._swallowed(pending.cls, attempt)
         late = result is Result.LATE and not attempt.lost \
             and self._overdue(pending.cls, outcome.latency)
@@ -1257,7 +1251,7 @@
         elif result is Result.FULL:
             cache.observe(RATIO_CAP / 2, now)
 
-    def _learn_error(self, attempt: Attempt, result: Result, quick: bool) -> None:
+    def _learn_error(self, cls: RequestClass, attempt: Attempt, outcome: Outcome) -> None:
         """Whose errors they are: a cache's own, or the origin's, which all caches pass on.
 
         Seen on incident rcfd445: two of 13 caches answered 70% of their commands with an
@@ -1269,18 +1263,24 @@
         where errors belong to keys that only one cache is asked for, that cache is away
         for no use, for a second at a time.
         """
-        cache, failed = attempt.cache, result is Result.ERROR
-        if (failed and quick) or result is Result.OK:
-            cache.errors += ERROR_GAIN * (failed - cache.errors)
-        if failed and quick and cache.errors >= OWN_ERRORS and cache.listed \
-                and cache not in self._origins and self._warmth(cache, self._now) >= 1.0:
-            # The middle one: of several at fault none may excuse the others.
-            middle = sorted(c.errors for c in self._ready)[len(self._ready) // 2]
-            attempt.own_error = middle < OTHERS_ERRORS
+        cache = attempt.cache
+        if outcome.result is not Result.ERROR:
+            if outcome.result is Result.OK:
+                cache.errors -= ERROR_GAIN * cache.errors
+            self._errors -= ERROR_GAIN * self._errors
+            return
+        hit = self._mean(cls, True)
+        if outcome.latency <= hit.value + hit.deviation:
+            cache.errors += ERROR_GAIN * (1.0 - cache.errors)
+            if cache.errors >= OWN_ERRORS and cache.listed and cache not in self._origins \
+                    and self._warmth(cache, self._now) >= 1.0:
+                # The middle one: of several at fault none may excuse the others.
+                middle = sorted(c.errors for c in self._ready)[len(self._ready) // 2]
+                attempt.own_error = middle < OTHERS_ERRORS
         if attempt.own_error:
             self._eject(cache, self._now)
         else:
-            self._errors += ERROR_GAIN * (failed - self._errors)
+            self._errors += ERROR_GAIN * (1.0 - self._errors)
 
     def _mean(self, cls: RequestClass, hit: bool) -> Mean:
         place = (cls.name, hit)
