--- /dev/null
+++ b/limebridge/standins/nodes.py
@@ -0,0 +1,62 @@
+"""A cache node that answers each command as its behaviour says."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from .wire import read_words, reply
+
+# Given the command's words (name, key, id, list, value) and where to answer.
+Behaviour = Callable[[list[bytes], asyncio.StreamWriter], Awaitable[None]]
+
+
+async def serves(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+    writer.write(reply(b"value of " + words[2]))
+
+
+class CacheNode:
+    """One node on a loopback port; `behaviour` may be changed while it runs."""
+
+    def __init__(self, behaviour: Behaviour = serves) -> None:
+        self.behaviour = behaviour
+        self.commands: list[list[bytes]] = []
+        self.connections = 0
+        self.open: set[asyncio.StreamWriter] = set()
+        self.port = 0
+
+    async def start(self, port: int = 0) -> CacheNode:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.open.add(writer)
+        try:
+            while True:
+                words = await read_words(reader)
+                self.record(words)
+                await self.behaviour(words, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    def record(self, words: list[bytes]) -> None:
+        """What a test looks back at; a node that runs for long keeps less."""
+        self.commands.append(words)
+
+    async def stop(self) -> None:
+        self._server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    def entry(self, name: str, lifecycle: str = "in_service", **more: Any) -> dict[str, Any]:
+        """This node in discovery's form."""
+        return {"instanceId": name, "hostPort": f"127.0.0.1:{self.port}", "zone": "a",
+                "machineType": "m", "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0,
+                **more}
