Refused clients are not idle ones; the overload's rules have tests that cause it

Change: an answer begins the idle time anew. The clients' rotation walks by a prime. The stand-in client sends once more what crossed a close, as the protocol says.

Tests: 9, among them SIGTERM and SIGHUP upon an unread backlog of 800 commands.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,11 +1,11 @@
 """The daemon on a quarter of a core, offered more than it can do.
 
-    python benchmarks/overload.py [--times 1.5 2.5] [--seconds 5] [--build CHECKOUT]
+    python benchmarks/overload.py [--times 1.5 2.5] [--seconds 5] [--clients 200] [--build CHECKOUT]
 
 The daemon shares one core with three processes that never rest, so the kernel gives it a
 quarter when it wants more.  Its capacity is the most that it serves in time on a rising
 load; goodput is what is served within the clients' 600 ms while several times that is
-offered by 200 clients at times of their own.  One client in 200 sends 128 commands at once
+offered by clients at times of their own.  One of the clients sends 128 commands at once
 in between.  Each ratio is within one run.
 """
 
@@ -25,7 +25,6 @@
 
 from limebridge.standins.clients import Ask, Client, Crowd
 
-CLIENTS = 200
 STEP = 1.2  # from one load to the next on the way to the capacity
 STEP_SECONDS = 2.5
 BURST = 128  # commands that the one greedy client sends at once
@@ -52,11 +51,11 @@
     return sorted(figures)[min(len(figures) - 1, int(part * len(figures)))] if figures else 0.0
 
 
-async def capacity(port: int, start: float) -> float:
+async def capacity(port: int, clients: int, start: float) -> float:
     """Requests a second that are served in time, at the load at which most are."""
     best, rate, falls = 0.0, start, 0
     while falls < 2:
-        crowd = Crowd(port, CLIENTS)
+        crowd = Crowd(port, clients)
         await crowd.connect()
         await crowd.play(rate, STEP_SECONDS)
         await crowd.rest()
@@ -67,8 +66,9 @@
     return best
 
 
-async def overload(port: int, able: float, times: float, seconds: float) -> dict[str, float]:
-    crowd = Crowd(port, CLIENTS, seed=2)
+async def overload(port: int, clients: int, able: float, times: float,
+                   seconds: float) -> dict[str, float]:
+    crowd = Crowd(port, clients, seed=2)
     loop = asyncio.get_running_loop()
     await crowd.connect()
     await crowd.play(able * 0.5, 1.0)
@@ -87,16 +87,17 @@
     after = [a for a in crowd.asks if a.asked_at >= end + 1.0]
     refused = [(a.answered_at - a.asked_at) * 1000.0 for a in during if a.kind == "refused"]
     each = Counter(a.client for a in during if a.kind == "served")
-    fair = sum(each.values()) / CLIENTS
+    fair = sum(each.values()) / clients
     return {
-        "times": times, "capacity": round(able), "offered": round(len(during) / seconds),
+        "clients": clients, "times": times, "capacity": round(able),
+        "offered": round(len(during) / seconds),
         "goodput": round(share(during, "served") * len(during) / seconds / able, 3),
         "refused": round(share(during, "refused"), 4),
         "expired": round(share(during, "expired"), 4),
         "failed": round(share(during, "failed") + share(during, "closed"), 4),
         "refusal_p50_ms": round(percentile(refused, 0.5), 1),
         "refusal_p99_ms": round(percentile(refused, 0.99), 1),
-        "least_of_fair_share": round(min(each[c] for c in range(CLIENTS)) / max(fair, 1e-9), 2),
+        "least_of_fair_share": round(min(each[c] for c in range(clients)) / max(fair, 1e-9), 2),
         "after_1s_served": round(share(after, "served"), 4),
         "crowd_late_ms": round(crowd.late * 1000.0, 1),
     }
@@ -107,6 +108,7 @@
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--times", type=float, nargs="+", default=[1.5, 2.5])
     parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--clients", type=int, default=200)
     parser.add_argument("--start", type=float, default=500.0, help="first load, requests/s")
     parser.add_argument("--core", type=int, default=max(os.sched_getaffinity(0)))
     parser.add_argument("--build", type=Path, default=harness.ROOT, help="another checkout")
@@ -115,11 +117,11 @@
     caps = {"cancel": True, "connIdleMs": 5000.0, "connectTimeoutMs": 250.0,
             "maxRetryAfterMs": 1000.0, "mostTries": 4, "retryAfter": True, "secondCopies": False}
     async with harness.nodes(4, 200) as ports, \
-            harness.daemon(ports, options.build.resolve(), caps=caps) as daemon, \
+            harness.daemon(ports, options.build.resolve(), sockets=2048, caps=caps) as daemon, \
             quarter(daemon.pid, options.core):
-        able = await capacity(daemon.port, options.start)
+        able = await capacity(daemon.port, options.clients, options.start)
         for times in options.times:
-            row = await overload(daemon.port, able, times, options.seconds)
+            row = await overload(daemon.port, options.clients, able, times, options.seconds)
             print(json.dumps(row), flush=True)
     return 0
 
--- a/limebridge/standins/clients.py
+++ b/limebridge/standins/clients.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from .wire import command
 
@@ -17,9 +17,10 @@
 class Ask:
     """One question and what became of it."""
 
-    __slots__ = ("answered_at", "asked_at", "client", "ends_at", "kind")
+    __slots__ = ("answered_at", "asked_at", "client", "ends_at", "kind", "sent", "words")
 
-    def __init__(self, client: int, asked_at: float, ends_at: float) -> None:
+    def __init__(self, client: int, asked_at: float, ends_at: float, words: bytes) -> None:
+        self.words, self.sent = words, 0
         self.client, self.asked_at, self.ends_at = client, asked_at, ends_at
         self.answered_at = 0.0
         self.kind = ""  # served, refused, failed, expired (no answer in time), closed
@@ -69,7 +70,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
         while self.open:
-            self._owner.ended(self.open.popleft(), "closed")
+            self._owner.crossed(self.open.popleft())
 
 
 class Client:
@@ -85,38 +86,52 @@
 
     def ask(self, words: bytes, wait: float) -> None:
         now = self._crowd.loop.time()
-        ask = Ask(self._number, now, now + wait)
+        ask = Ask(self._number, now, now + wait, words)
+        self._crowd.loop.call_at(ask.ends_at, self._expire, ask)
+        self._send(ask)
+
+    def _send(self, ask: Ask) -> None:
         connection = self._connection
         if connection is None or connection.transport is None or connection.transport.is_closing():
-            self._crowd.loop.create_task(self._ask_anew(ask, words))
+            self._crowd.start(self._send_anew(ask))
             return
+        ask.sent += 1
         connection.open.append(ask)
-        connection.transport.write(words)
-        self._crowd.loop.call_at(ask.ends_at, self._expire, connection, ask)
+        connection.transport.write(ask.words)
 
-    async def _ask_anew(self, ask: Ask, words: bytes) -> None:
+    async def _send_anew(self, ask: Ask) -> None:
         try:
-            await self.connect()
+            connection = self._connection
+            if connection is None or connection.transport is None \
+                    or connection.transport.is_closing():
+                await self.connect()
         except OSError:
             self.ended(ask, "closed")
             return
-        connection = self._connection
-        assert connection is not None and connection.transport is not None
-        connection.open.append(ask)
-        connection.transport.write(words)
-        self._crowd.loop.call_at(ask.ends_at, self._expire, connection, ask)
+        if not ask.kind:
+            self._send(ask)
 
-    def _expire(self, connection: _Connection, ask: Ask) -> None:
+    def crossed(self, ask: Ask) -> None:
+        """The connection ended under it: once more on a new one, as the protocol says."""
+        if ask.sent > 1:
+            self.ended(ask, "closed")
+        elif not ask.kind:
+            self._send(ask)
+
+    def _expire(self, ask: Ask) -> None:
         if ask.kind:
             return
         self.ended(ask, "expired")
-        connection.open.remove(ask)
-        if connection.transport is not None:
-            connection.transport.abort()
+        connection = self._connection
+        if connection is not None and ask in connection.open:
+            connection.open.remove(ask)
+            if connection.transport is not None:
+                connection.transport.abort()
 
     def ended(self, ask: Ask, kind: str) -> None:
-        ask.kind, ask.answered_at = kind, self._crowd.loop.time()
-        self._crowd.asks.append(ask)
+        if not ask.kind:
+            ask.kind, ask.answered_at = kind, self._crowd.loop.time()
+            self._crowd.asks.append(ask)
 
     def close(self) -> None:
         if self._connection is not None and self._connection.transport is not None:
@@ -132,10 +147,16 @@
         self.port, self._keys, self._wait = port, keys, wait
         self._random = random.Random(seed)
         self.clients = [Client(self, number) for number in range(clients)]
-        self.asks: list[Ask] = []
+        self.asks: list[Ask] = []  # in the order of their ends
+        self._tasks: set[asyncio.Task[None]] = set()
         self.asked = 0
         self.late = 0.0  # s, how far behind its own schedule the crowd has been at worst
 
+    def start(self, work: Coroutine[None, None, None]) -> None:
+        task = self.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def connect(self) -> None:
         for client in self.clients:
             await client.connect()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -20,6 +20,7 @@
 from violetroute import config as config_module
 from violetroute.clients import Listener
 from violetroute.proxy import Proxy
+from violetroute.turns import Turns
 
 __all__ = ["SETTINGS", "Behaviour", "CacheNode", "Discovery", "Rig", "bulk", "command",
            "configuration", "get", "put", "read_answer", "read_words", "reply", "serves", "soon",
@@ -51,8 +52,8 @@
 class Rig:
     """The proxy between the parts, as __main__ puts it together."""
 
-    def __init__(self, *nodes: CacheNode, **limits: Any) -> None:
-        self.nodes, self.limits = nodes, limits
+    def __init__(self, *nodes: CacheNode, turns: Turns | None = None, **limits: Any) -> None:
+        self.nodes, self.limits, self.turns = nodes, limits, turns
         self.discovery = Discovery()
 
     async def __aenter__(self) -> Rig:
@@ -63,9 +64,9 @@
         known = [node.entry(f"s-{i}") for i, node in enumerate(self.nodes)]
         self.config = self.load(configuration(self.discovery.port, known, **self.limits))
         loop = asyncio.get_running_loop()
-        self.proxy = Proxy(self.config, loop)
+        self.proxy = Proxy(self.config, loop, self.turns)
         self.listener = Listener(self.proxy, self.config.client_sockets,
-                                 self.config.value_room, loop)
+                                 self.config.value_room, loop, self.turns)
         self.port = self.listener.start(self.config.listen).port
         return self
 
--- /dev/null
+++ b/tests/test_own_load.py
@@ -0,0 +1,199 @@
+"""The proxy at its own limit: what stood unread, what is refused, whose turn it is."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+from pathlib import Path
+
+from rig import CacheNode, Discovery, Rig, get, put, read_answer, soon
+from test_program import program
+
+from limebridge.standins.wire import command
+from snowstall import Balancer, Effect, ListKind, Member, RequestClass, Settings
+from snowstall.balance import OWN_EACH, OWN_INTERVAL, OWN_TARGET, OWN_TURN, OWN_WORTHY
+from violetroute.turns import Turns, TurnSelector
+
+LOOKUP = RequestClass("lookup", aim=300.0, deadline=600.0, effect=Effect.PURE, worth=2.0)
+OPTOUT = RequestClass("optout", aim=300.0, deadline=600.0, effect=Effect.UNSAFE, worth=5.0)
+
+
+def balancer() -> Balancer:
+    made = Balancer(Settings(classes=(LOOKUP, OPTOUT), max_attempts=4, max_backoff=1000.0),
+                    seed=1, now=0.0)
+    made.on_list(0.0, ListKind.FULL, [Member(1), Member(2)])
+    return made
+
+
+def arrives(made: Balancer, now: float, name: str = "lookup", stood: float = OWN_TARGET,
+            left: float = 500.0, spent: float = OWN_TURN, taken: int = 0) -> float | None:
+    return made.on_arrival(now, name, stood, left, spent, taken)
+
+
+def test_a_burst_or_a_pause_is_no_overload() -> None:
+    made = balancer()
+    for now in range(0, 1000, 10):  # 300 ms unread at a time, but not all the while
+        assert arrives(made, now, stood=300.0 if now % 40 else 1.0) is None
+
+
+def test_a_standing_overload_refuses_what_is_worth_least_and_ends_at_once() -> None:
+    made = balancer()
+    assert arrives(made, 0.0) is None
+    now = OWN_INTERVAL
+    backoff = arrives(made, now)
+    assert backoff is not None and 40.0 < backoff <= 1000.0, "it tells when to come again"
+    assert arrives(made, now, spent=OWN_TURN - 1.0) is None, "room in this turn"
+    assert arrives(made, now, "optout") is None, "worth more"
+    assert arrives(made, now, "optout", spent=OWN_TURN * OWN_WORTHY) is not None
+    assert arrives(made, now, spent=0.0, taken=OWN_EACH) is not None, "it is the others' turn"
+    assert arrives(made, now, stood=OWN_TARGET / 2) is None, "the overload is over"
+    assert arrives(made, now + 1.0) is None
+
+
+def test_what_stood_beyond_its_time_is_refused_in_any_state() -> None:
+    assert arrives(balancer(), 0.0, "optout", stood=700.0, left=-1.0, spent=0.0) is not None
+
+
+class Late(Turns):
+    """Says that commands stood for so long, all in one turn."""
+
+    def __init__(self, stood: float = 0.0) -> None:
+        super().__init__()
+        self.seconds = stood
+
+    def stood(self, now: float) -> float:
+        return self.seconds
+
+
+def test_an_unsafe_request_that_waited_past_its_time_is_refused_and_never_sent() -> None:
+    async def part() -> None:
+        node, turns = CacheNode(), Late(9.0)
+        async with Rig(node, turns=turns) as rig:
+            for answer in await rig.ask(get(1, cls=b"once"), put(2)):
+                assert answer.startswith(b"-BUSY")
+            assert not node.commands
+            turns.seconds = 0.0
+            assert await rig.ask(get(3, cls=b"once")) == [b"value of id3"]
+
+    asyncio.run(part())
+
+
+def test_the_time_for_which_it_stood_is_the_clients_and_not_given_again() -> None:
+    async def part() -> None:
+        node = CacheNode()
+        async with Rig(node, turns=Late(5.0)) as rig:
+            assert await rig.ask(get(1, wait=8000)) == [b"value of id1"]
+            left = int(node.commands[0][3].rpartition(b"d=")[2])
+            assert left <= 3000
+
+    asyncio.run(part())
+
+
+def test_one_that_pipelines_leaves_the_others_their_turn() -> None:
+    async def part() -> None:
+        node, turns = CacheNode(), Late(0.02)
+        async with Rig(node, turns=turns) as rig:
+            numbers = iter(range(1, 10_000))
+
+            async def burst(count: int) -> list[bytes]:
+                return await rig.ask(*(get(next(numbers)) for _ in range(count)))
+
+            async with asyncio.timeout(20.0):
+                while not (await burst(OWN_EACH + 1))[-1].startswith(b"-BUSY"):
+                    pass  # until the overload has stood for its interval
+            answers = await burst(128)
+            assert [a.startswith(b"value of") for a in answers] == [True] * OWN_EACH + [
+                False] * (128 - OWN_EACH), "in their order"
+            assert all(a.startswith(b"-BUSY") for a in answers[OWN_EACH:])
+            others = await asyncio.gather(*(rig.ask(get(next(numbers))) for _ in range(60)))
+            assert all(a[0].startswith(b"value of") for a in others)
+            turns.seconds = 0.0
+            assert all(a.startswith(b"value of") for a in await burst(64)), "full service again"
+
+    asyncio.run(part())
+
+
+def test_refused_clients_that_ask_on_keep_their_connection() -> None:
+    # Answered at once, they counted as idle since their first command and were closed first.
+    async def part() -> None:
+        async with Rig(CacheNode(), turns=Late(9.0), sockets=80) as rig:
+            reader, writer = await rig.client()
+            for number in range(4 * rig.config.client_sockets):
+                writer.write(get(number))
+                assert (await read_answer(reader)).startswith(b"-BUSY")
+                (await rig.client())[1].write(get(number + 1000))  # asks once and stays
+            assert not writer.is_closing() and not reader.at_eof()
+
+    asyncio.run(part())
+
+
+def test_node_sockets_come_first_and_clients_in_turn() -> None:
+    pairs = [socket.socketpair() for _ in range(6)]
+    now = [0.0]
+    selector = TurnSelector(lambda: now[0])
+    for ours, theirs in pairs:
+        selector.register(ours, 1)
+        theirs.send(b"x")
+    nodes = {pairs[1][0].fileno(), pairs[4][0].fileno()}
+    turns = Turns(selector)
+    for descriptor in nodes:
+        turns.prefer(descriptor, True)
+    firsts = set()
+    for turn in range(40):
+        now[0] = float(turn)
+        order = [key.fd for key, _ in selector.select(0)]
+        assert len(order) == 6 and set(order[:2]) == nodes
+        firsts.add(order[2])
+    assert firsts == {ours.fileno() for ours, _ in pairs} - nodes, "each client was the first"
+    # What was ready at this poll became so after the one before: half a turn, by estimate.
+    assert turns.stood(39.0) == 0.5 and turns.stood(41.0) == 2.5 and turns.spent(41.0) == 2.0
+    turns.prefer(pairs[1][0].fileno(), False)
+    assert selector.first == {pairs[4][0].fileno()}
+    selector.close()
+    for pair in pairs:
+        for end in pair:
+            end.close()
+
+
+def test_a_backlog_is_answered_whole_when_the_end_or_a_reload_comes_upon_it(
+        tmp_path: Path) -> None:
+    """SIGTERM, and SIGHUP, in the midst of more than was read: each command has its answer."""
+    async def part(number: signal.Signals) -> None:
+        node, discovery = await CacheNode().start(), await Discovery().start()
+        path = tmp_path / number.name
+        path.mkdir()
+        async with program(path, discovery, node) as one:
+            peers = [await asyncio.open_connection("127.0.0.1", one.port) for _ in range(40)]
+            for reader, writer in peers:
+                writer.write(command(b"PING"))
+                assert await read_answer(reader) == b"+PONG"
+            one.process.send_signal(signal.SIGSTOP)
+            for place, (_, writer) in enumerate(peers):
+                for count in range(20):
+                    writer.write(get(place * 100 + count))
+                await soon(writer.drain())
+            if number is signal.SIGHUP:
+                one.path.write_text(json.dumps(one.raw))
+            one.process.send_signal(number)
+            one.process.send_signal(signal.SIGCONT)
+            for reader, _ in peers:
+                for _ in range(20):
+                    answer = await read_answer(reader)
+                    assert answer.startswith((b"value of", b"-BUSY")), answer
+            if number is signal.SIGTERM:
+                assert await one.ended() == os.EX_OK
+            else:
+                await one.logged("reloaded")
+            for _, writer in peers:
+                writer.close()
+            assert not [line for line in one.log if "fault" in line or "Traceback" in line]
+        await node.stop()
+        await discovery.stop()
+
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        asyncio.run(part(number))
+
+
--- a/violetroute/clients.py
+++ b/violetroute/clients.py
@@ -595,6 +595,9 @@
         if self.draining:
             connection.end()
         else:
+            if connection.state is self._idle:  # was answered at once: idle from now on anew
+                del self._idle[connection]
+                connection.state = None
             self._move(connection, self._idle)
             self._trim_idle()
 
--- a/violetroute/turns.py
+++ b/violetroute/turns.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Callable
 
+STRIDE = 7_919  # a prime: each place comes first in its turn, neighbours far apart
 SLEPT = 0.0005  # s in a poll that must have waited for something
 
 
@@ -44,7 +45,8 @@
             ahead = [item for item in ready if item[0].fd in first]
             if len(ahead) < len(ready) - 1:
                 rest = [item for item in ready if item[0].fd not in first]
-                self._rotation = place = (self._rotation * 31 + 17) % len(rest)
+                self._rotation += STRIDE
+                place = self._rotation % len(rest)
                 ready = ahead + rest[place:] + rest[:place]
             else:
                 ready.sort(key=lambda item: item[0].fd not in first)
@@ -56,10 +58,10 @@
 
     def __init__(self, selector: TurnSelector | None = None) -> None:
         self._selector = selector
-        self.number = 0
 
     @property
     def count(self) -> int:
+        """Turns so far."""
         return self._selector.turns if self._selector is not None else 0
 
     def stood(self, now: float) -> float:
