Test that the client that asks on keeps its connection fails without its change

Cause: the first form of the test was over before the shortest idle time and could not fail. Change: the longest idle of the others must be the first to make room. Measured: fails with the change taken out, passes with it.

--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -121,11 +121,20 @@
     async def part() -> None:
         async with Rig(CacheNode(), turns=Late(9.0), sockets=80) as rig:
             reader, writer = await rig.client()
-            for number in range(4 * rig.config.client_sockets):
-                writer.write(get(number))
-                assert (await read_answer(reader)).startswith(b"-BUSY")
-                (await rig.client())[1].write(get(number + 1000))  # asks once and stays
-            assert not writer.is_closing() and not reader.at_eof()
+            writer.write(get(0))
+            assert (await read_answer(reader)).startswith(b"-BUSY")
+            stay = [await rig.client() for _ in range(rig.config.client_sockets - 2)]
+            for number, (_, other) in enumerate(stay):  # these ask once
+                other.write(get(number + 1))
+            first = stay[0][0]
+            assert (await read_answer(first)).startswith(b"-BUSY")
+            number = 1000
+            async with asyncio.timeout(20.0):
+                while not first.at_eof():  # the longest idle makes room, and it is not us
+                    number += 1
+                    writer.write(get(number))
+                    assert (await read_answer(reader)).startswith(b"-BUSY")
+                    await asyncio.sleep(0.01)
 
     asyncio.run(part())
 
