A pause of the process is told to the module and held against no cache

Need: a stop of 300 ms (SIGSTOP, a neighbour, the host) makes every open attempt look late at once: caches were thrown out and the gate closed for what the proxy itself did.

Change: the selector sees a pause by the CPU that the process did not get in a turn, and by how late a poll wakes against its timer (one is due every 50 ms while requests are open). It is told before what came in it is read. The module takes the pause off the latency of what was out and judges the gate by none of these requests; windows of keyed repeats run on.

Measured: with the telling taken out the process that was stopped for 0.4 s under 20 open requests sheds afterwards (test fails), with it 100 of 100 are served; shifting the send times instead would have let a keyed repeat out 950 ms into a window of 1,000 (test fails).

--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -482,12 +482,14 @@
 
 # --- requests -------------------------------------------------------------------------
 class Attempt:
-    __slots__ = ("cache", "lost", "out", "overtaken", "own_error", "ran", "sent_at")
+    __slots__ = ("cache", "lost", "out", "overtaken", "own_error", "ran", "sent_at",
+                 "stood")
 
     def __init__(self, cache: Cache, now: float) -> None:
         self.cache, self.sent_at = cache, now
         self.out = True
         self.overtaken = False  # what was sent there later came back quickly
+        self.stood = 0.0  # ms in which this process stood still while it was out
         self.lost = False  # swallowed, by all that can be seen
         self.own_error = False  # an error for which the cache and not the origin is to blame
         self.ran = True  # may have run, until an outcome proves that it did not
@@ -504,6 +506,7 @@
     done: bool = False
     streaming: bool = False
     held: bool = False
+    paused: bool = False  # this process stood still while it was open
 
     @property
     def fair(self) -> bool:
@@ -513,7 +516,8 @@
         such requests closed the gate, and its refusals made more of them: a third of the
         traffic came too short to be answered, and nine in ten were refused, at idle caches.
         """
-        return self.request.give_up_at - self.arrived_at >= FAIR_TIME * self.cls.aim
+        given = self.request.give_up_at - self.arrived_at
+        return not self.paused and given >= FAIR_TIME * self.cls.aim
 
     def outstanding(self) -> int:
         return sum(a.out for a in self.attempts)
@@ -823,6 +827,7 @@
         attempt = pending.attempts[outcome.attempt]
         if not attempt.out:
             return actions
+        outcome.latency = max(0.0, outcome.latency - attempt.stood)
         attempt.out = False
         attempt.ran = outcome.result not in NEVER_RAN
         self._overtake(pending, attempt, outcome)
@@ -835,6 +840,15 @@
         self._forget(pending)
         return actions
 
+    def on_pause(self, now: float, lasted: float) -> list[Action]:
+        """This process stood still for `lasted` ms, which tells nothing of the caches."""
+        self._tick(now)
+        for pending in self._pending.values():
+            pending.paused = True  # windows of repeats go on running: sent_at stays
+            for attempt in pending.attempts:
+                attempt.stood += lasted * attempt.out
+        return []
+
     def on_started(self, now: float, request_id: int) -> list[Action]:
         """A streamed answer has begun: it belongs to the client, deadlines no longer run."""
         self._tick(now)
@@ -1254,7 +1268,7 @@
         nobody overtaken and decides as before.
         """
         return (attempt.overtaken and self._fetched > attempt.sent_at
-                and self._overdue(cls, self._now - attempt.sent_at))
+                and self._overdue(cls, self._now - attempt.sent_at - attempt.stood))
 
     def _learn(self, pending: Pending, attempt: Attempt, outcome: Outcome) -> None:
         now, cache, result = self._now, attempt.cache, outcome.result
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -9,11 +9,23 @@
 import socket
 from pathlib import Path
 
-from rig import CacheNode, Discovery, Rig, get, put, read_answer, soon
+from rig import CacheNode, Discovery, Rig, get, put, read_answer, serves, soon, until
 from test_program import program
 
 from limebridge.standins.wire import command
-from snowstall import Balancer, Effect, ListKind, Member, RequestClass, Settings
+from snowstall import (
+    Balancer,
+    Effect,
+    ListKind,
+    Member,
+    Outcome,
+    Refuse,
+    Request,
+    RequestClass,
+    Result,
+    Send,
+    Settings,
+)
 from snowstall.balance import OWN_EACH, OWN_INTERVAL, OWN_TARGET, OWN_TURN, OWN_WORTHY
 from violetroute.turns import Turns, TurnSelector
 
@@ -57,6 +69,85 @@
     assert arrives(balancer(), 0.0, "optout", stood=700.0, left=-1.0, spent=0.0) is not None
 
 
+def test_a_pause_of_the_process_is_held_against_no_cache() -> None:
+    def spoil(paused: bool) -> tuple[Balancer, int]:
+        """Requests whose attempts were out over a pause and came back late, or never."""
+        made, now, number = balancer(), 0.0, 0
+        for _ in range(40):  # what is usual: 20 ms
+            number, now = number + 1, now + 25.0
+            made.on_request(now - 20.0, Request(number, "lookup", now + 580.0, number))
+            made.on_outcome(now, Outcome(number, 0, Result.OK, True, 20.0, True))
+        first = number + 1
+        for number in range(first, first + 20):
+            made.on_request(now, Request(number, "lookup", now + 590.0, number))
+        now += 320.0
+        if paused:
+            made.on_pause(now, 300.0)
+        for number in range(first, first + 10):
+            made.on_outcome(now, Outcome(number, 0, Result.OK, True, 320.0, True))
+        now += 270.0
+        for number in range(first + 10, first + 20):
+            made.on_outcome(now, Outcome(number, 0, Result.LATE, False, 590.0))
+        refused = 0
+        for number in range(2000, 2200):
+            now += 5.0
+            actions = made.on_request(now, Request(number, "lookup", now + 590.0, number))
+            refused += isinstance(actions[0], Refuse)
+            made.on_outcome(now, Outcome(number, 0, Result.OK, True, 20.0, True))
+        return made, refused
+
+    assert spoil(paused=True)[1] == 0
+    assert spoil(paused=False)[1] > 0, "else this test shows nothing"
+
+
+def test_a_pause_keeps_the_window_of_a_keyed_repeat() -> None:
+    keyed = RequestClass("save", aim=300.0, deadline=3000.0, effect=Effect.KEYED,
+                         repeat_window=1000.0)
+    made = Balancer(Settings(classes=(keyed,), max_attempts=4), seed=1, now=0.0)
+    made.on_list(0.0, ListKind.FULL, [Member(number) for number in range(1, 9)])
+    made.on_request(0.0, Request(1, "save", 2900.0, 5, True))
+    made.on_pause(950.0, 900.0)
+    actions = made.on_outcome(950.0, Outcome(1, 0, Result.RESET, False, 950.0))
+    assert not [action for action in actions if isinstance(action, Send)]
+
+
+def test_a_process_that_was_stopped_serves_on(tmp_path: Path) -> None:
+    async def part() -> None:
+        held: list[asyncio.StreamWriter] = []
+
+        async def hold(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            held.append(writer)
+
+        node, discovery = await CacheNode().start(), await Discovery().start()
+        brisk = [{"name": "lookup", "promiseMs": 300.0, "deadlineMs": 600.0, "effect": "pure"}]
+        async with program(tmp_path, discovery, node, classes=brisk) as one:
+            reader, writer = await asyncio.open_connection("127.0.0.1", one.port)
+            for number in range(50):
+                writer.write(get(number, wait=550))
+                assert (await read_answer(reader)).startswith(b"value of")
+            node.behaviour = hold
+            late = [await asyncio.open_connection("127.0.0.1", one.port) for _ in range(20)]
+            for place, (_, other) in enumerate(late):
+                other.write(get(1000 + place, wait=550))
+            await until(lambda: len(held) == len(late))
+            one.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.4)  # the pause itself
+            one.process.send_signal(signal.SIGCONT)
+            await one.logged("stood still")
+            for other_reader, _ in late:
+                assert (await read_answer(other_reader)).startswith(b"-BUSY")
+            node.behaviour = serves
+            for number in range(2000, 2100):
+                writer.write(get(number, wait=550))
+                assert (await read_answer(reader)).startswith(b"value of"), "nothing is shed"
+            for _, other in [*late, (reader, writer)]:
+                other.close()
+        await node.stop()
+        await discovery.stop()
+
+    asyncio.run(part())
+
+
 class Late(Turns):
     """Says that commands stood for so long, all in one turn."""
 
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -47,6 +47,7 @@
 FAILED = b"-ERR failed\r\n"
 ANSWER_MARGIN = 10.0  # ms before the client's time is up, for the answer's own way to it
 MARGIN_SHARE = 0.05  # of that time at most
+PULSE = 0.05  # s; the longest the loop sleeps while requests are open
 FAULT_PAUSE = 5.0  # s between two reports of faults: one cause can strike each request
 
 
@@ -82,6 +83,8 @@
         self._deadlines = Deadlines(loop, self._out_of_time, self._open)
         self._generation = 0
         self._faulted_at = -FAULT_PAUSE
+        self._pulse: asyncio.TimerHandle | None = None  # while requests are open
+        self._turns.tell_pauses(self._paused)
         self._balancer = Balancer(config.settings, config.seed, self.clock())
         self._settings = config.settings
         self._classes = {c.name: c for c in config.settings.classes}
@@ -124,6 +127,14 @@
             return None
         return _refusal(backoff)
 
+    def _beat(self) -> None:
+        """Does nothing but be due: a pause of the process shows by how late the loop wakes."""
+        self._pulse = self._loop.call_later(PULSE, self._beat) if self._open else None
+
+    def _paused(self, seconds: float) -> None:
+        log.info("the process stood still for %.0f ms", seconds * 1000.0)
+        self._tell(None, self._balancer.on_pause, seconds * 1000.0)
+
     def take(self, command: Command, answer: Answer) -> None:
         """A whole request has come: one final answer is owed from here on.
 
@@ -137,6 +148,8 @@
         if command.id in self._named:
             raise CommandError("id of an open request")  # nodes could not tell them apart
         now = self.clock()
+        if self._pulse is None:
+            self._pulse = self._loop.call_later(PULSE, self._beat)
         self._last_id += 1
         wait = min(command.wait, cls.deadline)  # who says that it waits longer is not believed
         wait -= min(ANSWER_MARGIN, MARGIN_SHARE * wait)
@@ -246,6 +259,8 @@
     def close(self) -> None:
         self._watch.stop()
         self._deadlines.close()
+        if self._pulse is not None:
+            self._pulse.cancel()
         self._pool.close()
 
     # --- telling and doing ---
--- a/violetroute/turns.py
+++ b/violetroute/turns.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 STRIDE = 7_919  # a prime: each place comes first in its turn, neighbours far apart
+PAUSE = 0.1  # s without the CPU, or beyond the time asked for, that are told as a pause
 SLEPT = 0.0005  # s in a poll that must have waited for something
 
 
@@ -24,9 +25,12 @@
     first: while there is not enough for all, the first ones are those that get something.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic,
+                 cpu: Callable[[], float] = time.process_time) -> None:
         super().__init__()
-        self._clock = clock
+        self._clock, self._cpu = clock, cpu
+        self._cpu_at = cpu()
+        self.paused: Callable[[float], None] | None = None  # told before the turn's events
         self._rotation = 0
         self.first: set[int] = set()  # descriptors to be handed out before the others
         self.turn_at = self.readable_at = clock()  # s: this turn's start, and when its
@@ -36,8 +40,15 @@
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         asked_at = self._clock()
         ready: list[tuple[selectors.SelectorKey, int]] = super().select(timeout)
-        now = self._clock()
+        now, cpu = self._clock(), self._cpu()
+        # What this process did not work in the turn before, and slept too long in the poll.
+        stolen = (asked_at - self.turn_at) - (cpu - self._cpu_at)
+        if timeout is not None and now - asked_at > timeout:
+            stolen = max(stolen, now - asked_at - max(0.0, timeout))
+        self._cpu_at = cpu
         before, self.turn_at = self.turn_at, now
+        if stolen >= PAUSE and self.paused is not None:
+            self.paused(stolen)
         self.readable_at = now if now - asked_at > SLEPT else (before + now) / 2.0
         self.turns += 1
         if len(ready) > 1:
@@ -72,6 +83,14 @@
         """Seconds of this turn that have passed."""
         return max(0.0, now - self._selector.turn_at) if self._selector is not None else 0.0
 
+    def tell_pauses(self, told: Callable[[float], None]) -> None:
+        """Call `told` with the seconds of each pause, before what came in it is read.
+
+        A pause within a poll shows only against a timer: keep one due while it matters.
+        """
+        if self._selector is not None:
+            self._selector.paused = told
+
     def prefer(self, descriptor: int, on: bool) -> None:
         """Whether this descriptor's events come first."""
         if self._selector is not None:
