--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -258,6 +258,18 @@
             end.close()
 
 
+def test_a_turn_without_the_cpu_is_a_pause_and_a_long_one_with_it_is_not() -> None:
+    now, cpu, told = [0.0], [0.0], list[float]()
+    selector = TurnSelector(lambda: now[0], lambda: cpu[0])
+    Turns(selector).tell_pauses(told.append)
+    selector.select(0)
+    for worked, passed in ((0.3, 0.3), (0.02, 0.05), (0.01, 0.32)):
+        now[0], cpu[0] = now[0] + passed, cpu[0] + worked
+        selector.select(0)
+    assert len(told) == 1 and 0.28 < told[0] < 0.32, "less what was used since the last reading"
+    selector.close()
+
+
 def test_a_backlog_is_answered_whole_when_the_end_or_a_reload_comes_upon_it(
         tmp_path: Path) -> None:
     """SIGTERM, and SIGHUP, in the midst of more than was read: each command has its answer."""
--- a/violetroute/turns.py
+++ b/violetroute/turns.py
@@ -15,6 +15,7 @@
 
 STRIDE = 7_919  # a prime: each place comes first in its turn, neighbours far apart
 PAUSE = 0.1  # s without the CPU, or beyond the time asked for, that are told as a pause
+CPU_READ = 0.05  # s between readings of the CPU time
 SLEPT = 0.0005  # s in a poll that must have waited for something
 
 
@@ -29,7 +30,7 @@
                  cpu: Callable[[], float] = time.process_time) -> None:
         super().__init__()
         self._clock, self._cpu = clock, cpu
-        self._cpu_at = cpu()
+        self._cpu_at = clock(), cpu()  # the last reading, which costs a system call
         self.paused: Callable[[float], None] | None = None  # told before the turn's events
         self._rotation = 0
         self.first: set[int] = set()  # descriptors to be handed out before the others
@@ -40,15 +41,10 @@
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         asked_at = self._clock()
         ready: list[tuple[selectors.SelectorKey, int]] = super().select(timeout)
-        now, cpu = self._clock(), self._cpu()
-        # What this process did not work in the turn before, and slept too long in the poll.
-        stolen = (asked_at - self.turn_at) - (cpu - self._cpu_at)
-        if timeout is not None and now - asked_at > timeout:
-            stolen = max(stolen, now - asked_at - max(0.0, timeout))
-        self._cpu_at = cpu
+        now = self._clock()
         before, self.turn_at = self.turn_at, now
-        if stolen >= PAUSE and self.paused is not None:
-            self.paused(stolen)
+        if now - self._cpu_at[0] > CPU_READ or now - before >= PAUSE:
+            self._look_for_a_pause(before, asked_at, timeout, now)
         self.readable_at = now if now - asked_at > SLEPT else (before + now) / 2.0
         self.turns += 1
         if len(ready) > 1:
@@ -64,6 +60,20 @@
         return ready
 
 
+    def _look_for_a_pause(self, began_at: float, asked_at: float, timeout: float | None,
+                          now: float) -> None:
+        """What the turn before did not get of the CPU, or its poll slept beyond its time."""
+        cpu = self._cpu()
+        stolen = 0.0
+        if asked_at - began_at >= PAUSE:  # with what was used since the last reading: less
+            stolen = (asked_at - began_at) - (cpu - self._cpu_at[1])
+        if timeout is not None:
+            stolen = max(stolen, now - asked_at - max(0.0, timeout))
+        self._cpu_at = now, cpu
+        if stolen >= PAUSE and self.paused is not None:
+            self.paused(stolen)
+
+
 class Turns:
     """What the daemon asks of its loop; without a TurnSelector nothing ever waits."""
 
