limebridge demo: the real daemon with stand-ins round it, for redis-py and plain bytes

Need: a newcomer had to write a configuration, nodes and discovery before the first answer, and nothing in the repository was driven by a client that others wrote.

--- /dev/null
+++ b/limebridge/standins/database.py
@@ -0,0 +1,34 @@
+"""The customer database behind the cache nodes: slow, shared, and overrun by too many."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+
+class CustomerDatabase:
+    """Serves `at_once` fetches side by side, each in about `latency` seconds; others wait.
+
+    Beyond `waiting` that wait a fetch is turned away.
+    """
+
+    def __init__(self, at_once: int = 16, latency: float = 0.05, waiting: int = 256,
+                 seed: int = 1) -> None:
+        self._slots = asyncio.Semaphore(at_once)
+        self._latency, self._limit = latency, at_once + waiting
+        self._random = random.Random(seed)
+        self.fetches = 0
+        self.open = 0
+
+    async def fetch(self, key: bytes) -> bytes | None:
+        """The value of a key; None when too many wait."""
+        if self.open >= self._limit:
+            return None
+        self.open += 1
+        try:
+            async with self._slots:
+                self.fetches += 1
+                await asyncio.sleep(self._latency * self._random.lognormvariate(0.0, 0.3))
+                return b"template of " + key
+        finally:
+            self.open -= 1
--- a/limebridge/standins/nodes.py
+++ b/limebridge/standins/nodes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Self
 
 from .wire import read_words, reply
 
@@ -26,7 +26,7 @@
         self.open: set[asyncio.StreamWriter] = set()
         self.port = 0
 
-    async def start(self, port: int = 0) -> CacheNode:
+    async def start(self, port: int = 0) -> Self:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,80 @@
+"""`limebridge demo --json`, driven by a client that others wrote and by plain bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import redis
+from rig import get, read_answer, soon
+from typer.testing import CliRunner
+
+from limebridge.cli import app
+from limebridge.standins.database import CustomerDatabase
+
+ROOT = Path(__file__).parent.parent
+
+
+@asynccontextmanager
+async def demo() -> AsyncIterator[tuple[asyncio.subprocess.Process, dict[str, Any]]]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "limebridge", "demo", "--json", "--nodes", "3", cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+    assert process.stdout is not None
+    try:
+        yield process, json.loads(await soon(process.stdout.readline()))
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+def test_a_client_that_others_wrote_is_served_and_the_end_is_clean() -> None:
+    async def part() -> None:
+        async with demo() as (process, told):
+            assert set(told) == {"proxy", "nodes", "discovery"} and len(told["nodes"]) == 3
+            host, _, port = told["proxy"].rpartition(":")
+
+            def drive() -> list[Any]:
+                client = redis.Redis(host, int(port), protocol=2)
+                answers = [client.ping(),
+                           client.execute_command("OBJ.GET", "k1", "id1", "c=lookup,t=x,d=500"),
+                           client.execute_command("OBJ.SET", "k1", "id2",
+                                                  "c=optout,t=x,d=900,k=7", "stop")]
+                client.close()
+                return answers
+
+            assert await asyncio.to_thread(drive) == [True, b"template of k1", b"stored"]
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(get(5, key=b"k2", wait=500))  # plain bytes
+            assert await read_answer(reader) == b"template of k2"
+            process.send_signal(signal.SIGTERM)
+            assert await soon(process.wait()) == 0
+            assert process.stderr is not None and await process.stderr.read() == b""
+            with_proxy = await asyncio.gather(
+                asyncio.open_connection(host, int(port)), return_exceptions=True)
+            assert isinstance(with_proxy[0], ConnectionError), "the daemon ended with it"
+            writer.close()
+
+    asyncio.run(part())
+
+
+def test_arguments_that_make_no_sense_are_one_message_and_exit_2() -> None:
+    result = CliRunner().invoke(app, ["demo", "--nodes", "0"])
+    assert result.exit_code == 2 and "--nodes" in result.output
+
+
+def test_the_database_turns_away_what_cannot_wait() -> None:
+    async def part() -> None:
+        database = CustomerDatabase(at_once=2, latency=0.001, waiting=3)
+        answers = await asyncio.gather(*(database.fetch(b"%d" % n) for n in range(9)))
+        assert sum(a is None for a in answers) == 4 and database.fetches == 5
+        assert await database.fetch(b"k") == b"template of k" and not database.open
+
+    asyncio.run(part())
