--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -87,17 +87,21 @@
     after = [a for a in crowd.asks if a.asked_at >= end + 1.0]
     refused = [(a.answered_at - a.asked_at) * 1000.0 for a in during if a.kind == "refused"]
     each = Counter(a.client for a in during if a.kind == "served")
+    goodput = share(during, "served") * len(during) / seconds / able
     fair = sum(each.values()) / clients
     return {
         "clients": clients, "times": times, "capacity": round(able),
         "offered": round(len(during) / seconds),
-        "goodput": round(share(during, "served") * len(during) / seconds / able, 3),
+        "goodput": round(goodput, 3),
         "refused": round(share(during, "refused"), 4),
         "expired": round(share(during, "expired"), 4),
         "failed": round(share(during, "failed") + share(during, "closed"), 4),
         "refusal_p50_ms": round(percentile(refused, 0.5), 1),
         "refusal_p99_ms": round(percentile(refused, 0.99), 1),
         "least_of_fair_share": round(min(each[c] for c in range(clients)) / max(fair, 1e-9), 2),
+        # What the refusals cost in answers that were not given: a share of a service each.
+        "refusal_cost": round((1.0 - goodput) * able * seconds
+                              / max(1.0, share(during, "refused") * len(during)), 3),
         "after_1s_served": round(share(after, "served"), 4),
         "crowd_late_ms": round(crowd.late * 1000.0, 1),
     }
--- a/violetroute/upstream.py
+++ b/violetroute/upstream.py
@@ -30,6 +30,7 @@
 AGE_LOSS = 0.1  # share of reuses that may break before connections of this age are closed
 REPLY_PATIENCE = 0.15  # s from an answer's first byte to its last
 QUIET = 0.002  # s after an answer in which what belongs to no request would come
+PEEK = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)  # a flag of the enum is made anew each time
 SWEEP = 0.5  # s between looks at idle connections
 
 ERRORS = {b"BUSY": Result.FULL, b"ERR": Result.ERROR}
@@ -320,7 +321,7 @@
         if self.transport is None or self.transport.is_closing() or self.socket is None:
             return False
         try:
-            self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            self.socket.recv(1, PEEK)
         except (BlockingIOError, InterruptedError):
             return True
         except OSError:
