Refusals to a client that does not read wait in their turn and stop the reading

Cause: a refusal in the proxy's own overload was written past the queue of answers also when the client took nothing, so one that floods and does not read was bounded by the budget that all clients share and not by its 128 commands.

Change: with writing paused a refusal is queued like any answer. Measured: with the change taken out the test reads on for 1,280 commands, with it it stops at 128 and the budget is back at zero when the connection ends.

--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 from pathlib import Path
+from typing import Any
 
 from rig import CacheNode, Discovery, Rig, get, put, read_answer, serves, soon, until
 from test_program import program
@@ -27,6 +28,7 @@
     Settings,
 )
 from snowstall.balance import OWN_EACH, OWN_INTERVAL, OWN_TARGET, OWN_TURN, OWN_WORTHY
+from violetroute.clients import DEPTH, ClientConnection
 from violetroute.turns import Turns, TurnSelector
 
 LOOKUP = RequestClass("lookup", aim=300.0, deadline=600.0, effect=Effect.PURE, worth=2.0)
@@ -230,6 +232,57 @@
     asyncio.run(part())
 
 
+class Unread(asyncio.Transport):
+    """To a client that takes nothing: the first write already waits for it."""
+
+    def __init__(self, connection: ClientConnection) -> None:
+        super().__init__()
+        self._connection, self.written, self.reading = connection, bytearray(), True
+
+    def write(self, data: Any) -> None:
+        self.written += data
+        self._connection.pause_writing()
+
+    def is_closing(self) -> bool:
+        return False
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return len(self.written)
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+    def abort(self) -> None:
+        self._connection.connection_lost(None)
+
+
+def test_refusals_that_are_not_read_stop_the_reading() -> None:
+    async def part() -> None:
+        async with Rig(CacheNode(), turns=Late(9.0)) as rig:
+            connection = ClientConnection(rig.listener)
+            rig.listener._taken += 1  # as if it had been accepted
+            transport = Unread(connection)
+            connection.connection_made(transport)
+            for number in range(10 * DEPTH):
+                if not transport.reading:
+                    break
+                data = get(number)
+                connection.get_buffer(-1)[: len(data)] = data
+                connection.buffer_updated(len(data))
+            assert not transport.reading and number <= DEPTH + 1
+            assert transport.written.count(b"-BUSY") == 1
+            transport.abort()
+            assert rig.listener.budget.used == 0
+
+    asyncio.run(part())
+
+
 def test_node_sockets_come_first_and_clients_in_turn() -> None:
     pairs = [socket.socketpair() for _ in range(6)]
     now = [0.0]
--- a/violetroute/clients.py
+++ b/violetroute/clients.py
@@ -308,7 +308,8 @@
         return self._taken
 
     def _refuse(self, refusal: bytes) -> None:
-        if self._answers or self._charge:
+        # To who does not read it waits in its turn: only so do DEPTH and the budget bound it.
+        if self._answers or self._charge or self._write_paused:
             self._owe().finish(refusal)
         else:
             self._put(refusal)
