Time that a command stood unread counts against its class's deadline too

Cause: the wait was cut to the deadline after the time unread had been taken off it, so a client that says it waits longer got the whole deadline anew: after 6 s unread of a deadline of 10 s the node was told 9,989 ms, and an answer could come after the deadline.

Change: the wait is cut first. A finish after the answers were given up finds no empty queue to look into. Measured: the new test fails without the change (9,989 ms), passes with it; 31 tests of own load, program and framing pass.

--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -185,6 +185,20 @@
     asyncio.run(part())
 
 
+def test_it_counts_against_the_deadline_where_the_client_says_more() -> None:
+    # A wait beyond the class's deadline is not believed, so it cannot make up for the time.
+    async def part() -> None:
+        node, turns = CacheNode(), Late(6.0)
+        async with Rig(node, turns=turns) as rig:  # the deadline is 10 s
+            assert await rig.ask(get(1, wait=60_000)) == [b"value of id1"]
+            assert int(node.commands[0][3].rpartition(b"d=")[2]) <= 4000
+            turns.seconds = 11.0
+            assert (await rig.ask(get(2, wait=60_000)))[0].startswith(b"-BUSY")
+            assert len(node.commands) == 1
+
+    asyncio.run(part())
+
+
 def test_one_that_pipelines_leaves_the_others_their_turn() -> None:
     async def part() -> None:
         node, turns = CacheNode(), Late(0.02)
--- a/violetroute/clients.py
+++ b/violetroute/clients.py
@@ -352,7 +352,7 @@
         """The usual case: its turn has come and the client takes what is written."""
         transport = self._transport
         if self._write_paused or self._flushing or transport is None or transport.is_closing() \
-                or self._answers[0] is not answer:
+                or not self._answers or self._answers[0] is not answer:
             return False
         self._answers.popleft()
         self._put(parts[0] if len(parts) == 1 else b"".join(parts))
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -119,6 +119,9 @@
         """The refusal of a command that this process cannot serve in time, as the module says."""
         now = self._loop.time()
         stood = self._turns.stood(now) * 1000.0
+        cls = self._classes.get(command.class_name)
+        if cls is not None and command.wait > cls.deadline:
+            command.wait = cls.deadline  # who says that it waits longer is not believed
         backoff = self._balancer.on_arrival(
             self.clock(), command.class_name, stood, command.wait - stood,
             self._turns.spent(now) * 1000.0, taken)
@@ -151,7 +154,7 @@
         if self._pulse is None:
             self._pulse = self._loop.call_later(PULSE, self._beat)
         self._last_id += 1
-        wait = min(command.wait, cls.deadline)  # who says that it waits longer is not believed
+        wait = min(command.wait, cls.deadline)
         wait -= min(ANSWER_MARGIN, MARGIN_SHARE * wait)
         request = OpenRequest(self._last_id, command, answer, now + wait)
         answer.request = request
--- a/violetroute/turns.py
+++ b/violetroute/turns.py
@@ -59,7 +59,6 @@
                 ready.sort(key=lambda item: item[0].fd not in first)
         return ready
 
-
     def _look_for_a_pause(self, began_at: float, asked_at: float, timeout: float | None,
                           now: float) -> None:
         """What the turn before did not get of the CPU, or its poll slept beyond its time."""
