Tests that bite on two guards: a client that has gone, a node that drains half-written

Cause: with taker.gone() or Pool.remove's end_unsent() taken out, all 148 tests passed. Change: one test each over loopback, with kernel buffers as small as they get for the second.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -18,6 +18,7 @@
     put,
     read_answer,
     reply,
+    serves,
     soon,
     until,
 )
@@ -75,6 +76,32 @@
     play(part)
 
 
+def test_nothing_is_sent_for_a_client_that_has_gone() -> None:
+    # Taken out, this guard was missed by every test: the request lived on to its deadline,
+    # and each failure of an attempt made the proxy send it anew.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        held = asyncio.Event()
+
+        async def breaks(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await held.wait()
+            writer.transport.abort()
+
+        node.behaviour = breaks
+        _, writer = await rig.client()
+        writer.write(get(1))
+        await until(lambda: node.commands)
+        writer.close()
+        await until(lambda: not rig.listener.connections)
+        assert not rig.proxy.open_requests, "it is told at once, not found out at the deadline"
+        held.set()
+        await until(lambda: not node.open)
+        node.behaviour = serves
+        assert await rig.ask(get(2)) == [b"value of id2"]
+        assert [words[2] for words in node.commands] == [b"id1", b"id2"]
+
+    play(part)
+
+
 BAD = {
     "noise": b"\x00\xff\x17\x80" * 8,
     "endless line": b"*" + b"1" * 5000,
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
-from rig import CacheNode, Rig, bulk, get, put, read_answer, reply, serves, until
+from rig import CacheNode, Rig, bulk, get, put, read_answer, reply, serves, soon, until
 
 
 def play(part: Callable[..., Awaitable[None]], count: int = 1, **limits: Any) -> None:
@@ -354,3 +355,54 @@
         assert len(asked) == len(set(asked)), "one attempt each"
 
     play(part, count=4)
+
+
+class Tight(socket.socket):
+    """Kernel buffers as small as they get: a long command stands half written."""
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            self.setsockopt(socket.SOL_SOCKET, option, 1)
+
+
+def test_a_command_half_written_to_a_node_that_drains_never_becomes_whole(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    # Taken out, this guard was missed by every test: the rest followed once the node read on,
+    # however long after it was told to drain.
+    monkeypatch.setattr(socket, "socket", Tight)
+    value = b"x" * 60_000
+    came, reads_on, done, got = asyncio.Event(), asyncio.Event(), asyncio.Event(), bytearray()
+
+    async def stuck(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        got.extend(await reader.read(100))
+        came.set()
+        await reads_on.wait()
+        try:
+            while piece := await reader.read(4096):
+                got.extend(piece)
+        except ConnectionError:
+            pass
+        writer.close()
+        done.set()
+
+    async def part(rig: Rig, node: CacheNode) -> None:
+        server = await asyncio.start_server(stuck, "127.0.0.1", 0, limit=1024)
+        other = CacheNode()
+        other.port = server.sockets[0].getsockname()[1]
+        await rig.watched()
+        rig.discovery.tell(other.entry("stuck"), reset=True)
+        await until(lambda: len(rig.proxy.nodes) == 1 and rig.proxy.generation >= 100)
+        asked = asyncio.create_task(rig.ask(put(1, value=value)))
+        await soon(came.wait())
+        rig.discovery.tell(node.entry("s-0"))
+        await until(lambda: len(rig.proxy.nodes) == 2)
+        rig.discovery.tell(other.entry("stuck", "terminating"))
+        assert await asked == [b"value of id1"]
+        reads_on.set()
+        await soon(done.wait())
+        server.close()
+        assert 0 < len(got) < len(value)
+        assert [words[2] for words in node.commands] == [b"id1"]
+
+    play(part)
