snowstall/messages.py: the policy's records in a file of their own

Change: settings, events, actions and the housekeeping label move to snowstall/messages.py, text unchanged; no rule and no constant of the policy leaves balance.py. The daemon and the adapter reach them through the package.

--- a/snowstall/__init__.py
+++ b/snowstall/__init__.py
@@ -1,8 +1,9 @@
 """snowstall: decides, for a sidecar proxy, which cache server gets each request."""
 
-from .balance import (
+from .balance import Balancer
+from .messages import (
+    HOUSEKEEPING,
     Action,
-    Balancer,
     CacheState,
     Cancel,
     Effect,
@@ -23,6 +24,7 @@
 )
 
 __all__ = [
+    "HOUSEKEEPING",
     "Action", "Balancer", "CacheState", "Cancel", "Effect", "Fail", "Group", "ListKind",
     "Member", "Outcome", "Refuse", "Request", "RequestClass", "Result", "Send", "Settings",
     "Subscribe", "Tenant", "Timer",
--- a/snowstall/adapter.py
+++ b/snowstall/adapter.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import IO, Any
 
-from . import balance as b
+import snowstall as b
 
 RESULTS = {
     "GOOD": b.Result.OK, "BAD": b.Result.ERROR, "FULL": b.Result.FULL, "LATE": b.Result.LATE,
--- /dev/null
+++ b/snowstall/messages.py
@@ -0,0 +1,186 @@
+"""The records that the policy takes and gives: settings, events, actions.
+
+Records only: no rule and no constant of the policy stands here, so that `balance.py` stays
+the one text to read for how it decides.  Times are milliseconds on the caller's clock, which
+never steps back; a duration is in milliseconds too unless its name ends in `_per_s`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+HOUSEKEEPING = 1 << 52  # a timer's labels from here on are not request ids
+
+
+def require(condition: bool, message: str) -> None:
+    """ValueError with this message unless the condition holds."""
+    if not condition:
+        raise ValueError(message)
+
+
+# --- settings -------------------------------------------------------------------------
+class Effect(Enum):
+    PURE = "pure"  # safe to repeat at any time
+    KEYED = "keyed"  # caches of the group drop repeats inside a window
+    UNSAFE = "unsafe"  # must never run twice
+
+
+class Group(Enum):
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    aim: float
+    deadline: float
+    effect: Effect
+    worth: float = 1.0
+    late_value: float = 0.0
+    group: Group = Group.ALL
+    repeat_window: float = 0.0
+
+    def __post_init__(self) -> None:
+        for name in ("aim", "deadline"):
+            require(getattr(self, name) > 0, f"class {self.name}: {name} must be above 0")
+        require(self.worth >= 0, f"class {self.name}: worth must not be negative")
+        require(self.repeat_window >= 0, f"class {self.name}: repeat_window is negative")
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    share: float = 0.0
+    quota_per_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    classes: tuple[RequestClass, ...]
+    max_attempts: int
+    proxies: int = 1
+    zone: str = ""
+    origin_kind: str | None = None  # set where misses come back and the proxy asks the origin
+    must_subscribe: bool = False
+    second_copies: bool = False
+    can_cancel: bool = False
+    can_probe: bool = False
+    weighted: bool = False  # the list states sizes that can be compared
+    reports: bool = False
+    cold_share: float = 0.1
+    warm_time: float = 0.0
+    ask_within: float = 10_000.0
+    cross_zone_price: float = 0.0
+    origin_price: float = 0.0
+    waste_price: float = 0.0
+    max_backoff: float = 0.0
+    over_share_worth: float = 1.0
+    tenants: tuple[Tenant, ...] = ()
+
+    def __post_init__(self) -> None:
+        require(bool(self.classes), "classes: at least one is needed")
+        require(self.max_attempts >= 1, "max_attempts must be at least 1")
+        require(self.proxies >= 1, "proxies must be at least 1")
+        require(0 <= self.cold_share <= 1, "cold_share must lie in [0, 1]")
+        require(self.warm_time >= 0, "warm_time must not be negative")
+        require(self.ask_within > 0, "ask_within must be above 0")
+
+
+# --- events and actions (not frozen: a frozen one costs three times as much to make) ----
+class Result(Enum):
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    LATE = "late"
+    NO_CONNECTION = "no_connection"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NEVER_SENT = "never_sent"
+    MISS = "miss"
+    SPOILT = "spoilt"  # an answer came that cannot be read: the request has run
+
+
+class CacheState(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    CHANGES = "changes"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    id: int
+    state: CacheState = CacheState.READY
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    weight: float = 1.0
+    started_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Request:
+    id: int
+    class_name: str
+    give_up_at: float
+    key: int | None = None
+    write: bool = False
+    tenant: str = ""
+
+
+@dataclass(slots=True)
+class Outcome:
+    request_id: int
+    attempt: int
+    result: Result
+    closed: bool
+    latency: float
+    hit: bool | None = None
+    report: dict[str, float] | None = None
+
+
+@dataclass(slots=True)
+class Send:
+    request_id: int
+    cache_id: int
+    stop_at: float  # 0: when the client gives up
+
+
+@dataclass(slots=True)
+class Refuse:
+    request_id: int
+    backoff: float = 0.0
+
+
+@dataclass(slots=True)
+class Fail:
+    request_id: int
+
+
+@dataclass(slots=True)
+class Cancel:
+    request_id: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Timer:
+    delay: float
+    label: int
+
+
+@dataclass(slots=True)
+class Subscribe:
+    active: bool = True
+
+
+Action = Send | Refuse | Fail | Cancel | Timer | Subscribe
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -12,10 +12,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from snowstall import Member
 from snowstall.balance import (
     COUNT_HALF_LIFE,
     Cache,
-    Member,
     Ring,
     SpaceSaving,
     find_optimal_choices,
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -15,6 +15,7 @@
 from dataclasses import replace
 
 from snowstall import (
+    HOUSEKEEPING,
     Action,
     Balancer,
     CacheState,
@@ -31,7 +32,6 @@
     Subscribe,
     Timer,
 )
-from snowstall.balance import HOUSEKEEPING
 
 from .clients import Answer
 from .config import Config
