--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -113,7 +113,7 @@
             env=os.environ | {"PROXY_CONFIG": str(path)})
         assert process.stderr is not None
         async with asyncio.timeout(PATIENCE):
-            while b"listens on" not in await process.stderr.readline():
+            while b" listens" not in await process.stderr.readline():
                 assert process.returncode is None, "the daemon did not start"
         log = asyncio.create_task(_copy(process.stderr))
         try:
--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -1,10 +1,13 @@
-"""The command line: `limebridge demo`."""
+"""The command line: `limebridge demo | check | serve`."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import os
+import sys
 from collections import Counter
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -12,6 +15,8 @@
 from rich.live import Live
 from rich.table import Table
 
+from violetroute.config import Config, ConfigError, load
+
 from . import demo as demo_module
 
 app = typer.Typer(add_completion=False, no_args_is_help=True,
@@ -42,6 +47,66 @@
         raise typer.Exit(1) from None
 
 
+OperatorFile = Annotated[Path | None, typer.Option(
+    "--operator", metavar="FILE", help="The operator's file; wins over LIMEBRIDGE_OPERATOR.")]
+PlatformFile = Annotated[Path | None, typer.Argument(
+    metavar="[CONFIG.json]", help="The platform's file; else the one that PROXY_CONFIG names.")]
+
+
+def _environment(config: Path | None) -> dict[str, str]:
+    return os.environ | ({"PROXY_CONFIG": str(config)} if config is not None else {})
+
+
+@app.command()
+def check(config: PlatformFile = None, operator: OperatorFile = None,
+          as_json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
+          ) -> None:
+    """Say what the daemon would do with these files, and start nothing.
+
+    Exit status 2 when it would refuse them.
+    """
+    try:
+        found = load(_environment(config), str(operator) if operator is not None else None)
+    except ConfigError as error:
+        typer.echo(f"limebridge: {error}", err=True)
+        raise typer.Exit(2) from None
+    told = _effect(found)
+    if as_json:
+        print(json.dumps(told))
+        return
+    table = Table("what", "value", show_header=False, box=None)
+    for key, value in told.items():
+        table.add_row(key, ", ".join(value) if isinstance(value, list) else str(value))
+    Console().print(table)
+
+
+def _effect(config: Config) -> dict[str, object]:
+    """What follows from a configuration, in the units of the files."""
+    return {
+        "name": config.name,
+        "listen": f"{config.listen.host}:{config.listen.port}",
+        "discovery": f"{config.discovery.host}:{config.discovery.port}",
+        "client connections": config.client_sockets,
+        "node connections": config.upstream_sockets,
+        "room for values, KiB": config.value_room // 1024,
+        "known nodes": len(config.known.entries),
+        "classes": [f"{c.name} ({c.effect.value}, {c.deadline:g} ms)"
+                    for c in config.settings.classes],
+        "operator's file": config.operator_path or "none: defaults",
+        "log": f"{config.operator.log.level}, {config.operator.log.format}",
+        "unknown keys": list(config.unknown),
+    }
+
+
+@app.command()
+def serve(config: PlatformFile = None, operator: OperatorFile = None) -> None:
+    """Be the daemon: this process becomes it."""
+    arguments = [sys.executable, "-m", "violetroute"]
+    if operator is not None:
+        arguments += ["--operator", str(operator)]
+    os.execve(sys.executable, arguments, _environment(config))
+
+
 def _show(nodes: int, rate: float) -> None:
     console = Console()
     total: Counter[str] = Counter()
--- a/limebridge/demo.py
+++ b/limebridge/demo.py
@@ -91,7 +91,7 @@
         async with asyncio.timeout(READY):
             async for line in process.stderr:
                 last = line.decode(errors="replace").strip()
-                if "listens on" in last:
+                if "daemon.listens" in last:
                     return
     except TimeoutError:
         pass
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,148 @@
+"""Bad and good configuration: one line that names the key, and nothing half taken on."""
+
+from __future__ import annotations
+
+import copy
+import json
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from rig import SETTINGS, configuration
+from typer.testing import CliRunner
+
+from limebridge.cli import app
+from violetroute.config import Config, ConfigError, Operator, load, restart_needed
+from violetroute.config.operator import load_operator, parse_operator
+
+ROOT = Path(__file__).parent.parent
+
+
+def loaded(tmp_path: Path, raw: Any, operator: str | None = None, **env: str) -> Config:
+    path = tmp_path / "config.json"
+    path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
+    if operator is not None:
+        (tmp_path / "operator.toml").write_text(operator)
+        env["LIMEBRIDGE_OPERATOR"] = str(tmp_path / "operator.toml")
+    return load({"PROXY_CONFIG": str(path)} | env)
+
+
+WRONG: dict[str, tuple[tuple[Any, ...], Any, str]] = {
+    "no listen": (("listen",), None, "listen: missing"),
+    "a name to listen on": (("listen",), "here:1", "listen: not an address"),
+    "discovery": (("discovery",), "1.2.3.4", "discovery: not an address"),
+    "seed": (("seed",), "zz", "seed:"),
+    "sockets": (("limits", "sockets"), "many", "limits.sockets:"),
+    "few sockets": (("limits", "sockets"), 12, "limits.sockets: must be at least 64"),
+    "memory": (("limits", "memory_mb"), 3, "limits.memory_mb:"),
+    "known": (("known",), {"instances": 3}, "known:"),
+    "tries missing": (("settings", "caps", "mostTries"), None, "mostTries"),
+    "tries": (("settings", "caps", "mostTries"), 0, "settings.caps.mostTries:"),
+    "timeout": (("settings", "caps", "connectTimeoutMs"), "soon",
+                "settings.caps.connectTimeoutMs:"),
+    "idle": (("settings", "caps", "connIdleMs"), 0, "settings.caps.connIdleMs:"),
+    "cold": (("settings", "guarantees", "coldFrom"), 3, "settings.guarantees.coldFrom:"),
+    "no classes": (("settings", "classes"), [], "settings.classes:"),
+    "effect": (("settings", "classes", 0, "effect"), "odd", "settings.classes[0].effect:"),
+    "aim": (("settings", "classes", 0, "promiseMs"), -1, "settings.classes[0].promiseMs:"),
+    "no settings": (("settings",), None, "settings"),
+}
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_a_wrong_key_of_the_platforms_file_is_named(tmp_path: Path, name: str) -> None:
+    # 4 of 7 mistakes were answered without the key's name.
+    keys, value, told = WRONG[name]
+    raw = copy.deepcopy(configuration(1, []))
+    place: Any = raw
+    for key in keys[:-1]:
+        place = place[key]
+    if value is None:
+        del place[keys[-1]]
+    else:
+        place[keys[-1]] = value
+    with pytest.raises(ConfigError) as raised:
+        loaded(tmp_path, raw)
+    assert told in str(raised.value) and "\n" not in str(raised.value)
+    assert str(tmp_path / "config.json") in str(raised.value)
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "7", '{"settings": 3}', "[" * 100_000])
+def test_what_is_no_configuration_is_one_line(tmp_path: Path, text: str) -> None:
+    with pytest.raises(ConfigError) as raised:
+        loaded(tmp_path, text)
+    assert "\n" not in str(raised.value)
+
+
+def test_unknown_keys_of_the_platform_are_allowed_and_named(tmp_path: Path) -> None:
+    raw = configuration(1, [], **{"newHere": 1, "tickMs": 5.0,
+                                  "caps": SETTINGS["caps"] | {"moreNew": 2}})
+    config = loaded(tmp_path, raw)
+    assert set(config.unknown) == {"settings.newHere", "settings.caps.moreNew"}
+
+
+BAD_OPERATOR = {
+    "[log]\nlevl = 'info'": "[log] levl: unknown key; did you mean level?",
+    "[log]\nlevel = 'loud'": "[log] level:",
+    "[log]\nper_second = -1": "[log] per_second:",
+    "[log.events]\n'daemon.pausd' = 1": "daemon.pausd: unknown event; did you mean daemon.paused?",
+    "[log.events]\n'daemon.paused' = 'x'": "[log] events:",
+    "[limits]\ndepth = 'many'": "[limits] depth:",
+    "[limits]\ndepth = 0": "[limits] depth:",
+    "[limits]\nclient_share = 1.5": "[limits] client_share:",
+    "[limts]": "[limts]: unknown table; did you mean limits?",
+    "log = 1": "[log]: must be a table",
+    "x = [": "",
+}
+
+
+@pytest.mark.parametrize("text", BAD_OPERATOR)
+def test_a_wrong_key_of_the_operators_file_is_named(tmp_path: Path, text: str) -> None:
+    with pytest.raises(ConfigError) as raised:
+        loaded(tmp_path, configuration(1, []), text)
+    said = str(raised.value)
+    assert BAD_OPERATOR[text] in said and "operator.toml" in said and "\n" not in said
+
+
+def test_an_operators_file_that_is_missing_is_refused(tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match="nowhere"):
+        load_operator(str(tmp_path / "nowhere.toml"))
+
+
+def test_the_commented_file_has_every_key_with_its_default() -> None:
+    path = ROOT / "deploy" / "operator.toml"
+    assert load_operator(str(path)) == Operator()
+    written = tomllib.loads(path.read_text())
+    assert {table: set(keys) for table, keys in written.items()} == \
+        {table: set(keys) for table, keys in msgspec.to_builtins(Operator()).items()}
+
+
+def test_shares_divide_what_the_platform_grants(tmp_path: Path) -> None:
+    raw = configuration(1, [], sockets=232, memory_mb=120)
+    plain = loaded(tmp_path, raw)
+    ours = loaded(tmp_path, raw, "[limits]\nclient_share = 0.75\nvalue_share = 0.2")
+    assert (plain.client_sockets, plain.upstream_sockets) == (110, 90)
+    assert (ours.client_sockets, ours.upstream_sockets) == (150, 50)
+    assert ours.value_room == plain.value_room // 2 == 20 * 1024 * 1024
+
+
+def test_what_needs_a_restart_is_said() -> None:
+    now = parse_operator({"limits": {"client_share": 0.6, "depth": 5}, "log": {"level": "error"}},
+                         "f")
+    assert restart_needed(Operator(), now) == ["limits.client_share"]
+
+
+def test_check_says_what_follows_or_refuses_with_2(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration(1, [], sockets=232)))
+    operator = tmp_path / "operator.toml"
+    operator.write_text("[limits]\nclient_share = 0.75")
+    command = ["check", str(path), "--operator", str(operator)]
+    result = CliRunner().invoke(app, [*command, "--json"])
+    assert result.exit_code == 0
+    assert json.loads(result.stdout)["client connections"] == 150
+    operator.write_text("[limits]\nclient_shar = 0.75")
+    result = CliRunner().invoke(app, command)
+    assert result.exit_code == 2 and "did you mean client_share?" in result.output
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,210 @@
+"""The log: events by name, their limits, and a reader that does not read."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+import contextlib
+import fcntl
+import json
+import logging
+import os
+import re
+import signal
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+from rig import CacheNode, Discovery, configuration, get, read_answer, soon, until
+
+from violetroute.config import LogTable
+from violetroute.logs import DROPPED, EVENTS, FOREIGN, Logs, tell
+from violetroute.transport.lines import LINE_MOST, LineWriter
+
+ROOT = Path(__file__).parent.parent
+
+
+class Written:
+    """Where lines go, and the clock by which they are limited."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.now, self.full = 100.0, False
+
+    def write(self, line: bytes) -> bool:
+        if not self.full:
+            self.lines.append(line)
+        return not self.full
+
+    @property
+    def objects(self) -> list[dict[str, object]]:
+        return [json.loads(line) for line in self.lines]
+
+
+@pytest.fixture
+def install() -> Iterator[Callable[..., Written]]:
+    root, ours = logging.getLogger(), logging.getLogger("violetroute")
+    before, level = root.handlers[:], ours.level
+
+    def made(**table: object) -> Written:
+        written = Written()
+        settings = LogTable(**({"format": "json"} | table))  # type: ignore[arg-type]
+        Logs(written.write, lambda: written.now, lambda: 1.5, settings).install()
+        return written
+
+    yield made
+    root.handlers[:] = before
+    ours.setLevel(level)
+
+
+def test_an_event_is_one_line_with_its_fields(install: Callable[..., Written]) -> None:
+    written = install()
+    tell("daemon.listens", address="127.0.0.1:1", proxy="n0")
+    assert written.objects == [{
+        "at": "1970-01-01T00:00:01.500Z", "level": "info", "event": "daemon.listens",
+        "says": "listens on", "address": "127.0.0.1:1", "proxy": "n0"}]
+    written = install(format="text")
+    tell("config.unusable", reason="two\nlines = one")
+    assert written.lines == [b"1970-01-01T00:00:01.500Z ERROR config.unusable not reloaded, the "
+                             b'old configuration stays: reason="two\\nlines = one"\n']
+
+
+def test_lines_of_one_event_are_limited_and_counted(install: Callable[..., Written]) -> None:
+    written = install(per_second=3, events={"daemon.drains": 0})
+    for _ in range(10):
+        tell("daemon.paused", ms=1)
+        tell("daemon.drains", proxy="n0")
+    tell("daemon.drained", proxy="n0")  # another event has its own
+    assert [line["event"] for line in written.objects] == ["daemon.paused"] * 3 + ["daemon.drained"]
+    written.now += 1.0
+    tell("daemon.paused", ms=2)
+    assert written.objects[-1]["held_back"] == 7
+
+
+def test_the_level_holds(install: Callable[..., Written]) -> None:
+    written = install(level="error")
+    tell("daemon.listens", address="", proxy="")
+    tell("requests.fault", what="x")
+    assert [line["event"] for line in written.objects] == ["requests.fault"]
+
+
+def test_a_fault_brings_the_end_of_its_trace_within_a_line(install: Callable[..., Written]) -> None:
+    written = install()
+
+    def deep(level: int) -> None:
+        if level:
+            deep(level - 1)
+        raise ValueError("\x00\x01 at the bottom" * 30)
+
+    try:
+        deep(50)
+    except ValueError as error:
+        tell("daemon.fault", what="é\n" * 4000, error=error)
+    line = written.lines[0]
+    assert line.count(b"\n") == 1 and len(line) <= LINE_MOST
+    assert "at the bottom" in str(json.loads(line)["trace"])
+
+
+def test_what_libraries_say_goes_the_same_way(install: Callable[..., Written]) -> None:
+    written = install()
+    logging.getLogger("asyncio").warning("slow %s", "thing")
+    (line,) = written.objects
+    assert (line["event"], line["text"]) == (FOREIGN, "slow thing")
+
+
+def test_lines_that_nobody_took_are_counted(install: Callable[..., Written]) -> None:
+    written = install()
+    written.full = True
+    for _ in range(4):
+        tell("daemon.paused", ms=1)
+    written.full = False
+    tell("daemon.drained", proxy="n0")
+    assert [line["event"] for line in written.objects] == [DROPPED, "daemon.drained"]
+    assert written.objects[0]["lines"] == 4
+
+
+def test_a_full_pipe_is_not_waited_for() -> None:
+    reading, writing = os.pipe()
+    fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, 4096)
+    writer = LineWriter(writing)
+    taken = 0
+    while writer.write(b"x" * 99 + b"\n"):
+        taken += 1
+        assert taken < 100
+    assert os.read(reading, 8192).count(b"\n") == taken > 0
+    assert writer.write(b"again\n")
+    os.close(reading)
+    assert not writer.write(b"to nobody\n")
+    os.close(writing)
+
+
+def used_events() -> dict[str, set[str]]:
+    """Every `tell` in the daemon's sources with the fields it gives."""
+    found: dict[str, set[str]] = {}
+    for path in (ROOT / "violetroute").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and getattr(node.func, "id", "") == "tell":
+                assert isinstance(node.args[0], ast.Constant), path
+                names = {word.arg or "" for word in node.keywords} - {"error"}
+                found.setdefault(str(node.args[0].value), set()).update(names)
+    return found
+
+
+def test_events_sources_and_the_operators_page_say_the_same() -> None:
+    used = used_events()
+    own = {DROPPED: {"lines"}, FOREIGN: {"text"}}  # said by the log itself
+    assert used | own == {name: set(event.fields) for name, event in EVENTS.items()}
+    page = (ROOT / "docs" / "operators" / "logs.md").read_text()
+    rows = re.findall(r"^\| `([a-z_]+\.[a-z_]+)` \| (\w+) \| ([^|]*) \|", page, re.MULTILINE)
+    told = {name: (level, set(re.findall(r"`(\w+)`", fields))) for name, level, fields in rows}
+    assert told == {name: (logging.getLevelName(event.level).lower(), set(event.fields))
+                    for name, event in EVENTS.items()}
+
+
+def test_a_log_that_nobody_reads_and_a_broken_file_stop_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        node, discovery = await CacheNode().start(), await Discovery().start()
+        raw = configuration(discovery.port, [node.entry("s-0")])
+        config, operator = tmp_path / "config.json", tmp_path / "operator.toml"
+        config.write_text(json.dumps(raw))
+        operator.write_text("[log]\nper_second = 10000")
+        reading, writing = os.pipe()
+        fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, 4096)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "violetroute", "--operator", str(operator), cwd=ROOT,
+            stderr=writing, env=os.environ | {"PROXY_CONFIG": str(config)})
+        os.close(writing)
+        said = bytearray()
+        os.set_blocking(reading, False)
+
+        def listens() -> re.Match[bytes] | None:
+            with contextlib.suppress(BlockingIOError):
+                said.extend(os.read(reading, 65536))
+            return re.search(rb"listens on: address=[\d.]+:(\d+)", said)
+
+        try:
+            await until(listens)
+            match = listens()
+            assert match is not None
+            reader, writer = await soon(asyncio.open_connection("127.0.0.1", int(match[1])))
+            operator.write_text("[log]\nper_secnd = 1\n[limits]\ndepth = 1")
+            for number in range(60):  # more lines than the pipe holds
+                process.send_signal(signal.SIGHUP)
+                writer.write(get(number))
+                assert await read_answer(reader) == b"value of id%d" % number
+            os.set_blocking(reading, False)
+            said.clear()
+            listens()
+            assert b"per_secnd" in said and b"did you mean per_second?" in said
+            process.terminate()
+            assert await soon(process.wait()) == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            os.close(reading)
+            await node.stop()
+            await discovery.stop()
+
+    asyncio.run(play())
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -28,7 +28,7 @@
     Settings,
 )
 from snowstall.balance import OWN_EACH, OWN_INTERVAL, OWN_TARGET, OWN_TURN, OWN_WORTHY
-from violetroute.clients.connection import DEPTH, ClientConnection
+from violetroute.clients.connection import ClientConnection
 from violetroute.transport.turns import Turns, TurnSelector
 
 LOOKUP = RequestClass("lookup", aim=300.0, deadline=600.0, effect=Effect.PURE, worth=2.0)
@@ -287,13 +287,13 @@
             rig.listener._taken += 1  # as if it had been accepted
             stream = Unread(connection)
             connection.joined(stream)  # type: ignore[arg-type]
-            for number in range(10 * DEPTH):
+            for number in range(10 * rig.config.limits.depth):
                 if not stream.reading:
                     break
                 data = get(number)
                 connection.buffer()[: len(data)] = data
                 connection.received(len(data))
-            assert not stream.reading and number <= DEPTH + 1
+            assert not stream.reading and number <= rig.config.limits.depth + 1
             assert stream.written.count(b"-BUSY") == 1
             stream.abort()
             assert rig.listener.budget.used == 0
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -2,101 +2,109 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
-import logging
 import signal
 import sys
 from typing import Any
 
 from .clients import Listener
-from .config import Config, ConfigError, load
+from .config import Config, ConfigError, LogTable, load, restart_needed
+from .logs import Logs, tell
 from .proxy import Proxy
-from .transport.sockets import SocketNetwork
+from .transport.lines import LineWriter
+from .transport.sockets import SocketNetwork, monotonic, wall
 from .transport.turns import Turns, TurnSelector
 
-log = logging.getLogger("violetroute")
-
 DRAIN_SLACK = 0.05  # s beyond the longest deadline: the last answers are given at their own
 GC_THRESHOLD = 10_000  # new containers between two collections: next to no cycles are made
-REPORT_PAUSE = 1.0  # s between two reports of errors that peers or bugs caused in callbacks
 
 
-class Reporter:
+def report(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """The loop's exception handler: one stray error ends its own connection alone."""
-
-    def __init__(self) -> None:
-        self._reported_at = -REPORT_PAUSE
-
-    def __call__(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        now = loop.time()
-        if now - self._reported_at >= REPORT_PAUSE:
-            self._reported_at = now
-            log.error("%s", context.get("message"), exc_info=context.get("exception"))
-
-
-def reload(proxy: Proxy, before: Config) -> Config:
-    """SIGHUP: the new configuration if it can be used, else the one at hand goes on."""
-    try:
-        config = load()
-    except ConfigError as error:
-        log.error("not reloaded: %s", error)
-        return before
-    fixed = [name for name in ("name", "listen", "sockets", "memory_mb")
-             if getattr(config, name) != getattr(before, name)]
-    if fixed:
-        log.warning("needs a restart to change: %s", ", ".join(fixed))
-    proxy.reload(config)
-    log.info("reloaded; discovery at %s:%d", config.discovery.host, config.discovery.port)
-    return config
-
-
-async def serve(config: Config, turns: Turns | None = None) -> int:
+    tell("daemon.fault", what=str(context.get("message")), error=context.get("exception"))
+
+
+class Daemon:
+    """What signals act on: the parts, and the configuration they have."""
+
+    def __init__(self, config: Config, net: SocketNetwork, logs: Logs) -> None:
+        self.config, self._logs = config, logs
+        self.proxy = Proxy(config, net)
+        self.listener = Listener(self.proxy, config.client_sockets, config.value_room, net,
+                                 config.limits)
+        self.draining = False
+
+    def reload(self) -> None:
+        """SIGHUP: the new configuration if all of it can be used, else the old one goes on."""
+        if self.draining:
+            return
+        before = self.config
+        try:
+            config = load(operator=before.operator_path)
+        except ConfigError as error:
+            tell("config.unusable", reason=str(error))
+            return
+        fixed = [name for name in ("name", "listen", "sockets", "memory_mb")
+                 if getattr(config, name) != getattr(before, name)]
+        fixed += restart_needed(before.operator, config.operator)
+        if fixed:
+            tell("config.restart_needed", keys=",".join(fixed))
+        self.config = config
+        self._logs.configure(config.operator.log)
+        self.listener.limits = config.limits
+        self.proxy.reload(config)
+        tell("config.reloaded", discovery=f"{config.discovery.host}:{config.discovery.port}",
+             operator=config.operator_path or "")
+
+
+async def serve(config: Config, logs: Logs, turns: Turns | None = None) -> int:
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(Reporter())
+    loop.set_exception_handler(report)
     ended = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)  # a second one changes nothing
-    net = SocketNetwork(loop, turns)
-    proxy = Proxy(config, net)
-
-    def reload_now() -> None:
-        nonlocal config
-        config = reload(proxy, config)
-
-    loop.add_signal_handler(signal.SIGHUP, reload_now)
-    listener = Listener(proxy, config.client_sockets, config.value_room, net)
+    daemon = Daemon(config, SocketNetwork(loop, turns), logs)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
     try:
-        listener.start(config.listen)
+        address = daemon.listener.start(config.listen)
     except OSError as error:
         print(f"violetroute: cannot listen on {config.listen.host}:{config.listen.port}: "
               f"{error.strerror}", file=sys.stderr)
         return 1
     gc.freeze()  # what start-up made stays; collections need not walk it
     gc.set_threshold(GC_THRESHOLD, 20, 20)
-    log.info("%s listens on %s:%d", config.name, config.listen.host, config.listen.port)
+    if config.unknown:
+        tell("config.unknown_keys", keys=",".join(config.unknown))
+    tell("daemon.listens", address=f"{address.host}:{address.port}", proxy=config.name)
     await ended.wait()
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)  # nothing new on the way out
-    log.info("%s drains", config.name)
-    await listener.drain(config.longest_deadline + DRAIN_SLACK)
-    proxy.close()
-    log.info("%s has drained", config.name)
-    await asyncio.sleep(0)  # lets the loop close what was closed last
+    daemon.draining = True  # nothing new on the way out
+    tell("daemon.drains", proxy=config.name)
+    await daemon.listener.drain(config.longest_deadline + DRAIN_SLACK)
+    daemon.proxy.close()
+    tell("daemon.drained", proxy=config.name)
+    await asyncio.sleep(0)  # lets the loop tell what was closed last
     return 0
 
 
 def main() -> int:
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
-                        format="%(asctime)s %(levelname)s %(message)s")
+    parser = argparse.ArgumentParser(prog="violetroute", description="The limebridge proxy.")
+    parser.add_argument("--operator", metavar="FILE",
+                        help="the operator's file (TOML); wins over LIMEBRIDGE_OPERATOR")
+    options = parser.parse_args()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before we can reload
+    logs = Logs(LineWriter(sys.stderr.fileno()).write, monotonic, wall, LogTable())
+    logs.install()
     try:
-        config = load()
+        config = load(operator=options.operator)
     except ConfigError as error:
         print(f"violetroute: {error}", file=sys.stderr)
         return 2
+    logs.configure(config.operator.log)
     selector = TurnSelector()
     with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector)) as runner:
-        return runner.run(serve(config, Turns(selector)))
+        return runner.run(serve(config, logs, Turns(selector)))
 
 
 if __name__ == "__main__":
--- a/violetroute/clients/budget.py
+++ b/violetroute/clients/budget.py
@@ -14,7 +14,7 @@
 
     All connections share it: who asks for too much waits its turn.  Guards against many
     that ask much, send slowly or read slowly, in whatever mixture.  Harm: clients that do
-    not read can keep the others waiting for up to READER_PATIENCE.
+    not read can keep the others waiting for up to `reader_s`.
     """
 
     def __init__(self, size: int) -> None:
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -14,12 +14,8 @@
 if TYPE_CHECKING:
     from .listener import Listener
 
-DEPTH = 128  # commands of one connection under way; beyond it reading pauses
 READ_SIZE = 16 * 1024  # bytes read at once, into a buffer that all connections share
 ARGUMENTS = 16  # of a command; the protocol's have five at most
-MISTAKES = 8  # senseless commands in a row after which a connection ends
-PARTIAL_PATIENCE = 2.4  # s over one command
-READER_PATIENCE = 15.0  # s without taking a byte of an answer
 LINGER = 0.5  # s to let the client read and close first, or a reset would eat the answer
 
 _shared = memoryview(bytearray(READ_SIZE))
@@ -110,7 +106,7 @@
         try:
             while not self.ending and not self._awaited:
                 if not self._missing:
-                    if len(self._answers) >= DEPTH or self.budget.full:
+                    if len(self._answers) >= self._listener.limits.depth or self.budget.full:
                         break
                     args = self._decoder.command()
                     if args is not None:
@@ -184,7 +180,7 @@
             text = b"-ERR %b\r\n" % str(error).encode()
             (answer if answer is not None else self._owe()).finish(text)
             self.mistakes += 1
-            if self.mistakes >= MISTAKES:
+            if self.mistakes >= self._listener.limits.mistakes:
                 self.end_after_answers()
         else:
             self._taken += 1
@@ -198,7 +194,7 @@
         return self._taken
 
     def _refuse(self, refusal: bytes) -> None:
-        # To who does not read it waits in its turn: only so do DEPTH and the budget bound it.
+        # To who does not read it waits in its turn: only so do depth and the budget bound it.
         if self._answers or self._charge or self._stream is None or self._stream.unsent:
             self._owe().finish(refusal)
         else:
@@ -223,7 +219,8 @@
         stream = self._stream
         if stream is None or stream.closing or self.lingers_since or self._pumping:
             return
-        crowded = not self._missing and (len(self._answers) >= DEPTH or self.budget.full)
+        crowded = not self._missing and (len(self._answers) >= self._listener.limits.depth
+                                         or self.budget.full)
         pause = crowded or self._awaited > 0 or self._decoder.unread > READ_SIZE
         if pause != self._reading_paused and not (self.ending and pause):
             self._reading_paused = pause
@@ -326,7 +323,7 @@
         unsent = stream.unsent
         if unsent != self._unsent or not unsent:
             self._unsent, self._unsent_since = unsent, now
-        elif now - self._unsent_since > READER_PATIENCE:
+        elif now - self._unsent_since > self._listener.limits.reader_s:
             stream.abort()
             return
         if self.lingers_since:
@@ -337,7 +334,7 @@
         elif self._answers or self._awaited:
             pass  # it is we who make it wait
         elif self._missing or not self._decoder.idle:
-            if now - self.since > PARTIAL_PATIENCE:
+            if now - self.since > self._listener.limits.command_s:
                 self._put_answer().finish(b"-ERR half a command\r\n")
                 self.end_after_answers()
         elif self._listener.overstays(self, now):
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -3,38 +3,35 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from itertools import islice
 
+from violetroute.config.operator import Limits
+from violetroute.logs import tell
 from violetroute.transport import Address, Door, Network
 
 from .answers import Taker
 from .budget import Budget
-from .connection import PARTIAL_PATIENCE, ClientConnection
-
-log = logging.getLogger(__name__)
+from .connection import ClientConnection
 
 BACKLOG = 4096  # connections that the kernel holds while no slot is free
 ACCEPT_AT_ONCE = 32  # connections taken in one turn, so that the others get theirs
 ACCEPT_PAUSE = 0.05  # s until the listener looks again when nothing could give way
 SWEEP = 0.25  # s between looks at what waits for something
-SILENT_PATIENCE = 2.2  # s for a connection's first byte
-IDLE_PATIENCE = 2.0  # s without a request after which a client reckons with a close
-CROWD = 0.75  # of the slots: from here on idle connections end at IDLE_PATIENCE
 CROWD_PATIENCE = 0.15  # s for a first byte when no slot is left: a real client asks at once
 IDLE_LEAST = 0.2  # s that an idle one keeps its slot when others want it
-IDLE_SHARE = 0.25  # of the slots may be idle: a client's own limit must leave it some to ask with
 ACCEPT_AFTER_TERM = 0.55  # s; new connections come for 0.4 s, and all must be taken by 0.7 s
+DEFAULTS = Limits()
 
 
 class Listener:
     """Accepts while a slot is free, and finds who must give way when none is."""
 
     def __init__(self, taker: Taker, slots: int, room: int,
-                 net: Network) -> None:
+                 net: Network, limits: Limits = DEFAULTS) -> None:
         self.taker, self._net, self._slots = taker, net, slots
         self.loop, self.turns = net.loop, net.turns
-        self._idle_limit = max(1, int(slots * IDLE_SHARE))
+        self.limits = limits  # may be replaced at any time, but for its shares of the slots
+        self._idle_limit = max(1, int(slots * limits.idle_share))
         self.budget = Budget(room)
         self.draining = False
         self._door: Door | None = None
@@ -87,7 +84,7 @@
         try:
             stream = self._door.accept(connection)
         except OSError as error:  # descriptors or memory of the whole machine ran out
-            log.warning("cannot accept: %s", error)
+            tell("clients.accept_failed", reason=str(error))
             self._accept_later()
             return False
         if stream is None:
@@ -105,9 +102,9 @@
         out for as long as there is a crowd.
         """
         now = self.loop.time()
-        for state, patience in ((self._lingering, 0.1), (self._idle, IDLE_PATIENCE),
+        for state, patience in ((self._lingering, 0.1), (self._idle, self.limits.idle_s),
                                 (self._silent, CROWD_PATIENCE),
-                                (self._partial, PARTIAL_PATIENCE), (self._idle, IDLE_LEAST)):
+                                (self._partial, self.limits.command_s), (self._idle, IDLE_LEAST)):
             for connection in state:
                 if now - connection.since >= patience and connection.give_way():
                     return True
@@ -118,8 +115,9 @@
         """Whether one that owes and is owed nothing has had its time."""
         waited = now - connection.since
         if connection.state is self._silent:
-            return waited > SILENT_PATIENCE
-        return self._taken > CROWD * self._slots and waited > IDLE_PATIENCE
+            return waited > self.limits.first_byte_s
+        return self._taken > self.limits.crowd_share * self._slots \
+            and waited > self.limits.idle_s
 
     # --- states ---
     def _move(self, connection: ClientConnection, state: dict[ClientConnection, None]) -> None:
@@ -151,7 +149,7 @@
             self._trim_idle()
 
     def _trim_idle(self) -> None:
-        """End the longest idle beyond IDLE_SHARE.
+        """End the longest idle beyond their share.
 
         Guards against clients that ask once and keep their connection: they used up what
         their front may hold open, and the others had none left to ask on while slots were
@@ -204,7 +202,7 @@
                 async with asyncio.timeout(longest):
                     await self._ended.wait()
             except TimeoutError:
-                log.warning("%d connections open at the end", self._taken)
+                tell("clients.left_open", count=self._taken)
                 for state in self._states:
                     for connection in list(state):
                         connection.abort()
--- a/violetroute/config/__init__.py
+++ b/violetroute/config/__init__.py
@@ -1,5 +1,7 @@
-"""What the daemon is told: the platform's PROXY_* and JSON; each checked whole."""
+"""What the daemon is told: the platform's PROXY_* and JSON, and the operator's own file."""
 
-from .platform import Config, ConfigError, load
+from .errors import ConfigError
+from .operator import Limits, LogTable, Operator, restart_needed
+from .platform import Config, load
 
-__all__ = ["Config", "ConfigError", "load"]
+__all__ = ["Config", "ConfigError", "Limits", "LogTable", "Operator", "load", "restart_needed"]
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -1,34 +1,97 @@
-"""What the proxy is told: PROXY_* and the JSON file, checked at the start and on SIGHUP."""
+"""What the platform tells: PROXY_* and the JSON file, checked at the start and on SIGHUP."""
 
 from __future__ import annotations
 
 import json
 import math
 import os
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any, Literal
+
+import msgspec
 
 from snowstall import Settings
 from snowstall.adapter import parse_settings
 from violetroute.discovery import Listing, parse_listing
-from violetroute.transport.address import Address, parse_address
+from violetroute.transport import Address, parse_address
+
+from .errors import ConfigError
+from .operator import Limits, Operator, load_operator
 
 RESERVED_SOCKETS = 32  # standard streams, event loop, listener, discovery, log, and some slack
-# Of the sockets.  Clients hold a third for requests at most; each of these can have two
-# attempts out, while a client's connection that has no request can be closed.
-UPSTREAM_SHARE = 0.45
 PROCESS_MB = 20  # what the program takes with no request open
-VALUE_SHARE = 0.4  # of the memory beyond that; as much again goes to connections' buffers
 LEAST_VALUES = 1024 * 1024  # bytes: some values of the longest kind must always fit
+Number = float  # JSON integers are taken too
+Above0 = Annotated[Number, msgspec.Meta(gt=0)]
+
+# Keys that the platform documents and nothing here uses; any other unknown one is logged.
+UNUSED = frozenset({
+    "clientHabits", "familyInfo", "feedback", "kindOfService", "kinds", "layers", "me",
+    "objectiveMix", "overShareWorth", "realms", "stage", "tariffs", "tickMs", "valueBy",
+    "weightKind", "zones", "cpuUsPerRequest", "cpuUsPerS", "maxStreams", "mostHeld",
+    "peerMessages", "probes", "answerSlackMs", "fallMs", "overloadFactor", "streaming",
+    "aimStretch", "cores"})
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    sockets: Number = 1024
+    memory_mb: Number = 64
+
+
+class _Caps(msgspec.Struct, rename="camel", frozen=True):
+    most_tries: Annotated[Number, msgspec.Meta(ge=1)]
+    cancel: bool | int = False
+    conn_idle_ms: Above0 = 15_000.0
+    connect_timeout_ms: Above0 = 250.0
+    max_retry_after_ms: Number = 0.0
+    retry_after: bool | int = False
+    second_copies: bool | int = False
+
+
+class _Guarantees(msgspec.Struct, rename="camel"):
+    cold_from: Annotated[Number, msgspec.Meta(ge=0, le=1)]
+    warm_within_ms: Number
+    ask_within_ms: Number = 10_000.0
+    stop_sending_within_ms: Number = 500.0
+
+
+class _Class(msgspec.Struct, rename="camel"):
+    name: str
+    promise_ms: Above0
+    deadline_ms: Above0
+    effect: Literal["pure", "token", "side_effect"]
+    worth: Number = 1.0
+    late_value: Number = 0.0
+    group: Literal["all", "zone", "cell"] = "all"
+    key_ttl_ms: Number = 0.0
+
+
+class _Settings(msgspec.Struct, rename="camel"):
+    caps: _Caps
+    guarantees: _Guarantees
+    classes: Annotated[list[_Class], msgspec.Meta(min_length=1)]
+    balancers: Number = 1
+    zone: str = ""
+    membership_mode: str = "automatic"
 
 
-class ConfigError(Exception):
-    """Said in one line; the proxy does not start, or keeps what it had."""
+class _File(msgspec.Struct):
+    """The types of what is used of the platform's file; other keys are allowed."""
+
+    settings: _Settings
+    name: str = ""
+    listen: str | None = None
+    discovery: str | None = None
+    seed: str | int = "0"
+    limits: _Limits = _Limits()
+    known: dict[str, Any] | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Config:
+    """Everything that the daemon is told, checked."""
+
     name: str
     listen: Address
     discovery: Address
@@ -40,10 +103,18 @@
     connect_timeout: float  # seconds
     idle_timeout: float  # seconds after which a cache node closes an idle connection
     drain_grace: float  # seconds after which a draining node may get nothing new
+    operator: Operator
+    operator_path: str | None
+    unknown: tuple[str, ...]  # keys of the platform's file that are not known here
+
+    @property
+    def limits(self) -> Limits:
+        return self.operator.limits
 
     @property
     def upstream_sockets(self) -> int:
-        return max(1, int((self.sockets - RESERVED_SOCKETS) * UPSTREAM_SHARE))
+        share = round(1.0 - self.limits.client_share, 6)
+        return max(1, int((self.sockets - RESERVED_SOCKETS) * share))
 
     @property
     def client_sockets(self) -> int:
@@ -52,7 +123,8 @@
     @property
     def value_room(self) -> int:
         """Bytes of values and answers that all clients together may keep in memory."""
-        return max(LEAST_VALUES, int((self.memory_mb - PROCESS_MB) * VALUE_SHARE * 1024 * 1024))
+        room = (self.memory_mb - PROCESS_MB) * self.limits.value_share * 1024 * 1024
+        return max(LEAST_VALUES, int(room))
 
     @property
     def longest_deadline(self) -> float:
@@ -60,39 +132,82 @@
         return max(c.deadline for c in self.settings.classes) / 1000.0
 
 
-def load(env: Mapping[str, str] = os.environ) -> Config:
+def load(env: Mapping[str, str] = os.environ, operator: str | None = None) -> Config:
+    """The configuration that `env` names; `operator`, a path, wins over LIMEBRIDGE_OPERATOR.
+
+    ConfigError: one line with the file, and the key where it is one that is wrong.
+    """
     path = env.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
+    operator = operator or env.get("LIMEBRIDGE_OPERATOR") or None
+    ours = load_operator(operator)
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
-        return _config(raw, env)
+        return _config(raw, env, ours, operator)
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        key = place.strip("`.") or "the file"
+        raise ConfigError(f"bad configuration in {path}: {key}: {text}") from error
     except (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError,
             RecursionError) as error:
-        text = f"missing {error}" if isinstance(error, KeyError) else " ".join(str(error).split())
+        text = f"{error.args[0]}: missing" if isinstance(error, KeyError) \
+            else " ".join(str(error).split())
         raise ConfigError(f"bad configuration in {path}: {text}") from error
 
 
-def _config(raw: dict[str, Any], env: Mapping[str, str]) -> Config:
-    settings = raw["settings"]
-    caps, rules = settings["caps"], settings["guarantees"]
-    config = Config(
-        name=env.get("PROXY_NAME") or str(raw.get("name", "")),
-        listen=parse_address(env.get("PROXY_LISTEN") or raw["listen"]),
-        # The file first: it can be replaced and read anew, the environment never changes.
-        discovery=parse_address(raw.get("discovery") or env["PROXY_DISCOVERY"]),
-        seed=int(str(raw.get("seed", "0")), 16),
-        sockets=int(raw.get("limits", {}).get("sockets", 1024)),
-        memory_mb=float(raw.get("limits", {}).get("memory_mb", 64)),
-        known=parse_listing(raw.get("known") or {"instances": []}),
-        settings=parse_settings(settings),
-        connect_timeout=float(caps.get("connectTimeoutMs", 250.0)) / 1000.0,
-        idle_timeout=float(caps.get("connIdleMs", 15_000.0)) / 1000.0,
-        drain_grace=float(rules.get("stopSendingWithinMs", 500.0)) / 1000.0,
-    )
-    if config.sockets < 2 * RESERVED_SOCKETS:
-        raise ValueError(f"limits.sockets must be at least {2 * RESERVED_SOCKETS}")
-    if not PROCESS_MB <= config.memory_mb < math.inf:
-        raise ValueError(f"limits.memory_mb must be at least {PROCESS_MB}")
-    return config
+def _address(key: str, text: object) -> Address:
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise ValueError(f"{key}: {error}") from None
+
+
+def _config(raw: dict[str, Any], env: Mapping[str, str], operator: Operator,
+            operator_path: str | None) -> Config:
+    told = msgspec.convert(raw, _File)
+    listen = env.get("PROXY_LISTEN") or told.listen
+    # The file first: it can be replaced and read anew, the environment never changes.
+    discovery = told.discovery or env.get("PROXY_DISCOVERY")
+    for key, value in (("listen", listen), ("discovery", discovery)):
+        if not value:
+            raise ValueError(f"{key}: missing")
+    try:
+        seed = int(str(told.seed), 16)
+    except ValueError:
+        raise ValueError("seed: not a hexadecimal number") from None
+    caps, rules = told.settings.caps, told.settings.guarantees
+    try:
+        known = parse_listing(told.known or {"instances": []})
+    except ValueError as error:
+        raise ValueError(f"known: {error}") from None
+    if not 2 * RESERVED_SOCKETS <= told.limits.sockets < math.inf:
+        raise ValueError(f"limits.sockets: must be at least {2 * RESERVED_SOCKETS}")
+    if not PROCESS_MB <= told.limits.memory_mb < math.inf:
+        raise ValueError(f"limits.memory_mb: must be at least {PROCESS_MB}")
+    return Config(
+        name=env.get("PROXY_NAME") or told.name,
+        listen=_address("listen", listen), discovery=_address("discovery", discovery), seed=seed,
+        sockets=int(told.limits.sockets), memory_mb=float(told.limits.memory_mb),
+        known=known, settings=parse_settings(raw["settings"]),
+        connect_timeout=caps.connect_timeout_ms / 1000.0,
+        idle_timeout=caps.conn_idle_ms / 1000.0,
+        drain_grace=rules.stop_sending_within_ms / 1000.0,
+        operator=operator, operator_path=operator_path,
+        unknown=tuple(_unknown(raw, _File, "")))
+
+
+def _unknown(raw: Mapping[str, Any], struct: type[msgspec.Struct], place: str) -> Iterator[str]:
+    """Keys that are neither used nor documented by the platform."""
+    fields = {field.encode_name: field.type for field in msgspec.structs.fields(struct)}
+    for key, value in raw.items():
+        inner = fields.get(key)
+        if inner is None:
+            if key not in UNUSED:
+                yield f"{place}{key}"
+        elif key == "classes":
+            for item in value:
+                yield from _unknown(item, _Class, f"{place}{key}[].")
+        elif isinstance(inner, type) and issubclass(inner, msgspec.Struct):
+            yield from _unknown(value, inner, f"{place}{key}.")
--- a/violetroute/discovery.py
+++ b/violetroute/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import logging
 import math
 from dataclasses import dataclass
 from typing import Any
@@ -13,10 +12,9 @@
 
 from snowstall import CacheState
 
+from .logs import tell
 from .transport import Address, Network, parse_address
 
-log = logging.getLogger(__name__)
-
 CALL_TIMEOUT = 3.0  # s until a call's first line; discovery itself lets a call wait 1 s
 SILENCE = 3.0  # s without a byte; an empty line comes every 2 s
 LINE_PATIENCE = 8.0  # s over one line, which may come in small pieces
@@ -66,7 +64,7 @@
     except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"not a list of cache nodes: {error!r}") from error
     if senseless:
-        log.warning("left out %d entries of the list that make no sense", senseless)
+        tell("discovery.entries_left_out", count=senseless)
     return listing
 
 
@@ -148,7 +146,7 @@
             return
         self.stop()
         kind = "" if isinstance(reason, str | Broken) else f"{type(reason).__name__}: "
-        log.info("watch ended: %s%.200s", kind, reason)
+        tell("discovery.watch_ended", reason=f"{kind}{reason}")
         self._follower.list_failed()
 
     def _look(self) -> None:
--- /dev/null
+++ b/violetroute/logs.py
@@ -0,0 +1,148 @@
+"""What the daemon says of itself: events with names and fields, one line each.
+
+An event has a stable name, so that a log can be searched and counted by it, and its figures
+stand in fields and not within a sentence.  All of them are in EVENTS; `docs/operators/logs.md`
+tells an operator what to do about each, and a test holds the two together.
+
+The standard library's logging carries them, since libraries and the loop speak through it too
+(structlog took 6.7 MB more at rest, of 32; see `docs/design/transport.md`).  Lines of one event are
+limited by the second: what one cause can say for each request must not cost more than the
+requests.  What was held back is counted, and told with the next line of that event.
+"""
+
+from __future__ import annotations
+
+import logging
+import traceback
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from .config.operator import LogTable
+
+NAME = "violetroute"
+FIELD_MOST = 300  # characters of a field
+TRACE_MOST = 1500  # of a traceback, whose end tells most
+FOREIGN = "library.message"  # what others say through the standard library's logging
+DROPPED = "log.dropped"
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    level: int
+    says: str
+    fields: tuple[str, ...] = ()
+
+
+EVENTS = {
+    "config.reloaded": Event(logging.INFO, "the configuration was read again",
+                             ("discovery", "operator")),
+    "config.restart_needed": Event(logging.WARNING, "a restart is needed to change these",
+                                   ("keys",)),
+    "config.unknown_keys": Event(logging.WARNING, "the platform's file has keys not known here",
+                                 ("keys",)),
+    "config.unusable": Event(logging.ERROR, "not reloaded, the old configuration stays",
+                             ("reason",)),
+    "daemon.drained": Event(logging.INFO, "has drained", ("proxy",)),
+    "daemon.drains": Event(logging.INFO, "drains", ("proxy",)),
+    "daemon.fault": Event(logging.ERROR, "a fault of ours in a callback", ("what",)),
+    "daemon.listens": Event(logging.INFO, "listens on", ("address", "proxy")),
+    "daemon.paused": Event(logging.INFO, "the process stood still", ("ms",)),
+    "clients.accept_failed": Event(logging.WARNING, "cannot accept", ("reason",)),
+    "clients.left_open": Event(logging.WARNING, "connections were open at the end", ("count",)),
+    "discovery.entries_left_out": Event(logging.WARNING, "entries of the list make no sense",
+                                        ("count",)),
+    "discovery.watch_ended": Event(logging.INFO, "the watch ended", ("reason",)),
+    "requests.fault": Event(logging.ERROR, "a fault of ours cost a request", ("what",)),
+    DROPPED: Event(logging.WARNING, "nobody read the log for a while", ("lines",)),
+    FOREIGN: Event(logging.WARNING, "a library says", ("text",)),
+}
+
+_log = logging.getLogger(NAME)
+
+
+def tell(name: str, *, error: BaseException | None = None, **fields: object) -> None:
+    """Say that `name` (of EVENTS) happened.  KeyError for another: a slip of ours."""
+    event = EVENTS[name]
+    if _log.isEnabledFor(event.level):
+        _log.log(event.level, event.says, exc_info=error, extra={"event": name, "fields": fields})
+
+
+class _Held:
+    """The lines of one event in the second at hand."""
+
+    __slots__ = ("began_at", "count", "held")
+
+    def __init__(self) -> None:
+        self.began_at, self.count, self.held = -1.0, 0, 0
+
+
+class Logs(logging.Handler):
+    """Formats, limits and writes.  `write` takes a line or says that it has no room."""
+
+    def __init__(self, write: Callable[[bytes], bool], clock: Callable[[], float],
+                 wall: Callable[[], float], table: LogTable) -> None:
+        super().__init__()
+        self._write, self._clock, self._wall = write, clock, wall
+        self._held: dict[str, _Held] = {}
+        self._dropped = 0
+        self.configure(table)
+
+    def configure(self, table: LogTable) -> None:
+        """Take on `[log]`."""
+        self._table = table
+        _log.setLevel(table.level.upper())
+
+    def install(self) -> None:
+        """Be where this process's log goes."""
+        root = logging.getLogger()
+        root.handlers[:] = [self]
+
+    def emit(self, record: logging.LogRecord) -> None:
+        name: str = getattr(record, "event", FOREIGN)
+        fields: dict[str, object] = dict(getattr(record, "fields", ()))
+        if name == FOREIGN:
+            fields["text"] = record.getMessage()
+        held = self._held.setdefault(name, _Held())
+        now = self._clock()
+        if not 0.0 <= now - held.began_at < 1.0:
+            held.began_at, held.count = now, 0
+        if held.count >= self._table.events.get(name, self._table.per_second):
+            held.held += 1
+            return
+        held.count += 1
+        if held.held:
+            fields["held_back"], held.held = held.held, 0
+        if record.exc_info and record.exc_info[1] is not None:
+            fields["trace"] = "".join(traceback.format_exception(record.exc_info[1]))[-TRACE_MOST:]
+        if self._dropped:
+            lost, self._dropped = self._dropped, 0
+            if not self._put(logging.WARNING, DROPPED, {"lines": lost}):
+                self._dropped = lost + 1
+                return
+        if not self._put(record.levelno, name, fields):
+            self._dropped += 1
+
+    def _put(self, level: int, name: str, fields: dict[str, object]) -> bool:
+        at = datetime.fromtimestamp(self._wall(), UTC).isoformat(timespec="milliseconds")
+        at = at.replace("+00:00", "Z")
+        cut = {key: value[:FIELD_MOST] if isinstance(value, str) and key != "trace" else value
+               for key, value in fields.items()}
+        says, word = EVENTS[name].says, logging.getLevelName(level)
+        if self._table.format == "json":
+            return self._write(msgspec.json.encode(
+                {"at": at, "level": word.lower(), "event": name, "says": says, **cut}) + b"\n")
+        words = " ".join(f"{key}={_plain(value)}" for key, value in cut.items())
+        return self._write(f"{at} {word} {name} {says}: {words}\n".encode())
+
+
+def _plain(value: object) -> str:
+    """A field's value in a text line: quoted where a blank or a line's end would mislead."""
+    text = str(value)
+    if text and text.isprintable() and not set(text) & set(' "='):
+        return text
+    return msgspec.json.encode(text).decode()
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import hashlib
-import logging
 import sys
 from collections.abc import Callable
 from dataclasses import replace
@@ -36,17 +35,15 @@
 from .config import Config
 from .deadlines import Deadlines
 from .discovery import Entry, Listing, Watch
+from .logs import tell
 from .resp import Command, CommandError
 from .transport import Address, Network
 from .upstream import Attempt, Pool
 
-log = logging.getLogger(__name__)
-
 FAILED = b"-ERR failed\r\n"
 ANSWER_MARGIN = 10.0  # ms before the client's time is up, for the answer's own way to it
 MARGIN_SHARE = 0.05  # of that time at most
 PULSE = 0.05  # s; the longest the loop sleeps while requests are open
-FAULT_PAUSE = 5.0  # s between two reports of faults: one cause can strike each request
 
 
 def stable_hash(name: bytes) -> int:
@@ -79,14 +76,13 @@
         self._last_id = 0
         self._deadlines = Deadlines(loop, self._out_of_time, self._open)
         self._generation = 0
-        self._faulted_at = -FAULT_PAUSE
         self._pulse: asyncio.TimerHandle | None = None  # while requests are open
         self._turns.tell_pauses(self._paused)
         self._balancer = Balancer(config.settings, config.seed, self.clock())
         self._settings = config.settings
         self._classes = {c.name: c for c in config.settings.classes}
         self._pool = Pool(self, net, config.upstream_sockets, config.connect_timeout,
-                          config.idle_timeout)
+                          config.idle_timeout, config.limits)
         self._watch = Watch(self, config.discovery, net)
         self._tell_list(ListKind.CACHED, config.known)
 
@@ -132,7 +128,7 @@
         self._pulse = self._loop.call_later(PULSE, self._beat) if self._open else None
 
     def _paused(self, seconds: float) -> None:
-        log.info("the process stood still for %.0f ms", seconds * 1000.0)
+        tell("daemon.paused", ms=round(seconds * 1000.0))
         self._tell(None, self._balancer.on_pause, seconds * 1000.0)
 
     def take(self, command: Command, answer: Answer) -> None:
@@ -199,6 +195,7 @@
 
     def reload(self, config: Config) -> None:
         """Take on what a new configuration may change while requests are open."""
+        self._pool.limits = config.limits
         if config.settings != self._settings:
             self._settings = config.settings
             self._classes = {c.name: c for c in config.settings.classes}
@@ -362,10 +359,7 @@
             self._open.pop(request.id, None)
 
     def _fault(self, text: str) -> None:
-        now = self._loop.time()
-        if now - self._faulted_at >= FAULT_PAUSE:
-            self._faulted_at = now
-            log.error("fault: %s", text, exc_info=sys.exc_info()[0] is not None)
+        tell("requests.fault", what=text, error=sys.exc_info()[1])
 
 
 def _refusal(backoff: float) -> bytes:
--- a/violetroute/transport/sockets.py
+++ b/violetroute/transport/sockets.py
@@ -24,6 +24,8 @@
 PEEK = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)  # a flag of the enum is made anew each time
 JOINED = 8 * 1024  # bytes up to which copying parts is cheaper than gathering them
 GATHERED = 64  # parts of one system call; the kernel takes 1,024 at most
+monotonic, wall = time.monotonic, time.time  # for what runs before there is a loop
+
 GONE_AGAIN = frozenset({errno.EAGAIN, errno.EINTR, errno.ECONNABORTED, errno.EPROTO})
 UNDER_WAY = frozenset({errno.EINPROGRESS, errno.EAGAIN, errno.EINTR, errno.EALREADY})
 
@@ -341,7 +343,7 @@
         self.turns = turns or Turns()
 
     def wall(self) -> float:
-        return time.time()
+        return wall()
 
     def listen(self, address: Address, backlog: int, ready: Callable[[], None]) -> SocketDoor:
         sock = socket.socket(_family(address), socket.SOCK_STREAM)
--- a/violetroute/upstream/connection.py
+++ b/violetroute/upstream/connection.py
@@ -19,7 +19,6 @@
     from .pool import Node, Pool
 
 READ_SIZE = 72 * 1024  # bytes read at once, into a buffer that all share: the longest reply
-REPLY_PATIENCE = 0.15  # s from an answer's first byte to its last
 
 ERRORS = {b"BUSY": Result.FULL, b"ERR": Result.ERROR}
 HITS = {b"hit": True, b"miss": False, b"pending": False}
@@ -65,7 +64,8 @@
         except resp.ProtocolError:
             self._spoilt()
         if self.attempt is not None and self._patience is None:
-            self._patience = self._pool.loop.call_later(REPLY_PATIENCE, self._spoilt)
+            self._patience = self._pool.loop.call_later(
+                self._pool.limits.reply_s, self._spoilt)
 
     def ended(self) -> None:
         """Nothing more will come; what is left of a command must not go there either."""
@@ -118,7 +118,7 @@
         request has run and only this connection is of no use: told as a reset, it would
         count against the node, though such answers can come from any alike.  A value that
         was whole before the trouble began is as good as ever.  Harm: on a network that
-        stalls for longer than REPLY_PATIENCE within one answer good ones are thrown away.
+        stalls for longer than `reply_s` within one answer good ones are thrown away.
         """
         if self.attempt is None:
             return
--- a/violetroute/upstream/pool.py
+++ b/violetroute/upstream/pool.py
@@ -6,12 +6,12 @@
 from bisect import bisect_right
 
 from snowstall import Result
+from violetroute.config.operator import Limits
 from violetroute.transport import Address, Network
 
 from .attempt import Attempt, Sink
 from .connection import NodeConnection
 
-IDLE_PER_NODE = 32  # connections kept for one node
 IDLE_SHARE = 0.6  # of the node's own idle time; a request must never meet its close
 AGES = (0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0)  # s; idle times that are judged apart
 AGE_GAIN = 0.1  # of one more reuse at an age
@@ -19,6 +19,7 @@
 AGE_LOSS = 0.1  # share of reuses that may break before connections of this age are closed
 QUIET = 0.002  # s after an answer in which what belongs to no request would come
 SWEEP = 0.5  # s between looks at idle connections
+DEFAULTS = Limits()
 
 
 class Node:
@@ -37,7 +38,8 @@
     """All connections to cache nodes, bounded in total and for each node."""
 
     def __init__(self, sink: Sink, net: Network, limit: int, connect_timeout: float,
-                 idle_timeout: float) -> None:
+                 idle_timeout: float, limits: Limits = DEFAULTS) -> None:
+        self.limits = limits  # may be replaced at any time
         self.sink, self._net, self.loop = sink, net, net.loop
         self._limit, self._connect_timeout = limit, connect_timeout
         self._idle_for = idle_timeout * IDLE_SHARE
@@ -155,7 +157,7 @@
         node.idle.append(connection)
         if node.waiting:
             self.loop.call_later(QUIET, self._offer, connection)
-        elif len(node.idle) > IDLE_PER_NODE:
+        elif len(node.idle) > self.limits.idle_per_node:
             self._discard(node.idle[0])
 
     def _offer(self, connection: NodeConnection) -> None:
