Refusals measured as CPU, capacity in turn; no second parse of an empty buffer

Need: a refusal's cost was inferred from what was not served, and the capacity found once swings with the shared core.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -4,9 +4,11 @@
 
 The daemon shares one core with three processes that never rest, so the kernel gives it a
 quarter when it wants more.  Its capacity is the most that it serves in time on a rising
-load; goodput is what is served within the clients' 600 ms while several times that is
-offered by clients at times of their own.  One of the clients sends 128 commands at once
-in between.  Each ratio is within one run.
+load, found before each overload and again after it (the kernel shares the core unevenly from
+second to second), and the mean counts; goodput is what is served within the clients' 600 ms
+while several times that is offered by clients at times of their own.  One of the clients
+sends 128 commands at once in between.  A refusal's cost is measured as CPU: what the daemon
+used in the overload, less what its answers cost at half its capacity, over what it refused.
 """
 
 from __future__ import annotations
@@ -66,12 +68,17 @@
     return best
 
 
-async def overload(port: int, clients: int, able: float, times: float,
+async def overload(daemon: harness.Running, clients: int, able: float, times: float,
                    seconds: float) -> dict[str, float]:
+    port = daemon.port
     crowd = Crowd(port, clients, seed=2)
     loop = asyncio.get_running_loop()
     await crowd.connect()
-    await crowd.play(able * 0.5, 1.0)
+    used, asked = harness.cpu(daemon.pid), crowd.asked
+    await crowd.play(able * 0.5, 2.0)
+    await crowd.rest()
+    service = (harness.cpu(daemon.pid) - used) / (crowd.asked - asked)
+    used = harness.cpu(daemon.pid)
     start = loop.time()
 
     def pick(count: int) -> Client | None:
@@ -79,6 +86,7 @@
 
     await crowd.play(able * times, seconds, pick)
     end = loop.time()
+    used = harness.cpu(daemon.pid) - used
     await crowd.play(able * 0.5, 1.0)
     await crowd.play(able * 0.5, 1.0)
     await crowd.rest()
@@ -87,10 +95,15 @@
     after = [a for a in crowd.asks if a.asked_at >= end + 1.0]
     refused = [(a.answered_at - a.asked_at) * 1000.0 for a in during if a.kind == "refused"]
     each = Counter(a.client for a in during if a.kind == "served")
+    again = await capacity(port, clients, able * 0.8)
+    before, able = able, (able + again) / 2.0
     goodput = share(during, "served") * len(during) / seconds / able
+    refusals = share(during, "refused") * len(during)
+    answers = share(during, "served") * len(during)
     fair = sum(each.values()) / clients
     return {
         "clients": clients, "times": times, "capacity": round(able),
+        "capacity_spread": round(abs(again - before) / able, 3),
         "offered": round(len(during) / seconds),
         "goodput": round(goodput, 3),
         "refused": round(share(during, "refused"), 4),
@@ -99,9 +112,8 @@
         "refusal_p50_ms": round(percentile(refused, 0.5), 1),
         "refusal_p99_ms": round(percentile(refused, 0.99), 1),
         "least_of_fair_share": round(min(each[c] for c in range(clients)) / max(fair, 1e-9), 2),
-        # What the refusals cost in answers that were not given: a share of a service each.
-        "refusal_cost": round((1.0 - goodput) * able * seconds
-                              / max(1.0, share(during, "refused") * len(during)), 3),
+        "service_us": round(service * 1e6, 1),
+        "refusal_cost": round((used - answers * service) / max(1.0, refusals) / service, 3),
         "after_1s_served": round(share(after, "served"), 4),
         "crowd_late_ms": round(crowd.late * 1000.0, 1),
     }
@@ -123,9 +135,9 @@
     async with harness.nodes(4, 200) as ports, \
             harness.daemon(ports, options.build.resolve(), sockets=2048, caps=caps) as daemon, \
             quarter(daemon.pid, options.core):
-        able = await capacity(daemon.port, options.clients, options.start)
         for times in options.times:
-            row = await overload(daemon.port, options.clients, able, times, options.seconds)
+            able = await capacity(daemon.port, options.clients, options.start)
+            row = await overload(daemon, options.clients, able, times, options.seconds)
             print(json.dumps(row), flush=True)
     return 0
 
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -102,6 +102,9 @@
     def _pump(self) -> None:
         if self._pumping:
             return  # an answer given at once has led back here
+        if self._decoder.idle:  # an answer has been written and nothing else was asked
+            self.settle()
+            return
         self._pumping = True
         try:
             while not self.ending and not self._awaited:
@@ -111,6 +114,8 @@
                     args = self._decoder.command()
                     if args is not None:
                         self._command(args, args.pop())
+                        if self._decoder.idle:
+                            break
                         continue
                 token = self._decoder.next()
                 if token is None:
--- a/violetroute/resp/framing.py
+++ b/violetroute/resp/framing.py
@@ -85,7 +85,7 @@
     @property
     def idle(self) -> bool:
         """Nothing stands unread and no token is half done."""
-        return self._left < 0 and self._at == len(self._buffer)
+        return not self._buffer and self._left < 0  # what is taken whole is cleared at once
 
     @property
     def unread(self) -> int:
