A virtual kernel and loop: the daemon in memory, held to real sockets by scripts

Failures of timing cannot be made twice on real sockets. Change: limebridge/virtual/: TCP sockets in memory (connects refused, late or never, backlog, latency, jitter, buffers, segments cut anywhere, FIN, RST, vanished peers, one-way blocks, descriptors, MSG_PEEK) and asyncio's own selector loop over them; tasks, transports, daemon and stand-ins run unchanged. Nothing in the daemon or the stand-ins depends on the order of a set any more.

--- a/limebridge/standins/discovery.py
+++ b/limebridge/standins/discovery.py
@@ -14,7 +14,7 @@
         self.lines: list[dict[str, Any]] = []
         self.asked: list[str] = []
         self.refuse = False
-        self.open: set[asyncio.StreamWriter] = set()
+        self.open: dict[asyncio.StreamWriter, None] = {}
 
     async def start(self) -> Discovery:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -29,7 +29,7 @@
                 writer.write(b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n")
                 return
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            self.open.add(writer)
+            self.open[writer] = None
             for line in self.lines:
                 self.send(writer, json.dumps(line).encode())
             while True:  # the daemon's patience with a silent watch is 3 s
@@ -42,7 +42,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
-            self.open.discard(writer)
+            self.open.pop(writer, None)
             writer.close()
 
     def send(self, writer: asyncio.StreamWriter, text: bytes) -> None:
@@ -51,7 +51,7 @@
     def tell(self, *entries: dict[str, Any], reset: bool = False) -> None:
         self.lines.append({"generation": 100 + len(self.lines), "reset": reset,
                            "instances": list(entries)})
-        for writer in self.open:
+        for writer in list(self.open):
             self.send(writer, json.dumps(self.lines[-1]).encode())
 
     async def stop(self) -> None:
--- a/limebridge/standins/nodes.py
+++ b/limebridge/standins/nodes.py
@@ -23,7 +23,7 @@
         self.behaviour = behaviour
         self.commands: list[list[bytes]] = []
         self.connections = 0
-        self.open: set[asyncio.StreamWriter] = set()
+        self.open: dict[asyncio.StreamWriter, None] = {}
         self.port = 0
 
     async def start(self, port: int = 0) -> Self:
@@ -33,7 +33,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        self.open.add(writer)
+        self.open[writer] = None
         try:
             while True:
                 words = await read_words(reader)
@@ -42,7 +42,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
-            self.open.discard(writer)
+            self.open.pop(writer, None)
             writer.close()
 
     def record(self, words: list[bytes]) -> None:
--- a/limebridge/standins/shelf.py
+++ b/limebridge/standins/shelf.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import OrderedDict
 
 from .database import CustomerDatabase
@@ -55,7 +54,7 @@
 
     def _repeated(self, key: bytes) -> bool:
         """Whether this write came a moment ago; notes it."""
-        now = time.monotonic()
+        now = asyncio.get_running_loop().time()
         while self._written and next(iter(self._written.values())) < now - REMEMBERED:
             self._written.popitem(last=False)
         if not key or key in self._written:
--- /dev/null
+++ b/limebridge/virtual/kernel.py
@@ -0,0 +1,469 @@
+"""TCP sockets that exist only in memory, with the manners of the kernel's.
+
+What is played: connects that are refused, come late or never do; a backlog that fills; latency and
+jitter a link; send and receive buffers with back-pressure; segments cut anywhere; FIN, half-close
+and RST, with what came before it still to be read; a peer that vanishes; one direction of a path
+that is blocked and heals; descriptors as a limited resource, given out lowest first; MSG_PEEK.
+Not played: lost segments as such (a blocked path delays, as retransmission does), Nagle, keepalive,
+urgent data, SO_RCVLOWAT, time in system calls or in the program: a turn of the loop takes no time.
+
+`tests/test_conformance.py` runs one script here and on real loopback sockets and compares.
+
+Sources: tcp(7), socket(7), connect(2), and what Linux was seen to do where they are silent.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import random
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import Any
+
+READ, WRITE = 1, 2  # as the selectors module has them
+SEND_BUFFER = 64 * 1024  # bytes; Linux has more and lets it grow, so less is kept here
+RECEIVE_BUFFER = 64 * 1024
+SEGMENT = 16 * 1024  # bytes of one arrival at most
+SYN_AGAIN = 1.0  # s until a connect is tried again: the backlog was full, the path blocked
+HEALED = 0.2  # s after a path has healed until what was held comes: the sender's timer
+FIRST_PORT = 40_000  # of those that are given out
+LATENCY = 0.000_05  # s one way
+
+
+@dataclass
+class Link:
+    """The path to one listening port, both ways: `to` it and `back` from it."""
+
+    port: int
+    latency: float = LATENCY
+    jitter: float = 0.0  # s, drawn evenly for each arrival
+    blocked_to: bool = False
+    blocked_back: bool = False
+    cut: bool = False  # segments are cut at places that the seed gives
+    held: list[Callable[[], None]] = field(default_factory=list)
+
+
+class Kernel:
+    """All sockets and packets, and the clock that moves when nothing is left to do now."""
+
+    def __init__(self, seed: int = 0, start: float = 1000.0) -> None:
+        self.now = start  # s
+        self._seed = seed
+        self._packets: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        self.sockets: dict[int, VirtualSocket] = {}
+        self.listening: dict[int, VirtualSocket] = {}
+        self.links: dict[int, Link] = {}
+        self._randoms: dict[str, random.Random] = {}
+        self._limits: dict[str, int] = {}
+        self._next_port = FIRST_PORT
+        self.hot: dict[int, None] = {}  # descriptors that may be ready, in the order they became so
+        self.packets = 0
+
+    # --- time ---
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        """Do `what` at this time; what is told first of one time is done first."""
+        self._number += 1
+        heappush(self._packets, (when, self._number, what))
+
+    @property
+    def next_at(self) -> float | None:
+        return self._packets[0][0] if self._packets else None
+
+    def deliver(self) -> None:
+        """Do what is due."""
+        while self._packets and self._packets[0][0] <= self.now:
+            self.packets += 1
+            heappop(self._packets)[2]()
+
+    def random(self, purpose: str) -> random.Random:
+        """A stream of its own for each purpose, so that one does not shift another."""
+        found = self._randoms.get(purpose)
+        if found is None:
+            found = self._randoms[purpose] = random.Random(f"{self._seed}/{purpose}")
+        return found
+
+    # --- sockets ---
+    def limit(self, owner: str, descriptors: int) -> None:
+        """How many descriptors this process may hold."""
+        self._limits[owner] = descriptors
+
+    def held(self, owner: str) -> int:
+        """How many it holds."""
+        return sum(sock.owner == owner for sock in self.sockets.values())
+
+    def socket(self, owner: str = "") -> VirtualSocket:
+        """OSError EMFILE when the owner has no descriptor left."""
+        if owner in self._limits and self.held(owner) >= self._limits[owner]:
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+        sock = VirtualSocket(self, owner)
+        number = 3
+        while number in self.sockets:
+            number += 1
+        sock.number = number
+        self.sockets[number] = sock
+        return sock
+
+    def maker(self, owner: str) -> Callable[[int, int], Any]:
+        """For SocketNetwork."""
+        return lambda family, kind: self.socket(owner)
+
+    def port(self) -> int:
+        self._next_port += 1
+        return self._next_port
+
+    def link(self, port: int) -> Link:
+        """The path to what listens there; it may be changed at any time."""
+        return self.links.setdefault(port, Link(port))
+
+    def block(self, port: int, to: bool = True, back: bool = True) -> None:
+        """Nothing crosses this way any more, and nobody is told."""
+        link = self.link(port)
+        link.blocked_to, link.blocked_back = link.blocked_to or to, link.blocked_back or back
+
+    def heal(self, port: int) -> None:
+        """What was held crosses now, in its order."""
+        link = self.link(port)
+        link.blocked_to = link.blocked_back = False
+        held, link.held = link.held, []
+        for send in held:
+            send()
+
+    def touch(self, sock: VirtualSocket) -> None:
+        """Its state has changed: look at it in the next poll."""
+        if sock.number >= 0:
+            self.hot[sock.number] = None
+
+
+class VirtualSocket:
+    """One end; has the methods of socket.socket that asyncio and the seam use."""
+
+    family, type, proto = socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+
+    def __init__(self, kernel: Kernel, owner: str) -> None:
+        self._kernel, self.owner = kernel, owner
+        self.number = -1
+        self._name = ("127.0.0.1", 0)
+        self._peer_name: tuple[str, int] | None = None
+        self._queue: deque[VirtualSocket] | None = None  # of a listening one
+        self._backlog = 0
+        self._link: Link | None = None
+        self._towards = False  # sends in the direction `to` of its link
+        self.peer: VirtualSocket | None = None
+        self._state = "new"  # connecting, open, failed
+        self._error = 0  # told once, by getsockopt or the next call
+        self._sending, self._flying = bytearray(), 0
+        self._received = bytearray()
+        self._last_arrival = 0.0  # at the peer, of what we sent
+        self._end_asked = self._end_sent = False  # our FIN
+        self._end_came = False  # the peer's FIN
+        self._reset = False
+        self._closed = False
+        self._abortive = False  # SO_LINGER with no time
+
+    # --- names, options ---
+    def fileno(self) -> int:
+        return self.number
+
+    def setblocking(self, flag: bool) -> None:
+        pass
+
+    def gettimeout(self) -> float:
+        return 0.0
+
+    def getsockname(self) -> tuple[str, int]:
+        return self._name
+
+    def getpeername(self) -> tuple[str, int]:
+        if self._peer_name is None:
+            raise _error(errno.ENOTCONN)
+        return self._peer_name
+
+    def setsockopt(self, level: int, option: int, value: Any) -> None:
+        if level == socket.SOL_SOCKET and option == socket.SO_LINGER:
+            self._abortive = bytes(value)[:4] != struct.pack("i", 0) \
+                and bytes(value)[4:8] == struct.pack("i", 0)
+
+    def getsockopt(self, level: int, option: int) -> int:
+        if option == socket.SO_ERROR:
+            error, self._error = self._error, 0
+            return error
+        return 0
+
+    # --- opening ---
+    def bind(self, address: tuple[str, int]) -> None:
+        port = address[1] or self._kernel.port()
+        if port in self._kernel.listening:
+            raise _error(errno.EADDRINUSE)
+        self._name = (address[0], port)
+
+    def listen(self, backlog: int = 100) -> None:
+        self._queue, self._backlog = deque(), backlog
+        self._kernel.listening[self._name[1]] = self
+
+    def connect(self, address: tuple[str, int]) -> None:
+        number = self.connect_ex(address)
+        if number:
+            raise _error(number)
+
+    def connect_ex(self, address: tuple[str, int]) -> int:
+        kernel = self._kernel
+        self._name, self._peer_name = ("127.0.0.1", kernel.port()), address
+        self._link, self._towards = kernel.link(address[1]), True
+        self._state = "connecting"
+        self._syn()
+        return errno.EINPROGRESS
+
+    def _syn(self) -> None:
+        """Ask; what nobody answers is asked again, as the kernel does."""
+        if self._closed or self._state != "connecting":
+            return
+        assert self._link is not None
+        link, kernel = self._link, self._kernel
+        if not link.blocked_to:
+            kernel.at(kernel.now + self._delay(), self._syn_came)
+        kernel.at(kernel.now + SYN_AGAIN, self._syn)
+
+    def _syn_came(self) -> None:
+        assert self._link is not None and self._peer_name is not None
+        kernel, link = self._kernel, self._link
+        if self._closed or self._state != "connecting" or link.blocked_back:
+            return
+        door = kernel.listening.get(self._peer_name[1])
+        if door is None or door._queue is None:
+            kernel.at(kernel.now + self._delay(), self._refused)
+        elif len(door._queue) <= door._backlog:  # Linux holds one more than it was asked for
+            far = VirtualSocket(kernel, door.owner)
+            far._name, far._peer_name = self._peer_name, self._name
+            far._link, far.peer, far._state = link, self, "open"
+            door._queue.append(far)
+            kernel.touch(door)
+            self._state = "opening"
+            self.peer = far
+            kernel.at(kernel.now + self._delay(), self._syn_answered)
+
+    def _refused(self) -> None:
+        if self._state == "connecting":
+            self._state, self._error = "failed", errno.ECONNREFUSED
+            self._kernel.touch(self)
+
+    def _syn_answered(self) -> None:
+        if not self._closed and self._state == "opening":
+            self._state = "open"
+            self._transmit()
+            self._kernel.touch(self)
+
+    def accept(self) -> tuple[VirtualSocket, tuple[str, int]]:
+        if self._queue is None:
+            raise _error(errno.EINVAL)
+        if not self._queue:
+            raise _error(errno.EAGAIN)
+        slot = self._kernel.socket(self.owner)  # may be EMFILE: who waits goes on waiting
+        sock = self._queue.popleft()
+        sock.number, slot.number = slot.number, -1
+        self._kernel.sockets[sock.number] = sock
+        self._kernel.touch(sock)
+        assert sock._peer_name is not None
+        return sock, sock._peer_name
+
+    # --- receiving ---
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        self._may_receive()
+        data = bytes(self._received[:size])
+        if data and not flags & socket.MSG_PEEK:
+            self._taken(len(data))
+        return data
+
+    def recv_into(self, buffer: Any, size: int = 0) -> int:
+        self._may_receive()
+        view = memoryview(buffer)
+        count = min(len(view), len(self._received))
+        view[:count] = self._received[:count]
+        if count:
+            self._taken(count)
+        return count
+
+    def _may_receive(self) -> None:
+        self._open_only()
+        if self._received:
+            return
+        if self._error:
+            error, self._error = self._error, 0
+            raise _error(error)
+        if not self._end_came and not self._reset:
+            raise _error(errno.EAGAIN if self._state == "open" else errno.ENOTCONN)
+
+    def _taken(self, count: int) -> None:
+        """The window opens; the sender hears of it a way later."""
+        was_full = len(self._received) >= RECEIVE_BUFFER // 2
+        del self._received[:count]
+        peer = self.peer
+        if peer is not None and was_full:
+            self._kernel.at(self._kernel.now + self._delay(), peer._transmit)
+
+    # --- sending ---
+    def send(self, data: Any, flags: int = 0) -> int:
+        return self.sendmsg([data])
+
+    def sendmsg(self, parts: Iterable[Any]) -> int:
+        self._open_only()
+        if self._error:
+            error, self._error = self._error, 0
+            raise _error(error)
+        if self._end_asked or self._reset:
+            raise _error(errno.EPIPE)
+        if self._state != "open":
+            raise _error(errno.EAGAIN if self._state in ("connecting", "opening")
+                         else errno.ENOTCONN)
+        taken = 0
+        for part in parts:
+            room = SEND_BUFFER - len(self._sending) - self._flying
+            if room <= 0:
+                break
+            piece = memoryview(part)[:room]
+            self._sending += piece
+            taken += len(piece)
+            if len(piece) < len(part):
+                break
+        if not taken and any(len(part) for part in parts):
+            raise _error(errno.EAGAIN)
+        self._transmit()
+        return taken
+
+    def _transmit(self) -> None:
+        """Put on its way what the peer's window lets through."""
+        peer, kernel = self.peer, self._kernel
+        if peer is None or self._state != "open" or self._reset:
+            return
+        assert self._link is not None
+        while self._sending:
+            window = RECEIVE_BUFFER - len(peer._received) - self._flying
+            size = min(len(self._sending), window, SEGMENT)
+            if size <= 0:
+                break
+            if self._link.cut and size > 1:
+                size = kernel.random(f"cut/{self._link.port}").randint(1, size)
+            data = bytes(self._sending[:size])
+            del self._sending[:size]
+            self._flying += size
+            self._pass(lambda data=data: self._arrives(data))  # type: ignore[misc]
+        if self._end_asked and not self._sending and not self._end_sent:
+            self._end_sent = True
+            self._pass(self._end_arrives)
+
+    def _delay(self) -> float:
+        assert self._link is not None
+        link = self._link
+        if not link.jitter:
+            return link.latency
+        way = "to" if self._towards else "back"
+        return link.latency + link.jitter * self._kernel.random(f"{way}/{link.port}").random()
+
+    def _pass(self, arrives: Callable[[], None], held: float = 0.0) -> None:
+        """Cross the path in order; a blocked one holds until it has healed."""
+        assert self._link is not None
+        link = self._link
+        if link.blocked_to if self._towards else link.blocked_back:
+            link.held.append(lambda: self._pass(arrives, HEALED))
+            return
+        when = max(self._last_arrival, self._kernel.now + held + self._delay())
+        self._last_arrival = when
+        self._kernel.at(when, arrives)
+
+    def _arrives(self, data: bytes) -> None:
+        peer = self.peer
+        self._flying -= len(data)
+        if peer is None or self._reset:
+            return
+        if peer._closed:  # nobody will read it
+            peer._send_reset()
+            return
+        peer._received += data
+        self._kernel.touch(peer)
+        self._kernel.touch(self)  # there may be room again
+        if self._sending:
+            self._transmit()
+
+    def _end_arrives(self) -> None:
+        if self.peer is not None and not self.peer._closed:
+            self.peer._end_came = True
+            self._kernel.touch(self.peer)
+
+    def _send_reset(self) -> None:
+        if self.peer is not None and not self._reset:
+            self._reset = True
+            self._pass(self._reset_arrives)
+
+    def _reset_arrives(self) -> None:
+        peer = self.peer
+        if peer is None or peer._reset:
+            return
+        peer._reset = True
+        # Told after what had come before has been read; Linux names it by the state it met.
+        peer._error = errno.EPIPE if peer._end_came else errno.ECONNRESET
+        peer._sending.clear()
+        if peer._state in ("connecting", "opening"):
+            peer._state = "failed"
+        self._kernel.touch(peer)
+
+    # --- the end ---
+    def shutdown(self, how: int) -> None:
+        self._open_only()
+        if self._state != "open" or self._reset:
+            raise _error(errno.ENOTCONN)
+        if how in (socket.SHUT_WR, socket.SHUT_RDWR):
+            self._end_asked = True
+            self._transmit()
+
+    def close(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        kernel = self._kernel
+        kernel.sockets.pop(self.number, None)
+        kernel.hot.pop(self.number, None)
+        self.number = -1
+        if self._queue is not None:
+            kernel.listening.pop(self._name[1], None)
+            for waiting in self._queue:
+                waiting._closed = True
+                waiting._send_reset()
+            self._queue = None
+        elif self.peer is not None:
+            if self._received or self._abortive:  # as RFC 2525, 2.17 has it
+                self._sending.clear()
+                self._send_reset()
+            else:
+                self._end_asked = True
+                self._transmit()
+
+    def _open_only(self) -> None:
+        if self._closed:
+            raise _error(errno.EBADF)
+
+    def detach(self) -> int:
+        raise NotImplementedError("a virtual socket has no descriptor to give away")
+
+    # --- for the poll ---
+    def ready(self) -> int:
+        """READ and WRITE as epoll would report them, errors and hang-ups as both."""
+        if self._queue is not None:
+            return READ if self._queue else 0
+        if self._error or self._reset or self._state == "failed":
+            return READ | WRITE
+        if self._state != "open":
+            return 0
+        mask = READ if self._received or self._end_came else 0
+        if not self._end_asked and SEND_BUFFER - len(self._sending) - self._flying \
+                >= SEND_BUFFER // 3:
+            mask |= WRITE
+        return mask
+
+
+def _error(number: int) -> OSError:
+    return OSError(number, os.strerror(number))
--- /dev/null
+++ b/limebridge/virtual/loop.py
@@ -0,0 +1,188 @@
+"""asyncio's own selector loop over virtual sockets and a clock that jumps to the next thing.
+
+Tasks, futures, timers, protocols, streams and transports are CPython's; replaced are only the
+selector, the clock, signals and the places where asyncio makes sockets by itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from .kernel import Kernel, VirtualSocket
+
+TURNS_AT_ONCE = 20_000  # turns of the loop at one instant; more is a loop that never ends
+
+
+class Livelock(Exception):
+    """The program goes on at one instant without end."""
+
+
+class Deadlock(Exception):
+    """Nothing is due and nothing will come, and the program waits."""
+
+
+class VirtualSelector(selectors.BaseSelector):
+    """Polls virtual sockets; where a real one would sleep, the clock moves."""
+
+    def __init__(self, kernel: Kernel, shuffle: random.Random | None = None) -> None:
+        self._kernel, self._shuffle = kernel, shuffle
+        self._keys: dict[int, selectors.SelectorKey] = {}
+        self._still = 0
+        self.before: Callable[[], None] | None = None  # told before each poll
+        self.turns = 0
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        number = fileobj if isinstance(fileobj, int) else fileobj.fileno()
+        if number in self._keys:
+            raise KeyError(f"{number} is registered")
+        key = self._keys[number] = selectors.SelectorKey(fileobj, number, events, data)
+        self._kernel.hot[number] = None
+        return key
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        number = fileobj if isinstance(fileobj, int) else fileobj.fileno()
+        return self._keys.pop(number)
+
+    def modify(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        number = fileobj if isinstance(fileobj, int) else fileobj.fileno()
+        key = self._keys[number] = selectors.SelectorKey(fileobj, number, events, data)
+        self._kernel.hot[number] = None
+        return key
+
+    def get_key(self, fileobj: Any) -> selectors.SelectorKey:
+        return self._keys[fileobj if isinstance(fileobj, int) else fileobj.fileno()]
+
+    def get_map(self) -> Mapping[Any, selectors.SelectorKey]:
+        return self._keys
+
+    def close(self) -> None:
+        self._keys.clear()
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        kernel = self._kernel
+        self.turns += 1
+        if self.before is not None:
+            self.before()
+        until = None if timeout is None else kernel.now + max(0.0, timeout)
+        start = kernel.now
+        while True:
+            kernel.deliver()
+            ready = self._ready()
+            if ready or (until is not None and until <= kernel.now):
+                break
+            coming = kernel.next_at
+            if coming is None and until is None:
+                raise Deadlock(f"nothing is due at {kernel.now:.6f}")
+            if coming is None or (until is not None and until < coming):
+                assert until is not None
+                kernel.now = until
+            else:
+                kernel.now = coming
+        self._still = 0 if kernel.now > start else self._still + 1
+        if self._still > TURNS_AT_ONCE:
+            raise Livelock(f"{TURNS_AT_ONCE} turns at {kernel.now:.6f}")
+        if self._shuffle is not None and len(ready) > 1:
+            self._shuffle.shuffle(ready)  # a real poll may report them in any order
+        return ready
+
+    def _ready(self) -> list[tuple[selectors.SelectorKey, int]]:
+        found = []
+        hot, sockets = self._kernel.hot, self._kernel.sockets
+        for number in list(hot):
+            key, sock = self._keys.get(number), sockets.get(number)
+            mask = sock.ready() & key.events if key is not None and sock is not None else 0
+            if mask and key is not None:
+                found.append((key, mask))
+            else:
+                del hot[number]
+        return found
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Give it to run_until_complete; everything on it is of one world and one time."""
+
+    def __init__(self, kernel: Kernel, shuffle: random.Random | None = None) -> None:
+        self.kernel = kernel
+        self.poll = VirtualSelector(kernel, shuffle)
+        self._signals: dict[int, Callable[[], object]] = {}
+        super().__init__(self.poll)
+        self._clock_resolution = 1e-9
+
+    def time(self) -> float:
+        return self.kernel.now
+
+    # Nobody wakes this loop from another thread.
+    def _make_self_pipe(self) -> None:
+        self._ssock = self._csock = None
+
+    def _close_self_pipe(self) -> None:
+        pass
+
+    def _write_to_self(self) -> None:
+        pass
+
+    def run_in_executor(  # type: ignore[override]
+            self, executor: Any, func: Any, *args: Any) -> Any:
+        raise RuntimeError("a virtual world has no threads")
+
+    # --- signals ---
+    def add_signal_handler(  # type: ignore[override]
+            self, sig: int, callback: Callable[..., Any], *args: Any) -> None:
+        self._signals[sig] = lambda: callback(*args)
+
+    def remove_signal_handler(self, sig: int) -> bool:
+        return self._signals.pop(sig, None) is not None
+
+    def deliver_signal(self, sig: int) -> None:
+        """As the kernel would, in the loop's next turn."""
+        if sig in self._signals:
+            self.call_soon(self._signals[sig])
+
+    # --- where asyncio would make a socket ---
+    def _virtual(self) -> Any:
+        return self.kernel.socket()
+
+    async def create_connection(self, protocol_factory: Any, host: Any = None, port: Any = None,
+                                **options: Any) -> Any:
+        sock = self._virtual()
+        try:
+            await self.sock_connect(sock, (host, port))
+        except BaseException:
+            sock.close()
+            raise
+        return await self._create_connection_transport(  # type: ignore[attr-defined]
+            sock, protocol_factory, None, "")
+
+    async def sock_connect(self, sock: Any, address: Any) -> None:
+        """One try to a literal address; the caller bounds its time."""
+        if sock.connect_ex(address) == 0:
+            return
+        done = self.create_future()
+        self.add_writer(sock.fileno(), self._writable, done)
+        number = sock.fileno()
+        try:
+            await done
+        finally:
+            self.remove_writer(number)
+        error = sock.getsockopt(1, 4)  # SOL_SOCKET, SO_ERROR
+        if error:
+            raise OSError(error, f"connect to {address}")
+
+    @staticmethod
+    def _writable(done: asyncio.Future[None]) -> None:
+        if not done.done():
+            done.set_result(None)
+
+    async def create_server(self, protocol_factory: Any, host: Any = None, port: Any = None,
+                            *, backlog: int = 100, **options: Any) -> Any:
+        sock: VirtualSocket = self._virtual()
+        sock.bind((host or "127.0.0.1", port or 0))
+        sockets: list[Any] = [sock]
+        server = asyncio.base_events.Server(self, sockets, protocol_factory, None, backlog, None)
+        server._start_serving()  # type: ignore[attr-defined]
+        await asyncio.sleep(0)
+        return server
--- /dev/null
+++ b/tests/test_virtual.py
@@ -0,0 +1,90 @@
+"""The virtual world: its clock, its bounds, and that the daemon's own code runs in it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from limebridge.standins.configuration import configuration
+from limebridge.standins.discovery import Discovery
+from limebridge.standins.nodes import CacheNode
+from limebridge.standins.wire import command, read_answer
+from limebridge.virtual import Deadlock, Kernel, Livelock, VirtualLoop
+from violetroute.clients import Listener
+from violetroute.config import parse
+from violetroute.proxy import Proxy
+from violetroute.transport.sockets import SocketNetwork
+
+
+def test_hours_pass_at_once() -> None:
+    kernel = Kernel()
+    loop = VirtualLoop(kernel)
+
+    async def part() -> float:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(asyncio.sleep(7200))
+            group.create_task(asyncio.sleep(3600))
+        return loop.time()
+
+    assert loop.run_until_complete(part()) == pytest.approx(8200.0)
+    loop.close()
+
+
+def test_a_loop_without_end_at_one_instant_is_reported() -> None:
+    loop = VirtualLoop(Kernel())
+
+    async def part() -> None:
+        while True:
+            await asyncio.sleep(0)
+
+    with pytest.raises(Livelock):
+        loop.run_until_complete(part())
+
+
+def test_waiting_for_nothing_is_reported() -> None:
+    loop = VirtualLoop(Kernel())
+    with pytest.raises(Deadlock):
+        loop.run_until_complete(asyncio.Event().wait())
+
+
+def test_threads_are_refused() -> None:
+    loop = VirtualLoop(Kernel())
+    with pytest.raises(RuntimeError, match="threads"):
+        loop.run_until_complete(asyncio.to_thread(print))
+    loop.close()
+
+
+def test_the_daemon_serves_in_memory() -> None:
+    kernel = Kernel()
+    loop = VirtualLoop(kernel)
+
+    async def part() -> list[bytes]:
+        discovery = await Discovery().start()
+        nodes = [await CacheNode().start() for _ in range(3)]
+        raw = configuration(discovery.port, [n.entry(f"n{i}") for i, n in enumerate(nodes)])
+        config = parse(raw)
+        net = SocketNetwork(loop, make=kernel.maker("proxy"), clock=lambda: kernel.now)
+        proxy = Proxy(config, net)
+        listener = Listener(proxy, config.client_sockets, config.value_room, net)
+        port = listener.start(config.listen).port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        answers = []
+        for number in range(20):
+            writer.write(command(b"OBJ.GET", b"k%d" % number, b"id%d" % number,
+                                 b"c=lookup,t=x,d=5000"))
+            answers.append(await read_answer(reader))
+            await asyncio.sleep(0.5)
+        writer.close()
+        await listener.drain(1.0)
+        proxy.close()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert kernel.held("proxy") == 0
+        for node in nodes:
+            await node.stop()
+        await discovery.stop()
+        return answers
+
+    assert loop.run_until_complete(part()) == [b"value of id%d" % n for n in range(20)]
+    loop.close()
--- a/violetroute/config/__init__.py
+++ b/violetroute/config/__init__.py
@@ -2,6 +2,7 @@
 
 from .errors import ConfigError
 from .operator import Limits, LogTable, Operator, restart_needed
-from .platform import Config, load
+from .platform import Config, load, parse
 
-__all__ = ["Config", "ConfigError", "Limits", "LogTable", "Operator", "load", "restart_needed"]
+__all__ = ["Config", "ConfigError", "Limits", "LogTable", "Operator", "load", "parse",
+           "restart_needed"]
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -157,6 +157,11 @@
         raise ConfigError(f"bad configuration in {path}: {text}") from error
 
 
+def parse(raw: dict[str, Any], operator: Operator | None = None) -> Config:
+    """A configuration that is at hand already.  ValueError and its kin where it is wrong."""
+    return _config(raw, {}, operator or Operator(), None)
+
+
 def _address(key: str, text: object) -> Address:
     try:
         return parse_address(text)
--- a/violetroute/transport/sockets.py
+++ b/violetroute/transport/sockets.py
@@ -336,17 +336,23 @@
 
 
 class SocketNetwork:
-    """The kernel's own network and clocks."""
+    """The kernel's own network and clocks, or those that `make` and `clock` stand for.
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, turns: Turns | None = None) -> None:
+    `make` takes a family and a type as socket.socket does, and may raise OSError.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, turns: Turns | None = None,
+                 make: Callable[[int, int], socket.socket] | None = None,
+                 clock: Callable[[], float] = wall) -> None:
         self.loop = loop
         self.turns = turns or Turns()
+        self._make, self._clock = make or socket.socket, clock
 
     def wall(self) -> float:
-        return wall()
+        return self._clock()
 
     def listen(self, address: Address, backlog: int, ready: Callable[[], None]) -> SocketDoor:
-        sock = socket.socket(_family(address), socket.SOCK_STREAM)
+        sock = self._make(_family(address), socket.SOCK_STREAM)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind((address.host, address.port))
@@ -360,7 +366,7 @@
     def connect(self, address: Address, handler: Handler, time_limit: float,
                 first: bool = False) -> SocketStream:
         try:
-            sock = socket.socket(_family(address), socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = self._make(_family(address), socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError as error:
             stream = SocketStream(self, handler, None, False)
             stream.lose(error)
--- a/violetroute/upstream/pool.py
+++ b/violetroute/upstream/pool.py
@@ -30,7 +30,7 @@
     def __init__(self, address: Address) -> None:
         self.address = address
         self.idle: list[NodeConnection] = []  # the most recently used last
-        self.open: set[NodeConnection] = set()
+        self.open: dict[NodeConnection, None] = {}  # in the order of their opening
         self.waiting: dict[Attempt, NodeConnection] = {}  # with what was opened for each
 
 
@@ -46,7 +46,7 @@
         # By age, the share of reuses that broke, and when it was last learned.
         self._lost = [(0.0, 0.0)] * (len(AGES) + 1)
         self._nodes: dict[int, Node] = {}
-        self._open: set[NodeConnection] = set()
+        self._open: dict[NodeConnection, None] = {}
         self._sweeping = self.loop.call_later(SWEEP, self._sweep)
 
     # --- the list ---
@@ -100,8 +100,8 @@
             return
         connection = NodeConnection(self, node, attempt)
         node.waiting[attempt] = connection
-        node.open.add(connection)
-        self._open.add(connection)
+        node.open[connection] = None
+        self._open[connection] = None
         connection.stream = self._net.connect(node.address, connection, self._connect_timeout,
                                               first=True)
 
@@ -178,8 +178,8 @@
     def closed(self, connection: NodeConnection) -> None:
         """It is gone, or never came up."""
         node, connection.stream, connection.up = connection.node, None, False
-        self._open.discard(connection)
-        node.open.discard(connection)
+        self._open.pop(connection, None)
+        node.open.pop(connection, None)
         if connection in node.idle:
             node.idle.remove(connection)
         attempt, connection.wanted_by = connection.wanted_by, None
@@ -199,7 +199,7 @@
             return False
         oldest = min(idle, key=lambda c: c.idle_since)
         self._discard(oldest)
-        self._open.discard(oldest)  # its descriptor is free, though it hears so later
+        self._open.pop(oldest, None)  # its descriptor is free, though it hears so later
         return True
 
     def _sweep(self) -> None:
