limebridge explore and replay: seeded faults, rules judged outside, one fault mended

Change: limebridge/rules (a judge that knows only what peers saw), standins/fleet (slots, queue, cold start, misses, keys), plans as JSON with 21 kinds of faults that overlap, a world that runs the daemon's own code, exploration on all cores, shrinking, a story and a picture, and patches with planted bugs. The daemon: what it found first. An attempt that ends early now discards what has not arrived (SO_LINGER 0).

--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -1,23 +1,30 @@
-"""The command line: `limebridge demo | check | serve`."""
+"""The command line: `limebridge demo | check | serve | explore | replay`."""
 
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import os
+import runpy
 import sys
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated
 
 import typer
 from rich.console import Console
 from rich.live import Live
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn
 from rich.table import Table
 
 from violetroute.config import Config, ConfigError, load
 
 from . import demo as demo_module
+from .virtual import explore as explorer
+from .virtual import plan as plans
+from .virtual import story, world
 
 app = typer.Typer(add_completion=False, no_args_is_help=True,
                   help="The kit round the limebridge proxy.")
@@ -107,6 +114,102 @@
     os.execve(sys.executable, arguments, _environment(config))
 
 
+PatchFile = Annotated[Path | None, typer.Option(
+    "--patch", metavar="FILE", help="A Python file whose plant() is called first.")]
+
+
+@app.command()
+def explore(
+    seeds: Annotated[int, typer.Option(min=1, help="How many seeds.")] = 1000,
+    first: Annotated[int, typer.Option("--from", min=0, help="The first seed.")] = 0,
+    jobs: Annotated[int, typer.Option(min=0, help="Processes; 0 is one a core.")] = 0,
+    budget: Annotated[float, typer.Option(min=0.0, help="Seconds after which to end.")] = 0,
+    keep: Annotated[Path | None, typer.Option(
+        metavar="DIR", help="Where shrunk plans of what broke are written.")] = None,
+    patch: PatchFile = None,
+    as_json: Annotated[bool, typer.Option("--json", help="JSON as the last line.")] = False,
+) -> None:
+    """Run the daemon's own code in memory against faults drawn from seeds.
+
+    Exit status 1 when a rule or a bound was broken, 2 when the arguments can't be used.
+    """
+    prepare = _patched(patch)
+    summary = explorer.Summary()
+    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn())
+    with Progress(*columns, console=Console(stderr=True), disable=as_json) as progress:
+        bar = progress.add_task("exploring", total=seeds)
+        for summary in explorer.explore(first, seeds, jobs, budget, prepare):
+            progress.update(bar, completed=summary.seeds,
+                            description=f"{len(summary.broken)} broken")
+    summary.broken.sort(key=lambda found: found.seed)
+    if prepare is not None:
+        prepare()
+    for found in summary.broken[:3]:
+        smaller = explorer.shrink(found.plan, found.broken[0].rule)
+        if keep is not None:
+            keep.mkdir(parents=True, exist_ok=True)
+            path = keep / f"seed-{found.seed}.json"
+            path.write_text(plans.dump(smaller))
+            typer.echo(f"limebridge replay {path}", err=True)
+        else:
+            typer.echo(f"limebridge replay {found.seed}", err=True)
+        typer.echo(story.tell(world.play(smaller)), err=True)
+    told = {"seeds": summary.seeds, "seconds": round(summary.seconds, 2),
+            "requests": summary.requests, "broken": len(summary.broken),
+            "broken_seeds": [found.seed for found in summary.broken],
+            "met": dict(sorted(summary.met.items())), "digest": summary.digest}
+    if as_json:
+        print(json.dumps(told))
+    else:
+        table = Table("fault", "while a request was", "times")
+        for key, count in sorted(summary.met.items()):
+            table.add_row(*key.split("/"), str(count))
+        Console().print(table)
+        print(f"{summary.seeds} seeds, {summary.requests} requests, {summary.seconds:.1f} s, "
+              f"{len(summary.broken)} broken, digest {summary.digest}")
+    raise typer.Exit(1 if summary.broken else 0)
+
+
+@app.command()
+def replay(
+    what: Annotated[str, typer.Argument(metavar="FILE_OR_SEED")],
+    html: Annotated[Path | None, typer.Option(
+        metavar="FILE", help="Write a picture with the story.")] = None,
+    patch: PatchFile = None,
+    as_json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
+) -> None:
+    """Play one plan again and tell its story.  Exit status 1 when it breaks something."""
+    try:
+        plan = plans.draw(int(what)) if what.isdecimal() else plans.read(Path(what))
+    except (OSError, ValueError) as error:
+        typer.echo(f"limebridge: {error}", err=True)
+        raise typer.Exit(2) from None
+    prepare = _patched(patch)
+    if prepare is not None:
+        prepare()
+    outcome = world.play(plan)
+    if html is not None:
+        html.write_text(story.picture(outcome))
+    print(json.dumps({"digest": outcome.digest, "requests": outcome.requests,
+                      "broken": [[b.rule, round(b.at, 6), b.what] for b in outcome.broken]})
+          if as_json else story.tell(outcome))
+    raise typer.Exit(1 if outcome.broken else 0)
+
+
+def _patched(path: Path | None) -> Callable[[], None] | None:
+    """What applies a patch, in this process or another."""
+    if path is None:
+        return None
+    if not path.is_file():
+        typer.echo(f"limebridge: no file {path}", err=True)
+        raise typer.Exit(2)
+    return functools.partial(_plant, str(path))
+
+
+def _plant(path: str) -> None:
+    runpy.run_path(path)["plant"]()
+
+
 def _show(nodes: int, rate: float) -> None:
     console = Console()
     total: Counter[str] = Counter()
--- /dev/null
+++ b/limebridge/rules/judge.py
@@ -0,0 +1,208 @@
+"""The judge of the four rules.  It knows nothing of the proxy, only what its peers saw.
+
+It judges at each event, so a break that heals a moment later is told too, with the request's
+story up to then.  Times are seconds on one clock.  Where a peer can see only that something
+came, it tells when it was sent as well as it knows; what it can't know counts for the proxy.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+SLACK = 6  # requests beyond a cold node's bound: what chance alone brings
+
+
+@dataclass(frozen=True)
+class Terms:
+    """The figures of the rules, as the platform's settings state them."""
+
+    effects: Mapping[str, str]  # by class: pure, token or side_effect
+    grace: float = 0.5  # s from hearing of a drain
+    overload: float = 3.0  # times a cold node's present capacity
+    fall: float = 3.0  # s over which that is counted
+    cold_from: float = 0.13  # share of its capacity that a node starts with
+    warm: float = 23.0  # s until it has all of it
+
+
+@dataclass(frozen=True)
+class Break:
+    """A rule that was broken: 1 to 4, or 0 for the program's own bounds."""
+
+    rule: int
+    at: float
+    what: str
+    request: str = ""
+    story: tuple[str, ...] = ()
+
+
+@dataclass
+class _Request:
+    cls: str
+    effect: str
+    asked_at: float
+    until: float
+    story: list[str] = field(default_factory=list)
+    answered_at: float | None = None
+    answer: str = ""
+    gone_at: float | None = None
+    excused: bool = False
+    accepted: list[str] = field(default_factory=list)  # nodes that may have run it
+    effects: int = 0
+
+
+@dataclass
+class _Node:
+    drain_heard_at: float | None = None
+    started_at: float | None = None  # None: warm
+    capacity: float = 0.0  # requests a second when warm
+    lately: deque[float] = field(default_factory=deque)
+
+
+class Judge:
+    """Tell it what was seen, in the order of time; `broken` has what it found."""
+
+    def __init__(self, terms: Terms) -> None:
+        self._terms = terms
+        self._requests: dict[str, _Request] = {}
+        self._nodes: dict[str, _Node] = {}
+        self.broken: list[Break] = []
+        self.answers: dict[str, int] = {}
+
+    def _break(self, rule: int, at: float, what: str, id_: str = "") -> None:
+        story = tuple(self._requests[id_].story) if id_ in self._requests else ()
+        self.broken.append(Break(rule, at, what, id_, story))
+
+    def fault(self, at: float, what: str) -> None:
+        """A bound or promise of the program's own that did not hold."""
+        self._break(0, at, what)
+
+    # --- clients ---
+    def asked(self, at: float, id_: str, cls: str, wait: float) -> None:
+        """The last byte of a request was written; its client waits so long."""
+        request = self._requests[id_] = _Request(cls, self._terms.effects[cls], at, at + wait)
+        request.story.append(f"{at:.6f} asked ({cls}, waits {wait * 1000:.0f} ms)")
+
+    def answered(self, at: float, id_: str, answer: str) -> None:
+        """A whole answer came: served, refused or failed."""
+        request = self._requests[id_]
+        request.story.append(f"{at:.6f} {answer}")
+        self.answers[answer] = self.answers.get(answer, 0) + 1
+        if request.answered_at is not None:
+            self._break(1, at, "a second final answer", id_)
+            return
+        request.answered_at, request.answer = at, answer
+        if at > request.until and not request.excused:
+            self._break(1, at, f"answered {(at - request.until) * 1000:.1f} ms late", id_)
+        if answer == "refused" and request.effect == "side_effect" and request.accepted:
+            self._break(2, at, f"refused, though {request.accepted[0]} may have run it", id_)
+
+    def stray(self, at: float, text: str) -> None:
+        """Something came to a client that had nothing open."""
+        self._break(1, at, f"an answer that nobody is owed: {text}")
+
+    def expired(self, at: float, id_: str) -> None:
+        """The client's time is up without an answer."""
+        request = self._requests[id_]
+        request.story.append(f"{at:.6f} out of time")
+        if not request.excused and request.gone_at is None:
+            self._break(1, at, "no final answer in time", id_)
+
+    def gone(self, at: float, id_: str) -> None:
+        """The client has gone away: nothing is owed, and nothing more may be sent."""
+        request = self._requests[id_]
+        request.story.append(f"{at:.6f} its client has gone")
+        request.gone_at = at
+
+    def closed_under(self, at: float, id_: str) -> None:
+        """The proxy ended the connection while this was open on it."""
+        request = self._requests[id_]
+        request.story.append(f"{at:.6f} the connection was closed under it")
+        if request.accepted and not request.excused:
+            self._break(1, at, "the connection was closed under a request sent on", id_)
+        request.gone_at = at
+
+    def excuse(self, id_: str) -> None:
+        """Its client's own path was cut: no answer could have come."""
+        self._requests[id_].excused = True
+
+    # --- cache nodes ---
+    def arrived(self, at: float, node: str, id_: str, sent_at: float) -> None:
+        """A command came to a node, sent at this time or later."""
+        request, seen = self._requests.get(id_), self._nodes.setdefault(node, _Node())
+        if request is None:
+            self._break(1, at, f"{node} got a request that nobody asked: {id_[:40]}")
+            return
+        request.story.append(f"{at:.6f} came to {node}, sent at {sent_at:.6f}")
+        if request.answered_at is not None and sent_at > request.answered_at:
+            self._break(1, at, f"sent to {node} after the final answer", id_)
+        if request.gone_at is not None and sent_at > request.gone_at + 0.01:
+            self._break(1, at, f"sent to {node} after its client had gone", id_)
+        heard = seen.drain_heard_at
+        if heard is not None and sent_at > heard + self._terms.grace:
+            self._break(3, at, f"sent to {node} {(sent_at - heard) * 1000:.1f} ms after hearing "
+                               "that it drains or is gone", id_)
+        if request.effect == "side_effect" and request.accepted:
+            self._break(2, at, f"sent to {node}, though {request.accepted[0]} may have run it", id_)
+        self._count(at, node, seen)
+
+    def _count(self, at: float, node: str, seen: _Node) -> None:
+        if seen.started_at is None:
+            return
+        terms, lately = self._terms, seen.lately
+        age = at - seen.started_at
+        if age >= terms.warm:
+            return
+        lately.append(at)
+        while lately and lately[0] <= at - terms.fall:
+            lately.popleft()
+        share = terms.cold_from + (1.0 - terms.cold_from) * age / terms.warm
+        bound = terms.overload * seen.capacity * share * terms.fall + SLACK
+        if len(lately) > bound:
+            self._break(4, at, f"{node} got {len(lately)} in {terms.fall:g} s, {age:.1f} s after "
+                               f"its start; {bound:.0f} is the bound")
+
+    def accepted(self, at: float, node: str, id_: str) -> None:
+        """From here on it may run there."""
+        request = self._requests.get(id_)
+        if request is not None:
+            request.accepted.append(node)
+            request.story.append(f"{at:.6f} accepted by {node}")
+
+    def effect(self, at: float, node: str, id_: str) -> None:
+        """It did what it does, for good."""
+        request = self._requests.get(id_)
+        if request is None:
+            return
+        request.effects += 1
+        request.story.append(f"{at:.6f} took effect at {node}")
+        if request.effects > 1 and request.effect != "pure":
+            self._break(2, at, f"took effect {request.effects} times", id_)
+
+    # --- discovery and starts ---
+    def heard(self, at: float, node: str, ready: bool) -> None:
+        """By now the proxy was told of a node."""
+        seen = self._nodes.setdefault(node, _Node())
+        if ready:
+            seen.drain_heard_at = None
+        elif seen.drain_heard_at is None:
+            seen.drain_heard_at = at
+
+    def started(self, at: float, node: str, capacity: float) -> None:
+        """A node's process started cold; it can do so many requests a second when warm."""
+        seen = self._nodes.setdefault(node, _Node())
+        seen.started_at, seen.capacity = at, capacity
+        seen.lately.clear()
+
+    def end(self, at: float) -> None:
+        """All is over: each request has had its end."""
+        for id_, request in self._requests.items():
+            if request.answered_at is None and request.gone_at is None and not request.excused \
+                    and not any(b.request == id_ for b in self.broken):
+                self._break(1, at, "no final answer at the end", id_)
+
+    @property
+    def requests(self) -> int:
+        """Asked so far."""
+        return len(self._requests)
--- /dev/null
+++ b/limebridge/standins/fleet.py
@@ -0,0 +1,171 @@
+"""Cache nodes as a fleet has them: slots, a queue, a cold start, hits, misses, effects.
+
+Written against asyncio alone, so that it runs on loopback sockets and on the virtual network.
+A `witness` is told what happens, for whoever judges.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from .database import CustomerDatabase
+from .nodes import CacheNode
+from .wire import command, read_words, reply
+
+
+class Witness(Protocol):
+    """Who hears what a node saw; times are the loop's."""
+
+    def arrived(self, at: float, node: str, id_: str, sent_at: float) -> None: ...
+    def accepted(self, at: float, node: str, id_: str) -> None: ...
+    def effect(self, at: float, node: str, id_: str) -> None: ...
+    def started(self, at: float, node: str, capacity: float) -> None: ...
+
+
+class Effects:
+    """The idempotency keys that a group of nodes knows, each for a window."""
+
+    def __init__(self, window: float) -> None:
+        self._window = window
+        self._first: dict[bytes, float] = {}
+
+    def new(self, key: bytes, now: float) -> bool:
+        """Whether this is no repeat within the window."""
+        first = self._first.get(key)
+        if first is not None and now - first <= self._window:
+            return False
+        self._first[key] = now
+        return True
+
+
+class FleetNode(CacheNode):
+    """One node; its troubles are plain attributes, to be set while it runs."""
+
+    def __init__(self, name: str, database: CustomerDatabase, effects: Effects,
+                 witness: Witness, seed: str, slots: int = 2, waiting: int = 8,
+                 service: float = 0.05, cold_from: float = 0.13, warm: float = 23.0,
+                 sent_at: Callable[[asyncio.StreamWriter, int], float] | None = None) -> None:
+        super().__init__()
+        self.name, self._database, self._effects, self._witness = name, database, effects, witness
+        self._random = random.Random(seed)
+        self._slots, self._waiting, self._service = slots, waiting, service
+        self._cold_from, self._warm = cold_from, warm
+        self._sent_at = sent_at
+        self._busy = 0
+        self._free = asyncio.Semaphore(slots)
+        self._kept: dict[bytes, bytes] = {}
+        self.born: float | None = None  # of a cold start; None is warm
+        self.life = 0  # counts starts: what an earlier process had in hand is gone
+        self.slowness = 1.0
+        self.swallows = self.spoils = self.errors = 0.0  # shares of the commands
+        self.draining = False
+        self.flowing = asyncio.Event()  # cleared while it stalls
+        self.flowing.set()
+
+    @property
+    def capacity(self) -> float:
+        """Requests a second when warm."""
+        return self._slots / self._service
+
+    def begin_cold(self) -> None:
+        """As after a start: nothing kept, and slow."""
+        self.life += 1
+        self._kept.clear()
+        self.draining = False
+        self._busy, self._free = 0, asyncio.Semaphore(self._slots)
+        self.born = asyncio.get_running_loop().time()
+        self._witness.started(self.born, self.name, self.capacity)
+
+    def _share(self, now: float) -> float:
+        if self.born is None or now - self.born >= self._warm:
+            return 1.0
+        return self._cold_from + (1.0 - self._cold_from) * (now - self.born) / self._warm
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.open[writer] = None
+        offset, loop, life = 0, asyncio.get_running_loop(), self.life
+        try:
+            while life == self.life:
+                words = await read_words(reader)
+                now = loop.time()
+                sent = self._sent_at(writer, offset) if self._sent_at is not None else now
+                offset += len(command(*words))
+                if life != self.life:
+                    break
+                await self._one(words, writer, now, sent, life)
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            pass
+        finally:
+            self.open.pop(writer, None)
+            writer.close()
+
+    async def _one(self, words: list[bytes], writer: asyncio.StreamWriter, now: float,
+                   sent: float, life: int) -> None:
+        id_ = words[2].decode(errors="replace")
+        self._witness.arrived(now, self.name, id_, sent)
+        draw = self._random.random()
+        if self.draining or self._busy >= self._slots + self._waiting:
+            writer.write(b"-BUSY\r\n")
+            return
+        if draw < self.errors:
+            writer.write(b"-ERR broken\r\n")
+            return
+        self._witness.accepted(now, self.name, id_)
+        # The group knows a key from its first arrival on, not from when it was worked on.
+        mark = _key(words)
+        fresh = not mark or self._effects.new(mark, now)
+        self._busy += 1
+        try:
+            async with self._free:
+                answer = await self._work(words, id_, life, fresh)
+        finally:
+            if life == self.life:
+                self._busy -= 1
+        if life != self.life or draw > 1.0 - self.swallows:
+            return
+        if self._random.random() < self.spoils:
+            answer = self._random.choice((b"\x81\x02\xff", answer[: len(answer) // 2],
+                                          b"*3\r\n$2\r\nvalue\r\n", answer + answer))
+        writer.write(answer)
+
+    async def _work(self, words: list[bytes], id_: str, life: int, fresh: bool) -> bytes:
+        loop = asyncio.get_running_loop()
+        await self.flowing.wait()
+        time = self._service * self._random.lognormvariate(-0.1, 0.4) * self.slowness
+        await asyncio.sleep(time / self._share(loop.time()))
+        await self.flowing.wait()
+        if life != self.life:
+            return b""
+        key = words[1]
+        if words[0].upper() == b"OBJ.SET":
+            if fresh:
+                self._witness.effect(loop.time(), self.name, id_)
+            self._kept.pop(key, None)
+            return reply(b"stored", b"miss")
+        if key not in self._kept:
+            value = await self._database.fetch(key)
+            if value is None:
+                return b"-ERR origin\r\n"
+            self._kept[key] = value
+            return reply(value, b"miss")
+        return reply(self._kept[key], b"hit")
+
+    async def die(self) -> None:
+        """The process ends at once, with all that it had in hand."""
+        self.life += 1
+        self._server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+        self.open.clear()
+        await asyncio.sleep(0)
+
+
+def _key(words: list[bytes]) -> bytes:
+    """The idempotency key of a command, if it has one."""
+    if words[0].upper() != b"OBJ.SET":
+        return b""
+    return dict(item.partition(b"=")[::2] for item in words[3].split(b",")).get(b"k", b"")
--- /dev/null
+++ b/limebridge/virtual/explore.py
@@ -0,0 +1,137 @@
+"""Many seeds on all cores; a failure is shrunk to a smallest plan and ends as one line."""
+
+from __future__ import annotations
+
+import hashlib
+import multiprocessing
+import os
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+
+from limebridge.rules import Break
+
+from .plan import Fault, Plan, draw
+from .world import Outcome, play
+
+TRIES = 120  # runs that shrinking one plan may take
+
+
+@dataclass
+class Found:
+    """One seed's run, as it comes back from another process."""
+
+    seed: int
+    plan: Plan
+    broken: list[Break]
+    requests: int
+    digest: str
+    met: Counter[str]
+
+
+@dataclass
+class Summary:
+    """What an exploration has seen."""
+
+    seeds: int = 0
+    seconds: float = 0.0
+    requests: int = 0
+    broken: list[Found] = field(default_factory=list)
+    met: Counter[str] = field(default_factory=Counter)
+    digests: dict[int, str] = field(default_factory=dict)
+
+    def add(self, found: Found) -> None:
+        self.seeds += 1
+        self.requests += found.requests
+        self.met.update(found.met)
+        self.digests[found.seed] = found.digest
+        if found.broken:
+            self.broken.append(found)
+
+    @property
+    def digest(self) -> str:
+        """Over all traces, in the order of their seeds, whichever process ran first."""
+        whole = "".join(self.digests[seed] for seed in sorted(self.digests))
+        return hashlib.sha256(whole.encode()).hexdigest()
+
+
+def one(seed: int) -> Found:
+    """Play one seed."""
+    outcome = play(draw(seed))
+    return Found(seed, outcome.plan, outcome.broken, outcome.requests, outcome.digest, outcome.met)
+
+
+def explore(first: int, count: int, jobs: int = 0, budget: float = 0.0,
+            prepare: Callable[[], None] | None = None) -> Iterator[Summary]:
+    """The summary after each seed; ends early when `budget` seconds have passed, if above 0.
+
+    `prepare` runs once in each process, before the first seed.
+    """
+    summary, began = Summary(), time.monotonic()
+    jobs = jobs or len(os.sched_getaffinity(0))
+    context = multiprocessing.get_context("spawn")
+    with context.Pool(jobs, initializer=prepare) as pool:
+        for found in pool.imap_unordered(one, range(first, first + count), chunksize=4):
+            summary.add(found)
+            summary.seconds = time.monotonic() - began
+            yield summary
+            if budget and summary.seconds > budget:
+                break
+
+
+def same(outcome: Outcome, rule: int) -> bool:
+    """Whether a run breaks the rule that is looked for."""
+    return any(found.rule == rule for found in outcome.broken)
+
+
+def shrink(plan: Plan, rule: int, tries: int = TRIES,
+           run: Callable[[Plan], Outcome] = play) -> Plan:
+    """A smaller plan that still breaks this rule: fewer faults, shorter, simpler, less load.
+
+    Greedy, and bounded in its runs; what it returns has been seen to fail.
+    """
+    left = tries
+
+    def fails(candidate: Plan) -> bool:
+        nonlocal left
+        left -= 1
+        return left >= 0 and same(run(candidate), rule)
+
+    shorter = msgspec.structs.replace(plan)
+    changed = True
+    while changed and left > 0:
+        changed = False
+        for candidate in _smaller(shorter):
+            if left <= 0:
+                break
+            if fails(candidate):
+                shorter, changed = candidate, True
+                break
+    return shorter
+
+
+def _smaller(plan: Plan) -> Iterator[Plan]:
+    faults = plan.faults
+    size = len(faults)
+    if size > 2:
+        yield msgspec.structs.replace(plan, faults=faults[: size // 2])
+        yield msgspec.structs.replace(plan, faults=faults[size // 2:])
+    for place in range(size):
+        yield msgspec.structs.replace(plan, faults=faults[:place] + faults[place + 1:])
+    last = max((fault.at for fault in faults), default=0.0) + 3.0
+    if last < plan.seconds - 0.5:
+        yield msgspec.structs.replace(plan, seconds=round(last, 3))
+    if plan.cut:
+        yield msgspec.structs.replace(plan, cut=False)
+    if plan.jitter:
+        yield msgspec.structs.replace(plan, jitter=0.0)
+    if plan.clients > 2:
+        yield msgspec.structs.replace(plan, clients=plan.clients // 2)
+    for place, fault in enumerate(faults):
+        if fault.lasts > 0.1:
+            half: Fault = msgspec.structs.replace(fault, lasts=round(fault.lasts / 2, 4))
+            yield msgspec.structs.replace(plan, faults=(*faults[:place], half,
+                                                        *faults[place + 1:]))
--- a/limebridge/virtual/kernel.py
+++ b/limebridge/virtual/kernel.py
@@ -158,13 +158,16 @@
         self._state = "new"  # connecting, open, failed
         self._error = 0  # told once, by getsockopt or the next call
         self._sending, self._flying = bytearray(), 0
+        self._sent = 0  # bytes ever, taken from the program
         self._received = bytearray()
+        self._stamps: list[tuple[int, float]] = []  # where a send began, and when it was made
         self._last_arrival = 0.0  # at the peer, of what we sent
         self._end_asked = self._end_sent = False  # our FIN
         self._end_came = False  # the peer's FIN
         self._reset = False
         self._closed = False
         self._abortive = False  # SO_LINGER with no time
+        self._abandoned = False  # closed so: what had not crossed is gone
 
     # --- names, options ---
     def fileno(self) -> int:
@@ -321,6 +324,8 @@
             raise _error(errno.EAGAIN if self._state in ("connecting", "opening")
                          else errno.ENOTCONN)
         taken = 0
+        if self.peer is not None:
+            self.peer._stamps.append((self._sent, self._kernel.now))
         for part in parts:
             room = SEND_BUFFER - len(self._sending) - self._flying
             if room <= 0:
@@ -332,6 +337,7 @@
                 break
         if not taken and any(len(part) for part in parts):
             raise _error(errno.EAGAIN)
+        self._sent += taken
         self._transmit()
         return taken
 
@@ -369,7 +375,8 @@
         assert self._link is not None
         link = self._link
         if link.blocked_to if self._towards else link.blocked_back:
-            link.held.append(lambda: self._pass(arrives, HEALED))
+            # What a sender has thrown away it does not send again; nor is a reset.
+            link.held.append(lambda: None if self._abandoned else self._pass(arrives, HEALED))
             return
         when = max(self._last_arrival, self._kernel.now + held + self._delay())
         self._last_arrival = when
@@ -378,7 +385,7 @@
     def _arrives(self, data: bytes) -> None:
         peer = self.peer
         self._flying -= len(data)
-        if peer is None or self._reset:
+        if peer is None:
             return
         if peer._closed:  # nobody will read it
             peer._send_reset()
@@ -438,6 +445,7 @@
             if self._received or self._abortive:  # as RFC 2525, 2.17 has it
                 self._sending.clear()
                 self._send_reset()
+                self._abandoned = True
             else:
                 self._end_asked = True
                 self._transmit()
@@ -449,6 +457,13 @@
     def detach(self) -> int:
         raise NotImplementedError("a virtual socket has no descriptor to give away")
 
+    def sent_at(self, offset: int) -> float:
+        """When the byte that came as the `offset`th was handed to the kernel over there."""
+        stamps = self._stamps
+        while len(stamps) > 1 and stamps[1][0] <= offset:
+            del stamps[0]
+        return stamps[0][1]
+
     # --- for the poll ---
     def ready(self) -> int:
         """READ and WRITE as epoll would report them, errors and hang-ups as both."""
--- /dev/null
+++ b/limebridge/virtual/plan.py
@@ -0,0 +1,82 @@
+"""A run as data: what the world is like and which faults come when.  JSON, readable, editable."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+Kind = Literal[
+    "node_slow", "node_stalls", "node_dies", "node_replaced", "node_drains", "node_swallows",
+    "node_spoils", "node_errors", "node_resets", "node_closes_idle", "path_cut", "path_cut_to",
+    "path_cut_back", "discovery_cut", "discovery_ends", "discovery_lies", "discovery_moves",
+    "clients_leave", "client_rude", "reload", "wall_steps"]
+WEIGHTS: dict[Kind, int] = {
+    "node_slow": 3, "node_stalls": 4, "node_dies": 4, "node_replaced": 4, "node_drains": 5,
+    "node_swallows": 2, "node_spoils": 3, "node_errors": 2, "node_resets": 3,
+    "node_closes_idle": 3, "path_cut": 3, "path_cut_to": 2, "path_cut_back": 2,
+    "discovery_cut": 2, "discovery_ends": 2, "discovery_lies": 2, "discovery_moves": 2,
+    "clients_leave": 4, "client_rude": 2, "reload": 2, "wall_steps": 1}
+OVERLAP = 0.6  # of the faults begin within another one: timing is what is looked for
+CLOSE = (0.0, 0.002, 0.02, 0.05, 0.3, 1.0)  # s after another one's beginning
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """One thing that goes wrong."""
+
+    at: float  # s from the start
+    kind: Kind
+    node: int = 0  # which node, for those that concern one
+    lasts: float = 0.0  # s
+    amount: float = 0.0  # a factor, a share or seconds, by kind
+
+
+class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole run."""
+
+    seed: int
+    seconds: float = 20.0
+    nodes: int = 5
+    clients: int = 8
+    rate: float = 18.0  # requests a second
+    jitter: float = 0.0  # s, of every path
+    cut: bool = False  # segments are cut anywhere
+    shuffle: bool = True  # what is ready together is handled in an order drawn from the seed
+    faults: tuple[Fault, ...] = ()
+
+
+def draw(seed: int, seconds: float = 20.0) -> Plan:
+    """The plan of a seed: each purpose has a stream of its own."""
+    rng = random.Random(f"plan/{seed}")
+    nodes = rng.randint(5, 7)
+    faults: list[Fault] = []
+    kinds, weights = list(WEIGHTS), list(WEIGHTS.values())
+    for _ in range(rng.randint(2, 9)):
+        if faults and rng.random() < OVERLAP:
+            other = rng.choice(faults)
+            at = other.at + rng.choice(CLOSE) * rng.uniform(0.5, 1.5)
+            node = other.node if rng.random() < 0.5 else rng.randrange(nodes)
+        else:
+            at, node = rng.uniform(0.5, seconds - 4.0), rng.randrange(nodes)
+        kind = rng.choices(kinds, weights)[0]
+        lasts = rng.choice((0.05, 0.3, 1.0, 3.0)) * rng.uniform(0.7, 1.3)
+        amount = {"node_slow": rng.choice((3.0, 10.0)), "wall_steps": rng.uniform(-60, 60)}.get(
+            kind, rng.choice((0.2, 0.6, 1.0)))
+        faults.append(Fault(round(at, 4), kind, node, round(lasts, 4), round(amount, 3)))
+    return Plan(seed, seconds, nodes, rng.randint(6, 12), rng.choice((18.0, 22.0, 30.0)),
+                rng.choice((0.0, 0.000_1, 0.002)), rng.random() < 0.4, True,
+                tuple(sorted(faults, key=lambda fault: fault.at)))
+
+
+def dump(plan: Plan) -> str:
+    return msgspec.json.format(msgspec.json.encode(plan)).decode() + "\n"
+
+
+def read(path: Path) -> Plan:
+    """ValueError where it is no plan."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Plan)
+    except msgspec.DecodeError as error:
+        raise ValueError(f"{path}: {error}") from None
--- /dev/null
+++ b/tests/planted/answer_twice.py
@@ -0,0 +1,15 @@
+"""An answer is sent twice, when two attempts were out."""
+from violetroute.clients.answers import Answer
+
+finish = Answer.finish
+
+
+def twice(self, *parts):
+    connection, request = self._connection, self.request
+    finish(self, *parts)
+    if request is not None and len(request.attempts) > 1 and connection._stream is not None:
+        connection._stream.write(b"".join(parts))
+
+
+def plant():
+    Answer.finish = twice
--- /dev/null
+++ b/tests/planted/handed_out_twice.py
@@ -0,0 +1,24 @@
+"""An idle connection is handed out twice: it stays in the list of idle ones."""
+from violetroute.upstream.connection import NodeConnection
+from violetroute.upstream.pool import Pool
+
+send = Pool.send
+
+
+def twice(self, attempt):
+    node = self._nodes.get(attempt.cache_id)
+    last = node.idle[-1] if node is not None and node.idle else None
+    send(self, attempt)
+    if last is not None and last.attempt is attempt:
+        node.idle.append(last)
+
+
+def plant():
+    Pool.send = twice
+    run = NodeConnection.run
+
+    def forgets(self, attempt):
+        self.attempt = None
+        run(self, attempt)
+
+    NodeConnection.run = forgets
--- /dev/null
+++ b/tests/planted/lost_wake_up.py
@@ -0,0 +1,8 @@
+"""Who waits for a connection is not woken when one is free or stands."""
+from violetroute.proxy import Proxy
+from violetroute.upstream.pool import Pool
+
+
+def plant():
+    Pool._offer = lambda self, connection: None
+    Proxy._out_of_time = lambda self, number: None
--- /dev/null
+++ b/tests/planted/old_watch.py
@@ -0,0 +1,14 @@
+"""Discovery's old watch is believed after a move."""
+from violetroute.discovery import Watch
+
+
+def move(self, address):
+    if address == self._address:
+        return False
+    self._address = address
+    self._call = None  # not stopped
+    return True
+
+
+def plant():
+    Watch.move = move
--- /dev/null
+++ b/tests/planted/refused_after_reset.py
@@ -0,0 +1,10 @@
+"""A reset counts as never sent, so an unsafe request is refused or tried again after it."""
+from snowstall import Result
+from violetroute.upstream.connection import NodeConnection
+
+break_ = NodeConnection._break
+
+
+def plant():
+    NodeConnection._break = lambda self, result: break_(
+        self, Result.NO_CONNECTION if result is Result.RESET else result)
--- /dev/null
+++ b/tests/planted/reused_after_give_up.py
@@ -0,0 +1,11 @@
+"""An attempt's connection is used again after the attempt was given up."""
+from violetroute.upstream.connection import NodeConnection
+
+
+def keeps(self):
+    self._leave()
+    self._pool.rest(self)
+
+
+def plant():
+    NodeConnection.give_up = keeps
--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -186,6 +186,15 @@
     return bytes(near.data), near.saw
 
 
+async def reset_right_behind_data(world: World) -> object:
+    """Thrown away is what has not crossed; on a path that is open it has."""
+    near, far = await world.pair()
+    stream(far).write(b"just before")
+    stream(far).abort(discard=True)
+    await near.until(lambda: near.has("lost"))
+    return bytes(near.data), near.saw
+
+
 async def write_after_the_peer_closed(world: World) -> object:
     near, far = await world.pair()
     stream(near).pause()
@@ -288,8 +297,8 @@
 
 
 SCRIPTS = (hello_and_close, back_pressure, half_close, reset_with_unread, reset_by_linger,
-           data_then_reset, write_after_the_peer_closed, refused, full_backlog,
-           closed_in_the_backlog, peeks, called_off, lowest_descriptor_first,
+           data_then_reset, reset_right_behind_data, write_after_the_peer_closed, refused,
+           full_backlog, closed_in_the_backlog, peeks, called_off, lowest_descriptor_first,
            end_while_the_peer_writes)
 
 
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -273,7 +273,7 @@
     def quiet(self) -> bool:
         return True
 
-    def abort(self) -> None:
+    def abort(self, discard: bool = False) -> None:
         self.closing = True
         self._connection.lost(None)
 
--- a/violetroute/deadlines.py
+++ b/violetroute/deadlines.py
@@ -33,6 +33,11 @@
     def __len__(self) -> int:
         return len(self._heap)
 
+    @property
+    def next_at(self) -> float | None:
+        """The earliest time of one that is still open."""
+        return min((at for at, number in self._heap if number in self._alive), default=None)
+
     def add(self, at: float, number: int) -> None:
         """`at` in seconds of the loop's clock; numbers are not used twice."""
         heap = self._heap
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -90,6 +90,17 @@
     def open_requests(self) -> int:
         return len(self._open)
 
+    @property
+    def oldest_deadline(self) -> float | None:
+        """Seconds of the loop's clock by which the next open request has to be over."""
+        return self._deadlines.next_at
+
+    def states(self) -> list[str]:
+        """Of each open request: how it stands, for whoever looks in from outside."""
+        return ["answered, attempts out" if request.answered else
+                f"{request.out} out, try {len(request.attempts)}" if request.out else "held"
+                for request in self._open.values()]
+
     @property
     def nodes(self) -> list[int]:
         """Those that may get something new."""
--- a/violetroute/transport/seam.py
+++ b/violetroute/transport/seam.py
@@ -80,8 +80,12 @@
         Has no bound in time: its owner looks whether `unsent` still falls, and aborts.
         """
 
-    def abort(self) -> None:
-        """End at once.  The descriptor is closed before this returns; nothing more is sent."""
+    def abort(self, discard: bool = False) -> None:
+        """End at once.  The descriptor is closed before this returns.
+
+        What the kernel has taken it goes on delivering, for minutes if the path is cut.
+        `discard`: it must not; the peer gets a reset in place of what it has not got yet.
+        """
 
     def quiet(self) -> bool:
         """Whether nothing has come and the peer has not closed, asked of the kernel now."""
--- a/violetroute/transport/sockets.py
+++ b/violetroute/transport/sockets.py
@@ -10,9 +10,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import os
 import socket
+import struct
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -22,6 +24,7 @@
 from .turns import Turns
 
 PEEK = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)  # a flag of the enum is made anew each time
+AT_ONCE = struct.pack("ii", 1, 0)  # SO_LINGER: a close throws away what is not yet delivered
 JOINED = 8 * 1024  # bytes up to which copying parts is cheaper than gathering them
 GATHERED = 64  # parts of one system call; the kernel takes 1,024 at most
 monotonic, wall = time.monotonic, time.time  # for what runs before there is a loop
@@ -248,7 +251,10 @@
             self._reading = False
             self._loop.remove_reader(self.descriptor)
 
-    def abort(self) -> None:
+    def abort(self, discard: bool = False) -> None:
+        if discard and self._socket is not None:
+            with contextlib.suppress(OSError):  # reset already: there is nothing to discard
+                self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, AT_ONCE)
         self._finish(None)
 
     def fail(self, error: OSError) -> None:
--- a/violetroute/upstream/connection.py
+++ b/violetroute/upstream/connection.py
@@ -162,13 +162,13 @@
         if self.used and result is not Result.SPOILT:
             self._pool.reused(self, broken=True)
         self._leave()
-        self.close()
+        self.close(discard=True)
         self._pool.sink.attempt_ended(attempt, result)
 
     def give_up(self) -> None:
         """Called off or out of time: late bytes must never reach another attempt."""
         self._leave()
-        self.close()
+        self.close(discard=True)
 
     def end_unsent(self) -> None:
         """Its node drains: a command that is not yet whole there must not become so."""
@@ -184,7 +184,13 @@
         """
         return self.stream is not None and self.stream.quiet()
 
-    def close(self) -> None:
+    def close(self, discard: bool = False) -> None:
+        """`discard` with a command on its way, which must not arrive any more.
+
+        Guards against a path that is cut and heals: the kernel would deliver the command
+        seconds later, a keyed one outside its window and to a node that drains by now.  Harm:
+        the node sees a reset where it would have seen an end.
+        """
         # Not the stream's close(): that would go on writing what is left of a command.
         if self.stream is not None:
-            self.stream.abort()
+            self.stream.abort(discard)
