--- a/limebridge/virtual/plan.py
+++ b/limebridge/virtual/plan.py
@@ -20,6 +20,9 @@
     "discovery_cut": 2, "discovery_ends": 2, "discovery_lies": 2, "discovery_moves": 2,
     "clients_leave": 4, "client_rude": 2, "reload": 2, "wall_steps": 1}
 OVERLAP = 0.6  # of the faults begin within another one: timing is what is looked for
+HOLDS = ("node_stalls", "node_slow", "path_cut_back", "node_swallows")  # commands hang at a node
+AIMED = 0.25  # of the faults after one of these break its connections
+AIM = (0.55, 1.0)  # s after its beginning: round the end of the window in which keys are known
 CLOSE = (0.0, 0.002, 0.02, 0.05, 0.3, 1.0)  # s after another one's beginning
 
 
@@ -62,6 +65,11 @@
         else:
             at, node = rng.uniform(0.5, seconds - 4.0), rng.randrange(nodes)
         kind = rng.choices(kinds, weights)[0]
+        held = [fault for fault in faults if fault.kind in HOLDS]
+        if held and rng.random() < AIMED:
+            other = rng.choice(held)
+            at, node = other.at + rng.uniform(*AIM), other.node
+            kind = rng.choice(("node_closes_idle", "node_resets"))
         lasts = rng.choice((0.05, 0.3, 1.0, 3.0)) * rng.uniform(0.7, 1.3)
         amount = {"node_slow": rng.choice((3.0, 10.0)), "wall_steps": rng.uniform(-60, 60)}.get(
             kind, rng.choice((0.2, 0.6, 1.0)))
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -383,3 +383,39 @@
         asyncio.run(part(number))
 
 
+
+
+def test_an_overload_of_refused_clients_alone_ends_when_its_cause_does() -> None:
+    # Nothing but refused clients who come back when they were told to: each costs a refusal a
+    # time, none is sent on, and the first that comes after the cause has gone is served.
+    async def part() -> None:
+        node, turns = CacheNode(), Late(9.0)
+        async with Rig(node, turns=turns) as rig:
+            refusals = 0
+
+            async def returns(client: int) -> int:
+                nonlocal refusals
+                reader, writer = await rig.client()
+                tries = 0
+                while True:
+                    tries += 1
+                    writer.write(get(client * 1000 + tries))
+                    answer = await read_answer(reader)
+                    if not answer.startswith(b"-BUSY "):
+                        break
+                    refusals += 1
+                    if refusals == 60:
+                        turns.seconds = 0.0
+                    assert turns.seconds == 0.0 or not node.commands, "sent on in the overload"
+                    await asyncio.sleep(int(answer[6:]) / 1000.0)
+                writer.close()
+                assert answer == b"value of id%d" % (client * 1000 + tries)
+                return tries
+
+            tries = await soon(asyncio.gather(*(returns(client) for client in range(20))))
+            assert sum(tries) == refusals + 20 == len(node.commands) + refusals
+            assert min(tries) >= 2, "each was refused and came back"
+            await until(lambda: not rig.listener.connections)
+            assert not rig.proxy.open_requests and rig.listener.budget.used == 0
+
+    asyncio.run(part())
