--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -20,7 +20,7 @@
 from limebridge.virtual.world import Outcome, play
 
 TESTS = Path(__file__).parent
-NOT_FOUND = {"keyed_late"}  # by any of the seeds that were tried; docs/ROADMAP.md has how many
+NOT_FOUND = {"keyed_late"}  # by any seed that was tried; docs/ROADMAP.md has how many
 PLANS = sorted((TESTS / "plans").glob("*.json"))
 
 
