--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import socket
 import sys
 import tempfile
@@ -17,7 +16,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from limebridge.standins.configuration import SETTINGS, configuration  # noqa: E402
+from limebridge.standins.configuration import SETTINGS, configuration, environment  # noqa: E402
 from limebridge.standins.discovery import Discovery  # noqa: E402
 
 CLASSES = [{"name": "lookup", "promiseMs": 300.0, "deadlineMs": 600.0, "effect": "pure",
@@ -110,7 +109,7 @@
         path.write_text(json.dumps(raw))
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "violetroute", cwd=build, stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"PROXY_CONFIG": str(path)})
+            env=environment(path))
         assert process.stderr is not None
         async with asyncio.timeout(PATIENCE):
             while b" listens" not in await process.stderr.readline():
--- a/limebridge/demo.py
+++ b/limebridge/demo.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
 import sys
@@ -17,7 +16,7 @@
 from typing import Any
 
 from .standins.clients import Crowd
-from .standins.configuration import configuration
+from .standins.configuration import configuration, environment
 from .standins.database import CustomerDatabase
 from .standins.discovery import Discovery
 from .standins.shelf import Shelf
@@ -66,7 +65,7 @@
         path.write_text(json.dumps(raw))
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "violetroute", stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"PROXY_CONFIG": str(path)}, start_new_session=True)
+            env=environment(path), start_new_session=True)
         log = asyncio.create_task(_ready(process))
         try:
             await log
--- a/limebridge/standins/configuration.py
+++ b/limebridge/standins/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+from pathlib import Path
 from typing import Any
 
 SETTINGS: dict[str, Any] = {
@@ -31,3 +33,12 @@
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": {"generation": 1, "reset": True, "instances": known},
             "settings": SETTINGS | settings}
+
+
+def environment(path: Path) -> dict[str, str]:
+    """For a daemon started as a child: this configuration, and no operator's file by accident.
+
+    Its log is read here, and a file that the user's own environment names could silence it.
+    """
+    kept = {key: value for key, value in os.environ.items() if key != "LIMEBRIDGE_OPERATOR"}
+    return kept | {"PROXY_CONFIG": str(path)}
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -18,6 +18,7 @@
 import pytest
 from rig import CacheNode, Discovery, configuration, get, read_answer, soon, until
 
+from limebridge.standins.configuration import environment
 from violetroute.config import LogTable
 from violetroute.logs import DROPPED, EVENTS, FOREIGN, Logs, tell
 from violetroute.transport.lines import LINE_MOST, LineWriter
@@ -173,7 +174,7 @@
         fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, 4096)
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "violetroute", "--operator", str(operator), cwd=ROOT,
-            stderr=writing, env=os.environ | {"PROXY_CONFIG": str(config)})
+            stderr=writing, env=environment(config))
         os.close(writing)
         said = bytearray()
         os.set_blocking(reading, False)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import sys
 from collections.abc import AsyncIterator
@@ -15,6 +14,8 @@
 import pytest
 from rig import CacheNode, Discovery, configuration, get, read_answer, reply, soon, until
 
+from limebridge.standins.configuration import environment
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -50,7 +51,7 @@
 async def launch(path: Path, **more: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "violetroute", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-        env=os.environ | {"PROXY_CONFIG": str(path)} | more)
+        env=environment(path) | more)
 
 
 @asynccontextmanager
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -449,3 +449,18 @@
     for number in range(20):
         last = balancer.on_outcome(3.0, Outcome(number, 0, Result.ERROR, False, 2.0))
         assert [type(action) for action in last] == [Refuse]
+
+
+def test_a_keyed_command_has_to_arrive_within_the_window_of_its_first_attempt() -> None:
+    balancer = Balancer(SETTINGS, 1, 1000.0)
+    balancer.on_list(1000.0, ListKind.FULL, [Member(1), Member(2)])
+
+    def sent(actions: list[Any]) -> list[float]:
+        return [action.deliver_by for action in actions if isinstance(action, Send)]
+
+    assert sent(balancer.on_request(1005.0, Request(1, "keyed", 1405.0, key=7))) == [1305.0]
+    reset = Outcome(1, 0, Result.RESET, False, 30.0)
+    assert sent(balancer.on_outcome(1035.0, reset)) == [1305.0], "of the first, not its own"
+    for number, name in ((2, "read"), (3, "unsafe")):
+        request = Request(number, name, 1440.0, key=7)
+        assert sent(balancer.on_request(1040.0, request)) == [0.0]
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -358,9 +358,9 @@
         door = net.listen(Address(LOOPBACK, 0), 16, lambda: None)
         reset(socket.create_connection((LOOPBACK, door.address.port)))
         peer = Peer()
-        if door.accept(peer) is not None:
-            await until(lambda: "lost" in peer.told)
-            assert peer.told == ["lost"] and isinstance(peer.error, ConnectionResetError)
+        assert door.accept(peer) is not None
+        await until(lambda: "lost" in peer.told)
+        assert peer.told == ["lost"] and isinstance(peer.error, ConnectionResetError)
         door.close()
 
     play(part)
