No connection is closed as idle on a request that stands unread

Cause: every lost request's connection was ended by _trim_idle, as idle for 0.2 s. By the listener's clock a connection is idle until its bytes are read; a turn that lasts longer than that ended connections whose handles came later in the very same turn, and then the next one on which the client asked again. Ruled out by the same log: drains, time-outs of readers and of half a command, give_way, faults, the proxy's deadline (no lost id was ever an open request).

Change: a look at the socket (MSG_PEEK) before a connection is closed between requests: the share of idle ones, overstaying, giving way, and a drain's start and end. Who has asked goes to the end of its row and is looked at no more. A half-said command keeps its bound.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,6 +8,7 @@
 from contextvars import Context
 from typing import Any
 
+import msgspec
 import pytest
 from rig import (
     CacheNode,
@@ -23,6 +24,8 @@
     until,
 )
 
+from violetroute.clients.listener import IDLE_LEAST
+
 
 def play(part: Callable[..., Awaitable[None]], *nodes: Any, **limits: Any) -> None:
     async def run() -> None:
@@ -310,3 +313,86 @@
             writer.close()
 
     play(part, sockets=128)
+
+
+async def asked_unread(
+    rig: Rig, *commands: bytes,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection that has been idle, whose next commands stand unread in the kernel."""
+    reader, writer = await rig.client()
+    writer.write(command(b"PING"))
+    assert await read_answer(reader) == b"+PONG"
+    await until(lambda: list(rig.listener._idle) and rig.listener.loop.time()
+                - next(iter(rig.listener._idle)).since > IDLE_LEAST)
+    writer.write(b"".join(commands))  # into the kernel at once, no turn of the loop in between
+    return reader, writer
+
+
+@pytest.mark.parametrize("close", ["trim", "give way", "overstay", "drain"])
+def test_a_connection_with_an_unread_request_is_not_closed_as_idle(close: str) -> None:
+    # Lost at the CPU limit: a turn that lasted longer than a connection may be idle ended it
+    # before it came to the bytes that stood there.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        listener = rig.listener
+        reader, _ = await asked_unread(rig, get(1))
+        if close == "trim":
+            listener._idle_limit = 0
+            listener._trim_idle()
+        elif close == "give way":
+            assert not listener._give_way()
+        elif close == "overstay":
+            listener._slots, listener.limits = 1, msgspec.structs.replace(
+                listener.limits, idle_s=IDLE_LEAST)
+            next(iter(listener._idle)).look(listener.loop.time())
+        else:
+            drained = asyncio.create_task(listener.drain(5.0))
+        assert await read_answer(reader) == b"value of id1"
+        if close == "drain":
+            assert await closed(reader) == b""
+            await soon(drained)
+
+    play(part)
+
+
+def test_commands_unread_at_the_end_of_the_drains_grace_are_answered() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        served = asyncio.Event()
+
+        async def late(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await served.wait()
+            writer.write(reply(words[2]))
+
+        node.behaviour = late
+        reader, writer = await rig.client()
+        writer.write(get(1))
+        await until(lambda: rig.proxy.open_requests)
+        connection = next(iter(rig.listener._serving))
+        ends = rig.listener._accept_the_rest
+
+        def cut() -> None:  # what comes in the very turn in which the grace ends
+            writer.write(get(2))
+            ends()
+
+        rig.listener._accept_the_rest = cut  # type: ignore[method-assign]
+        drained = asyncio.create_task(rig.listener.drain(5.0))
+        await until(lambda: connection.ending)
+        assert rig.proxy.open_requests == 2
+        served.set()
+        assert [await read_answer(reader) for _ in range(2)] == [b"id1", b"id2"]
+        await soon(drained)
+
+    play(part)
+
+
+def test_one_that_always_has_something_unread_still_ends_half_said() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        reader, writer = await rig.client()
+        writer.write(b"*4\r\n$7\r\nOBJ")
+        await until(lambda: rig.listener._partial)
+        connection = next(iter(rig.listener._partial))
+        connection.since -= rig.listener.limits.command_s
+        writer.write(b".")
+        assert rig.listener._give_way()
+        assert await closed(reader) == b""
+
+    play(part)
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -305,6 +305,19 @@
             stream.resume()
         stream.end()
 
+    def asked_meanwhile(self) -> bool:
+        """Whether something of the client's stands unread, for which this loop had no time yet.
+
+        Guards against closing on a request.  By our own clock a connection is idle until its
+        bytes are read, and in an overload that is many milliseconds after they came: those were
+        ended as idle in the turn that would have read them, and so was the next connection on
+        which the client asked again.  Should also catch what comes while the process stands
+        still.  Harm: one system call more for each close.
+        """
+        stream = self._stream
+        return stream is not None and not stream.closing and not self.lingers_since \
+            and not stream.quiet()
+
     def give_way(self) -> bool:
         """Free the slot now, but never by throwing away what the client has yet to take."""
         stream = self._stream
@@ -342,5 +355,5 @@
             if now - self.since > self._listener.limits.command_s:
                 self._put_answer().finish(b"-ERR half a command\r\n")
                 self.end_after_answers()
-        elif self._listener.overstays(self, now):
+        elif self._listener.overstays(self, now) and not self.asked_meanwhile():
             self.end()
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -18,8 +18,10 @@
 ACCEPT_PAUSE = 0.05  # s until the listener looks again when nothing could give way
 SWEEP = 0.25  # s between looks at what waits for something
 CROWD_PATIENCE = 0.15  # s for a first byte when no slot is left: a real client asks at once
+GIVE_WAY_LOOKS = 8  # connections of a state looked at in one turn for one that gives way
 IDLE_LEAST = 0.2  # s that an idle one keeps its slot when others want it
 ACCEPT_AFTER_TERM = 0.55  # s; new connections come for 0.4 s, and all must be taken by 0.7 s
+UNREAD_AFTER_TERM = 0.15  # s more to read what stood unread by then
 DEFAULTS = Limits()
 
 
@@ -105,10 +107,15 @@
         for state, patience in ((self._lingering, 0.1), (self._idle, self.limits.idle_s),
                                 (self._silent, CROWD_PATIENCE),
                                 (self._partial, self.limits.command_s), (self._idle, IDLE_LEAST)):
-            for connection in state:
-                if now - connection.since >= patience and connection.give_way():
+            for connection in islice(list(state), GIVE_WAY_LOOKS):
+                if now - connection.since < patience:
+                    break
+                if state is not self._partial and connection.asked_meanwhile():
+                    self._not_idle(connection, now)
+                elif connection.give_way():
                     return True
-                break
+                else:
+                    break
         return False
 
     def overstays(self, connection: ClientConnection, now: float) -> bool:
@@ -163,7 +170,17 @@
         for connection in list(islice(self._idle, over)):
             if now - connection.since < IDLE_LEAST:
                 break
-            connection.end()
+            if connection.asked_meanwhile():
+                self._not_idle(connection, now)
+            else:
+                connection.end()
+
+    def _not_idle(self, connection: ClientConnection, now: float) -> None:
+        """It has asked and will be read: last in its row, so that nobody looks at it again."""
+        connection.since = now
+        if connection.state is not None:
+            del connection.state[connection]
+            connection.state[connection] = None
 
     def lingering(self, connection: ClientConnection) -> None:
         self._move(connection, self._lingering)
@@ -189,13 +206,18 @@
         """Go on accepting for a while, answer what was taken, close between requests."""
         self.draining = True
         for connection in list(self._idle):
-            connection.end()
+            if not connection.asked_meanwhile():  # else it ends with its answer
+                connection.end()
         await asyncio.sleep(ACCEPT_AFTER_TERM)
         self._accept_the_rest()
         for connection in [*self._silent, *self._partial]:
-            connection.end()
+            if not connection.asked_meanwhile():  # else with its answer, or when it has overstayed
+                connection.end()
         for connection in list(self._serving):
-            connection.end_after_answers()
+            if connection.asked_meanwhile():  # behind what is being served: taken as well
+                self.loop.call_later(UNREAD_AFTER_TERM, connection.end_after_answers)
+            else:
+                connection.end_after_answers()
         self._ended.clear()
         if self._taken:
             try:
