Balancer.on_sizes: shares that a plan gives caches, on the same ring and candidates

Something has to take them in, and by the design it is the module.

Change: on_sizes sets each cache's part of the ring (points nested, so a change moves only what the difference owns), its load's divisor and the counts by which d is found. Size 0 has no place on the ring and is asked as the last resort alone. A plan's sizes hold the kinds' speeds already, so the preference between kinds is not applied on top.

Nothing calls it yet.

--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -14,7 +14,7 @@
 import math
 import random
 from bisect import bisect_left
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -98,6 +98,8 @@
 OWN_WORTHY = 2.0  # times that, for what is worth more
 OWN_EACH = 4  # requests of one connection taken on in a turn: the others wait for theirs
 OWN_BACKOFF = 0.5  # share of the longest backoff: an overload of one proxy is over sooner
+SIZE_MOST = 8.0  # times an even share: a plan may give a cache no more of the keys
+SIZE_LEAST = 0.25  # the least size that a load is divided by, or nothing would go there again
 REPORT_LIFE = 4_000.0  # a load report fades towards what caches report on average
 
 _MASK = (1 << 64) - 1
@@ -231,16 +233,15 @@
     """What this proxy knows of one cache server."""
 
     __slots__ = ("absent_for", "absent_until", "cell", "cold_since", "errors", "id", "kind",
-                 "late_streak", "listed", "out", "points", "report_at", "reported", "salt", "sent",
-                 "sent_at", "served_at", "slow_at", "slow_sum", "slow_weight", "started_at",
-                 "suspect", "weight", "zone")
+                 "late_streak", "listed", "listed_weight", "out", "points", "report_at",
+                 "reported", "salt", "sent", "sent_at", "served_at", "slow_at", "slow_sum",
+                 "slow_weight", "started_at", "suspect", "weight", "zone")
 
     def __init__(self, member: Member, weight: float) -> None:
         self.id, self.zone, self.kind, self.cell = member.id, member.zone, member.kind, member.cell
         self.started_at = self.cold_since = member.started_at
-        self.weight = weight
-        points = max(1, round(POINTS_PER_CACHE * weight))
-        self.points = [mix(member.id, index) for index in range(points)]
+        self.listed_weight = weight
+        self.resize(weight)
         self.salt = mix(member.id, 1 << 20)
         self.listed = True
         self.out: dict[Attempt, None] = {}  # in the order in which they were sent
@@ -253,6 +254,15 @@
         self.suspect = False  # gone away unlisted: cold when it answers again
         self.reported, self.report_at = 0.0, -math.inf
 
+    def resize(self, weight: float) -> None:
+        """Take this share of the keys, 1 being an even one; 0 has no place on the ring.
+
+        Of more points the first are the same ones: only what the difference owns moves.
+        """
+        self.weight = max(SIZE_LEAST, weight)
+        points = max(1, round(POINTS_PER_CACHE * weight)) if weight else 0
+        self.points = [mix(self.id, index) for index in range(points)]
+
     def load(self, now: float, typical: float) -> float:
         """Own requests in flight and sent lately, and what it reported, for its size.
 
@@ -304,7 +314,7 @@
         order = sorted(range(len(points)), key=points.__getitem__)
         self._points = [points[place] for place in order]
         self._owners = [owners[place] for place in order]
-        self.size += len(caches)
+        self.size += sum(bool(cache.points) for cache in caches)
 
     def remove(self, cache: Cache) -> None:
         for point in cache.points:
@@ -312,7 +322,7 @@
             while self._owners[place] is not cache:
                 place += 1
             del self._points[place], self._owners[place]
-        self.size -= 1
+        self.size -= bool(cache.points)
 
     def walk(self, key_hash: int) -> Iterator[Cache]:
         """The distinct caches in the key's order."""
@@ -533,6 +543,7 @@
         self._origins: list[Cache] = []
         self._ready: list[Cache] = []
         self._ring, self._zone_ring = Ring(), Ring()
+        self._sizes: dict[int, float] = {}  # a plan's, by cache; empty without one
         self._placements: dict[int, list[Cache]] = {}
         self._zone_placements: dict[int, list[Cache]] = {}
         self._table = SpaceSaving()
@@ -607,6 +618,29 @@
         self._zonal = settings.cross_zone_price >= ZONE_PRICE
         return []
 
+    def on_sizes(self, now: float, sizes: Mapping[int, float]) -> list[Action]:
+        """A plan worked out ahead: the share of the keys each cache is meant for, 1 being even.
+
+        Who is not named has what the list says.  A cache of size 0 is asked as a last resort
+        only.  An empty mapping ends the plan.  What is out goes on where it is.
+        """
+        self._tick(now)
+        require(all(0.0 <= size < math.inf for size in sizes.values()), "a size is no number")
+        self._sizes = {name: min(SIZE_MOST, size) for name, size in sizes.items()}
+        moved = False
+        for cache in self._ready:
+            before = len(cache.points)
+            cache.resize(self._sizes.get(cache.id, cache.listed_weight))
+            moved = moved or len(cache.points) != before
+        if moved:
+            self._ring, self._zone_ring = Ring(), Ring()
+            self._ring.add(self._ready)
+            self._zone_ring.add([c for c in self._ready if c.zone == self.settings.zone])
+            self._placements.clear()
+            self._zone_placements.clear()
+            self._head_due = now
+        return []
+
     def on_discovery_moved(self, now: float) -> list[Action]:
         """Discovery answers elsewhere from now on: what was asked before counts for nothing.
 
@@ -756,6 +790,7 @@
         if cache is None:
             weight = member.weight / self._unit_weight if self.settings.weighted else 1.0
             cache = Cache(member, min(4.0, max(0.25, weight)))
+            cache.resize(self._sizes.get(cache.id, cache.listed_weight))
             self._caches[cache.id] = cache
             if member.kind == self.settings.origin_kind:
                 self._origins.append(cache)
@@ -801,7 +836,7 @@
     # --- head and tail ---
     def _refresh_head(self, now: float) -> None:
         self._head_due = now + HEAD_REFRESH
-        n = len(self._ready)
+        n = self._ring.size
         if not n:
             return
         head = self._table.head(1.0 / (HEAD_FRACTION * n))
@@ -838,7 +873,7 @@
         The key's own hash decides, alike at every proxy, so what a cold cache fetches
         stays useful and all proxies together keep to its ramp.
         """
-        if now < cache.absent_until:
+        if now < cache.absent_until or not cache.points:
             return False
         if cache.cold_since:
             warmth = self._warmth(cache, now)
@@ -849,6 +884,8 @@
                 # Incident i2c4cb1: in an overload a share of what is asked is several times
                 # what caches carry; count only what they serve lately.
                 take *= max(0.0, 1.0 - self._errors - self._overloads)
+                if self._sizes:  # a plan may be wrong of a new cache: no more than an even share
+                    take /= max(1.0, cache.weight)
                 return fraction(mix(key ^ cache.salt)) < take
         return True
 
@@ -859,11 +896,11 @@
         if is_head and self._zonal and self._zone_ring.size >= 2:
             # Departure: crossings are priced and a head key's copies are cheap, so each
             # zone keeps its part of the d copies to itself.
-            part = count * self._zone_ring.size / len(self._ready)
+            part = count * self._zone_ring.size / self._ring.size
             count = max(2, math.ceil(part))
             order = self._in_order(self._zone_placements, self._zone_ring, key,
                                    count + SPARE_CANDIDATES)
-        elif is_head and count >= len(self._ready):  # W-Choices
+        elif is_head and count >= self._ring.size:  # W-Choices
             order = self._ready
         else:
             order = self._placement(key, count + SPARE_CANDIDATES)
@@ -914,7 +951,7 @@
         Sent counts ignore speed: with keys spread evenly a slow kind is overrun while a
         fast one idles.  The key's hash decides, so that proxies agree and copies stay few.
         """
-        if first.kind == second.kind:
+        if first.kind == second.kind or self._sizes:  # a plan's sizes hold the speeds already
             return False
         one, two = (self._kinds[c.kind].value if c.kind in self._kinds else 1.0
                     for c in (first, second))
@@ -937,7 +974,7 @@
     def _fallback(self, pending: Pending, now: float) -> list[Cache]:
         """No candidate takes the key: any warm cache, else any at all."""
         warm = [c for c in self._ready
-                if now >= c.absent_until and self._warmth(c, now) >= 1.0]
+                if c.points and now >= c.absent_until and self._warmth(c, now) >= 1.0]
         if not warm:
             warm = [c for c in self._ready if self._admits(c, pending.key, now)]
         if not warm:  # all are away or cold: those that failed lately can still carry more
