Tests that bite on two of the sizes' guards: fallback, and the d of those with a place

Need: with each guard of on_sizes taken out in turn, two of six left the tests green: a key that no candidate takes may not fall to a cache of size 0 while a warm one with a size is there, and d is found among the caches that have a place on the ring and not among all that are listed.

Change: a fleet of warm caches without a size and cold ones with one, whose keys fall back; the number of choices of a head key is held to the caches with a place (W-Choices).

A third, W-Choices by all that are listed, is no guard: the walk over the ring then finds the same caches.

--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -102,6 +102,16 @@
     spread = Counter(driven.ask(7) for _ in range(600))
     assert driven.balancer.is_head(7) and len(spread) > 1
     assert not spread[1] and not spread[2]
+    assert driven.balancer.choices == 4  # of those that have a place: W-Choices
+
+
+def test_a_key_that_no_candidate_takes_goes_to_a_warm_one_with_a_size() -> None:
+    cold = [Member(number, started_at=1e6) for number in range(5, 13)]
+    driven = Driven(*members(4), *cold, warm_time=1e6)
+    driven.size({1: 0.0, 2: 0.0, 3: 0.0, 4: 0.1} | dict.fromkeys(range(5, 13), 1.0))
+    spread = driven.spread(400)
+    assert spread[4] > 200
+    assert not spread[1] + spread[2] + spread[3]
 
 
 def test_a_cold_cache_gets_no_more_than_an_even_share_would() -> None:
