config/tables.py: TOML into typed records, with the keys of mappings and lists named

Need: the placement solver's fleet file has tables by name and in lists; msgspec's path of a mistake leaves the keys of a mapping out.

--- a/violetroute/config/operator.py
+++ b/violetroute/config/operator.py
@@ -6,16 +6,13 @@
 
 from __future__ import annotations
 
-import tomllib
-from collections.abc import Iterable, Mapping
-from difflib import get_close_matches
 from typing import Annotated, Any, Literal
 
 import msgspec
 
 from violetroute.logs import EVENTS
 
-from .errors import ConfigError
+from .tables import names, read_toml, typed
 
 Share = Annotated[float, msgspec.Meta(ge=0.05, le=0.95)]
 Seconds = Annotated[float, msgspec.Meta(ge=0.01, le=3600.0)]
@@ -67,48 +64,14 @@
     """The file at `path`, or the defaults.  ConfigError names file, table and key."""
     if not path:
         return Operator()
-    try:
-        with open(path, "rb") as file:
-            raw = tomllib.load(file)
-    except (OSError, ValueError, RecursionError) as error:
-        raise ConfigError(f"{path}: {' '.join(str(error).split())}") from error
-    return parse_operator(raw, path)
+    return parse_operator(read_toml(path), path)
 
 
 def parse_operator(raw: dict[str, Any], path: str) -> Operator:
     """`raw` as tomllib gives it; `path` is for the error's text."""
-    _known(raw, Operator, path, "")
-    try:
-        operator = msgspec.convert(raw, Operator)
-        _names(operator.log.events, EVENTS, path, "log.events", "event")
-        return operator
-    except msgspec.ValidationError as error:
-        text, _, place = str(error).partition(" - at `$")
-        table, _, key = place.replace("[...]", "").strip("`.").rpartition(".")
-        raise ConfigError(f"{path}: [{table}] {key}: {text}") from error
-
-
-def _known(raw: Mapping[str, Any], struct: type[msgspec.Struct], path: str, table: str) -> None:
-    """ConfigError for a key that there is not, with the one that was likely meant."""
-    fields = {field.name: field for field in msgspec.structs.fields(struct)}
-    _names(raw, fields, path, table, "key" if table else "table")
-    for key, value in raw.items():
-        inner = fields[key].type
-        if isinstance(inner, type) and issubclass(inner, msgspec.Struct):
-            if not isinstance(value, dict):
-                raise ConfigError(f"{path}: [{key}]: must be a table")
-            _known(value, inner, path, f"{table}.{key}" if table else key)
-
-
-def _names(used: Iterable[str], there_are: Iterable[str], path: str, table: str,
-           kind: str) -> None:
-    names = list(there_are)
-    for name in used:
-        if name not in names:
-            near = get_close_matches(name, names, n=1)
-            hint = f"; did you mean {near[0]}?" if near else f"; there are {', '.join(names)}"
-            place = f"[{table}] {name}" if table else f"[{name}]"
-            raise ConfigError(f"{path}: {place}: unknown {kind}{hint}")
+    operator = typed(raw, Operator, path)
+    names(operator.log.events, EVENTS, path, "log.events", "event")
+    return operator
 
 
 def restart_needed(before: Operator, now: Operator) -> list[str]:
