limebridge placement: shares by a solver under constraints; the daemon follows a plan

Weights between kinds and sites are set by hand and drift; wanted are shares under capacity, cost and site constraints, the name of what breaks when they cannot all be met, and an answer with one site gone.

Change: limebridge/placement (fleet file, pure rows, HiGHS, irreducible conflicts with the least relief of each figure, plan, HTML report, solve/check/new); violetroute/placement (pure plan and ramp, a keeper that hears lists and reloads); [placement] in the operator's file, off by default; five log events.

--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `limebridge demo | check | serve | explore | replay`."""
+"""The command line: `limebridge demo | check | serve | explore | replay | placement`."""
 
 from __future__ import annotations
 
@@ -22,6 +22,7 @@
 from violetroute.config import Config, ConfigError, load
 
 from . import demo as demo_module
+from .placement.command import app as placement_app
 from .virtual import explore as explorer
 from .virtual import plan as plans
 from .virtual import story, world
@@ -30,6 +31,9 @@
                   help="The kit round the limebridge proxy.")
 
 
+app.add_typer(placement_app, name="placement")
+
+
 @app.callback()
 def _main() -> None:
     """The kit round the limebridge proxy."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -7,7 +7,8 @@
 
 ROOT = Path(__file__).parent.parent
 FORBIDDEN = {"snowstall": {"violetroute", "limebridge"}, "violetroute": {"limebridge", "typer",
-                                                                         "rich", "redis"}}
+                                                                         "rich", "redis", "highspy",
+                                                                         "numpy", "jinja2"}}
 
 
 def imported(path: Path) -> set[str]:
--- a/violetroute/config/operator.py
+++ b/violetroute/config/operator.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from violetroute.logs import EVENTS
+from violetroute.placement.plan import PlacementTable
 
 from .tables import names, read_toml, typed
 
@@ -55,6 +56,7 @@
 
     log: LogTable = LogTable()
     limits: Limits = Limits()
+    placement: PlacementTable = PlacementTable()
 
 
 NEEDS_RESTART = ("client_share", "value_share", "idle_share")  # of [limits]
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -6,7 +6,7 @@
 import math
 import os
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -14,6 +14,7 @@
 from snowstall import Settings
 from snowstall.adapter import parse_settings
 from violetroute.discovery import Listing, parse_listing
+from violetroute.placement.plan import Plan, load_plan
 from violetroute.transport import Address, parse_address
 
 from .errors import ConfigError
@@ -106,6 +107,7 @@
     operator: Operator
     operator_path: str | None
     unknown: tuple[str, ...]  # keys of the platform's file that are not known here
+    plan: Plan | None = None  # of [placement], where it names one
 
     @property
     def limits(self) -> Limits:
@@ -142,10 +144,14 @@
         raise ConfigError("PROXY_CONFIG is not set")
     operator = operator or env.get("LIMEBRIDGE_OPERATOR") or None
     ours = load_operator(operator)
+    try:
+        plan = load_plan(ours.placement.file) if ours.placement.file else None
+    except ValueError as error:
+        raise ConfigError(f"{operator}: [placement] file: {error}") from error
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
-        return _config(raw, env, ours, operator)
+        return replace(_config(raw, env, ours, operator), plan=plan)
     except msgspec.ValidationError as error:
         text, _, place = str(error).partition(" - at `$")
         key = place.strip("`.") or "the file"
--- a/violetroute/discovery.py
+++ b/violetroute/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import math
 from dataclasses import dataclass
@@ -10,7 +11,7 @@
 
 import h11
 
-from snowstall import CacheState
+from snowstall import CacheState, Member
 
 from .logs import tell
 from .transport import Address, Network, parse_address
@@ -80,6 +81,18 @@
         weight, started_at)
 
 
+def stable_hash(name: bytes) -> int:
+    """53 bits, the same in every process: keys and nodes have the same number everywhere."""
+    return int.from_bytes(hashlib.blake2b(name, digest_size=8).digest(), "big") >> 11
+
+
+def as_member(entry: Entry, now: float) -> Member:
+    """What the module is told of an entry; `now` as it knows it, in ms."""
+    # A start that is yet to come would keep the node cold until then.
+    return Member(stable_hash(entry.instance.encode()), entry.state, entry.zone, entry.kind,
+                  entry.cell, entry.weight, min(entry.started_at, now))
+
+
 class Follower(Interface):
     """What the watch knows of the proxy."""
 
--- /dev/null
+++ b/violetroute/placement/keeper.py
@@ -0,0 +1,121 @@
+"""Holds the plan for the daemon: hears of lists and reloads, tells the module sizes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+
+from violetroute.logs import tell
+
+from .plan import Like, PlacementTable, Plan, sizes, unfit
+from .ramp import Ramp
+
+STEP = 1.0  # s between two steps on the way to a new plan
+
+
+class Keeper:
+    """One plan at a time, or none.
+
+    `tell_sizes` is called with sizes by node id whenever they change, and with nothing when no
+    plan holds.  `clock` is the wall's, in seconds.  One timer at most, while sizes are on their
+    way; `close` ends it.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float],
+                 tell_sizes: Callable[[Mapping[int, float]], None]) -> None:
+        self._loop, self._clock, self._tell_sizes = loop, clock, tell_sizes
+        self._plan: Plan | None = None
+        self._table = PlacementTable()
+        self._listed: dict[str, Like] = {}
+        self._ids: dict[str, int] = {}
+        self._ramp = Ramp(self._table.moved_per_s)
+        self._told: dict[int, float] = {}
+        self._refused = ""
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def sizes(self) -> dict[int, float]:
+        """As last told, by node id."""
+        return dict(self._told)
+
+    def take(self, plan: Plan | None, table: PlacementTable) -> None:
+        """The plan from here on, at the start and after a reload."""
+        first = self._plan is None and not self._listed
+        self._plan, self._table, self._refused = plan, table, ""
+        self._ramp.rate = table.moved_per_s
+        if plan is not None:
+            age = (self._clock() - plan.made_at) / 3600.0
+            tell("placement.taken", nodes=len(plan.nodes), age_h=round(age, 1))
+            if age > table.stale_h:
+                tell("placement.stale", age_h=round(age, 1))
+        if not first:
+            self._aim()
+
+    def listed(self, whole: bool, here: Iterable[tuple[int, Like]], gone: Iterable[str]) -> None:
+        """News of the list: the nodes that serve, by id and name, and the names that do not."""
+        first = not self._listed
+        if whole:
+            self._listed, self._ids = {}, {}
+        for name in gone:
+            self._listed.pop(name, None)
+            self._ids.pop(name, None)
+        for number, like in here:
+            self._listed[like.name], self._ids[like.name] = like, number
+        if self._plan is not None:
+            self._aim(jump=first)
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _aim(self, jump: bool = False) -> None:
+        wanted = self._wanted()
+        if jump or not self._ramp.now:
+            even = {self._ids[name]: 1.0 for name in self._listed}
+            if jump or not wanted:
+                self._ramp.jump(wanted)
+            else:  # from no plan to one: what holds without is an even share
+                self._ramp.jump(even)
+                self._ramp.aim(wanted)
+        elif wanted:
+            self._ramp.aim(wanted)
+        else:  # from a plan to none: back to even shares, and then none
+            here = set(self._ids.values())
+            self._ramp.aim({number: 1.0 for number in self._ramp.now if number in here})
+        self._go_on()
+
+    def _wanted(self) -> dict[int, float]:
+        plan = self._plan
+        if plan is None:
+            return {}
+        refused = unfit(plan, self._listed, self._table.least_match)
+        if refused != self._refused:
+            self._refused = refused
+            if refused:
+                tell("placement.refused", reason=refused)
+            else:
+                tell("placement.fits", nodes=len(self._listed))
+        if refused:
+            return {}
+        return {self._ids[name]: size for name, size in sizes(plan, self._listed.values()).items()}
+
+    def _go_on(self) -> None:
+        self._say()
+        if self._timer is None and not self._ramp.there:
+            self._timer = self._loop.call_later(STEP, self._step)
+
+    def _step(self) -> None:
+        self._timer = None
+        self._ramp.step(STEP)
+        if self._ramp.there:
+            tell("placement.reached", nodes=len(self._ramp.now))
+        self._go_on()
+
+    def _say(self) -> None:
+        ends = self._ramp.there and (self._plan is None or bool(self._refused))
+        if ends:
+            self._ramp.jump({})
+        if self._ramp.now != self._told:
+            self._told = dict(self._ramp.now)
+            self._tell_sizes(self._told)
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -7,9 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 from snowstall import (
@@ -34,8 +33,9 @@
 from .clients import Answer
 from .config import Config
 from .deadlines import Deadlines
-from .discovery import Entry, Listing, Watch
+from .discovery import Listing, Watch, as_member, stable_hash
 from .logs import tell
+from .placement import Keeper, Like
 from .resp import Command, CommandError
 from .transport import Address, Network
 from .upstream import Attempt, Pool
@@ -46,11 +46,6 @@
 PULSE = 0.05  # s; the longest the loop sleeps while requests are open
 
 
-def stable_hash(name: bytes) -> int:
-    """53 bits, the same in every process: keys and nodes have the same number everywhere."""
-    return int.from_bytes(hashlib.blake2b(name, digest_size=8).digest(), "big") >> 11
-
-
 class OpenRequest:
     """A request from its last byte until its answer is given and its attempts have ended."""
 
@@ -84,6 +79,8 @@
         self._pool = Pool(self, net, config.upstream_sockets, config.connect_timeout,
                           config.idle_timeout, config.limits)
         self._watch = Watch(self, config.discovery, net)
+        self._placement = Keeper(loop, net.wall, self._size)
+        self._placement.take(config.plan, config.operator.placement)
         self._tell_list(ListKind.CACHED, config.known)
 
     @property
@@ -211,6 +208,7 @@
             self._settings = config.settings
             self._classes = {c.name: c for c in config.settings.classes}
             self._tell(None, self._balancer.on_settings, config.settings)
+        self._placement.take(config.plan, config.operator.placement)
         if self._watch.move(config.discovery):
             self._generation = 0  # another discovery's versions may mean something else
             self._tell(None, self._balancer.on_discovery_moved)
@@ -220,7 +218,7 @@
         members = []
         listed = set()
         for entry in listing.entries:
-            member = _member(entry, self.clock())
+            member = as_member(entry, self.clock())
             listed.add(member.id)
             if entry.state is CacheState.READY and entry.address is not None:
                 members += self._place(member, entry.address)
@@ -232,6 +230,14 @@
                 if cache_id not in listed:
                     self._remove(cache_id)
         self._tell(None, self._balancer.on_list, kind, members)
+        serving = [entry for entry in listing.entries if entry.state is CacheState.READY]
+        self._placement.listed(
+            kind is not ListKind.CHANGES,
+            ((stable_hash(e.instance.encode()), Like(e.instance, e.zone, e.kind)) for e in serving),
+            (e.instance for e in listing.entries if e.state is not CacheState.READY))
+
+    def _size(self, sizes: Mapping[int, float]) -> None:
+        self._tell(None, self._balancer.on_sizes, sizes)
 
     def _place(self, member: Member, address: Address) -> list[Member]:
         """Reach a node at its address; what to tell of it, and of one that it replaces there.
@@ -266,6 +272,7 @@
 
     def close(self) -> None:
         self._watch.stop()
+        self._placement.close()
         self._deadlines.close()
         if self._pulse is not None:
             self._pulse.cancel()
@@ -384,9 +391,3 @@
 def _refusal(backoff: float) -> bytes:
     """`backoff` in ms; without one the client decides."""
     return b"-BUSY %d\r\n" % round(backoff) if backoff >= 0.5 else b"-BUSY\r\n"
-
-
-def _member(entry: Entry, now: float) -> Member:
-    # A start that is yet to come would keep the node cold until then.
-    return Member(stable_hash(entry.instance.encode()), entry.state, entry.zone, entry.kind,
-                  entry.cell, entry.weight, min(entry.started_at, now))
