--- a/limebridge/placement/command.py
+++ b/limebridge/placement/command.py
@@ -32,6 +32,11 @@
 Html = Annotated[Path | None, typer.Option("--html", metavar="FILE", help="Write a report.")]
 
 
+def _console() -> Console:
+    """Names come from a file: what looks like markup in them is none."""
+    return Console(markup=False, highlight=False)
+
+
 def _stop(text: object, status: int = 2) -> NoReturn:
     typer.echo(f"limebridge: {text}", err=True)
     raise typer.Exit(status) from None
@@ -139,13 +144,13 @@
         table.add_row(node.name, node.site, node.kind, f"{share:.4f}" if share else "-",
                       f"{solution.load(node.name):.2f}" if share else "-",
                       f"{busy:.2f} ({when})" if when else "")
-    console = Console()
+    console = _console()
     console.print(table)
     console.print(", ".join(f"{name} {value:.4g}" for name, value in solution.goals.items()))
 
 
 def _show_trouble(trouble: Trouble) -> None:
-    console = Console()
+    console = _console()
     several = len(trouble.conflicts) > 1
     for number, conflict in enumerate(trouble.conflicts, 1):
         console.print(f"Conflict {number} of {len(trouble.conflicts)}, each of which has to be "
@@ -186,9 +191,9 @@
         table = Table("constraint", "worst at", "missed by")
         for name, (about, by) in worst.items():
             table.add_row(name, about, f"{by:.4g}")
-        Console().print(table if worst else "All constraints are kept.")
+        _console().print(table if worst else "All constraints are kept.")
         if strangers:
-            Console().print(f"Not in the fleet: {', '.join(strangers)}")
+            _console().print(f"Not in the fleet: {', '.join(strangers)}")
     raise typer.Exit(1 if broken else 0)
 
 
--- a/tests/test_placement_solver.py
+++ b/tests/test_placement_solver.py
@@ -394,6 +394,13 @@
         assert status == 2 and said.startswith("limebridge: ") and said.count("\n") == 1
 
 
+def test_names_that_look_like_markup_are_shown_as_they_are(tmp_path: Path) -> None:
+    fleet = tmp_path / "fleet.toml"
+    fleet.write_text(GOOD.replace('name = "n"', 'name = "[red]x"'))
+    status, said = run("solve", fleet)
+    assert status == 0 and "[red]x1" in said
+
+
 def test_a_report_escapes_names_that_are_markup() -> None:
     fleet = parse_fleet({"load": {"requests_per_s": 1, "work_ms": 1}, "sites": {"<b>": {}},
                          "kinds": {"k": {"cores": 1}},
