--- a/tests/planted/old_watch.py
+++ b/tests/planted/old_watch.py
@@ -1,5 +1,5 @@
 """Discovery's old watch is believed after a move."""
-from violetroute.discovery import Watch
+from violetroute.membership.native import Watch
 
 
 def move(self, address):
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -13,7 +13,7 @@
 
 from snowstall import Settings
 from snowstall.adapter import parse_settings
-from violetroute.discovery import Listing, parse_listing
+from violetroute.membership.native import Listing, parse_listing
 from violetroute.placement.plan import Plan, load_plan
 from violetroute.transport import Address, parse_address
 
--- a/violetroute/discovery.py
+++ b/violetroute/membership/native.py
@@ -12,9 +12,8 @@
 import h11
 
 from snowstall import CacheState, Member
-
-from .logs import tell
-from .transport import Address, Network, parse_address
+from violetroute.logs import tell
+from violetroute.transport import Address, Network, parse_address
 
 CALL_TIMEOUT = 3.0  # s until a call's first line; discovery itself lets a call wait 1 s
 SILENCE = 3.0  # s without a byte; an empty line comes every 2 s
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -33,8 +33,8 @@
 from .clients import Answer
 from .config import Config
 from .deadlines import Deadlines
-from .discovery import Listing, Watch, as_member, stable_hash
 from .logs import tell
+from .membership import Listing, Watch, as_member, stable_hash
 from .placement import Keeper, Like
 from .resp import Command, CommandError
 from .transport import Address, Network
