Consul's health API as a source of nodes: blocking queries, belief, one name for a node

The list may move to Consul, which answers late, knows only whether a process runs, and will be away just when the crush is on.

Change: membership/meaning (what an answer says), belief (flaps, the floor, emptied and halved catalogues, plans always kept), query (index rules, refusals) and source (one name across a change of source) are pure; consul.py is the sockets' part: one ask at a time on a kept connection, limits on everything, several agents in turn, a token that rotates. [consul] in the operator's file, off by default; SIGHUP moves from the platform's list to Consul and back. limebridge/standins/consul.py is an agent with true index behaviour and scripted troubles; py-consul drives it (it found that keys are matched without regard to case, and how booleans are written).

--- a/tests/planted/old_watch.py
+++ b/tests/planted/old_watch.py
@@ -1,14 +1,14 @@
 """Discovery's old watch is believed after a move."""
-from violetroute.membership.native import Watch
+from violetroute.membership.source import Membership
 
 
-def move(self, address):
-    if address == self._address:
+def move(self, discovery, consul):
+    if discovery == self._discovery:
         return False
-    self._address = address
-    self._call = None  # not stopped
+    self._discovery = discovery
+    self._watch = self._made()  # the old one is not stopped
     return True
 
 
 def plant():
-    Watch.move = move
+    Membership.move = move
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -9,6 +9,7 @@
 import json
 import tempfile
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -53,8 +54,10 @@
 class Rig:
     """The proxy between the parts, as __main__ puts it together."""
 
-    def __init__(self, *nodes: CacheNode, turns: Turns | None = None, **limits: Any) -> None:
+    def __init__(self, *nodes: CacheNode, turns: Turns | None = None,
+                 operator: config_module.Operator | None = None, **limits: Any) -> None:
         self.nodes, self.limits, self.turns = nodes, limits, turns
+        self.operator = operator
         self.discovery = Discovery()
 
     async def __aenter__(self) -> Rig:
@@ -64,6 +67,8 @@
                 await node.start()
         known = [node.entry(f"s-{i}") for i, node in enumerate(self.nodes)]
         self.config = self.load(configuration(self.discovery.port, known, **self.limits))
+        if self.operator is not None:
+            self.config = replace(self.config, operator=self.operator)
         net = SocketNetwork(asyncio.get_running_loop(), self.turns)
         self.proxy = Proxy(self.config, net)
         self.listener = Listener(self.proxy, self.config.client_sockets,
--- /dev/null
+++ b/tests/test_consul.py
@@ -0,0 +1,558 @@
+"""Consul's catalogue: what it means, what is believed of it, and the watch through troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import threading
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import consul as py_consul
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from rig import CacheNode, Rig, get, serves, soon, until
+
+from limebridge.standins.consul import Catalogue, Consul
+from snowstall import CacheState
+from violetroute.config import ConfigError, Operator
+from violetroute.config.operator import parse_operator
+from violetroute.membership import ConsulTable, Entry, Listing, stable_hash
+from violetroute.membership.belief import Belief, changes
+from violetroute.membership.meaning import Health, Instance, Reader
+from violetroute.membership.query import Query, Refused
+from violetroute.membership.source import Roster
+from violetroute.transport import Address
+
+TABLE = ConsulTable()
+READY, DRAINING, GONE = CacheState.READY, CacheState.DRAINING, CacheState.GONE
+
+
+# --- meaning ---
+def element(**more: Any) -> dict[str, Any]:
+    service = {"ID": "c1", "Service": "cache", "Address": "10.0.0.1", "Port": 6379} | more
+    return {"Node": {"Node": "m1", "Address": "10.0.0.9"}, "Service": service,
+            "Checks": [{"CheckID": "serfHealth", "Status": "passing"}]}
+
+
+def read(*elements: Any, table: ConsulTable = TABLE) -> dict[str, Instance]:
+    return Reader(table).read(json.dumps(elements).encode())
+
+
+def test_an_instance_with_all_that_its_meta_says() -> None:
+    found = read(element(Meta={"zone": "paterno", "machine_type": "old", "cell": "3",
+                               "started_at_ms": "1700"}, Weights={"Passing": 4, "Warning": 1}))
+    assert found == {"c1": Instance("c1", Address("10.0.0.1", 6379), Health.PASSING, "paterno",
+                                    "old", 3, 4.0, 1700.0)}
+
+
+@pytest.mark.parametrize(("checks", "health"), [
+    ([], Health.PASSING), ([("a", "warning"), ("b", "passing")], Health.WARNING),
+    ([("a", "warning"), ("b", "critical")], Health.CRITICAL),
+    ([("a", "new-word")], Health.CRITICAL),
+    ([("_node_maintenance", "critical")], Health.DRAINS),
+    ([("_service_maintenance:c1", "critical"), ("b", "critical")], Health.DRAINS),
+    ([("_node_maintenance", "passing")], Health.PASSING)])
+def test_states_by_the_worst_check_and_maintenance_as_a_plan(
+        checks: list[tuple[str, str]], health: Health) -> None:
+    one = element(Weights={"Passing": 4, "Warning": 2})
+    one["Checks"] = [{"CheckID": name, "Status": status} for name, status in checks]
+    found, = read(one).values()
+    assert found.health is health
+    assert found.weight == (2.0 if health is Health.WARNING else 4.0)
+
+
+def test_a_drain_by_tag_and_a_weight_of_nought() -> None:
+    assert read(element(Tags=["draining"]))["c1"].health is Health.DRAINS
+    one = element(Weights={"Passing": 4, "Warning": 0})
+    one["Checks"][0]["Status"] = "warning"
+    assert read(one)["c1"].health is Health.CRITICAL
+
+
+def test_addresses_fall_back_to_the_machine_and_may_be_ipv6() -> None:
+    assert read(element(Address=""))["c1"].address == Address("10.0.0.9", 6379)
+    assert read(element(Address="fd00::1"))["c1"].address == Address("fd00::1", 6379)
+
+
+@pytest.mark.parametrize("wrong", [
+    {"Port": 0}, {"Port": 70000}, {"Address": "a.name"}, {"Port": "x"}, {"Meta": {"cell": "x"}},
+    {"Meta": {"started_at_ms": "nan"}}, {"Weights": {"Passing": -1}}, {"ID": 7}])
+def test_an_instance_that_makes_no_sense_is_left_out_and_the_others_hold(
+        wrong: dict[str, Any]) -> None:
+    reader = Reader(TABLE)
+    found = reader.read(json.dumps([element(**wrong), element(ID="c2"), 7, {}]).encode())
+    assert set(found) == {"c2"} and reader.left_out == 3
+
+
+def test_ids_that_are_alike_on_several_machines_stay_apart() -> None:
+    one, two, three = element(), element(Port=2), element(ID="cache", Port=3)
+    two["Node"] = {"Node": "m2", "Address": "10.0.0.2"}
+    assert set(read(one, two, three)) == {"c1", "c1@m2", "m1"}
+
+
+@given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(),
+                    lambda inner: st.lists(inner) | st.dictionaries(
+                        st.sampled_from(("Node", "Service", "Checks", "ID", "Port", "x")), inner)))
+def test_no_json_does_more_than_a_value_error(value: Any) -> None:
+    try:
+        assert isinstance(read(value), dict)
+        assert isinstance(Reader(TABLE).read(json.dumps(value).encode()), dict)
+    except ValueError:
+        pass
+
+
+# --- belief ---
+def some(count: int, health: Health = Health.PASSING, start: int = 0) -> dict[str, Instance]:
+    return {f"c{n}": Instance(f"c{n}", Address("10.0.0.1", 1000 + n), health)
+            for n in range(start, start + count)}
+
+
+def states(belief: Belief, now: float = 0.0) -> dict[str, CacheState]:
+    return {name: entry.state for name, entry in belief.entries(now).items()}
+
+
+def test_a_plan_is_kept_at_once_whatever_else_is_doubted() -> None:
+    belief = Belief(TABLE)
+    belief.take(0.0, 1e9, some(4))
+    seen = some(4, Health.CRITICAL) | {"c0": replace(some(1)["c0"], health=Health.DRAINS)}
+    belief.take(1.0, 1e9, seen)
+    assert belief.panics
+    assert states(belief) == {"c0": DRAINING, "c1": READY, "c2": READY, "c3": READY}
+
+
+def test_health_is_not_believed_with_more_than_the_floor_critical() -> None:
+    belief = Belief(TABLE)
+    belief.take(0.0, 1e9, some(4))
+    belief.take(1.0, 1e9, some(4) | some(2, Health.CRITICAL))
+    assert not belief.panics and set(states(belief)) == {"c2", "c3"}
+    belief.take(2.0, 1e9, some(4) | some(3, Health.CRITICAL))
+    assert belief.panics and set(states(belief)) == {"c0", "c1", "c2", "c3"}
+
+
+def test_a_single_deregistration_holds_at_once_many_are_asked_about() -> None:
+    belief = Belief(TABLE)
+    belief.take(0.0, 1e9, some(4))
+    assert not belief.take(1.0, 1e9, some(3))
+    assert set(states(belief)) == {"c0", "c1", "c2"}
+    assert belief.take(2.0, 1e9, some(1))
+    assert set(states(belief)) == {"c0", "c1", "c2"} and belief.doubted == 2
+    assert not belief.take(2.1, 1e9, some(1), confirmed=True)
+    assert set(states(belief)) == {"c0"}
+
+
+def test_an_emptied_catalogue_is_never_believed() -> None:
+    belief = Belief(TABLE)
+    belief.take(0.0, 1e9, some(4))
+    assert belief.take(1.0, 1e9, {})
+    assert not belief.take(1.1, 1e9, {}, confirmed=True)
+    assert len(states(belief)) == 4 and belief.emptied
+    belief.take(2.0, 1e9, some(4))
+    assert not belief.emptied
+
+
+def test_a_node_that_flaps_waits_longer_each_time_and_is_not_cold_again() -> None:
+    belief = Belief(TABLE)
+    belief.take(0.0, 1e9, some(4))
+    first = belief.entries(0.0)["c0"].started_at
+    ready = returns = 0
+    here = True
+    for step in range(200):  # 300 ms each, a minute
+        now = 0.3 * step
+        sick = step % 2 == 1
+        belief.take(now, 1e9 + now, some(4) | (some(1, Health.CRITICAL) if sick else {}))
+        was, here = here, "c0" in states(belief, now)
+        ready += here
+        returns += here and not was
+        entry = belief.entries(now).get("c0")
+        assert entry is None or entry.started_at == first
+    assert ready < 0.1 * 200 and returns <= 6
+    quiet = 0.3 * 200
+    belief.take(quiet, 1e9, some(4))
+    due = belief.due(quiet)
+    assert due is not None and quiet < due <= quiet + TABLE.return_most_s
+    assert "c0" not in states(belief, due - 0.01) and "c0" in states(belief, due)
+
+
+def test_one_short_absence_costs_nothing() -> None:
+    belief = Belief(TABLE)
+    belief.take(0.0, 1e9, some(4))
+    belief.take(1.0, 1e9, some(4) | some(1, Health.CRITICAL))
+    belief.take(1.3, 1e9, some(4))
+    assert states(belief, 1.3)["c0"] is READY and belief.due(1.3) is None
+
+
+def test_cold_starts_new_ids_addresses_start_times_and_long_absences() -> None:
+    belief = Belief(TABLE)
+    belief.take(0.0, 1e9, some(4))
+    assert belief.entries(0.0)["c0"].started_at == 0.0  # it may have been there for long
+    belief.take(1.0, 2e9, some(5))
+    assert belief.entries(1.0)["c4"].started_at == 2e9
+    moved = {"c1": replace(some(2)["c1"], address=Address("10.0.0.7", 1))}
+    belief.take(2.0, 3e9, some(5) | moved)
+    assert belief.entries(2.0)["c1"].started_at == 3e9
+    told = {"c2": replace(some(3)["c2"], started_at=4e9)}
+    belief.take(3.0, 5e9, some(5) | moved | told)
+    assert belief.entries(3.0)["c2"].started_at == 4e9
+    belief.take(4.0, 5e9, some(5) | moved | told | some(1, Health.CRITICAL))
+    belief.take(4.0 + TABLE.cold_after_s, 6e9, some(5) | moved | told)
+    assert belief.entries(10.0)["c0"].started_at == 6e9
+    assert belief.entries(10.0)["c3"].started_at == 0.0
+
+
+def test_changes_say_what_is_new_different_or_gone() -> None:
+    one, two = (Entry(n, READY, Address("10.0.0.1", 1), "", "", 0, 1.0, 0.0) for n in ("a", "b"))
+    assert changes({"a": one, "b": two}, {"a": one, "b": two}) == []
+    assert changes({"a": one}, {"a": replace(one, state=DRAINING), "b": two}) == [
+        replace(one, state=DRAINING), two]
+    assert changes({"a": one}, {}) == [replace(one, state=GONE, address=None)]
+
+
+# --- query ---
+def test_the_index_by_the_published_rules() -> None:
+    query = Query(ConsulTable(tag="x y", consistency="stale", datacenter="d"))
+    assert query.target() == "/v1/health/service/cache?dc=d&tag=x+y&stale"
+    for header, index in (("7", 7), ("7", 7), ("3", 0), ("0", 0), ("-2", 0), ("x", 0), ("9", 9),
+                          ("9" * 30, 0)):
+        assert query.answered(200, {"x-consul-index": header}) is None
+        assert query.index == index
+    assert query.answered(200, {"x-consul-index": "5"}) is None
+    assert "index=5&wait=10000ms" in query.target() and query.target().endswith("&stale")
+    assert "index" not in query.target(confirm=True)
+    assert query.target(confirm=True).endswith("&consistent")
+
+
+@pytest.mark.parametrize(("status", "headers", "reason", "wait"), [
+    (403, {}, "403", 0.0), (404, {}, "404", 0.0), (301, {"location": "x"}, "301", 0.0),
+    (429, {"retry-after": "7"}, "429", 7.0), (429, {"retry-after": "999999"}, "429", 60.0),
+    (429, {"retry-after": "soon"}, "429", 0.0), (500, {"retry-after": "7"}, "500", 0.0),
+    (200, {"x-consul-knownleader": "false"}, "no leader", 0.0),
+    (200, {"x-consul-lastcontact": "10001"}, "10001 ms old", 0.0),
+    (200, {"x-consul-results-filtered-by-acls": "true"}, "may not see", 0.0)])
+def test_answers_that_tell_nothing(status: int, headers: dict[str, str], reason: str,
+                                   wait: float) -> None:
+    query = Query(TABLE)
+    refused = query.answered(status, headers | {"x-consul-index": "8"})
+    assert isinstance(refused, Refused) and reason in refused.reason and refused.wait == wait
+    assert query.index == 0  # such an answer's index would hide the next change
+
+
+# --- one name for a node ---
+def entry(name: str, port: int, state: CacheState = READY) -> Entry:
+    return Entry(name, state, None if state is GONE else Address("10.0.0.1", port), "", "", 0, 1.0,
+                 0.0)
+
+
+def names(listing: Listing) -> list[str]:
+    return [e.instance for e in listing.entries]
+
+
+def test_a_node_keeps_its_name_across_a_change_of_source() -> None:
+    roster = Roster()
+    roster.take(Listing(1, True, (entry("s-1", 1), entry("s-2", 2))))
+    roster.changes_source()
+    told = roster.take(Listing(1, True, (entry("c1", 1), entry("c2", 2), entry("c3", 3))))
+    assert names(told) == ["s-1", "s-2", "c3"]
+    assert names(roster.take(Listing(2, False, (entry("c1", 1, DRAINING),)))) == ["s-1"]
+    assert names(roster.take(Listing(3, False, (entry("c1", 1, GONE),)))) == ["s-1"]
+    # One that comes back has its name again; a new one at a known address is a new node.
+    assert names(roster.take(Listing(4, False, (entry("c1", 1), entry("c9", 2))))) == ["s-1", "c9"]
+    roster.changes_source()
+    told = roster.take(Listing(9, True, (entry("s-2", 2), entry("s-9", 3))))
+    assert names(told) == ["s-2", "c3"]
+
+
+# --- the stand-in, driven by a client that others wrote ---
+def test_py_consul_registers_blocks_and_sees_changes() -> None:
+    async def run() -> None:
+        agent = await Consul().start()
+
+        def drive() -> None:
+            client = py_consul.Consul(host="127.0.0.1", port=agent.port)
+            assert client.agent.service.register(
+                "cache", service_id="c1", port=7001, tags=["t"],
+                check=py_consul.Check.ttl("10s"))
+            assert client.agent.check.ttl_pass("service:c1")
+            index, found = client.health.service("cache", passing=True)
+            assert [e["Service"]["ID"] for e in found] == ["c1"]
+            timer = threading.Timer(0.05, lambda: client.agent.service.register(
+                "cache", service_id="c2", port=7002))
+            timer.start()
+            later, found = client.health.service("cache", index=index, wait="5s")
+            assert int(later) > int(index) and len(found) == 2
+            assert client.health.service("cache", tag="t")[1][0]["Service"]["Port"] == 7001
+            assert client.agent.service.maintenance("c1", True)
+            assert len(client.health.service("cache", passing=True)[1]) == 1
+            assert {e["ServiceID"] for e in client.catalog.service("cache")[1]} == {"c1", "c2"}
+            assert "cache" in client.catalog.services()[1]
+            assert client.agent.service.deregister("c1")
+            assert len(client.health.service("cache")[1]) == 1
+            assert client.status.leader()
+
+        await soon(asyncio.to_thread(drive))
+        await agent.stop()
+
+    asyncio.run(run())
+
+
+# --- the watch in the daemon ---
+class Setting:
+    """A proxy that follows Consul, nodes that are registered there, and its discovery unused."""
+
+    def __init__(self, rig: Rig, catalogue: Catalogue, agents: list[Consul]) -> None:
+        self.rig, self.catalogue, self.agents = rig, catalogue, agents
+
+    @property
+    def agent(self) -> Consul:
+        return self.agents[0]
+
+    def used(self) -> set[str]:
+        """The nodes that may get something new."""
+        known = set(self.rig.proxy.nodes)
+        return {name for name in (*(f"s-{n}" for n in range(9)), *(f"c{n}" for n in range(9)))
+                if stable_hash(name.encode()) in known}
+
+    async def uses(self, *wanted: str) -> None:
+        await until(lambda: self.used() == set(wanted))
+
+    async def asks_again(self) -> None:
+        count = sum(len(agent.asked) for agent in self.agents)
+        await until(lambda: sum(len(agent.asked) for agent in self.agents) > count + 1)
+
+
+def follow(part: Callable[[Setting], Awaitable[None]], agents: int = 1, **table: Any) -> None:
+    async def run() -> None:
+        catalogue = Catalogue()
+        started = [await Consul(catalogue, n).start() for n in range(agents)]
+        nodes = [await CacheNode(serves).start() for _ in range(4)]
+        for number, node in enumerate(nodes):
+            catalogue.register(f"c{number}", node.port, address="127.0.0.1")
+        operator = Operator(consul=ConsulTable(
+            agents=tuple(f"127.0.0.1:{agent.port}" for agent in started),
+            **({"least_interval_s": 0.01, "return_s": 0.05, "wait_s": 0.5} | table)))
+        async with Rig(*nodes, operator=operator) as rig:
+            setting = Setting(rig, catalogue, started)
+            # The platform's names last: the nodes were handed over under them at the start.
+            await until(lambda: started[0].asked or agents > 1)
+            await setting.uses("s-0", "s-1", "s-2", "s-3")
+            await until(lambda: any("index" in asked for a in started for asked in a.asked))
+            await part(setting)
+            assert not rig.discovery.asked  # the platform's list is not asked beside it
+        for agent in started:
+            await agent.stop()
+
+    asyncio.run(run())
+
+
+def test_drains_and_deregistrations_reach_the_proxy_and_requests_are_served() -> None:
+    async def part(setting: Setting) -> None:
+        assert await setting.rig.ask(get(1)) == [b"value of id1"]
+        setting.catalogue.maintain("c1", True)
+        await setting.uses("s-0", "s-2", "s-3")
+        setting.catalogue.deregister("c2")
+        await setting.uses("s-0", "s-3")
+        setting.catalogue.check("c0", "critical")
+        setting.catalogue.maintain("c1", False)
+        await setting.uses("s-1", "s-3")
+        setting.catalogue.check("c0", "passing")
+        await setting.uses("s-0", "s-1", "s-3")
+        assert await setting.rig.ask(get(2)) == [b"value of id2"]
+
+    follow(part)
+
+
+def test_a_drain_among_many_changes_and_in_an_answer_that_broke_off_before() -> None:
+    async def part(setting: Setting) -> None:
+        setting.agent.cut = 700  # in the midst of the body
+        for number in range(30):
+            setting.catalogue.register(f"x{number}", 1 + number, service="other")
+        setting.catalogue.check("c3", "warning")
+        setting.catalogue.maintain("c0", True)
+        await setting.asks_again()
+        assert setting.used() == {"s-0", "s-1", "s-2", "s-3"}  # nothing of half an answer counts
+        setting.agent.cut = 0
+        await setting.uses("s-1", "s-2", "s-3")
+
+    follow(part)
+
+
+TROUBLES: dict[str, dict[str, Any]] = {
+    "refused": {}, "black": {"black": True}, "500": {"status": 500},
+    "429": {"status": 429, "retry_after": "1"}, "403": {"token": "secret"},
+    "headers only": {"cut": 120}, "noise": {"answers": [b"\x00\xff\r\n\r\n"] * 3},
+    "no json": {"answers": [b"HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\n{{{"] * 3},
+    "no list": {"answers": [b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}"] * 3},
+    "too large": {"answers": [b"HTTP/1.1 200 X\r\nContent-Length: 99999999\r\n\r\n" + b"[" * 99999]
+                  * 2},
+    "redirect": {"answers": [b"HTTP/1.1 302 X\r\nLocation: /\r\nContent-Length: 0\r\n\r\n"] * 3},
+    "no leader": {"headers": {"X-Consul-KnownLeader": "false"}},
+    "stale": {"headers": {"X-Consul-LastContact": "60000"}},
+    "filtered": {"headers": {"X-Consul-Results-Filtered-By-ACLs": "true"}},
+}
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_an_outage_freezes_the_list_and_the_return_brings_what_was_missed(trouble: str) -> None:
+    async def part(setting: Setting) -> None:
+        agent = setting.agent
+        before = dict(vars(agent))
+        if trouble == "refused":
+            await agent.stop()
+        else:
+            for name, value in TROUBLES[trouble].items():
+                setattr(agent, name, list(value) if isinstance(value, list) else value)
+        failed = asyncio.Event()
+        told = setting.rig.proxy.list_failed
+        setting.rig.proxy.list_failed = lambda: (failed.set(), told())  # type: ignore
+        setting.catalogue.check("c3", "critical")  # unheard of, or not believed
+        await soon(failed.wait())
+        assert setting.used() == {"s-0", "s-1", "s-2", "s-3"}
+        assert await setting.rig.ask(get(7)) == [b"value of id7"]
+        setting.catalogue.maintain("c0", True)
+        if trouble == "refused":
+            await agent.start(agent.port)
+        else:
+            for name in TROUBLES[trouble]:
+                setattr(agent, name, before[name])
+        await setting.uses("s-1", "s-2")
+
+    follow(part, body_mb=0.05)
+
+
+def test_another_agent_is_asked_when_one_fails() -> None:
+    async def part(setting: Setting) -> None:
+        first = next(agent for agent in setting.agents if agent.asked)
+        await first.stop()
+        setting.catalogue.maintain("c0", True)
+        await setting.uses("s-1", "s-2", "s-3")
+
+    follow(part, agents=2)
+
+
+def test_an_index_that_goes_backwards_is_reset() -> None:
+    async def part(setting: Setting) -> None:
+        setting.catalogue.restart()
+        await until(lambda: any("index=1&" in asked for asked in setting.agent.asked))
+        setting.catalogue.maintain("c0", True)
+        await setting.uses("s-1", "s-2", "s-3")
+
+    follow(part)
+
+
+def test_an_emptied_catalogue_changes_nothing_and_a_halved_one_is_confirmed() -> None:
+    async def part(setting: Setting) -> None:
+        catalogue = setting.catalogue
+        kept = dict(catalogue.services)
+        catalogue.deregister(*kept)
+        await until(lambda: any(asked.endswith("consistent") for asked in setting.agent.asked))
+        await setting.asks_again()
+        assert len(setting.used()) == 4
+        catalogue.services.update(kept)
+        catalogue.change()
+        await setting.asks_again()
+        # A replica that lags says three are gone; the leader knows better.
+        catalogue.deregister("c1", "c2", "c3")
+        setting.agent.freeze()
+        catalogue.services.update(kept)
+        count = len(setting.agent.asked)
+        await until(lambda: any(asked.endswith("consistent")
+                                for asked in setting.agent.asked[count:]))
+        assert len(setting.used()) == 4
+        setting.agent.frozen = None
+        catalogue.deregister("c1", "c2", "c3")
+        await setting.uses("s-0")
+
+    follow(part)
+
+
+def test_asks_are_limited_whatever_happens() -> None:
+    async def part(setting: Setting) -> None:
+        setting.agent.headers = {"X-Consul-Index": "0"}  # never blocks: each ask returns at once
+        setting.catalogue.change()
+        await setting.asks_again()
+        loop = asyncio.get_running_loop()
+        count, began = len(setting.agent.asked), loop.time()
+        await until(lambda: len(setting.agent.asked) >= count + 5)
+        assert loop.time() - began >= 4 * 0.2 * 0.9
+
+    follow(part, least_interval_s=0.2)
+
+
+def test_the_token_rotates_and_is_not_told(tmp_path: Path, caplog: Any) -> None:
+    path = tmp_path / "token"
+    path.write_text("one\n")
+
+    async def part(setting: Setting) -> None:
+        assert setting.agent.tokens[-1] == "one"
+        setting.agent.token = "two"
+        setting.catalogue.change()
+        await setting.asks_again()
+        path.write_text("two\n")
+        setting.catalogue.maintain("c0", True)
+        await setting.uses("s-1", "s-2", "s-3")
+
+    async def accept_any(setting: Setting) -> None:
+        await part(setting)
+
+    original = Consul.__init__
+
+    def with_token(self: Consul, *args: Any) -> None:
+        original(self, *args)
+        self.token = "one"
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Consul, "__init__", with_token)
+        follow(accept_any, token_file=str(path))
+    assert "two" not in caplog.text
+
+
+def test_the_move_from_the_platforms_list_to_consul_and_back_under_load() -> None:
+    async def run() -> None:
+        catalogue = Catalogue()
+        agent = await Consul(catalogue).start()
+        nodes = [await CacheNode(serves).start() for _ in range(3)]
+        for number, node in enumerate(nodes):
+            catalogue.register(f"c{number}", node.port, address="127.0.0.1")
+        async with Rig(*nodes) as rig:
+            setting = Setting(rig, catalogue, [agent])
+            await rig.watched()
+            whole = {"generation": 5, "reset": True, "instances": [
+                node.entry(f"s-{number}") for number, node in enumerate(nodes)]}
+            rig.discovery.lines.append(whole)
+            answers: list[bytes] = []
+
+            async def load() -> None:
+                number = 0
+                while True:
+                    number += 1
+                    answers.extend(await rig.ask(get(number)))
+
+            asking = asyncio.create_task(load())
+            to_consul = replace(rig.config, operator=Operator(consul=ConsulTable(
+                agents=(f"127.0.0.1:{agent.port}",), least_interval_s=0.01)))
+            rig.proxy.reload(to_consul)
+            await until(lambda: any("index" in asked for asked in agent.asked))
+            await until(lambda: not rig.discovery.open)
+            assert setting.used() == {"s-0", "s-1", "s-2"}
+            catalogue.maintain("c0", True)
+            await setting.uses("s-1", "s-2")
+            rig.proxy.reload(rig.config)
+            await rig.watched()
+            await setting.uses("s-0", "s-1", "s-2")
+            seen = len(answers)
+            await until(lambda: len(answers) > seen + 20)
+            asking.cancel()
+            assert answers and all(answer.startswith(b"value of id") for answer in answers)
+        await agent.stop()
+
+    asyncio.run(run())
+
+
+def test_wrong_agents_are_named() -> None:
+    for agents, said in ((["consul.local:8500"], "not an address"), (["127.0.0.1"], "not an"),
+                         ("127.0.0.1:1", "Expected `array`")):
+        with pytest.raises(ConfigError, match=r"\[consul\] agents: ") as raised:
+            parse_operator({"consul": {"agents": agents}}, "f")
+        assert said in str(raised.value)
--- a/violetroute/config/operator.py
+++ b/violetroute/config/operator.py
@@ -11,8 +11,11 @@
 import msgspec
 
 from violetroute.logs import EVENTS
+from violetroute.membership.table import ConsulTable
 from violetroute.placement.plan import PlacementTable
+from violetroute.transport import parse_address
 
+from .errors import ConfigError
 from .tables import names, read_toml, typed
 
 Share = Annotated[float, msgspec.Meta(ge=0.05, le=0.95)]
@@ -57,6 +60,7 @@
     log: LogTable = LogTable()
     limits: Limits = Limits()
     placement: PlacementTable = PlacementTable()
+    consul: ConsulTable = ConsulTable()
 
 
 NEEDS_RESTART = ("client_share", "value_share", "idle_share")  # of [limits]
@@ -73,6 +77,11 @@
     """`raw` as tomllib gives it; `path` is for the error's text."""
     operator = typed(raw, Operator, path)
     names(operator.log.events, EVENTS, path, "log.events", "event")
+    for agent in operator.consul.agents:
+        try:
+            parse_address(agent)
+        except ValueError as error:
+            raise ConfigError(f"{path}: [consul] agents: {error}") from None
     return operator
 
 
--- /dev/null
+++ b/violetroute/membership/belief.py
@@ -0,0 +1,131 @@
+"""What is believed of what a catalogue says.  Pure.
+
+A catalogue knows whether a process answers its check, late, and is itself a system that fails.
+Three things are told apart:
+
+- **Plans** (maintenance mode, the drain tag, a deregistration) are kept at once, whatever else is
+  doubted: rule three.
+- **Health** is a hint. A node that goes critical is left out at once; one that comes back again and
+  again waits longer each time. When more than the floor is critical at once, the checks are more
+  likely at fault than the nodes, and health is not believed of any (Envoy's panic threshold).
+- **Vanishing** of more than the floor in one answer is asked about once more, of the leader; an
+  answer that would leave nothing is not believed at all: it tells of no single node.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from snowstall import CacheState
+
+from .meaning import Health, Instance
+from .native import Entry
+from .table import ConsulTable
+
+FLAPS_HALVE = 60.0  # s
+CALM = 1.5  # goings, weighed by age, up to which a return is believed at once
+
+
+@dataclass(slots=True)
+class _Known:
+    instance: Instance
+    started_at: float  # Unix ms
+    critical_since: float | None = None
+    back_at: float = 0.0  # not before, since it flaps
+    flaps: float = 0.0
+    flapped_at: float = 0.0
+
+
+class Belief:
+    """The nodes of one service.  Times are the loop's, in s; `wall` is Unix ms."""
+
+    def __init__(self, table: ConsulTable) -> None:
+        self.table = table
+        self._known: dict[str, _Known] = {}
+        self._heard = False
+        self.panics = False  # more than the floor is critical
+        self.doubted = 0  # that vanished in the last answer and are kept until it is confirmed
+        self.emptied = False  # the last answer had none
+
+    def take(self, now: float, wall: float, seen: Mapping[str, Instance],
+             confirmed: bool = False) -> bool:
+        """One answer.  Whether it has to be confirmed: asked again, of the leader."""
+        gone = [name for name in self._known if name not in seen]
+        self.doubted, self.emptied = 0, bool(self._known) and not seen
+        if gone and (self.emptied or (len(gone) > self.table.floor * len(self._known)
+                                      and not confirmed)):
+            self.doubted = len(gone)
+        else:
+            for name in gone:
+                del self._known[name]
+        for name, instance in seen.items():
+            self._one(now, wall, name, instance)
+        self._heard = True
+        here = [known for name, known in self._known.items()
+                if name in seen and known.instance.health is not Health.DRAINS]
+        sick = sum(known.instance.health is Health.CRITICAL for known in here)
+        self.panics = sick > self.table.floor * len(here)
+        return bool(self.doubted) and not confirmed
+
+    def _one(self, now: float, wall: float, name: str, instance: Instance) -> None:
+        known = self._known.get(name)
+        if known is None:
+            # Those of the first answer may have been there for long, as far as it tells.
+            started = instance.started_at or (wall if self._heard else 0.0)
+            known = self._known[name] = _Known(instance, started)
+        elif instance.started_at > known.started_at:
+            known.started_at = instance.started_at
+        elif instance.address != known.instance.address:
+            known.started_at = wall  # another machine, whatever its id is
+        known.instance = instance
+        sick = instance.health is Health.CRITICAL
+        if sick and known.critical_since is None:
+            known.critical_since = now
+            known.flaps = self._flaps(known, now) + 1.0
+            known.flapped_at = now
+        elif not sick and known.critical_since is not None:
+            away = now - known.critical_since
+            known.critical_since = None
+            if away >= self.table.cold_after_s and not instance.started_at:
+                known.started_at = wall
+            flaps = self._flaps(known, now)
+            if flaps > CALM:
+                wait = self.table.return_s * 2.0 ** (flaps - 2.0)
+                known.back_at = now + min(self.table.return_most_s, wait)
+
+    def _flaps(self, known: _Known, now: float) -> float:
+        return known.flaps * float(2.0 ** ((known.flapped_at - now) / FLAPS_HALVE))
+
+    def due(self, now: float) -> float | None:
+        """When `entries` changes by itself: the next return that is waited for."""
+        times = [known.back_at for known in self._known.values() if known.back_at > now]
+        return min(times, default=None)
+
+    def entries(self, now: float) -> dict[str, Entry]:
+        """What the proxy should be told, by name; who is not there has gone."""
+        return {name: Entry(name, state, known.instance.address, known.instance.zone,
+                            known.instance.kind, known.instance.cell, known.instance.weight,
+                            known.started_at)
+                for name, known in self._known.items()
+                if (state := self._state(known, now)) is not CacheState.GONE}
+
+    def _state(self, known: _Known, now: float) -> CacheState:
+        health = known.instance.health
+        if health is Health.DRAINS:
+            return CacheState.DRAINING
+        if self.panics:
+            return CacheState.READY
+        if health is Health.CRITICAL or known.back_at > now:
+            return CacheState.GONE
+        return CacheState.READY
+
+
+def changes(before: Mapping[str, Entry], after: Mapping[str, Entry]) -> list[Entry]:
+    """What has to be told of the difference."""
+    told = [entry for name, entry in after.items() if before.get(name) != entry]
+    for name, entry in before.items():
+        if name not in after:
+            told.append(Entry(name, CacheState.GONE, None, entry.zone, entry.kind, entry.cell,
+                              entry.weight, entry.started_at))
+    return told
--- a/violetroute/membership/native.py
+++ b/violetroute/membership/native.py
@@ -110,14 +110,6 @@
         self._follower, self._address, self._net = follower, address, net
         self._call: Call | None = None
 
-    def move(self, address: Address) -> bool:
-        """Where discovery is from now on; whether that is elsewhere."""
-        if address == self._address:
-            return False
-        self._address = address
-        self.stop()  # its end is not told: the module learns of the move instead
-        return True
-
     def start(self, since: int) -> None:
         self.stop()
         self._call = Call(self._follower, self._net, self._address, since)
--- /dev/null
+++ b/violetroute/membership/source.py
@@ -0,0 +1,114 @@
+"""Which source tells the list, and one name for a node whoever tells of it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Protocol
+
+from snowstall import CacheState
+from violetroute.transport import Address, Network
+
+from .consul import ConsulWatch
+from .native import Entry, Follower, Listing, Watch
+from .table import ConsulTable
+
+
+class Roster:
+    """Names across a change of source.  Pure.
+
+    Two sources may call one node differently. Told as another node it would be new, cold and
+    without all that is known of it, and with a whole fleet so there would be nobody to serve. So in
+    the first whole list of a new source a node that stands at an address which is known keeps the
+    name that it had. Later a new name at a known address is a new node: the address was given on.
+    """
+
+    def __init__(self) -> None:
+        self._here: dict[str, Entry] = {}  # by the name that is told on
+        self._called: dict[str, str] = {}  # what the source says: what is told on
+        self._new_source = True
+
+    def changes_source(self) -> None:
+        """The next whole list is another source's first."""
+        self._new_source = True
+
+    def take(self, listing: Listing) -> Listing:
+        """The list under the names that are told on."""
+        if listing.whole and self._new_source:
+            self._new_source = False
+            at = {entry.address: name for name, entry in self._here.items()}
+            taken = {entry.instance for entry in listing.entries}
+            self._called = {entry.instance: at[entry.address] for entry in listing.entries
+                            if entry.address in at and entry.instance not in self._here
+                            and at[entry.address] not in taken}
+        told = []
+        here = {} if listing.whole else self._here
+        for entry in listing.entries:
+            name = self._called.get(entry.instance, entry.instance)
+            named = entry if name == entry.instance else replace(entry, instance=name)
+            told.append(named)
+            if entry.state is CacheState.GONE:
+                here.pop(name, None)  # it keeps its name for when it comes back
+            else:
+                here[name] = named
+        self._here = here
+        return Listing(listing.generation, listing.whole, tuple(told))
+
+
+class Watching(Protocol):
+    """What every source can do."""
+
+    def start(self, since: int) -> None: ...
+    def stop(self) -> None: ...
+
+
+class Membership:
+    """The one source in use.  `start` and `stop` as the module says."""
+
+    def __init__(self, follower: Follower, net: Network, discovery: Address,
+                 consul: ConsulTable) -> None:
+        self._follower, self._net = follower, net
+        self._discovery, self._table = discovery, consul
+        self._roster = Roster()
+        self._watch = self._made()
+
+    def _made(self) -> Watching:
+        if self._table.agents:
+            return ConsulWatch(self, self._table, self._net)
+        return Watch(self, self._discovery, self._net)
+
+    def move(self, discovery: Address, consul: ConsulTable) -> bool:
+        """Where lists come from from now on; whether that is elsewhere.
+
+        What was told holds until the new source has told its first list. The old one's end is not
+        told: the module learns of the move instead.
+        """
+        same = consul == self._table and (bool(consul.agents) or discovery == self._discovery)
+        other = bool(consul.agents) != bool(self._table.agents)
+        self._discovery, self._table = discovery, consul
+        if same:
+            return False
+        self._watch.stop()
+        if other:
+            self._roster.changes_source()
+        self._watch = self._made()
+        return True
+
+    def start(self, since: int) -> None:
+        self._watch.start(since)
+
+    def stop(self) -> None:
+        self._watch.stop()
+
+    # --- from the watch ---
+    def list_changed(self, listing: Listing) -> None:
+        self._follower.list_changed(self._roster.take(listing))
+
+    def list_failed(self) -> None:
+        self._follower.list_failed()
+
+    def known(self, listing: Listing) -> Listing:
+        """What the platform handed over at the start, so that its names last."""
+        known = self._roster.take(listing)
+        if self._table.agents:
+            self._roster.changes_source()
+        return known
--- /dev/null
+++ b/violetroute/membership/table.py
@@ -0,0 +1,37 @@
+"""`[consul]` of the operator's file."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.01, le=3600.0)]
+
+
+class ConsulTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Off without agents.  Changes with SIGHUP: the platform's list to Consul, and back."""
+
+    agents: tuple[str, ...] = ()  # "ADDRESS:PORT", asked in turn when one fails
+    service: str = "cache"
+    datacenter: str = ""
+    namespace: str = ""
+    tag: str = ""  # only instances that have it
+    filter: str = ""  # Consul's filter expression
+    near: str = ""  # order by round trip from this node; _agent is the agent's own
+    consistency: Literal["default", "stale", "consistent"] = "default"
+    stale_within_s: Seconds = 10.0  # contact of the answering server with its leader
+    token_file: str = ""  # read before each ask, so that it can rotate; never logged
+    wait_s: Seconds = 10.0  # for which an ask without news stays open
+    least_interval_s: Seconds = 0.1  # between two asks, whatever happens
+    body_mb: Annotated[float, msgspec.Meta(ge=0.01, le=256.0)] = 16.0  # of an answer, at most
+    floor: Share = 0.5  # with more of the nodes critical at once health is not believed
+    return_s: Seconds = 1.0  # that a node which goes and comes again and again waits, doubling
+    return_most_s: Seconds = 30.0
+    cold_after_s: Seconds = 5.0  # critical for longer may have been a restart
+    drain_tag: str = "draining"  # a planned drain, beside Consul's maintenance mode
+    zone_meta: str = "zone"  # keys of the service's Meta
+    kind_meta: str = "machine_type"
+    cell_meta: str = "cell"
+    started_meta: str = "started_at_ms"  # Unix ms of the last start
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -34,7 +34,7 @@
 from .config import Config
 from .deadlines import Deadlines
 from .logs import tell
-from .membership import Listing, Watch, as_member, stable_hash
+from .membership import Listing, Membership, as_member, stable_hash
 from .placement import Keeper, Like
 from .resp import Command, CommandError
 from .transport import Address, Network
@@ -78,10 +78,10 @@
         self._classes = {c.name: c for c in config.settings.classes}
         self._pool = Pool(self, net, config.upstream_sockets, config.connect_timeout,
                           config.idle_timeout, config.limits)
-        self._watch = Watch(self, config.discovery, net)
+        self._watch = Membership(self, net, config.discovery, config.operator.consul)
         self._placement = Keeper(loop, net.wall, self._size)
         self._placement.take(config.plan, config.operator.placement)
-        self._tell_list(ListKind.CACHED, config.known)
+        self._tell_list(ListKind.CACHED, self._watch.known(config.known))
 
     @property
     def open_requests(self) -> int:
@@ -209,7 +209,7 @@
             self._classes = {c.name: c for c in config.settings.classes}
             self._tell(None, self._balancer.on_settings, config.settings)
         self._placement.take(config.plan, config.operator.placement)
-        if self._watch.move(config.discovery):
+        if self._watch.move(config.discovery, config.operator.consul):
             self._generation = 0  # another discovery's versions may mean something else
             self._tell(None, self._balancer.on_discovery_moved)
 
