--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -94,7 +94,7 @@
 
 @asynccontextmanager
 async def daemon(ports: list[int], build: Path = ROOT, sockets: int = 1024,
-                 **settings: Any) -> AsyncIterator[Running]:
+                 operator: Path | None = None, **settings: Any) -> AsyncIterator[Running]:
     """The daemon of `build` in front of nodes on these ports, ready to be asked."""
     discovery = await Discovery().start()
     entries = [{"instanceId": f"s-{port}", "hostPort": f"127.0.0.1:{port}", "zone": "a",
@@ -108,8 +108,9 @@
         path = Path(folder) / "config.json"
         path.write_text(json.dumps(raw))
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "violetroute", cwd=build, stderr=asyncio.subprocess.PIPE,
-            env=environment(path))
+            sys.executable, "-m", "violetroute",
+            *(["--operator", str(operator)] if operator is not None else []),
+            cwd=build, stderr=asyncio.subprocess.PIPE, env=environment(path))
         assert process.stderr is not None
         async with asyncio.timeout(PATIENCE):
             while b" listens" not in await process.stderr.readline():
--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -45,14 +45,18 @@
     rate: Annotated[float, typer.Option(min=0.1, max=5000.0, help="Questions a second.")] = 100.0,
     as_json: Annotated[bool, typer.Option(
         "--json", help="One line once all is ready; no clients; until SIGTERM.")] = False,
+    consul: Annotated[bool, typer.Option(
+        "--consul", help="The nodes are the service `cache` of a Consul that the proxy follows.",
+    )] = False,
 ) -> None:
     """Start the daemon with cache nodes, a customer database and discovery on loopback."""
     try:
         if as_json:
             asyncio.run(demo_module.play(
-                nodes, rate, lambda d: print(json.dumps(d.describe()), flush=True), None))
+                nodes, rate, lambda d: print(json.dumps(d.describe()), flush=True), None,
+                consul))
         else:
-            _show(nodes, rate)
+            _show(nodes, rate, consul)
     except demo_module.DemoError as error:
         typer.echo(f"limebridge: {error}", err=True)
         raise typer.Exit(1) from None
@@ -218,7 +222,7 @@
     runpy.run_path(path)["plant"]()
 
 
-def _show(nodes: int, rate: float) -> None:
+def _show(nodes: int, rate: float, consul: bool) -> None:
     console = Console()
     total: Counter[str] = Counter()
     last: list[float] = []
@@ -242,7 +246,7 @@
             last[:] = times
             live.update(table(), refresh=True)
 
-        asyncio.run(demo_module.play(nodes, rate, ready, told))
+        asyncio.run(demo_module.play(nodes, rate, ready, told, consul))
 
 
 if __name__ == "__main__":
--- a/limebridge/demo.py
+++ b/limebridge/demo.py
@@ -17,6 +17,7 @@
 
 from .standins.clients import Crowd
 from .standins.configuration import configuration, environment
+from .standins.consul import Catalogue, Consul
 from .standins.database import CustomerDatabase
 from .standins.discovery import Discovery
 from .standins.shelf import Shelf
@@ -43,16 +44,23 @@
     discovery: Discovery
     database: CustomerDatabase
     process: asyncio.subprocess.Process
+    consul: Consul | None = None
 
     def describe(self) -> dict[str, Any]:
-        return {"proxy": f"127.0.0.1:{self.port}",
-                "nodes": [f"127.0.0.1:{node.port}" for node in self.nodes],
-                "discovery": f"127.0.0.1:{self.discovery.port}"}
+        words = {"proxy": f"127.0.0.1:{self.port}",
+                 "nodes": [f"127.0.0.1:{node.port}" for node in self.nodes],
+                 "discovery": f"127.0.0.1:{self.discovery.port}"}
+        return words if self.consul is None else words | {
+            "consul": f"127.0.0.1:{self.consul.port}"}
 
 
 @asynccontextmanager
-async def running(count: int) -> AsyncIterator[Demo]:
-    """Everything started and ready; ended in order whatever happens."""
+async def running(count: int, with_consul: bool = False) -> AsyncIterator[Demo]:
+    """Everything started and ready; ended in order whatever happens.
+
+    `with_consul`: the nodes are registered there as the service `cache`, and the proxy follows it.
+    """
+    consul = await _consul() if with_consul else None
     database, discovery = CustomerDatabase(), await Discovery().start()
     nodes = [await Shelf(database).start() for _ in range(count)]
     with socket.socket() as probe:
@@ -61,16 +69,23 @@
     raw = configuration(discovery.port, [n.entry(f"node-{i}") for i, n in enumerate(nodes)],
                         sockets=1024, memory_mb=192, listen=port, classes=CLASSES)
     with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "config.json"
+        path, operator = Path(folder) / "config.json", Path(folder) / "operator.toml"
         path.write_text(json.dumps(raw))
+        arguments = ["-m", "violetroute"]
+        if consul is not None:
+            for number, node in enumerate(nodes):
+                consul.catalogue.register(f"node-{number}", node.port, address="127.0.0.1",
+                                          checks={f"service:node-{number}": "passing"})
+            operator.write_text(f'[consul]\nagents = ["127.0.0.1:{consul.port}"]\n')
+            arguments += ["--operator", str(operator)]
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "violetroute", stderr=asyncio.subprocess.PIPE,
+            sys.executable, *arguments, stderr=asyncio.subprocess.PIPE,
             env=environment(path), start_new_session=True)
         log = asyncio.create_task(_ready(process))
         try:
             await log
             draining = asyncio.create_task(_copy(process))
-            yield Demo(port, nodes, discovery, database, process)
+            yield Demo(port, nodes, discovery, database, process, consul)
             await _end(process)
             await draining
         finally:
@@ -81,6 +96,12 @@
             for node in nodes:
                 await node.stop()
             await discovery.stop()
+            if consul is not None:
+                await consul.stop()
+
+
+async def _consul() -> Consul:
+    return await Consul(Catalogue()).start()
 
 
 async def _ready(process: asyncio.subprocess.Process) -> None:
@@ -116,7 +137,8 @@
 
 
 async def play(count: int, rate: float, ready: Callable[[Demo], None],
-               told: Callable[[Counter[str], list[float]], None] | None) -> None:
+               told: Callable[[Counter[str], list[float]], None] | None,
+               with_consul: bool = False) -> None:
     """Until SIGTERM or SIGINT.  With `told`, clients ask and it hears once a second.
 
     DemoError when the daemon ends by itself.
@@ -125,7 +147,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
-    async with running(count) as demo:
+    async with running(count, with_consul) as demo:
         ready(demo)
         gone = asyncio.create_task(demo.process.wait())
         crowd = Crowd(demo.port, clients=20, keys=500)
--- /dev/null
+++ b/tests/test_consul_morning.py
@@ -0,0 +1,129 @@
+"""The user's proof: Consul delays, drops and flaps through a morning load on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from rig import Rig, until
+
+from limebridge.rules import Judge, Terms
+from limebridge.standins.clients import Crowd
+from limebridge.standins.consul import Catalogue, Consul
+from limebridge.standins.database import CustomerDatabase
+from limebridge.standins.fleet import Effects, FleetNode
+from violetroute.config import Operator
+from violetroute.membership import ConsulTable
+
+CLASS = {"name": "lookup", "promiseMs": 300.0, "deadlineMs": 600.0, "effect": "pure", "worth": 2.0}
+ORDER = {"heard": 0, "asked": 1, "arrived": 2, "accepted": 3, "answered": 4, "expired": 5}
+
+
+class Seen:
+    """All that peers saw, for the judge, who wants it in the order of time."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[float, str, tuple[Any, ...]]] = []
+
+    def arrived(self, at: float, node: str, id_: str, sent_at: float) -> None:
+        self.events.append((at, "arrived", (node, id_, sent_at)))
+
+    def accepted(self, at: float, node: str, id_: str) -> None:
+        self.events.append((at, "accepted", (node, id_)))
+
+    def effect(self, at: float, node: str, id_: str) -> None: ...
+    def started(self, at: float, node: str, capacity: float) -> None: ...
+
+    def clients(self, crowd: Crowd) -> None:
+        for ask in crowd.asks:
+            id_ = ask.words.split(b"\r\n")[6].decode()
+            self.events.append((ask.asked_at, "asked", (id_, "lookup", ask.ends_at - ask.asked_at)))
+            assert ask.kind != "closed"
+            if ask.kind == "expired":
+                self.events.append((ask.answered_at, "expired", (id_,)))
+            else:
+                self.events.append((ask.answered_at, "answered", (id_, ask.kind)))
+
+    def judged(self) -> Judge:
+        judge = Judge(Terms({"lookup": "pure"}))
+        for at, what, rest in sorted(self.events, key=lambda e: (e[0], ORDER[e[1]])):
+            getattr(judge, what)(at, *rest)
+        judge.end(max(at for at, _, _ in self.events) + 1.0)
+        return judge
+
+
+def test_no_request_is_lost_and_no_drain_broken_in_a_rough_morning() -> None:
+    async def run() -> None:
+        loop, seen, catalogue = asyncio.get_running_loop(), Seen(), Catalogue()
+        agents = [await Consul(catalogue, n).start() for n in range(2)]
+        database, effects = CustomerDatabase(latency=0.01), Effects(2.0)
+        nodes = [FleetNode(f"c{n}", database, effects, seen, f"{n}", slots=4, service=0.01)
+                 for n in range(6)]
+        for node in nodes:
+            await node.start()
+            catalogue.register(node.name, node.port, address="127.0.0.1")
+
+        def told(target: str, body: bytes) -> None:
+            if catalogue.services["c1"].checks:  # its drain is in the answer
+                seen.events.append((loop.time(), "heard", ("c1", False)))
+
+        for agent in agents:
+            agent.told = told
+        operator = Operator(consul=ConsulTable(
+            agents=tuple(f"127.0.0.1:{agent.port}" for agent in agents), wait_s=0.3,
+            least_interval_s=0.02, return_s=0.1))
+        async with Rig(operator=operator, classes=[CLASS]) as rig:
+            crowd = Crowd(rig.port, 12)
+            await crowd.connect()
+            await until(lambda: len(rig.proxy.nodes) == 6)
+
+            def both(change: Callable[[Consul], None]) -> None:
+                for agent in agents:
+                    change(agent)
+
+            async def morning() -> None:
+                await asyncio.sleep(0.2)
+                both(lambda agent: setattr(agent, "delay", 0.15))
+                catalogue.check("c0", "critical")
+                await asyncio.sleep(0.2)
+                catalogue.maintain("c1", True)  # a drain, told late
+                await until(lambda: len(rig.proxy.nodes) == 4)
+                both(lambda agent: setattr(agent, "delay", 0.0))
+                for status in ("passing", "critical") * 4:  # it flaps
+                    catalogue.check("c2", status)
+                    await asyncio.sleep(0.05)
+                catalogue.check("c2", "passing")
+                await until(lambda: len(rig.proxy.nodes) == 4)
+                for agent in agents:  # gone in the midst of it, while a node dies
+                    await agent.stop()
+                await nodes[3].die()
+                await asyncio.sleep(0.5)
+                both(lambda agent: setattr(agent, "cut", 150))
+                for agent in agents:
+                    await agent.start(agent.port)
+                await asyncio.sleep(0.3)
+                both(lambda agent: setattr(agent, "cut", 0))
+                catalogue.deregister("c3")
+                catalogue.check("c0", "passing")
+                await until(lambda: len(rig.proxy.nodes) == 4)
+
+            troubles = asyncio.create_task(morning())
+            for rate in (80.0, 160.0, 240.0):  # a ramp
+                await crowd.play(rate, 0.8)
+            while not troubles.done():
+                await crowd.play(160.0, 0.1)
+            await troubles
+            await crowd.rest()
+            crowd.close()
+        for agent in agents:
+            await agent.stop()
+        for node in nodes:
+            await node.die()
+        seen.clients(crowd)
+        judge = seen.judged()
+        assert judge.broken == []
+        assert crowd.kinds()["served"] > 0.95 * crowd.asked
+        assert any(what == "heard" for _, what, _ in seen.events)
+
+    asyncio.run(run())
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+import consul
 import redis
 from rig import get, read_answer, soon
 from typer.testing import CliRunner
@@ -22,9 +23,9 @@
 
 
 @asynccontextmanager
-async def demo() -> AsyncIterator[tuple[asyncio.subprocess.Process, dict[str, Any]]]:
+async def demo(*more: str) -> AsyncIterator[tuple[asyncio.subprocess.Process, dict[str, Any]]]:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "limebridge", "demo", "--json", "--nodes", "3", cwd=ROOT,
+        sys.executable, "-m", "limebridge", "demo", "--json", "--nodes", "3", *more, cwd=ROOT,
         stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
     assert process.stdout is not None
     try:
@@ -65,6 +66,43 @@
     asyncio.run(part())
 
 
+def test_the_proxy_follows_consul_as_a_client_that_others_wrote_changes_it() -> None:
+    async def part() -> None:
+        async with demo("--consul") as (process, told):
+            host, _, port = told["consul"].rpartition(":")
+            agent = consul.Consul(host, int(port))
+            proxy = redis.Redis(*told["proxy"].split(":"), protocol=2)  # type: ignore[arg-type]
+            ids = [each["Service"]["ID"] for each in agent.health.service("cache")[1]]
+            assert len(ids) == 3
+            number = 0
+
+            def served() -> bool:
+                nonlocal number
+                number += 1
+                try:
+                    return bool(proxy.execute_command("OBJ.GET", "k1", f"id{number}",
+                                                      "c=lookup,t=x,d=400"))
+                except redis.ResponseError as error:
+                    assert str(error).startswith("BUSY")
+                    return False
+
+            def drive() -> None:
+                assert served()
+                for id_ in ids:  # all drain: nobody is left who may be asked
+                    agent.agent.service.maintenance(id_, True)
+                while served():
+                    pass
+                agent.agent.service.maintenance(ids[1], False)
+                while not served():
+                    pass
+
+            await soon(asyncio.to_thread(drive))
+            process.send_signal(signal.SIGTERM)
+            assert await soon(process.wait()) == 0
+
+    asyncio.run(part())
+
+
 def test_arguments_that_make_no_sense_are_one_message_and_exit_2() -> None:
     result = CliRunner().invoke(app, ["demo", "--nodes", "0"])
     assert result.exit_code == 2 and "--nodes" in result.output
