--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -61,6 +61,8 @@
             return False
         if self._troubles or self._calming or any(agent.open for agent in self.agents):
             return False
+        if any(agent.port not in self.kernel.listening for agent in self.agents):
+            return False
         links = [self.kernel.link(agent.port) for agent in self.agents]
         return not any(link.blocked_to or link.blocked_back for link in links)
 
--- a/violetroute/membership/belief.py
+++ b/violetroute/membership/belief.py
@@ -35,6 +35,8 @@
     back_at: float = 0.0  # not before, since it flaps
     flaps: float = 0.0
     flapped_at: float = 0.0
+    entry: Entry | None = None  # as it was told last
+    entry_of: Instance | None = None  # what it was made of
 
 
 class Belief:
@@ -60,7 +62,10 @@
             for name in gone:
                 del self._known[name]
         for name, instance in seen.items():
-            self._one(now, wall, name, instance)
+            known = self._known.get(name)
+            # Of thousands one has changed: the reader hands out the same record for the others.
+            if known is None or known.instance is not instance:
+                self._one(now, wall, name, instance)
         self._heard = True
         here = [known for name, known in self._known.items()
                 if name in seen and known.instance.health is not Health.DRAINS]
@@ -115,10 +120,7 @@
 
     def entries(self, now: float) -> dict[str, Entry]:
         """What the proxy should be told, by name; who is not there has gone."""
-        return {name: Entry(name, state, known.instance.address, known.instance.zone,
-                            known.instance.kind, known.instance.cell, known.instance.weight,
-                            known.started_at)
-                for name, known in self._known.items()
+        return {name: _entry(name, known, state) for name, known in self._known.items()
                 if (state := self._state(known, now)) is not CacheState.GONE}
 
     def _state(self, known: _Known, now: float) -> CacheState:
@@ -132,9 +134,20 @@
         return CacheState.READY
 
 
+def _entry(name: str, known: _Known, state: CacheState) -> Entry:
+    entry, instance = known.entry, known.instance
+    if entry is None or known.entry_of is not instance or entry.state is not state \
+            or entry.started_at != known.started_at:
+        entry = known.entry = Entry(name, state, instance.address, instance.zone, instance.kind,
+                                    instance.cell, instance.weight, known.started_at)
+        known.entry_of = instance
+    return entry
+
+
 def changes(before: Mapping[str, Entry], after: Mapping[str, Entry]) -> list[Entry]:
     """What has to be told of the difference."""
-    told = [entry for name, entry in after.items() if before.get(name) != entry]
+    told = [entry for name, entry in after.items()
+            if (was := before.get(name)) is not entry and was != entry]
     for name, entry in before.items():
         if name not in after:
             told.append(Entry(name, CacheState.GONE, None, entry.zone, entry.kind, entry.cell,
