Tests that bite on four bounds: slow readers, a full house, idle shares, reuse

Change: tests for the bound on a reader that takes nothing, the pause of the door with no slot free, the least idle time before a connection makes way for its share, and the reuse of a node's connection.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -24,7 +24,7 @@
     until,
 )
 
-from violetroute.clients.listener import IDLE_LEAST
+from violetroute.clients.listener import ACCEPT_PAUSE, IDLE_LEAST
 
 
 def play(part: Callable[..., Awaitable[None]], *nodes: Any, **limits: Any) -> None:
@@ -396,3 +396,63 @@
         assert await closed(reader) == b""
 
     play(part)
+
+
+def test_a_reader_that_takes_nothing_loses_its_connection() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def large(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            writer.write(reply(b"x" * 60_000))
+
+        node.behaviour = large
+        rig.listener.limits = msgspec.structs.replace(rig.listener.limits, reader_s=1.0)
+        _, writer = await rig.client()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(b"".join(map(get, range(120))))
+        await until(lambda: any(c._stream is not None and c._stream.unsent
+                                for c in rig.listener._serving))
+        stuck = rig.listener.loop.time()
+        await until(lambda: not rig.listener.connections)
+        assert rig.listener.loop.time() - stuck > 0.7  # and not at the first look
+
+    play(part)
+
+
+def test_with_no_slot_free_the_door_is_looked_at_now_and_then() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        answer = asyncio.Event()
+
+        async def late(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await answer.wait()
+            writer.write(reply(words[2]))
+
+        node.behaviour = late
+        listener, loop = rig.listener, asyncio.get_running_loop()
+        asking = asyncio.create_task(rig.ask(get(1)))
+        await until(lambda: rig.proxy.open_requests)
+        listener._slots, looks, gives = 1, [], listener._give_way
+
+        def looked() -> bool:
+            looks.append(loop.time())
+            return gives()
+
+        listener._give_way = looked  # type: ignore[method-assign]
+        second = asyncio.create_task(rig.ask(command(b"PING")))
+        await until(lambda: len(looks) > 3)
+        assert looks[3] - looks[0] > 2 * ACCEPT_PAUSE  # and not at each poll
+        answer.set()
+        assert await soon(asking) == [b"id1"] and await soon(second) == [b"+PONG"]
+
+    play(part)
+
+
+def test_one_that_has_just_been_answered_is_not_ended_for_its_share() -> None:
+    async def part(rig: Rig, node: CacheNode) -> None:
+        reader, writer = await rig.client()
+        for _ in range(2):
+            writer.write(command(b"PING"))
+            assert await read_answer(reader) == b"+PONG"
+            rig.listener._idle_limit = 0
+            rig.listener._trim_idle()
+            assert rig.listener._idle and not rig.listener._lingering
+
+    play(part)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -10,6 +10,8 @@
 import pytest
 from rig import CacheNode, Rig, bulk, get, put, read_answer, reply, serves, soon, until
 
+from violetroute.upstream.pool import QUIET
+
 
 def play(part: Callable[..., Awaitable[None]], count: int = 1, **limits: Any) -> None:
     async def run() -> None:
@@ -406,3 +408,15 @@
         assert [words[2] for words in node.commands] == [b"id1"]
 
     play(part)
+
+
+def test_a_connection_that_has_answered_is_used_again() -> None:
+    async def run() -> None:
+        node = CacheNode(serves)
+        async with Rig(node) as rig:
+            for number in range(10):
+                assert await rig.ask(get(number)) == [b"value of id%d" % number]
+                await asyncio.sleep(2 * QUIET)  # it may speak out of turn until then
+            assert node.connections < 4  # a late quiet moment may cost one
+
+    asyncio.run(run())
