--- a/limebridge/standins/consul.py
+++ b/limebridge/standins/consul.py
@@ -13,6 +13,7 @@
 import asyncio
 import json
 import random
+import ssl
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -127,8 +128,8 @@
         self.open: dict[asyncio.StreamWriter, None] = {}
         self.port = 0
 
-    async def start(self, port: int = 0) -> Consul:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+    async def start(self, port: int = 0, tls: ssl.SSLContext | None = None) -> Consul:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port, ssl=tls)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -16,6 +16,7 @@
 from violetroute.membership.native import Listing, parse_listing
 from violetroute.placement.plan import Plan, load_plan
 from violetroute.transport import Address, parse_address
+from violetroute.transport.tls import TlsKeys
 
 from .errors import ConfigError
 from .operator import Limits, Operator, load_operator
@@ -148,6 +149,11 @@
         plan = load_plan(ours.placement.file) if ours.placement.file else None
     except ValueError as error:
         raise ConfigError(f"{operator}: [placement] file: {error}") from error
+    try:
+        if ours.consul.tls.ca:
+            TlsKeys(ours.consul.tls).context()
+    except ValueError as error:
+        raise ConfigError(f"{operator}: [consul] tls files: {error}") from error
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -74,6 +74,8 @@
     "placement.stale": Event(logging.WARNING, "the plan is old", ("age_h",)),
     "placement.taken": Event(logging.INFO, "a plan was read", ("nodes", "age_h")),
     "requests.fault": Event(logging.ERROR, "a fault of ours cost a request", ("what",)),
+    "tls.unusable": Event(logging.ERROR, "new TLS files can't be used, the old ones hold",
+                          ("reason",)),
     DROPPED: Event(logging.WARNING, "nobody read the log for a while", ("lines",)),
     FOREIGN: Event(logging.WARNING, "a library says", ("text",)),
 }
--- a/violetroute/membership/consul.py
+++ b/violetroute/membership/consul.py
@@ -10,6 +10,7 @@
 
 from violetroute.logs import tell
 from violetroute.transport import Network, Stream, parse_address
+from violetroute.transport.tls import TlsKeys, TlsStream
 
 from .belief import Belief, changes
 from .meaning import Reader
@@ -39,6 +40,7 @@
         self._clock = clock  # Unix ms as the proxy counts them: it never steps
         self._belief, self._reader = Belief(table), Reader(table)
         self._told: dict[str, Entry] | None = None  # None: a first whole list is owed
+        self._keys = TlsKeys(table.tls) if table.tls.ca else None
         self._agent = 0
         self._asked_at = self._not_before = 0.0
         self._heard_at: float | None = None
@@ -88,7 +90,7 @@
             return
         if self._call is None:
             self._call = _Call(self, self._net, self._table.agents[self._agent],
-                               round(self._table.body_mb * 1024 * 1024))
+                               round(self._table.body_mb * 1024 * 1024), self._keys)
         limit = CONFIRM_WITHIN if confirm else CALL_TIMEOUT + self._query.longest
         self._call.ask(self._query.target(confirm), token, limit, confirm)
 
@@ -185,7 +187,8 @@
 class _Call:
     """One connection to an agent, with one ask at a time."""
 
-    def __init__(self, watch: ConsulWatch, net: Network, agent: str, most: int) -> None:
+    def __init__(self, watch: ConsulWatch, net: Network, agent: str, most: int,
+                 keys: TlsKeys | None) -> None:
         self._watch, self._loop, self._agent, self._most = watch, net.loop, agent, most
         self._http = h11.Connection(h11.CLIENT)
         self._open = self._over = False
@@ -196,7 +199,9 @@
         self._confirm = False
         self._limit: Any = None
         self._began = 0.0
-        self._stream: Stream = net.connect(parse_address(agent), self, CALL_TIMEOUT)
+        address = parse_address(agent)
+        self._stream: Stream = net.connect(address, self, CALL_TIMEOUT) if keys is None \
+            else TlsStream(net, address, self, CALL_TIMEOUT, keys)
 
     def ask(self, target: str, token: str, limit: float, confirm: bool) -> None:
         """Send one ask; its answer has to begin within `limit` s."""
--- a/violetroute/membership/table.py
+++ b/violetroute/membership/table.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from violetroute.transport.tls import TlsFiles
+
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Seconds = Annotated[float, msgspec.Meta(ge=0.01, le=3600.0)]
 
@@ -23,6 +25,10 @@
     consistency: Literal["default", "stale", "consistent"] = "default"
     stale_within_s: Seconds = 10.0  # contact of the answering server with its leader
     token_file: str = ""  # read before each ask, so that it can rotate; never logged
+    tls_ca_file: str = ""  # TLS to the agents, who are believed by it; read anew when it changes
+    tls_cert_file: str = ""  # ours, where agents ask for one
+    tls_key_file: str = ""
+    tls_name: str = ""  # who an agent has to be; else its address
     wait_s: Seconds = 10.0  # for which an ask without news stays open
     least_interval_s: Seconds = 0.1  # between two asks, whatever happens
     body_mb: Annotated[float, msgspec.Meta(ge=0.01, le=256.0)] = 16.0  # of an answer, at most
@@ -35,3 +41,7 @@
     kind_meta: str = "machine_type"
     cell_meta: str = "cell"
     started_meta: str = "started_at_ms"  # Unix ms of the last start
+
+    @property
+    def tls(self) -> TlsFiles:
+        return TlsFiles(self.tls_ca_file, self.tls_cert_file, self.tls_key_file, self.tls_name)
