A new name in the platform's own list is a new node, also in its first whole list

Names were kept by address across the list that the platform hands over at the start and its own first whole list, where no source changes.

Cause: a roster began as if another source were to come, so a node that had been replaced at its address meanwhile would have inherited a warm one's standing (rule four).

Change: only a change of source keeps names. limebridge check says where nodes come from.

--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -109,6 +109,9 @@
                     for c in config.settings.classes],
         "operator's file": config.operator_path or "none: defaults",
         "log": f"{config.operator.log.level}, {config.operator.log.format}",
+        "nodes from": "the platform's list" if not config.operator.consul.agents else
+            f"Consul's {config.operator.consul.service} at "
+            + ", ".join(config.operator.consul.agents),
         "placement": "off" if config.plan is None else
             f"{config.operator.placement.file} ({len(config.plan.nodes)} nodes)",
         "unknown keys": list(config.unknown),
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -273,6 +273,14 @@
     assert names(told) == ["s-2", "c3"]
 
 
+def test_a_new_name_in_the_same_source_is_a_new_node_also_in_its_first_whole_list() -> None:
+    # With the old name it would inherit a warm node's standing: rule four.
+    roster = Roster()
+    roster.take(Listing(1, False, (entry("s-1", 1), entry("s-2", 2))))  # handed over at the start
+    assert names(roster.take(Listing(2, True, (entry("s-9", 1), entry("s-2", 2))))) == [
+        "s-9", "s-2"]
+
+
 # --- the stand-in, driven by a client that others wrote ---
 def test_py_consul_registers_blocks_and_sees_changes() -> None:
     async def run() -> None:
--- a/violetroute/membership/source.py
+++ b/violetroute/membership/source.py
@@ -26,7 +26,7 @@
     def __init__(self) -> None:
         self._here: dict[str, Entry] = {}  # by the name that is told on
         self._called: dict[str, str] = {}  # what the source says: what is told on
-        self._new_source = True
+        self._new_source = False
 
     def changes_source(self) -> None:
         """The next whole list is another source's first."""
