--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -10,6 +10,7 @@
 import functools
 import json
 from dataclasses import replace
+from random import Random
 from typing import Any
 
 import msgspec
@@ -18,6 +19,8 @@
 from limebridge.standins.fleet import FleetNode
 from violetroute.config import Operator
 from violetroute.membership import ConsulTable
+from violetroute.placement import PlacementTable
+from violetroute.placement import Plan as Shares
 
 from .plan import Fault, Plan
 from .world import World
@@ -203,6 +206,16 @@
             registered.checks.pop("serf", None)
         self.catalogue.change()
 
+    async def _plan_changes(self, fault: Fault, node: FleetNode) -> None:
+        """A plan made for nobody in particular, taken on and taken back under load."""
+        shares = _shares([one.name for one in self.nodes], fault.amount,
+                         self.kernel.random(f"plan/{fault.at}"))
+        table = PlacementTable(file="-", least_match=0.1, moved_per_s=0.3)
+        operator = msgspec.structs.replace(self.config.operator, placement=table)
+        self.proxy.reload(replace(self.config, operator=operator, plan=Shares(1, 0.0, shares)))
+        await asyncio.sleep(0.5 + fault.lasts)
+        self.proxy.reload(self.config)
+
     async def _discovery_moves(self, fault: Fault, node: FleetNode) -> None:
         """From Consul to the platform's list, and back."""
         both = self.config, replace(self.config, operator=Operator())
@@ -217,6 +230,15 @@
         self.proxy.reload(both[0])
 
 
+def _shares(names: list[str], amount: float, random: Random) -> dict[str, float]:
+    """Any shares that add up to 1; the smaller `amount` is, the more nodes have none."""
+    raw = {name: random.uniform(0.05, 1.0) if random.random() < 0.2 + amount else 0.0
+           for name in names}
+    raw[names[0]] += 0.01
+    total = sum(raw.values())
+    return {name: share / total for name, share in raw.items()}
+
+
 def _drains(element: dict[str, Any]) -> bool:
     return any("_maintenance" in check["CheckID"] for check in element["Checks"])
 
--- a/limebridge/virtual/plan.py
+++ b/limebridge/virtual/plan.py
@@ -15,7 +15,7 @@
     "clients_leave", "client_rude", "reload", "wall_steps",
     "consul_stops", "consul_black", "consul_500", "consul_late", "consul_breaks_off",
     "consul_noise", "consul_empty", "consul_halved", "consul_index", "consul_lags",
-    "consul_flaps", "consul_all_critical", "consul_no_leader"]
+    "consul_flaps", "consul_all_critical", "consul_no_leader", "plan_changes"]
 WEIGHTS: dict[Kind, int] = {
     "node_slow": 3, "node_stalls": 4, "node_dies": 4, "node_replaced": 4, "node_drains": 5,
     "node_swallows": 2, "node_spoils": 3, "node_errors": 2, "node_resets": 3,
@@ -26,7 +26,7 @@
     "consul_stops": 4, "consul_black": 4, "consul_500": 3, "consul_late": 4,
     "consul_breaks_off": 3, "consul_noise": 2, "consul_empty": 3, "consul_halved": 3,
     "consul_index": 2, "consul_lags": 3, "consul_flaps": 5, "consul_all_critical": 3,
-    "consul_no_leader": 3}
+    "consul_no_leader": 3, "plan_changes": 4}
 OVERLAP = 0.6  # of the faults begin within another one: timing is what is looked for
 HOLDS = ("node_stalls", "node_slow", "path_cut_back", "node_swallows")  # commands hang at a node
 AIMED = 0.25  # of the faults after one of these break its connections
