--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -16,6 +16,7 @@
 from limebridge.cli import app
 from violetroute.config import Config, ConfigError, Operator, load, restart_needed
 from violetroute.config.operator import load_operator, parse_operator
+from violetroute.config.tables import LARGEST
 
 ROOT = Path(__file__).parent.parent
 
@@ -111,6 +112,13 @@
         load_operator(str(tmp_path / "nowhere.toml"))
 
 
+def test_an_operators_file_that_is_too_large_is_not_read(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_bytes(b"#" * (LARGEST + 1))
+    with pytest.raises(ConfigError, match="larger than"):
+        load_operator(str(path))
+
+
 def test_the_commented_file_has_every_key_with_its_default() -> None:
     path = ROOT / "deploy" / "operator.toml"
     assert load_operator(str(path)) == Operator()
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -21,6 +21,7 @@
 from violetroute.config import ConfigError, Operator
 from violetroute.config.operator import parse_operator
 from violetroute.membership import ConsulTable, Entry, Listing, stable_hash
+from violetroute.membership import consul as watching
 from violetroute.membership.belief import Belief, changes
 from violetroute.membership.meaning import Health, Instance, Reader
 from violetroute.membership.query import Query, Refused
@@ -507,6 +508,89 @@
     follow(part, least_interval_s=0.2)
 
 
+def test_the_leader_is_asked_in_time_however_few_asks_are_allowed() -> None:
+    # What it confirms has to be kept within 500 ms of the answer that was doubted.
+    async def part(setting: Setting) -> None:
+        loop = asyncio.get_running_loop()
+        setting.catalogue.deregister("c1", "c2", "c3")
+        began = loop.time()
+        await setting.uses("s-0")
+        assert loop.time() - began < 1.0
+
+    follow(part, least_interval_s=3.0, wait_s=60.0)
+
+
+def test_a_retry_after_is_heeded() -> None:
+    async def part(setting: Setting) -> None:
+        loop, agent = asyncio.get_running_loop(), setting.agent
+        agent.status, agent.retry_after = 429, "2"
+        setting.catalogue.change()
+        count = len(agent.asked)
+        refused = asyncio.Event()
+        told = setting.rig.proxy.list_failed
+        setting.rig.proxy.list_failed = lambda: (refused.set(), told())  # type: ignore
+        await soon(refused.wait())
+        began = loop.time()
+        agent.status = 200
+        await until(lambda: len(agent.asked) > count)
+        assert loop.time() - began > 1.5  # the module's own wait is half a second at most
+
+    follow(part)
+
+
+@pytest.mark.parametrize("slow", ["drips", "stands still"])
+def test_a_body_that_does_not_come_to_its_end_is_given_up(
+        slow: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watching, "BODY_WHOLE", 0.4)
+    monkeypatch.setattr(watching, "BODY_PATIENCE", 0.2)
+    said: list[str] = []
+    monkeypatch.setattr(watching, "tell", lambda name, **more: said.append(
+        str(more.get("reason", ""))))
+
+    async def part(setting: Setting) -> None:
+        if slow == "drips":
+            setting.agent.drip = 0.01
+        else:
+            setting.agent.answers = [b"HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\n["]
+        setting.catalogue.change()
+        await until(lambda: said)
+        assert said[0] == ("the answer takes too long" if slow == "drips" else
+                           "no answer in time")
+        setting.agent.drip = 0.0
+        setting.catalogue.maintain("c0", True)
+        await setting.uses("s-1", "s-2", "s-3")
+
+    follow(part)
+
+
+def test_bytes_behind_an_answer_are_not_the_next_one() -> None:
+    async def part(setting: Setting) -> None:
+        def framed(body: bytes) -> bytes:
+            return (b"HTTP/1.1 200 X\r\nX-Consul-Index: 99\r\nContent-Length: %d\r\n\r\n%b"
+                    % (len(body), body))
+
+        good = json.dumps(setting.catalogue.listed("cache")).encode()
+        forged = json.dumps([each for each in setting.catalogue.listed("cache")
+                             if each["Service"]["ID"] != "c0"]).encode()
+        told: list[CacheState] = []
+        changed = setting.rig.proxy.list_changed
+        setting.rig.proxy.list_changed = lambda listing: (  # type: ignore
+            told.extend(e.state for e in listing.entries), changed(listing))
+        setting.agent.answers = [framed(good) + framed(forged)]
+        setting.catalogue.change()
+        await setting.asks_again()
+        setting.catalogue.maintain("c3", True)
+        await setting.uses("s-0", "s-1", "s-2")
+        assert set(told) == {DRAINING}  # nobody has gone in between
+
+    follow(part)
+
+
+def test_an_answer_with_too_many_instances_is_refused() -> None:
+    with pytest.raises(ValueError, match="more than"):
+        Reader(TABLE).read(b"[" + b"{}," * 20_000 + b"{}]")
+
+
 def test_the_token_rotates_and_is_not_told(tmp_path: Path, caplog: Any) -> None:
     path = tmp_path / "token"
     path.write_text("one\n")
--- a/tests/test_placement_solver.py
+++ b/tests/test_placement_solver.py
@@ -318,6 +318,7 @@
     "[[nodes]]\nname = 'x'\nsite = 'a'": "[nodes[2]] kind: missing",
     "[[nodes]]\nname = 'n1'\nsite = 'a'\nkind = 'k'": "n1 is there twice",
     "[[nodes]]\nname = 'x'\nsite = 'a'\nkind = 'k'\ncount = 5000": "[nodes[2]] count: ",
+    "[[nodes]]\nname = 'x'\nsite = 'a'\nkind = 'k'\ncount = 2000": "[nodes]: more than 2000",
     "[[lost]]\nname = 'x'": "[lost[1]]: give one of site, kind, nodes, any",
     "[[lost]]\nname = 'x'\nsite = 'a'\nany = 'node'": "[lost[1]]: give one of",
     "[[lost]]\nname = 'x'\nnodes = ['n11']": "n11: unknown node; did you mean n1?",
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -19,7 +19,7 @@
 from violetroute.membership import ConsulTable
 from violetroute.transport import Address
 from violetroute.transport.sockets import SocketNetwork
-from violetroute.transport.tls import TlsFiles, TlsKeys, TlsStream
+from violetroute.transport.tls import HELD_MOST, TlsFiles, TlsKeys, TlsStream
 
 
 def server(authority: trustme.CA, *names: str, demands: trustme.CA | None = None) -> ssl.SSLContext:
@@ -110,6 +110,31 @@
     connected(tmp_path, part, echoes, server(authority), TlsFiles(ca_file(authority, tmp_path)))
 
 
+def test_an_end_below_in_a_pause_waits_for_what_is_unread(tmp_path: Path) -> None:
+    authority = trustme.CA()
+
+    async def part(stream: TlsStream, owner: Owner) -> None:
+        stream.write(b"x" * 50_000)
+        await until(lambda: owner.data)
+        stream.pause()
+        stream.ended()
+        assert "ended" not in owner.told
+        stream.resume()
+        await until(lambda: "ended" in owner.told)
+
+    connected(tmp_path, part, echoes, server(authority), TlsFiles(ca_file(authority, tmp_path)))
+
+
+def test_what_is_written_before_the_handshake_is_bounded(tmp_path: Path) -> None:
+    async def part(stream: TlsStream, owner: Owner) -> None:
+        for _ in range(HELD_MOST // 1000 + 1):
+            stream.write(b"x" * 1000)
+        await until(lambda: owner.has("lost"))
+        assert "before the handshake" in owner.told[0][1]
+
+    connected(tmp_path, part, echoes, None, TlsFiles(ca_file(trustme.CA(), tmp_path)))
+
+
 @pytest.mark.parametrize("wrong", ["authority", "name", "plain", "silent", "no certificate"])
 def test_a_peer_that_is_not_who_it_should_be_is_never_opened(tmp_path: Path, wrong: str) -> None:
     authority, other = trustme.CA(), trustme.CA()
--- a/violetroute/membership/consul.py
+++ b/violetroute/membership/consul.py
@@ -21,6 +21,7 @@
 CALL_TIMEOUT = 3.0  # s until the first byte, beyond the wait that was asked for
 BODY_PATIENCE = 3.0  # s without a byte of a body
 BODY_WHOLE = 10.0  # s over one body
+CONFIRM_AFTER = 0.1  # s from one ask to the leader's word, however few asks the table allows
 CONFIRM_WITHIN = 0.3  # s for the leader's word: a drain has to be kept after 0.5
 TOKEN_MOST = 4096  # bytes of a token's file
 
@@ -74,7 +75,10 @@
     # --- asking ---
     def _ask_when_due(self, confirm: bool = False) -> None:
         now = self._loop.time()
-        at = max(self._not_before, self._asked_at + self._table.least_interval_s)
+        interval = self._table.least_interval_s
+        if confirm:  # one for each answer at most, and what it confirms is a matter of rule three
+            interval = min(interval, CONFIRM_AFTER)
+        at = max(self._not_before, self._asked_at + interval)
         if at > now:
             self._next = self._loop.call_at(at, self._ask, confirm)
         else:
@@ -290,5 +294,7 @@
 
     def _done(self) -> None:
         self._limit.cancel()
-        self.kept = self._http.their_state is h11.DONE and self._http.our_state is h11.DONE
+        # Bytes behind an answer would be taken for the next one's.
+        self.kept = self._http.their_state is h11.DONE and self._http.our_state is h11.DONE \
+            and not self._http.trailing_data[0]
         self._watch.answered(self._status, self._headers, self._body, self._confirm)
--- a/violetroute/transport/tls.py
+++ b/violetroute/transport/tls.py
@@ -205,8 +205,7 @@
         if not self._up:
             self._fail(OSError("ended in the midst of the handshake"))
         else:
-            self._read()
-            self._end_told()
+            self._read()  # tells the end behind the last that is to be read, also after a pause
 
     def drained(self) -> None:
         if self._up:
