Drains judged by the bytes that the process had; ages behind a closed window

`virtual/ears.py` follows both sides of each connection to a source byte by byte with a reader of its own (h11); the judge has rule 3 by source. An answer of Consul under another index tells its drains again; goings and drains that sources told outlive a SIGHUP.

--- a/limebridge/rules/judge.py
+++ b/limebridge/rules/judge.py
@@ -13,6 +13,8 @@
 
 PAUSE_SLACK = 0.05  # s after a pause for what became due in it
 PAUSE_SEEN = 0.1  # s of a pause that a process can see; what came in a shorter one may be late
+BURST = 0.01  # s in which a new watch may say a drain again that it has just taken back
+BEFORE = ""  # the source of what was handed over, or told by sources that are not followed any more
 SLACK = 6  # requests beyond a cold node's bound: what chance alone brings
 
 
@@ -56,7 +58,9 @@
 
 @dataclass
 class _Node:
-    drain_heard_at: float | None = None
+    told: dict[str, float] = field(default_factory=dict)  # by source: drains or gone, since then
+    taken_back: dict[str, tuple[float, float]] = field(default_factory=dict)  # since when, and when
+    burst_at: float = 0.0  # the end of the last burst in which it was told so again
     started_at: float | None = None  # None: warm
     capacity: float = 0.0  # requests a second when warm
     lately: deque[float] = field(default_factory=deque)
@@ -139,7 +143,8 @@
         """
         for name, seen in self._nodes.items():
             seen.lately.clear()
-            seen.drain_heard_at = None if node_states.get(name, True) else at
+            seen.taken_back.clear()
+            seen.told = {} if node_states.get(name, True) else {BEFORE: at}
 
     def paused(self, at: float, until: float) -> None:
         """The process gets no CPU until then: nobody can answer in time meanwhile."""
@@ -169,8 +174,8 @@
             self._break(1, at, f"sent to {node} after the final answer", id_)
         if request.gone_at is not None and sent_at > self._could_know(request.gone_at) + 0.01:
             self._break(1, at, f"sent to {node} after its client had gone", id_)
-        heard = seen.drain_heard_at
-        if heard is not None and sent_at > heard + self._terms.grace:
+        heard = min(seen.told.values(), default=None)
+        if heard is not None and sent_at > max(heard + self._terms.grace, seen.burst_at):
             self._break(3, at, f"sent to {node} {(sent_at - heard) * 1000:.1f} ms after hearing "
                                "that it drains or is gone", id_)
         if request.effect == "side_effect" and request.accepted:
@@ -211,13 +216,39 @@
             self._break(2, at, f"took effect {request.effects} times", id_)
 
     # --- discovery and starts ---
-    def heard(self, at: float, node: str, ready: bool) -> None:
-        """By now the proxy was told of a node."""
+    # Rule three.  From `grace` after a source told that a node drains or is gone it gets nothing
+    # new, until that source tells of it as ready, or any source tells of a start of it that came
+    # after that was told.  Told is what the process had the bytes of; what a wait that ran out
+    # says once more is no telling.
+    def heard(self, at: float, node: str, ready: bool, source: str = "list",
+              started_at: float | None = None, burst: bool = False) -> None:
+        """By now the proxy was told of a node by one of its sources.
+
+        `started_at`: of the node, as the source has it. `burst`: a new watch says once more what
+        was said before; what it takes back and says again at once is no new telling.
+        """
         seen = self._nodes.setdefault(node, _Node())
         if ready:
-            seen.drain_heard_at = None
-        elif seen.drain_heard_at is None:
-            seen.drain_heard_at = at
+            seen.told.pop(BEFORE, None)
+            since = seen.told.pop(source, None)
+            if since is not None:
+                seen.taken_back[source] = since, at
+            if started_at is not None:
+                seen.told = {name: since for name, since in seen.told.items()
+                             if since >= started_at}
+        elif source not in seen.told:
+            since, taken_back_at = seen.taken_back.pop(source, (at, -1.0))
+            if burst and at - taken_back_at <= BURST:
+                seen.told[source], seen.burst_at = since, at
+            else:
+                seen.told[source] = at
+
+    def follows_others(self) -> None:
+        """The proxy was given other sources: what the old ones told holds until one speaks."""
+        for seen in self._nodes.values():
+            seen.taken_back.clear()
+            if seen.told:
+                seen.told = {BEFORE: min(seen.told.values())}
 
     def started(self, at: float, node: str, capacity: float) -> None:
         """A node's process started cold; it can do so many requests a second when warm."""
--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import copy
-import functools
 import json
 from dataclasses import replace
 from random import Random
@@ -38,11 +37,10 @@
     def __init__(self, plan: Plan) -> None:
         super().__init__(plan)
         self.agents: list[Consul] = []
-        self._listed: set[str] = set()  # as the proxy was told by Consul
+        self._told: set[str] = set()  # nodes of which Consul has told the process
+        self._says: tuple[str, bytes] | None = None  # its last answer
         self._troubles: dict[Fault, dict[str, Any]] = {}  # of the agents, under way
         self._calming = 0  # that are just over
-        # Who says of which nodes that they drain or are gone: of two sources either's word counts.
-        self._said: dict[str, dict[str, float]] = {"consul": {}, "platform": {}}
 
     async def _sources(self) -> Operator:
         self.catalogue = Catalogue()
@@ -50,7 +48,7 @@
             agent = await Consul(self.catalogue, self.plan.seed * 2 + number).start()
             link = self.kernel.link(agent.port)
             link.latency, link.jitter, link.cut = 0.000_5, self.plan.jitter, self.plan.cut
-            agent.told = functools.partial(self._answered, agent)
+            self.ears.follow(agent.port)
             self.agents.append(agent)
         for node in self.nodes:
             self._register(node)
@@ -78,9 +76,8 @@
 
     # --- what the catalogue hears ---
     def _register(self, node: FleetNode) -> None:
-        born = 0.0 if node.born is None else (node.born + self._wall_off) * 1000.0
         self.catalogue.register(node.name, node.port, address="127.0.0.1",
-                                meta={"zone": "a", "started_at_ms": repr(born)},
+                                meta={"zone": "a", "started_at_ms": repr(self._born(node))},
                                 checks={f"service:{node.name}": "passing"})
 
     def _tell(self, node: FleetNode, lifecycle: str) -> None:
@@ -99,45 +96,34 @@
         self._register(node)
 
     # --- what the proxy hears ---
-    def _answered(self, agent: Consul, target: str, body: bytes) -> None:
-        """A whole answer is on its way: what it tells counts once it has crossed."""
-        link = self.kernel.link(agent.port)
-        if link.blocked_back or "/health/" not in target:
-            return
-        at = self.kernel.now + link.latency + 2 * link.jitter
+    def _answer(self, port: int, target: str, headers: dict[str, str], body: bytes) -> None:
+        """A whole answer has reached the process: what it tells counts."""
+        says = headers.get("x-consul-index", ""), body
+        if says == self._says or not says[0]:
+            return  # a wait that ran out, or noise: nothing is told
+        self._says = says
         elements = {each["Service"]["ID"]: each for each in json.loads(body)}
-        gone = self._listed - elements.keys()
-        if "X-Consul-KnownLeader" in agent.headers:  # old: what it says of drains counts alone
+        gone = self._told - elements.keys()
+        if headers.get("x-consul-knownleader") == "false":
+            # It is old: what it says of drains counts alone.
             gone, elements = set(), {name: each for name, each in elements.items()
-                                     if _drains(each) and name in self._listed}
+                                     if _drains(each) and name in self._told}
         if not elements:
             return  # an emptied catalogue tells of no node
-        if len(gone) > self.table.floor * len(self._listed) and "consistent" not in target:
+        if len(gone) > self.table.floor * len(self._told) and "consistent" not in target:
             gone = set()  # not before the leader has said so
-        self._listed = (self._listed - gone) | elements.keys()
+        self._told = (self._told - gone) | elements.keys()
+        now = self.kernel.now
         for name in gone:
-            self._hears("consul", at, name, False)
+            self.judge.heard(now, name, False, "consul")
         for name, each in elements.items():
-            self._hears("consul", at, name, not _drains(each))
+            started = float(each["Service"]["Meta"]["started_at_ms"])
+            self.judge.heard(now, name, not _drains(each), "consul", self._births.get(started))
 
     def _restarted(self, states: dict[str, bool]) -> None:
         super()._restarted(states)
-        self._said = {"consul": {}, "platform": {}}
-        self._listed.clear()
-
-    def _hears(self, source: str, at: float, name: str, ready: bool) -> None:
-        if self.plan.sources:
-            if not ready:
-                self._said[source].setdefault(name, at)
-            else:
-                self._said[source].pop(name, None)
-                born = next((one.born for one in self.nodes if one.name == name), None)
-                for said in self._said.values():
-                    if born is not None and born > said.get(name, born):
-                        del said[name]  # that was another start of it
-                if any(name in said for said in self._said.values()):
-                    return
-        self.judge.heard(at, name, ready)
+        self._told.clear()
+        self._says = None
 
     # --- troubles of the catalogue ---
     async def _agents(self, fault: Fault, **trouble: Any) -> None:
@@ -250,11 +236,6 @@
         self.discovery.lines.clear()
         self.discovery.tell(*(self._entry(one, "in_service" if one.name not in self.draining
                                           else "terminating") for one in self.nodes), reset=True)
-        self._said["consul"].clear()
-        self._listed.clear()
-        for one in self.nodes:  # what Consul said of them no longer counts
-            if one.name not in self.draining:
-                self.judge.heard(self.kernel.now, one.name, True)
         await self._reloads(both[1])
         await asyncio.sleep(0.5 + fault.lasts)
         await self._reloads(both[0])
--- /dev/null
+++ b/limebridge/virtual/ears.py
@@ -0,0 +1,145 @@
+"""What the daemon's process was told of nodes: the bytes that its own sockets received.
+
+Until they had been read off the wire here, the world reckoned what the proxy must have heard from
+what the stand-ins meant to say, and blamed it for what never reached it: an answer to a connection
+that was closed, a watch that was refused, a list that took back what was said a moment before.  So
+both sides of each connection to a source are followed byte by byte with a reader of its own (h11,
+which is not told of the daemon's use of it), and a telling counts from the instant at which the
+process's kernel had its last byte.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import h11
+
+from .kernel import Kernel, VirtualSocket
+
+BURST = 0.01  # s from a watch's first line to the last of what it says at its start
+
+
+class Ears:
+    """Follows the connections that one process makes to certain ports.
+
+    `line` is told the port and the JSON object of each line of a watch, and whether it is of its
+    first burst, in which a watch says once more what was said before; `answer` the port, target,
+    header fields (small letters) and body of each whole answer that is no watch, with status 200.
+    """
+
+    def __init__(self, kernel: Kernel, owner: str,
+                 line: Callable[[int, dict[str, Any], bool], None],
+                 answer: Callable[[int, str, dict[str, str], bytes], None]) -> None:
+        self._kernel, self._owner, self._line, self._answer = kernel, owner, line, answer
+        self._ports: set[int] = set()
+        self._heard: dict[VirtualSocket, _Connection] = {}
+        kernel.given, kernel.received = self._given, self._received
+
+    def follow(self, port: int) -> None:
+        """A source listens there."""
+        self._ports.add(port)
+
+    def _given(self, sock: VirtualSocket, data: bytes) -> None:
+        port = self._port(sock)
+        if port is not None:
+            if sock not in self._heard:
+                self._heard[sock] = _Connection(self._kernel)
+            self._heard[sock].asked += data
+
+    def _received(self, sock: VirtualSocket, data: bytes) -> None:
+        port, connection = self._port(sock), self._heard.get(sock)
+        if port is None or connection is None:
+            return
+        for said in connection.hear(data):
+            if isinstance(said, _Line):
+                self._line(port, said.value, said.burst)
+            else:
+                self._answer(port, said.target, said.headers, said.body)
+
+    def _port(self, sock: VirtualSocket) -> int | None:
+        if sock.owner != self._owner or sock._peer_name is None:
+            return None
+        return sock._peer_name[1] if sock._peer_name[1] in self._ports else None
+
+
+class _Line:
+    def __init__(self, value: dict[str, Any], burst: bool) -> None:
+        self.value, self.burst = value, burst
+
+
+class _Whole:
+    def __init__(self, target: str, headers: dict[str, str], body: bytes) -> None:
+        self.target, self.headers, self.body = target, headers, body
+
+
+class _Connection:
+    """One connection's asks and answers."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self.asked = bytearray()  # what was sent and has no answer yet
+        self._http: h11.Connection | None = None
+        self._target, self._status = "", 0
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+        self._began: float | None = None  # s, of the first line
+        self._deaf = False  # what comes is no HTTP
+
+    def hear(self, data: bytes) -> list[_Line | _Whole]:
+        said: list[_Line | _Whole] = []
+        try:
+            while data and not self._deaf:
+                if self._http is None and not self._begin():
+                    break  # nobody has asked: it is no answer
+                assert self._http is not None
+                self._http.receive_data(data)
+                data = self._follow(said)
+        except (h11.RemoteProtocolError, ValueError):
+            self._deaf = True
+        return said
+
+    def _begin(self) -> bool:
+        head, found, rest = bytes(self.asked).partition(b"\r\n\r\n")
+        if not found:
+            return False
+        self.asked = bytearray(rest)
+        self._target = head.split(b" ", 2)[1].decode("ascii")
+        self._http = h11.Connection(h11.CLIENT)
+        self._http.send(h11.Request(method="GET", target=self._target, headers=[("Host", "x")]))
+        self._http.send(h11.EndOfMessage())
+        self._body.clear()
+        return True
+
+    def _follow(self, said: list[_Line | _Whole]) -> bytes:
+        """What is behind the end of an answer."""
+        assert self._http is not None
+        while True:
+            match self._http.next_event():
+                case h11.Response(status_code=status, headers=headers):
+                    self._status = status
+                    self._headers = {name.decode(): value.decode() for name, value in headers}
+                case h11.Data(data=data):
+                    self._body += data
+                    if "follow=1" in self._target and self._status == 200:
+                        self._cut(said)
+                case h11.EndOfMessage():
+                    if self._status == 200 and "follow=1" not in self._target:
+                        said.append(_Whole(self._target, self._headers, bytes(self._body)))
+                    behind = bytes(self._http.trailing_data[0])
+                    self._http = None
+                    return behind
+                case h11.NEED_DATA | h11.PAUSED | h11.ConnectionClosed():
+                    return b""
+                case _:
+                    pass
+
+    def _cut(self, said: list[_Line | _Whole]) -> None:
+        *lines, rest = bytes(self._body).split(b"\n")
+        self._body[:] = rest
+        for line in lines:
+            if line.strip():
+                now = self._kernel.now
+                self._began = now if self._began is None else self._began
+                said.append(_Line(json.loads(line), now - self._began <= BURST))
--- a/limebridge/virtual/kernel.py
+++ b/limebridge/virtual/kernel.py
@@ -65,6 +65,9 @@
         self.hot: dict[int, None] = {}  # descriptors that may be ready, in the order they became so
         self.packets = 0
         self.paused: dict[str, float] = {}  # owners that get no CPU, and until when
+        # Told of bytes that a socket has received, and of those that it was given to send.
+        self.received: Callable[[VirtualSocket, bytes], None] = lambda sock, data: None
+        self.given: Callable[[VirtualSocket, bytes], None] = lambda sock, data: None
 
     # --- time ---
     def at(self, when: float, what: Callable[[], None]) -> None:
@@ -203,7 +206,7 @@
         if option == socket.SO_ERROR:
             error, self._error = self._error, 0
             return error
-        return 0
+        return self._kernel.buffer if option == socket.SO_RCVBUF else 0
 
     # --- opening ---
     def bind(self, address: tuple[str, int]) -> None:
@@ -339,6 +342,7 @@
                 break
             piece = memoryview(part)[:room]
             self._sending += piece
+            self._kernel.given(self, bytes(piece))
             taken += len(piece)
             if len(piece) < len(part):
                 break
@@ -398,6 +402,7 @@
             peer._send_reset()
             return
         peer._received += data
+        self._kernel.received(peer, data)
         self._kernel.touch(peer)
         self._kernel.touch(self)  # there may be room again
         if self._sending:
--- a/limebridge/virtual/world.py
+++ b/limebridge/virtual/world.py
@@ -23,6 +23,7 @@
 from violetroute.config import Config, Operator, parse
 from violetroute.membership import parse_listing
 
+from .ears import Ears
 from .kernel import Kernel
 from .loop import Deadlock, Livelock, VirtualLoop
 from .plan import Fault, Plan
@@ -168,6 +169,9 @@
         self.keys: dict[str, bytes] = {}
         self.met: Counter[str] = Counter()
         self.draining: dict[str, None] = {}  # nodes of which discovery has said so
+        self._births: dict[float, float] = {}  # starts as they are told, and when they were
+        self._listed: dict[str, None] = {}  # by the watch that the process follows
+        self.ears = Ears(self.kernel, OWNER, self._line, self._answer)
         self._old: list[Discovery] = []
         self._tasks: dict[asyncio.Task[None], None] = {}
         self._wall_off = 1.7e9
@@ -271,6 +275,7 @@
         self.database = CustomerDatabase(latency=0.03, seed=plan.seed)
         effects = Effects(WINDOW)
         self.discovery = await Discovery().start()
+        self.ears.follow(self.discovery.port)
         self.nodes = []
         for number in range(plan.nodes):
             node = FleetNode(f"n{number}", self.database, effects, self,
@@ -301,9 +306,17 @@
                     or link.blocked_back)
 
     def _entry(self, node: FleetNode, lifecycle: str = "in_service") -> dict[str, Any]:
-        born = 0.0 if node.born is None else (node.born + self._wall_off) * 1000.0
+        born = self._born(node)
         return node.entry(node.name, lifecycle, startedAtMs=born)
 
+    def _born(self, node: FleetNode) -> float:
+        """Its start as sources tell of it: Unix ms by the wall clock of now."""
+        if node.born is None:
+            return 0.0
+        said = (node.born + self._wall_off) * 1000.0
+        self._births[said] = node.born
+        return said
+
     def _look(self) -> None:
         """The program's own bounds, at every so many polls."""
         self._polls += 1
@@ -426,8 +439,7 @@
         if node.port not in self.kernel.listening:
             node.begin_cold()
             await node.start(node.port)
-            self._told_of(old["instanceId"], False)
-            self._told_of(node.name, True)
+            self.draining.pop(node.name, None)  # what was said of it before it was there
             self._replaced(old, node)
 
     def _replaced(self, old: dict[str, Any], node: FleetNode) -> None:
@@ -440,20 +452,25 @@
             self.draining[node.name] = None
         self.note(f"told: {node.name} {lifecycle}")
         self.discovery.tell(self._entry(node, lifecycle))
-        self._told_of(node.name, lifecycle == "in_service")
 
-    def _told_of(self, name: str, ready: bool) -> None:
-        """The proxy has heard of it once the line has crossed a path that is open."""
-        link = self.kernel.link(self.discovery.port)
-        if ready:
-            self._hears("platform", self.kernel.now, name, True)
-        elif any(not writer.transport.is_closing() for writer in self.discovery.open) \
-                and not link.blocked_back:
-            self._hears("platform", self.kernel.now + link.latency + 2 * link.jitter, name, False)
+    def _line(self, port: int, value: dict[str, Any], burst: bool) -> None:
+        """A line of a watch has reached the process."""
+        before, listed = self._listed, {} if value["reset"] else dict(self._listed)
+        for entry in value["instances"]:
+            name, ready = entry["instanceId"], entry["lifecycle"] == "in_service"
+            if entry["lifecycle"] == "terminated":
+                listed.pop(name, None)
+            else:
+                listed[name] = None
+            self.judge.heard(self.kernel.now, name, ready, "platform",
+                             self._births.get(entry.get("startedAtMs", 0.0)), burst)
+        for name in before:
+            if value["reset"] and name not in listed:
+                self.judge.heard(self.kernel.now, name, False, "platform", burst=burst)
+        self._listed = listed
 
-    def _hears(self, source: str, at: float, name: str, ready: bool) -> None:
-        """A source has told the proxy of a node."""
-        self.judge.heard(at, name, ready)
+    def _answer(self, port: int, target: str, headers: dict[str, str], body: bytes) -> None:
+        """Only Consul answers without a watch."""
 
     async def _path(self, fault: Fault, port: int, to: bool, back: bool) -> None:
         self.kernel.block(port, to, back)
@@ -490,6 +507,7 @@
         """Another discovery from now on; the old one still runs and praises every node."""
         old, self.discovery = self.discovery, await Discovery().start()
         self._old.append(old)
+        self.ears.follow(self.discovery.port)
         link = self.kernel.link(self.discovery.port)
         link.latency, link.jitter, link.cut = 0.000_5, self.plan.jitter, self.plan.cut
         entries = [self._entry(one, "in_service" if one.name not in self.draining
@@ -527,8 +545,12 @@
         while self.kernel.now < self.process.paused_until:
             await asyncio.sleep(self.process.paused_until - self.kernel.now)
         if self.process.state == "up":
+            proxy = self.process.proxy
+            before = proxy.follows
             self.process.listener.limits = config.limits
-            self.process.proxy.reload(config)
+            proxy.reload(config)
+            if proxy.follows is not before:
+                self.judge.follows_others()
 
     # --- the process itself ---
     async def _proxy_term(self, fault: Fault, node: FleetNode) -> None:
@@ -563,14 +585,9 @@
         self._restarted(states)
         self.process.start(replace(self.config, known=known,
                                    seed=self.config.seed + self._starts), self.port)
-        discovery = self.discovery
-        while not discovery.open and not self._ending:
-            await asyncio.sleep(0.05)
-        if self.discovery is discovery:
-            for name in self.draining:
-                self._told_of(name, False)
 
     def _restarted(self, states: dict[str, bool]) -> None:
+        self._listed = dict.fromkeys(name for name in states)
         self.judge.restarted(self.kernel.now, states)
 
     async def _proxy_paused(self, fault: Fault, node: FleetNode) -> None:
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -22,7 +22,7 @@
 from violetroute.config.operator import parse_operator
 from violetroute.membership import ConsulTable, Entry, Listing, stable_hash
 from violetroute.membership import consul as watching
-from violetroute.membership.belief import Belief, changes
+from violetroute.membership.belief import Belief, Differences, changes
 from violetroute.membership.meaning import Health, Instance, Reader
 from violetroute.membership.query import Query, Refused
 from violetroute.membership.source import Roster
@@ -667,3 +667,31 @@
         with pytest.raises(ConfigError, match=r"\[consul\] agents: ") as raised:
             parse_operator({"consul": {"agents": agents}}, "f")
         assert said in str(raised.value)
+
+
+def test_a_drain_in_a_new_answer_that_says_the_same_counts_anew() -> None:
+    # In between another source may have told of a start, and the node been drained once more.
+    def tells(again: bool) -> list[tuple[str, CacheState]]:
+        belief, told = Belief(TABLE), Differences()
+        belief.take(0.0, 1e9, some(1, Health.DRAINS) | {"x": some(2)["c1"]})
+        told.of(belief, 0.0)
+        return [(e.instance, e.state) for e in told.of(belief, 1.0, again)[1]]
+
+    assert tells(True) == [("c0", CacheState.DRAINING)] and tells(False) == []
+
+
+def test_another_index_tells_the_drains_again_and_a_wait_that_ran_out_does_not() -> None:
+    async def part(setting: Setting) -> None:
+        setting.catalogue.maintain("c1", True)
+        await setting.uses("s-0", "s-2", "s-3")
+        told: list[str] = []
+        proxy = setting.rig.proxy
+        taken = proxy.list_changed
+        proxy.list_changed = lambda listing: (  # type: ignore[method-assign]
+            told.extend(e.instance for e in listing.entries), taken(listing))[1]
+        await setting.asks_again()  # waits that ran out
+        assert told == []
+        setting.catalogue.change()
+        await until(lambda: told == ["s-1"])
+
+    follow(part)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -91,6 +91,54 @@
     assert rules(judge) == []
 
 
+def test_a_drain_ends_when_its_source_takes_it_back_or_a_later_start_is_told() -> None:
+    told = {"other source": ("b", True, None), "own source": ("a", True, None),
+            "earlier start": ("b", True, 8.0), "later start": ("b", True, 9.2)}
+    broken = {}
+    for case, (source, ready, started_at) in told.items():
+        judge = judged()
+        judge.heard(9.0, "n0", False, "a")
+        judge.heard(9.5, "n0", ready, source, started_at)
+        judge.arrived(10.9, "n0", "r1", 10.8)
+        broken[case] = rules(judge)
+    assert broken == {"other source": [3], "own source": [], "earlier start": [3],
+                      "later start": []}
+
+
+def test_what_a_new_watch_says_again_is_no_new_telling() -> None:
+    for burst, expected in ((True, [3]), (False, [])):
+        judge = judged()
+        judge.heard(9.0, "n0", False)
+        judge.heard(9.4, "n0", True, burst=True)
+        judge.heard(9.401, "n0", False, burst=burst)
+        judge.arrived(9.402, "n0", "r1", 9.4005)  # in between it was ready
+        judge.arrived(9.7, "n0", "r1", 9.6)
+        assert rules(judge) == expected
+
+
+def test_what_old_sources_told_holds_until_a_new_one_speaks() -> None:
+    for speaks, expected in ((False, [3]), (True, [])):
+        judge = judged()
+        judge.heard(9.0, "n0", False, "a")
+        judge.follows_others()
+        if speaks:
+            judge.heard(9.4, "n0", True, "b")
+        judge.arrived(10.2, "n0", "r1", 10.1)
+        assert rules(judge) == expected
+
+
+def test_a_new_process_knows_the_list_that_it_was_handed() -> None:
+    judge = judged()
+    judge.heard(9.0, "n0", False)
+    judge.heard(9.0, "n1", False)
+    judge.restarted(9.3, {"n0": True, "n1": False})
+    judge.arrived(10.2, "n0", "r1", 10.1)
+    judge.arrived(10.2, "n1", "r1", 9.7)
+    assert rules(judge) == []
+    judge.arrived(10.2, "n1", "r1", 9.81)
+    assert rules(judge) == [3]
+
+
 def test_a_cold_node_is_not_pushed_over() -> None:
     for count, expected in ((20, False), (90, True)):
         judge = judged()
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -273,6 +273,9 @@
     def quiet(self) -> bool:
         return True
 
+    def receive_buffer(self) -> int:
+        return 65536
+
     def delivered(self) -> bool:
         return False
 
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -73,8 +73,9 @@
         self._standing.reads(turns.count, self._loop.time(), turns.lost)
         self._decoder.feed(_shared[:count])
         self._pump()
-        if count < READ_SIZE:
-            self._standing.has_read_all()
+        if self._standing.marked and self._stream is not None:
+            self._standing.has_read(count, self._loop.time(), count < READ_SIZE,
+                                    self._stream.receive_buffer())
 
     def ended(self) -> None:
         """A client that closes has gone away; what was written to it may still reach it."""
@@ -260,6 +261,8 @@
         pause = crowded or self._awaited > 0 or self._decoder.unread > READ_SIZE
         if pause != self._reading_paused and not (self.ending and pause):
             self._reading_paused = pause
+            if pause:
+                self._standing.stops_reading(self._loop.time())
             (stream.pause if pause else stream.resume)()
         if self._answers:
             self._listener.serving(self)
--- a/violetroute/membership/belief.py
+++ b/violetroute/membership/belief.py
@@ -160,12 +160,20 @@
     def begun(self) -> bool:
         return self._told is not None
 
-    def of(self, belief: Belief, now: float) -> tuple[bool, list[Entry]]:
-        """Whether it is the whole list, and what has to be told."""
+    def of(self, belief: Belief, now: float, again: bool = False) -> tuple[bool, list[Entry]]:
+        """Whether it is the whole list, and what has to be told.
+
+        `again`: a new answer says so, also where it says the same. A drain in it counts anew: in
+        between the node may have started, as another source told, and been drained once more.
+        """
         entries = belief.entries(now)
         whole, before = self._told is None, self._told or {}
         told = []
-        for entry in changes(before, entries):
+        found = changes(before, entries)
+        if again:
+            found += [entry for name, entry in entries.items()
+                      if entry.state is CacheState.DRAINING and before.get(name) == entry]
+        for entry in found:
             if entry.state is CacheState.GONE and belief.knows(entry.instance):
                 entry = self._hints[entry.instance] = replace(entry, hint=True)
             told.append(entry)
--- a/violetroute/membership/consul.py
+++ b/violetroute/membership/consul.py
@@ -43,6 +43,7 @@
         self._told = Differences()
         self._keys = TlsKeys(table.tls) if table.tls.ca else None
         self._agent = 0
+        self._said = 0  # the index of the last answer: with another one the same says it anew
         self._asked_at = self._not_before = 0.0
         self._heard_at: float | None = None
         self._call: _Call | None = None
@@ -108,7 +109,8 @@
             self._refused(refused)
             return
         digest = hashlib.blake2b(body, digest_size=16).digest()
-        doubt = False
+        doubt, again = False, self._query.index != self._said
+        self._said = self._query.index
         if digest != self._digest or confirm:
             try:
                 seen = self._reader.read(body)
@@ -121,7 +123,7 @@
             doubt = self._belief.take(self._loop.time(), self._clock(), seen, confirm)
             self._say(doubt)
         self._heard_at = self._loop.time()
-        self._tell()
+        self._tell(again)
         if self._call is not None and not self._call.kept:
             self._call.stop()
             self._call = None
@@ -165,9 +167,9 @@
         self._follower.list_failed()
 
     # --- telling ---
-    def _tell(self) -> None:
+    def _tell(self, again: bool = False) -> None:
         now = self._loop.time()
-        whole, told = self._told.of(self._belief, now)
+        whole, told = self._told.of(self._belief, now, again)
         # The first answer of a watch is told even when nothing changed: the module waits for it.
         if told or whole or self._first:
             self._first = False
--- a/violetroute/membership/merge.py
+++ b/violetroute/membership/merge.py
@@ -70,6 +70,15 @@
         """The list that holds until one speaks: handed over at the start, or another source's."""
         self._before = {entry.instance: entry for entry in entries}
 
+    def carry(self, before: Merge) -> None:
+        """What the sources told the merge before this one of drains and goings.
+
+        Of those that are still asked; what one told that is taken out is the operator's to forget.
+        """
+        for name, view in before._views.items():
+            if name in self._views:
+                self._views[name].plans.update(view.plans)
+
     # --- what is heard ---
     def take(self, now: float, wall: float, source: str, listing: Listing) -> None:
         """A list or changes of one."""
--- a/violetroute/membership/source.py
+++ b/violetroute/membership/source.py
@@ -82,14 +82,14 @@
         self._roster = Roster()
         self._watch = self._made()
 
-    def _made(self) -> Watching:
+    def _made(self, before: Watching | None = None) -> Watching:
         names = order(self._operator)
         if len(names) == 1:
             return self._one(names[0], self)
         several = Sources(self, self._net.loop, self._clock,
                           {name: partial(self._one, name) for name in names},
                           self._operator.membership)
-        several.begin(self._roster.here)
+        several.begin(self._roster.here, before if isinstance(before, Sources) else None)
         return several
 
     def _one(self, name: str, follower: Follower) -> Watching:
@@ -100,6 +100,11 @@
             return FileWatch(follower, table.file, table.file_every_s, self._net)
         return Watch(follower, self._discovery, self._net)
 
+    @property
+    def followed(self) -> object:
+        """The watch in use: another one after a move."""
+        return self._watch
+
     def move(self, discovery: Address, operator: Tables) -> bool:
         """Where lists come from from now on; whether that is elsewhere.
 
@@ -116,7 +121,7 @@
         self._watch.stop()
         if before != now:
             self.changes_source()
-        self._watch = self._made()
+        self._watch = self._made(self._watch)
         return True
 
     def start(self, since: int) -> None:
--- a/violetroute/membership/sources.py
+++ b/violetroute/membership/sources.py
@@ -60,9 +60,11 @@
         self._spoke: str | None = None  # who did when it was last told
         self._due: TimerHandle | None = None
 
-    def begin(self, entries: Iterable[Entry]) -> None:
-        """The list that holds so far."""
+    def begin(self, entries: Iterable[Entry], before: Sources | None = None) -> None:
+        """The list that holds so far, and who told it, where several did."""
         self._merge.begin(entries)
+        if before is not None:
+            self._merge.carry(before._merge)
         self._told = self._merge.entries(self._clock())
 
     def start(self, since: int) -> None:
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -105,6 +105,11 @@
         """Those that may get something new."""
         return self._pool.ids()
 
+    @property
+    def follows(self) -> object:
+        """What tells of nodes: another one when `reload` has moved."""
+        return self._watch.followed
+
     @property
     def generation(self) -> int:
         """Of the list as it was last told."""
--- a/violetroute/transport/seam.py
+++ b/violetroute/transport/seam.py
@@ -92,6 +92,9 @@
     def delivered(self) -> bool:
         """Whether the peer's kernel has acknowledged all that was written."""
 
+    def receive_buffer(self) -> int:
+        """Bytes that the kernel keeps of what has not been read, asked of it now; 0 at the end."""
+
     def quiet(self) -> bool:
         """Whether nothing has come and the peer has not closed, asked of the kernel now."""
 
--- a/violetroute/transport/stream.py
+++ b/violetroute/transport/stream.py
@@ -128,6 +128,11 @@
         except Exception as error:
             self._fault(error)
 
+    def receive_buffer(self) -> int:
+        if self._socket is None:
+            return 0
+        return int(self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF))
+
     def quiet(self) -> bool:
         if self._socket is None or self.closing or self._broken is not None:
             return False
--- a/violetroute/transport/tls.py
+++ b/violetroute/transport/tls.py
@@ -155,6 +155,9 @@
     def write_all(self, parts: Sequence[Data]) -> bool:
         return self.write(b"".join(parts))
 
+    def receive_buffer(self) -> int:
+        return self._below.receive_buffer()
+
     def pause(self) -> None:
         self._paused = True
         self._below.pause()
