--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -24,9 +24,9 @@
 
 from . import demo as demo_module
 from .placement.command import app as placement_app
+from .virtual import coverage, story, world
 from .virtual import explore as explorer
 from .virtual import plan as plans
-from .virtual import story, world
 
 app = typer.Typer(add_completion=False, no_args_is_help=True,
                   help="The kit round the limebridge proxy.")
@@ -154,6 +154,9 @@
     patch: PatchFile = None,
     consul: Annotated[bool, typer.Option(
         "--consul", help="The list comes from Consul, whose faults come on top.")] = False,
+    goes_on: Annotated[bool, typer.Option(
+        "--next", help="Seeds that no run here has played, leaning towards what this build has met "
+        "least; --from is not looked at.")] = False,
     as_json: Annotated[bool, typer.Option("--json", help="JSON as the last line.")] = False,
 ) -> None:
     """Run the daemon's own code in memory against faults drawn from seeds.
@@ -162,10 +165,21 @@
     """
     prepare = _patched(patch)
     summary = explorer.Summary()
+    pairs: explorer.Pairs = ()
+    history = coverage.History() if goes_on else None
+    if history is not None:
+        try:
+            first, met = history.take("consul" if consul else "plain", seeds)
+        except (OSError, ValueError) as error:
+            typer.echo(f"limebridge: {error}", err=True)
+            raise typer.Exit(2) from None
+        pairs = coverage.rare(met, consul)
+        keep = keep or Path("found")  # a plan that leans is more than its seed
     columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn())
     with Progress(*columns, console=Console(stderr=True), disable=as_json) as progress:
         bar = progress.add_task("exploring", total=seeds)
-        for summary in explorer.explore(first, seeds, jobs, budget, prepare, consul):
+        for summary in explorer.explore(first, seeds, jobs, budget, prepare, consul,
+                                        pairs):
             progress.update(bar, completed=summary.seeds,
                             description=f"{len(summary.broken)} broken")
     summary.broken.sort(key=lambda found: found.seed)
@@ -177,11 +191,14 @@
             keep.mkdir(parents=True, exist_ok=True)
             path = keep / f"seed-{found.seed}.json"
             path.write_text(plans.dump(smaller))
-            typer.echo(f"limebridge replay {path}", err=True)
+            line = ["limebridge replay", str(path)]
         else:
-            typer.echo(f"limebridge replay {found.seed}", err=True)
+            line = ["limebridge replay", str(found.seed), *(["--consul"] if consul else [])]
+        typer.echo(" ".join([*line, *(["--patch", str(patch)] if patch else [])]), err=True)
         typer.echo(story.tell(world.play(smaller)), err=True)
-    told = {"seeds": summary.seeds, "seconds": round(summary.seconds, 2),
+    if history is not None:
+        history.add(summary.seeds, summary.met)
+    told = {"first": first, "seeds": summary.seeds, "seconds": round(summary.seconds, 2),
             "requests": summary.requests, "broken": len(summary.broken),
             "broken_seeds": [found.seed for found in summary.broken],
             "met": dict(sorted(summary.met.items())), "digest": summary.digest}
@@ -203,11 +220,14 @@
     html: Annotated[Path | None, typer.Option(
         metavar="FILE", help="Write a picture with the story.")] = None,
     patch: PatchFile = None,
+    consul: Annotated[bool, typer.Option(
+        "--consul", help="The seed is one of `explore --consul`; a file says so itself.")] = False,
     as_json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
 ) -> None:
     """Play one plan again and tell its story.  Exit status 1 when it breaks something."""
     try:
-        plan = plans.draw(int(what)) if what.isdecimal() else plans.read(Path(what))
+        draw = plans.draw_consul if consul else plans.draw
+        plan = draw(int(what)) if what.isdecimal() else plans.read(Path(what))
     except (OSError, ValueError) as error:
         typer.echo(f"limebridge: {error}", err=True)
         raise typer.Exit(2) from None
--- a/limebridge/rules/judge.py
+++ b/limebridge/rules/judge.py
@@ -243,6 +243,11 @@
             else:
                 seen.told[source] = at
 
+    def told_by(self, at: float) -> list[tuple[str, float]]:
+        """Of each drain or going that holds: who told it, and how many seconds ago."""
+        return [(source, at - since) for seen in self._nodes.values()
+                for source, since in seen.told.items()]
+
     def follows_others(self) -> None:
         """The proxy was given other sources: what the old ones told holds until one speaks."""
         for seen in self._nodes.values():
--- /dev/null
+++ b/limebridge/virtual/coverage.py
@@ -0,0 +1,136 @@
+"""Which fault met which state, which pairs have been met least, and which seeds nobody has played.
+
+A pair is a kind of fault and what it met: the state of an open request, or of the list
+("list: ").  Plans lean towards rare pairs of the list: a fault that brings the state about (a
+drain, a restart, a watch that ends), and the rare one a moment later.  A plan that leans is more
+than its seed, so what breaks is always written as a file.
+
+`History` keeps, by build, what was played: the next run begins where any run ended, so each plays
+seeds that nobody has seen here.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import hashlib
+import json
+import os
+import random
+from collections import Counter
+from collections.abc import Iterator, Mapping, Sequence
+from pathlib import Path
+
+import msgspec
+
+import limebridge
+import snowstall
+import violetroute
+
+from .plan import CONSUL_WEIGHTS, PROCESS_WEIGHTS, WEIGHTS, Fault, Kind, Plan
+
+LIST = "list: "
+# What brings a state of the list about, and by when after it the rare fault comes, in s.
+BRINGS: Mapping[str, tuple[Kind, float, float]] = {
+    "a drain just told": ("node_drains", 0.0, 0.5),
+    "a drain kept": ("node_drains", 0.5, 1.5),
+    "not heard since its start": ("proxy_killed", 0.02, 0.4),
+    "silent": ("discovery_ends", 3.0, 4.0),
+}
+LEANS = 2  # pairs that a plan is led to at most
+
+
+class Cover(msgspec.Struct):
+    """What one build has met."""
+
+    seeds: int = 0
+    met: dict[str, int] = {}
+
+
+class Kept(msgspec.Struct):
+    """The state file: the next seed by kind of world, and what each build has met."""
+
+    next: dict[str, int] = {}
+    builds: dict[str, Cover] = {}
+
+
+def build() -> str:
+    """A name for the code that is explored: a hash over its sources."""
+    found = hashlib.sha256()
+    for package in (snowstall, violetroute, limebridge):
+        root = Path(package.__path__[0])
+        for path in sorted(root.rglob("*.py")):
+            found.update(str(path.relative_to(root)).encode() + b"\0" + path.read_bytes())
+    return found.hexdigest()[:16]
+
+
+def rare(met: Mapping[str, int], consul: bool, most: int = 24) -> list[tuple[Kind, str]]:
+    """The pairs of a fault and a state of the list that were met least, the rarest first."""
+    kinds: list[Kind] = [*WEIGHTS, *PROCESS_WEIGHTS, *(CONSUL_WEIGHTS if consul else ())]
+    counted: Counter[tuple[str, str]] = Counter()
+    for key, times in met.items():
+        kind, _, state = key.partition("/")
+        if state.startswith(LIST):
+            counted[kind, state.removeprefix(LIST).partition(",")[0]] += times
+    pairs: list[tuple[Kind, str]] = [(kind, state) for kind in kinds for state in BRINGS]
+    return sorted(pairs, key=lambda pair: counted[pair])[:most]
+
+
+def lean(plan: Plan, pairs: Sequence[tuple[Kind, str]]) -> Plan:
+    """The plan with some of these pairs brought about, drawn from a stream of its own."""
+    if not pairs:
+        return plan
+    rng = random.Random(f"lean/{plan.seed}")
+    faults = list(plan.faults)
+    for kind, state in rng.sample(list(pairs), min(LEANS, len(pairs))):
+        brings, least, most = BRINGS[state]
+        first = next((fault for fault in faults if fault.kind == brings), None)
+        if first is None:
+            first = Fault(round(rng.uniform(0.5, plan.seconds - 6.0), 4), brings,
+                          rng.randrange(plan.nodes), round(rng.uniform(0.1, most), 4), 0.2)
+            faults.append(first)
+        begins = first.at + (first.lasts if state.startswith("not heard") else 0.0)
+        node = first.node if rng.random() < 0.5 else rng.randrange(plan.nodes)
+        faults.append(Fault(round(begins + rng.uniform(least, most), 4), kind, node,
+                            round(rng.choice((0.05, 0.3, 1.0)), 4), rng.choice((0.2, 0.6, 1.0))))
+    return msgspec.structs.replace(plan, faults=tuple(sorted(faults, key=lambda f: f.at)))
+
+
+class History:
+    """What was played, in one small file; several runs at once share it under a lock."""
+
+    def __init__(self, path: Path | None = None) -> None:
+        home = os.environ.get("XDG_STATE_HOME") or os.path.expanduser("~/.local/state")
+        self.path = path or Path(home) / "limebridge" / "explored.json"
+        self.build = build()
+
+    @contextlib.contextmanager
+    def _open(self) -> Iterator[Kept]:
+        """ValueError when the file is none of ours."""
+        self.path.parent.mkdir(parents=True, exist_ok=True)
+        with open(self.path.with_suffix(".lock"), "w") as lock:
+            fcntl.flock(lock, fcntl.LOCK_EX)
+            try:
+                kept = msgspec.json.decode(self.path.read_bytes(), type=Kept)
+            except FileNotFoundError:
+                kept = Kept()
+            except msgspec.DecodeError as error:
+                raise ValueError(f"{self.path}: {error}") from None
+            yield kept
+            aside = self.path.with_suffix(".new")
+            aside.write_text(json.dumps(msgspec.to_builtins(kept), indent=1))
+            aside.replace(self.path)
+
+    def take(self, world: str, seeds: int) -> tuple[int, dict[str, int]]:
+        """The first of so many seeds that nobody else plays, and what this build has met."""
+        with self._open() as kept:
+            first = kept.next.get(world, 0)
+            kept.next[world] = first + seeds
+            return first, dict(kept.builds.get(self.build, Cover()).met)
+
+    def add(self, seeds: int, met: Mapping[str, int]) -> None:
+        """What a run of this build has met."""
+        with self._open() as kept:
+            cover = kept.builds.setdefault(self.build, Cover())
+            cover.seeds += seeds
+            cover.met = dict(Counter(cover.met) + Counter(met))
--- a/limebridge/virtual/ears.py
+++ b/limebridge/virtual/ears.py
@@ -34,6 +34,7 @@
                  answer: Callable[[int, str, dict[str, str], bytes], None]) -> None:
         self._kernel, self._owner, self._line, self._answer = kernel, owner, line, answer
         self._ports: set[int] = set()
+        self.heard_at = kernel.now  # the last bytes of any source, in s
         self._heard: dict[VirtualSocket, _Connection] = {}
         kernel.given, kernel.received = self._given, self._received
 
@@ -52,6 +53,7 @@
         port, connection = self._port(sock), self._heard.get(sock)
         if port is None or connection is None:
             return
+        self.heard_at = self._kernel.now
         for said in connection.hear(data):
             if isinstance(said, _Line):
                 self._line(port, said.value, said.burst)
--- a/limebridge/virtual/explore.py
+++ b/limebridge/virtual/explore.py
@@ -2,22 +2,26 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import multiprocessing
 import os
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
 from limebridge.rules import Break
 
+from .coverage import lean
 from .kernel import BUFFER
-from .plan import Fault, Plan, draw, draw_consul
+from .plan import Fault, Kind, Plan, draw, draw_consul
 from .world import Outcome, play
 
+Pairs = Sequence[tuple[Kind, str]]
+
 TRIES = 120  # runs that shrinking one plan may take
 
 
@@ -59,23 +63,16 @@
         return hashlib.sha256(whole.encode()).hexdigest()
 
 
-def one(seed: int) -> Found:
-    """Play one seed."""
-    return _found(seed, draw(seed))
-
-
-def one_with_consul(seed: int) -> Found:
-    """Play one seed, the list coming from Consul."""
-    return _found(seed, draw_consul(seed))
-
-
-def _found(seed: int, plan: Plan) -> Found:
+def one(seed: int, consul: bool = False, pairs: Pairs = ()) -> Found:
+    """Play one seed; `pairs` as `lean` has them."""
+    plan = lean(draw_consul(seed) if consul else draw(seed), pairs)
     outcome = play(plan)
     return Found(seed, outcome.plan, outcome.broken, outcome.requests, outcome.digest, outcome.met)
 
 
 def explore(first: int, count: int, jobs: int = 0, budget: float = 0.0,
-            prepare: Callable[[], None] | None = None, consul: bool = False) -> Iterator[Summary]:
+            prepare: Callable[[], None] | None = None, consul: bool = False,
+            pairs: Pairs = ()) -> Iterator[Summary]:
     """The summary after each seed; ends early when `budget` seconds have passed, if above 0.
 
     `prepare` runs once in each process, before the first seed.
@@ -84,7 +81,7 @@
     jobs = jobs or len(os.sched_getaffinity(0))
     context = multiprocessing.get_context("spawn")
     with context.Pool(jobs, initializer=prepare) as pool:
-        run = one_with_consul if consul else one
+        run = functools.partial(one, consul=consul, pairs=pairs)
         for found in pool.imap_unordered(run, range(first, first + count), chunksize=4):
             summary.add(found)
             summary.seconds = time.monotonic() - began
--- a/limebridge/virtual/world.py
+++ b/limebridge/virtual/world.py
@@ -23,6 +23,7 @@
 from violetroute.config import Config, Operator, parse
 from violetroute.membership import parse_listing
 
+from .coverage import LIST
 from .ears import Ears
 from .kernel import Kernel
 from .loop import Deadlock, Livelock, VirtualLoop
@@ -41,6 +42,8 @@
 DESCRIPTORS = 96  # of the proxy
 REST = 3.0  # s after the last question, in which everything has to end
 UNWATCHED = 8.0  # s without a watch, though discovery can be reached: drains go unheard
+SILENT = 2.5  # s without a byte of any source; an empty line comes every 2 s
+DRAIN_NEW = 0.5  # s from the telling of a drain; rule three's grace
 LOOK = 32  # polls between two looks at the program's own bounds
 RUDE = (b"\x00\xff noise", b"*4\r\n$7\r\nOBJ.G", b"*999999\r\n", b"*1\r\n$4\r\nNOPE\r\n",
         b"*1\r\n$4\r\nPING\r\n" * 40)
@@ -179,6 +182,7 @@
         self._asked = 0
         self.port = 0
         self._polls = self._starts = 0
+        self._started_at = self.kernel.now  # the process
         self._ending = False
         self._watched_at = self.kernel.now
 
@@ -373,9 +377,23 @@
         states = Counter(self.process.proxy.states())
         for state in states or {"none open": 1}:
             self.met[f"{fault.kind}/{state}"] += 1
+        for state in self._states_of_the_list():
+            self.met[f"{fault.kind}/{LIST}{state}"] += 1
         node = self.nodes[fault.node % len(self.nodes)]
         self.start(getattr(self, f"_{fault.kind}")(fault, node))
 
+    def _states_of_the_list(self) -> set[str]:
+        now = self.kernel.now
+        if self.process.state == "down":
+            return {"no process"}
+        found = {f"a drain {'just told' if age < DRAIN_NEW else 'kept'}, by "
+                 f"{source or 'the list before'}" for source, age in self.judge.told_by(now)}
+        if self.ears.heard_at < self._started_at:
+            found.add("not heard since its start")
+        elif now - self.ears.heard_at > SILENT:
+            found.add("silent")
+        return found or {"told, nothing drains"}
+
     async def _for(self, fault: Fault, begin: Callable[[], object],
                    end: Callable[[], object]) -> None:
         begin()
@@ -576,6 +594,7 @@
         if self._ending:
             return
         self._starts += 1
+        self._started_at = self.kernel.now
         fresh = fault.amount < 0.5
         states = {node.name: not fresh or node.name not in self.draining for node in self.nodes}
         known = parse_listing({"instances": [
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -14,8 +14,18 @@
 
 from limebridge.cli import app
 from limebridge.rules import Break
+from limebridge.virtual.coverage import BRINGS, History, lean, rare
 from limebridge.virtual.explore import explore, shrink
-from limebridge.virtual.plan import Fault, Plan, draw, dump, read
+from limebridge.virtual.plan import (
+    PROCESS_WEIGHTS,
+    WEIGHTS,
+    Fault,
+    Plan,
+    draw,
+    draw_consul,
+    dump,
+    read,
+)
 from limebridge.virtual.story import picture, tell
 from limebridge.virtual.world import Outcome, play
 
@@ -93,3 +103,55 @@
     for text in (tell(outcome), picture(outcome)):
         assert all(fault.kind in text for fault in outcome.plan.faults)
     assert "no rule broken" in tell(outcome) and "<circle" in picture(outcome)
+
+
+def test_the_line_that_is_printed_plays_what_was_found(tmp_path: Path) -> None:
+    here = play(draw_consul(11))
+    code, told = replay("11", "--consul")
+    assert (code, told["digest"]) == (0, here.digest)
+    patch = str(TESTS / "planted" / "other_source_drain.py")
+    found = CliRunner().invoke(app, ["explore", "--consul", "--from", "22", "--seeds", "1",
+                                     "--patch", patch])
+    assert found.exit_code == 1
+    (line,) = [line for line in found.stderr.splitlines() if line.startswith("limebridge replay")]
+    assert line == f"limebridge replay 22 --consul --patch {patch}"
+    assert replay(*line.split()[2:])[0] == 1
+
+
+def test_seeds_are_played_once_and_what_was_met_is_kept_by_build(tmp_path: Path) -> None:
+    path = tmp_path / "state" / "explored.json"
+    one, other = History(path), History(path)
+    other.build = "another"
+    assert [one.take("plain", 10)[0], other.take("plain", 5)[0], one.take("consul", 1)[0],
+            one.take("plain", 1)[0]] == [0, 10, 0, 15]
+    one.add(10, {"reload/list: silent": 2})
+    one.add(1, {"reload/list: silent": 1})
+    assert one.take("plain", 1)[1] == {"reload/list: silent": 3}
+    assert other.take("plain", 1) == (17, {})
+    path.write_text("{")
+    with pytest.raises(ValueError, match="explored"):
+        one.take("plain", 1)
+
+
+def test_next_goes_on_and_refuses_a_file_that_is_none_of_its_own(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("XDG_STATE_HOME", str(tmp_path))
+    run = ["explore", "--next", "--seeds", "2", "--jobs", "1", "--json"]
+    firsts = [json.loads(CliRunner().invoke(app, run).stdout)["first"] for _ in range(2)]
+    assert firsts == [0, 2]
+    (tmp_path / "limebridge" / "explored.json").write_text("[]")
+    assert CliRunner().invoke(app, run).exit_code == 2
+
+
+def test_plans_lean_towards_pairs_that_were_met_least() -> None:
+    met = {f"{kind}/list: {state}, by platform": 9 for kind in [*WEIGHTS, *PROCESS_WEIGHTS]
+           for state in BRINGS if (kind, state) != ("path_cut", "a drain just told")}
+    assert rare(met, consul=False)[0] == ("path_cut", "a drain just told")
+    pairs = rare(met, consul=False, most=1)
+    leant = lean(draw(5), pairs)
+    assert leant == lean(draw(5), pairs) and set(draw(5).faults) < set(leant.faults)
+    drains = [fault.at for fault in leant.faults if fault.kind == "node_drains"]
+    cuts = set(leant.faults) - set(draw(5).faults)
+    assert any(fault.kind == "path_cut" and any(0 <= fault.at - at <= 0.5 for at in drains)
+               for fault in cuts)
+    assert play(leant).met["path_cut/list: a drain just told, by platform"]
