--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -126,6 +126,11 @@
         self._told.clear()
         self._says = None
 
+    def _moved(self) -> None:
+        super()._moved()
+        self._told.clear()  # a new reader can't know what is missing in its first answer
+        self._says = None
+
     # --- troubles of the catalogue ---
     async def _agents(self, fault: Fault, **trouble: Any) -> None:
         """Both agents have it: that is a trouble of the servers."""
--- a/limebridge/virtual/world.py
+++ b/limebridge/virtual/world.py
@@ -568,7 +568,11 @@
             self.process.listener.limits = config.limits
             proxy.reload(config)
             if proxy.follows is not before:
-                self.judge.follows_others()
+                self._moved()
+
+    def _moved(self) -> None:
+        """The process follows other sources from here on."""
+        self.judge.follows_others()
 
     # --- the process itself ---
     async def _proxy_term(self, fault: Fault, node: FleetNode) -> None:
