--- /dev/null
+++ b/limebridge/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""What an operator does with ledgers: show, verify, reconcile, correct."""
--- /dev/null
+++ b/limebridge/virtual/ledger.py
@@ -0,0 +1,265 @@
+"""A ledger's weeks in memory: the daemon's own part on the virtual clock, a disk and an endpoint.
+
+Units are served at random; the process is killed, the power is cut at any write, the disk fails or
+hangs, the endpoint misbehaves, the clock steps; at the end all is quiet, what is due is exported,
+and what was billed is held against what was served.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from limebridge.standins.billing import Billing
+from limebridge.standins.disk import CutDisk, PowerCut
+from violetroute.ledger import LedgerTable
+from violetroute.ledger.keeper import Ledger
+from violetroute.ledger.writer import Job, Told
+from violetroute.transport.sockets import SocketNetwork
+from violetroute.transport.turns import Turns
+
+from .kernel import Kernel
+from .loop import VirtualLoop
+
+NAME = "p1"
+WRITE = 0.004  # s that a write takes
+TROUBLES = ("lost before", "lost after", "500 after", "cut after", "503", "429", "409", "redirect",
+            "noise")
+TABLE = LedgerTable(folder="-", period_min=5, grace_s=5.0, flush_s=0.5, export="http", retry_s=0.5,
+                    retry_most_s=5.0, timeout_s=2.0, tenants_most=50, ids=True)
+START = 1.7e9  # Unix s
+
+
+@dataclass
+class Trial:
+    """What happens; `cut_at` is a write at which the power fails, 0 for none."""
+
+    seed: int
+    minutes: float = 20.0
+    rate: float = 4.0  # units a second
+    kills: int = 5
+    cuts: int = 0
+    cut_at: int = 0
+    restored: bool = False  # at a kill the disk of some minutes ago comes back, once
+    troubles: bool = True
+    steps: bool = True  # of the wall clock
+
+
+@dataclass
+class Outcome:
+    """By period, tenant and class, but for the counters."""
+
+    served: Counter[tuple[int, str | None, str]] = field(default_factory=Counter)
+    billed: Counter[tuple[int, str | None, str]] = field(default_factory=Counter)
+    held: Counter[tuple[int, str | None, str]] = field(default_factory=Counter)
+    at_risk: int = 0  # units that were not on the disk when their process or the power went
+    killed: int = 0
+    writes: int = 0
+    posts: int = 0
+    gaps: int = 0
+    names: list[str] = field(default_factory=list)  # of files at the end
+
+    @property
+    def missing(self) -> int:
+        return sum((self.served - self.billed - self.held).values())
+
+    @property
+    def doubled(self) -> int:
+        return sum((self.billed + self.held - self.served).values())
+
+
+class TrialWriter:
+    """Does a job at once, as far as the disk goes, and tells of it when a write would be over."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, fails: Callable[[], None],
+                 slow: Callable[[], float]) -> None:
+        self._loop, self._fails, self._slow = loop, fails, slow
+        self.dead = False
+
+    def submit(self, job: Job[Any], told: Told[Any]) -> None:
+        if self.dead:
+            return
+        result: Any = None
+        failure: BaseException | None = None
+        try:
+            result = job()
+        except PowerCut:
+            self._fails()
+            return
+        except Exception as error:
+            failure = error
+        self._loop.call_later(self._slow(), self._tell, told, result, failure)
+
+    def _tell(self, told: Told[Any], result: Any, failure: BaseException | None) -> None:
+        if not self.dead:
+            told(result, failure)
+
+    def close(self, wait_s: float) -> None:
+        self.dead = True
+
+
+class _Run:
+    def __init__(self, trial: Trial) -> None:
+        self.trial, self.out = trial, Outcome()
+        self.kernel = Kernel(trial.seed, start=1000.0)
+        self.loop = VirtualLoop(self.kernel)
+        self.disk = CutDisk(trial.seed, trial.cut_at)
+        self.rng = random.Random(f"trial/{trial.seed}")
+        self.wall_off = START - self.kernel.now
+        self.billing = Billing()
+        self.ledger: Ledger | None = None
+        self.slow = WRITE
+        self.starts = 0
+        self.on_disk: dict[tuple[int, str | None, str], int] = {}
+
+    def wall(self) -> float:
+        return self.kernel.now + self.wall_off
+
+    def start(self) -> None:
+        self.starts += 1
+        net = SocketNetwork(self.loop, Turns(), make=self.kernel.maker("ledger"), clock=self.wall,
+                            undelivered=lambda sock: 0)
+        table = msgspec.structs.replace(TABLE, endpoint=f"127.0.0.1:{self.billing.port}")
+        self.writer = TrialWriter(self.loop, self.power_fails, lambda: self.slow)
+        self.ledger = Ledger(table, NAME, net, lambda: self.disk, self.writer,
+                             nonce=f"{self.trial.seed:x}-{self.starts}")
+        if self.writer.dead:  # the power failed as it opened its files
+            self.stops()
+
+    def stops(self, ended: bool = False) -> None:
+        """It does nothing any more; what it had counted and not written is at risk."""
+        ledger, self.ledger = self.ledger, None
+        if ledger is None:
+            return
+        self.writer.dead = True
+        ledger.state = "closed"
+        if ledger._timer is not None:
+            ledger._timer.cancel()
+        if ledger._post is not None:
+            ledger._post.stop()
+        if not ended:
+            self.out.killed += 1
+
+    def power_fails(self) -> None:
+        self.writer.dead = True
+        self.stops()
+        self.disk.cut()
+        self.loop.call_later(1.0, self.start)
+
+    def serve(self) -> None:
+        ledger = self.ledger
+        if ledger is None:
+            return
+        tenant = f"t{int(self.rng.paretovariate(1.0)) % 80}"
+        cls = self.rng.choice(("lookup", "optout", "template-save"))
+        period = ledger._periods.of(self.wall())
+        before = dict(ledger._tally.units)
+        ledger.served(tenant, cls, b"%d" % self.rng.getrandbits(60))
+        (key,) = [key for key, count in ledger._tally.units.items() if before.get(key) != count]
+        assert key[0] == period
+        self.out.served[key] += 1
+
+    async def play(self) -> Outcome:
+        trial, rng = self.trial, self.rng
+        await self.billing.start()
+        if trial.troubles:
+            self.billing.trouble = lambda: rng.choice(TROUBLES) if rng.random() < 0.4 else ""
+        self.start()
+        end = self.kernel.now + trial.minutes * 60.0
+        events: list[tuple[float, Callable[[], None]]] = []
+        for _ in range(trial.kills):
+            events.append((rng.uniform(1.0, trial.minutes * 60.0), self.kill))
+        for _ in range(trial.cuts):
+            events.append((rng.uniform(1.0, trial.minutes * 60.0), self.cut_soon))
+        if trial.steps:
+            for _ in range(3):
+                events.append((rng.uniform(1.0, trial.minutes * 60.0), self.step))
+        if trial.troubles:
+            for _ in range(4):
+                events.append((rng.uniform(1.0, trial.minutes * 60.0), self.disk_trouble))
+        if trial.restored:
+            at = rng.uniform(0.4, 0.6) * trial.minutes * 60.0
+            events += [(at, self.copy), (at + rng.uniform(30.0, 400.0), self.restore)]
+        for at, what in events:
+            self.loop.call_at(self.kernel.now + at, what)
+        while self.kernel.now < end:
+            await asyncio.sleep(rng.expovariate(trial.rate))
+            self.serve()
+        return await self.finish()
+
+    async def finish(self) -> Outcome:
+        """All is well again, and time enough passes."""
+        self.billing.trouble = lambda: ""
+        self.disk.fails, self.slow = 0, WRITE
+        await asyncio.sleep(3.0)
+        for _ in range(200):
+            if self.ledger is None:
+                self.start()
+            await asyncio.sleep(10.0)
+            ledger = self.ledger
+            if ledger is not None and ledger.state == "open" and not ledger._book.counts \
+                    and ledger._book.due is None and not ledger._tally.units:
+                break
+        ledger, out = self.ledger, self.out
+        assert ledger is not None
+        for batch in ledger._book.batches.values():
+            for tenant, cls, units in batch.lines:
+                out.held[batch.period, tenant, cls] += units
+        await ledger.close()
+        for (_, period, tenant, cls), units in self.billing.billed.items():
+            out.billed[period, tenant, cls] += units
+        out.writes, out.posts, out.names = self.disk.writes, self.billing.posts, self.disk.names()
+        out.gaps = len(ledger._book.gaps)
+        await self.billing.stop()
+        return out
+
+    # --- what happens ---
+    def kill(self) -> None:
+        if self.ledger is not None:
+            self._risk()
+            self.stops()
+            self.loop.call_later(self.rng.uniform(0.01, 3.0), self.start)
+
+    def _risk(self) -> None:
+        assert self.ledger is not None
+        self.out.at_risk += sum(self.ledger._tally.units.values())
+
+    def cut_soon(self) -> None:
+        self.disk.cut_at = self.disk.writes + self.rng.randint(1, 6)
+
+    def step(self) -> None:
+        self.wall_off += self.rng.choice((-400.0, -30.0, 30.0, 400.0))
+
+    def disk_trouble(self) -> None:
+        if self.rng.random() < 0.5:
+            self.disk.fails = self.rng.randint(1, 5)
+        else:
+            self.slow = 30.0
+            self.loop.call_later(0.2, setattr, self, "slow", WRITE)
+
+    def copy(self) -> None:
+        self.old = dict(self.disk._now)
+
+    def restore(self) -> None:
+        """Yesterday's disk comes back."""
+        self.kill()
+        self.disk._now, self.disk._kept = dict(self.old), dict(self.old)
+
+
+def play(trial: Trial) -> Outcome:
+    """One trial."""
+    run = _Run(trial)
+    try:
+        return run.loop.run_until_complete(run.play())
+    finally:
+        for task in asyncio.all_tasks(run.loop):
+            task.cancel()
+        run.loop.call_soon(run.loop.stop)
+        run.loop.run_forever()
+        run.loop.close()
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -110,9 +110,10 @@
     code, told = replay("11", "--consul")
     assert (code, told["digest"]) == (0, here.digest)
     patch = str(TESTS / "planted" / "other_source_drain.py")
-    found = CliRunner().invoke(app, ["explore", "--consul", "--from", "22", "--seeds", "1",
-                                     "--patch", patch])
-    assert found.exit_code == 1
+    found = subprocess.run(  # in a process of its own: a patch is for good
+        [sys.executable, "-m", "limebridge", "explore", "--consul", "--from", "22", "--seeds", "1",
+         "--patch", patch], cwd=TESTS.parent, capture_output=True, text=True, timeout=60)
+    assert found.returncode == 1
     (line,) = [line for line in found.stderr.splitlines() if line.startswith("limebridge replay")]
     assert line == f"limebridge replay 22 --consul --patch {patch}"
     assert replay(*line.split()[2:])[0] == 1
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,330 @@
+"""The ledger's pure parts: periods, book, records, tally, what goes outside."""
+
+from __future__ import annotations
+
+import csv
+import io
+import json
+from collections import Counter
+from datetime import UTC, datetime
+from typing import Any
+from zoneinfo import ZoneInfo
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limebridge.standins.disk import CutDisk
+from violetroute.config import ConfigError
+from violetroute.config.operator import parse_operator
+from violetroute.ledger import export, frames
+from violetroute.ledger.book import CLOSED_KEPT, Batch, Book
+from violetroute.ledger.periods import Periods
+from violetroute.ledger.store import Foreign, Store, archived, compress
+from violetroute.ledger.tally import Tally, short
+
+START = 1_700_000_100  # a cut of five minutes
+
+
+def book() -> Book:
+    made = Book(Periods("UTC", 5), grace_s=60.0)
+    decide(made, made.begin("p1", "n", START))
+    return made
+
+
+def decide(made: Book, records: list[frames.Record]) -> list[frames.Record]:
+    for record in records:
+        made.apply(record)
+    return records
+
+
+def count(made: Book, at: float, **units: int) -> None:
+    decide(made, made.counted(at, {(int(at // 300) * 300, tenant, "lookup"): number
+                                   for tenant, number in units.items()}))
+
+
+# --- periods ---
+@pytest.mark.parametrize("zone", ["UTC", "Europe/Rome", "Australia/Lord_Howe", "Asia/Kathmandu",
+                                  "America/St_Johns"])
+@pytest.mark.parametrize("minutes", [5, 15, 60])
+def test_periods_follow_one_another_through_every_change_of_the_clock(
+        zone: str, minutes: int) -> None:
+    cuts, tz = Periods(zone, minutes), ZoneInfo(zone)
+    for begin in (1_774_500_000, 1_775_000_000, 1_792_700_000, 1_793_400_000):  # changes of 2026
+        at = cuts.of(begin)
+        while at < begin + 200_000:
+            end = cuts.end(at)
+            assert at < end <= at + minutes * 60
+            assert cuts.of(at) == cuts.of(end - 1) == at and cuts.of(end) == end
+            local = datetime.fromtimestamp(end, tz)
+            assert local.minute % min(minutes, 30) == 0 and local.second == 0
+            at = end
+
+
+def test_a_zone_that_there_is_not_is_refused() -> None:
+    for wrong in ("Europe/Catania", "../etc", ""):
+        with pytest.raises(ValueError, match="zone"):
+            Periods(wrong, 15)
+
+
+# --- book ---
+def test_a_period_closes_after_its_grace_and_what_is_late_is_a_correction() -> None:
+    made = book()
+    count(made, START + 10, acme=3, zeta=1)
+    assert made.cut(START + 359) == []
+    decide(made, made.cut(START + 360))
+    first = made.due
+    assert first is not None and first.kind == "period" and first.units == 4
+    before = export.json_lines(first)
+    count(made, START + 20, acme=2)  # the clock has stepped back
+    assert decide(made, made.cut(START + 21)) == []  # late ones are gathered for the grace
+    decide(made, made.cut(START + 381))
+    late = list(made.batches.values())[1]
+    assert (late.kind, late.period, late.lines) == ("correction", START, [("acme", "lookup", 2)])
+    assert export.json_lines(first) == before and made.units(START) == 6
+    for batch in (first, late):
+        decide(made, made.sends(batch.seq) + made.confirms(batch.seq))
+    assert made.due is None and made.units(START) == 6 and made.last == late.key
+
+
+def test_a_process_that_was_killed_is_named_as_a_gap_and_one_that_ended_is_not() -> None:
+    made = book()
+    decide(made, made.alive(START + 50))
+    decide(made, made.begin("p1", "m", START + 80))
+    assert made.gaps == [(START + 50, START + 80, "its process was killed")]
+    decide(made, made.ends(START + 90))
+    decide(made, made.begin("p1", "o", START + 95))
+    assert len(made.gaps) == 1 and made.incarnation == 3
+
+
+def test_a_later_life_that_the_endpoint_knows_bills_nothing_twice() -> None:
+    made = book()
+    count(made, START + 10, acme=3)
+    decide(made, made.cut(START + 400))
+    count(made, START + 310, acme=5)
+    count(made, START + 610, acme=7)
+    decide(made, made.adopts("p1/9.x/4", [START, START + 300], START + 620))
+    held = {batch.period: batch.state for batch in made.batches.values()}
+    assert held == {START: "held", START + 300: "held"} and made.due is None
+    assert made.last == "p1/9.x/4" and made.units(START + 600) == 7 and len(made.gaps) == 1
+    decide(made, made.cut(START + 1000))
+    assert made.due is not None and made.due.period == START + 600
+
+
+def test_a_signed_correction_is_taken_once() -> None:
+    made = book()
+    lines: list[tuple[int, str | None, str, int]] = [
+        (START, "acme", "lookup", -2), (START, "zeta", "lookup", 1), (START + 300, None, "x", 4)]
+    decide(made, made.signed("signed-1.json", "marta", lines))
+    assert [(b.period, b.units) for b in made.batches.values()] == [(START, -1), (START + 300, 4)]
+    assert made.signed("signed-1.json", "marta", lines) == []
+    other = Book(Periods("UTC", 5))
+    other.apply(made.checkpoint())
+    assert other.signed("signed-1.json", "marta", lines) == []
+
+
+def test_what_is_kept_for_ever_is_bounded() -> None:
+    made = Book(Periods("UTC", 5), grace_s=0.0)
+    decide(made, made.begin("p1", "n", 0.0))
+    for place in range(CLOSED_KEPT + 50):
+        made.apply(["count", 0.0, [[place * 300, "a", "c", 1]]])
+        made.apply(["batch", place + 1, "period", place * 300, [["a", "c", 1]], f"k{place}", ""])
+        made.apply(["done", place + 1])
+    assert len(made.closed) == len(made.billed) == CLOSED_KEPT
+    made.apply(["count", 5.0, [[300, "a", "c", 1]]])  # forgotten, and so taken for closed
+    assert made.late_since == 5.0
+
+
+Change = st.tuples(st.sampled_from(("count", "cut", "send", "done", "hold", "sign", "crash")),
+                   st.integers(0, 5), st.integers(0, 2000))
+
+
+@given(st.lists(Change, max_size=60))
+@settings(max_examples=150)
+def test_any_order_of_events_and_crashes_keeps_every_unit_once(changes: list[Any]) -> None:
+    made, log, now = book(), [["state", book().checkpoint()[1]]], float(START)
+    counted: Counter[int] = Counter()
+    sent: dict[str, bytes] = {}
+    for what, number, passes in changes:
+        now += passes
+        batch = made.due
+        records: list[frames.Record] = []
+        if what == "count":
+            period = int(now // 300) * 300 - 300 * (number % 3)
+            counted[period] += number
+            records = made.counted(now, {(period, f"t{number}", "c"): number} if number else {})
+        elif what == "cut":
+            records = made.cut(now)
+        elif what == "sign":
+            records = made.signed(f"m{now}", "x", [(START, "t", "c", number)])
+            counted[START] += number
+        elif what == "crash":
+            made = Book(Periods("UTC", 5), 60.0)
+            for record in frames.decode(frames.MAGIC + frames.encode(log)).records:
+                made.apply(record)
+            records = made.begin("p1", "n", now)
+        elif batch is not None:
+            records = made.sends(batch.seq) if what == "send" else \
+                made.confirms(batch.seq) if what == "done" else made.holds(batch.seq, "why")
+            if what == "send":
+                assert sent.setdefault(batch.key, export.json_lines(batch)) \
+                    == export.json_lines(batch)
+        log += decide(made, records)
+        for period, units in counted.items():
+            assert made.units(period) == units
+    again = Book(Periods("UTC", 5), 60.0)
+    again.apply(made.checkpoint())
+    assert again.checkpoint() == made.checkpoint()
+
+
+# --- records and files ---
+@given(st.lists(st.lists(st.integers(-9, 2 ** 40), max_size=4)
+                .map(lambda body: ["x", *body]), max_size=6), st.data())
+def test_a_file_is_believed_up_to_the_first_record_that_does_not_add_up(
+        records: list[Any], data: st.DataObject) -> None:
+    whole = frames.MAGIC + frames.encode(records)
+    assert frames.decode(whole).records == records and not frames.decode(whole).wrong
+    place = data.draw(st.integers(len(frames.MAGIC), len(whole)))
+    torn = frames.decode(whole[:place])
+    assert torn.records == records[: len(torn.records)] and torn.good <= place
+    if place < len(whole):
+        spoilt = bytearray(whole)
+        spoilt[place] ^= data.draw(st.integers(1, 255))
+        found = frames.decode(bytes(spoilt))
+        assert found.records == records[: len(found.records)] and found.wrong
+
+
+def store(disk: CutDisk, name: str = "p1") -> tuple[Store, Book]:
+    return Store(disk, name), Book(Periods("UTC", 5), 60.0)
+
+
+def test_a_checkpoint_that_cannot_be_read_costs_what_came_after_it() -> None:
+    disk = CutDisk()
+    one, made = store(disk)
+    one.open(made)
+    decide(made, made.begin("p1", "n", START))
+    one.rewrite(made.checkpoint())
+    one.commit(decide(made, made.counted(START, {(START, "a", "c"): 4})), {}, [])
+    one.rewrite(made.checkpoint())
+    one.commit(decide(made, made.counted(START, {(START, "a", "c"): 1})), {}, [])
+    newest = disk.names()[-1]
+    disk._now[newest] = b"\0" * 20 + disk._now[newest][20:]
+    two, found = store(disk)
+    said = two.open(found)
+    assert said.aside == [f"{newest}.bad"] and found.units(START) == 4
+    two.rewrite(found.checkpoint())
+    assert disk.names()[-1] > newest and f"{newest}.bad" in disk.names()
+
+
+def test_somebody_elses_ledger_is_not_opened_and_not_changed() -> None:
+    disk = CutDisk()
+    one, made = store(disk)
+    decide(made, made.begin("p1", "n", START))
+    one.rewrite(made.checkpoint())
+    before = dict(disk._now)
+    with pytest.raises(Foreign, match="p1"):
+        store(disk, "p2")[0].open(store(disk)[1])
+    assert disk._now == before
+
+
+def test_a_later_versions_ledger_is_not_opened() -> None:
+    disk = CutDisk()
+    one, made = store(disk)
+    record = made.checkpoint()
+    record[1]["version"] = frames.VERSION + 1
+    one.rewrite(record)
+    with pytest.raises(ValueError, match="later version"):
+        store(disk)[0].open(store(disk)[1])
+
+
+def test_archives_are_read_up_to_what_was_torn_and_old_ones_go() -> None:
+    disk = CutDisk()
+    one, _ = store(disk)
+    one.commit([], {START: b"12345678", 300: b"x" * 8}, [(START, b"one"), (START, b"two"),
+                                                         (300, b"old")])
+    (name,) = [n for n in disk.names() if n.startswith("closed-2023")]
+    data = disk.read(name)
+    assert archived(data) == [b"one", b"two"] and archived(data[:-3]) == [b"one"]
+    assert archived(compress(b"x") + b"noise") == [b"x"]
+    one.retire(START - 86_400.0)
+    assert disk.names() == [name, f"ids-{START}"]
+
+
+# --- tally ---
+def test_a_crowd_of_tenants_takes_half_of_the_places_and_the_sum_is_right() -> None:
+    tally = Tally(10)
+    for number in range(4):
+        tally.add(300, f"regular{number}", "c", b"")
+    for number in range(10_000):
+        tally.add(600, f"made-up-{number}", "c", b"")
+    for number in range(4):
+        tally.add(600, f"regular{number}", "c", b"")
+    units, _ = tally.take()
+    named = {tenant for period, tenant, _ in units if period == 600}
+    assert {f"regular{n}" for n in range(4)} < named and len(named) == 5 + 4 + 1
+    assert units[600, None, "c"] == 9995 == tally.folded and sum(units.values()) == 10_008
+
+
+def test_long_names_are_told_by_a_part_and_a_hash() -> None:
+    one, other = "x" * 4096, "x" * 4095 + "y"
+    assert len(short(one).encode()) <= 256 and short(one) != short(other)
+    assert short("è" * 128) == "è" * 128 != short("è" * 129)
+
+
+# --- outside ---
+NASTY = ["../../x", "a\"b,c\nd", "=1+1", "+x", "-x", "@x", "\tx", "è" * 100, "(others)", "'"]
+
+
+def test_no_tenant_can_break_an_export_or_run_in_a_spreadsheet() -> None:
+    lines: list[tuple[str | None, str, int]] = [(name, "c", n) for n, name in enumerate(NASTY)]
+    batch = Batch(7, "period", START, [*lines, (None, "c", 9)], "../p/1.ab/7")
+    told = [json.loads(line) for line in export.json_lines(batch).splitlines()]
+    assert [line["tenant"] for line in told[1:]] == [*NASTY, None]
+    assert told[0]["units"] == sum(line["units"] for line in told[1:]) == batch.units
+    rows = list(csv.reader(io.StringIO(export.csv_lines(batch).decode())))[1:]
+    assert all(row[3][0] not in "=+-@\t\r" for row in rows) and rows[-1][3] == "(others)"
+    assert [row[3].removeprefix("'") for row in rows[:-1]][:3] == NASTY[:3]
+    assert rows[-3][3] == "'(others)"
+    assert "/" not in export.file_name(batch) and not export.file_name(batch).startswith(".")
+
+
+@pytest.mark.parametrize(("status", "headers", "body", "expected"), [
+    (200, {}, b"", ("done", 0.0)), (204, {}, b"", ("done", 0.0)), (422, {}, b"", ("held", 0.0)),
+    (409, {}, b"", ("again", 0.0)), (500, {}, b"", ("again", 0.0)),
+    (429, {"retry-after": "7"}, b"", ("again", 7.0)),
+    (503, {"retry-after": "99999999"}, b"", ("again", 3600.0)),
+    (503, {"retry-after": "Fri, 31 Dec"}, b"", ("again", 0.0)),
+    (307, {"location": "http://127.0.0.9/"}, b"", ("again", export.SLOW)),
+    (404, {}, b"", ("again", export.SLOW)), (412, {}, b"[]", ("again", export.SLOW)),
+    (412, {}, b'{"last": "k", "periods": [300]}', ("fork", 0.0))])
+def test_what_an_endpoints_answer_means(status: int, headers: dict[str, str], body: bytes,
+                                        expected: tuple[str, float]) -> None:
+    found = export.said(status, headers, body)
+    assert (found.what, found.wait) == expected
+    assert found.periods == ((300,) if expected[0] == "fork" else ())
+
+
+def test_waits_double_with_jitter_and_are_bounded() -> None:
+    backoff = export.Backoff(1.0, 60.0, "seed")
+    waits = [backoff.failed(0.0) for _ in range(40)]
+    assert all(2 ** n / 2 <= wait <= 2 ** n for n, wait in enumerate(waits[:5]))
+    assert max(waits) <= 60.0 and backoff.failed(500.0) == 500.0
+    backoff.succeeded()
+    assert backoff.failed(0.0) <= 1.0
+
+
+@pytest.mark.parametrize(("table", "key"), [
+    ({"zone": "UTC", "flush_s": 1.0}, "folder"), ({"folder": "x", "zone": "Nowhere"}, "zone"),
+    ({"folder": "x", "period_min": 7}, "period_min"), ({"folder": "x", "export": "files"},
+                                                       "export_folder"),
+    ({"folder": "x", "export": "http", "endpoint": "bill.example:1"}, "endpoint"),
+    ({"folder": "x", "export": "http", "endpoint": "127.0.0.1:1", "path": "a b"}, "path"),
+    ({"folder": "x", "tenants": 1}, "tenants")])
+def test_a_table_that_cannot_be_meant_names_its_key(table: dict[str, Any], key: str) -> None:
+    with pytest.raises(ConfigError, match=rf"\[ledger\].* ?{key}"):
+        parse_operator({"ledger": table}, "op.toml")
+
+
+def test_a_batch_says_when_its_period_began() -> None:
+    batch = Batch(1, "period", START, [("a", "c", 1)], "k")
+    assert export.described(batch)["begins"] == datetime.fromtimestamp(START, UTC).isoformat()
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -7,7 +7,7 @@
 import gc
 import signal
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from .clients import Listener
 from .cluster import Dialect
@@ -18,6 +18,9 @@
 from .transport.sockets import SocketNetwork, monotonic, wall
 from .transport.turns import Turns, TurnSelector
 
+if TYPE_CHECKING:
+    from .ledger.keeper import Ledger
+
 DRAIN_SLACK = 0.05  # s beyond the longest deadline: the last answers are given at their own
 GC_THRESHOLD = 10_000  # new containers between two collections: next to no cycles are made
 
@@ -35,6 +38,9 @@
         self.proxy = Proxy(config, net)
         self.listener = Listener(self.proxy, config.client_sockets, config.value_room, net,
                                  config.limits, _dialect(config))
+        self.ledger = _ledger(config, net)
+        if self.ledger is not None:
+            self.proxy.parts.served.append(self.ledger.served)
         self.draining = False
 
     def reload(self) -> None:
@@ -62,6 +68,15 @@
              operator=config.operator_path or "")
 
 
+def _ledger(config: Config, net: SocketNetwork) -> Ledger | None:
+    """Imported where it is on: threads and compression are nothing to a proxy without it."""
+    if not config.operator.ledger.folder:
+        return None
+    from .ledger.keeper import Ledger
+
+    return Ledger(config.operator.ledger, config.name, net)
+
+
 def _dialect(config: Config) -> Dialect | None:
     return None if config.topology is None else Dialect(config.topology)
 
@@ -90,6 +105,8 @@
     tell("daemon.drains", proxy=config.name)
     await daemon.listener.drain(config.longest_deadline + DRAIN_SLACK)
     daemon.proxy.close()
+    if daemon.ledger is not None:
+        await daemon.ledger.close()
     tell("daemon.drained", proxy=config.name)
     await asyncio.sleep(0)  # lets the loop tell what was closed last
     return 0
--- a/violetroute/config/operator.py
+++ b/violetroute/config/operator.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from violetroute.cluster.table import ClusterTable
+from violetroute.ledger.table import LedgerTable
 from violetroute.logs import EVENTS
 from violetroute.membership.table import ConsulTable, MembershipTable
 from violetroute.placement.plan import PlacementTable
@@ -64,6 +65,7 @@
     membership: MembershipTable = MembershipTable()
     consul: ConsulTable = ConsulTable()
     cluster: ClusterTable = ClusterTable()
+    ledger: LedgerTable = LedgerTable()
 
 
 NEEDS_RESTART = ("client_share", "value_share", "idle_share")  # of [limits]
@@ -93,10 +95,36 @@
                          "file: [membership] file names none")):
         if wrong:
             raise ConfigError(f"{path}: [membership] sources: {text}")
+    _check_ledger(operator.ledger, path)
     return operator
 
 
+def _check_ledger(table: LedgerTable, path: str) -> None:
+    """ConfigError names the key of `[ledger]` that can't be meant."""
+    if not table.folder:
+        if table != LedgerTable():
+            raise ConfigError(f"{path}: [ledger] folder: missing, and other keys are set")
+        return
+    from violetroute.ledger.periods import Periods  # zones are nothing to a proxy without it
+
+    try:
+        Periods(table.zone, table.period_min)
+    except ValueError as error:
+        raise ConfigError(f"{path}: [ledger] zone: {error}") from None
+    if table.export == "files" and not table.export_folder:
+        raise ConfigError(f"{path}: [ledger] export_folder: missing, and export is files")
+    if table.export == "http":
+        try:
+            parse_address(table.endpoint)
+        except ValueError as error:
+            raise ConfigError(f"{path}: [ledger] endpoint: {error}") from None
+        if not (table.path.startswith("/") and table.path.isascii() and table.path.isprintable()
+                and " " not in table.path):
+            raise ConfigError(f"{path}: [ledger] path: {table.path!r} is no path")
+
+
 def restart_needed(before: Operator, now: Operator) -> list[str]:
     """Keys that differ and are taken on at the next start only."""
-    return [f"limits.{key}" for key in NEEDS_RESTART
+    keys = [f"limits.{key}" for key in NEEDS_RESTART
             if getattr(before.limits, key) != getattr(now.limits, key)]
+    return keys + (["ledger"] if before.ledger != now.ledger else [])
--- /dev/null
+++ b/violetroute/ledger/__init__.py
@@ -0,0 +1,9 @@
+"""What was served, by tenant and class, cut into periods and exported once (`[ledger]`).
+
+`periods`, `book`, `frames` and `export` decide and are pure; `store` and `files` keep what they
+decided; `poster` carries batches to the billing endpoint; `keeper` is the part that the daemon has.
+"""
+
+from .table import LedgerTable
+
+__all__ = ["LedgerTable"]
--- /dev/null
+++ b/violetroute/ledger/book.py
@@ -0,0 +1,279 @@
+"""The accounts: what is counted, cut, prepared, sent and confirmed.  Pure.
+
+Decisions return records; `apply` alone changes the book, with a record that has just been decided
+or with one read from the log.  So what a restart finds is by construction what the records say,
+and each crash is a prefix of them.
+
+What counts (`docs/design/ledger.md` has the reasons): a request is one unit of its tenant and
+class, in the period in which the proxy gives its client the served answer, by the wall clock.
+Nothing else is: no refusal, no failure, no attempt, no second copy, no answer after the client had
+gone.
+
+A period closes `grace_s` after its end: its units become a batch, which never changes again.  What
+is counted for it later becomes a correction, a batch that names the period.  A batch is prepared
+(on disk before anybody hears of it), sent, and confirmed or held; it has one key for good, so a
+billing endpoint that has seen the key takes it for the same batch.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Literal
+
+from .frames import VERSION, Record
+from .periods import Periods
+
+LINES_MOST = 5000  # of a batch; more make several
+CLOSED_KEPT = 10_000  # periods remembered as closed; older ones are taken for closed
+GAPS_KEPT = 1000
+NAME_MOST = 256  # bytes of a tenant; a longer one is told by its beginning and a hash
+
+Kind = Literal["period", "correction"]
+Key = tuple[str | None, str]  # tenant (None: those who had no place), class
+
+
+@dataclass(slots=True)
+class Batch:
+    """Units of one period, for good."""
+
+    seq: int
+    kind: Kind
+    period: int
+    lines: list[tuple[str | None, str, int]]
+    key: str
+    state: Literal["prepared", "sent", "held"] = "prepared"
+    why: str = ""  # it is held, or who signed a correction
+
+    @property
+    def units(self) -> int:
+        return sum(units for _, _, units in self.lines)
+
+
+@dataclass(slots=True)
+class Book:
+    """One proxy's accounts.  `grace_s` in s; all instants are Unix seconds."""
+
+    periods: Periods
+    grace_s: float = 60.0
+    name: str = ""
+    incarnation: int = 0
+    nonce: str = ""
+    next_seq: int = 1
+    last: str = ""  # the key of the batch that was confirmed last
+    counts: dict[int, dict[Key, int]] = field(default_factory=dict)  # by period, not in a batch
+    closed: dict[int, None] = field(default_factory=dict)
+    closed_before: int = 0  # those that are forgotten
+    batches: dict[int, Batch] = field(default_factory=dict)  # those that are not confirmed
+    billed: dict[int, int] = field(default_factory=dict)  # units confirmed, by period
+    gaps: list[tuple[float, float, str]] = field(default_factory=list)
+    seen_at: float = 0.0  # the last instant of which it is known that it was written
+    ended: bool = True  # the process before had closed the book
+    marks: dict[str, None] = field(default_factory=dict)  # of signed corrections, by period
+    late_since: float | None = None  # units of closed periods wait since then
+
+    # --- decisions: records to write ---
+    def begin(self, name: str, nonce: str, now: float) -> list[Record]:
+        """A new process opens the book."""
+        records: list[Record] = []
+        if not self.ended:  # what it had counted and not written is gone with it
+            records += self.misses(self.seen_at, now, "its process was killed")
+        return [*records, ["begin", VERSION, name, self.incarnation + 1, nonce, now]]
+
+    def ends(self, now: float) -> list[Record]:
+        """The process ends, with all that it has counted written."""
+        return [["end", now]]
+
+    def alive(self, now: float) -> list[Record]:
+        """Nothing to say, and nothing was missed up to here."""
+        return [["alive", now]]
+
+    def counted(self, now: float,
+                units: Mapping[tuple[int, str | None, str], int]) -> list[Record]:
+        """What was served since the last time."""
+        return [["count", now, [[*key, count] for key, count in units.items()]]] if units else []
+
+    def cut(self, now: float) -> list[Record]:
+        """Batches of what is due: periods that have closed, and corrections of those before."""
+        records: list[Record] = []
+        seq = self.next_seq
+        for period in sorted(self.counts):
+            if self._is_closed(period):
+                due = self.late_since is not None and now >= self.late_since + self.grace_s
+                kind: Kind = "correction"
+            else:
+                due = now >= self.periods.end(period) + self.grace_s
+                kind = "period"
+            if not due:
+                continue
+            lines = sorted(([tenant, cls, units] for (tenant, cls), units
+                            in self.counts[period].items()),
+                           key=lambda line: (line[0] is None, line[0] or "", line[1]))
+            for place in range(0, len(lines), LINES_MOST):
+                part = lines[place:place + LINES_MOST]
+                records.append(["batch", seq, kind, period, part, self._key(seq), ""])
+                seq += 1
+        return records
+
+    def signed(self, mark: str, by: str,
+               lines: Iterable[tuple[int, str | None, str, int]]) -> list[Record]:
+        """Corrections (period, tenant, class, units that may be below 0) that an operator signed.
+
+        `mark` names the signed file: one that is met again after a crash is taken once.
+        """
+        of: dict[int, list[list[Any]]] = {}
+        for period, tenant, cls, units in lines:
+            if units and f"{mark}/{period}" not in self.marks:
+                of.setdefault(period, []).append([tenant, cls, units])
+        return [["batch", self.next_seq + place, "correction", period, kept,
+                 self._key(self.next_seq + place), f"{by} {mark}/{period}"]
+                for place, (period, kept) in enumerate(sorted(of.items()))]
+
+    def sends(self, seq: int) -> list[Record]:
+        return [] if self.batches[seq].state == "sent" else [["sent", seq]]
+
+    def confirms(self, seq: int) -> list[Record]:
+        return [["done", seq]] if seq in self.batches else []
+
+    def holds(self, seq: int, why: str) -> list[Record]:
+        return [["held", seq, why]] if seq in self.batches else []
+
+    def misses(self, since: float, until: float, why: str) -> list[Record]:
+        """The ledger is incomplete from `since` to `until`."""
+        return [["gap", since, until, why]]
+
+    def adopts(self, last: str, billed: Iterable[int], now: float) -> list[Record]:
+        """The endpoint knows of a later life of this ledger than its disk does.
+
+        Its disk is older than what was exported (restored), or new (lost).  `billed`: periods of
+        which the endpoint has had batches since the last that we know of.  Whatever we have of
+        them may have been in those, so it is held for an operator: never billed twice, and not
+        lost in silence either.
+        """
+        again = set(billed)
+        records: list[Record] = [["adopt", last]]
+        for batch in self.batches.values():
+            if batch.period in again and batch.state != "held":
+                records.append(["held", batch.seq, "another life of this ledger has billed it"])
+        seq = self.next_seq
+        for period in sorted(again & self.counts.keys()):
+            lines = [[tenant, cls, units] for (tenant, cls), units in self.counts[period].items()]
+            records.append(["batch", seq, "correction", period, lines, self._key(seq), ""])
+            records.append(["held", seq, "another life of this ledger has billed it"])
+            seq += 1
+        since = float(max(again, default=0))
+        records.append(["gap", since, now, "its disk is older than its bills"])
+        return records
+
+    # --- what they say ---
+    @property
+    def due(self) -> Batch | None:
+        """The batch that is exported next."""
+        return next((batch for batch in self.batches.values() if batch.state != "held"), None)
+
+    def units(self, period: int) -> int:
+        """All units of a period that this book knows of, billed or not."""
+        return self.billed.get(period, 0) + sum(self.counts.get(period, {}).values()) + sum(
+            batch.units for batch in self.batches.values() if batch.period == period)
+
+    def _is_closed(self, period: int) -> bool:
+        return period in self.closed or period < self.closed_before
+
+    def _key(self, seq: int) -> str:
+        return f"{self.name}/{self.incarnation}.{self.nonce}/{seq}"
+
+    # --- the one way to change ---
+    def apply(self, record: Record) -> None:
+        """ValueError for a record of a later version, or that can't follow what was before."""
+        match record:
+            case ["begin", version, name, incarnation, nonce, now]:
+                if version > VERSION:
+                    raise ValueError(f"written by a later version ({version})")
+                self.name, self.incarnation, self.nonce = name, incarnation, nonce
+                self.seen_at, self.ended = now, False
+            case ["end", now]:
+                self.seen_at, self.ended = now, True
+            case ["alive", now]:
+                self.seen_at = now
+            case ["state", state]:
+                self._restore(state)
+            case ["count", now, units]:
+                self.seen_at = now
+                for period, tenant, cls, count in units:
+                    of = self.counts.setdefault(period, {})
+                    of[tenant, cls] = of.get((tenant, cls), 0) + count
+                    if self.late_since is None and self._is_closed(period):
+                        self.late_since = now
+            case ["batch", seq, kind, period, lines, key, why]:
+                self._prepare(Batch(seq, kind, period, [(t, c, n) for t, c, n in lines], key,
+                                    why=why), from_counts=not why)
+            case ["sent", seq]:
+                self.batches[seq].state = "sent"
+            case ["done", seq]:
+                batch = self.batches.pop(seq)
+                self.last = batch.key
+                self.billed[batch.period] = self.billed.get(batch.period, 0) + batch.units
+                while len(self.billed) > CLOSED_KEPT:
+                    del self.billed[next(iter(self.billed))]
+            case ["held", seq, why]:
+                self.batches[seq].state, self.batches[seq].why = "held", why
+            case ["adopt", last]:
+                self.last = last
+            case ["gap", since, until, why]:
+                self.gaps = [*self.gaps[-GAPS_KEPT:], (since, until, why)]
+            case _:
+                raise ValueError(f"unknown record {record[0]!r}")
+
+    def _prepare(self, batch: Batch, from_counts: bool) -> None:
+        self.batches[batch.seq] = batch
+        self.next_seq = batch.seq + 1
+        if not from_counts:  # signed: its units were never counted here
+            self.marks[batch.why.rpartition(" ")[2]] = None
+            if len(self.marks) > CLOSED_KEPT:
+                del self.marks[next(iter(self.marks))]
+            return
+        of = self.counts[batch.period]
+        for tenant, cls, _ in batch.lines:
+            del of[tenant, cls]
+        if not of:
+            del self.counts[batch.period]
+        if not any(self._is_closed(period) for period in self.counts):
+            self.late_since = None
+        self.closed[batch.period] = None
+        if len(self.closed) > CLOSED_KEPT:
+            oldest = min(self.closed)
+            del self.closed[oldest]
+            self.closed_before = oldest + 1
+
+    def checkpoint(self) -> Record:
+        """All of it as one record: where a new file of the log begins."""
+        return ["state", {
+            "version": VERSION, "name": self.name, "incarnation": self.incarnation,
+            "nonce": self.nonce, "next_seq": self.next_seq, "last": self.last,
+            "counts": [[period, tenant, cls, units] for period, of in self.counts.items()
+                       for (tenant, cls), units in of.items()],
+            "closed": list(self.closed), "closed_before": self.closed_before,
+            "billed": [list(item) for item in self.billed.items()],
+            "batches": [[b.seq, b.kind, b.period, b.lines, b.key, b.state, b.why]
+                        for b in self.batches.values()],
+            "gaps": [list(gap) for gap in self.gaps], "late_since": self.late_since,
+            "seen_at": self.seen_at, "ended": self.ended,
+            "marks": list(self.marks)}]
+
+    def _restore(self, state: Mapping[str, Any]) -> None:
+        if state["version"] > VERSION:
+            raise ValueError(f"written by a later version ({state['version']})")
+        self.name, self.incarnation = state["name"], state["incarnation"]
+        self.nonce, self.next_seq, self.last = state["nonce"], state["next_seq"], state["last"]
+        self.counts = {}
+        for period, tenant, cls, units in state["counts"]:
+            self.counts.setdefault(period, {})[tenant, cls] = units
+        self.closed = dict.fromkeys(state["closed"])
+        self.closed_before = state["closed_before"]
+        self.billed = {period: units for period, units in state["billed"]}
+        self.batches = {each[0]: Batch(each[0], each[1], each[2],
+                                       [(t, c, n) for t, c, n in each[3]], *each[4:])
+                        for each in state["batches"]}
+        self.gaps = [(since, until, why) for since, until, why in state["gaps"]]
+        self.late_since, self.marks = state["late_since"], dict.fromkeys(state["marks"])
+        self.seen_at, self.ended = state["seen_at"], state["ended"]
--- /dev/null
+++ b/violetroute/ledger/keeper.py
@@ -0,0 +1,361 @@
+"""The ledger as a part of the daemon: hears of served requests, writes, exports.
+
+Decisions are the book's; this file has the timers and the order of things:
+
+- what is decided is applied to the book at once and then written; while a write is under way or has
+  failed, everything waits in the tally, which is bounded, and requests go on;
+- a batch is heard of outside only when the record that says so is on the disk;
+- after a write that failed the whole book is written anew, until that succeeds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from violetroute.logs import tell
+from violetroute.transport import Network, parse_address
+from violetroute.transport.tls import TlsKeys
+
+from .book import Batch, Book
+from .export import Backoff, Said, csv_lines, file_name, json_lines, key_of, said
+from .files import Files, Folder
+from .frames import Record
+from .periods import Periods
+from .poster import Post
+from .store import Foreign, Found, Store, compress
+from .table import LedgerTable
+from .tally import Tally
+from .writer import ThreadWriter, Writer
+
+AGAIN = 1.0  # s until a disk that failed, or a folder that is another's, is tried again
+LOOK = 5.0  # s between looks for corrections that were signed
+ALIVE = 30.0  # s without a write after which one says that nothing was missed
+RETIRE = 3600.0  # s between looks for what is too old
+AT_THE_END = 2.0  # s for the last write
+
+
+class Signed(msgspec.Struct, forbid_unknown_fields=True):
+    """A file of corrections: who signed them; period, tenant, class and units of each."""
+
+    by: str
+    lines: list[tuple[int, str | None, str, int]]
+
+
+class Ledger:
+    """One proxy's.  `name` is the proxy's; its folder is made of it."""
+
+    def __init__(self, table: LedgerTable, name: str, net: Network,
+                 files: Callable[[], Files] | None = None, writer: Writer | None = None,
+                 nonce: str = "") -> None:
+        self.table, self._net, self._loop = table, net, net.loop
+        self.name = name
+        folder = Path(table.folder) / folder_name(name)
+        self._files = files() if files is not None else Folder(folder)
+        self._writer: Writer = writer or ThreadWriter(net.loop)
+        self._periods = Periods(table.zone, table.period_min)
+        self._tally = Tally(table.tenants_most, table.ids)
+        self._book = Book(self._periods, table.grace_s)
+        self._store = Store(self._files, name)
+        self._nonce = nonce or secrets.token_hex(6)
+        self._began = net.wall()
+        self.state = "opening"  # open, failed (its disk), elsewhere (locked), closed
+        self._busy = False
+        self._unwritten: list[Record] = []  # decided, in their order
+        self._ids: dict[int, bytearray] = {}
+        self._closed: list[tuple[int, bytes]] = []  # to be archived with the next write
+        self._wrote_at = self._retired_at = self._looked_at = self._loop.time()
+        self._post: Post | None = None
+        self._backoff = Backoff(table.retry_s, table.retry_most_s, f"{name}/{self._nonce}")
+        self._next_try = 0.0
+        self._keys = TlsKeys(table.tls) if table.tls_ca_file else None
+        self._timer: Any = None
+        self._told_folded, self._told_folded_at = 0, 0.0
+        self._open()
+
+    # --- from the proxy ---
+    def served(self, tenant: str, cls: str, id_: bytes) -> None:
+        """A client was given its served answer."""
+        self._tally.add(self._periods.of(self._net.wall()), tenant, cls, id_)
+
+    # --- opening ---
+    def _open(self) -> None:
+        self._busy, self.state = True, "opening"
+        book, store, files, name = self._book, self._store, self._files, self.name
+        wall, nonce = self._began, self._nonce
+
+        def job() -> Found | None:
+            if not files.lock():
+                return None
+            try:
+                found = store.open(book)
+            except Foreign as other:
+                for file in files.names():
+                    if not file.endswith(".foreign"):
+                        files.move(file, f"{file}.foreign")
+                found = Found(aside=["*.foreign"], wrong=f"it was the ledger of {other}")
+            for record in book.begin(name, nonce, wall):
+                book.apply(record)
+            store.rewrite(book.checkpoint())
+            return found
+
+        self._writer.submit(job, self._opened)
+
+    def _opened(self, found: Found | None, error: BaseException | None) -> None:
+        self._busy = False
+        if self.state == "closed":
+            return
+        if error is not None:
+            self._book = Book(self._periods, self.table.grace_s)
+            self._failed(error)
+        elif found is None:
+            self.state = "elsewhere"
+            tell("ledger.locked", folder=self.table.folder)
+        else:
+            self.state = "open"
+            if found.wrong or found.aside:
+                tell("ledger.salvaged", file=found.file, records=found.records, torn=found.torn,
+                     why=found.wrong, aside=",".join(found.aside))
+            for period, of in self._book.counts.items():
+                self._tally.knows(period, {name: None for name, _ in of if name is not None})
+            tell("ledger.open", incarnation=self._book.incarnation, batches=len(self._book.batches),
+                 gaps=len(self._book.gaps))
+        self._again()
+
+    def _again(self) -> None:
+        if self._timer is None and self.state != "closed":
+            wait = self.table.flush_s if self.state == "open" else AGAIN
+            self._timer = self._loop.call_later(wait, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        if not self._busy:
+            if self.state == "open" and self._loop.time() - self._looked_at > LOOK:
+                self._look()
+            elif self.state == "open":
+                self._flush()
+                self._export()
+            elif self.state == "failed" and self._book.name:
+                self._rewrite()
+            else:
+                self._open()
+        self._again()
+
+    # --- corrections that an operator has signed ---
+    def _look(self) -> None:
+        self._busy, self._looked_at = True, self._loop.time()
+        self._writer.submit(self._store.signed, self._signed)
+
+    def _signed(self, files: dict[str, bytes] | None, error: BaseException | None) -> None:
+        self._busy = False
+        names = tuple(files or ())
+        for name in names:
+            assert files is not None
+            try:
+                signed = msgspec.json.decode(files[name], type=Signed)
+                self._decide(self._book.signed(name, signed.by, signed.lines))
+            except msgspec.DecodeError as wrong:
+                tell("ledger.held", batch=name, why=f"no corrections: {wrong}")
+        if names and self.state == "open":
+            store = self._store
+
+            def forget() -> None:
+                self._busy = True
+                self._writer.submit(lambda: store.forget(names), forgotten)
+
+            def forgotten(_: None, error: BaseException | None) -> None:
+                self._busy = False
+
+            self._write(then=forget)
+
+    # --- writing ---
+    def _decide(self, records: list[Record]) -> bool:
+        """Take on what the book has decided; whether it was anything."""
+        for record in records:
+            self._book.apply(record)
+        self._unwritten += records
+        return bool(records)
+
+    def _count(self) -> None:
+        units, ids = self._tally.take()
+        self._decide(self._book.counted(self._net.wall(), units))
+        for period, of in ids.items():
+            self._ids.setdefault(period, bytearray()).extend(of)
+
+    def _flush(self) -> None:
+        """What was counted, and what has fallen due."""
+        self._count()
+        self._decide(self._book.cut(self._net.wall()))
+        if not self._unwritten and self._loop.time() - self._wrote_at >= ALIVE:
+            self._decide(self._book.alive(self._net.wall()))
+        now = self._loop.time()
+        if self._tally.folded > self._told_folded and now - self._told_folded_at > ALIVE:
+            tell("ledger.folded", units=self._tally.folded - self._told_folded)
+            self._told_folded, self._told_folded_at = self._tally.folded, now
+        if self._unwritten or self._closed:
+            self._write()
+
+    def _write(self, then: Callable[[], None] | None = None) -> None:
+        """All that was decided; `then` once it is on the disk."""
+        self._busy = True
+        store, now = self._store, self._loop.time()
+        records, self._unwritten = self._unwritten, []
+        ids, self._ids = self._ids, {}
+        closed, self._closed = self._closed, []
+        checkpoint = self._book.checkpoint() if store.grown else None
+        retire = now - self._retired_at > RETIRE
+        if retire:
+            self._retired_at = now
+        before = self._net.wall() - self.table.retain_days * 86_400.0
+
+        def job() -> None:
+            store.commit(records, ids, closed)
+            if checkpoint is not None:
+                store.rewrite(checkpoint)
+            if retire:
+                store.retire(before)
+
+        def told(_: None, error: BaseException | None) -> None:
+            self._busy = False
+            self._wrote_at = self._loop.time()
+            if error is not None:
+                # The records are in the book, and so in what is written next.
+                self._closed = closed + self._closed
+                for period, of in self._ids.items():
+                    ids.setdefault(period, bytearray()).extend(of)
+                self._ids = ids
+                self._failed(error)
+            elif then is not None and self.state == "open":
+                then()
+
+        self._writer.submit(job, told)
+
+    def _rewrite(self) -> None:
+        """All of the book into a new file: the one before is not believed any more."""
+        self._busy, self._unwritten = True, []
+        store, checkpoint = self._store, self._book.checkpoint()
+        self._writer.submit(lambda: store.rewrite(checkpoint), self._rewritten)
+
+    def _rewritten(self, _: None, error: BaseException | None) -> None:
+        self._busy = False
+        if error is not None:
+            self._failed(error)
+        elif self.state == "failed":
+            self.state = "open"
+            tell("ledger.written_again")
+
+    def _failed(self, error: BaseException) -> None:
+        if self.state != "closed":
+            self.state = "failed"
+            tell("ledger.unwritten", reason=" ".join(str(error).split()) or type(error).__name__)
+
+    # --- exporting ---
+    def _export(self) -> None:
+        """The next batch, if it is time; nobody hears of one that is not on the disk."""
+        batch = self._book.due
+        if batch is None or self._busy or self._post is not None or self.table.export == "off" \
+                or self._loop.time() < self._next_try:
+            return
+        self._decide(self._book.sends(batch.seq))
+        go = self._to_files if self.table.export == "files" else self._send
+        if self._unwritten:
+            self._write(then=lambda: go(batch))
+        else:
+            go(batch)
+
+    def _to_files(self, batch: Batch) -> None:
+        self._busy = True
+        target = Folder(Path(self.table.export_folder))
+        formats, name = self.table.formats, file_name(batch)
+
+        def job() -> None:
+            target.lock()
+            try:
+                if "jsonl" in formats:
+                    target.put(f"{name}.jsonl", json_lines(batch))
+                if "csv" in formats:
+                    target.put(f"{name}.csv", csv_lines(batch))
+            finally:
+                target.close()
+
+        def told(_: None, error: BaseException | None) -> None:
+            self._busy = False
+            if error is not None:
+                self._said(batch, Said("again", " ".join(str(error).split())))
+            else:
+                self._said(batch, Said("done"))
+
+        self._writer.submit(job, told)
+
+    def _send(self, batch: Batch) -> None:
+        body = json_lines(batch)
+        headers = {"Idempotency-Key": key_of(batch), "Ledger-After": f'"{self._book.last}"',
+                   "Content-Type": "application/x-ndjson"}
+        if self.table.compress:
+            body = compress(body)
+            headers["Content-Encoding"] = "zstd"
+        address = parse_address(self.table.endpoint)
+
+        def done(status: int, told: dict[str, str], answer: bytes, why: str) -> None:
+            self._post = None
+            self._said(batch, said(status, told, answer) if status else Said("again", why))
+
+        self._post = Post(self._net, address, self._keys, self.table.timeout_s, self.table.path,
+                          headers, body, done)
+
+    def _said(self, batch: Batch, answer: Said) -> None:
+        if self.state == "closed" or batch.seq not in self._book.batches:
+            return
+        book = self._book
+        if answer.what == "done":
+            self._backoff.succeeded()
+            self._decide(book.confirms(batch.seq))
+            self._closed.append((batch.period, json_lines(batch)))
+        elif answer.what == "held":
+            tell("ledger.held", batch=batch.key, why=answer.why)
+            self._decide(book.holds(batch.seq, answer.why))
+        elif answer.what == "fork":
+            held = sum(each.state == "held" for each in book.batches.values())
+            self._decide(book.adopts(answer.last, answer.periods, self._net.wall()))
+            held = sum(each.state == "held" for each in book.batches.values()) - held
+            tell("ledger.fork", last=answer.last, held=held)
+        else:
+            wait = self._backoff.failed(answer.wait)
+            self._next_try = self._loop.time() + wait
+            tell("ledger.not_exported", batch=batch.key, why=answer.why, wait_s=round(wait, 1))
+        if self._unwritten and not self._busy and self.state == "open":
+            self._write()
+
+    # --- the end ---
+    async def close(self) -> None:
+        """The last write; what is not written by AT_THE_END is named by the next start as a gap."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._post is not None:
+            self._post.stop()
+            self._post = None
+        until = self._loop.time() + AT_THE_END
+        while self._busy and self._loop.time() < until:
+            await asyncio.sleep(0.01)
+        if self.state == "open" and not self._busy:
+            self._count()
+            self._decide(self._book.ends(self._net.wall()))
+            self._write()
+            while self._busy and self._loop.time() < until:
+                await asyncio.sleep(0.01)
+        self.state = "closed"
+        self._writer.close(max(0.0, until - self._loop.time()))
+        if not self._busy:
+            self._files.close()
+
+
+def folder_name(name: str) -> str:
+    """Of a proxy; the operator's names are plain, and no other can leave the folder."""
+    safe = "".join(c if c.isascii() and (c.isalnum() or c in "._-") else "_" for c in name)
+    return safe.lstrip(".") or "proxy"
--- /dev/null
+++ b/violetroute/ledger/poster.py
@@ -0,0 +1,104 @@
+"""One POST at a time over a connection of its own, through the seam.
+
+Each post connects anew: a batch is rare, and a kept connection that has died would be one more way
+to learn nothing.  Bounds: connect and answer within the table's time, an answer's body of
+BODY_MOST.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import h11
+
+from violetroute.transport import Address, Network, Stream
+from violetroute.transport.tls import TlsKeys, TlsStream
+
+from .export import BODY_MOST
+
+READ_SIZE = 16 * 1024
+_shared = memoryview(bytearray(READ_SIZE))
+
+Done = Callable[[int, dict[str, str], bytes, str], None]  # status (0: none), headers, body, why
+
+
+class Post:
+    """Told `done` once, from the loop; never after `stop`."""
+
+    def __init__(self, net: Network, address: Address, keys: TlsKeys | None, limit: float,
+                 path: str, headers: Mapping[str, str], body: bytes, done: Done) -> None:
+        self._done: Done | None = done
+        self._http = h11.Connection(h11.CLIENT)
+        request = h11.Request(method="POST", target=path, headers=[
+            ("Host", f"{address.host}:{address.port}"), ("Content-Length", str(len(body))),
+            ("Connection", "close"), *headers.items()])
+        self._data = b"".join(part for part in (
+            self._http.send(request), self._http.send(h11.Data(data=body)),
+            self._http.send(h11.EndOfMessage())) if part)
+        self._status, self._headers = 0, dict[str, str]()
+        self._body = bytearray()
+        self._timer: Any = net.loop.call_later(limit, self._end, "no answer in time")
+        self._stream: Stream = TlsStream(net, address, self, limit, keys) \
+            if keys is not None else net.connect(address, self, limit)
+
+    def stop(self) -> None:
+        """Nothing more is told; the endpoint may have taken it all the same."""
+        self._done = None
+        self._timer.cancel()
+        self._stream.abort()
+
+    def _end(self, why: str, whole: bool = False) -> None:
+        done = self._done
+        if done is not None:
+            self.stop()
+            if whole:
+                done(self._status, self._headers, bytes(self._body), "")
+            else:
+                done(0, {}, b"", why)
+
+    # --- stream ---
+    def opened(self) -> None:
+        self._stream.write(self._data)
+
+    def buffer(self) -> memoryview:
+        return _shared
+
+    def received(self, count: int) -> None:
+        try:
+            self._http.receive_data(bytes(_shared[:count]))
+            self._read()
+        except (h11.RemoteProtocolError, ValueError) as error:
+            self._end(f"no HTTP: {error}")
+
+    def ended(self) -> None:
+        try:
+            self._http.receive_data(b"")
+            self._read()
+        except (h11.RemoteProtocolError, ValueError):
+            pass
+        self._end("the answer broke off")
+
+    def lost(self, error: OSError | None) -> None:
+        self._end(str(error or "the connection is gone"))
+
+    def drained(self) -> None:
+        pass
+
+    def _read(self) -> None:
+        while self._done is not None:
+            match self._http.next_event():
+                case h11.Response(status_code=status, headers=headers):
+                    self._status = status
+                    self._headers = {name.decode("ascii"): value.decode("latin-1")
+                                     for name, value in headers}
+                case h11.Data(data=data):
+                    self._body += data
+                    if len(self._body) > BODY_MOST:
+                        raise ValueError("the answer is too large")
+                case h11.EndOfMessage():
+                    self._end("", whole=True)
+                case h11.NEED_DATA | h11.PAUSED | h11.ConnectionClosed():
+                    return
+                case _:
+                    pass
--- /dev/null
+++ b/violetroute/ledger/store.py
@@ -0,0 +1,152 @@
+"""Keeps a book on a disk: a log that begins with a checkpoint, and what finds it again.
+
+`log-N`: a checkpoint, whole or not there (`Files.put`), then frames.  A new file is begun at every
+start, when one has grown, and after any write or sync that failed: what the kernel says of a file
+after a failed fsync is not believed, since it may have thrown the pages away and say yes the next
+time.  The file before is kept until there is a newer one yet, so that a checkpoint that can't be
+read (a bad sector) costs what came after it and not the book.
+
+`closed-DAY`: confirmed batches, each a zstd frame of the bytes that were exported; a batch may
+stand there twice after a crash and is known by its key.  `ids-PERIOD`: hashes of requests' ids, 8
+bytes each.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+
+from .book import Book
+from .files import Files
+from .frames import MAGIC, Record, decode, encode
+
+GROWN = 4 * 1024 * 1024  # bytes of a log's frames until a new one is begun
+SIGNED = "signed-"
+
+
+class Foreign(Exception):
+    """The folder holds another proxy's ledger."""
+
+
+@dataclass
+class Found:
+    """What was found at the start."""
+
+    file: str = ""
+    records: int = 0
+    aside: list[str] = field(default_factory=list)  # what can't be read, under its new names
+    torn: int = 0  # bytes behind the last record that adds up
+    wrong: str = ""
+
+
+class Store:
+    """One book's files.  Every call blocks; OSError from any."""
+
+    def __init__(self, files: Files, name: str) -> None:
+        self._files, self._name = files, name
+        self._number, self._size = 0, 0
+
+    def open(self, book: Book) -> Found:
+        """Read what there is into an empty book.
+
+        Foreign if it is not `name`'s: nothing is changed then.  ValueError if a later version
+        wrote it.  A file that is no log any more is kept under another name.
+        """
+        found = Found()
+        logs = sorted((name for name in self._files.names()
+                       if name.startswith("log-") and name[4:].isdecimal()),
+                      key=lambda name: int(name[4:]), reverse=True)
+        self._number = max((int(name[4:]) for name in logs), default=0)
+        for name in logs:
+            data = self._files.read(name)
+            read = decode(data)
+            if read.records and read.records[0][0] == "state":
+                if read.records[0][1].get("name") not in (self._name, ""):
+                    raise Foreign(str(read.records[0][1].get("name")))
+                self._play(book, read.records)
+                found.file, found.records = name, len(read.records)
+                found.torn, found.wrong = len(data) - read.good, read.wrong
+                return found
+            self._files.move(name, f"{name}.bad")
+            found.aside.append(f"{name}.bad")
+        return found
+
+    @staticmethod
+    def _play(book: Book, records: Iterable[Record]) -> None:
+        for record in records:
+            book.apply(record)
+
+    def rewrite(self, checkpoint: Record) -> None:
+        """A new log that begins with a book's checkpoint."""
+        data = MAGIC + encode([checkpoint])
+        number = self._number + 1
+        self._files.put(f"log-{number:08d}", data)
+        self._number, self._size = number, 0
+        for name in self._files.names():
+            old = name.startswith("log-") and name[4:].isdecimal() and int(name[4:]) < number - 1
+            if old or name.endswith(".new"):
+                self._files.remove(name)
+
+    def commit(self, records: Iterable[Record], ids: Mapping[int, bytes | bytearray],
+               closed: Iterable[tuple[int, bytes]]) -> None:
+        """Kept once this returns; `closed`: periods, and what is archived of them."""
+        for period, data in closed:
+            day = datetime.fromtimestamp(period, UTC).strftime("%Y%m%d")
+            self._files.append(f"closed-{day}", compress(data))
+        for period, hashes in ids.items():
+            self._files.append(f"ids-{period}", bytes(hashes))
+        data = encode(records)
+        if data:
+            self._files.append(f"log-{self._number:08d}", data)
+            self._size += len(data)
+        self._files.sync()
+
+    def signed(self) -> dict[str, bytes]:
+        """Corrections that were put here to be taken on, by name."""
+        return {name: self._files.read(name) for name in self._files.names()
+                if name.startswith(SIGNED) and name.endswith(".json")}
+
+    def forget(self, names: Iterable[str]) -> None:
+        for name in names:
+            self._files.remove(name)
+
+    @property
+    def grown(self) -> bool:
+        return self._size > GROWN
+
+    def retire(self, before: float) -> None:
+        """Forget what is older than this (Unix s)."""
+        last_day = datetime.fromtimestamp(max(0.0, before), UTC).strftime("%Y%m%d")
+        for name in self._files.names():
+            kind, _, of = name.partition("-")
+            if (kind == "closed" and of < last_day) \
+                    or (kind == "ids" and of.isdecimal() and int(of) < before):
+                self._files.remove(name)
+
+
+def compress(data: bytes, level: int = 6) -> bytes:
+    """One zstd frame.  Imported where it is needed: a proxy without a ledger has no use for it."""
+    import zstandard
+
+    return zstandard.ZstdCompressor(level=level).compress(data)
+
+
+def archived(data: bytes) -> list[bytes]:
+    """The frames of a `closed-` file; one that was torn ends it."""
+    import zstandard
+
+    found, place = [], 0
+    while place < len(data):
+        reader = zstandard.ZstdDecompressor().decompressobj()
+        try:
+            frame = reader.decompress(data[place:])
+        except zstandard.ZstdError:
+            break
+        if not reader.eof:
+            break
+        found.append(frame)
+        place = len(data) - len(reader.unused_data)
+    return found
+
+
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -34,6 +34,7 @@
 from .deadlines import Deadlines
 from .logs import tell
 from .membership import Listing, Membership, Places, as_member, stable_hash
+from .parts import Parts
 from .placement import Keeper, Like
 from .resp import Command, CommandError
 from .transport import Network
@@ -62,6 +63,7 @@
     def __init__(self, config: Config, net: Network) -> None:
         self._loop = loop = net.loop
         self._turns = net.turns
+        self.parts = Parts()
         self._offset = net.wall() * 1000.0 - loop.time() * 1000.0
         self._now = 0.0
         self._open: dict[int, OpenRequest] = {}
@@ -202,6 +204,8 @@
         now = self.clock()
         if not request.answered and result is Result.OK and value is not None:
             self._answer(request, b"$%d\r\n" % len(value), value, b"\r\n")
+            for told in self.parts.served:
+                told(request.command.tenant, request.command.class_name, request.command.id)
         to = None
         if self._pool.follows and result is Result.OK and not attempt.asking:
             self._slots.served(attempt.command.key, self._pool.address(attempt.cache_id))
