limebridge ledger: show, verify, reconcile, sign; sketches of the ids that differ

Two proxies disagree about a period, a kill lost half a second, a tenant disputes a bill: an operator has to find who is short of what, and set it right without changing what was exported.

`limebridge ledger` reads folders and exports without touching them. `reconcile` settles units that stand on the other side of a period's edge, names proxies that are short or long by tenant, class and period, and writes corrections; `sign` hands them to the proxy, which exports each once. `sketch` and `differ`: an invertible Bloom lookup table with a strata estimate, which says when it is too small. `kills.py` plays real proxies on a fast clock, killed at random.

Two real daemons, four kills in 6 s under load with an endpoint that loses answers: nothing billed twice, and after the signed corrections the billed totals equal what the nodes wrote down, by tenant, class and period. Ten posts that were taken and answered with 500, an abort, half an answer: billed once. A write that hangs is noticed by no request.

--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `limebridge demo | check | serve | explore | replay | placement`."""
+"""The command line: `limebridge demo | check | serve | explore | replay | placement | ledger`."""
 
 from __future__ import annotations
 
@@ -23,6 +23,7 @@
 from violetroute.membership import order
 
 from . import demo as demo_module
+from .ledger.command import app as ledger_app
 from .placement.command import app as placement_app
 from .virtual import coverage, story, world
 from .virtual import explore as explorer
@@ -33,6 +34,7 @@
 
 
 app.add_typer(placement_app, name="placement")
+app.add_typer(ledger_app, name="ledger")
 
 
 @app.callback()
--- /dev/null
+++ b/limebridge/ledger/command.py
@@ -0,0 +1,222 @@
+"""`limebridge ledger show | verify | export | reconcile | sign | sketch | differ`."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections import Counter
+from pathlib import Path
+from typing import Annotated, Any, NoReturn
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from violetroute.ledger.files import Folder
+from violetroute.ledger.periods import Periods
+from violetroute.ledger.store import SIGNED
+
+from .reading import Reading, dry_run, read
+from .reading import verify as verify_reading
+from .reconcile import Exported, corrections, read_served
+from .reconcile import reconcile as reconcile_lines
+from .report import OTHERS, html
+
+app = typer.Typer(no_args_is_help=True, help="Ledgers: what was served, by tenant and class.")
+
+LedgerFolder = Annotated[Path, typer.Argument(
+    metavar="FOLDER", help="One proxy's, within [ledger] folder.")]
+AsJson = Annotated[bool, typer.Option("--json", help="One JSON object.")]
+Zone = Annotated[str, typer.Option(help="As in [ledger].")]
+Minutes = Annotated[int, typer.Option("--period-min", min=5, max=60, help="As in [ledger].")]
+
+
+def _stop(text: object, status: int = 2) -> NoReturn:
+    typer.echo(f"limebridge: {text}", err=True)
+    raise typer.Exit(status) from None
+
+
+def _console() -> Console:
+    """Tenants' names come from clients: what looks like markup in them is none."""
+    return Console(markup=False, highlight=False)
+
+
+def _reading(folder: Path, zone: str = "UTC", minutes: int = 15) -> Reading:
+    try:
+        return read(folder, Periods(zone, minutes))
+    except (OSError, ValueError) as error:
+        _stop(error)
+
+
+def _name(tenant: str | None) -> str:
+    return OTHERS if tenant is None else "".join(c if c.isprintable() else "?" for c in tenant)
+
+
+@app.command()
+def show(folder: LedgerFolder, as_json: AsJson = False,
+         report: Annotated[Path | None, typer.Option(
+             "--html", metavar="FILE", help="Write a report.")] = None) -> None:
+    """Totals by tenant and day, billed or not."""
+    reading = _reading(folder)
+    units = reading.by_day()
+    book = reading.book
+    if report is not None:
+        report.write_text(html(units, reading.name, verify_reading(reading, folder)))
+    told = {"ledger": reading.name, "incarnation": book.incarnation, "units": sum(units.values()),
+            "confirmed": len(reading.exported.batches), "to_export": sum(
+                batch.state != "held" for batch in book.batches.values()),
+            "held": sum(batch.state == "held" for batch in book.batches.values()),
+            "gaps": [list(gap) for gap in book.gaps]}
+    if as_json:
+        rows = [[day, tenant, cls, count] for (day, tenant, cls), count in sorted(
+            units.items(), key=lambda item: (item[0][0], item[0][1] or "", item[0][2]))]
+        print(json.dumps(told | {"totals": rows}, ensure_ascii=False))
+        return
+    table = Table("day", "tenant", "class", "units")
+    for (day, tenant, cls), count in sorted(
+            units.items(), key=lambda item: (item[0][0], item[0][1] or "", item[0][2])):
+        table.add_row(day, _name(tenant), cls, str(count))
+    _console().print(table)
+    print(", ".join(f"{key} {value}" for key, value in told.items() if key != "gaps"),
+          f"gaps {len(book.gaps)}", sep=", ")
+
+
+@app.command()
+def verify(folder: LedgerFolder, as_json: AsJson = False) -> None:
+    """What does not add up, and where the ledger is incomplete.  Exit status 1 if anything is."""
+    wrong = verify_reading(_reading(folder), folder)
+    print(json.dumps({"wrong": wrong}) if as_json else "\n".join(wrong) or "all adds up")
+    raise typer.Exit(1 if wrong else 0)
+
+
+@app.command("export")
+def export_command(folder: LedgerFolder, dry: Annotated[bool, typer.Option(
+        "--dry-run", help="Print what the proxy would send; it alone sends.")] = False) -> None:
+    """What is to be exported, as JSON lines."""
+    if not dry:
+        _stop("exports are the proxy's own; --dry-run shows them")
+    typer.echo(dry_run(_reading(folder)).decode(), nl=False)
+
+
+def _exported(paths: list[Path]) -> Exported:
+    found = Exported()
+    for path in paths:
+        for each in sorted(path.glob("*.jsonl")) if path.is_dir() else [path]:
+            try:
+                found.add(each.read_text(), str(each))
+            except (OSError, ValueError) as error:
+                _stop(error)
+    return found
+
+
+@app.command()
+def reconcile(
+    exported: Annotated[list[Path], typer.Argument(
+        metavar="EXPORTS...", help="What proxies exported: files or folders of JSON lines.")],
+    served: Annotated[list[Path], typer.Option(
+        "--served", metavar="FILE", help="Nodes' records: JSON lines.")],
+    zone: Zone = "UTC", minutes: Minutes = 15,
+    write: Annotated[Path | None, typer.Option(
+        metavar="DIR", help="Write a file of corrections a proxy, to be signed.")] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Which proxy is short or long, of which tenant, class and period.
+
+    Exit status 1 when something differs.
+    """
+    try:
+        periods = Periods(zone, minutes)
+    except ValueError as error:
+        _stop(error)
+    ours, theirs = _exported(exported), Counter[Any]()
+    wrong = list(ours.wrong)
+    for path in served:
+        try:
+            units, bad = read_served(path.read_text().splitlines(), periods, str(path))
+        except (OSError, ValueError) as error:
+            _stop(error)
+        theirs += units
+        wrong += bad
+    found = reconcile_lines(ours.units, theirs, periods)
+    if write is not None:
+        write.mkdir(parents=True, exist_ok=True)
+        for number, proxy in enumerate(sorted({d.proxy for d in found.differences})):
+            (write / f"corrections-{number}.json").write_bytes(corrections(found, proxy, ""))
+    if as_json:
+        print(json.dumps({
+            "short": found.short, "long": found.long, "moved": found.moved, "wrong": wrong,
+            "differences": [[d.proxy, d.period, d.tenant, d.cls, d.exported, d.served]
+                            for d in found.differences]}, ensure_ascii=False))
+    else:
+        table = Table("proxy", "period", "tenant", "class", "exported", "served", "")
+        for d in found.differences:
+            table.add_row(d.proxy, str(d.period), _name(d.tenant), d.cls, str(d.exported),
+                          str(d.served), f"short of {d.units}" if d.units > 0 else
+                          f"long by {-d.units}")
+        _console().print(table)
+        for line in wrong:
+            typer.echo(line, err=True)
+        print(f"short of {found.short}, long by {found.long}; {found.moved} at a period's edge")
+    raise typer.Exit(1 if found.differences or wrong else 0)
+
+
+@app.command()
+def sign(folder: LedgerFolder,
+         file: Annotated[Path, typer.Argument(metavar="CORRECTIONS.json")],
+         by: Annotated[str, typer.Option(help="Who signs.")]) -> None:
+    """Hand corrections to a proxy: it exports them within seconds, each once."""
+    try:
+        told = json.loads(file.read_bytes())
+        lines = [(int(period), tenant if tenant is None else str(tenant), str(cls), int(units))
+                 for period, tenant, cls, units in told["lines"]]
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        _stop(f"{file}: no corrections: {error}")
+    if not by.strip() or not by.isprintable():
+        _stop("--by: nobody")
+    body = json.dumps({"by": by.strip(), "lines": lines}, ensure_ascii=False).encode()
+    name = f"{SIGNED}{hashlib.sha256(body).hexdigest()[:16]}.json"
+    if not folder.is_dir():
+        _stop(f"{folder}: no ledger")
+    Folder(folder).put(name, body)
+    print(f"{name}: {sum(line[3] for line in lines)} units in {len(lines)} lines, signed by {by}")
+
+
+@app.command()
+def sketch(ids: Annotated[list[Path], typer.Argument(metavar="IDS...", help="ids- files.")],
+           out: Annotated[Path, typer.Option("-o", "--out", metavar="FILE")],
+           differ: Annotated[int, typer.Option(min=1, max=10_000_000,
+                                               help="Differences to make room for.")] = 1000,
+           ) -> None:
+    """A sketch of ids, to be held against another side's with `differ`."""
+    import numpy as np
+
+    from .sketch import Sketch, read_ids
+
+    try:
+        found = np.concatenate([read_ids(path.read_bytes()) for path in ids])
+    except OSError as error:
+        _stop(error)
+    data = Sketch.of(found, differ).dump()
+    out.write_bytes(data)
+    print(f"{len(found)} ids in {len(data)} bytes, for {differ} differences")
+
+
+@app.command("differ")
+def differ_command(ours: Path, theirs: Path, as_json: AsJson = False) -> None:
+    """Which ids only one of two sketches has.  Exit status 1 if any; 3 if they are too small."""
+    from .sketch import Sketch
+
+    try:
+        found = Sketch.load(ours.read_bytes()).against(Sketch.load(theirs.read_bytes()))
+    except (OSError, ValueError) as error:
+        _stop(error)
+    if isinstance(found, int):
+        _stop(f"too many differ; sketch both again with --differ {found}", 3)
+    only = [[f"{value:016x}" for value in sorted(side)] for side in found]
+    if as_json:
+        print(json.dumps({"ours": only[0], "theirs": only[1]}))
+    else:
+        for side, names in zip(("ours", "theirs"), only, strict=True):
+            for name in names:
+                print(side, name)
+    raise typer.Exit(1 if any(only) else 0)
--- /dev/null
+++ b/limebridge/ledger/reading.py
@@ -0,0 +1,107 @@
+"""A ledger's folder read from outside; nothing in it is changed, and its proxy may run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from violetroute.ledger.book import Book
+from violetroute.ledger.export import json_lines
+from violetroute.ledger.frames import decode
+from violetroute.ledger.periods import Periods
+from violetroute.ledger.store import archived
+
+from .reconcile import Exported
+
+
+@dataclass
+class Reading:
+    """What a folder says."""
+
+    book: Book
+    exported: Exported  # confirmed batches, from the archive
+    file: str = ""
+    notes: list[str] = field(default_factory=list)  # what does not add up
+
+    @property
+    def name(self) -> str:
+        return self.book.name
+
+    def by_day(self) -> Counter[tuple[str, str | None, str]]:
+        """Units by day (UTC), tenant and class, billed or not."""
+        from datetime import UTC, datetime
+
+        found: Counter[tuple[str, str | None, str]] = Counter()
+
+        def add(period: int, tenant: str | None, cls: str, units: int) -> None:
+            found[datetime.fromtimestamp(period, UTC).date().isoformat(), tenant, cls] += units
+
+        for (_, period, tenant, cls), units in self.exported.units.items():
+            add(period, tenant, cls, units)
+        for batch in self.book.batches.values():
+            for tenant, cls, units in batch.lines:
+                add(batch.period, tenant, cls, units)
+        for period, of in self.book.counts.items():
+            for (tenant, cls), units in of.items():
+                add(period, tenant, cls, units)
+        return found
+
+
+def read(folder: Path, periods: Periods) -> Reading:
+    """ValueError where there is no ledger, or one that can't be read."""
+    logs = sorted((path for path in folder.glob("log-*") if path.name[4:].isdecimal()),
+                  key=lambda path: int(path.name[4:]), reverse=True)
+    if not logs:
+        raise ValueError(f"{folder}: no ledger")
+    reading = Reading(Book(periods), Exported())
+    for path in logs:
+        data = path.read_bytes()
+        found = decode(data)
+        if found.records and found.records[0][0] == "state":
+            for record in found.records:
+                reading.book.apply(record)
+            reading.file = path.name
+            if found.wrong:
+                reading.notes.append(f"{path.name}: {found.wrong}, {len(data) - found.good} bytes "
+                                     "behind it are not believed")
+            break
+        reading.notes.append(f"{path.name}: {found.wrong or 'no checkpoint'}")
+    else:
+        raise ValueError(f"{folder}: no log that can be read")
+    for path in sorted(folder.glob("closed-*")):
+        for frame in archived(path.read_bytes()):
+            reading.exported.add(frame.decode("utf-8", "replace"), path.name)
+    return reading
+
+
+def verify(reading: Reading, folder: Path) -> list[str]:
+    """What does not add up: archive against book, ids against units, gaps."""
+    book, wrong = reading.book, list(reading.notes) + list(reading.exported.wrong)
+    archived_units: Counter[int] = Counter()
+    for (_, period, _, _), units in reading.exported.units.items():
+        archived_units[period] += units
+    for period, units in book.billed.items():
+        if archived_units[period] != units:
+            wrong.append(f"period {period}: {units} units confirmed, {archived_units[period]} in "
+                         "the archive")
+    for batch in book.batches.values():
+        if batch.state == "held":
+            wrong.append(f"{batch.key}: {batch.units} units held: {batch.why}")
+    for since, until, why in book.gaps:
+        wrong.append(f"incomplete from {since:.1f} to {until:.1f}: {why}")
+    for path in sorted(folder.glob("ids-*")):
+        if not path.name[4:].isdecimal():
+            continue
+        period = int(path.name[4:])
+        data = path.read_bytes()
+        ids = len({data[at:at + 8] for at in range(0, len(data) // 8 * 8, 8)})
+        if ids != book.units(period):
+            wrong.append(f"period {period}: {ids} ids and {book.units(period)} units")
+    return wrong
+
+
+def dry_run(reading: Reading) -> bytes:
+    """What would be exported next, byte for byte."""
+    return b"".join(json_lines(batch) for batch in reading.book.batches.values()
+                    if batch.state != "held")
--- /dev/null
+++ b/tests/test_ledger_daemon.py
@@ -0,0 +1,207 @@
+"""The ledger in the daemon: real sockets, a real disk, real kills."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+import threading
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trustme
+from rig import CacheNode, Rig, get, serves, until
+
+from limebridge.ledger.kills import play
+from limebridge.standins.billing import Billing
+from violetroute.ledger import LedgerTable
+from violetroute.ledger.files import Folder
+from violetroute.ledger.keeper import Ledger, folder_name
+from violetroute.transport.sockets import SocketNetwork
+
+START = 1_700_000_100.0
+
+
+class Clock:
+    """A wall that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = START
+
+    def __call__(self) -> float:
+        return self.now
+
+
+Part = Callable[[Rig, Ledger, Billing, Clock], Awaitable[None]]
+
+
+def run(part: Part, tmp_path: Path, tls: Any = None, name: str = "p1", **table: Any) -> Billing:
+    billing = Billing()
+
+    async def whole() -> None:
+        await billing.start(tls=tls)
+        clock = Clock()
+        made = msgspec.structs.replace(LedgerTable(
+            folder=str(tmp_path / "ledgers"), period_min=5, grace_s=1.0, flush_s=0.01,
+            export="http", endpoint=f"127.0.0.1:{billing.port}", retry_s=0.01), **table)
+        ledger = Ledger(made, name, SocketNetwork(asyncio.get_running_loop(), clock=clock))
+        async with Rig(CacheNode(serves)) as rig:
+            rig.proxy.parts.served.append(ledger.served)
+            await part(rig, ledger, billing, clock)
+        await ledger.close()
+        await billing.stop()
+
+    asyncio.run(whole())
+    return billing
+
+
+async def ask(rig: Rig, first: int, count: int) -> None:
+    for number in range(first, first + count):
+        assert await rig.ask(get(number)) == [b"value of id%d" % number]
+
+
+def test_what_is_served_is_billed_once_its_period_has_closed(tmp_path: Path) -> None:
+    async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
+        await ask(rig, 0, 5)
+        clock.now += 400.0
+        await until(lambda: sum(billing.billed.values()) == 5)
+        assert billing.billed == {("p1", int(START), "x", "lookup"): 5}
+
+    run(part, tmp_path)
+
+
+@pytest.mark.parametrize("trouble", ["lost after", "500 after", "cut after", "redirect", "noise"])
+def test_ten_answers_that_say_no_though_some_took_it_bill_once(
+        tmp_path: Path, trouble: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("violetroute.ledger.export.SLOW", 0.01)
+
+    async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
+        left = [trouble] * 10
+        billing.trouble = lambda: left.pop() if left else ""
+        await ask(rig, 0, 3)
+        clock.now += 400.0
+        await until(lambda: ledger._book.last)
+        assert sum(billing.billed.values()) == 3 and billing.posts == 11
+
+    run(part, tmp_path, retry_most_s=0.02)
+
+
+def test_a_disk_that_hangs_or_is_full_is_noticed_by_no_request(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    goes_on, full = threading.Event(), [True]
+    append, put = Folder.append, Folder.put
+
+    def hangs(self: Folder, name: str, data: bytes) -> None:
+        goes_on.wait(20.0)
+        if full[0]:
+            raise OSError(28, "No space left on device")
+        append(self, name, data)
+
+    def refuses(self: Folder, name: str, data: bytes) -> None:
+        if full[0] and goes_on.is_set():
+            raise OSError(28, "No space left on device")
+        put(self, name, data)
+
+    async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
+        await until(lambda: ledger.state == "open")
+        monkeypatch.setattr(Folder, "append", hangs)
+        monkeypatch.setattr(Folder, "put", refuses)
+        await ask(rig, 0, 1)
+        await until(lambda: ledger._busy)
+        await ask(rig, 1, 20)  # each is answered while the write hangs
+        assert ledger._busy
+        goes_on.set()
+        await until(lambda: ledger.state == "failed")
+        await ask(rig, 30, 5)
+        full[0] = False
+        clock.now += 400.0
+        await until(lambda: sum(billing.billed.values()) == 26)
+
+    run(part, tmp_path)
+
+
+def test_two_processes_of_one_name_are_told_apart_and_the_second_takes_over(
+        tmp_path: Path) -> None:
+    async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
+        await until(lambda: ledger.state == "open")
+        other = Ledger(ledger.table, "p1", SocketNetwork(asyncio.get_running_loop(), clock=clock))
+        await until(lambda: other.state == "elsewhere")
+        other.served("x", "lookup", b"id")
+        await ask(rig, 0, 2)
+        await ledger.close()
+        await until(lambda: other.state == "open")
+        assert other._book.incarnation == 2 and not other._book.gaps
+        clock.now += 400.0
+        await until(lambda: sum(billing.billed.values()) == 3)
+        await other.close()
+
+    run(part, tmp_path)
+
+
+def test_somebody_elses_disk_is_kept_aside(tmp_path: Path) -> None:
+    async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
+        await until(lambda: ledger.state == "open")
+        await ask(rig, 0, 1)
+        assert (ledger._book.incarnation, ledger._book.name) == (1, ledger.name)
+
+    run(part, tmp_path, name="p2")
+    (tmp_path / "ledgers" / "p2").rename(tmp_path / "ledgers" / "p1")
+    run(part, tmp_path)
+    names = sorted(path.name for path in (tmp_path / "ledgers" / "p1").iterdir())
+    assert names == ["lock", "log-00000001.foreign", "log-00000002"]
+
+
+def test_over_tls_with_a_key_that_is_replaced_in_service(tmp_path: Path) -> None:
+    authority, ours = trustme.CA(), trustme.CA()
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    authority.issue_cert("127.0.0.1").configure_cert(server)
+    ours.configure_trust(server)
+    server.verify_mode = ssl.CERT_REQUIRED
+    files = {"tls_ca_file": tmp_path / "ca", "tls_cert_file": tmp_path / "cert",
+             "tls_key_file": tmp_path / "key"}
+    authority.cert_pem.write_to_path(files["tls_ca_file"])
+
+    def key(by: trustme.CA) -> None:
+        issued = by.issue_cert("p1")
+        issued.private_key_pem.write_to_path(files["tls_key_file"])
+        issued.cert_chain_pems[0].write_to_path(files["tls_cert_file"])
+
+    key(trustme.CA())  # of an authority that the endpoint does not know
+
+    async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
+        await ask(rig, 0, 2)
+        clock.now += 400.0
+        await until(lambda: ledger._backoff.failures > 1)
+        assert not billing.billed
+        key(ours)
+        await until(lambda: sum(billing.billed.values()) == 2)
+
+    run(part, tmp_path, tls=server, retry_most_s=0.05,
+        **{name: str(path) for name, path in files.items()})
+
+
+def test_files_are_written_whole_and_named_without_any_tenant(tmp_path: Path) -> None:
+    out = tmp_path / "out"
+
+    async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
+        ledger.served("../../x", "lookup", b"1")
+        ledger.served("=1+1", "lookup", b"2")
+        clock.now += 400.0
+        await until(lambda: len(list(out.glob("p1_*.csv"))) == 1 and ledger._book.last)
+        assert not billing.posts
+
+    run(part, tmp_path, export="files", export_folder=str(out), formats=("csv", "jsonl"))
+    assert {path.suffix for path in out.iterdir()} <= {".csv", ".jsonl", ""}
+    assert "'=1+1" in next(out.glob("*.csv")).read_text()
+    assert folder_name("../../etc/x") == "_.._etc_x" and folder_name("...") == "proxy"
+
+
+def test_proxies_that_are_killed_bill_after_reconciling_what_nodes_served(tmp_path: Path) -> None:
+    report = asyncio.run(play(tmp_path, kills=4, seconds=6.0))
+    assert report.kills == 4 and sum(report.served.values()) > 300
+    assert report.before is not None and report.after is not None
+    assert report.doubled == 0
+    assert report.before.short <= report.kills * 30  # half a second of them
+    assert report.after.differences == []
--- /dev/null
+++ b/tests/test_ledger_tools.py
@@ -0,0 +1,202 @@
+"""Ledgers read from outside: reconciling, sketches, what an operator types."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from pathlib import Path
+
+import numpy as np
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from typer.testing import CliRunner
+
+from limebridge.cli import app
+from limebridge.ledger.reconcile import Exported, Line, reconcile
+from limebridge.ledger.sketch import Sketch, Strata, Table, read_ids
+from violetroute.ledger.book import Book
+from violetroute.ledger.export import json_lines
+from violetroute.ledger.files import Folder
+from violetroute.ledger.periods import Periods
+from violetroute.ledger.store import Store
+
+START = 1_700_000_100
+PERIODS = Periods("UTC", 5)
+
+
+def ids(count: int, salt: int = 0) -> np.ndarray:
+    return np.random.default_rng(salt).integers(0, 2 ** 64, count, np.uint64)
+
+
+# --- sketches ---
+@given(st.sets(st.integers(0, 2 ** 64 - 1), max_size=60),
+       st.sets(st.integers(0, 2 ** 64 - 1), max_size=60))
+@settings(max_examples=60)
+def test_a_sketch_tells_just_what_differs_or_that_it_is_too_small(
+        ours: set[int], theirs: set[int]) -> None:
+    common = ids(500)
+    sides = [Sketch.of(np.concatenate([common, np.array(sorted(side), np.uint64)]), 130)
+             for side in (ours, theirs)]
+    found = Sketch.load(sides[0].dump()).against(Sketch.load(sides[1].dump()))
+    shared = set(common.tolist())
+    if not isinstance(found, int):
+        assert set(found[0]) == ours - theirs - shared
+        assert set(found[1]) == theirs - ours - shared
+    else:
+        assert found > 0
+
+
+def test_a_table_that_is_too_small_says_so_and_the_estimate_makes_the_next_one_fit() -> None:
+    one, other = ids(20_000), ids(20_000)[3000:]
+    small = Sketch.of(one, 100).against(Sketch.of(other, 100))
+    assert isinstance(small, int) and small >= 3000
+    found = Sketch.of(one, small).against(Sketch.of(other, small))
+    assert not isinstance(found, int) and (len(found[0]), found[1]) == (3000, [])
+
+
+@pytest.mark.parametrize("differ", [0, 1, 100, 5000])
+def test_the_estimate_is_within_a_factor_of_three(differ: int) -> None:
+    base = ids(30_000)
+    found = Strata(base).differ(Strata(base[differ:]))
+    assert differ / 3 <= found <= differ * 3
+
+
+def test_noise_is_no_sketch_and_a_broken_one_is_refused() -> None:
+    data = Sketch.of(ids(10), 10).dump()
+    for wrong in (b"", b"noise", data[:-1], data + b"x", data[:9] + b"\xff" * 40):
+        with pytest.raises(ValueError, match="sketch"):
+            Sketch.load(wrong)
+    with pytest.raises(ValueError, match="cells"):
+        Table(64).less(Table(128))
+    noise = Table(64)
+    noise.count += 1
+    assert noise.read() is None
+    assert len(read_ids(b"12345678123")) == 1
+
+
+# --- reconciling ---
+def test_short_long_and_at_the_edge_are_told_apart() -> None:
+    exported: Counter[Line] = Counter({
+        ("p1", START, "a", "c"): 5, ("p1", START + 300, "a", "c"): 4, ("p2", START, "b", "c"): 9})
+    served: Counter[Line] = Counter({
+        ("p1", START, "a", "c"): 7, ("p1", START + 300, "a", "c"): 3, ("p2", START, "b", "c"): 6,
+        ("p2", START, None, "c"): 1})
+    found = reconcile(exported, served, PERIODS)
+    assert found.moved == 1 and (found.short, found.long) == (2, 3)
+    assert [(d.proxy, d.tenant, d.units) for d in found.differences] == [
+        ("p1", "a", 1), ("p2", "b", -3), ("p2", None, 1)]
+
+
+def test_a_batch_that_two_files_have_counts_once_and_one_that_differs_is_told() -> None:
+    made = Book(PERIODS, 60.0)
+    for record in made.begin("p1", "n", START) + made.counted(START, {(START, "a", "c"): 3}):
+        made.apply(record)
+    for record in made.cut(START + 500):
+        made.apply(record)
+    text = json_lines(made.batches[1]).decode()
+    found = Exported()
+    for source in ("one", "two"):
+        found.add(text, source)
+    assert found.units == {("p1", START, "a", "c"): 3} and found.twice == 1 and not found.wrong
+    found.add(text.replace('"units":3', '"units":4', 1), "three")
+    found.add('{"tenant": "a"}\nnoise', "four")
+    assert len(found.wrong) == 3
+
+
+# --- an operator at the keyboard ---
+def ledger(folder: Path) -> Path:
+    """A ledger with two tenants, one confirmed batch and one period that is open."""
+    folder = folder / "p1"
+    files = Folder(folder)
+    assert files.lock()
+    store, made = Store(files, "p1"), Book(Periods("UTC", 15), 60.0)
+    records = made.begin("p1", "n", START)
+    for record in records:
+        made.apply(record)
+    store.rewrite(made.checkpoint())
+    period = Periods("UTC", 15).of(START)
+    log = made.counted(START, {(period, "acme", "lookup"): 3, (period, "[b]=x\n", "lookup"): 1})
+    for record in log:
+        made.apply(record)
+    for step in (lambda: made.cut(START + 2000), lambda: made.sends(1), lambda: made.confirms(1),
+                 lambda: made.counted(START, {(period + 900, "acme", "optout"): 2})):
+        batch = made.batches.get(1)
+        closed = [(batch.period, json_lines(batch))] if batch is not None else []
+        records = step()
+        for record in records:
+            made.apply(record)
+        log += records
+        store.commit(records if records[0] != log[0] else [], {},
+                     closed if records[0][0] == "done" else [])
+    store.rewrite(made.checkpoint())
+    files.close()
+    return folder
+
+
+def run(*arguments: str) -> tuple[int, str]:
+    result = CliRunner().invoke(app, ["ledger", *arguments])
+    return result.exit_code, result.output
+
+
+def test_show_verify_and_dry_run(tmp_path: Path) -> None:
+    folder = ledger(tmp_path)
+    code, text = run("show", str(folder), "--json")
+    told = json.loads(text)
+    assert code == 0 and (told["units"], told["confirmed"], told["to_export"]) == (6, 1, 0)
+    code, text = run("show", str(folder), "--html", str(tmp_path / "r.html"))
+    assert code == 0 and "[b]=x?" in text
+    assert "<b>6</b> units of 2 tenants" in (tmp_path / "r.html").read_text()
+    assert run("verify", str(folder)) == (0, "all adds up\n")
+    assert run("export", str(folder), "--dry-run") == (0, "")
+    (closed,) = folder.glob("closed-*")
+    closed.write_bytes(closed.read_bytes()[:-4])
+    code, text = run("verify", str(folder))
+    assert code == 1 and "4 units confirmed, 0 in the archive" in text
+    for arguments in (("show", str(tmp_path)), ("verify", str(tmp_path / "none")),
+                      ("export", str(folder))):
+        assert run(*arguments)[0] == 2
+
+
+def test_reconcile_writes_corrections_that_are_signed(tmp_path: Path) -> None:
+    folder = ledger(tmp_path)
+    made = Book(Periods("UTC", 15), 60.0)
+    for record in made.begin("p1", "n", START) + made.counted(
+            START, {(START, "acme", "lookup"): 3}):
+        made.apply(record)
+    for record in made.cut(START + 2000):
+        made.apply(record)
+    (tmp_path / "out").mkdir()
+    (tmp_path / "out" / "b.jsonl").write_bytes(json_lines(made.batches[1]))
+    served = tmp_path / "served.jsonl"
+    served.write_text("".join(json.dumps(
+        {"proxy": "p1", "tenant": "acme", "class": "lookup", "at": START + n, "id": f"r{n % 4}"})
+        + "\n" for n in range(5)) + "\n")
+    arguments = ("reconcile", str(tmp_path / "out"), "--served", str(served))
+    code, text = run(*arguments, "--write", str(tmp_path / "c"), "--json")
+    told = json.loads(text)
+    assert code == 1 and (told["short"], told["long"], told["wrong"]) == (1, 0, [])
+    file = tmp_path / "c" / "corrections-0.json"
+    assert run("sign", str(folder), str(file), "--by", "marta")[0] == 0
+    (signed,) = folder.glob("signed-*.json")
+    assert json.loads(signed.read_bytes())["lines"] == [[START, "acme", "lookup", 1]]
+    for wrong in (("sign", str(folder), str(served), "--by", "m"),
+                  ("sign", str(folder), str(file), "--by", " "),
+                  ("sign", str(tmp_path / "none"), str(file), "--by", "m")):
+        assert run(*wrong)[0] == 2
+    served.write_text(served.read_text() + "{}\n")
+    assert "KeyError" in run(*arguments)[1]
+
+
+def test_sketches_at_the_keyboard(tmp_path: Path) -> None:
+    for name, data in (("a", ids(2000)), ("b", ids(2000)[5:])):
+        (tmp_path / f"ids-{name}").write_bytes(data.astype("<u8").tobytes())
+        assert run("sketch", str(tmp_path / f"ids-{name}"), "-o", str(tmp_path / name),
+                   "--differ", "20")[0] == 0
+    code, text = run("differ", str(tmp_path / "a"), str(tmp_path / "b"), "--json")
+    assert code == 1 and len(json.loads(text)["ours"]) == 5
+    assert run("differ", str(tmp_path / "a"), str(tmp_path / "a"))[0] == 0
+    (tmp_path / "ids-c").write_bytes(ids(2000, 1).astype("<u8").tobytes())
+    run("sketch", str(tmp_path / "ids-c"), "-o", str(tmp_path / "c"), "--differ", "20")
+    assert run("differ", str(tmp_path / "a"), str(tmp_path / "c"))[0] == 3
+    assert run("differ", str(tmp_path / "a"), str(tmp_path / "ids-a"))[0] == 2
