--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -19,7 +19,7 @@
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn
 from rich.table import Table
 
-from violetroute.config import Config, ConfigError, Operator, load
+from violetroute.config import Config, ConfigError, Operator, load, load_ours
 from violetroute.membership import order
 
 from . import demo as demo_module
@@ -93,14 +93,20 @@
           ) -> None:
     """Say what the daemon would do with these files, and start nothing.
 
-    Exit status 2 when it would refuse them.
+    With --operator and no platform's file, the operator's is checked alone. Exit status 2 when
+    the daemon would refuse them.
     """
+    environment = _environment(config)
+    path = str(operator) if operator is not None else None
     try:
-        found = load(_environment(config), str(operator) if operator is not None else None)
+        if path is not None and not environment.get("PROXY_CONFIG"):
+            ours, plan = load_ours(path)
+            told = _ours(ours, path, None if plan is None else len(plan.nodes))
+        else:
+            told = _effect(load(environment, path))
     except ConfigError as error:
         typer.echo(f"limebridge: {error}", err=True)
         raise typer.Exit(2) from None
-    told = _effect(found)
     if as_json:
         print(json.dumps(told))
         return
@@ -110,6 +116,21 @@
     Console().print(table)
 
 
+def _ours(operator: Operator, path: str | None, planned: int | None) -> dict[str, object]:
+    """What follows from the operator's file; `planned`: nodes of the placement's plan."""
+    ledger = operator.ledger
+    return {
+        "operator's file": path or "none: defaults",
+        "log": f"{operator.log.level}, {operator.log.format}",
+        "nodes from": ", else ".join(_source(name, operator) for name in order(operator)),
+        "placement": "off" if planned is None else
+            f"{operator.placement.file} ({planned} nodes)",
+        "cluster": operator.cluster.appear,
+        "ledger": "off" if not ledger.folder else
+            f"{ledger.folder}, {ledger.period_min} min in {ledger.zone}, export {ledger.export}",
+    }
+
+
 def _effect(config: Config) -> dict[str, object]:
     """What follows from a configuration, in the units of the files."""
     return {
@@ -122,12 +143,8 @@
         "known nodes": len(config.known.entries),
         "classes": [f"{c.name} ({c.effect.value}, {c.deadline:g} ms)"
                     for c in config.settings.classes],
-        "operator's file": config.operator_path or "none: defaults",
-        "log": f"{config.operator.log.level}, {config.operator.log.format}",
-        "nodes from": ", else ".join(_source(name, config.operator)
-                                     for name in order(config.operator)),
-        "placement": "off" if config.plan is None else
-            f"{config.operator.placement.file} ({len(config.plan.nodes)} nodes)",
+        **_ours(config.operator, config.operator_path,
+                None if config.plan is None else len(config.plan.nodes)),
         "unknown keys": list(config.unknown),
     }
 
--- a/limebridge/ledger/sketch.py
+++ b/limebridge/ledger/sketch.py
@@ -23,7 +23,7 @@
 HASHES = 4  # cells of an id; with 4 a table can be read up to 0.77 ids a cell, as it grows
 SPARE = 1.6  # cells for each id that is expected to differ
 LEAST = 64  # cells of a table: small ones fail by chance
-STRATA, STRATUM = 32, 96  # tables of the estimate, and their cells
+STRATA, STRATUM = 24, 48  # tables of the estimate, and their cells
 MAGIC = b"lbsketch1"
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -154,3 +154,21 @@
     operator.write_text("[limits]\nclient_shar = 0.75")
     result = CliRunner().invoke(app, command)
     assert result.exit_code == 2 and "did you mean client_share?" in result.output
+
+
+def test_the_operators_file_is_checked_alone_and_the_shipped_one_passes(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.delenv("PROXY_CONFIG", raising=False)
+    shipped = Path(__file__).parent.parent / "deploy" / "operator.toml"
+    result = CliRunner().invoke(app, ["check", "--operator", str(shipped), "--json"])
+    assert result.exit_code == 0 and json.loads(result.stdout)["ledger"] == "off"
+    path = tmp_path / "op.toml"
+    for text, said in (('[ledger]\nfolder = "x"\nzone = "Nowhere"\n', "[ledger] zone"),
+                       ('[ledger]\nfolder = "x"\ntls_ca_file = "none"\n', "[ledger] tls files"),
+                       ('[ledger]\nfolder = "x"\n', "")):
+        path.write_text(text)
+        result = CliRunner().invoke(app, ["check", "--operator", str(path)])
+        assert (result.exit_code, said in result.output) == (2 if said else 0, True)
+    monkeypatch.setattr("violetroute.config.operator.find_spec", lambda name: None)
+    result = CliRunner().invoke(app, ["check", "--operator", str(path)])
+    assert result.exit_code == 2 and "zstandard" in result.output
--- a/violetroute/config/__init__.py
+++ b/violetroute/config/__init__.py
@@ -2,7 +2,7 @@
 
 from .errors import ConfigError
 from .operator import Limits, LogTable, Operator, restart_needed
-from .platform import Config, load, parse
+from .platform import Config, load, load_ours, parse
 
-__all__ = ["Config", "ConfigError", "Limits", "LogTable", "Operator", "load", "parse",
+__all__ = ["Config", "ConfigError", "Limits", "LogTable", "Operator", "load", "load_ours", "parse",
            "restart_needed"]
--- a/violetroute/config/operator.py
+++ b/violetroute/config/operator.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from importlib.util import find_spec
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -107,6 +108,9 @@
         return
     from violetroute.ledger.periods import Periods  # zones are nothing to a proxy without it
 
+    if find_spec("zstandard") is None:
+        raise ConfigError(f"{path}: [ledger] folder: needs the library zstandard, which is not "
+                          "there (pip install limebridge[ledger])")
     try:
         Periods(table.zone, table.period_min)
     except ValueError as error:
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -146,16 +146,7 @@
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
     operator = operator or env.get("LIMEBRIDGE_OPERATOR") or None
-    ours = load_operator(operator)
-    try:
-        plan = load_plan(ours.placement.file) if ours.placement.file else None
-    except ValueError as error:
-        raise ConfigError(f"{operator}: [placement] file: {error}") from error
-    try:
-        if ours.consul.tls.ca:
-            TlsKeys(ours.consul.tls).context()
-    except ValueError as error:
-        raise ConfigError(f"{operator}: [consul] tls files: {error}") from error
+    ours, plan = load_ours(operator)
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
@@ -176,6 +167,22 @@
         raise ConfigError(f"{operator}: [cluster] {error}") from error
 
 
+def load_ours(operator: str | None) -> tuple[Operator, Plan | None]:
+    """The operator's file alone, with the files that it names.  ConfigError as `load`."""
+    ours = load_operator(operator)
+    try:
+        plan = load_plan(ours.placement.file) if ours.placement.file else None
+    except ValueError as error:
+        raise ConfigError(f"{operator}: [placement] file: {error}") from error
+    for name, files in (("consul", ours.consul.tls), ("ledger", ours.ledger.tls)):
+        try:
+            if files.ca:
+                TlsKeys(files).context()
+        except ValueError as error:
+            raise ConfigError(f"{operator}: [{name}] tls files: {error}") from error
+    return ours, plan
+
+
 def parse(raw: dict[str, Any], operator: Operator | None = None) -> Config:
     """A configuration that is at hand already.  ValueError and its kin where it is wrong."""
     config = _config(raw, {}, operator or Operator(), None)
