--- a/limebridge/virtual/world.py
+++ b/limebridge/virtual/world.py
@@ -451,10 +451,11 @@
     async def _node_replaced(self, fault: Fault, node: FleetNode) -> None:
         """Another id, cold, at the same address; the list says so late."""
         await node.die()
-        old = self._entry(node, "terminated")
-        node.name = f"{node.name}'"
         await asyncio.sleep(fault.lasts)
         if node.port not in self.kernel.listening:
+            # Only now: what is told meanwhile is told of the one that was there.
+            old = self._entry(node, "terminated")
+            node.name = f"{node.name}'"
             node.begin_cold()
             await node.start(node.port)
             self.draining.pop(node.name, None)  # what was said of it before it was there
