--- a/limebridge/ledger/kills.py
+++ b/limebridge/ledger/kills.py
@@ -30,7 +30,7 @@
 
 from .reconcile import Found, Line, corrections, read_served, reconcile
 
-SPEED = 120.0  # times
+SPEED = 240.0  # times
 START = 1_700_000_100.0  # Unix s at which the fast clock begins
 PATIENCE = 60.0  # s for anything that has to come
 PROXIES = ("p1", "p2")
--- a/limebridge/ledger/reading.py
+++ b/limebridge/ledger/reading.py
@@ -69,6 +69,10 @@
         reading.notes.append(f"{path.name}: {found.wrong or 'no checkpoint'}")
     else:
         raise ValueError(f"{folder}: no log that can be read")
+    for batch in reading.book.batches.values():
+        if batch.away is not None:
+            spilt = decode((folder / f"batch-{batch.seq}").read_bytes()).records
+            reading.book.apply(["back", batch.seq, spilt[0][1] if spilt else []])
     for path in sorted(folder.glob("closed-*")):
         for frame in archived(path.read_bytes()):
             reading.exported.add(frame.decode("utf-8", "replace"), path.name)
--- a/violetroute/ledger/book.py
+++ b/violetroute/ledger/book.py
@@ -27,6 +27,7 @@
 LINES_MOST = 5000  # of a batch; more make several
 CLOSED_KEPT = 10_000  # periods remembered as closed; older ones are taken for closed
 GAPS_KEPT = 1000
+IN_MEMORY = 8  # batches whose lines are; those behind them wait in files
 NAME_MOST = 256  # bytes of a tenant; a longer one is told by its beginning and a hash
 
 Kind = Literal["period", "correction"]
@@ -44,10 +45,11 @@
     key: str
     state: Literal["prepared", "sent", "held"] = "prepared"
     why: str = ""  # it is held, or who signed a correction
+    away: int | None = None  # its lines are in a file of their own, and come to so many units
 
     @property
     def units(self) -> int:
-        return sum(units for _, _, units in self.lines)
+        return sum(units for _, _, units in self.lines) if self.away is None else self.away
 
 
 @dataclass(slots=True)
@@ -138,6 +140,15 @@
     def holds(self, seq: int, why: str) -> list[Record]:
         return [["held", seq, why]] if seq in self.batches else []
 
+    def spills(self) -> list[Record]:
+        """Batches whose lines need not be in memory, so that an endpoint may be away for days."""
+        waiting = [batch for batch in self.batches.values() if batch.away is None]
+        return [["away", batch.seq] for batch in waiting[IN_MEMORY:]]
+
+    def returns(self, seq: int, lines: Iterable[Any]) -> list[Record]:
+        """The lines of a batch that were away."""
+        return [["back", seq, list(lines)]]
+
     def misses(self, since: float, until: float, why: str) -> list[Record]:
         """The ledger is incomplete from `since` to `until`."""
         return [["gap", since, until, why]]
@@ -209,6 +220,12 @@
                                     why=why), from_counts=not why)
             case ["sent", seq]:
                 self.batches[seq].state = "sent"
+            case ["away", seq]:
+                batch = self.batches[seq]
+                batch.away, batch.lines = batch.units, []
+            case ["back", seq, lines]:
+                batch = self.batches[seq]
+                batch.lines, batch.away = [(t, c, n) for t, c, n in lines], None
             case ["done", seq]:
                 batch = self.batches.pop(seq)
                 self.last = batch.key
@@ -254,7 +271,7 @@
                        for (tenant, cls), units in of.items()],
             "closed": list(self.closed), "closed_before": self.closed_before,
             "billed": [list(item) for item in self.billed.items()],
-            "batches": [[b.seq, b.kind, b.period, b.lines, b.key, b.state, b.why]
+            "batches": [[b.seq, b.kind, b.period, b.lines, b.key, b.state, b.why, b.away]
                         for b in self.batches.values()],
             "gaps": [list(gap) for gap in self.gaps], "late_since": self.late_since,
             "seen_at": self.seen_at, "ended": self.ended,
--- a/violetroute/ledger/export.py
+++ b/violetroute/ledger/export.py
@@ -31,6 +31,7 @@
 RETRY_AFTER_MOST = 3600.0  # s for which an endpoint's word is heeded
 SLOW = 60.0  # s at least after an answer that another try will hardly change
 BODY_MOST = 256 * 1024  # bytes of an endpoint's answer
+KEY_MOST = 400  # characters of a key
 PERIODS_MOST = 100_000  # of a 412
 
 
@@ -101,6 +102,9 @@
             fork = msgspec.json.decode(body, type=_Fork)
         except msgspec.DecodeError:
             return Said("again", "412 that tells nothing", SLOW)
+        plain = fork.last.isascii() and fork.last.isprintable() and '"' not in fork.last
+        if not plain or len(fork.last) > KEY_MOST:  # it becomes a header of ours
+            return Said("again", "412 with no key", SLOW)
         if len(fork.periods) > PERIODS_MOST:
             return Said("again", "412 that tells too much", SLOW)
         return Said("fork", "the endpoint knows a later batch", last=fork.last,
--- a/violetroute/ledger/keeper.py
+++ b/violetroute/ledger/keeper.py
@@ -13,6 +13,7 @@
 import asyncio
 import secrets
 from collections.abc import Callable
+from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
@@ -54,8 +55,8 @@
                  files: Callable[[], Files] | None = None, writer: Writer | None = None,
                  nonce: str = "") -> None:
         self.table, self._net, self._loop = table, net, net.loop
-        self.name = name
-        folder = Path(table.folder) / folder_name(name)
+        self.name = name = folder_name(name)  # it stands in keys and headers too
+        folder = Path(table.folder) / name
         self._files = files() if files is not None else Folder(folder)
         self._writer: Writer = writer or ThreadWriter(net.loop)
         self._periods = Periods(table.zone, table.period_min)
@@ -69,6 +70,7 @@
         self._unwritten: list[Record] = []  # decided, in their order
         self._ids: dict[int, bytearray] = {}
         self._closed: list[tuple[int, bytes]] = []  # to be archived with the next write
+        self._gone: list[str] = []  # files that nobody needs after it
         self._wrote_at = self._retired_at = self._looked_at = self._loop.time()
         self._post: Post | None = None
         self._backoff = Backoff(table.retry_s, table.retry_most_s, f"{name}/{self._nonce}")
@@ -139,6 +141,7 @@
                 self._look()
             elif self.state == "open":
                 self._flush()
+                self._spill()
                 self._export()
             elif self.state == "failed" and self._book.name:
                 self._rewrite()
@@ -207,6 +210,7 @@
         records, self._unwritten = self._unwritten, []
         ids, self._ids = self._ids, {}
         closed, self._closed = self._closed, []
+        gone, self._gone = self._gone, []
         checkpoint = self._book.checkpoint() if store.grown else None
         retire = now - self._retired_at > RETIRE
         if retire:
@@ -215,6 +219,7 @@
 
         def job() -> None:
             store.commit(records, ids, closed)
+            store.forget(gone)
             if checkpoint is not None:
                 store.rewrite(checkpoint)
             if retire:
@@ -254,6 +259,46 @@
             self.state = "failed"
             tell("ledger.unwritten", reason=" ".join(str(error).split()) or type(error).__name__)
 
+    # --- lines that wait in files ---
+    def _spill(self) -> None:
+        """The record says so only once the file is there; one that is left over is harmless."""
+        records = self._book.spills()
+        if not records or self._busy:
+            return
+        self._busy = True
+        store = self._store
+        lines = [(seq, list(self._book.batches[seq].lines)) for _, seq in records]
+
+        def job() -> None:
+            for seq, of in lines:
+                store.spill(seq, of)
+
+        def told(_: None, error: BaseException | None) -> None:
+            self._busy = False
+            if error is not None:
+                self._failed(error)
+            elif self.state == "open":
+                self._decide(records)
+                self._write()
+
+        self._writer.submit(job, told)
+
+    def _bring(self, batch: Batch) -> None:
+        self._busy = True
+        store, seq = self._store, batch.seq
+
+        def told(lines: list[Any] | None, error: BaseException | None) -> None:
+            self._busy = False
+            if isinstance(error, OSError) and not isinstance(error, FileNotFoundError):
+                self._failed(error)
+            elif error is not None:
+                tell("ledger.held", batch=batch.key, why=str(error))
+                self._decide(self._book.holds(seq, f"its lines can't be read: {error}"))
+            else:
+                self._decide(self._book.returns(seq, lines or ()))
+
+        self._writer.submit(lambda: store.spilled(seq), told)
+
     # --- exporting ---
     def _export(self) -> None:
         """The next batch, if it is time; nobody hears of one that is not on the disk."""
@@ -261,6 +306,9 @@
         if batch is None or self._busy or self._post is not None or self.table.export == "off" \
                 or self._loop.time() < self._next_try:
             return
+        if batch.away is not None:
+            self._bring(batch)
+            return
         self._decide(self._book.sends(batch.seq))
         go = self._to_files if self.table.export == "files" else self._send
         if self._unwritten:
@@ -270,11 +318,12 @@
 
     def _to_files(self, batch: Batch) -> None:
         self._busy = True
-        target = Folder(Path(self.table.export_folder))
+        folder = Path(self.table.export_folder)
+        target = Folder(folder)
         formats, name = self.table.formats, file_name(batch)
 
         def job() -> None:
-            target.lock()
+            folder.mkdir(parents=True, exist_ok=True)
             try:
                 if "jsonl" in formats:
                     target.put(f"{name}.jsonl", json_lines(batch))
@@ -316,6 +365,7 @@
             self._backoff.succeeded()
             self._decide(book.confirms(batch.seq))
             self._closed.append((batch.period, json_lines(batch)))
+            self._gone.append(f"batch-{batch.seq}")
         elif answer.what == "held":
             tell("ledger.held", batch=batch.key, why=answer.why)
             self._decide(book.holds(batch.seq, answer.why))
@@ -356,6 +406,9 @@
 
 
 def folder_name(name: str) -> str:
-    """Of a proxy; the operator's names are plain, and no other can leave the folder."""
+    """Of a proxy: a plain name as it is; no other can leave the folder, or be taken for one."""
     safe = "".join(c if c.isascii() and (c.isalnum() or c in "._-") else "_" for c in name)
-    return safe.lstrip(".") or "proxy"
+    safe = safe.lstrip(".")[:100]
+    if safe == name and safe:
+        return safe
+    return f"{safe or 'proxy'}-{blake2b(name.encode(), digest_size=4).hexdigest()}"
--- a/violetroute/ledger/store.py
+++ b/violetroute/ledger/store.py
@@ -16,6 +16,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from typing import Any
 
 from .book import Book
 from .files import Files
@@ -102,6 +103,17 @@
             self._size += len(data)
         self._files.sync()
 
+    def spill(self, seq: int, lines: object) -> None:
+        """The lines of a batch in a file of their own."""
+        self._files.put(f"batch-{seq}", MAGIC + encode([["lines", lines]]))
+
+    def spilled(self, seq: int) -> list[Any]:
+        """ValueError where they can't be read."""
+        read = decode(self._files.read(f"batch-{seq}"))
+        if len(read.records) != 1 or read.records[0][0] != "lines":
+            raise ValueError(f"batch-{seq}: {read.wrong or 'no lines'}")
+        return list(read.records[0][1])
+
     def signed(self) -> dict[str, bytes]:
         """Corrections that were put here to be taken on, by name."""
         return {name: self._files.read(name) for name in self._files.names()
