--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -7,8 +7,8 @@
 SQLite through a rollback journal, in turn.  `memory`: 100,000 made-up tenants.  `archive`: zstd by
 level, with and without a dictionary, on batches.  `sketch`: bytes and CPU against whole id sets and
 sums by bucket. `cuts`: a power cut at each of the first 2,400 writes of a run.  `trials`: 1,000
-seeds of kills, cuts and troubles, and 300 kills over 20 minutes.  `kills`: 30 kills of real
-processes. Exit status 1 when a bound is broken.
+seeds of kills, cuts and troubles, and some 300 kills that meet a running process over 20 minutes.
+`kills`: 30 kills of real processes. Exit status 1 when a bound is broken.
 """
 
 from __future__ import annotations
@@ -264,20 +264,20 @@
 
 
 def trials(seeds: int = 1000) -> dict[str, object]:
-    """Any mixture; and 300 kills over 20 minutes."""
+    """Any mixture; and some 300 kills that meet a running process over 20 minutes."""
     began = time.monotonic()
     with multiprocessing.get_context("spawn").Pool() as pool:
         found = pool.map(_trial, range(10_000, 10_000 + seeds), chunksize=5)
     taken = time.monotonic() - began
     kept = [each for each in found if not each[4]]
     logging.disable(logging.CRITICAL)
-    many = play(Trial(1, minutes=20.0, kills=300))
+    many = play(Trial(1, minutes=20.0, kills=420))
     return {"seeds": len(found), "over": sum(each[0] for each in found),
             "served": sum(each[2] for each in found), "killed": sum(each[3] for each in found),
             "missing_a_kill": round(sum(each[1] for each in kept)
                                     / max(1, sum(each[3] for each in kept)), 2),
             "seconds": round(taken, 1),
-            "300 kills": {"killed": many.killed, "served": sum(many.served.values()),
+            "many kills": {"killed": many.killed, "served": sum(many.served.values()),
                           "billed": sum(many.billed.values()), "missing": many.missing,
                           "at_risk": many.at_risk, "doubled": many.doubled},
             "held": not any(each[0] for each in found) and not many.doubled
