--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -1,4 +1,5 @@
-"""The command line: `limebridge demo | check | serve | explore | replay | placement | ledger`."""
+"""The command line: `limebridge demo | check | serve | explore | replay | rehearse | placement |
+ledger`."""
 
 from __future__ import annotations
 
@@ -25,6 +26,7 @@
 from . import demo as demo_module
 from .ledger.command import app as ledger_app
 from .placement.command import app as placement_app
+from .rehearsal.command import rehearse
 from .virtual import coverage, story, world
 from .virtual import explore as explorer
 from .virtual import plan as plans
@@ -35,6 +37,7 @@
 
 app.add_typer(placement_app, name="placement")
 app.add_typer(ledger_app, name="ledger")
+app.command()(rehearse)
 
 
 @app.callback()
--- /dev/null
+++ b/limebridge/rehearsal/command.py
@@ -0,0 +1,190 @@
+"""`limebridge rehearse`: a scenario, some seeds, a verdict."""
+
+from __future__ import annotations
+
+import json
+import multiprocessing
+import os
+import runpy
+import statistics
+from pathlib import Path
+from typing import Annotated, Any, NoReturn
+
+import typer
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn
+from rich.table import Table
+
+from violetroute.config import ConfigError
+
+from .engine import Result, play
+from .report import html, plain
+from .scenario import Scenario, load, shipped
+
+NEW = '''# A rehearsal; `limebridge rehearse THIS_FILE`.  Tables left out have their defaults.
+[run]
+seconds = 30.0
+about = "what it rehearses"
+
+[load]
+curve = [{at = 0.0, rate = 60.0}, {at = 10.0, rate = 120.0}]
+
+[[event]]
+at = 12.0
+kind = "slow"        # slow, stalls, dies, drains, hot_key, scan, database_slow, discovery_down,
+lasts = 8.0          # site_lost, joins, proxies_restart
+share = 0.25
+amount = 4.0
+
+[bar]
+service = 0.8
+'''
+SURE = 2.0  # standard errors by which a mean has to differ to be called a change (about 1 in 20)
+
+
+def _stop(text: object, status: int = 2) -> NoReturn:
+    typer.echo(f"limebridge: {text}", err=True)
+    raise typer.Exit(status) from None
+
+
+def _one(what: tuple[Scenario, int, str | None]) -> Result:
+    scenario, seed, patch = what
+    if patch is not None:
+        runpy.run_path(patch)["plant"]()
+    return play(scenario, seed)
+
+
+def rehearse(
+    scenario: Annotated[str, typer.Argument(help="A file, or one of --list.")] = "",
+    seeds: Annotated[int, typer.Option(min=1, max=1000, help="Runs, one a seed.")] = 1,
+    jobs: Annotated[int, typer.Option(min=0, help="Processes; 0 is one a core.")] = 0,
+    baseline: Annotated[Path | None, typer.Option(
+        metavar="REPORT.json", help="An earlier --json of the same scenario and seeds.")] = None,
+    patch: Annotated[Path | None, typer.Option(
+        metavar="FILE", help="A Python file whose plant() is called first: a bad build.")] = None,
+    report: Annotated[Path | None, typer.Option(
+        "--html", metavar="FILE", help="Write a report.")] = None,
+    names: Annotated[bool, typer.Option("--list", help="The scenarios that are shipped.")] = False,
+    explain: Annotated[bool, typer.Option("--explain", help="What it is, without a run.")] = False,
+    new: Annotated[Path | None, typer.Option(
+        "--new", metavar="FILE", help="Write a scenario to begin with.")] = None,
+    as_json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
+) -> None:
+    """Play a scenario on the virtual clock against the daemon's own code.
+
+    Exit status 0: passed; 1: failed; 2: the scenario can't be used.
+    """
+    if names:
+        for name in shipped():
+            print(f"{name:28}{load(name).run.about}")
+        return
+    if new is not None:
+        if new.exists():
+            _stop(f"{new}: is there already")
+        new.write_text(NEW)
+        return
+    if not scenario:
+        _stop("which scenario? --list names those that are shipped")
+    try:
+        made = load(scenario)
+    except ConfigError as error:
+        _stop(error)
+    if explain:
+        _explain(made)
+        return
+    before = _baseline(baseline, made) if baseline is not None else []
+    results = _runs(made, seeds, jobs, patch, as_json)
+    told: dict[str, Any] = {"runs": [plain(result) for result in results]}
+    if before:
+        told["changes"] = changes(before, told["runs"])
+    if report is not None:
+        report.write_text(html(results))
+    if as_json:
+        print(json.dumps(told))
+    else:
+        _show(results, told.get("changes", []))
+    worse = any(change["worse"] for change in told.get("changes", []))
+    raise typer.Exit(1 if worse or any(result.failed for result in results) else 0)
+
+
+def _runs(made: Scenario, seeds: int, jobs: int, patch: Path | None, quiet: bool) -> list[Result]:
+    if patch is not None and not patch.is_file():
+        _stop(f"no file {patch}")
+    work = [(made, made.run.seed + number, None if patch is None else str(patch))
+            for number in range(seeds)]
+    if seeds == 1 and patch is None:
+        return [_one(work[0])]
+    columns = (TextColumn("rehearsing"), BarColumn(), MofNCompleteColumn())
+    results = []
+    processes = min(seeds, jobs or len(os.sched_getaffinity(0)))
+    with multiprocessing.get_context("spawn").Pool(processes) as pool, \
+            Progress(*columns, console=Console(stderr=True), disable=quiet) as progress:
+        bar = progress.add_task("", total=seeds)
+        for result in pool.imap(_one, work):
+            results.append(result)
+            progress.update(bar, completed=len(results))
+    return results
+
+
+def _baseline(path: Path, made: Scenario) -> list[dict[str, Any]]:
+    try:
+        runs: list[dict[str, Any]] = json.loads(path.read_bytes())["runs"]
+        if any(run["scenario"] != made.name for run in runs):
+            raise ValueError("it is of another scenario")
+        return runs
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        _stop(f"{path}: no report to compare with: {error}")
+
+
+def changes(before: list[dict[str, Any]], after: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """What differs over the seeds that both have, by pairs; noise is not called a change.
+
+    A change is a mean difference of SURE standard errors: wrong about once in twenty figures.
+    """
+    pairs = [(old, new) for old in before for new in after if old["seed"] == new["seed"]]
+    found = []
+    for name in ("service", "worst", "worst_class", "total"):
+        differences = [new[name] - old[name] for old, new in pairs]
+        if len(differences) < 2:
+            continue
+        mean = statistics.mean(differences)
+        error = statistics.stdev(differences) / len(differences) ** 0.5
+        if abs(mean) > SURE * error and abs(mean) > 1e-9:
+            found.append({"what": name, "by": round(mean, 4), "error": round(error, 4),
+                          "seeds": len(differences), "worse": mean < 0.0})
+    return found
+
+
+def _explain(made: Scenario) -> None:
+    print(f"{made.name}: {made.run.about}")
+    print(f"{made.size} nodes at {len(made.site)} sites, about {made.capacity:.0f} requests/s "
+          f"when warm; {made.proxies.count} proxies; {made.run.seconds:g} s")
+    for point in made.load.curve:
+        print(f"  {point.at:7.1f} s  {point.rate:g} requests a second")
+    for event in sorted(made.event, key=lambda event: event.at):
+        print(f"  {event.at:7.1f} s  {event.kind} for {event.lasts:g} s, share {event.share:g}"
+              + (f", at {event.site}" if event.site else ""))
+    bar = made.bar
+    print(f"bar: service {bar.service:g}, worst ten seconds {bar.worst:g}, "
+          f"worst class {bar.worst_class:g}, no rule broken")
+
+
+def _show(results: list[Result], changed: list[dict[str, Any]]) -> None:
+    table = Table("seed", "service", "worst 10 s", "worst class", "p50 ms", "p99 ms", "refused",
+                  "database/s", "verdict")
+    for result in results:
+        found = result.score
+        table.add_row(str(result.seed), f"{found.service:.3f}", f"{found.worst:.3f}",
+                      f"{found.worst_class:.3f}", f"{found.p50_ms:.0f}", f"{found.p99_ms:.0f}",
+                      str(found.ends.get("refused", 0)), str(max(result.database, default=0)),
+                      "failed" if result.failed else "passed")
+    Console().print(table)
+    for result in results:
+        for why in result.failed:
+            print(f"seed {result.seed}: {why}")
+        for each in result.broken[:3]:
+            print(f"  rule {each.rule} at {each.at - 1000.0:.3f}: {each.what} {each.request}")
+    for change in changed:
+        print(f"{change['what']} {'worse' if change['worse'] else 'better'} by "
+              f"{abs(change['by']):.4f} (standard error {change['error']:.4f}, "
+              f"{change['seeds']} seeds)")
--- /dev/null
+++ b/limebridge/rehearsal/engine.py
@@ -0,0 +1,449 @@
+"""One run of a scenario on the virtual clock: proxies, nodes, database, clients, judged as it goes.
+
+The same seed gives the same run to the last digit, on any machine: one loop, one clock, a stream of
+random numbers for each purpose.  Every proxy is the daemon's own code on sockets of its own; a
+judge for each of them follows its requests and drains, one for the fleet follows cold nodes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import contextlib
+import gc
+import itertools
+import logging
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import msgspec
+
+from limebridge.rules import Break, Judge, Terms
+from limebridge.standins.configuration import SETTINGS, configuration
+from limebridge.standins.database import CustomerDatabase
+from limebridge.standins.discovery import Discovery
+from limebridge.standins.fleet import Effects, FleetNode
+from limebridge.virtual import Deadlock, Kernel, Livelock, VirtualLoop
+from limebridge.virtual.ears import Ears
+from limebridge.virtual.process import Process
+from violetroute.config import parse
+
+from .crowd import Front, Want
+from .scenario import Class, Event, Scenario
+from .score import Asked, Score, score
+
+WALL = 1.7e9  # Unix s at the kernel's 0
+REST = 4.0  # s after the last question
+STARTS = 0.5  # s until the first question
+
+
+@dataclass
+class Result:
+    """What came of a run."""
+
+    scenario: Scenario
+    seed: int
+    score: Score
+    broken: list[Break]
+    database: list[int]  # fetches by second
+    nodes: dict[str, list[float]]  # seconds of work by second, over its slots
+    crossed: int  # commands that went to another site than their proxy's
+    commands: int
+    events: list[tuple[float, str]] = field(default_factory=list)
+
+    @property
+    def failed(self) -> list[str]:
+        """Why it does not pass, in words."""
+        bar, found = self.scenario.bar, self.score
+        told = [f"{name} {value:.3f}, wanted {least:g}" for name, value, least in (
+            ("service", found.service, bar.service), ("worst ten seconds", found.worst, bar.worst),
+            ("worst class", found.worst_class, bar.worst_class)) if value < least]
+        rules = Counter(each.rule for each in self.broken)
+        names = {0: "a bound of the program's own", 1: "no request lost", 2: "no effect twice",
+                 3: "drains kept", 4: "cold nodes not pushed over"}
+        told += [f"rule broken: {names[rule]}, {count} times" for rule, count in
+                 sorted(rules.items())]
+        ceiling = self.scenario.database.ceiling
+        if ceiling and max(self.database, default=0) > ceiling:
+            told.append(f"customer database {max(self.database)}/s, ceiling {ceiling:g}")
+        return told
+
+
+class Morning:
+    """Everything of one run."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario, self.seed = scenario, seed
+        self.kernel = Kernel(seed)
+        self.loop = VirtualLoop(self.kernel)
+        self.asked: list[Asked] = []
+        self.events: list[tuple[float, str]] = []
+        self.crossed = self.commands = 0
+        self._sites: dict[str, str] = {}  # of proxies by owner, of nodes by name
+        self._ports: dict[int, str] = {}  # sites of nodes
+        self._worked: dict[str, list[float]] = {}
+        self._hot: list[tuple[bytes, float]] = []
+        self._once = scenario.keys.once
+        self._number = itertools.count(1)
+        effects = {c.name: c.effect for c in scenario.classes}
+        terms = Terms(effects, cold_from=scenario.nodes.cold_from, warm=scenario.nodes.warm)
+        self.judges = {f"p{n}": Judge(terms) for n in range(scenario.proxies.count)}
+        self.fleet = Judge(terms)
+        self._classes = {c.name: c for c in scenario.classes}
+
+    def random(self, purpose: str) -> Random:
+        """A stream of its own for each purpose."""
+        return Random(f"{self.scenario.name}/{self.seed}/{purpose}")
+
+    # --- what nodes saw ---
+    def arrived(self, at: float, node: str, id_: str, sent_at: float) -> None:
+        owner = id_.partition("-")[0]
+        judge = self.judges.get(owner)
+        if judge is not None:
+            judge.arrived(at, node, id_, sent_at)
+        self.fleet._count(at, node, self.fleet._nodes.setdefault(node, _node(self.fleet, node)))
+        self.commands += 1
+        self.crossed += self._sites.get(owner) != self._sites.get(node)
+
+    def accepted(self, at: float, node: str, id_: str) -> None:
+        judge = self.judges.get(id_.partition("-")[0])
+        if judge is not None:
+            judge.accepted(at, node, id_)
+
+    def effect(self, at: float, node: str, id_: str) -> None:
+        judge = self.judges.get(id_.partition("-")[0])
+        if judge is not None:
+            judge.effect(at, node, id_)
+
+    def started(self, at: float, node: str, capacity: float) -> None:
+        self.fleet.started(at, node, capacity)
+
+    def _line(self, owner: str, port: int, value: dict[str, Any], burst: bool) -> None:
+        for entry in value["instances"]:
+            self.judges[owner].heard(self.kernel.now, entry["instanceId"],
+                                     entry["lifecycle"] == "in_service", burst=burst)
+
+    # --- the run ---
+    def run(self) -> Result:
+        ours = logging.getLogger("violetroute")
+        level, propagate, gc_was_on = ours.level, ours.propagate, gc.isenabled()
+        ours.setLevel(logging.CRITICAL)
+        ours.propagate = False
+        gc.disable()
+        try:
+            self.loop.run_until_complete(self._play())
+        except (Deadlock, Livelock) as error:
+            self.fleet.fault(self.kernel.now, f"{type(error).__name__}: {error}")
+        finally:
+            ours.setLevel(level)
+            ours.propagate = propagate
+            for task in asyncio.all_tasks(self.loop):
+                task.cancel()
+            self.loop.call_soon(self.loop.stop)
+            with contextlib.suppress(Deadlock, Livelock):
+                self.loop.run_forever()
+            self.loop.close()
+            if gc_was_on:
+                gc.enable()
+        broken = [each for judge in (*self.judges.values(), self.fleet) for each in judge.broken]
+        first = int(self._began)
+        seconds = int(self.scenario.run.seconds)
+        return Result(
+            self.scenario, self.seed, score(self.asked, self.scenario.run.seconds), broken,
+            [self.database.seconds.get(first + second, 0) for second in range(seconds + 1)],
+            self._worked, self.crossed, self.commands, self.events)
+
+    async def _play(self) -> None:
+        scenario = self.scenario
+        await self._build()
+        await asyncio.sleep(STARTS)
+        self._began = self.kernel.now
+        for front in self.fronts:
+            front.began = self._began
+        for event in scenario.event:
+            self.loop.call_at(self._began + event.at, self._strike, event)
+        self.loop.call_at(self._began + 1.0, self._look)
+        await self._load()
+        await asyncio.sleep(REST)
+        for front in self.fronts:
+            front.close()
+        for process in self.processes:
+            if process.state == "up":
+                await process.term()
+        for judge in self.judges.values():
+            judge.end(self.kernel.now)
+        for node in self.nodes:
+            await node.die()
+        await self.discovery.stop()
+
+    async def _build(self) -> None:
+        scenario = self.scenario
+        plan = scenario.database
+        self.database = CustomerDatabase(plan.at_once, plan.latency_ms / 1000.0, plan.waiting,
+                                         self.seed)
+        windows = [c.window_ms for c in scenario.classes if c.effect == "token"]
+        self.effects = Effects(max(windows, default=1000.0) / 1000.0)
+        self.discovery = await Discovery().start()
+        self.nodes: list[FleetNode] = []
+        self._kinds: dict[str, str] = {}
+        speeds = self.random("speeds")
+        for box in scenario.box:
+            for site, count in sorted(box.at.items()):
+                for _ in range(count):
+                    await self._node(box.name, site, box.slots, speeds.uniform(*box.speed))
+        self.kernel.extra = self._distance
+        self.kernel.link(self.discovery.port).latency = 0.001
+        owners: dict[str, None] = {}
+        ears = Ears(self.kernel, owners, self._line, lambda *what: None)
+        ears.follow(self.discovery.port)
+        self.discovery.tell(*(self._entry(node) for node in self.nodes), reset=True)
+        self.processes: list[Process] = []
+        self.fronts: list[Front] = []
+        sites = [site.name for site in scenario.site]
+        shares = [site.share for site in scenario.site]
+        caps = {"connectTimeoutMs": 120.0, "secondCopies": True, "retryAfter": True}
+        settings = {"classes": [self._class(c) for c in scenario.classes],
+                    "caps": SETTINGS["caps"] | caps}
+        spread = _spread(sites, shares, scenario.proxies.count)
+        for number in range(scenario.proxies.count):
+            owner, site = f"p{number}", spread[number]
+            owners[owner] = None
+            self._sites[owner] = site
+            raw = configuration(self.discovery.port, [self._entry(n) for n in self.nodes],
+                                sockets=scenario.proxies.descriptors, zone=site,
+                                balancers=scenario.proxies.count, **settings)
+            raw |= {"seed": f"{self.seed * 1000 + number:x}", "name": owner}
+            self.kernel.limit(owner, scenario.proxies.descriptors)
+            process = Process(self.kernel, self.loop, lambda: self.kernel.now + WALL,
+                              lambda sock: int(sock.undelivered()), owner)
+            port = process.start(parse(raw))
+            self.processes.append(process)
+            self.fronts.append(Front(self.loop, owner, lambda port=port: port,  # type: ignore[misc]
+                                     scenario.clients, self.judges[owner],
+                                     f"{self.seed}/clients/{owner}"))
+
+    async def _node(self, kind: str, site: str, slots: int, speed: float,
+                    cold: bool = False) -> FleetNode:
+        scenario = self.scenario
+        name = f"{site}-{len(self.nodes)}"
+        work = {c.name: c.work_ms / 1000.0 / speed for c in scenario.classes}
+        mean = sum(c.share * work[c.name] for c in scenario.classes) / sum(
+            c.share for c in scenario.classes)
+        node = FleetNode(name, self.database, self.effects, self, f"{self.seed}/{name}", slots,
+                         scenario.nodes.waiting, mean, scenario.nodes.cold_from,
+                         scenario.nodes.warm, _sent_at, work, scenario.nodes.keeps)
+        self._sites[name], self._kinds[name] = site, kind
+        await node.start()
+        self._ports[node.port] = site
+        link = self.kernel.link(node.port)
+        link.latency = scenario.network.within_ms / 1000.0
+        link.jitter = scenario.network.jitter_ms / 1000.0
+        if cold:
+            node.begin_cold()
+        self.nodes.append(node)
+        self._worked[name] = []
+        return node
+
+    def _distance(self, owner: str, port: int) -> float:
+        there = self._ports.get(port)
+        if there is None or owner not in self._sites or there == self._sites[owner]:
+            return 0.0
+        return self.scenario.network.between_ms / 1000.0
+
+    def _entry(self, node: FleetNode, lifecycle: str = "in_service") -> dict[str, Any]:
+        born = 0.0 if node.born is None else (node.born + WALL) * 1000.0
+        return node.entry(node.name, lifecycle, zone=self._sites[node.name],
+                          machineType=self._kinds[node.name], startedAtMs=born)
+
+    @staticmethod
+    def _class(of: Class) -> dict[str, Any]:
+        told: dict[str, Any] = {
+            "name": of.name, "promiseMs": of.aim_ms, "deadlineMs": of.deadline_ms,
+            "effect": of.effect, "worth": of.worth, "lateValue": of.late}
+        return told | ({"group": "all", "keyTtlMs": of.window_ms} if of.effect == "token" else {})
+
+    # --- load ---
+    async def _load(self) -> None:
+        scenario, rng = self.scenario, self.random("load")
+        curve, at, end = scenario.load.curve, self._began, self._began + scenario.run.seconds
+        most = max(point.rate for point in curve)
+        weights = [1.0 / (rank + 1) ** scenario.keys.zipf for rank in range(scenario.keys.count)]
+        self._popular = list(itertools.accumulate(weights))
+        classes, shares = scenario.classes, [c.share for c in scenario.classes]
+        tenants, parts = [t.name for t in scenario.tenant], [t.share for t in scenario.tenant]
+        while at < end:
+            at += rng.expovariate(most)
+            keep = rng.random() * most <= _rate(curve, at - self._began)
+            if not keep or at >= end:
+                continue
+            await asyncio.sleep(max(0.0, at - self.kernel.now))
+            cls = rng.choices(classes, shares)[0]
+            self._ask(rng, cls, rng.choices(tenants, parts)[0])
+
+    def _ask(self, rng: Random, cls: Class, tenant: str) -> None:
+        front = rng.choice(self.fronts)
+        owner = front._name
+        asked = Asked(self.kernel.now - self._began, cls.name, tenant, self._sites[owner],
+                      cls.worth * cls.work_ms / 1000.0, cls.aim_ms / 1000.0, cls.late)
+        self.asked.append(asked)
+        name = b"OBJ.GET" if cls.effect == "pure" else b"OBJ.SET"
+        low, high = self.scenario.clients.patience
+        patience = cls.deadline_ms / 1000.0 * rng.uniform(low, high)
+        Want(front, asked, cls, (name, self._key(rng), b"w%d" % next(self._number)), patience).go()
+
+    def _key(self, rng: Random) -> bytes:
+        draw = rng.random()
+        for key, share in self._hot:
+            if draw < share:
+                return key
+            draw -= share
+        if rng.random() < self._once:
+            return b"once-%d" % rng.getrandbits(48)
+        place = bisect.bisect_left(self._popular, rng.random() * self._popular[-1])
+        return b"key-%d" % place
+
+    def _look(self) -> None:
+        """What each node worked in the second before."""
+        for node in self.nodes:
+            done = self._worked[node.name]
+            done.append(round((node.worked - sum(done)), 6))
+        if self.kernel.now < self._began + self.scenario.run.seconds:
+            self.loop.call_at(self.kernel.now + 1.0, self._look)
+
+    # --- troubles ---
+    def _strike(self, event: Event) -> None:
+        self.events.append((event.at, event.kind))
+        task = self.loop.create_task(getattr(self, f"_{event.kind}")(event))
+        task.add_done_callback(lambda done: done.exception() if not done.cancelled() else None)
+
+    def _some(self, event: Event) -> list[FleetNode]:
+        here = [node for node in self.nodes if not event.site
+                or self._sites[node.name] == event.site]
+        count = max(1, round(event.share * len(here)))
+        return self.random(f"event/{event.at}/{event.kind}").sample(here, min(count, len(here)))
+
+    async def _for(self, event: Event, begin: Callable[[FleetNode], object],
+                   end: Callable[[FleetNode], object]) -> None:
+        some = self._some(event)
+        for node in some:
+            begin(node)
+        await asyncio.sleep(event.lasts)
+        for node in some:
+            end(node)
+
+    async def _slow(self, event: Event) -> None:
+        await self._for(event, lambda node: setattr(node, "slowness", event.amount),
+                        lambda node: setattr(node, "slowness", 1.0))
+
+    async def _stalls(self, event: Event) -> None:
+        await self._for(event, lambda node: node.flowing.clear(), lambda node: node.flowing.set())
+
+    async def _dies(self, event: Event) -> None:
+        some = self._some(event)
+        for node in some:
+            await node.die()
+        await asyncio.sleep(event.lasts)
+        for node in some:
+            await self._back(node)
+
+    async def _back(self, node: FleetNode) -> None:
+        if node.port not in self.kernel.listening:
+            node.begin_cold()
+            await node.start(node.port)
+            self.discovery.tell(self._entry(node))
+
+    async def _drains(self, event: Event) -> None:
+        for node in self._some(event):
+            self.discovery.tell(self._entry(node, "terminating"))
+            await asyncio.sleep(1.0)
+            node.draining = True
+            await asyncio.sleep(1.0)
+            await node.die()
+            self.discovery.tell(self._entry(node, "terminated"))
+            await asyncio.sleep(event.lasts)
+            await self._back(node)
+
+    async def _site_lost(self, event: Event) -> None:
+        await self._dies(msgspec.structs.replace(event, share=1.0))
+
+    async def _joins(self, event: Event) -> None:
+        box = self.scenario.box[0]
+        speeds = self.random(f"joins/{event.at}")
+        site = event.site or self.scenario.site[0].name
+        for _ in range(max(1, round(event.share * len(self.nodes)))):
+            speed = speeds.uniform(*box.speed)
+            node = await self._node(box.name, site, box.slots, speed, cold=True)
+            self._worked[node.name] = [0.0] * int(self.kernel.now - self._began)
+            self.discovery.tell(self._entry(node))
+
+    async def _hot_key(self, event: Event) -> None:
+        hot = (b"hot-%d" % int(event.at * 1000), event.share)
+        self._hot.append(hot)
+        await asyncio.sleep(event.lasts)
+        self._hot.remove(hot)
+
+    async def _scan(self, event: Event) -> None:
+        self._once += event.share
+        await asyncio.sleep(event.lasts)
+        self._once -= event.share
+
+    async def _database_slow(self, event: Event) -> None:
+        self.database.slowness = event.amount
+        await asyncio.sleep(event.lasts)
+        self.database.slowness = 1.0
+
+    async def _discovery_down(self, event: Event) -> None:
+        self.discovery.refuse = True
+        for writer in list(self.discovery.open):
+            writer.transport.abort()
+        await asyncio.sleep(event.lasts)
+        self.discovery.refuse = False
+
+    async def _proxies_restart(self, event: Event) -> None:
+        """One by one, as a deploy does."""
+        for process, front in zip(self.processes, self.fronts, strict=True):
+            config, port = process.proxy_config, front._port()
+            if await process.term():  # its last timers may run out: they are told nothing any more
+                self.judges[process.owner].restarted(self.kernel.now, {})
+                process.start(config, port)
+            await asyncio.sleep(event.lasts / len(self.processes))
+
+
+def _node(judge: Judge, name: str) -> Any:
+    """The fleet's judge counts commands to a node that it may not have met."""
+    judge.heard(0.0, name, True)
+    return judge._nodes[name]
+
+
+def _spread(names: list[str], shares: list[float], count: int) -> list[str]:
+    """Names in proportion to their shares, mixed evenly."""
+    due = [0.0] * len(names)
+    found = []
+    for _ in range(count):
+        due = [have + share / sum(shares) for have, share in zip(due, shares, strict=True)]
+        place = max(range(len(names)), key=lambda n: (due[n], -n))
+        due[place] -= 1.0
+        found.append(names[place])
+    return found
+
+
+def _rate(curve: list[Any], at: float) -> float:
+    """On the line between the two points around."""
+    for before, after in itertools.pairwise(curve):
+        if at < after.at:
+            part = (at - before.at) / max(1e-9, after.at - before.at)
+            return float(before.rate + part * (after.rate - before.rate))
+    return float(curve[-1].rate)
+
+
+def _sent_at(writer: asyncio.StreamWriter, offset: int) -> float:
+    sock = writer.get_extra_info("socket")._sock
+    return float(sock.sent_at(offset))
+
+
+def play(scenario: Scenario, seed: int | None = None) -> Result:
+    """One run."""
+    return Morning(scenario, scenario.run.seed if seed is None else seed).run()
--- /dev/null
+++ b/limebridge/rehearsal/report.py
@@ -0,0 +1,55 @@
+"""What a run came to: one JSON object, and one HTML page that needs nothing else."""
+
+from __future__ import annotations
+
+from importlib.resources import files
+from typing import Any
+
+import jinja2
+
+from .engine import Result
+
+WIDTH, HEIGHT, CELL = 900.0, 160.0, 14.0  # px of the pictures
+BREAKS = 20  # told at most
+
+
+def plain(result: Result) -> dict[str, Any]:
+    """Everything but the curves, the same to the last digit for the same seed."""
+    found = result.score
+    return {
+        "scenario": result.scenario.name, "seed": result.seed, "passed": not result.failed,
+        "failed": result.failed, "service": found.service, "worst": found.worst,
+        "worst_at": found.worst_at, "worst_class": found.worst_class, "total": found.total,
+        "classes": found.classes, "tenants": found.tenants, "sites": found.sites,
+        "asked": found.asked, "tries": found.tries, "ends": found.ends, "p50_ms": found.p50_ms,
+        "p99_ms": found.p99_ms, "crossed": result.crossed, "commands": result.commands,
+        "database_most": max(result.database, default=0),
+        "broken": [[b.rule, round(b.at, 6), b.what, b.request] for b in result.broken[:BREAKS]]}
+
+
+def html(results: list[Result]) -> str:
+    """One page for all runs of a scenario, the first one drawn."""
+    first = results[0]
+    seconds = first.scenario.run.seconds
+    step = WIDTH / seconds
+    served = [(n * step, HEIGHT - HEIGHT * (earned / asked if asked else 1.0))
+              for n, (asked, earned) in enumerate(first.score.seconds)]
+    most = max([1, *first.database, int(first.scenario.database.ceiling)])
+    rows = []
+    for name, work in first.nodes.items():
+        slots = next((box.slots for box in first.scenario.box), 1)
+        rows.append({"name": name, "cells": [
+            {"x": n * step, "busy": min(1.0, done / slots)} for n, done in enumerate(work)]})
+    environment = jinja2.Environment(autoescape=True, trim_blocks=True, lstrip_blocks=True,
+                                     undefined=jinja2.StrictUndefined)
+    text = files(__package__).joinpath("report.html").read_text()
+    return environment.from_string(text).render(
+        name=first.scenario.name, about=first.scenario.run.about, results=results,
+        found=first.score, failed=first.failed, width=WIDTH, height=HEIGHT, cell=CELL, step=step,
+        line=" ".join(f"{x:.1f},{y:.1f}" for x, y in served), rows=rows, seconds=seconds,
+        database=[{"x": n * step, "h": 60.0 * count / most, "count": count}
+                  for n, count in enumerate(first.database)],
+        ceiling=first.scenario.database.ceiling, most=most, bar=first.scenario.bar,
+        events=[{"x": event.at * step, "w": max(2.0, event.lasts * step), "kind": event.kind,
+                 "at": event.at} for event in first.scenario.event],
+        broken=first.broken[:BREAKS])
--- a/limebridge/standins/database.py
+++ b/limebridge/standins/database.py
@@ -18,6 +18,8 @@
         self._latency, self._limit = latency, at_once + waiting
         self._random = random.Random(seed)
         self.fetches = 0
+        self.slowness = 1.0
+        self.seconds: dict[int, int] = {}  # fetches begun, by the loop's second
         self.open = 0
 
     async def fetch(self, key: bytes) -> bytes | None:
@@ -28,7 +30,10 @@
         try:
             async with self._slots:
                 self.fetches += 1
-                await asyncio.sleep(self._latency * self._random.lognormvariate(0.0, 0.3))
+                second = int(asyncio.get_running_loop().time())
+                self.seconds[second] = self.seconds.get(second, 0) + 1
+                spread = self._random.lognormvariate(0.0, 0.3)
+                await asyncio.sleep(self._latency * self.slowness * spread)
                 return b"template of " + key
         finally:
             self.open -= 1
--- a/limebridge/standins/fleet.py
+++ b/limebridge/standins/fleet.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from .database import CustomerDatabase
@@ -47,13 +47,17 @@
     def __init__(self, name: str, database: CustomerDatabase, effects: Effects,
                  witness: Witness, seed: str, slots: int = 2, waiting: int = 8,
                  service: float = 0.05, cold_from: float = 0.13, warm: float = 23.0,
-                 sent_at: Callable[[asyncio.StreamWriter, int], float] | None = None) -> None:
+                 sent_at: Callable[[asyncio.StreamWriter, int], float] | None = None,
+                 work: Mapping[str, float] | None = None, keeps: int = 1_000_000) -> None:
         super().__init__()
         self.name, self._database, self._effects, self._witness = name, database, effects, witness
         self._random = random.Random(seed)
         self._slots, self._waiting, self._service = slots, waiting, service
         self._cold_from, self._warm = cold_from, warm
         self._sent_at = sent_at
+        self._work_of = work  # s by class, in place of `service`
+        self._keeps = keeps  # values; the oldest make way
+        self.worked = 0.0  # s of its slots' time
         self._busy = 0
         self._free = asyncio.Semaphore(slots)
         self._kept: dict[bytes, bytes] = {}
@@ -135,8 +139,12 @@
     async def _work(self, words: list[bytes], id_: str, life: int, fresh: bool) -> bytes:
         loop = asyncio.get_running_loop()
         await self.flowing.wait()
-        time = self._service * self._random.lognormvariate(-0.1, 0.4) * self.slowness
-        await asyncio.sleep(time / self._share(loop.time()))
+        time = self._service if self._work_of is None else \
+            self._work_of.get(_field(words, b"c").decode(), self._service)
+        time *= self._random.lognormvariate(-0.1, 0.4) * self.slowness
+        time /= self._share(loop.time())
+        self.worked += time
+        await asyncio.sleep(time)
         await self.flowing.wait()
         if life != self.life:
             return b""
@@ -151,6 +159,8 @@
             if value is None:
                 return b"-ERR origin\r\n"
             self._kept[key] = value
+            if len(self._kept) > self._keeps:
+                del self._kept[next(iter(self._kept))]
             return reply(value, b"miss")
         return reply(self._kept[key], b"hit")
 
@@ -168,4 +178,8 @@
     """The idempotency key of a command, if it has one."""
     if words[0].upper() != b"OBJ.SET":
         return b""
-    return dict(item.partition(b"=")[::2] for item in words[3].split(b",")).get(b"k", b"")
+    return _field(words, b"k")
+
+
+def _field(words: list[bytes], name: bytes) -> bytes:
+    return dict(item.partition(b"=")[::2] for item in words[3].split(b",")).get(name, b"")
--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -96,7 +96,8 @@
         self._register(node)
 
     # --- what the proxy hears ---
-    def _answer(self, port: int, target: str, headers: dict[str, str], body: bytes) -> None:
+    def _answer(self, owner: str, port: int, target: str, headers: dict[str, str],
+                body: bytes) -> None:
         """A whole answer has reached the process: what it tells counts."""
         leader = headers.get("x-consul-knownleader")
         says = headers.get("x-consul-index", ""), body, leader
--- a/limebridge/virtual/ears.py
+++ b/limebridge/virtual/ears.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Any
 
 import h11
@@ -22,17 +22,18 @@
 
 
 class Ears:
-    """Follows the connections that one process makes to certain ports.
+    """Follows the connections that processes make to certain ports.
 
-    `line` is told the port and the JSON object of each line of a watch, and whether it is of its
-    first burst, in which a watch says once more what was said before; `answer` the port, target,
-    header fields (small letters) and body of each whole answer that is no watch, with status 200.
+    `owners` is whom the kernel has the sockets for, and what is told first. `line` is told the
+    port and the JSON object of each line of a watch, and whether it is of its first burst, in which
+    a watch says once more what was said before; `answer` the port, target, header fields (small
+    letters) and body of each whole answer that is no watch, with status 200.
     """
 
-    def __init__(self, kernel: Kernel, owner: str,
-                 line: Callable[[int, dict[str, Any], bool], None],
-                 answer: Callable[[int, str, dict[str, str], bytes], None]) -> None:
-        self._kernel, self._owner, self._line, self._answer = kernel, owner, line, answer
+    def __init__(self, kernel: Kernel, owners: Container[str],
+                 line: Callable[[str, int, dict[str, Any], bool], None],
+                 answer: Callable[[str, int, str, dict[str, str], bytes], None]) -> None:
+        self._kernel, self._owners, self._line, self._answer = kernel, owners, line, answer
         self._ports: set[int] = set()
         self.heard_at = kernel.now  # the last bytes of any source, in s
         self._heard: dict[VirtualSocket, _Connection] = {}
@@ -56,12 +57,12 @@
         self.heard_at = self._kernel.now
         for said in connection.hear(data):
             if isinstance(said, _Line):
-                self._line(port, said.value, said.burst)
+                self._line(sock.owner, port, said.value, said.burst)
             else:
-                self._answer(port, said.target, said.headers, said.body)
+                self._answer(sock.owner, port, said.target, said.headers, said.body)
 
     def _port(self, sock: VirtualSocket) -> int | None:
-        if sock.owner != self._owner or sock._peer_name is None:
+        if sock._peer_name is None or sock.owner not in self._owners:
             return None
         return sock._peer_name[1] if sock._peer_name[1] in self._ports else None
 
--- a/limebridge/virtual/kernel.py
+++ b/limebridge/virtual/kernel.py
@@ -66,6 +66,8 @@
         self.hot: dict[int, None] = {}  # descriptors that may be ready, in the order they became so
         self.packets = 0
         self.paused: dict[str, float] = {}  # owners that get no CPU, and until when
+        # s one way beyond its link's, of a connection of this owner to this port.
+        self.extra: Callable[[str, int], float] = lambda owner, port: 0.0
         # Told of bytes that a socket has received, and of those that it was given to send.
         self.received: Callable[[VirtualSocket, bytes], None] = lambda sock, data: None
         self.given: Callable[[VirtualSocket, bytes], None] = lambda sock, data: None
@@ -164,6 +166,7 @@
         self._queue: deque[VirtualSocket] | None = None  # of a listening one
         self._backlog = 0
         self._link: Link | None = None
+        self._extra = 0.0
         self._towards = False  # sends in the direction `to` of its link
         self.peer: VirtualSocket | None = None
         self._state = "new"  # connecting, open, failed
@@ -232,6 +235,7 @@
         kernel = self._kernel
         self._name, self._peer_name = ("127.0.0.1", kernel.port()), address
         self._link, self._towards = kernel.link(address[1]), True
+        self._extra = kernel.extra(self.owner, address[1])
         self._state = "connecting"
         self._syn()
         return errno.EINPROGRESS
@@ -257,7 +261,7 @@
         elif len(door._queue) <= door._backlog:  # Linux holds one more than it was asked for
             far = VirtualSocket(kernel, door.owner)
             far._name, far._peer_name = self._peer_name, self._name
-            far._link, far.peer, far._state = link, self, "open"
+            far._link, far.peer, far._state, far._extra = link, self, "open", self._extra
             door._queue.append(far)
             kernel.touch(door)
             self._state = "opening"
@@ -395,9 +399,10 @@
         assert self._link is not None
         link = self._link
         if not link.jitter:
-            return link.latency
+            return link.latency + self._extra
         way = "to" if self._towards else "back"
-        return link.latency + link.jitter * self._kernel.random(f"{way}/{link.port}").random()
+        drawn = self._kernel.random(f"{way}/{link.port}").random()
+        return link.latency + self._extra + link.jitter * drawn
 
     def _pass(self, arrives: Callable[[], None], held: float = 0.0) -> None:
         """Cross the path in order; a blocked one holds until it has healed."""
--- a/limebridge/virtual/process.py
+++ b/limebridge/virtual/process.py
@@ -61,7 +61,8 @@
     """One daemon after another under one name, on one port."""
 
     def __init__(self, kernel: Kernel, loop: VirtualLoop, clock: Callable[[], float],
-                 undelivered: Callable[[Any], int]) -> None:
+                 undelivered: Callable[[Any], int], owner: str = OWNER) -> None:
+        self.owner = owner
         self._kernel, self._loop = kernel, loop
         self._clock, self._undelivered = clock, undelivered
         self.state = "down"  # up, draining
@@ -71,8 +72,9 @@
     def start(self, config: Config, port: int = 0) -> int:
         """As the program's start-up puts it together; returns the port."""
         self._turns = VirtualTurns(self._loop)
-        net = SocketNetwork(self._loop, self._turns, make=self._kernel.maker(OWNER),
+        net = SocketNetwork(self._loop, self._turns, make=self._kernel.maker(self.owner),
                             clock=self._clock, undelivered=self._undelivered)
+        self.proxy_config = config
         self.proxy = Proxy(config, net)
         self.listener = Listener(self.proxy, config.client_sockets, config.value_room, net,
                                  config.limits)
@@ -112,14 +114,14 @@
         if self._draining is not None:
             self._draining.cancel()
         self._silence()
-        for sock in [sock for sock in self._kernel.sockets.values() if sock.owner == OWNER]:
+        for sock in [sock for sock in self._kernel.sockets.values() if sock.owner == self.owner]:
             number = sock.fileno()
             self._loop.remove_reader(number)
             self._loop.remove_writer(number)
             sock.abort()
         self.state = "down"
         self.paused_until = 0.0
-        self._kernel.paused.pop(OWNER, None)
+        self._kernel.paused.pop(self.owner, None)
 
     def pause(self, seconds: float) -> None:
         """No CPU for so long: no timer, no event; the kernel goes on for it."""
@@ -129,18 +131,18 @@
             if is_ours(timer) and timer._when < until:
                 timer._when = until
         heapq.heapify(self._loop._scheduled)  # type: ignore[attr-defined]
-        self._kernel.paused[OWNER] = until
+        self._kernel.paused[self.owner] = until
         self._kernel.at(until, lambda: self._resume(until, seconds))
 
     def _resume(self, until: float, seconds: float) -> None:
         if self.paused_until == until:
-            del self._kernel.paused[OWNER]
-            self._kernel.touch_all(OWNER)
+            del self._kernel.paused[self.owner]
+            self._kernel.touch_all(self.owner)
             self._turns.resumed(seconds)
 
     def left(self) -> dict[str, int]:
         """What an exited process must not have left: counts by name, all 0."""
-        return {"requests": self.proxy.open_requests, "descriptors": self._kernel.held(OWNER),
+        return {"requests": self.proxy.open_requests, "descriptors": self._kernel.held(self.owner),
                 "connections": self.listener.connections,
                 "bytes of the budget": self.listener.budget.used,
                 "timers": sum(isinstance(handle, asyncio.TimerHandle) and is_ours(handle)
--- a/limebridge/virtual/world.py
+++ b/limebridge/virtual/world.py
@@ -174,7 +174,7 @@
         self.draining: dict[str, None] = {}  # nodes of which discovery has said so
         self._births: dict[float, float] = {}  # starts as they are told, and when they were
         self._listed: dict[str, None] = {}  # by the watch that the process follows
-        self.ears = Ears(self.kernel, OWNER, self._line, self._answer)
+        self.ears = Ears(self.kernel, {OWNER}, self._line, self._answer)
         self._old: list[Discovery] = []
         self._tasks: dict[asyncio.Task[None], None] = {}
         self._wall_off = 1.7e9
@@ -472,7 +472,7 @@
         self.note(f"told: {node.name} {lifecycle}")
         self.discovery.tell(self._entry(node, lifecycle))
 
-    def _line(self, port: int, value: dict[str, Any], burst: bool) -> None:
+    def _line(self, owner: str, port: int, value: dict[str, Any], burst: bool) -> None:
         """A line of a watch has reached the process."""
         before, listed = self._listed, {} if value["reset"] else dict(self._listed)
         for entry in value["instances"]:
@@ -488,7 +488,8 @@
                 self.judge.heard(self.kernel.now, name, False, "platform", burst=burst)
         self._listed = listed
 
-    def _answer(self, port: int, target: str, headers: dict[str, str], body: bytes) -> None:
+    def _answer(self, owner: str, port: int, target: str, headers: dict[str, str],
+                body: bytes) -> None:
         """Only Consul answers without a watch."""
 
     async def _path(self, fault: Fault, port: int, to: bool, back: bool) -> None:
