--- a/limebridge/rehearsal/engine.py
+++ b/limebridge/rehearsal/engine.py
@@ -53,6 +53,7 @@
     crossed: int  # commands that went to another site than their proxy's
     commands: int
     events: list[tuple[float, str]] = field(default_factory=list)
+    slots: dict[str, int] = field(default_factory=dict)  # by node
 
     @property
     def failed(self) -> list[str]:
@@ -85,6 +86,7 @@
         self._sites: dict[str, str] = {}  # of proxies by owner, of nodes by name
         self._ports: dict[int, str] = {}  # sites of nodes
         self._worked: dict[str, list[float]] = {}
+        self._slots: dict[str, int] = {}
         self._hot: list[tuple[bytes, float]] = []
         self._once = scenario.keys.once
         self._number = itertools.count(1)
@@ -154,7 +156,7 @@
         return Result(
             self.scenario, self.seed, score(self.asked, self.scenario.run.seconds), broken,
             [self.database.seconds.get(first + second, 0) for second in range(seconds + 1)],
-            self._worked, self.crossed, self.commands, self.events)
+            self._worked, self.crossed, self.commands, self.events, self._slots)
 
     async def _play(self) -> None:
         scenario = self.scenario
@@ -244,7 +246,7 @@
         if cold:
             node.begin_cold()
         self.nodes.append(node)
-        self._worked[name] = []
+        self._worked[name], self._slots[name] = [], slots
         return node
 
     def _distance(self, owner: str, port: int) -> float:
--- a/limebridge/rehearsal/report.py
+++ b/limebridge/rehearsal/report.py
@@ -37,7 +37,7 @@
     most = max([1, *first.database, int(first.scenario.database.ceiling)])
     rows = []
     for name, work in first.nodes.items():
-        slots = next((box.slots for box in first.scenario.box), 1)
+        slots = first.slots[name]
         rows.append({"name": name, "cells": [
             {"x": n * step, "busy": min(1.0, done / slots)} for n, done in enumerate(work)]})
     environment = jinja2.Environment(autoescape=True, trim_blocks=True, lstrip_blocks=True,
