A held request whose time ends in a pause is refused as the module says

It was answered -ERR and told as a fault of ours, where nothing had run and a refusal was due.

At its deadline a request without an answer is put to the module's timer first.

--- a/tests/test_ledger_daemon.py
+++ b/tests/test_ledger_daemon.py
@@ -17,8 +17,8 @@
 from limebridge.ledger.kills import play
 from limebridge.standins.billing import Billing
 from violetroute.ledger import LedgerTable
-from violetroute.ledger.files import Folder
-from violetroute.ledger.keeper import Ledger, folder_name
+from violetroute.ledger.files import Folder, folder_name
+from violetroute.ledger.keeper import Ledger
 from violetroute.transport.sockets import SocketNetwork
 
 START = 1_700_000_100.0
--- a/violetroute/ledger/export.py
+++ b/violetroute/ledger/export.py
@@ -88,6 +88,13 @@
     periods: tuple[int, ...] = ()
 
 
+class Signed(msgspec.Struct, forbid_unknown_fields=True):
+    """A file of corrections: who signed them; period, tenant, class and units of each."""
+
+    by: str
+    lines: list[tuple[int, str | None, str, int]]
+
+
 class _Fork(msgspec.Struct):
     last: str = ""
     periods: list[int] = []
--- a/violetroute/ledger/files.py
+++ b/violetroute/ledger/files.py
@@ -10,6 +10,7 @@
 import contextlib
 import fcntl
 import os
+from hashlib import blake2b
 from pathlib import Path
 from typing import Protocol
 
@@ -134,3 +135,12 @@
             if self._unsynced.pop(name, "") is None:
                 os.fdatasync(descriptor)
             os.close(descriptor)
+
+
+def folder_name(name: str) -> str:
+    """Of a proxy: a plain name as it is; no other can leave the folder, or be taken for one."""
+    safe = "".join(c if c.isascii() and (c.isalnum() or c in "._-") else "_" for c in name)
+    safe = safe.lstrip(".")[:100]
+    if safe == name and safe:
+        return safe
+    return f"{safe or 'proxy'}-{blake2b(name.encode(), digest_size=4).hexdigest()}"
--- a/violetroute/ledger/keeper.py
+++ b/violetroute/ledger/keeper.py
@@ -13,7 +13,6 @@
 import asyncio
 import secrets
 from collections.abc import Callable
-from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
@@ -24,8 +23,8 @@
 from violetroute.transport.tls import TlsKeys
 
 from .book import Batch, Book
-from .export import Backoff, Said, csv_lines, file_name, json_lines, key_of, said
-from .files import Files, Folder
+from .export import Backoff, Said, Signed, csv_lines, file_name, json_lines, key_of, said
+from .files import Files, Folder, folder_name
 from .frames import Record
 from .periods import Periods
 from .poster import Post
@@ -41,13 +40,6 @@
 AT_THE_END = 2.0  # s for the last write
 
 
-class Signed(msgspec.Struct, forbid_unknown_fields=True):
-    """A file of corrections: who signed them; period, tenant, class and units of each."""
-
-    by: str
-    lines: list[tuple[int, str | None, str, int]]
-
-
 class Ledger:
     """One proxy's.  `name` is the proxy's; its folder is made of it."""
 
@@ -403,12 +395,3 @@
         self._writer.close(max(0.0, until - self._loop.time()))
         if not self._busy:
             self._files.close()
-
-
-def folder_name(name: str) -> str:
-    """Of a proxy: a plain name as it is; no other can leave the folder, or be taken for one."""
-    safe = "".join(c if c.isascii() and (c.isalnum() or c in "._-") else "_" for c in name)
-    safe = safe.lstrip(".")[:100]
-    if safe == name and safe:
-        return safe
-    return f"{safe or 'proxy'}-{blake2b(name.encode(), digest_size=4).hexdigest()}"
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -353,12 +353,18 @@
         self._now = max(self._now, request.give_up_at)
         for attempt in list(request.attempts):
             self._give_up(attempt, Result.LATE)
+        self._held_too_long(request)
         if not request.answered:
             self._fault(f"request {request.id} had no final answer at its deadline")
             self._answer(request, FAILED)
             self._tell(request, self._balancer.on_gone, request.id)
         self._forget(request)
 
+    def _held_too_long(self, request: OpenRequest) -> None:
+        """After a pause its deadline may come before the timer that would have ended its wait."""
+        if not request.answered:
+            self._tell(request, self._balancer.on_timer, request.id)
+
     def _give_up(self, attempt: Attempt, result: Result) -> None:
         if not attempt.ended:
             may_have_run = self._pool.give_up(attempt)
