--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -271,7 +271,7 @@
     taken = time.monotonic() - began
     kept = [each for each in found if not each[4]]
     logging.disable(logging.CRITICAL)
-    many = play(Trial(1, minutes=20.0, kills=420))
+    many = play(Trial(1, minutes=20.0, kills=500))
     return {"seeds": len(found), "over": sum(each[0] for each in found),
             "served": sum(each[2] for each in found), "killed": sum(each[3] for each in found),
             "missing_a_kill": round(sum(each[1] for each in kept)
