--- a/limebridge/rehearsal/command.py
+++ b/limebridge/rehearsal/command.py
@@ -11,6 +11,7 @@
 from typing import Annotated, Any, NoReturn
 
 import typer
+from rich import box
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn
 from rich.table import Table
@@ -195,8 +196,8 @@
 
 
 def _show(results: list[Result], changed: list[dict[str, Any]]) -> None:
-    table = Table("seed", "service", "worst 10 s", "worst class", "p50 ms", "p99 ms", "refused",
-                  "database/s", "verdict")
+    table = Table("seed", "service", "worst 10 s", "class", "p50 ms", "p99 ms", "refused", "db/s",
+                  "verdict", box=box.SIMPLE_HEAD, padding=(0, 1, 0, 0))  # 80 columns
     for result in results:
         found = result.score
         table.add_row(str(result.seed), f"{found.service:.3f}", f"{found.worst:.3f}",
--- a/limebridge/rehearsal/engine.py
+++ b/limebridge/rehearsal/engine.py
@@ -35,11 +35,12 @@
 
 from .crowd import Front, Want
 from .scenario import Class, Event, Scenario
-from .score import Asked, Score, score
+from .score import WINDOW, Asked, Score, score
 from .trace import read
 
 WALL = 1.7e9  # Unix s at the kernel's 0
 REST = 4.0  # s after the last question
+TOLD = 15  # requests of the worst ten seconds, by name
 STARTS = 0.5  # s until the first question
 
 
@@ -60,6 +61,7 @@
     late_ms: float = 0.0  # of the kit itself, in real time: the latest hundredth
     void: bool = False  # it was too late itself to judge
     partial: bool = False  # ended before its time
+    unserved: list[Asked] = field(default_factory=list)  # of the worst ten seconds, the dearest
 
     @property
     def failed(self) -> list[str]:
@@ -177,11 +179,15 @@
         if self._partial:  # what was asked in the last moments had no time for its answer
             length = max(1.0, min(length, self.kernel.now - self._began - REST))
         seconds = int(length)
+        found = score((a for a in self.asked if a.at < length), length)
+        worst = [a for a in self.asked if 0.0 <= a.at - found.worst_at < WINDOW
+                 and a.earned < a.worth]
+        worst.sort(key=lambda a: (a.earned - a.worth, a.at))
         return Result(
-            self.scenario, self.seed, score((a for a in self.asked if a.at < length), length),
-            broken, [self.database.seconds.get(first + second, 0) for second in range(seconds + 1)],
+            self.scenario, self.seed, found, broken,
+            [self.database.seconds.get(first + second, 0) for second in range(seconds + 1)],
             self._worked, self.crossed, self.commands, self.events, self._slots,
-            partial=self._partial)
+            partial=self._partial, unserved=worst[:TOLD])
 
     async def _play(self) -> None:
         scenario = self.scenario
--- a/limebridge/rehearsal/real.py
+++ b/limebridge/rehearsal/real.py
@@ -29,6 +29,7 @@
 
 READY = 20.0  # s for a daemon to listen
 END = 8.0  # s for it to drain
+ENDING = 0.3  # s for one that may have ended by itself
 BEAT = 0.01  # s between looks at how late the kit's own loop is
 LATE = 0.05  # s, of the latest hundredth of the looks: more and the run is void.  Clients here
 #              wait so much longer than they say: what has come and is not read yet is no loss
@@ -62,6 +63,7 @@
         self._process: asyncio.subprocess.Process | None = None
         self._log: asyncio.Task[None] | None = None
         self.last = "no word from it"
+        self.crashed = False  # it had ended before it was told to
 
     async def start(self, raw: dict[str, Any], port: int) -> int:
         self.proxy_config = raw
@@ -77,9 +79,13 @@
                 await ready
         except TimeoutError:
             raise Unready(f"{self.owner} is not ready after {READY:g} s: {self.last}") from None
-        if not ready.result():
-            raise Unready(f"{self.owner} ended at its start: {self.last}")
-        self.state = "up"
+        else:
+            if not ready.result():
+                raise Unready(f"{self.owner} ended at its start: {self.last}")
+            self.state = "up"
+        finally:  # whoever called holds only daemons that are up
+            if self.state != "up":
+                await self.kill()
         return port
 
     async def _read(self, process: asyncio.subprocess.Process,
@@ -94,16 +100,11 @@
         if not ready.done():
             ready.set_result(False)
 
-    @property
-    def crashed(self) -> bool:
-        return self.state == "up" and self._process is not None \
-            and self._process.returncode is not None
-
     async def term(self) -> bool:
         process = self._process
         if process is None:
             return False
-        self.state = "draining"
+        self.state, self.crashed = "draining", process.returncode is not None
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGTERM)
         try:
@@ -117,10 +118,15 @@
         return ended
 
     async def kill(self) -> None:
-        if self._process is not None and self._process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self._process.kill()
-            await self._process.wait()
+        process = self._process
+        if process is not None and process.returncode is None:
+            try:  # one that has just ended is left to asyncio: a signal would reap it first
+                async with asyncio.timeout(ENDING):
+                    await process.wait()
+            except TimeoutError:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.wait()
         if self._log is not None:
             self._log.cancel()
 
--- a/limebridge/rehearsal/report.py
+++ b/limebridge/rehearsal/report.py
@@ -78,4 +78,4 @@
         ceiling=first.scenario.database.ceiling, most=most, bar=first.scenario.bar,
         events=[{"x": event.at * step, "w": max(2.0, event.lasts * step), "kind": event.kind,
                  "at": event.at} for event in first.scenario.event],
-        broken=first.broken[:BREAKS])
+        broken=first.broken[:BREAKS], unserved=first.unserved)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -130,7 +130,11 @@
     result = play(made(tmp_path, text))
     assert any("service 0." in why for why in result.failed)
     assert any("customer database" in why for why in result.failed)
-    assert "failed" in html([result])
+    page = html([result])
+    assert "failed" in page and result.unserved
+    worst = result.unserved[0]
+    assert worst.earned < worst.worth and f"<td class=\"n\">{worst.at:.3f}<td>lookup" in page
+    assert all(0.0 <= each.at - result.score.worst_at < 10.0 for each in result.unserved)
 
 
 BAD = {  # what each fails, and the words in which that is told
@@ -314,9 +318,24 @@
 
 def test_a_daemon_that_never_listens_is_given_up(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(engines, "READY", 0.2)
+    monkeypatch.setattr(engines, "READY", 1.0)
     with pytest.raises(engines.Unready, match="is not ready"):
-        engines.play_real(made(tmp_path, REAL), run="sleep 60")
+        engines.play_real(made(tmp_path, REAL),
+                          run=f"sh -c 'echo $$ > {tmp_path}/pid; exec sleep 60'")
+    pid = (tmp_path / "pid").read_text().strip()
+    assert not Path(f"/proc/{pid}").exists()
+
+
+def test_a_daemon_that_crashes_fails_the_run(tmp_path: Path) -> None:
+    (tmp_path / "d.py").write_text(
+        "import os, runpy, sys, threading\n"
+        "threading.Timer(3.0, lambda: os._exit(7)).start()\n"
+        f"sys.argv = ['violetroute']; sys.path.insert(0, {str(ROOT)!r})\n"
+        "runpy.run_module('violetroute', run_name='__main__', alter_sys=True)\n")
+    result = engines.play_real(made(tmp_path, REAL.replace("3.0", "4.0")),
+                               run=f"{sys.executable} {tmp_path / 'd.py'}")
+    assert result.void or any("p0 crashed" in why for why in result.failed)
+    assert any("p0 crashed" in each.what for each in result.broken)
 
 
 def test_a_kit_that_is_late_itself_judges_nothing(
