The ledger's property signs each correction under a name of its own

Cause: two signed corrections at one instant had one name, m{now}, and the ledger rightly takes a name once; the property counted both, and hypothesis found it by chance (sign, sign with no time between) in one run of the suite. The ledger is unchanged.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -147,7 +147,7 @@
     counted: Counter[int] = Counter()
     sent: dict[str, bytes] = {}
     kept: dict[int, Any] = {}
-    for what, number, passes in changes:
+    for place, (what, number, passes) in enumerate(changes):
         now += passes
         batch = made.due
         records: list[frames.Record] = []
@@ -158,7 +158,7 @@
         elif what == "cut":
             records = made.cut(now)
         elif what == "sign":
-            records = made.signed(f"m{now}", "x", [(START, "t", "c", number)])
+            records = made.signed(f"m{place}", "x", [(START, "t", "c", number)])
             counted[START] += number
         elif what == "crash":
             made = Book(Periods("UTC", 5), 60.0)
