--- a/benchmarks/own_time.py
+++ b/benchmarks/own_time.py
@@ -21,11 +21,11 @@
 from typing import Any
 
 import harness
+from nodes import Answering
 from overload import capacity, overload
 
 from limebridge.standins.configuration import configuration
 from limebridge.standins.discovery import Discovery
-from limebridge.standins.nodes import CacheNode
 from limebridge.standins.wire import reply
 from limebridge.virtual import Deadlock, Kernel, Livelock, VirtualLoop
 from limebridge.virtual.costs import Costs, measured
@@ -36,11 +36,6 @@
         "mostTries": 4, "retryAfter": True, "secondCopies": False}
 
 
-class Answering(CacheNode):
-    def record(self, words: list[bytes]) -> None:
-        pass
-
-
 async def _answer(words: list[bytes], writer: asyncio.StreamWriter) -> None:
     writer.write(reply(b"v" * 200))
 
--- a/limebridge/rehearsal/command.py
+++ b/limebridge/rehearsal/command.py
@@ -6,7 +6,9 @@
 import multiprocessing
 import os
 import runpy
+import signal
 import statistics
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Annotated, Any, NoReturn
 
@@ -101,6 +103,10 @@
     if explain:
         _explain(made)
         return
+    if real and patch is not None:
+        _stop("--patch: planted in virtual runs alone; with --real name a build by --run")
+    if run and not real:
+        _stop("--run: for --real; a virtual run plays this checkout")
     before = _baseline(baseline, made) if baseline is not None else []
     results = _real(made, seeds, run) if real else _runs(made, seeds, jobs, patch, as_json)
     told: dict[str, Any] = {"runs": [plain(result) for result in results]}
@@ -130,15 +136,32 @@
     columns = (TextColumn("rehearsing"), BarColumn(), MofNCompleteColumn())
     results = []
     processes = min(seeds, jobs or len(os.sched_getaffinity(0)))
-    with multiprocessing.get_context("spawn").Pool(processes) as pool, \
+    with multiprocessing.get_context("spawn").Pool(processes, _deaf) as pool, \
             Progress(*columns, console=Console(stderr=True), disable=quiet) as progress:
         bar = progress.add_task("", total=seeds)
-        for result in pool.imap(_one, work):
+        for result in until_stopped(pool.imap(_one, work)):
             results.append(result)
             progress.update(bar, completed=len(results))
+    if not results:
+        _stop("stopped before the first run was over", 1)
+    if len(results) < seeds:
+        results[-1].partial = True
     return results
 
 
+def until_stopped(runs: Iterator[Result]) -> Iterator[Result]:
+    """Those that are over by the time of a Ctrl-C."""
+    try:
+        yield from runs
+    except KeyboardInterrupt:
+        return
+
+
+def _deaf() -> None:
+    """Ctrl-C goes to all of a terminal's processes; the one in front ends the others."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
 def _real(made: Scenario, seeds: int, run: str) -> list[Result]:
     """One after the other: side by side they would make each other late."""
     results = []
--- a/limebridge/rehearsal/engine.py
+++ b/limebridge/rehearsal/engine.py
@@ -402,7 +402,12 @@
     def _strike(self, event: Event) -> None:
         self.events.append((event.at, event.kind))
         task = self.loop.create_task(getattr(self, f"_{event.kind}")(event))
-        task.add_done_callback(lambda done: done.exception() if not done.cancelled() else None)
+        task.add_done_callback(lambda done: self._struck(event, done))
+
+    def _struck(self, event: Event, done: asyncio.Task[None]) -> None:
+        """A trouble that could not be played, or a daemon that did not come back, fails the run."""
+        if not done.cancelled() and (error := done.exception()) is not None:
+            self.fleet.fault(self.kernel.now, f"{event.kind} at {event.at:g} s: {error}")
 
     def _some(self, event: Event) -> list[FleetNode]:
         here = [node for node in self.nodes if not event.site
--- a/limebridge/rehearsal/real.py
+++ b/limebridge/rehearsal/real.py
@@ -152,8 +152,7 @@
             self.loop.set_exception_handler(lambda *what: None)  # of what is cut off with it
         finally:
             beat.cancel()
-            for process in getattr(self, "processes", []):
-                await process.kill()
+            await asyncio.gather(*(p.kill() for p in getattr(self, "processes", [])))
         result = self.result()
         late = sorted(self._lateness)[int(0.99 * len(self._lateness))]
         result.late_ms = late * 1000.0
@@ -212,6 +211,8 @@
     """One run in real time; `run` is the daemon's command line, the installed one without it."""
     if scenario.proxies.count > MOST:
         raise Unready(f"{scenario.proxies.count} daemons on one machine; {MOST} at most")
+    if scenario.proxies.cores:
+        raise Unready("[proxies] cores: a share of a core is played on the virtual clock alone")
     command = shlex.split(run) if run else [sys.executable, "-m", "violetroute"]
     with tempfile.TemporaryDirectory() as folder:
         morning = RealMorning(scenario, scenario.run.seed if seed is None else seed, command,
--- a/limebridge/rehearsal/trace.py
+++ b/limebridge/rehearsal/trace.py
@@ -68,7 +68,8 @@
                 for number, line in enumerate(text, 1):
                     if line.strip():
                         yield number, json.loads(line)
-    except (OSError, UnicodeError, csv.Error, zstandard.ZstdError, json.JSONDecodeError) as error:
+    except (OSError, UnicodeError, csv.Error, zstandard.ZstdError, json.JSONDecodeError,
+            RecursionError) as error:
         raise ConfigError(f"{path}: can't be read: {error}") from None
 
 
--- a/limebridge/virtual/costs.py
+++ b/limebridge/virtual/costs.py
@@ -90,12 +90,15 @@
 
     def settle(self) -> None:
         """The turn is over: busy until it would have been."""
-        until = self.free_at = self._kernel.now + self.spent
+        # What is not of its loop (a drain's own sleep) may have worked while it was busy.
+        until = self.free_at = max(self._kernel.now, self.free_at) + self.spent
         self.spent = 0.0
         self._kernel.paused[self._owner] = until
         self._kernel.at(until, self._freed)
 
     def _freed(self) -> None:
+        if self._kernel.now < self.free_at:
+            return
         self._kernel.paused.pop(self._owner, None)
         if self._waiting:
             self._loop.call_soon(self._run)
--- a/limebridge/virtual/kernel.py
+++ b/limebridge/virtual/kernel.py
@@ -100,10 +100,6 @@
         for meter in charged:
             meter.settle()
 
-    def spent(self, owner: str) -> float:
-        """Seconds by which this process's clock is ahead in the turn that it works in."""
-        return self.meters[owner].spent if owner in self.meters else 0.0
-
     def random(self, purpose: str) -> random.Random:
         """A stream of its own for each purpose, so that one does not shift another."""
         found = self._randoms.get(purpose)
--- a/limebridge/virtual/process.py
+++ b/limebridge/virtual/process.py
@@ -123,6 +123,7 @@
 
     def kill(self) -> None:
         """SIGKILL: nothing of it runs any more, and the kernel resets its connections."""
+        self._unmetered()
         if self._draining is not None:
             self._draining.cancel()
         self._silence()
@@ -137,6 +138,7 @@
 
     def pause(self, seconds: float) -> None:
         """No CPU for so long: no timer, no event; the kernel goes on for it."""
+        self._unmetered()
         now = self._kernel.now
         until = self.paused_until = now + seconds
         for timer in self._loop._scheduled:  # type: ignore[attr-defined]
@@ -146,6 +148,11 @@
         self._kernel.paused[self.owner] = until
         self._kernel.at(until, lambda: self._resume(until, seconds))
 
+    def _unmetered(self) -> None:
+        """What waits for a metered process is its meter's, which neither of these knows yet."""
+        if self.meter is not None:
+            raise NotImplementedError("a metered process can't be killed or paused")
+
     def _resume(self, until: float, seconds: float) -> None:
         if self.paused_until == until:
             del self._kernel.paused[self.owner]
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -20,9 +20,9 @@
 from limebridge.cli import app
 from limebridge.rehearsal import real as engines
 from limebridge.rehearsal import trace
-from limebridge.rehearsal.command import changes
-from limebridge.rehearsal.engine import _rate, _spread, play
-from limebridge.rehearsal.report import html, plain, xml
+from limebridge.rehearsal.command import changes, until_stopped
+from limebridge.rehearsal.engine import Morning, _rate, _spread, play
+from limebridge.rehearsal.report import html, plain, verdict, xml
 from limebridge.rehearsal.scenario import Point, Scenario, load, shipped
 from limebridge.rehearsal.score import Asked, score
 from limebridge.virtual import Kernel, VirtualLoop
@@ -189,6 +189,68 @@
 """
 
 
+def test_work_beside_the_loop_makes_a_busy_process_busier_and_sends_leave_behind_it() -> None:
+    kernel = Kernel(1)
+    loop = VirtualLoop(kernel)
+    meter = Meter(kernel, loop, "p", Costs(0.01, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0))
+    seen: list[float] = []
+
+    async def play_it() -> None:
+        server = await asyncio.start_server(lambda r, w: w.write(b"unasked"), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        began = kernel.now
+        meter.charge(0.1)  # busy until 0.11
+        await asyncio.sleep(0.05)
+        meter.charge(0.1)  # a drain's own sleep ends: until 0.22, not 0.16
+        ProcessLoop(loop, meter).call_soon(lambda: seen.append(round(kernel.now - began, 6)))
+        await asyncio.sleep(0.12)
+        assert not seen and meter.busy
+        await asyncio.sleep(0.2)
+        sock = kernel.socket("p")
+        sock.connect_ex(("127.0.0.1", port))
+        await asyncio.sleep(0.05)
+        meter.charge(0.03)
+        sock.send(b"x")
+        assert sock.peer is not None and sock.peer._received == b""
+        sent = kernel.now
+        assert sock.peer.sent_at(0) == pytest.approx(sent + 0.04)
+        await asyncio.sleep(0.039)
+        assert not seen[1:] and sock.undelivered() == 1
+        server.close()
+        sock.close()
+
+    loop.run_until_complete(play_it())
+    for task in asyncio.all_tasks(loop):
+        task.cancel()
+    loop.close()
+    assert seen == [0.22]
+
+
+def test_a_trouble_that_fails_fails_the_run(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def broken(self: Any, event: Any) -> None:
+        raise OSError("it did not come back")
+
+    monkeypatch.setattr(Morning, "_slow", broken)
+    result = play(made(tmp_path, SHORT + '[[event]]\nat = 1.0\nkind = "slow"\n'))
+    assert any("slow at 1 s: it did not come back" in why for why in result.failed)
+
+
+def test_ctrl_c_in_virtual_runs_is_partial(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def stopped(self: Any, event: Any) -> None:
+        raise KeyboardInterrupt
+
+    def runs() -> Any:
+        yield 1
+        raise KeyboardInterrupt
+
+    assert list(until_stopped(runs())) == [1]
+    monkeypatch.setattr(Morning, "_strike", stopped)
+    result = play(made(tmp_path, SHORT + '[[event]]\nat = 7.0\nkind = "slow"\n'))
+    assert result.partial and 100 < result.score.asked < 300 and verdict(result) == "partial"
+
+
 def test_a_proxy_without_time_refuses_and_with_enough_serves(tmp_path: Path) -> None:
     poor = play(made(tmp_path, LIMIT.replace("CORES", "0.2")))
     again = play(made(tmp_path, LIMIT.replace("CORES", "0.2")))
@@ -341,6 +403,17 @@
     assert any("p0 crashed" in each.what for each in result.broken)
 
 
+def test_what_real_time_cannot_play_is_refused(tmp_path: Path) -> None:
+    limited = REAL.replace("count = 2", "count = 2\ncores = 0.2")
+    for text, arguments, said in (
+            (limited, ["--real"], "[proxies] cores"),
+            (REAL.replace("count = 2", "count = 25"), ["--real"], "24 at most"),
+            (REAL, ["--real", "--patch", "x.py"], "--patch"), (REAL, ["--run", "true"], "--run")):
+        (tmp_path / "short.toml").write_text(text)
+        result = CliRunner().invoke(app, ["rehearse", str(tmp_path / "short.toml"), *arguments])
+        assert result.exit_code == 2 and said in result.output
+
+
 def test_a_kit_that_is_late_itself_judges_nothing(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(engines, "LATE", -1.0)
