One HTTP call and one writer's thread for ledger and fleet, files handed over apart

The ledger's POST and its thread beside the loop are what the fleet's store needs too. Moved to the seam's package, with method and size as parameters; the export to files is a function of its own. Nothing else changes.

--- a/limebridge/virtual/ledger.py
+++ b/limebridge/virtual/ledger.py
@@ -22,9 +22,9 @@
 from violetroute.ledger.book import Book
 from violetroute.ledger.keeper import Ledger
 from violetroute.ledger.store import Store
-from violetroute.ledger.writer import Job, Told
 from violetroute.transport.sockets import SocketNetwork
 from violetroute.transport.turns import Turns
+from violetroute.transport.writer import Job, Told
 
 from .kernel import Kernel
 from .loop import VirtualLoop
--- a/violetroute/ledger/__init__.py
+++ b/violetroute/ledger/__init__.py
@@ -1,7 +1,7 @@
 """What was served, by tenant and class, cut into periods and exported once (`[ledger]`).
 
 `periods`, `book`, `frames` and `export` decide and are pure; `store` and `files` keep what they
-decided; `poster` carries batches to the billing endpoint; `keeper` is the part that the daemon has.
+decided; `outbox` hands batches over as files; `keeper` is the part that the daemon has.
 """
 
 from .table import LedgerTable
--- a/violetroute/ledger/export.py
+++ b/violetroute/ledger/export.py
@@ -30,7 +30,6 @@
 
 RETRY_AFTER_MOST = 3600.0  # s for which an endpoint's word is heeded
 SLOW = 60.0  # s at least after an answer that another try will hardly change
-BODY_MOST = 256 * 1024  # bytes of an endpoint's answer
 KEY_MOST = 400  # characters of a key
 PERIODS_MOST = 100_000  # of a 412
 
--- a/violetroute/ledger/keeper.py
+++ b/violetroute/ledger/keeper.py
@@ -20,18 +20,19 @@
 
 from violetroute.logs import tell
 from violetroute.transport import Network, parse_address
+from violetroute.transport.call import Call
 from violetroute.transport.tls import TlsKeys
+from violetroute.transport.writer import ThreadWriter, Writer
 
 from .book import Batch, Book
-from .export import Backoff, Said, Signed, csv_lines, file_name, json_lines, key_of, said
+from .export import Backoff, Said, Signed, json_lines, key_of, said
 from .files import Files, Folder, folder_name
 from .frames import Record
+from .outbox import hand_over
 from .periods import Periods
-from .poster import Post
 from .store import Foreign, Found, Store, compress
 from .table import LedgerTable
 from .tally import Tally
-from .writer import ThreadWriter, Writer
 
 AGAIN = 1.0  # s until a disk that failed, or a folder that is another's, is tried again
 LOOK = 5.0  # s between looks for corrections that were signed
@@ -64,7 +65,7 @@
         self._closed: list[tuple[int, bytes]] = []  # to be archived with the next write
         self._gone: list[str] = []  # files that nobody needs after it
         self._wrote_at = self._retired_at = self._looked_at = self._loop.time()
-        self._post: Post | None = None
+        self._post: Call | None = None
         self._backoff = Backoff(table.retry_s, table.retry_most_s, f"{name}/{self._nonce}")
         self._next_try = 0.0
         self._keys = TlsKeys(table.tls) if table.tls_ca_file else None
@@ -310,19 +311,7 @@
 
     def _to_files(self, batch: Batch) -> None:
         self._busy = True
-        folder = Path(self.table.export_folder)
-        target = Folder(folder)
-        formats, name = self.table.formats, file_name(batch)
-
-        def job() -> None:
-            folder.mkdir(parents=True, exist_ok=True)
-            try:
-                if "jsonl" in formats:
-                    target.put(f"{name}.jsonl", json_lines(batch))
-                if "csv" in formats:
-                    target.put(f"{name}.csv", csv_lines(batch))
-            finally:
-                target.close()
+        folder, formats = Path(self.table.export_folder), self.table.formats
 
         def told(_: None, error: BaseException | None) -> None:
             self._busy = False
@@ -331,7 +320,7 @@
             else:
                 self._said(batch, Said("done"))
 
-        self._writer.submit(job, told)
+        self._writer.submit(lambda: hand_over(folder, batch, formats), told)
 
     def _send(self, batch: Batch) -> None:
         body = json_lines(batch)
@@ -346,7 +335,7 @@
             self._post = None
             self._said(batch, said(status, told, answer) if status else Said("again", why))
 
-        self._post = Post(self._net, address, self._keys, self.table.timeout_s, self.table.path,
+        self._post = Call(self._net, address, self._keys, self.table.timeout_s, self.table.path,
                           headers, body, done)
 
     def _said(self, batch: Batch, answer: Said) -> None:
--- /dev/null
+++ b/violetroute/ledger/outbox.py
@@ -0,0 +1,23 @@
+"""Batches handed over as files.  Blocks; never on the loop's thread."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+
+from .book import Batch
+from .export import csv_lines, file_name, json_lines
+from .files import Folder
+
+
+def hand_over(folder: Path, batch: Batch, formats: Iterable[str]) -> None:
+    """One file a format, renamed into place; the same bytes however often.  OSError."""
+    folder.mkdir(parents=True, exist_ok=True)
+    target, name = Folder(folder), file_name(batch)
+    try:
+        if "jsonl" in formats:
+            target.put(f"{name}.jsonl", json_lines(batch))
+        if "csv" in formats:
+            target.put(f"{name}.csv", csv_lines(batch))
+    finally:
+        target.close()
--- a/violetroute/ledger/poster.py
+++ b/violetroute/transport/call.py
@@ -1,8 +1,8 @@
-"""One POST at a time over a connection of its own, through the seam.
+"""One HTTP/1.1 call over a connection of its own, through the seam.
 
-Each post connects anew: a batch is rare, and a kept connection that has died would be one more way
-to learn nothing.  Bounds: connect and answer within the table's time, an answer's body of
-BODY_MOST.
+Each call connects anew: what is asked this way is rare, and a kept connection that has died would
+be one more way to learn nothing.  Bounds: connect and answer within `limit`, an answer's body of
+`most`.
 """
 
 from __future__ import annotations
@@ -12,25 +12,27 @@
 
 import h11
 
-from violetroute.transport import Address, Network, Stream
-from violetroute.transport.tls import TlsKeys, TlsStream
-
-from .export import BODY_MOST
+from .address import Address
+from .seam import Network, Stream
+from .tls import TlsKeys, TlsStream
 
+BODY_MOST = 256 * 1024  # bytes of an answer
 READ_SIZE = 16 * 1024
 _shared = memoryview(bytearray(READ_SIZE))
 
 Done = Callable[[int, dict[str, str], bytes, str], None]  # status (0: none), headers, body, why
 
 
-class Post:
+class Call:
     """Told `done` once, from the loop; never after `stop`."""
 
     def __init__(self, net: Network, address: Address, keys: TlsKeys | None, limit: float,
-                 path: str, headers: Mapping[str, str], body: bytes, done: Done) -> None:
+                 path: str, headers: Mapping[str, str], body: bytes, done: Done,
+                 method: str = "POST", most: int = BODY_MOST) -> None:
         self._done: Done | None = done
+        self._most = most
         self._http = h11.Connection(h11.CLIENT)
-        request = h11.Request(method="POST", target=path, headers=[
+        request = h11.Request(method=method, target=path, headers=[
             ("Host", f"{address.host}:{address.port}"), ("Content-Length", str(len(body))),
             ("Connection", "close"), *headers.items()])
         self._data = b"".join(part for part in (
@@ -94,7 +96,7 @@
                                      for name, value in headers}
                 case h11.Data(data=data):
                     self._body += data
-                    if len(self._body) > BODY_MOST:
+                    if len(self._body) > self._most:
                         raise ValueError("the answer is too large")
                 case h11.EndOfMessage():
                     self._end("", whole=True)
--- a/violetroute/ledger/writer.py
+++ b/violetroute/transport/writer.py
@@ -29,7 +29,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._jobs: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
-        self._thread = threading.Thread(target=self._run, name="ledger", daemon=True)
+        self._thread = threading.Thread(target=self._run, name="writer", daemon=True)
         self._thread.start()
 
     def submit(self, job: Job[T], told: Told[T]) -> None:
