--- /dev/null
+++ b/limebridge/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Several processes of the program, and what breaks between them."""
--- /dev/null
+++ b/limebridge/standins/effects.py
@@ -0,0 +1,91 @@
+"""An endpoint that takes effects by key and fence, and tells a late owner so.
+
+Takes what `violetroute/fleet/work.py` describes.  `checks` off is an endpoint that does not look at
+the fence: what a late owner can do there shows in `taken`.  Troubles are named by `trouble`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(frozen=True)
+class Effect:
+    """One that was taken: when, its key, its fence and whose, and its body."""
+
+    at: float
+    key: str
+    fence: int
+    nonce: str
+    body: Any
+
+
+class Effects:
+    """`taken` in their order; what comes twice under one key and body counts once."""
+
+    def __init__(self, checks: bool = True) -> None:
+        self.checks = checks
+        self.taken: list[Effect] = []
+        self.high: dict[str, tuple[int, str]] = {}  # fence and whose, by work
+        self.bodies: dict[str, bytes] = {}  # by key
+        self.again = self.refused = self.conflicts = self.posts = 0
+        self.trouble: Callable[[], str] = lambda: ""
+
+    async def start(self, port: int = 0) -> Effects:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port: int = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self) -> None:
+        self._server.close()
+        await asyncio.sleep(0)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+            headers = {name.lower(): value.strip() for name, _, value in
+                       (line.partition(":") for line in head[1:] if line)}
+            body = await reader.readexactly(int(headers["content-length"]))
+            self.posts += 1
+            trouble = self.trouble()
+            if trouble == "lost before":
+                writer.transport.abort()
+                return
+            status, said = self._take(headers, body)
+            if trouble == "lost after":
+                writer.transport.abort()
+                return
+            if trouble == "500 after":
+                status, said = 500, b""
+            writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b"
+                         % (status, len(said), said))
+            await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, KeyError, ValueError):
+            pass
+        finally:
+            writer.close()
+
+    def _take(self, headers: dict[str, str], body: bytes) -> tuple[int, bytes]:
+        key = headers["idempotency-key"].strip('"')
+        number, _, nonce = headers["fence"].partition(";")
+        fence, work = int(number), key.rpartition("/")[0]
+        high, whose = self.high.get(work, (0, ""))
+        if self.checks and (fence < high or (fence == high and nonce != whose)):
+            self.refused += 1
+            return 412, json.dumps({"fence": high}).encode()
+        if fence >= high:
+            self.high[work] = fence, nonce
+        if key in self.bodies:
+            if self.bodies[key] != body:
+                self.conflicts += 1
+                return 422, b""
+            self.again += 1
+            return 200, b""
+        self.bodies[key] = body
+        self.taken.append(Effect(asyncio.get_running_loop().time(), key, fence, nonce,
+                                 json.loads(body)))
+        return 201, b""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,6 @@
+"""The same verdict every time: examples are drawn from the test itself, and no clock is asked."""
+
+from hypothesis import settings
+
+settings.register_profile("same", derandomize=True, deadline=None)
+settings.load_profile("same")
--- /dev/null
+++ b/tests/test_fleet_whole.py
@@ -0,0 +1,103 @@
+"""Ownership checked whole within bounds; each planted fault is found there with a short story."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from limebridge.faults import model
+from limebridge.faults.model import Bounds
+from limebridge.faults.whole import check
+from violetroute.fleet import lease, log
+from violetroute.fleet.owner import Owner, Terms
+
+# Small enough for the suite; benchmarks/fleet.py follows millions.
+SMALL = Bounds(stops=1, kills=0, lost=0, forgets=0, times=4, effects=3, slow=1, stale=0, halves=1)
+
+
+def test_no_order_of_what_may_happen_breaks_a_rule() -> None:
+    found = check(SMALL, most=30_000)
+    assert found.stories == {}
+    assert found.states > 10_000 and found.healed > 100
+
+
+def time_from_the_answer(patch: pytest.MonkeyPatch) -> None:
+    """A term is reckoned from when its grant came."""
+    granted = Owner.granted
+
+    def late(self: Owner, now: float, number: int, fence: int) -> Any:
+        self._asked_at = now
+        return granted(self, now, number, fence)
+
+    patch.setattr(Owner, "granted", late)
+
+
+def kept_over_a_stop(patch: pytest.MonkeyPatch) -> None:
+    """Who goes on after a stop believes what it knew."""
+    patch.setattr(Owner, "may", lambda self, now, need=0.0:
+                  self.fence if self.state == "owner" else 0)
+
+
+def no_drift(patch: pytest.MonkeyPatch) -> None:
+    """Two clocks are taken to run alike."""
+    patch.setattr(Terms, "kept_s", property(lambda self: self.term_s))
+
+
+def fence_not_checked(patch: pytest.MonkeyPatch) -> None:
+    """Entries are put wherever the log ends."""
+    def unchecked(kind: str) -> Any:
+        def put(log_: log.FencedLog, fence: int, nonce: str, name: str, *more: Any) -> log.Steps:
+            yield from log.read(log_)
+            data = log.encode(log.Record(log.VERSION, log_.name, fence, nonce, kind))  # type:
+            #   ignore[arg-type]
+            yield log.Put(log_.name, log_.next, data)
+            return log.Done(log_.next)
+        return put
+
+    patch.setattr(model, "claim", unchecked("claim"))
+    patch.setattr(model, "append", unchecked("entry"))
+
+
+def number_alone(patch: pytest.MonkeyPatch) -> None:
+    """A forgotten store begins at 1 again, and the place of the effect looks at the number
+    alone.
+    """
+    def claim(log_: log.FencedLog, fence: int, nonce: str, name: str) -> log.Steps:
+        yield from log.read(log_)
+        if log_.seal.fence > fence:
+            return log.Fenced(log_.seal.fence)
+        yield log.Put(log_.name, log_.next, log.encode(
+            log.Record(log.VERSION, log_.name, fence, nonce, "claim")))
+        return log.Done(log_.next)
+
+    patch.setattr(model, "claim", claim)
+
+
+def wall_clock(patch: pytest.MonkeyPatch) -> None:
+    """The fence is the second of a wall clock that has been put back."""
+    taken = lease.taken
+
+    def by_the_wall(work: str, current: Any, over: Any, floor: int, me: Any, wall: float) -> Any:
+        made = taken(work, current, over, 0, me, wall)
+        return None if made is None else msgspec.structs.replace(
+            made, fence=9 if current is None else 3)
+
+    patch.setattr(lease, "taken", by_the_wall)
+
+
+@pytest.mark.parametrize(("plant", "rule", "bounds"), [
+    (time_from_the_answer, "alone", SMALL),
+    (kept_over_a_stop, "alone", SMALL),
+    (no_drift, "alone", SMALL),
+    (fence_not_checked, "order", Bounds(stops=0, kills=0, lost=0, slow=0, stale=0, halves=1)),
+    (number_alone, "order", Bounds(stops=0, kills=0, lost=0, slow=0, stale=0, halves=1)),
+    (wall_clock, "goes on", Bounds(stops=0, forgets=0, lost=0, slow=0, stale=0)),
+])
+def test_a_planted_fault_is_found_with_its_shortest_story(
+        plant: Any, rule: str, bounds: Bounds, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant(monkeypatch)
+    found = check(bounds, most=60_000, stop_at_first=True)
+    assert rule in found.stories, found
+    assert len(found.stories[rule]) <= 9
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -19,6 +19,7 @@
 from .transport.turns import Turns, TurnSelector
 
 if TYPE_CHECKING:
+    from .fleet.keeper import Fleet
     from .ledger.keeper import Ledger
 
 DRAIN_SLACK = 0.05  # s beyond the longest deadline: the last answers are given at their own
@@ -41,6 +42,7 @@
         self.ledger = _ledger(config, net)
         if self.ledger is not None:
             self.proxy.parts.served.append(self.ledger.served)
+        self.fleet = _fleet(config, net)
         self.draining = False
 
     def reload(self) -> None:
@@ -64,6 +66,8 @@
         if config.topology != before.topology:
             self.listener.dialect = _dialect(config)
         self.proxy.reload(config)
+        if self.fleet is not None and "fleet" not in fixed:
+            self.fleet.configure(config.operator.fleet.works)
         tell("config.reloaded", discovery=f"{config.discovery.host}:{config.discovery.port}",
              operator=config.operator_path or "")
 
@@ -77,6 +81,14 @@
     return Ledger(config.operator.ledger, config.name, net)
 
 
+def _fleet(config: Config, net: SocketNetwork) -> Fleet | None:
+    if config.operator.fleet.store == "off":
+        return None
+    from .fleet.make import make_fleet
+
+    return make_fleet(config.operator.fleet, config.operator.ledger, config.name, net)
+
+
 def _dialect(config: Config) -> Dialect | None:
     return None if config.topology is None else Dialect(config.topology)
 
@@ -103,7 +115,10 @@
     await ended.wait()
     daemon.draining = True  # nothing new on the way out
     tell("daemon.drains", proxy=config.name)
+    handing_back = None if daemon.fleet is None else loop.create_task(daemon.fleet.close())
     await daemon.listener.drain(config.longest_deadline + DRAIN_SLACK)
+    if handing_back is not None:
+        await handing_back
     daemon.proxy.close()
     if daemon.ledger is not None:
         await daemon.ledger.close()
--- a/violetroute/config/operator.py
+++ b/violetroute/config/operator.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from violetroute.cluster.table import ClusterTable
+from violetroute.fleet.table import FleetTable
 from violetroute.ledger.table import LedgerTable
 from violetroute.logs import EVENTS
 from violetroute.membership.table import ConsulTable, MembershipTable
@@ -57,8 +58,10 @@
     idle_per_node: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 32  # connections kept
 
 
-class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The whole file."""
+class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """The whole file.  Written out it has no table that says nothing: an older build may read
+    it.
+    """
 
     log: LogTable = LogTable()
     limits: Limits = Limits()
@@ -67,6 +70,7 @@
     consul: ConsulTable = ConsulTable()
     cluster: ClusterTable = ClusterTable()
     ledger: LedgerTable = LedgerTable()
+    fleet: FleetTable = FleetTable()
 
 
 NEEDS_RESTART = ("client_share", "value_share", "idle_share")  # of [limits]
@@ -97,6 +101,7 @@
         if wrong:
             raise ConfigError(f"{path}: [membership] sources: {text}")
     _check_ledger(operator.ledger, path)
+    _check_fleet(operator.fleet, operator.ledger, path)
     return operator
 
 
@@ -127,8 +132,41 @@
             raise ConfigError(f"{path}: [ledger] path: {table.path!r} is no path")
 
 
+def _check_fleet(table: FleetTable, ledger: LedgerTable, path: str) -> None:
+    """ConfigError names the key of `[fleet]` that can't be meant."""
+    if table.store == "off":
+        if table != FleetTable():
+            raise ConfigError(f"{path}: [fleet] store: off, and other keys are set")
+        return
+    if table.store == "folder" and not table.folder:
+        raise ConfigError(f"{path}: [fleet] folder: missing, and store is folder")
+    if table.store == "consul" and not table.agents:
+        raise ConfigError(f"{path}: [fleet] agents: missing, and store is consul")
+    for key, addresses in (("agents", table.agents),
+                           ("endpoint", (table.endpoint,) if table.endpoint else ())):
+        for address in addresses:
+            try:
+                parse_address(address)
+            except ValueError as error:
+                raise ConfigError(f"{path}: [fleet] {key}: {error}") from None
+    for key, text in (("path", table.path), ("prefix", f"/{table.prefix}")):
+        if not (text.startswith("/") and text.isascii() and text.isprintable() and " " not in text
+                and not text.endswith("/")):
+            raise ConfigError(f"{path}: [fleet] {key}: {getattr(table, key)!r} is no path")
+    for work in table.works:
+        if work != "settlement" and not work.startswith("beat"):
+            raise ConfigError(f"{path}: [fleet] works: there is no work {work!r}; there are "
+                              "settlement and beat-NAME")
+    if "settlement" in table.works and not (ledger.folder and ledger.export == "files"
+                                            and "jsonl" in ledger.formats and ledger.closings):
+        raise ConfigError(f"{path}: [fleet] works: settlement needs [ledger] with export files "
+                          "as jsonl, and closings")
+
+
 def restart_needed(before: Operator, now: Operator) -> list[str]:
     """Keys that differ and are taken on at the next start only."""
     keys = [f"limits.{key}" for key in NEEDS_RESTART
             if getattr(before.limits, key) != getattr(now.limits, key)]
-    return keys + (["ledger"] if before.ledger != now.ledger else [])
+    fleet = msgspec.structs.replace(now.fleet, works=before.fleet.works)
+    return keys + [name for name, differs in (("ledger", before.ledger != now.ledger),
+                                              ("fleet", before.fleet != fleet)) if differs]
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -174,7 +174,8 @@
         plan = load_plan(ours.placement.file) if ours.placement.file else None
     except ValueError as error:
         raise ConfigError(f"{operator}: [placement] file: {error}") from error
-    for name, files in (("consul", ours.consul.tls), ("ledger", ours.ledger.tls)):
+    for name, files in (("consul", ours.consul.tls), ("ledger", ours.ledger.tls),
+                        ("fleet", ours.fleet.tls)):
         try:
             if files.ca:
                 TlsKeys(files).context()
--- /dev/null
+++ b/violetroute/fleet/folder.py
@@ -0,0 +1,312 @@
+"""Leases and logs in a folder that the processes of one machine share.  Blocks, but for `Threaded`.
+
+    alive/NONCE                 a life: its names, and an OFD lock that the kernel ends with it
+    lease/WORK@000000000042     one version of a work's record, put there by `link` for good
+    log/NAME/000000000/000000000017   one position of a log, the same way
+
+`link` fails where there is a name already, and puts a whole file or none: it is the one step in
+which a check and its effect are the same.  Nothing here waits for a lock, since a process that is
+stopped within one would stop all; the lock of a life says only that its process has ended.
+
+A version that was tidied away could be put again by one who was stopped for long.  So who has put
+one looks whether a higher one stands beside it, and only then believes it; and what the late one
+may do with a lease is the fence's business anyway.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import os
+import re
+import struct
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from violetroute.transport.writer import Writer
+
+from . import lease as leases
+from .lease import Lease, Me, Unreadable
+from .log import ENTRY_MOST, PAGE, Put, Read, Result, Steps
+from .owner import Ask
+from .store import Answer, Told, View
+
+T = TypeVar("T")
+FLOCK = struct.Struct("hhqqi4x")  # l_type, l_whence, l_start, l_len, l_pid
+VERSIONED = re.compile(r"^([a-z][a-z0-9-]{0,63})@(\d{12})$")
+MEMBERS_MOST = 1024  # lives that one look reads
+TRIES = 8  # looks at a folder that others tidy meanwhile
+SHELF = 1000  # positions of a log in one folder
+NONCE = re.compile(r"^[0-9a-z-]{1,64}$")
+
+
+class FolderStore:
+    """One life's view of the folder.  OSError from any call; Unreadable where it says so."""
+
+    def __init__(self, path: Path, me: Me, wall: Callable[[], float]) -> None:
+        self._path, self._me, self._wall = path, me, wall
+        self._lock = -1
+        self._temporary = 0
+        self._shelves: set[Path] = set()  # folders that we know to be there
+
+    # --- this life ---
+    def open(self) -> None:
+        """Show that we live.  Again whenever the mark has gone with its folder."""
+        for name in ("alive", "lease", "log"):
+            (self._path / name).mkdir(parents=True, exist_ok=True)
+        mark = self._path / "alive" / self._me.nonce
+        if self._lock >= 0 and mark.exists():
+            return
+        self._let_go()
+        self._shelves.clear()
+        aside = mark.with_name(f".{self._me.nonce}")
+        self._lock = os.open(aside, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o644)
+        os.write(self._lock, msgspec.json.encode({"name": self._me.name, "pid": os.getpid()}))
+        fcntl.fcntl(self._lock, fcntl.F_OFD_SETLK, FLOCK.pack(fcntl.F_WRLCK, 0, 0, 0, 0))
+        os.replace(aside, mark)  # with its lock: nobody sees it without
+
+    def close(self) -> None:
+        if self._lock >= 0:
+            with contextlib.suppress(OSError):
+                os.unlink(self._path / "alive" / self._me.nonce)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+    def _members(self) -> tuple[frozenset[Me], frozenset[str]]:
+        """Lives that run, and lives that have ended."""
+        there: list[Me] = []
+        dead: list[str] = []
+        for name in sorted(os.listdir(self._path / "alive"))[:MEMBERS_MOST]:
+            if name == self._me.nonce:
+                there.append(self._me)
+                continue
+            path = self._path / "alive" / name
+            if not NONCE.match(name):
+                self._tidy(path, name)
+                continue
+            with contextlib.suppress(FileNotFoundError):
+                runs, told = self._runs(path)
+                if runs:
+                    there.append(Me(told, name))
+                else:
+                    dead.append(name)
+        return frozenset(there), frozenset(dead)
+
+    def _runs(self, path: Path) -> tuple[bool, str]:
+        descriptor = os.open(path, os.O_RDWR | os.O_CLOEXEC | os.O_NONBLOCK)
+        try:
+            asked = FLOCK.pack(fcntl.F_WRLCK, 0, 0, 0, 0)
+            held = FLOCK.unpack(fcntl.fcntl(descriptor, fcntl.F_OFD_GETLK, asked))[0]
+            return held != fcntl.F_UNLCK, _name(os.read(descriptor, 1024))
+        finally:
+            os.close(descriptor)
+
+    def _tidy(self, path: Path, name: str) -> None:
+        """A mark that was never finished, of a life that has ended."""
+        if name.startswith("."):
+            with contextlib.suppress(OSError):
+                if not self._runs(path)[0]:
+                    os.unlink(path)
+
+    # --- leases ---
+    def look(self) -> View:
+        self.open()
+        found: dict[str, Lease] = {}
+        unreadable: dict[str, str] = {}
+        for work, number in self._versions().items():
+            try:
+                lease = self._lease(work, number)
+            except Unreadable as error:
+                unreadable[work] = str(error)
+            else:
+                if lease is not None:
+                    found[work] = lease
+        members, dead = self._members()
+        here = {each.nonce for each in members}
+        # A life whose mark was tidied away has ended too: a mark stands before any lease does.
+        gone = {each.nonce for each in found.values() if each.nonce not in here}
+        return View(found, members, dead | gone, unreadable)
+
+    def _versions(self) -> dict[str, int]:
+        """The highest version of each work."""
+        found: dict[str, int] = {}
+        for name in os.listdir(self._path / "lease"):
+            match = VERSIONED.match(name)
+            if match is not None:
+                found[match[1]] = max(found.get(match[1], -1), int(match[2]))
+        return found
+
+    def _lease(self, work: str, number: int) -> Lease | None:
+        """None where it was tidied away just now."""
+        try:
+            return leases.decode(
+                _bounded(self._path / "lease" / f"{work}@{number:012d}", leases.RECORD_MOST), work)
+        except FileNotFoundError:
+            return None
+
+    def _current(self, work: str) -> tuple[int, Lease | None]:
+        """Its version, -1 for none, and what it says."""
+        for _ in range(TRIES):
+            number = self._versions().get(work, -1)
+            if number < 0:
+                return -1, None
+            if number >= 10**12 - 2:
+                raise Unreadable("no version is left")
+            lease = self._lease(work, number)
+            if lease is not None:
+                return number, lease
+        raise OSError(f"{work}: its record changes faster than it can be read")
+
+    def _change(self, work: str, change: Callable[[Lease | None], Lease | None]) -> Answer:
+        self.open()
+        number, current = self._current(work)
+        made = change(current)
+        if made is None:
+            return Answer(False, current)
+        folder = self._path / "lease"
+        name = f"{work}@{number + 1:012d}"
+        if not self._put_new(folder, name, leases.encode(made)):
+            return Answer(False, self._current(work)[1])
+        last = self._versions().get(work, -1)
+        if last != number + 1:  # what we have put had been there before, and was tidied away
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(folder / name)
+            return Answer(False, self._current(work)[1])
+        for old in range(max(0, number - 1), number + 1):
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(folder / f"{work}@{old:012d}")
+        return Answer(True, made)
+
+    def ask(self, ask: Ask) -> Answer:
+        return self._change(ask.work, lambda current: leases.taken(
+            ask.work, current, ask.over, ask.floor, self._me, self._wall()))
+
+    def renew(self, terms: Sequence[tuple[str, int]]) -> dict[str, Answer]:
+        return {work: self._change(work, lambda current, fence=fence: leases.renewed(  # type: ignore[misc]
+            current, fence, self._me)) for work, fence in terms}
+
+    def release(self, work: str, fence: int) -> Answer:
+        return self._change(work, lambda current: leases.released(current, fence, self._me))
+
+    # --- logs ---
+    def read(self, log: str, position: int) -> list[bytes]:
+        found: list[bytes] = []
+        with contextlib.suppress(FileNotFoundError):
+            while len(found) < PAGE:
+                found.append(_bounded(self._place(log, position + len(found)), ENTRY_MOST))
+        return found
+
+    def put(self, log: str, position: int, data: bytes) -> bool:
+        place = self._place(log, position)
+        if place.parent not in self._shelves:
+            place.parent.mkdir(parents=True, exist_ok=True)
+            self._shelves.add(place.parent)
+        return self._put_new(place.parent, place.name, data)
+
+    def _place(self, log: str, position: int) -> Path:
+        return self._path / "log" / log / f"{position // SHELF:09d}" / f"{position:012d}"
+
+    def run(self, steps: Steps) -> Result:
+        """All of them, one after the other."""
+        answer: Any = None
+        while True:
+            try:
+                step = steps.send(answer)
+            except StopIteration as end:
+                result: Result = end.value
+                return result
+            match step:
+                case Read(log, position):
+                    answer = self.read(log, position)
+                case Put(log, position, data):
+                    answer = self.put(log, position, data)
+
+    def _put_new(self, folder: Path, name: str, data: bytes) -> bool:
+        """This file under a name that nobody has; kept once this returns, and never half of it."""
+        self._temporary += 1
+        aside = folder / f".{self._me.nonce}.{self._temporary}"
+        descriptor = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o644)
+        try:
+            try:
+                view = memoryview(data)
+                while view:
+                    view = view[os.write(descriptor, view):]
+                os.fsync(descriptor)
+            finally:
+                os.close(descriptor)
+            try:
+                os.link(aside, folder / name)
+            except FileExistsError:
+                return False
+        finally:
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(aside)
+        self._sync(folder)
+        return True
+
+    @staticmethod
+    def _sync(folder: Path) -> None:
+        descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def _bounded(path: Path, most: int) -> bytes:
+    """The file's bytes, one more than `most` where it is larger; a pipe is no file."""
+    descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC | os.O_NONBLOCK)
+    with open(descriptor, "rb") as file:
+        return file.read(most + 1) or b""
+
+
+def _name(data: bytes) -> str:
+    try:
+        told = msgspec.json.decode(data)
+    except (msgspec.DecodeError, RecursionError):
+        return "?"
+    name = told.get("name") if isinstance(told, dict) else None
+    return name[:leases.NAME_MOST] if isinstance(name, str) else "?"
+
+
+class Threaded:
+    """The folder's calls beside the loop, one at a time; as `store.Store`."""
+
+    def __init__(self, store: FolderStore, writer: Writer) -> None:
+        self._store, self._writer = store, writer
+        self._closed = False
+
+    def _submit(self, job: Callable[[], T], told: Told[T]) -> None:
+        def done(result: T | None, error: BaseException | None) -> None:
+            if not self._closed:
+                told(result, "" if error is None else
+                     " ".join(str(error).split()) or type(error).__name__)
+
+        self._writer.submit(job, done)
+
+    def look(self, told: Told[View]) -> None:
+        self._submit(self._store.look, told)
+
+    def ask(self, ask: Ask, told: Told[Answer]) -> None:
+        self._submit(lambda: self._store.ask(ask), told)
+
+    def renew(self, terms: Sequence[tuple[str, int]], told: Told[Mapping[str, Answer]]) -> None:
+        self._submit(lambda: self._store.renew(terms), told)
+
+    def release(self, work: str, fence: int, told: Told[Answer]) -> None:
+        self._submit(lambda: self._store.release(work, fence), told)
+
+    def run(self, steps: Steps, told: Told[Result]) -> None:
+        self._submit(lambda: self._store.run(steps), told)
+
+    def close(self) -> None:
+        self._closed = True
+        self._writer.submit(self._store.close, lambda result, error: None)
+        self._writer.close(1.0)
--- /dev/null
+++ b/violetroute/fleet/gather.py
@@ -0,0 +1,129 @@
+"""What the ledgers have handed over as files, for the settlement.  Blocks, beside the loop."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from violetroute.logs import tell
+from violetroute.transport.writer import Writer
+
+from .settlement import Batch, Settlement, Through, is_key
+
+FILE_MOST = 16 * 1024 * 1024  # bytes of a batch's file
+AT_ONCE = 2000  # files that one look reads; the others are read by the next
+THROUGH = ".through"
+DONE = "settled"  # the folder in which files lie whose batches the log names
+
+
+class _Line(msgspec.Struct):
+    tenant: str | None
+    cls: str = msgspec.field(name="class")
+    units: int
+
+
+class _Head(msgspec.Struct):
+    batch: str
+    period: int
+    kind: str
+    lines: int
+    units: int
+
+
+class _Through(msgspec.Struct):
+    ledger: str
+    until: float
+
+
+def parse(data: bytes) -> Batch:
+    """A batch's JSON lines.  ValueError for anything that does not add up."""
+    rows = data.splitlines()
+    head = msgspec.json.decode(rows[0] if rows else b"", type=_Head)
+    lines = [msgspec.json.decode(row, type=_Line) for row in rows[1:]]
+    if not is_key(head.batch):
+        raise ValueError(f"{head.batch[:100]!r} is no batch's key")
+    if len(lines) != head.lines or sum(line.units for line in lines) != head.units:
+        raise ValueError("its lines do not add up to what it says")
+    return Batch(head.batch, head.period, head.kind,
+                 tuple((line.tenant, line.cls, line.units) for line in lines))
+
+
+class Gatherer:
+    """Reads what is new in the folder, and feeds a settlement with it on the loop."""
+
+    def __init__(self, folder: Path, settlement: Settlement, writer: Writer,
+                 wall: Callable[[], float]) -> None:
+        self._folder, self._settlement, self._writer = folder, settlement, writer
+        self._wall = wall
+        self._known: dict[str, str] = {}  # files that have been read: their batches' keys, or ""
+
+    def __call__(self, told: Callable[[str], None]) -> None:
+        known, settled = dict(self._known), self._settlement.settled
+        # Only the loop's thread changes the settlement: which files are done is asked here.
+        done = [name for name, key in known.items() if key and key in settled]
+
+        def job() -> tuple[list[tuple[str, Batch]], list[Through], dict[str, str], set[str]]:
+            return self._read(known, done)
+
+        def gathered(found: Any, error: BaseException | None) -> None:
+            if error is not None or found is None:
+                told(" ".join(str(error).split()) or type(error).__name__)
+                return
+            batches, through, wrong, names = found
+            for name, why in wrong.items():
+                tell("fleet.work_failed", work="settlement", reason=f"{name}: {why}")
+                self._known[name] = ""
+            for name, batch in batches:
+                self._known[name] = batch.key
+            for name in [name for name in self._known if name not in names]:
+                del self._known[name]
+            self._settlement.gathered(self._wall(), [batch for _, batch in batches], through)
+            told("")
+
+        self._writer.submit(job, gathered)
+
+    def close(self) -> None:
+        self._writer.close(0.0)
+
+    def _read(self, known: dict[str, str], done: list[str],
+              ) -> tuple[list[tuple[str, Batch]], list[Through], dict[str, str], set[str]]:
+        batches: list[tuple[str, Batch]] = []
+        through: list[Through] = []
+        wrong: dict[str, str] = {}
+        if not self._folder.exists():
+            return batches, through, wrong, set()
+        if done:
+            (self._folder / DONE).mkdir(exist_ok=True)
+        for name in done:  # out of the way: a look reads names, and those must not pile up
+            with contextlib.suppress(FileNotFoundError):
+                os.replace(self._folder / name, self._folder / DONE / name)
+        names = set(os.listdir(self._folder))
+        for name in sorted(names):
+            path = self._folder / name
+            if name.endswith(THROUGH):
+                try:
+                    each = msgspec.json.decode(_bounded(path, 4096), type=_Through)
+                    through.append(Through(each.ledger, each.until))
+                except ValueError as error:
+                    wrong[name] = str(error)
+            elif name.endswith(".jsonl") and name not in known and len(batches) < AT_ONCE:
+                try:
+                    batches.append((name, parse(_bounded(path, FILE_MOST))))
+                except (ValueError, RecursionError) as error:
+                    wrong[name] = str(error)
+        wrong = {name: why for name, why in wrong.items() if name not in known}
+        return batches, through, wrong, names
+
+
+def _bounded(path: Path, most: int) -> bytes:
+    descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC | os.O_NONBLOCK)
+    with open(descriptor, "rb") as file:
+        data = file.read(most + 1) or b""
+    if len(data) > most:
+        raise ValueError(f"longer than {most} bytes")
+    return data
--- /dev/null
+++ b/violetroute/fleet/keeper.py
@@ -0,0 +1,356 @@
+"""The fleet's part of the daemon: carries out what owners decide, and lets works run.
+
+Decisions are `owner`'s and `spread`'s; this file has the timer, the calls at the store and the
+order of things:
+
+- one look at a time, and one call of an owner at a time for each work;
+- renewals that fall due are sent together, so that many works cost one call;
+- a work begins after its term was granted, and is told to end before anything else is done about a
+  term that is over; a lease is handed back when what the work had begun has ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from violetroute.logs import tell
+from violetroute.transport import Network
+
+from . import spread
+from .lease import Lease, Me
+from .log import Result, Steps
+from .owner import Action, Ask, Gained, Over, Owner, Release, Renew, Terms
+from .store import Answer, Store, View
+from .table import FleetTable
+
+STEP_SHARE = 0.25  # of the time between looks: how much later each place in an order asks
+AT_THE_END = 2.0  # s for works to end and leases to be handed back
+AGAIN = 30.0  # s between two lines about a store that does not answer
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """What a work is given with its ownership."""
+
+    work: str
+    fence: int
+    me: Me
+    may: Callable[[], bool]  # whether an effect may be begun now
+    fenced: Callable[[int], None]  # an effect was refused: the highest fence of its place
+    run: Callable[[Steps, Callable[[Result | None, str], None]], None]  # at the store
+
+
+class Work(Protocol):
+    """What is done by one owner at a time."""
+
+    def begin(self, term: Term) -> None:
+        """Ours from now on."""
+
+    def end(self, ended: Callable[[], None]) -> None:
+        """Begin nothing more; `ended` once what had been begun is over, at once or later."""
+
+    def close(self) -> None:
+        """The process ends: no timer, no call is left."""
+
+
+class Fleet:
+    """One proxy's.  `works` makes each work that the table may name."""
+
+    def __init__(self, table: FleetTable, name: str, net: Network, store: Callable[[Me], Store],
+                 works: Callable[[str], Work], nonce: str = "") -> None:
+        self.table, self._loop = table, net.loop
+        self.me = Me(name, nonce or secrets.token_hex(8))
+        self._chance = random.Random(f"{name}/{self.me.nonce}")
+        self._store = store(self.me)
+        self._make = works
+        self._terms = Terms(table.term_s, table.drift, table.look_s * STEP_SHARE)
+        self._owners: dict[str, Owner] = {}
+        self._works: dict[str, Work] = {}
+        self._timer: Any = None
+        self._timer_at = 0.0
+        self._looking = False
+        self._look_at = self._loop.time()
+        self._moved_at = self._loop.time()
+        self._view: View | None = None
+        self._wrong, self._wrong_at = "", -AGAIN
+        self._unreadable: dict[str, str] = {}
+        self._closing = self._closed = False
+        self.calls = 0  # at the store
+        self.configure(table.works)
+
+    # --- from the daemon ---
+    def configure(self, works: Iterable[str]) -> None:
+        """Which works this proxy is ready to own from now on."""
+        wanted = dict.fromkeys(works)
+        for work in wanted:
+            if work not in self._owners:
+                self._owners[work] = Owner(work, self.me.nonce, self._terms, self._chance)
+                self._works[work] = self._make(work)
+        for work, owner in self._owners.items():
+            owner.want(work in wanted, owner.rank)
+        self._rank()
+        self._go_on()
+
+    def owned(self) -> dict[str, int]:
+        """Works of ours that may run now, and their fences."""
+        now = self._loop.time()
+        return {work: owner.fence for work, owner in self._owners.items() if owner.may(now)}
+
+    async def close(self) -> None:
+        """Works end, leases are handed back; what does not end in time is seen to have lapsed."""
+        self._closing = True
+        self.configure(())
+        until = self._loop.time() + AT_THE_END
+        while self._loop.time() < until and any(
+                owner.state != "waiting" for owner in self._owners.values()):
+            await asyncio.sleep(0.01)
+        self.stop()
+
+    def stop(self) -> None:
+        """No timer is left, and nothing is begun any more."""
+        self._closing = self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for work in self._works.values():
+            work.close()
+        self._store.close()
+
+    # --- time ---
+    def _go_on(self) -> None:
+        """The timer at what is due first."""
+        if self._closed:
+            return
+        due = min((owner.next_at for owner in self._owners.values()), default=float("inf"))
+        if not self._looking and not self._closing:
+            due = min(due, self._look_at)
+        if self._timer is not None and self._timer_at == due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if due < float("inf"):
+            self._timer_at = due
+            self._timer = self._loop.call_at(max(due, self._loop.time()), self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        now = self._loop.time()
+        actions: list[Action] = []
+        for owner in self._owners.values():
+            actions += owner.tick(now)
+        if any(isinstance(action, Renew) for action in actions):
+            for owner in self._owners.values():  # the others' are sent with them
+                actions += owner.hurry(now)
+        self._do(actions)
+        if not self._looking and not self._closing and now >= self._look_at:
+            self._look()
+        self._go_on()
+
+    # --- looking ---
+    def _look(self) -> None:
+        self._looking, asked_at = True, self._loop.time()
+        self.calls += 1
+        self._store.look(lambda view, why: self._looked(asked_at, view, why))
+
+    def _looked(self, asked_at: float, view: View | None, why: str) -> None:
+        if self._closed:
+            return
+        now = self._loop.time()
+        self._looking = False
+        self._look_at = max(now, asked_at + self.table.look_s * (0.8 + 0.4 * self._chance.random()))
+        if view is None:
+            self._trouble(why)
+            self._look_at = max(self._look_at, now + self.table.look_s * self._chance.random())
+        else:
+            self._well()
+            self._view = view
+            self._tell_unreadable(view)
+            self._rank()
+            actions: list[Action] = []
+            for work, owner in self._owners.items():
+                if work in view.unreadable:
+                    continue  # nobody's: what it says may be a later version's
+                lease = view.leases.get(work)
+                alive = lease is None or lease.nonce not in view.dead
+                actions += owner.look(now, asked_at, lease, alive)
+            self._do(actions)
+            self._balance(now)
+        self._tick_soon()
+
+    def _tick_soon(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._tick()
+
+    def _rank(self) -> None:
+        view = self._view
+        if view is None:
+            return
+        works = [work for work, owner in self._owners.items() if owner.wanted]
+        held = {work: lease.nonce for work, lease in view.leases.items() if not lease.free}
+        if view.members is None:
+            found = spread.lottery(works, self.me, held)
+        else:
+            found = spread.ranks(works, self.me, view.members, held)
+        for work, rank in found.items():
+            self._owners[work].want(True, rank)
+
+    def _balance(self, now: float) -> None:
+        view = self._view
+        if view is None or view.members is None or now - self._moved_at < self.table.move_s:
+            return
+        works = [work for work, owner in self._owners.items() if owner.wanted]
+        held = {work: lease.nonce for work, lease in view.leases.items()
+                if not lease.free and work in self._owners}
+        work = spread.move(works, self.me, view.members, held)
+        if work is not None and self._owners[work].may(now):
+            self._moved_at = now
+            tell("fleet.moved", work=work)
+            self._do(self._owners[work].hand_on(now))
+
+    # --- doing ---
+    def _do(self, actions: list[Action]) -> None:
+        renewals: list[Renew] = []
+        for action in actions:
+            match action:
+                case Gained(work, fence):
+                    self._begin(work, fence)
+                case Over(work, fence, why):
+                    self._end(work, fence, why)
+                case Ask():
+                    self._ask(action)
+                case Release(work, number, fence):
+                    self._release(work, number, fence)
+                case Renew():
+                    renewals.append(action)
+        if renewals:
+            self._renew(renewals)
+
+    def _begin(self, work: str, fence: int) -> None:
+        owner, part = self._owners[work], self._works[work]
+        tell("fleet.gained", work=work, fence=fence)
+
+        def may() -> bool:
+            return owner.may(self._loop.time()) == fence
+
+        def fenced(floor: int) -> None:
+            if owner.fence == fence:
+                self._do(owner.fenced(self._loop.time(), floor))
+                self._go_on()
+
+        def run(steps: Steps, told: Callable[[Result | None, str], None]) -> None:
+            self.calls += 1
+            self._store.run(steps, lambda result, why: None if self._closed else told(result, why))
+
+        part.begin(Term(work, fence, self.me, may, fenced, run))
+
+    def _end(self, work: str, fence: int, why: str) -> None:
+        owner = self._owners[work]
+        if why == "lapsed":
+            tell("fleet.lapsed", work=work, fence=fence)
+        elif why == "lost":
+            tell("fleet.lost", work=work, fence=fence)
+        elif why == "fenced":
+            tell("fleet.fenced", work=work, fence=fence)
+        else:
+            tell("fleet.resigned", work=work, fence=fence)
+
+        def ended() -> None:
+            owner.stopped()
+            self._go_on()
+
+        self._works[work].end(ended)
+
+    def _ask(self, ask: Ask) -> None:
+        owner = self._owners[ask.work]
+        self.calls += 1
+
+        def told(answer: Answer | None, why: str) -> None:
+            if self._closed:
+                return
+            now = self._loop.time()
+            if answer is None:
+                self._trouble(why)
+                self._do(owner.failed(now, ask.number))
+            elif answer.yes and answer.lease is not None:
+                self._do(owner.granted(now, ask.number, answer.lease.fence))
+            else:
+                tell("fleet.stood_aside", work=ask.work, owner=_holder(answer.lease))
+                self._do(owner.denied(now, ask.number, answer.lease))
+            self._go_on()
+
+        self._store.ask(ask, told)
+
+    def _renew(self, renewals: list[Renew]) -> None:
+        self.calls += 1
+
+        def told(answers: Mapping[str, Answer] | None, why: str) -> None:
+            if self._closed:
+                return
+            now = self._loop.time()
+            if answers is None:
+                self._trouble(why)
+            for each in renewals:
+                owner = self._owners[each.work]
+                answer = None if answers is None else answers.get(each.work)
+                if answer is None:
+                    self._do(owner.failed(now, each.number))
+                elif answer.yes:
+                    self._do(owner.renewed(now, each.number))
+                    if owner.left_late:
+                        tell("fleet.renewed_late", work=each.work, fence=each.fence,
+                             left_s=round(owner.left_late, 2))
+                else:
+                    self._do(owner.lost(now, each.number, answer.lease))
+            self._go_on()
+
+        self._store.renew([(each.work, each.fence) for each in renewals], told)
+
+    def _release(self, work: str, number: int, fence: int) -> None:
+        owner = self._owners[work]
+        self.calls += 1
+
+        def told(answer: Answer | None, why: str) -> None:
+            if self._closed:
+                return
+            now = self._loop.time()
+            if answer is None:
+                self._trouble(why)
+                self._do(owner.failed(now, number))
+            elif answer.yes:
+                tell("fleet.handed_back", work=work, fence=fence)
+                self._do(owner.released(now, number))
+            else:
+                self._do(owner.lost(now, number, answer.lease))
+            self._go_on()
+
+        self._store.release(work, fence, told)
+
+    # --- saying ---
+    def _trouble(self, why: str) -> None:
+        now = self._loop.time()
+        if why != self._wrong or now - self._wrong_at >= AGAIN:
+            self._wrong, self._wrong_at = why, now
+            tell("fleet.store_failed", reason=why)
+
+    def _well(self) -> None:
+        if self._wrong:
+            self._wrong = ""
+            tell("fleet.store_back")
+
+    def _tell_unreadable(self, view: View) -> None:
+        for work, why in view.unreadable.items():
+            if self._unreadable.get(work) != why:
+                tell("fleet.unreadable", work=work, reason=why)
+        self._unreadable = dict(view.unreadable)
+
+
+def _holder(lease: Lease | None) -> str:
+    return "" if lease is None else lease.name
--- /dev/null
+++ b/violetroute/fleet/make.py
@@ -0,0 +1,50 @@
+"""Puts the fleet's part together from the operator's tables."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from violetroute.ledger.periods import Periods
+from violetroute.ledger.table import LedgerTable
+from violetroute.transport import Network, parse_address
+from violetroute.transport.writer import ThreadWriter
+
+from .folder import FolderStore, Threaded
+from .gather import Gatherer
+from .keeper import Fleet, Work
+from .lease import Me
+from .settlement import Settlement
+from .store import Store
+from .table import FleetTable
+from .work import Beat, LogWork
+
+SETTLE_EVERY = 1.0  # s between two looks at what the ledgers have handed over
+
+
+def make_fleet(table: FleetTable, ledger: LedgerTable, name: str, net: Network) -> Fleet:
+    return Fleet(table, name, net, store_of(table, net), works_of(table, ledger, net))
+
+
+def store_of(table: FleetTable, net: Network) -> Callable[[Me], Store]:
+    def folder(me: Me) -> Store:
+        return Threaded(FolderStore(Path(table.folder), me, net.wall), ThreadWriter(net.loop))
+
+    return folder
+
+
+def works_of(table: FleetTable, ledger: LedgerTable, net: Network) -> Callable[[str], Work]:
+    """What a name of `works` stands for."""
+    endpoint = parse_address(table.endpoint) if table.endpoint else None
+
+    def made(name: str) -> Work:
+        if name == "settlement":
+            periods = Periods(ledger.zone, ledger.period_min)
+            settlement = Settlement(periods.end, table.wait_s, table.expect_s)
+            gatherer = Gatherer(Path(ledger.export_folder), settlement, ThreadWriter(net.loop),
+                                net.wall)
+            return LogWork(name, net, settlement, SETTLE_EVERY, endpoint, table.path,
+                           table.call_s, gatherer, gatherer.close)
+        return LogWork(name, net, Beat(), table.beat_s, endpoint, table.path, table.call_s)
+
+    return made
--- /dev/null
+++ b/violetroute/fleet/owner.py
@@ -0,0 +1,297 @@
+"""What one life knows of one work: whether it owns it, until when, and what to ask next.  Pure.
+
+Time.  A term is reckoned from before the asking was sent, by the asker's monotonic clock, and ends
+there `kept_s` later; nobody else takes a lease before its record has stood unchanged before his own
+eyes for `term_s` by his own clock.  With two clocks whose rates are wrong by `drift` at most,
+kept_s = term_s * (1 - drift) / (1 + drift) ends first whatever each of them does: the record was
+written after the asking, and seen after it was written.  Of a session's TTL the same holds, since
+the server reckons from when the renewal came.
+
+That is for who runs.  A process can be stopped between a check and its effect for longer than any
+term, so what is here is never the proof of ownership; it keeps two owners from working side by side
+for long, and the fence keeps the late one's effect out.  Nothing else may depend on `may`.
+
+One call is under way at a time.  Its answer is known by its number: one that comes after it was
+given up says nothing, and what the store did for it is seen at the next look (a record of our own
+nonce is taken over at once, under a new fence).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Literal, Protocol
+
+from .lease import FENCE_MOST, Lease, Stamp, stamp
+
+RENEW_SHARE = 1.0 / 3.0  # of the kept time after which a renewal is sent: two may be lost
+JITTER = 0.2  # of a wait
+BACKOFF_FIRST = 0.1  # of a term, after a call that failed; doubles
+BACKOFF_MOST = 1.0  # of a term: a store that is back is met again within that
+
+
+class Chance(Protocol):
+    """random.Random, or a test's constant."""
+
+    def random(self) -> float: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """Seconds.  `step_s`: by which each place in the order of those who wait asks later."""
+
+    term_s: float
+    drift: float
+    step_s: float
+
+    @property
+    def kept_s(self) -> float:
+        """For which an owner believes itself one, from before it asked."""
+        return self.term_s * (1.0 - self.drift) / (1.0 + self.drift)
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Take the lease, if it is free or stands as `over`."""
+
+    work: str
+    number: int
+    floor: int
+    over: Stamp | None
+
+
+@dataclass(frozen=True, slots=True)
+class Renew:
+    work: str
+    number: int
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    work: str
+    number: int
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Gained:
+    """The work may begin under this fence."""
+
+    work: str
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Over:
+    """Nothing more may be begun under this fence."""
+
+    work: str
+    fence: int
+    why: Literal["lapsed", "lost", "fenced", "resigned"]
+
+
+Action = Ask | Renew | Release | Gained | Over
+
+
+class Owner:
+    """`now`: seconds of this life's monotonic clock, in every call."""
+
+    __slots__ = ("_ask_at", "_asked_at", "_busy", "_chance", "_failures", "_gained_at", "_nonce",
+                 "_number", "_open_at", "_renew_at", "_seen", "_seen_at", "_stopped", "_terms",
+                 "fence", "floor", "left_late", "rank", "state", "until", "wanted", "work")
+
+    def __init__(self, work: str, nonce: str, terms: Terms, chance: Chance) -> None:
+        self.work, self._nonce, self._terms, self._chance = work, nonce, terms, chance
+        self.state: Literal["waiting", "owner", "resigning"] = "waiting"
+        self.wanted = False
+        self.rank = 0  # place among those who wait: the first asks first
+        self.fence = 0  # of the term at hand
+        self.until = 0.0  # and its end
+        self.floor = 0  # the highest fence heard of, from wherever
+        self.left_late = 0.0  # s that were left when the last renewal was answered, where few
+        self._seen: Stamp | None = None
+        self._seen_at: float | None = None  # since when it stands so; None before a first look
+        self._open_at = 0.0  # from when on the lease may be taken, as far as we have seen
+        self._ask_at = self._renew_at = self._gained_at = self._asked_at = 0.0
+        self._busy = ""  # what is under way
+        self._number = self._failures = 0
+        self._stopped = True  # nothing that was begun is under way
+
+    # --- what an owner may do ---
+    def may(self, now: float, need: float = 0.0) -> int:
+        """The fence under which an effect that takes `need` s may be begun; 0: none may."""
+        return self.fence if self.state == "owner" and now + need < self.until else 0
+
+    @property
+    def next_at(self) -> float:
+        """When `tick` has something to do if nothing happens before."""
+        if self.state == "owner":
+            if not self.wanted:
+                return self._gained_at
+            return self.until if self._busy else min(self.until, self._renew_at)
+        if self.state == "resigning":
+            held = self._busy or not self._stopped
+            return self.until if held else min(self.until, self._renew_at)
+        if not self.wanted or self._busy or not self._stopped or self._seen_at is None:
+            return float("inf")
+        return self._when()
+
+    # --- from whoever decides who should work ---
+    def want(self, on: bool, rank: int = 0) -> None:
+        """Whether this life is ready to own it, and its place among those who are."""
+        self.wanted, self.rank = on, rank
+
+    def stopped(self) -> None:
+        """What had been begun has ended: a lease that is handed back may go."""
+        self._stopped = True
+
+    # --- time ---
+    def tick(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        if self.state == "owner":
+            if now >= self.until:
+                actions += self._over("lapsed", now)
+            elif not self.wanted:
+                actions += self._over("resigned", now)
+        if self.state == "resigning":
+            if now >= self.until:
+                self.state = "waiting"  # others see it stand still, as if we had died
+            elif self._stopped and not self._busy and now >= self._renew_at:
+                actions.append(Release(self.work, self._call("release", now), self.fence))
+        elif self.state == "owner":
+            if not self._busy and now >= self._renew_at:
+                actions.append(Renew(self.work, self._call("renew", now), self.fence))
+        elif self.wanted and self._stopped and not self._busy and self._seen_at is not None \
+                and now >= self._when():
+            actions.append(Ask(self.work, self._call("ask", now), self.floor, self._seen))
+        return actions
+
+    def hurry(self, now: float) -> list[Action]:
+        """A renewal is sent for another work: this one's may go with it, if it is half due."""
+        if self.state != "owner" or self._busy or now >= self.until \
+                or now < self._renew_at - self._terms.kept_s * RENEW_SHARE / 2.0:
+            return []
+        return [Renew(self.work, self._call("renew", now), self.fence)]
+
+    def hand_on(self, now: float) -> list[Action]:
+        """Give it up though it is wanted: another should have it."""
+        return self._over("resigned", now) if self.state == "owner" else []
+
+    def _when(self) -> float:
+        """When to ask.  Each place in the order waits a step longer; nobody waits for good."""
+        return max(self._ask_at, self._open_at + self.rank * self._terms.step_s)
+
+    def _call(self, what: str, now: float) -> int:
+        self._busy, self._asked_at = what, now
+        self._number += 1
+        return self._number
+
+    # --- from the store ---
+    def look(self, now: float, asked_at: float, lease: Lease | None, alive: bool) -> list[Action]:
+        """The record as it stood after `asked_at`; `alive`: its process may still run."""
+        here = stamp(lease)
+        if lease is not None:
+            self.floor = max(self.floor, lease.fence)
+        if here != self._seen or self._seen_at is None:
+            self._seen, self._seen_at = here, now
+            self._open_at = now
+            if here is not None and here.nonce != self._nonce:
+                self._open_at = now + self._terms.term_s
+        if here is not None and not alive:
+            self._open_at = min(self._open_at, now)
+        if self.state == "owner" and asked_at >= self._gained_at and not self._busy \
+                and (here is None or (here.fence, here.nonce) != (self.fence, self._nonce)):
+            return self._over("lost", now)
+        return []
+
+    def granted(self, now: float, number: int, fence: int) -> list[Action]:
+        if not self._answered("ask", number):
+            return []
+        self._failures = 0
+        self.floor = max(self.floor, fence)
+        self.fence, self.until = fence, self._asked_at + self._terms.kept_s
+        self._seen, self._seen_at = Stamp(fence, self._nonce, 0), now
+        self._open_at = self._ask_at = now
+        if now >= self.until or not self.wanted:  # the next term, or nobody's, goes over it
+            self.state = "waiting" if now >= self.until else "resigning"
+            self._renew_at = now
+            return []
+        self.state, self._gained_at, self._stopped = "owner", now, False
+        self._renew_at = self._asked_at + self._wait(self._terms.kept_s * RENEW_SHARE)
+        return [Gained(self.work, fence)]
+
+    def denied(self, now: float, number: int, lease: Lease | None) -> list[Action]:
+        """It is another's, or has changed since we looked."""
+        if not self._answered("ask", number):
+            return []
+        actions = self.look(now, now, lease, True)
+        self._ask_at = now + self._wait(self._terms.term_s * BACKOFF_FIRST)
+        return actions
+
+    def renewed(self, now: float, number: int) -> list[Action]:
+        if not self._answered("renew", number) or self.state != "owner":
+            return []
+        left, self._failures = self.until - now, 0
+        self.left_late = left if left < self._terms.kept_s * RENEW_SHARE else 0.0
+        self.until = self._asked_at + self._terms.kept_s
+        self._renew_at = self._asked_at + self._wait(self._terms.kept_s * RENEW_SHARE)
+        return self.tick(now) if now >= self.until else []
+
+    def lost(self, now: float, number: int, lease: Lease | None) -> list[Action]:
+        """A renewal or release met another's record, or none."""
+        if not self._answered("renew", number) and not self._answered("release", number):
+            return []
+        actions = self._over("lost", now) if self.state == "owner" else []
+        if self.state == "resigning":
+            self.state = "waiting"
+        return actions + self.look(now, now, lease, True)
+
+    def released(self, now: float, number: int) -> list[Action]:
+        if not self._answered("release", number):
+            return []
+        self.state, self._failures = "waiting", 0
+        self._seen, self._seen_at, self._open_at = None, now, now
+        self._ask_at = now + self._terms.term_s  # who hands it on lets the others come first
+        return []
+
+    def failed(self, now: float, number: int) -> list[Action]:
+        """No answer, or one that says nothing: the store may have done it all the same."""
+        if number != self._number or not self._busy:
+            return []
+        self._busy = ""
+        wait = self._wait(min(BACKOFF_MOST, BACKOFF_FIRST * 2.0 ** min(self._failures, 10))
+                          * self._terms.term_s)
+        self._failures += 1
+        self._ask_at = now + wait
+        self._renew_at = now + min(wait, self._terms.kept_s * RENEW_SHARE / 2.0)
+        return []
+
+    def _answered(self, what: str, number: int) -> bool:
+        if number != self._number or self._busy != what:
+            return False
+        self._busy = ""
+        return True
+
+    # --- from the effect ---
+    def fenced(self, now: float, floor: int) -> list[Action]:
+        """An effect was refused; `floor` is the highest fence that its place has met.
+
+        The next term begins above it, if the store still has this life for its owner.  A floor
+        beyond all sense is heard and not followed, or one broken place would use up the fences.
+        """
+        if floor < FENCE_MOST:
+            self.floor = max(self.floor, floor)
+        if self.state != "owner":
+            return []
+        self._ask_at = now + self._wait(self._terms.term_s * BACKOFF_FIRST)
+        return self._over("fenced", now)
+
+    def _over(self, why: Literal["lapsed", "lost", "fenced", "resigned"],
+              now: float) -> list[Action]:
+        self.state = "resigning" if why == "resigned" else "waiting"
+        self._renew_at = now
+        return [Over(self.work, self.fence, why)]
+
+    def _wait(self, seconds: float) -> float:
+        """With jitter towards earlier: a bound stays one."""
+        return seconds * (1.0 - JITTER * self._chance.random())
--- /dev/null
+++ b/violetroute/fleet/store.py
@@ -0,0 +1,55 @@
+"""What the fleet asks of a store, whichever it is.
+
+Each call is told once, from the loop: with its answer, or with why there is none.  No answer means
+nothing: the store may have done what was asked.  A call that was not answered in time is the
+store's to end; answers never come out of order for one caller, since the keeper has one at a time
+of each kind under way.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol, TypeVar
+
+from .lease import Lease, Me
+from .log import Result, Steps
+from .owner import Ask
+
+T = TypeVar("T")
+Told = Callable[[T | None, str], None]  # the answer, or why there is none
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What stands in the store.  `members` is None where it keeps none."""
+
+    leases: Mapping[str, Lease]
+    members: frozenset[Me] | None = None  # lives that may be ready for works, ours among them
+    dead: frozenset[str] = frozenset()  # nonces whose processes have ended for certain
+    unreadable: Mapping[str, str] = field(default_factory=dict)  # works, and why
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """`yes`: as it was asked.  `lease`: what stands there now."""
+
+    yes: bool
+    lease: Lease | None
+
+
+class Store(Protocol):
+    def look(self, told: Told[View]) -> None: ...
+
+    def ask(self, ask: Ask, told: Told[Answer]) -> None: ...
+
+    def renew(self, terms: Sequence[tuple[str, int]], told: Told[Mapping[str, Answer]]) -> None:
+        """Works and fences, all in one."""
+
+    def release(self, work: str, fence: int, told: Told[Answer]) -> None: ...
+
+    def run(self, steps: Steps, told: Told[Result]) -> None:
+        """Steps of a log, until their end."""
+
+    def close(self) -> None:
+        """Nothing is told any more; this life's marks are taken away as far as that goes."""
--- /dev/null
+++ b/violetroute/fleet/work.py
@@ -0,0 +1,264 @@
+"""A work whose effects are entries of its fenced log, each handed over to an endpoint as well.
+
+What the next entry is, a `Decider` says from the log as it has been read.  An entry that is to be
+handed over stands in the outbox until an entry says that it was: so an owner that is killed after
+the post and before its record leaves the post to the next one, under the same key.
+
+The convention towards an endpoint: a POST with `Idempotency-Key: "LOG/POSITION"` and `Fence:
+NUMBER;NONCE`.  2xx: taken, now or before.  412 with {"fence": NUMBER}: a later owner has been
+there.  Anything else: again, later.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from violetroute.logs import tell
+from violetroute.transport import Address, Network
+from violetroute.transport.call import Call
+
+from .keeper import Term
+from .log import Done, Fenced, FencedLog, Nothing, Result, append, claim
+
+FIRST, MOST = 0.2, 30.0  # s before a try again, and at most
+RETRY_AFTER_MOST = 3600.0  # s for which an endpoint's word is heeded
+
+
+class Decider(Protocol):
+    """What the entries are.  Pure; kept over terms, since the log is."""
+
+    def took(self, position: int, body: Any) -> None:
+        """An entry that counts, whoever wrote it."""
+
+    def decide(self) -> Any:
+        """The next entry's body, or None."""
+
+
+class Outbox:
+    """Entries that are not handed over yet.  Pure."""
+
+    def __init__(self, hands_over: bool) -> None:
+        self._hands_over = hands_over
+        self.waits: dict[int, Any] = {}
+
+    def took(self, position: int, body: Any) -> bool:
+        """Whether it is an entry of the work's own, and not of this book-keeping."""
+        if isinstance(body, dict) and "handed" in body:
+            self.waits.pop(body["handed"], None)
+            return False
+        if self._hands_over:
+            self.waits[position] = body
+        return True
+
+
+class LogWork:
+    """One work.  `gather`: what has to be read for a decision, beside the loop, before each one.
+
+    One step at a time, `every_s` s apart while there is nothing to do; at most one call or one run
+    of the log is under way, and one timer.
+    """
+
+    def __init__(self, name: str, net: Network, decider: Decider, every_s: float,
+                 endpoint: Address | None, path: str, limit_s: float,
+                 gather: Callable[[Callable[[str], None]], None] | None = None,
+                 closes: Callable[[], None] = lambda: None) -> None:
+        self.name, self._net, self._loop = name, net, net.loop
+        self._decider, self._every, self._gather = decider, every_s, gather
+        self._closes = closes
+        self._endpoint, self._path, self._limit = endpoint, path, limit_s
+        self._outbox = Outbox(endpoint is not None)
+        self._log = FencedLog(name, self._took)
+        self._term: Term | None = None
+        self._claimed = False
+        self._busy = False
+        self._ended: Callable[[], None] | None = None
+        self._timer: Any = None
+        self._call: Call | None = None
+        self._failures = 0
+        self._chance = random.Random(name)
+
+    def _took(self, position: int, body: Any) -> None:
+        if self._outbox.took(position, body):
+            self._decider.took(position, body)
+
+    # --- from the fleet ---
+    def begin(self, term: Term) -> None:
+        self._term, self._claimed, self._failures = term, False, 0
+        self._next(0.0)
+
+    def end(self, ended: Callable[[], None]) -> None:
+        """A post that is under way is broken off: it has its key, and the next owner repeats it.
+
+        What was given to the store is waited for: only then is it known to have ended.
+        """
+        self._term = None
+        self._stop()
+        if self._busy:
+            self._ended = ended
+        else:
+            ended()
+
+    def close(self) -> None:
+        self._term = self._ended = None
+        self._stop()
+        self._closes()
+
+    def _stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._call is not None:
+            self._call.stop()
+            self._call = None
+            self._busy = False
+
+    # --- steps ---
+    def _next(self, wait: float) -> None:
+        if self._term is not None and self._timer is None:
+            self._timer = self._loop.call_later(wait, self._step)
+
+    def _step(self) -> None:
+        self._timer = None
+        term = self._term
+        if term is None or self._busy:
+            return
+        if not term.may():
+            self._next(self._every)
+            return
+        if not self._claimed:
+            self._run(claim(self._log, term.fence, term.me.nonce, term.me.name), self._did_claim)
+        elif self._endpoint is not None and self._outbox.waits:
+            self._post(term, self._endpoint)
+        elif self._gather is not None:
+            self._busy = True
+            self._gather(self._gathered)
+        else:
+            self._decide()
+
+    def _gathered(self, why: str) -> None:
+        self._busy = False
+        if self._over():
+            return
+        if why:
+            self._failed(why)
+        else:
+            self._decide()
+
+    def _decide(self) -> None:
+        term = self._term
+        assert term is not None
+        self._run(append(self._log, term.fence, term.me.nonce, term.me.name,
+                         self._decider.decide), self._did)
+
+    def _run(self, steps: Any, did: Callable[[Result], None]) -> None:
+        term = self._term
+        assert term is not None
+        self._busy = True
+
+        def told(result: Result | None, why: str) -> None:
+            self._busy = False
+            if self._over():
+                return
+            if result is None:
+                self._failed(why)
+            elif isinstance(result, Fenced):
+                term.fenced(result.floor)
+            else:
+                self._failures = 0
+                did(result)
+
+        term.run(steps, told)
+
+    def _over(self) -> bool:
+        """The term has ended meanwhile; who waits for that is told."""
+        if self._term is not None and self._ended is None:
+            return False
+        ended, self._ended = self._ended, None
+        if ended is not None:
+            ended()
+        return True
+
+    def _did_claim(self, result: Result) -> None:
+        self._claimed = isinstance(result, Done)
+        self._next(0.0 if self._claimed else self._wait())
+
+    def _did(self, result: Result) -> None:
+        if isinstance(result, Done) and self._endpoint is not None:
+            self._next(0.0)
+        elif isinstance(result, (Done, Nothing)):
+            self._next(self._every)
+        else:
+            self._next(self._wait())
+
+    def _failed(self, why: str) -> None:
+        tell("fleet.work_failed", work=self.name, reason=why)
+        self._next(self._wait())
+
+    def _wait(self, at_least: float = 0.0) -> float:
+        ceiling = min(MOST, FIRST * 2.0 ** min(self._failures, 20))
+        self._failures += 1
+        return max(at_least, ceiling * (0.5 + 0.5 * self._chance.random()))
+
+    # --- handing over ---
+    def _post(self, term: Term, endpoint: Address) -> None:
+        position, body = next(iter(self._outbox.waits.items()))
+        self._busy = True
+
+        def done(status: int, headers: dict[str, str], answer: bytes, why: str) -> None:
+            self._call, self._busy = None, False
+            if self._over():
+                return
+            floor = _floor(answer) if status == 412 else 0
+            if 200 <= status < 300:
+                self._failures = 0
+                self._run(append(self._log, term.fence, term.me.nonce, term.me.name,
+                                 lambda: {"handed": position}
+                                 if position in self._outbox.waits else None), self._handed)
+            elif floor:
+                term.fenced(floor)
+            else:
+                wait = self._wait(_retry_after(headers) if status in (429, 503) else 0.0)
+                tell("fleet.undelivered", work=self.name, reason=why or f"answered {status}",
+                     wait_s=round(wait, 1))
+                self._next(wait)
+
+        headers = {"Idempotency-Key": f'"{self.name}/{position}"', "Content-Type":
+                   "application/json", "Fence": f"{term.fence};{term.me.nonce}"}
+        self._call = Call(self._net, endpoint, None, self._limit, self._path, headers,
+                          msgspec.json.encode(body), done)
+
+    def _handed(self, result: Result) -> None:
+        self._next(0.0 if self._outbox.waits else self._every)
+
+
+def _floor(answer: bytes) -> int:
+    """The fence that a refusal names; 0 where it names none."""
+    try:
+        told = msgspec.json.decode(answer)
+    except (msgspec.DecodeError, RecursionError):
+        return 0
+    fence = told.get("fence") if isinstance(told, dict) else None
+    return fence if isinstance(fence, int) and fence > 0 else 0
+
+
+def _retry_after(headers: dict[str, str]) -> float:
+    text = headers.get("retry-after", "")
+    return min(RETRY_AFTER_MOST, float(text)) if text.isdecimal() and len(text) < 10 else 0.0
+
+
+class Beat:
+    """The example: an entry that counts on.  What it shows is that no count is there twice."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def took(self, position: int, body: Any) -> None:
+        if isinstance(body, dict) and isinstance(body.get("beat"), int):
+            self.count = body["beat"]
+
+    def decide(self) -> Any:
+        return {"beat": self.count + 1}
--- a/violetroute/ledger/book.py
+++ b/violetroute/ledger/book.py
@@ -182,6 +182,15 @@
         """The batch that is exported next."""
         return next((batch for batch in self.batches.values() if batch.state != "held"), None)
 
+    def through(self, now: float) -> float:
+        """The Unix second up to which every period is closed and confirmed.
+
+        What is held waits for an operator and holds up nobody: it comes as a correction.
+        """
+        waits = [period for period in self.counts if not self._is_closed(period)]
+        waits += [batch.period for batch in self.batches.values() if batch.state != "held"]
+        return float(min([self.periods.of(now - self.grace_s), *waits]))
+
     def units(self, period: int) -> int:
         """All units of a period that this book knows of, billed or not."""
         return self.billed.get(period, 0) + sum(self.counts.get(period, {}).values()) + sum(
--- a/violetroute/ledger/keeper.py
+++ b/violetroute/ledger/keeper.py
@@ -28,7 +28,7 @@
 from .export import Backoff, Said, Signed, json_lines, key_of, said
 from .files import Files, Folder, folder_name
 from .frames import Record
-from .outbox import hand_over
+from .outbox import hand_over, mark
 from .periods import Periods
 from .store import Foreign, Found, Store, compress
 from .table import LedgerTable
@@ -71,9 +71,9 @@
         self._keys = TlsKeys(table.tls) if table.tls_ca_file else None
         self._timer: Any = None
         self._told_folded, self._told_folded_at = 0, 0.0
+        self._marked = 0.0  # up to when it was said that all is closed
         self._open()
 
-    # --- from the proxy ---
     def served(self, tenant: str, cls: str, id_: bytes) -> None:
         """A client was given its served answer."""
         self._tally.add(self._periods.of(self._net.wall()), tenant, cls, id_)
@@ -136,6 +136,8 @@
                 self._flush()
                 self._spill()
                 self._export()
+                if self.table.closings:
+                    self._mark()
             elif self.state == "failed" and self._book.name:
                 self._rewrite()
             else:
@@ -292,6 +294,18 @@
 
         self._writer.submit(lambda: store.spilled(seq), told)
 
+    def _mark(self) -> None:
+        """For who settles the periods of several ledgers: this one has closed so far."""
+        until = self._book.through(self._net.wall())
+        if self._busy or until <= self._marked:
+            return
+        self._busy, folder, name = True, Path(self.table.export_folder), self.name
+
+        def told(_: None, error: BaseException | None) -> None:
+            self._busy, self._marked = False, self._marked if error is not None else until
+
+        self._writer.submit(lambda: mark(folder, name, until), told)
+
     # --- exporting ---
     def _export(self) -> None:
         """The next batch, if it is time; nobody hears of one that is not on the disk."""
--- a/violetroute/ledger/outbox.py
+++ b/violetroute/ledger/outbox.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+import msgspec
+
 from .book import Batch
 from .export import csv_lines, file_name, json_lines
 from .files import Folder
@@ -21,3 +23,13 @@
             target.put(f"{name}.csv", csv_lines(batch))
     finally:
         target.close()
+
+
+def mark(folder: Path, ledger: str, until: float) -> None:
+    """Say that all that ends by `until` (Unix s) is closed and has been handed over.  OSError."""
+    folder.mkdir(parents=True, exist_ok=True)
+    target = Folder(folder)
+    try:
+        target.put(f"{ledger}.through", msgspec.json.encode({"ledger": ledger, "until": until}))
+    finally:
+        target.close()
--- a/violetroute/ledger/table.py
+++ b/violetroute/ledger/table.py
@@ -26,6 +26,7 @@
     export: Literal["off", "files", "http"] = "off"
     export_folder: str = ""  # of "files"
     formats: tuple[Literal["csv", "jsonl"], ...] = ("jsonl",)
+    closings: bool = False  # of "files": NAME.through says up to when all is closed
     endpoint: str = ""  # of "http": "ADDRESS:PORT", no names
     path: str = "/v1/usage"
     compress: bool = True  # zstd, where the endpoint takes it
