--- a/limebridge/child.py
+++ b/limebridge/child.py
@@ -53,6 +53,7 @@
         self._told = told
         self.state = "down"
         self.proxy_config: dict[str, Any] = {}
+        self.port = 0
         self._operator: Path | None = None
         self._process: asyncio.subprocess.Process | None = None
         self._log: asyncio.Task[None] | None = None
@@ -64,9 +65,13 @@
         assert self._process is not None
         return self._process.pid
 
+    @property
+    def ended(self) -> bool:
+        return self._process is None or self._process.returncode is not None
+
     async def start(self, raw: dict[str, Any], port: int, operator: Path | None = None) -> int:
         """Until it listens on the port.  Unready when it does not: then it is gone."""
-        self.proxy_config = raw
+        self.proxy_config, self.port = raw, port
         self._operator = operator = operator or self._operator  # of its earlier lives
         path = self._folder / f"{self.owner}.json"
         path.write_text(json.dumps(raw | {"listen": f"127.0.0.1:{port}"}))
@@ -97,7 +102,8 @@
         assert process.stderr is not None
         while chunk := await process.stderr.read(65536):
             for line in chunk.decode(errors="replace").splitlines():
-                self.last = line.strip()[:300] or self.last
+                if not self.last.startswith("violetroute:"):  # why it ends; nothing tops that
+                    self.last = line.strip()[:300] or self.last
                 if self._told is not None:
                     self._told(line)
             if not ready.done() and b"daemon.listens" in chunk:
--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -1,5 +1,5 @@
 """The command line: `limebridge demo | check | serve | explore | replay | rehearse | experiment |
-placement | ledger`."""
+placement | ledger | faults | fleet`."""
 
 from __future__ import annotations
 
@@ -25,6 +25,7 @@
 
 from . import demo as demo_module
 from .experiments.command import app as experiment_app
+from .faults.command import app as faults_app
 from .ledger.command import app as ledger_app
 from .placement.command import app as placement_app
 from .rehearsal.command import rehearse
@@ -39,6 +40,7 @@
 app.add_typer(placement_app, name="placement")
 app.add_typer(ledger_app, name="ledger")
 app.add_typer(experiment_app, name="experiment")
+app.add_typer(faults_app, name="faults")
 app.command()(rehearse)
 
 
--- a/limebridge/faults/model.py
+++ b/limebridge/faults/model.py
@@ -363,5 +363,5 @@
                 tuple(lives))
 
 
-def _ignore(position: int, body: Any) -> None:
+def _ignore(position: int, record: Any) -> None:
     pass
--- a/limebridge/faults/relay.py
+++ b/limebridge/faults/relay.py
@@ -81,6 +81,8 @@
                                  self._pump(other_reader, writer, lambda: self.back))
         except (OSError, asyncio.IncompleteReadError):
             pass
+        except asyncio.CancelledError:  # by `stop`: nobody waits for this task any more
+            pass
         finally:
             self._tasks.discard(task)
             for each in (writer, other):
--- a/limebridge/standins/effects.py
+++ b/limebridge/standins/effects.py
@@ -72,7 +72,7 @@
     def _take(self, headers: dict[str, str], body: bytes) -> tuple[int, bytes]:
         key = headers["idempotency-key"].strip('"')
         number, _, nonce = headers["fence"].partition(";")
-        fence, work = int(number), key.rpartition("/")[0]
+        fence, work = int(number), key.partition("/")[0]
         high, whose = self.high.get(work, (0, ""))
         if self.checks and (fence < high or (fence == high and nonce != whose)):
             self.refused += 1
--- a/violetroute/fleet/folder.py
+++ b/violetroute/fleet/folder.py
@@ -58,7 +58,7 @@
         for name in ("alive", "lease", "log"):
             (self._path / name).mkdir(parents=True, exist_ok=True)
         mark = self._path / "alive" / self._me.nonce
-        if self._lock >= 0 and mark.exists():
+        if self._lock >= 0 and self._is_ours(mark):
             return
         self._let_go()
         self._shelves.clear()
@@ -68,6 +68,13 @@
         fcntl.fcntl(self._lock, fcntl.F_OFD_SETLK, FLOCK.pack(fcntl.F_WRLCK, 0, 0, 0, 0))
         os.replace(aside, mark)  # with its lock: nobody sees it without
 
+    def _is_ours(self, mark: Path) -> bool:
+        """A folder that was copied back has a file of that name, and nobody's lock on it."""
+        try:
+            return os.path.samestat(os.stat(mark), os.fstat(self._lock))
+        except FileNotFoundError:
+            return False
+
     def close(self) -> None:
         if self._lock >= 0:
             with contextlib.suppress(OSError):
--- a/violetroute/fleet/log.py
+++ b/violetroute/fleet/log.py
@@ -86,9 +86,9 @@
 
 
 class FencedLog:
-    """One log as read so far.  `took` hears of each entry that counts: position and body."""
+    """One log as read so far.  `took` hears of each entry that counts, with its position."""
 
-    def __init__(self, name: str, took: Callable[[int, Any], None]) -> None:
+    def __init__(self, name: str, took: Callable[[int, Record], None]) -> None:
         self.name, self._took = name, took
         self.next = 0
         self.seal = Seal()
@@ -109,7 +109,7 @@
             self.void += 1
         else:
             self.entries += 1
-            self._took(position, record.body)
+            self._took(position, record)
 
 
 def decode(data: bytes, log: str) -> Record | None:
--- a/violetroute/fleet/settlement.py
+++ b/violetroute/fleet/settlement.py
@@ -106,7 +106,7 @@
     now: float = 0.0  # Unix s, as it was last gathered
 
     # --- the log ---
-    def took(self, position: int, body: Any) -> None:
+    def took(self, body: Any) -> None:
         """An entry that counts.  Settled is what it names, whoever wrote it."""
         if not isinstance(body, dict) or not isinstance(body.get("keys"), list):
             return
--- a/violetroute/fleet/table.py
+++ b/violetroute/fleet/table.py
@@ -32,7 +32,8 @@
     look_s: Seconds = 1.0  # between two looks at the store; with "consul" one look waits for news
     call_s: Seconds = 3.0  # for one answer of the store
     move_s: Seconds = 60.0  # at least between two works that are handed on for balance
-    beat_s: Seconds = 5.0  # between two entries of the example work
+    # Between two entries of the example work.
+    beat_s: Annotated[float, msgspec.Meta(ge=0.01, le=86_400.0)] = 5.0
     endpoint: str = ""  # "ADDRESS:PORT" that is posted each bill and each beat; "" is none
     path: str = "/v1/effects"
     wait_s: Seconds = 900.0  # that settlement waits for a proxy that has not closed a period
--- a/violetroute/fleet/work.py
+++ b/violetroute/fleet/work.py
@@ -4,8 +4,9 @@
 handed over stands in the outbox until an entry says that it was: so an owner that is killed after
 the post and before its record leaves the post to the next one, under the same key.
 
-The convention towards an endpoint: a POST with `Idempotency-Key: "LOG/POSITION"` and `Fence:
-NUMBER;NONCE`.  2xx: taken, now or before.  412 with {"fence": NUMBER}: a later owner has been
+The convention towards an endpoint: a POST with `Idempotency-Key: "LOG/FENCE.NONCE/POSITION"` of the
+entry (no log that was forgotten and begun anew has it again) and `Fence: NUMBER;NONCE` of the owner
+that posts.  2xx: taken, now or before.  412 with {"fence": NUMBER}: a later owner has been
 there.  Anything else: again, later.
 """
 
@@ -22,7 +23,7 @@
 from violetroute.transport.call import Call
 
 from .keeper import Term
-from .log import Done, Fenced, FencedLog, Nothing, Result, append, claim
+from .log import Done, Fenced, FencedLog, Nothing, Record, Result, append, claim
 
 FIRST, MOST = 0.2, 30.0  # s before a try again, and at most
 RETRY_AFTER_MOST = 3600.0  # s for which an endpoint's word is heeded
@@ -31,7 +32,7 @@
 class Decider(Protocol):
     """What the entries are.  Pure; kept over terms, since the log is."""
 
-    def took(self, position: int, body: Any) -> None:
+    def took(self, body: Any) -> None:
         """An entry that counts, whoever wrote it."""
 
     def decide(self) -> Any:
@@ -43,15 +44,15 @@
 
     def __init__(self, hands_over: bool) -> None:
         self._hands_over = hands_over
-        self.waits: dict[int, Any] = {}
+        self.waits: dict[int, Record] = {}
 
-    def took(self, position: int, body: Any) -> bool:
+    def took(self, position: int, record: Record) -> bool:
         """Whether it is an entry of the work's own, and not of this book-keeping."""
-        if isinstance(body, dict) and "handed" in body:
-            self.waits.pop(body["handed"], None)
+        if isinstance(record.body, dict) and "handed" in record.body:
+            self.waits.pop(record.body["handed"], None)
             return False
         if self._hands_over:
-            self.waits[position] = body
+            self.waits[position] = record
         return True
 
 
@@ -81,9 +82,9 @@
         self._failures = 0
         self._chance = random.Random(name)
 
-    def _took(self, position: int, body: Any) -> None:
-        if self._outbox.took(position, body):
-            self._decider.took(position, body)
+    def _took(self, position: int, record: Record) -> None:
+        if self._outbox.took(position, record):
+            self._decider.took(record.body)
 
     # --- from the fleet ---
     def begin(self, term: Term) -> None:
@@ -205,7 +206,7 @@
 
     # --- handing over ---
     def _post(self, term: Term, endpoint: Address) -> None:
-        position, body = next(iter(self._outbox.waits.items()))
+        position, record = next(iter(self._outbox.waits.items()))
         self._busy = True
 
         def done(status: int, headers: dict[str, str], answer: bytes, why: str) -> None:
@@ -226,15 +227,20 @@
                      wait_s=round(wait, 1))
                 self._next(wait)
 
-        headers = {"Idempotency-Key": f'"{self.name}/{position}"', "Content-Type":
+        headers = {"Idempotency-Key": key_of(record, position), "Content-Type":
                    "application/json", "Fence": f"{term.fence};{term.me.nonce}"}
         self._call = Call(self._net, endpoint, None, self._limit, self._path, headers,
-                          msgspec.json.encode(body), done)
+                          msgspec.json.encode(record.body), done)
 
     def _handed(self, result: Result) -> None:
         self._next(0.0 if self._outbox.waits else self._every)
 
 
+def key_of(record: Record, position: int) -> str:
+    """As a structured header's string: of the entry, whoever posts it."""
+    return f'"{record.log}/{record.fence}.{record.nonce}/{position}"'
+
+
 def _floor(answer: bytes) -> int:
     """The fence that a refusal names; 0 where it names none."""
     try:
@@ -256,7 +262,7 @@
     def __init__(self) -> None:
         self.count = 0
 
-    def took(self, position: int, body: Any) -> None:
+    def took(self, body: Any) -> None:
         if isinstance(body, dict) and isinstance(body.get("beat"), int):
             self.count = body["beat"]
 
