--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -26,6 +26,8 @@
 from . import demo as demo_module
 from .experiments.command import app as experiment_app
 from .faults.command import app as faults_app
+from .faults.command import explore_fleet
+from .fleet.command import app as fleet_app
 from .ledger.command import app as ledger_app
 from .placement.command import app as placement_app
 from .rehearsal.command import rehearse
@@ -41,6 +43,7 @@
 app.add_typer(ledger_app, name="ledger")
 app.add_typer(experiment_app, name="experiment")
 app.add_typer(faults_app, name="faults")
+app.add_typer(fleet_app, name="fleet")
 app.command()(rehearse)
 
 
@@ -125,7 +128,7 @@
 
 def _ours(operator: Operator, path: str | None, planned: int | None) -> dict[str, object]:
     """What follows from the operator's file; `planned`: nodes of the placement's plan."""
-    ledger = operator.ledger
+    ledger, fleet = operator.ledger, operator.fleet
     return {
         "operator's file": path or "none: defaults",
         "log": f"{operator.log.level}, {operator.log.format}",
@@ -135,6 +138,8 @@
         "cluster": operator.cluster.appear,
         "ledger": "off" if not ledger.folder else
             f"{ledger.folder}, {ledger.period_min} min in {ledger.zone}, export {ledger.export}",
+        "fleet": "off" if fleet.store == "off" else
+            f"{fleet.folder or ', '.join(fleet.agents)}, works {', '.join(fleet.works) or 'none'}",
     }
 
 
@@ -183,6 +188,9 @@
     goes_on: Annotated[bool, typer.Option(
         "--next", help="Seeds that no run here has played, leaning towards what this build has met "
         "least; --from is not looked at.")] = False,
+    fleet: Annotated[bool, typer.Option(
+        "--fleet", help="Several processes and the works that they own (`limebridge faults`).",
+    )] = False,
     as_json: Annotated[bool, typer.Option("--json", help="JSON as the last line.")] = False,
 ) -> None:
     """Run the daemon's own code in memory against faults drawn from seeds.
@@ -190,6 +198,8 @@
     Exit status 1 when a rule or a bound was broken, 2 when the arguments can't be used.
     """
     prepare = _patched(patch)
+    if fleet:
+        raise typer.Exit(explore_fleet(first, seeds, jobs, prepare, as_json))
     summary = explorer.Summary()
     pairs: explorer.Pairs = ()
     history = coverage.History() if goes_on else None
--- a/limebridge/faults/billed.py
+++ b/limebridge/faults/billed.py
@@ -24,8 +24,9 @@
 from violetroute.ledger.periods import Periods
 from violetroute.ledger.store import SIGNED
 
+from .daemon import Daemon
 from .plan import Plan
-from .rig import CHILD, Daemon, Rig
+from .rig import CHILD, Rig
 
 SPEED = 240.0  # times
 START = 1_700_000_100.0  # Unix s at which the fast clock begins
@@ -120,8 +121,15 @@
             self.complain("bills", wrong[0])
         await self.until(self._all_out, "bills", lambda: "ledgers do not close")
         found = reconcile(self._exported().units, served, self.periods)
-        if found.long:
-            self.complain("bills", f"{found.long} units exported that no node has served")
+        sums: Counter[tuple[str, str | None, str]] = Counter()
+        for (proxy, _, tenant, cls), count in self._exported().units.items():
+            sums[proxy, tenant, cls] += count
+        for (proxy, _, tenant, cls), count in served.items():
+            sums[proxy, tenant, cls] -= count
+        # By period a stop of some seconds moves a unit past several periods on this clock.
+        for line, count in sums.items():
+            if count > 0:
+                self.complain("bills", f"{count} units of {line} exported that no node has served")
         for daemon in self.daemons:
             if any(d.proxy == daemon.name for d in found.differences):
                 Folder(self.ledgers / daemon.name).put(
--- a/limebridge/faults/command.py
+++ b/limebridge/faults/command.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import json
+import runpy
 import time
 from collections import Counter
+from collections.abc import Callable
+from hashlib import blake2b
 from pathlib import Path
 from typing import Annotated, Literal
 
+import msgspec
 import typer
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn
 from rich.table import Table
 
+from limebridge.virtual import fleet as virtual
 from violetroute.config import ConfigError
 
 from . import explore
@@ -32,7 +37,7 @@
 def run(
     seeds: Annotated[int, typer.Option(min=1, max=100_000, help="How many plans.")] = 20,
     first: Annotated[int, typer.Option("--from", min=0, help="The first seed.")] = 0,
-    jobs: Annotated[int, typer.Option(min=0, help="Plans at once; 0 is two a core.")] = 0,
+    jobs: Annotated[int, typer.Option(min=0, help="Plans at once; 0 is one a core.")] = 0,
     store: Annotated[str, typer.Option(help="folder or consul; else as the seeds say.")] = "",
     settles: Annotated[bool | None, typer.Option(
         "--settles/--beats", help="With ledgers and settlement, or without; else by seed.")] = None,
@@ -92,6 +97,8 @@
     what: Annotated[str, typer.Argument(metavar="FILE_OR_SEED")],
     store: Annotated[str, typer.Option(help="As it was given to run.")] = "",
     settles: Annotated[bool | None, typer.Option("--settles/--beats")] = None,
+    in_memory: Annotated[bool, typer.Option(
+        "--virtual", help="In memory, as `explore --fleet` plays it: exact.")] = False,
     patch: PatchFile = None,
 ) -> None:
     """Play one plan again and tell its story.  Exit status 1 when it breaks something."""
@@ -103,6 +110,12 @@
     except ConfigError as error:
         typer.echo(f"limebridge: {error}", err=True)
         raise typer.Exit(2) from None
+    if in_memory:
+        if patch is not None:
+            runpy.run_path(_path(patch))["plant"]()
+        told = virtual.play(msgspec.structs.replace(plan, settles=False), tells=True)
+        print(told.story)
+        raise typer.Exit(1 if told.broken else 0)
     outcome = play(plan, _path(patch))
     print(tell(outcome.history, outcome.broken))
     print(f"{outcome.effects} effects, {outcome.seconds:.1f} s, {len(outcome.broken)} broken")
@@ -139,6 +152,41 @@
     raise typer.Exit(1 if found.stories else 0)
 
 
+def explore_fleet(first: int, seeds: int, jobs: int, prepare: Callable[[], None] | None,
+                  as_json: bool) -> int:
+    """`limebridge explore --fleet`: the same plans in memory; the exit status."""
+    began, played, effects = time.monotonic(), 0, 0
+    bad: list[virtual.Outcome] = []
+    gaps: list[float] = []
+    digest = blake2b(digest_size=8)
+    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn())
+    with Progress(*columns, console=Console(stderr=True), disable=as_json) as progress:
+        bar = progress.add_task("exploring", total=seeds)
+        for outcomes in virtual.explore(first, seeds, jobs, 0, prepare):
+            for each in outcomes:
+                played, effects = played + 1, effects + each.effects
+                gaps += each.gaps
+                digest.update(each.digest.encode())
+                bad += [each] if each.broken else []
+            progress.update(bar, completed=played, description=f"{len(bad)} broken")
+    if prepare is not None:
+        prepare()
+    for each in bad[:SHOWN]:
+        small = virtual.shrink(each)
+        typer.echo(f"seed {each.plan.seed}, made small:\n{plans.dump(small.plan)}{small.story}",
+                   err=True)
+    gaps.sort()
+    told = {"first": first, "seeds": played, "seconds": round(time.monotonic() - began, 1),
+            "effects": effects, "changes_of_owner": len(gaps),
+            "without_owner_s": {str(part): round(gaps[min(len(gaps) - 1, int(part * len(gaps)))], 3)
+                                for part in (0.5, 0.9, 0.99, 1.0)} if gaps else {},
+            "broken": [[each.plan.seed, *each.broken[0]] for each in bad],
+            "digest": digest.hexdigest()}
+    print(json.dumps(told) if as_json else
+          "\n".join(f"{key}: {value}" for key, value in told.items()))
+    return 1 if bad else 0
+
+
 def _path(patch: Path | None) -> str:
     if patch is None:
         return ""
--- a/limebridge/faults/explore.py
+++ b/limebridge/faults/explore.py
@@ -13,7 +13,7 @@
 from .plan import Plan
 from .rig import play
 
-AT_ONCE = 2  # plans a core: most of a plan is waiting
+AT_ONCE = 1  # plans a core: starting five to eight daemons takes it whole
 AGAIN = 2  # times that a smaller plan is played before it is taken for sound
 
 
--- a/limebridge/faults/history.py
+++ b/limebridge/faults/history.py
@@ -130,14 +130,15 @@
 
 
 def parse(line: str) -> tuple[str, str] | None:
-    """Event and work of a daemon's line in JSON; None for others."""
+    """Event, and work with reason or fence, of a daemon's line in JSON; None for others."""
     if '"fleet.' not in line:
         return None
     try:
         told = json.loads(line)
     except ValueError:
         return None
-    return str(told.get("event", "")), str(told.get("work", ""))
+    more = told.get("reason", told.get("fence", ""))
+    return str(told.get("event", "")), f"{told.get('work', '')} {more}".strip()
 
 
 def without_owner(history: History) -> list[tuple[str, float, float]]:
--- a/limebridge/faults/plan.py
+++ b/limebridge/faults/plan.py
@@ -74,8 +74,9 @@
         kind = rng.choice((*PROCESS, *WAYS, *shared))
         if billed and kind == "twin":
             kind = "stop"
+        lasts = (0.3, 1.5, 2.5) if kind == "stop" else (0.1, 0.5, 1.0, 2.5)
         faults.append(Fault(round(rng.uniform(0.0, seconds), 3), kind, rng.randrange(daemons),
-                            round(rng.choice((0.1, 0.5, 1.0, 2.5)) * rng.uniform(0.5, 1.5), 3)))
+                            round(rng.choice(lasts) * rng.uniform(0.5, 1.5), 3)))
     faults.sort(key=lambda fault: fault.at)
     return Plan(seed, round(seconds, 3), daemons, where, rng.randint(1, 3), billed, 0.8, faults)
 
--- a/limebridge/faults/relay.py
+++ b/limebridge/faults/relay.py
@@ -130,7 +130,7 @@
         self.there, self.back = Path(), Path()
         self._random = random.Random(f"datagrams/{seed}")
         self._senders: dict[Any, asyncio.DatagramTransport] = {}
-        self._held = 0
+        self._held = self.dropped = 0
         self.port = 0
 
     async def start(self) -> Datagrams:
@@ -158,6 +158,7 @@
     def pass_on(self, data: bytes, path: Path, send: Any) -> None:
         """As the path has it: perhaps not, perhaps twice, perhaps late."""
         if path.cut or self._random.random() < path.drop or self._held >= HELD_MOST:
+            self.dropped += 1
             return
         for _ in range(2 if self._random.random() < path.double else 1):
             wait = path.delay + path.jitter * self._random.random()
--- a/limebridge/faults/rig.py
+++ b/limebridge/faults/rig.py
@@ -12,7 +12,6 @@
 import contextlib
 import os
 import random
-import resource
 import shutil
 import signal
 import sys
@@ -22,25 +21,19 @@
 from pathlib import Path
 from typing import Any
 
-import tomli_w
-
-from limebridge.child import Child, Unready, free_ports
-from limebridge.standins.configuration import configuration
+from limebridge.child import Unready
 from limebridge.standins.discovery import Discovery
 from limebridge.standins.effects import Effects
 from limebridge.standins.nodes import CacheNode
 
 from . import history as histories
+from .daemon import BEAT, Daemon
 from .history import History
 from .plan import FORGETS, Fault, Plan
 from .relay import Path as Way
-from .relay import Relay
 
 PATIENCE = 30.0  # s until a work goes on after the healing: many terms, on a busy machine
 LOOK = 0.05  # s between looks at what is waited for
-BEAT = 0.02  # s between two effects of a work
-LONG = 3600.0  # s of a fault that ends with the plan
-NO_FILES = 8  # descriptors, of a process that has more open: nothing new can be opened
 CHILD = """
 import runpy, sys
 patch = {patch!r}
@@ -64,99 +57,6 @@
     gaps: list[tuple[str, float, float]] = field(default_factory=list)
 
 
-class Daemon:
-    """One of them, over its lives, with its relays."""
-
-    def __init__(self, rig: Rig, number: int) -> None:
-        self.rig, self.number, self.name = rig, number, f"p{number}"
-        self.child: Child | None = None
-        self.twins: list[Child] = []
-        self.lives: list[Child] = []  # all that were ever started
-        self.works: list[str] = rig.works
-        self.busy = asyncio.Lock()  # one change of its process at a time
-        self.limits: dict[int, tuple[int, int]] = {}
-        self.stopped = 0
-
-    async def open(self) -> None:
-        rig, seed = self.rig, f"{self.rig.plan.seed}/{self.number}"
-        self.ways = [await Relay(rig.effects.port, f"{seed}/e").start()]
-        if rig.consul_port:
-            self.ways.append(await Relay(rig.consul_port, f"{seed}/c").start())
-
-    def operator(self) -> Path:
-        plan = self.rig.plan
-        fleet: dict[str, Any] = {
-            "store": plan.store, "works": self.works, "term_s": plan.term_s, "look_s": 0.1,
-            "call_s": 0.4, "beat_s": BEAT, "move_s": 1.0,
-            "endpoint": f"127.0.0.1:{self.ways[0].port}"}
-        if plan.store == "folder":
-            fleet["folder"] = str(self.rig.shared)
-        else:
-            fleet["agents"] = [f"127.0.0.1:{self.ways[1].port}"]
-        path = self.rig.folder / f"{self.name}.toml"
-        path.write_text(tomli_w.dumps(
-            {"log": {"format": "json", "per_second": 1000.0}, "fleet": fleet}
-            | self.rig.more_tables(self)))
-        return path
-
-    async def start(self) -> None:
-        self.child = await self._start(self.name)
-
-    async def _start(self, owner: str) -> Child:
-        rig = self.rig
-
-        def told(line: str) -> None:
-            said = histories.parse(line)
-            if said is not None:
-                rig.history.said.append((rig.now, owner, *said))
-
-        child = Child(rig.folder, owner, rig.command, told=told)
-        self.lives.append(child)
-        raw = configuration(rig.discovery.port, rig.known) | {"name": self.name}
-        for last in (False, False, True):
-            try:
-                await child.start(raw, free_ports(1)[0], self.operator())
-                break
-            except Unready as error:  # another rig on this machine has taken the port since
-                if last or "cannot listen" not in str(error):
-                    raise
-                child.last = ""
-        return child
-
-    @property
-    def pid(self) -> int:
-        return self.child.pid if self.child is not None and self.child.state == "up" else 0
-
-    def signal(self, number: int) -> bool:
-        """Whether there was a process to take it."""
-        if not self.pid:
-            return False
-        with contextlib.suppress(ProcessLookupError):
-            os.kill(self.pid, number)
-            return True
-        return False
-
-    async def ends(self, hard: bool) -> None:
-        child = self.child
-        if child is None or child.state != "up":
-            return
-        self.signal(signal.SIGCONT)
-        self.stopped = 0
-        if hard:
-            child.state = "down"
-            os.kill(child.pid, signal.SIGKILL)
-            await child.kill()
-        elif not await child.term():
-            self.rig.complain("ends", f"{self.name} did not drain: {child.last}")
-        self.limits.clear()
-
-    async def close(self) -> None:
-        for child in self.lives:
-            await child.kill()
-        for way in self.ways:
-            await way.stop()
-
-
 class Rig:
     """`patch`: a file whose plant() every daemon runs first."""
 
@@ -253,71 +153,7 @@
             await self._shared(fault)
         else:
             async with daemon.busy:
-                await getattr(self, f"_{name}")(fault, daemon)
-
-    # --- faults of a process ---
-    async def _kill(self, fault: Fault, daemon: Daemon) -> None:
-        await daemon.ends(hard=True)
-        await asyncio.sleep(fault.seconds)
-        await daemon.start()
-
-    async def _term(self, fault: Fault, daemon: Daemon) -> None:
-        await daemon.ends(hard=False)
-        await asyncio.sleep(fault.seconds)
-        await daemon.start()
-
-    async def _stop(self, fault: Fault, daemon: Daemon) -> None:
-        daemon.signal(signal.SIGSTOP)
-        await asyncio.sleep(fault.seconds)
-        daemon.signal(signal.SIGCONT)
-
-    async def _hup(self, fault: Fault, daemon: Daemon) -> None:
-        """The works are turned off, perhaps while owned, and on again."""
-        daemon.works = []
-        daemon.operator()
-        daemon.signal(signal.SIGHUP)
-        await asyncio.sleep(fault.seconds)
-        daemon.works = self.works
-        daemon.operator()
-        daemon.signal(signal.SIGHUP)
-
-    async def _core(self, fault: Fault, daemon: Daemon) -> None:
-        """All that it has is the lowest share of one core, with the rig's other starved ones."""
-        if daemon.pid:
-            core = min(os.sched_getaffinity(0))
-            with contextlib.suppress(ProcessLookupError):
-                os.sched_setaffinity(daemon.pid, {core})
-                os.setpriority(os.PRIO_PROCESS, daemon.pid, 19)  # stays: that is not ours to undo
-            await asyncio.sleep(fault.seconds)
-            with contextlib.suppress(ProcessLookupError):
-                os.sched_setaffinity(daemon.pid or os.getpid(), os.sched_getaffinity(0))
-
-    async def _no_files(self, fault: Fault, daemon: Daemon) -> None:
-        await self._limited(resource.RLIMIT_NOFILE, NO_FILES, fault, daemon)
-
-    async def _no_room(self, fault: Fault, daemon: Daemon) -> None:
-        await self._limited(resource.RLIMIT_FSIZE, 0, fault, daemon)
-
-    async def _limited(self, what: int, most: int, fault: Fault, daemon: Daemon) -> None:
-        if not daemon.pid:
-            return
-        soft, hard = resource.prlimit(daemon.pid, what)
-        daemon.limits.setdefault(what, (soft, hard))
-        resource.prlimit(daemon.pid, what, (most, hard))
-        await asyncio.sleep(fault.seconds)
-        self._unlimit(daemon)
-
-    @staticmethod
-    def _unlimit(daemon: Daemon) -> None:
-        for what, limits in daemon.limits.items():
-            if daemon.pid:
-                with contextlib.suppress(ProcessLookupError):
-                    resource.prlimit(daemon.pid, what, limits)
-        daemon.limits.clear()
-
-    async def _twin(self, fault: Fault, daemon: Daemon) -> None:
-        """Another process under the same name."""
-        daemon.twins.append(await daemon._start(f"{daemon.name}-twin{len(daemon.twins)}"))
+                await getattr(daemon, f"_{name}")(fault)
 
     # --- faults of a way ---
     async def _way(self, fault: Fault, daemon: Daemon) -> None:
@@ -386,7 +222,7 @@
             for way in daemon.ways:
                 way.set()
             daemon.signal(signal.SIGCONT)
-            self._unlimit(daemon)
+            daemon.unlimit()
             daemon.works = self.works
             daemon.operator()
             daemon.signal(signal.SIGHUP)
--- /dev/null
+++ b/limebridge/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Looking at the fleet's works from outside."""
--- /dev/null
+++ b/limebridge/fleet/command.py
@@ -0,0 +1,77 @@
+"""`limebridge fleet`: who owns which work, and what a work's log says."""
+
+from __future__ import annotations
+
+import json
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from violetroute.config import ConfigError
+from violetroute.config.operator import load_operator
+from violetroute.fleet.table import FleetTable
+
+from .reading import Unread, entries, owned
+
+app = typer.Typer(no_args_is_help=True, help="Works on behalf of the fleet.")
+OperatorFile = Annotated[Path, typer.Option(
+    "--operator", metavar="FILE", help="The operator's file, of any proxy of the fleet.")]
+Json = Annotated[bool, typer.Option("--json", help="One JSON line a row.")]
+
+
+def _table(path: Path) -> FleetTable:
+    try:
+        table = load_operator(str(path)).fleet
+    except ConfigError as error:
+        typer.echo(f"limebridge: {error}", err=True)
+        raise typer.Exit(2) from None
+    if table.store == "off":
+        typer.echo(f"limebridge: {path}: [fleet] store: off", err=True)
+        raise typer.Exit(2)
+    return table
+
+
+@app.command()
+def owners(operator: OperatorFile, as_json: Json = False) -> None:
+    """Work, owner, fence, since when, and what is left of the term."""
+    try:
+        rows = owned(_table(operator))
+    except (Unread, OSError) as error:
+        typer.echo(f"limebridge: {error}", err=True)
+        raise typer.Exit(1) from None
+    if as_json:
+        for row in rows:
+            print(json.dumps(row.__dict__))
+        return
+    table = Table("work", "owner", "fence", "state", "since", "left", box=None)
+    for row in rows:
+        since = datetime.fromtimestamp(row.since, UTC).strftime("%Y-%m-%d %H:%M:%SZ") \
+            if row.since else ""
+        table.add_row(row.work, row.owner, str(row.fence), row.state, since,
+                      "" if row.left_s is None else f"{row.left_s:.1f} s")
+    Console().print(table)
+
+
+@app.command()
+def log(work: str, operator: OperatorFile, as_json: Json = False) -> None:
+    """The entries of a work's log that count: bills, beats, what was handed over."""
+    try:
+        found, read = entries(_table(operator), work)
+    except (Unread, OSError) as error:
+        typer.echo(f"limebridge: {error}", err=True)
+        raise typer.Exit(1) from None
+    for position, record in found:
+        body = msgspec.json.encode(record.body).decode()
+        if as_json:
+            print(json.dumps({"position": position, "fence": record.fence, "owner": record.name,
+                              "body": record.body}))
+        else:
+            print(f"{position:8}  {record.fence:5}  {record.name:12}  {body[:200]}")
+    if not as_json:
+        print(f"{read.entries} entries, {read.void} positions that count for nobody, last fence "
+              f"{read.seal.fence}")
--- a/limebridge/standins/consul.py
+++ b/limebridge/standins/consul.py
@@ -19,6 +19,8 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
+from .kv import KeyValues, duration
+
 WAIT = 300.0  # s of a blocking query that does not say for how long
 BODY_MOST = 1024 * 1024  # bytes of what a client sends
 
@@ -126,6 +128,8 @@
         self.frozen: tuple[int, list[dict[str, Any]]] | None = None  # a replica that hears nothing
         self.told: Callable[[str, bytes], None] = lambda target, body: None  # whole good answers
         self.open: dict[asyncio.StreamWriter, None] = {}
+        self.kv = KeyValues(self.catalogue, self._random)
+        self.loses_answers = False  # what was asked is done, and then the connection is reset
         self.port = 0
 
     async def start(self, port: int = 0, tls: ssl.SSLContext | None = None) -> Consul:
@@ -140,6 +144,32 @@
             writer.transport.abort()
         await asyncio.sleep(0)
 
+    async def fault(self, kind: str, seconds: float) -> None:
+        """Of `limebridge.faults.plan`; `heal` ends what lasts."""
+        if kind == "leader":
+            self.catalogue.leader = False
+            await asyncio.sleep(seconds)
+            self.kv.new_leader(self._random.random() < 0.5)
+            self.heal()
+        elif kind == "lose_answers":
+            self.loses_answers = True
+            await asyncio.sleep(seconds)
+            self.heal()
+        else:
+            self.kv.forget()
+
+    def heal(self) -> None:
+        self.catalogue.leader, self.loses_answers = True, False
+
+    def logs(self) -> dict[str, list[bytes]]:
+        """The fleet's logs: their records in order."""
+        found: dict[str, list[bytes]] = {}
+        for key, entry in sorted(self.kv.entries.items()):
+            parts = key.split("/")
+            if "log" in parts:
+                found.setdefault(parts[parts.index("log") + 1], []).append(entry.value)
+        return found
+
     def freeze(self, service: str = "cache") -> None:
         """From now on this agent answers with what there is now."""
         self.frozen = self.catalogue.index, self.catalogue.listed(service)
@@ -170,6 +200,9 @@
         status, said = await self._answer(method, target, body)
         await asyncio.sleep(self.delay)
         # Troubles last: one that begins while a query blocks meets its answer.
+        if self.loses_answers and method == "PUT":
+            writer.transport.abort()
+            return False
         if self.black:
             await asyncio.Event().wait()
         if self.answers:
@@ -212,12 +245,16 @@
         asks = {name: values[0] for name, values in
                 parse_qs(parts.query, keep_blank_values=True).items()}
         path = [unquote(part) for part in parts.path.strip("/").split("/")]
+        if path[1:2] in (["kv"], ["session"], ["txn"]):
+            if not self.catalogue.leader:
+                return 500, b"No cluster leader"
+            return await self.kv.answer(method, path[1:], asks, body)
         if method == "PUT":
             return self._put(path, asks, json.loads(body) if body else {})
         match path:
             case ["v1", "health" | "catalog" as kind, "service", name]:
                 if "index" in asks and "consistent" not in asks:
-                    seconds = _seconds(asks.get("wait", "")) or WAIT
+                    seconds = duration(asks.get("wait", "")) or WAIT
                     seconds += self._random.uniform(0.0, seconds / 16)
                     if self.frozen is not None:
                         await asyncio.sleep(seconds)
@@ -267,11 +304,3 @@
             case _:
                 return 404, b"unknown service"
         return 200, b""
-
-
-def _seconds(text: str) -> float:
-    """A Go duration of one unit, as clients send it."""
-    for unit, factor in (("ms", 0.001), ("s", 1.0), ("m", 60.0)):
-        if text.endswith(unit) and text.removesuffix(unit).isdecimal():
-            return int(text.removesuffix(unit)) * factor
-    return 0.0
--- /dev/null
+++ b/limebridge/standins/kv.py
@@ -0,0 +1,207 @@
+"""Consul's sessions, keys and transactions, as far as locks need them, by the published HTTP API.
+
+`PUT /v1/session/create`, `renew/:id`, `destroy/:id`; `GET /v1/kv/:key` with `recurse` and blocking
+queries; `PUT /v1/txn` with the verbs set, lock, unlock, delete, check-index, check-not-exists.
+With the known weak points: a session ends between one and two times its TTL after its last renewal,
+a new leader begins the reckoning anew or has lost the sessions, `lock-delay` keeps a key locked
+after a session was invalidated, and servers that have lost their data begin at index 1.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import random
+import uuid
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+LOCK_DELAY = 15.0  # s, of a session that does not say
+VALUE_MOST = 512 * 1024  # bytes
+STEPS_MOST = 128  # of a transaction
+
+
+class Index(Protocol):
+    """What the servers agree on: `Catalogue`."""
+
+    index: int
+
+    def change(self) -> None: ...
+
+    async def after(self, index: int, seconds: float) -> None: ...
+
+
+@dataclass
+class Session:
+    ttl: float
+    lock_delay: float
+    behavior: str
+    timer: Any = None
+
+
+@dataclass
+class Entry:
+    value: bytes
+    create: int
+    modify: int
+    lock: int = 0
+    session: str = ""
+    free_at: float = 0.0  # until then the lock-delay holds
+
+
+@dataclass
+class KeyValues:
+    """The servers' state; `change` of the catalogue is their index."""
+
+    servers: Index
+    rng: random.Random
+    entries: dict[str, Entry] = field(default_factory=dict)
+    sessions: dict[str, Session] = field(default_factory=dict)
+    calls: int = 0
+
+    @property
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    # --- what goes wrong ---
+    def forget(self) -> None:
+        """Servers that have lost their data."""
+        for id_ in list(self.sessions):
+            self._end(id_, tell=False)
+        self.entries.clear()
+        self.servers.index = 0
+        self.servers.change()
+
+    def new_leader(self, loses: bool) -> None:
+        """Sessions are lost, or live on from now."""
+        for id_ in list(self.sessions):
+            if loses:
+                self._end(id_)
+            else:
+                self._wind(id_)
+
+    # --- sessions ---
+    def _wind(self, id_: str) -> None:
+        session = self.sessions[id_]
+        if session.timer is not None:
+            session.timer.cancel()
+        session.timer = asyncio.get_running_loop().call_later(
+            session.ttl * self.rng.uniform(1.0, 2.0), self._end, id_)
+
+    def _end(self, id_: str, tell: bool = True) -> None:
+        session = self.sessions.pop(id_, None)
+        if session is None:
+            return
+        session.timer.cancel()
+        for key, entry in list(self.entries.items()):
+            if entry.session == id_:
+                if session.behavior == "delete":
+                    del self.entries[key]
+                else:
+                    entry.session = ""
+                    entry.free_at = self._now + session.lock_delay
+                    entry.modify = self.servers.index + 1
+        if tell:
+            self.servers.change()
+
+    def _create(self, body: dict[str, Any]) -> tuple[int, bytes]:
+        id_ = str(uuid.UUID(int=self.rng.getrandbits(128)))
+        ttl = duration(body.get("TTL", ""))
+        if not ttl:
+            return 400, b"Invalid Session TTL"
+        delay = body.get("LockDelay")
+        self.sessions[id_] = Session(ttl, LOCK_DELAY if delay is None else duration(str(delay)),
+                                     body.get("Behavior", "release"))
+        self._wind(id_)
+        self.servers.change()
+        return 200, json.dumps({"ID": id_}).encode()
+
+    # --- calls ---
+    async def answer(self, method: str, path: list[str], asks: dict[str, str],
+                     body: bytes) -> tuple[int, bytes]:
+        self.calls += 1
+        match method, path:
+            case "PUT", ["session", "create"]:
+                return self._create(json.loads(body) if body else {})
+            case "PUT", ["session", "renew", id_]:
+                if id_ not in self.sessions:
+                    return 404, f"Session id '{id_}' not found".encode()
+                self._wind(id_)
+                return 200, json.dumps([{"ID": id_}]).encode()
+            case "PUT", ["session", "destroy", id_]:
+                self._end(id_)
+                return 200, b"true"
+            case "PUT", ["txn"]:
+                return self._transaction(json.loads(body))
+            case "GET", ["kv", *parts]:
+                if "index" in asks:
+                    seconds = duration(asks.get("wait", "")) or 300.0
+                    await self.servers.after(int(asks["index"]),
+                                             seconds * self.rng.uniform(1.0, 1.0625))
+                return self._get("/".join(parts), "recurse" in asks)
+        return 404, b"no such thing"
+
+    def _get(self, key: str, recurse: bool) -> tuple[int, bytes]:
+        found = {name: entry for name, entry in sorted(self.entries.items())
+                 if name == key or (recurse and name.startswith(key))}
+        if not found:
+            return 404, b""
+        return 200, json.dumps([{
+            "Key": name, "Value": base64.b64encode(entry.value).decode(), "Flags": 0,
+            "CreateIndex": entry.create, "ModifyIndex": entry.modify, "LockIndex": entry.lock,
+            **({"Session": entry.session} if entry.session else {})}
+            for name, entry in found.items()]).encode()
+
+    def _transaction(self, steps: list[dict[str, Any]]) -> tuple[int, bytes]:
+        """All of it or nothing: checks come before any change, whatever their order."""
+        if len(steps) > STEPS_MOST:
+            return 413, b"too many operations"
+        asked = [step["KV"] for step in steps]
+        wrong = [place for place, step in enumerate(asked) if not self._holds(step)]
+        if wrong:
+            return 409, json.dumps({"Results": None, "Errors": [
+                {"OpIndex": place, "What": "failed"} for place in wrong]}).encode()
+        for step in asked:
+            self._apply(step)
+        self.servers.change()
+        return 200, json.dumps({"Results": [], "Errors": None}).encode()
+
+    def _holds(self, step: dict[str, Any]) -> bool:
+        entry = self.entries.get(step["Key"])
+        match step["Verb"]:
+            case "check-index":
+                return entry is not None and entry.modify == step["Index"]
+            case "check-not-exists":
+                return entry is None
+            case "set":
+                return len(base64.b64decode(step["Value"])) <= VALUE_MOST
+            case "lock":
+                return step["Session"] in self.sessions and (
+                    entry is None or entry.session == step["Session"]
+                    or (not entry.session and self._now >= entry.free_at))
+            case "unlock":
+                return entry is not None and entry.session == step["Session"]
+            case "delete":
+                return True
+        return False
+
+    def _apply(self, step: dict[str, Any]) -> None:
+        key, verb, index = step["Key"], step["Verb"], self.servers.index + 1
+        if verb == "delete":
+            self.entries.pop(key, None)
+        elif verb in ("set", "lock", "unlock"):
+            entry = self.entries.setdefault(key, Entry(b"", index, index))
+            entry.value, entry.modify = base64.b64decode(step["Value"]), index
+            if verb == "lock" and entry.session != step["Session"]:
+                entry.session, entry.lock = step["Session"], entry.lock + 1
+            elif verb == "unlock":
+                entry.session = ""
+
+
+def duration(text: str) -> float:
+    """A Go duration of one unit, as clients send it."""
+    for unit, factor in (("ms", 0.001), ("s", 1.0), ("m", 60.0)):
+        if text.endswith(unit) and text.removesuffix(unit).isdecimal():
+            return int(text.removesuffix(unit)) * factor
+    return 0.0
--- /dev/null
+++ b/limebridge/virtual/lives.py
@@ -0,0 +1,239 @@
+"""One process of a virtual fleet: its clock, its store and its lives; `fleet` is their world."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Any
+
+from violetroute.fleet.folder import FolderStore
+from violetroute.fleet.keeper import Fleet, Work
+from violetroute.fleet.kv import ConsulStore
+from violetroute.fleet.lease import Me
+from violetroute.fleet.log import Put, Read, Result, Steps
+from violetroute.fleet.store import Store, Told
+from violetroute.fleet.table import FleetTable
+from violetroute.fleet.work import Beat, LogWork
+from violetroute.transport import parse_address
+from violetroute.transport.sockets import SocketNetwork
+from violetroute.transport.turns import Turns
+
+from .loop import VirtualLoop
+
+if TYPE_CHECKING:
+    from .fleet import World
+
+START = 1.7e9  # Unix s
+DRIFT = 0.05
+BEAT = 0.2  # s between two effects of a work
+
+
+class Said(logging.Handler):
+    """What the lives say of their terms, for the story."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__()
+        self._world = world
+
+    def emit(self, record: logging.LogRecord) -> None:
+        event = str(getattr(record, "event", ""))
+        fields = getattr(record, "fields", {})
+        if event.startswith("fleet."):
+            more = " ".join(f"{key}={value}" for key, value in fields.items())
+            self._world.history.said.append((self._world.kernel.now, "", event, more))
+
+
+class ProcessClock:
+    """A process's loop: its clock runs at a rate, and stands while the process does."""
+
+    def __init__(self, loop: VirtualLoop, rate: float) -> None:
+        self._loop, self._rate = loop, rate
+        self.dead = False
+        self.until = 0.0  # stopped until then, by the world's clock
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+    def time(self) -> float:
+        return self._loop.time() * self._rate
+
+    def call_later(self, delay: float, callback: Callable[..., Any], *args: Any) -> Any:
+        return self._loop.call_later(max(0.0, delay) / self._rate, self._run, callback, args)
+
+    def call_at(self, when: float, callback: Callable[..., Any], *args: Any) -> Any:
+        # Never before it is due by this clock, whatever a division has left of it.
+        return self._loop.call_at((when + 1e-9) / self._rate, self._run, callback, args)
+
+    def call_soon(self, callback: Callable[..., Any], *args: Any) -> Any:
+        return self._loop.call_soon(self._run, callback, args)
+
+    def _run(self, callback: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        if self.dead:
+            return
+        if self._loop.time() < self.until:
+            # A handle that was cancelled meanwhile can't say so any more: what it calls can.
+            self._loop.call_at(self.until, self._run, callback, args)
+        else:
+            callback(*args)
+
+
+class SteppedStore:
+    """`FolderStore` with each of its steps at an instant of its own."""
+
+    vouches = False
+
+    def __init__(self, store: FolderStore, clock: ProcessClock, rng: random.Random,
+                 fails: Callable[[], bool], mean: float) -> None:
+        self._mean = mean
+        self._store, self._clock, self._rng, self._fails = store, clock, rng, fails
+        self._queues: dict[str, list[Callable[[], None]]] = {"leases": [], "logs": []}
+        self._busy: set[str] = set()
+
+    def _wait(self) -> float:
+        return self._mean * self._rng.expovariate(1.0)
+
+    def _submit(self, job: Callable[[], Any], told: Told[Any]) -> None:
+        self._queues["leases"].append(
+            lambda: self._clock.call_later(self._wait(), self._do, job, told))
+        self._next("leases")
+
+    def _next(self, writer: str) -> None:
+        if writer not in self._busy and self._queues[writer]:
+            self._busy.add(writer)
+            self._queues[writer].pop(0)()
+
+    def _do(self, job: Callable[[], Any], told: Told[Any]) -> None:
+        result, why = None, ""
+        try:
+            if self._fails():
+                raise OSError(28, "No space left on device")
+            result = job()
+        except Exception as error:
+            why = str(error) or type(error).__name__
+        self._clock.call_later(self._wait(), self._done, "leases", told, result, why)
+
+    def _done(self, writer: str, told: Told[Any], result: Any, why: str) -> None:
+        self._busy.discard(writer)
+        told(result, why)
+        self._next(writer)
+
+    def look(self, told: Told[Any]) -> None:
+        self._submit(self._store.look, told)
+
+    def ask(self, ask: Any, told: Told[Any]) -> None:
+        self._submit(lambda: self._store.ask(ask), told)
+
+    def renew(self, terms: Sequence[tuple[str, int]], told: Told[Any]) -> None:
+        self._submit(lambda: self._store.renew(terms), told)
+
+    def release(self, work: str, fence: int, told: Told[Any]) -> None:
+        self._submit(lambda: self._store.release(work, fence), told)
+
+    def run(self, steps: Steps, told: Told[Result]) -> None:
+        """Each read and put by itself: what was checked may be old when it is put."""
+        self._queues["logs"].append(
+            lambda: self._clock.call_later(self._wait(), self._step, steps, None, told))
+        self._next("logs")
+
+    def _step(self, steps: Steps, answer: Any, told: Told[Result]) -> None:
+        try:
+            step = steps.send(answer)
+            if self._fails():
+                raise OSError(28, "No space left on device")
+        except StopIteration as end:
+            self._done("logs", told, end.value, "")
+            return
+        except Exception as error:
+            self._done("logs", told, None, str(error) or type(error).__name__)
+            return
+        self._clock.call_later(self._wait(), self._steps, steps, step, told)
+
+    def _steps(self, steps: Steps, step: Read | Put, told: Told[Result]) -> None:
+        try:
+            answer: Any = self._store.read(step.log, step.position) if isinstance(step, Read) \
+                else self._store.put(step.log, step.position, step.data)
+        except OSError as error:
+            self._done("logs", told, None, str(error))
+            return
+        self._clock.call_later(self._wait(), self._step, steps, answer, told)
+
+    def close(self) -> None:
+        self._store.close()
+
+
+class Process:
+    """One life after another of one proxy's fleet part."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.world, self.number, self.name = world, number, f"p{number}"
+        self.rate = world.rng.uniform(1.0 - DRIFT, 1.0 + DRIFT)
+        self.port = self.consul_port = 0
+        self.works: Sequence[str] = world.works
+        self.fleet: Fleet | None = None
+        self.failing_until = 0.0
+        self.busy = False  # a change of its life is under way
+        self.twins: list[Process] = []
+
+    def start(self) -> None:
+        world = self.world
+        world.lives += 1
+        self.clock = ProcessClock(world.loop, self.rate)
+        self.owner = f"{self.name}/{world.lives}"
+        net = SocketNetwork(self.clock, Turns(), make=world.kernel.maker(self.owner),  # type: ignore[arg-type]
+                            clock=lambda: START + world.kernel.now, undelivered=lambda sock: 0)
+        plan = world.plan
+        table = FleetTable(
+            store=plan.store, folder=str(world.folder), agents=(f"127.0.0.1:{self.consul_port}",),
+            works=tuple(self.works), term_s=plan.term_s, drift=DRIFT, look_s=0.1, call_s=0.4,
+            move_s=1.0, beat_s=BEAT, endpoint=f"127.0.0.1:{self.port}")
+        rng = random.Random(f"{plan.seed}/{self.owner}")
+        self.folder_store: FolderStore | None = None
+
+        def store(me: Me) -> Store:
+            if plan.store == "consul":
+                return ConsulStore(table, net, me)
+            self.folder_store = FolderStore(world.folder, me, net.wall)
+            return SteppedStore(self.folder_store, self.clock, rng,
+                                lambda: world.kernel.now < self.failing_until, world.call)
+
+        def work(name: str) -> Work:
+            return LogWork(name, net, Beat(), BEAT, parse_address(table.endpoint), table.path,
+                           table.call_s)
+
+        self.fleet = Fleet(table, self.name, net, store, work, nonce=f"n{world.lives}")
+
+    def kill(self) -> None:
+        """Nothing of it runs any more; the kernel resets its connections and frees its lock."""
+        if self.fleet is None:
+            return
+        self.fleet, self.clock.dead = None, True
+        kernel, loop = self.world.kernel, self.world.loop
+        for sock in [sock for sock in kernel.sockets.values() if sock.owner == self.owner]:
+            number = sock.fileno()
+            loop.remove_reader(number)
+            loop.remove_writer(number)
+            sock.abort()
+        kernel.paused.pop(self.owner, None)
+        if self.folder_store is not None:
+            self.folder_store._let_go()
+
+    def stop(self, seconds: float) -> None:
+        if self.fleet is None:
+            return
+        kernel, owner = self.world.kernel, self.owner
+        until = self.clock.until = max(self.clock.until, kernel.now + seconds)
+        kernel.paused[owner] = until
+
+        def goes_on() -> None:
+            if kernel.paused.get(owner, 0.0) <= kernel.now:
+                kernel.paused.pop(owner, None)
+                kernel.touch_all(owner)
+
+        kernel.at(until, goes_on)
+
+    async def term(self) -> None:
+        if self.fleet is not None:
+            fleet = self.fleet
+            await fleet.close()
+            self.kill()
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,231 @@
+"""The rig: fixed plans on real daemons, seeds in memory, and planted faults that are found."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import msgspec
+import pytest
+from typer.testing import CliRunner
+
+from limebridge.cli import app
+from limebridge.faults import history as histories
+from limebridge.faults import plan as plans
+from limebridge.faults.history import History
+from limebridge.faults.plan import Fault, Plan
+from limebridge.faults.relay import Datagrams, Relay
+from limebridge.faults.relay import Path as Way
+from limebridge.faults.rig import play
+from limebridge.standins.effects import Effect
+from limebridge.virtual import fleet as virtual
+from violetroute.config import ConfigError
+from violetroute.fleet.log import Record, encode
+
+ROOT = Path(__file__).parent.parent
+
+# Each is one real rig: what it was kept for stands with it.
+REAL = {
+    "stopped between check and write, killed, handed back": Plan(
+        1, 3.0, 5, "folder", 2, False, 0.5, [
+            Fault(0.2, "stop", 0, 1.2), Fault(0.4, "stop", 1, 1.2), Fault(0.6, "stop", 2, 1.2),
+            Fault(0.8, "kill", 3, 0.3), Fault(2.2, "term", 4, 0.1)]),
+    "a folder that comes back older, two of one name, no room": Plan(
+        2, 3.0, 5, "folder", 1, False, 0.5, [
+            Fault(0.3, "twin", 0), Fault(0.5, "older", 0, 0.8), Fault(0.8, "no_room", 1, 0.5),
+            Fault(1.6, "torn", 2, 0.4), Fault(2.2, "gone", 3)]),
+    "a Consul that loses its leader, answers, and all it knew": Plan(
+        3, 4.0, 5, "consul", 2, False, 0.8, [
+            Fault(0.5, "lose_answers", 0, 0.5), Fault(1.2, "leader", 0, 0.5),
+            Fault(2.2, "forget", 0), Fault(2.8, "cut", 1, 0.8), Fault(3.0, "hup", 2, 0.3)]),
+    "bills through kills and a stop of their owner": Plan(
+        4, 4.0, 5, "folder", 1, True, 0.5, [
+            Fault(0.9, "kill", 0, 0.2), Fault(1.4, "kill", 1, 0.2), Fault(1.8, "stop", 2, 1.0),
+            Fault(2.0, "endpoint", 0, 1.0), Fault(3.0, "kill", 3, 0.2)]),
+}
+
+
+@pytest.mark.parametrize("name", REAL)
+def test_real_daemons_keep_every_property(name: str) -> None:
+    outcome = play(REAL[name])
+    assert outcome.broken == [], histories.tell(outcome.history, outcome.broken)
+    assert outcome.effects > 10
+
+
+def test_seeds_in_memory_are_exact_and_keep_every_property() -> None:
+    first = [virtual.played(seed, 0) for seed in range(12)]
+    assert [each.broken for each in first] == [()] * 12
+    assert sum(each.effects for each in first) > 200
+    assert virtual.played(2, 0).digest == first[2].digest
+
+
+# Each as it was found by `limebridge explore --fleet` and made small, with the property it broke.
+PLANTED = {"fence_not_checked": "none late", "put_over": "none late", "handed_twice": "once",
+           "time_from_the_answer": "alone", "kept_over_a_stop": "alone"}
+
+
+@pytest.mark.parametrize("plant", PLANTED)
+def test_a_planted_fault_is_found_in_memory_and_the_mended_plan_is_sound(plant: str) -> None:
+    plan = ROOT / "tests" / "plans_fleet" / f"{plant}.toml"
+    patch = ROOT / "tests" / "planted_fleet" / f"{plant}.py"
+    told = subprocess.run(
+        [sys.executable, "-m", "limebridge", "faults", "replay", str(plan), "--virtual",
+         "--patch", str(patch)], capture_output=True, text=True, cwd=ROOT, check=False, timeout=120)
+    assert told.returncode == 1 and f"BROKEN {PLANTED[plant]}" in told.stdout, told.stderr[-2000:]
+    assert virtual.play(plans.read(plan)).broken == ()
+
+
+# Two daemons own eight works between them: of eight stops some meet a write that is under way.
+STOPPED = Plan(7, 5.0, 2, "folder", 8, False, 0.4,
+               [Fault(round(0.3 + 0.7 * n, 3), "stop", n % 2, 0.9) for n in range(7)])
+
+
+@pytest.mark.parametrize("plant", ["put_over", "fence_not_checked"])
+def test_a_planted_fault_is_found_by_real_daemons(plant: str) -> None:
+    for _ in range(3):  # whether a stop meets a write is the scheduler's affair: two did of two
+        outcome = play(STOPPED, str(ROOT / "tests" / "planted_fleet" / f"{plant}.py"))
+        if outcome.broken:
+            break
+    assert "none late" in {name for name, _ in outcome.broken}
+
+
+# --- plans ---
+def test_a_plan_is_its_seeds_and_is_read_back() -> None:
+    for seed in range(40):
+        plan = plans.draw(seed)
+        assert plans.draw(seed) == plan and 2 <= len(plan.fault) <= 7
+        assert msgspec.convert(tomllib.loads(plans.dump(plan)), Plan) == plan
+
+
+def test_a_plan_that_is_none_is_one_line(tmp_path: Path) -> None:
+    path = tmp_path / "plan.toml"
+    for text, key in (("seconds = -1", "seconds"), ("[[fault]]\nat = 1.0\nkind = 'rain'", "kind"),
+                      ("[[fault]]\nkind = 'kill'", "at"), ("x = 1", "x")):
+        path.write_text(text)
+        with pytest.raises(ConfigError) as wrong:
+            plans.read(path)
+        assert key in str(wrong.value) and "\n" not in str(wrong.value)
+    assert CliRunner().invoke(app, ["faults", "replay", str(path)]).exit_code == 2
+
+
+# --- checkers: each is seen to see ---
+def effect(key: str, fence: int, nonce: str, body: object = None, at: float = 0.0) -> Effect:
+    return Effect(at, key, fence, nonce, body)
+
+
+def entry(fence: int, nonce: str, body: object, kind: str = "entry") -> bytes:
+    return encode(Record(1, "w", fence, nonce, kind, body))  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(("history", "rule"), [
+    (History(effects=[effect("w/2.b/1", 2, "b"), effect("w/1.a/0", 1, "a")]), "fence order"),
+    (History(effects=[effect("w/1.a/0", 1, "a"), effect("w/1.b/1", 1, "b")]), "fence order"),
+    (History(effects=[effect("w/1.a/0", 1, "a"), effect("w/1.a/0", 1, "a")]), "once"),
+    (History(effects=[effect("w/1.a/0", 1, "a", {"beat": 1}),
+                      effect("w/1.a/1", 1, "a", {"beat": 1})]), "once"),
+    (History(logs={"w": [entry(2, "b", None, "claim"), entry(1, "a", {"beat": 1})]}), "none late"),
+    (History(logs={"w": [entry(2, "b", None, "claim"), entry(1, "a", None, "claim")]}),
+     "none late"),
+    (History(logs={"w": [entry(1, "a", None, "claim"), entry(1, "a", {"beat": 1}),
+                         entry(1, "a", {"beat": 2})]}), "none lost"),
+    (History(logs={"w": [entry(1, "a", None, "claim"), entry(1, "a", {"beat": 2})]}), "none lost"),
+])
+def test_each_property_is_seen_to_be_broken(history: History, rule: str) -> None:
+    assert rule in {name for name, _ in histories.broken(history)}
+
+
+# --- relays ---
+async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+def test_a_relay_cuts_one_way_delays_halves_and_resets() -> None:
+    async def run() -> None:
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        relay = await Relay(server.sockets[0].getsockname()[1], "t").start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        writer.write(b"one")
+        assert await reader.readexactly(3) == b"one"
+        relay.set(back=Way(cut=True))
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await reader.readexactly(3)
+        relay.set()
+        assert await reader.readexactly(3) == b"two"  # held, not lost
+        relay.set(there=Way(drip=0.001), back=Way(delay=0.05))
+        began = asyncio.get_running_loop().time()
+        writer.write(b"three")
+        assert await reader.readexactly(5) == b"three"
+        assert asyncio.get_running_loop().time() - began >= 0.05
+        relay.set(back=Way(half=4))
+        writer.write(b"four")
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await reader.readexactly(4)
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        relay.set()
+        writer.write(b"five")
+        assert await reader.readexactly(4) == b"five"
+        relay.reset()
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await reader.readexactly(1)
+        await relay.stop()
+        server.close()
+
+    asyncio.run(run())
+
+
+class _Ear(asyncio.DatagramProtocol):
+    def __init__(self) -> None:
+        self.heard: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:  # type: ignore[override]
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        self.heard.append(data)
+
+
+def test_datagrams_are_dropped_doubled_and_overtaken_and_answers_find_their_way() -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        far, near = _Ear(), _Ear()
+        door, _ = await loop.create_datagram_endpoint(lambda: far, local_addr=("127.0.0.1", 0))
+        relay = await Datagrams(door.get_extra_info("sockname")[1], "t").start()
+        ours, _ = await loop.create_datagram_endpoint(
+            lambda: near, remote_addr=("127.0.0.1", relay.port))
+
+        async def heard(count: int) -> None:
+            async with asyncio.timeout(5.0):
+                while len(far.heard) < count:
+                    await asyncio.sleep(0.01)
+
+        relay.there = Way(double=1.0)
+        ours.sendto(b"a")
+        await heard(2)
+        relay.there = Way(drop=1.0)
+        ours.sendto(b"b")
+        async with asyncio.timeout(5.0):
+            while not relay.dropped:
+                await asyncio.sleep(0.01)
+        relay.there = Way(reorder=0.5)
+        for number in range(40):
+            ours.sendto(b"%d" % number)
+        await heard(42)
+        assert far.heard[2:] != [b"%d" % n for n in range(40)]
+        assert sorted(far.heard[2:], key=int) == [b"%d" % n for n in range(40)]
+        (sender,) = relay._senders.values()
+        far.transport.sendto(b"back", sender.get_extra_info("sockname"))
+        async with asyncio.timeout(5.0):
+            while near.heard != [b"back"]:
+                await asyncio.sleep(0.01)
+        relay.stop()
+        door.close()
+        ours.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,588 @@
+"""Leases, logs, stores and the settlement, each for itself."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from limebridge.standins.consul import Consul
+from limebridge.standins.effects import Effects
+from violetroute.config import ConfigError
+from violetroute.config.operator import parse_operator, restart_needed
+from violetroute.fleet import lease as leases
+from violetroute.fleet.folder import FolderStore
+from violetroute.fleet.gather import Gatherer, parse
+from violetroute.fleet.keeper import Fleet
+from violetroute.fleet.kv import ConsulStore
+from violetroute.fleet.lease import Lease, Me, Seal, Stamp, Unreadable
+from violetroute.fleet.log import Crowded, Done, Fenced, FencedLog, Put, append, claim
+from violetroute.fleet.owner import Ask, Gained, Over, Owner, Release, Renew, Terms
+from violetroute.fleet.settlement import Batch, Keys, Settlement, Through
+from violetroute.fleet.spread import RANK_MOST, fair, lottery, move, order, ranks
+from violetroute.fleet.table import FleetTable
+from violetroute.fleet.work import Beat, LogWork
+from violetroute.transport import Address
+from violetroute.transport.sockets import SocketNetwork
+
+A, B = Me("a", "na"), Me("b", "nb")
+TERMS = Terms(10.0, 0.05, 0.1)
+
+
+class Even:
+    def random(self) -> float:
+        return 0.0
+
+
+def owner(me: Me = A, terms: Terms = TERMS) -> Owner:
+    made = Owner("w", me.nonce, terms, Even())
+    made.want(True)
+    return made
+
+
+def lease(fence: int = 1, me: Me = A, beat: int = 0, free: bool = False) -> Lease:
+    return Lease(1, "w", fence, me.name, me.nonce, beat, free)
+
+
+# --- leases ---
+@pytest.mark.parametrize("data", [
+    b"", b"{}", b"\xff" * 20, b"[" * 3000, b'{"v":1,"work":"w","fence":0,"name":"a","nonce":"n"}',
+    b'{"v":1,"work":"other","fence":3,"name":"a","nonce":"n"}', b"x" * 5000,
+    b'{"v":1,"work":"w","fence":99999999999999999999,"name":"a","nonce":"n"}',
+    b'{"v":2,"work":"w","fence":3,"name":"a","nonce":"n","more":1}'])
+def test_a_record_that_is_not_ours_to_judge_is_no_lease(data: bytes) -> None:
+    with pytest.raises(Unreadable):
+        leases.decode(data, "w")
+
+
+def test_a_fence_rises_above_the_record_and_above_all_that_was_heard_of() -> None:
+    made = leases.taken("w", None, None, 7, B, 0.0)
+    assert made is not None and made.fence == 8
+    assert leases.taken("w", lease(3), None, 0, B, 0.0) is None  # another's, and not watched
+    over = Stamp(3, A.nonce, 0)
+    made = leases.taken("w", lease(3), over, 0, B, 0.0)
+    assert made is not None and made.fence == 4
+    assert leases.taken("w", lease(3, beat=1), over, 0, B, 0.0) is None  # renewed since
+    assert leases.taken("w", lease(3), None, leases.FENCE_MOST, A, 0.0) is None
+    assert leases.renewed(lease(3), 3, B) is None
+    assert leases.renewed(lease(3, free=True), 3, A) is None
+
+
+def test_a_seal_admits_no_lower_fence_and_no_second_life_under_one() -> None:
+    seal = Seal()
+    assert seal.admits(3, "x") and seal.admits(3, "x")
+    assert not seal.admits(3, "y") and not seal.admits(2, "x")
+    assert seal.admits(4, "y") and not seal.admits(3, "x")
+
+
+# --- owners ---
+def test_a_term_ends_by_the_time_of_the_asking_and_before_any_other_may_take_it() -> None:
+    one = owner()
+    one.look(0.0, 0.0, None, True)
+    (ask,) = one.tick(0.0)
+    assert isinstance(ask, Ask)
+    assert one.granted(5.0, ask.number, 1) == [Gained("w", 1)]
+    assert one.may(9.0) == 1 and one.may(9.0, need=0.1) == 0
+    assert one.until == pytest.approx(10.0 * 0.95 / 1.05)
+    assert one.until / 0.95 <= 10.0 / 1.05 + 1e-9  # its slow clock, another's fast one
+    assert one.tick(9.1) == [Over("w", 1, "lapsed")] and one.may(9.1) == 0
+
+
+def test_another_waits_for_a_whole_term_of_standing_still_unless_the_process_has_ended() -> None:
+    two = owner(B)
+    two.look(0.0, 0.0, lease(), True)
+    assert two.tick(9.9) == []
+    two.look(9.9, 9.9, lease(beat=1), True)
+    assert two.tick(19.8) == []
+    assert isinstance(two.tick(19.9)[0], Ask)
+    three = owner(Me("c", "nc"))
+    three.look(0.0, 0.0, lease(), False)
+    assert isinstance(three.tick(0.0)[0], Ask)
+
+
+def test_where_the_store_vouches_nobody_reckons_anothers_term() -> None:
+    two = owner(B, Terms(10.0, 0.05, 0.1, vouches=True))
+    two.look(0.0, 0.0, lease(), True)
+    assert two.tick(1e6) == [] and two.next_at == float("inf")
+    two.look(1e6, 1e6, lease(free=True), True)
+    assert isinstance(two.tick(1e6)[0], Ask)
+
+
+def test_an_answer_that_was_given_up_says_nothing() -> None:
+    one = owner()
+    one.look(0.0, 0.0, None, True)
+    (ask,) = one.tick(0.0)
+    assert isinstance(ask, Ask)
+    one.failed(1.0, ask.number)
+    assert one.granted(1.1, ask.number, 1) == [] and one.state == "waiting"
+    one.look(1.2, 1.2, lease(), True)  # it was granted all the same: ours, so taken over at once
+    (again,) = one.tick(5.0)
+    assert isinstance(again, Ask) and again.floor == 1
+
+
+def test_who_is_fenced_off_begins_above_and_follows_no_senseless_floor() -> None:
+    one = owner()
+    one.look(0.0, 0.0, None, True)
+    (ask,) = one.tick(0.0)
+    assert isinstance(ask, Ask)
+    one.granted(0.0, ask.number, 1)
+    assert one.fenced(0.1, 40) == [Over("w", 1, "fenced")]
+    one.fenced(0.1, 2**60)
+    one.stopped()
+    (ask,) = one.tick(2.0)
+    assert isinstance(ask, Ask) and ask.floor == 40
+
+
+def test_a_lease_is_handed_back_when_what_was_begun_has_ended_and_others_come_first() -> None:
+    one = owner()
+    one.look(0.0, 0.0, None, True)
+    (ask,) = one.tick(0.0)
+    assert isinstance(ask, Ask)
+    one.granted(0.0, ask.number, 1)
+    one.want(False)
+    assert one.tick(0.1) == [Over("w", 1, "resigned")] and one.next_at == one.until
+    one.stopped()
+    (release,) = one.tick(0.1)
+    assert isinstance(release, Release)
+    one.released(0.2, release.number)
+    one.want(True)
+    assert one.tick(5.0) == [] and isinstance(one.tick(10.3)[0], Ask)
+
+
+def test_renewals_begin_early_and_go_on_after_failures() -> None:
+    one = owner()
+    one.look(0.0, 0.0, None, True)
+    (ask,) = one.tick(0.0)
+    assert isinstance(ask, Ask)
+    one.granted(0.0, ask.number, 1)
+    assert one.tick(2.9) == []
+    (renew,) = one.tick(3.1)
+    assert isinstance(renew, Renew)
+    one.failed(3.2, renew.number)
+    (renew,) = one.tick(one.next_at)
+    assert isinstance(renew, Renew) and one.renewed(5.0, renew.number) == []
+    assert one.until > 12.0
+
+
+# --- spread ---
+def test_who_leaves_moves_only_its_own_works() -> None:
+    members = [Me(f"p{n}", f"n{n}") for n in range(8)]
+    works = [f"w{n}" for n in range(200)]
+    firsts = {work: order(work, members)[0] for work in works}
+    for work, first in firsts.items():
+        if first is not members[3]:
+            assert order(work, members[:3] + members[4:])[0] is first
+    share = [sum(first is each for first in firsts.values()) for each in members]
+    assert min(share) > 8 and max(share) < 50
+
+
+def test_who_has_its_share_comes_after_the_others_and_hands_on_what_is_too_much() -> None:
+    works, members = ["u", "v", "w"], [A, B, Me("c", "nc")]
+    assert fair(3, 3) == 1
+    found = ranks(works, A, members, {"u": "na", "v": "na"})
+    assert found["w"] == 2
+    assert move(works, A, members, {"u": "na", "v": "na", "w": "nb"}) in ("u", "v")
+    assert move(works, A, members, {"u": "na", "v": "nb", "w": "nc"}) is None
+    assert move(works, B, members, {"u": "na", "v": "na", "w": "nb"}) is None
+
+
+def test_of_any_fleet_few_ask_first() -> None:
+    for size in (8, 710, 5000):
+        drawn = [lottery(["w"], Me(f"p{n}", f"n{n}"), {})["w"] for n in range(size)]
+        first = min(drawn)
+        assert drawn.count(first) <= max(8, size // 100)
+        assert max(drawn) <= RANK_MOST
+
+
+# --- logs ---
+def put_all(steps: Any, records: list[bytes]) -> Any:
+    """Steps run over a list, as a store would."""
+    answer: Any = None
+    while True:
+        try:
+            step = steps.send(answer)
+        except StopIteration as end:
+            return end.value
+        if isinstance(step, Put):
+            answer = step.position == len(records)
+            if answer:
+                records.append(step.data)
+        else:
+            answer = records[step.position:]
+
+
+def test_a_late_owner_meets_the_claim_that_ended_its_term() -> None:
+    records: list[bytes] = []
+    taken: list[Any] = []
+    one, two = (FencedLog("w", lambda position, record: taken.append(record.body))
+                for _ in range(2))
+    assert put_all(claim(one, 1, "na", "a"), records) == Done(0)
+    late = append(one, 1, "na", "a", lambda: "late")
+    step = late.send(None)
+    while not isinstance(step, Put):  # checked, and then stopped
+        step = late.send([])
+    assert put_all(claim(two, 2, "nb", "b"), records) == Done(1)
+    assert put_all(append(two, 2, "nb", "b", lambda: "ours"), records) == Done(2)
+    late.send(False)  # its place is taken
+    with pytest.raises(StopIteration) as end:
+        late.send(records[1:])
+    assert end.value.value == Fenced(2)
+    assert taken == ["ours", "ours"]  # once in each reading
+
+
+def test_what_is_no_record_counts_for_nobody_and_stops_nobody() -> None:
+    records = [b"garbage", b"[" * 100, b'{"v":9}']
+    log = FencedLog("w", lambda position, record: None)
+    assert put_all(claim(log, 1, "na", "a"), records) == Done(3)
+    assert log.void == 3
+    assert put_all(claim(FencedLog("w", lambda *told: None), 1, "nb", "b"), records) == Fenced(1)
+
+
+def test_a_log_that_everybody_writes_is_left_for_later() -> None:
+    log = FencedLog("w", lambda position, record: None)
+    steps = claim(log, 1, "na", "a")
+    step, tries = steps.send(None), 0
+    with pytest.raises(StopIteration) as end:
+        while True:
+            tries += isinstance(step, Put)
+            step = steps.send(False if isinstance(step, Put) else [b"x"])
+    assert end.value.value == Crowded() and tries == 64
+
+
+# --- the folder ---
+def store(path: Path, me: Me = A) -> FolderStore:
+    made = FolderStore(path, me, lambda: 5.0)
+    made.open()
+    return made
+
+
+def test_a_folder_keeps_leases_and_says_whose_process_has_ended(tmp_path: Path) -> None:
+    a, b = store(tmp_path), store(tmp_path, B)
+    answer = a.ask(Ask("w", 1, 0, None))
+    assert answer.yes and answer.lease is not None and answer.lease.fence == 1
+    assert not b.ask(Ask("w", 1, 0, None)).yes
+    assert a.renew([("w", 1)])["w"].yes
+    seen = b.look()
+    assert seen.leases["w"].beat == 1 and seen.dead == frozenset() and seen.members == {A, B}
+    a._let_go()  # as the kernel does when its process ends
+    assert b.look().dead == {"na"}
+    assert b.ask(Ask("w", 2, 0, leases.stamp(seen.leases["w"]))).yes
+    assert not a.renew([("w", 1)])["w"].yes
+    assert len(list((tmp_path / "lease").glob("w@*"))) <= 2
+
+
+def test_a_version_that_was_tidied_away_can_not_be_put_again(tmp_path: Path) -> None:
+    a, b = store(tmp_path), store(tmp_path, B)
+    a.ask(Ask("w", 1, 0, None))
+    stale = a._current("w")
+    seen = b.look().leases["w"]
+    b.ask(Ask("w", 1, 0, leases.stamp(seen)))
+    for _ in range(4):
+        assert b.renew([("w", 2)])["w"].yes
+    a._current = lambda work: stale  # type: ignore[method-assign]  # stopped since it has read
+    assert not a._change("w", lambda current: leases.renewed(current, 1, A)).yes
+    assert b.look().leases["w"].nonce == "nb"
+
+
+def test_a_folder_that_is_copied_back_or_gone_does_not_make_the_living_dead(
+        tmp_path: Path) -> None:
+    a, b = store(tmp_path / "f"), store(tmp_path / "f", B)
+    a.ask(Ask("w", 1, 0, None))
+    os.rename(tmp_path / "f", tmp_path / "old")
+    a.open()  # the folder begins anew
+    b.open()
+    assert b.look().members == {A, B} and b.look().leases == {}
+    (tmp_path / "f" / "alive" / "na").unlink()
+    (tmp_path / "f" / "alive" / "na").write_bytes(b"{}")  # a copy, with nobody's lock
+    assert "na" in b.look().dead
+    a.look()
+    assert b.look().dead == frozenset()
+
+
+def test_garbage_in_the_folder_makes_no_owner_and_is_named(tmp_path: Path) -> None:
+    a = store(tmp_path)
+    (tmp_path / "lease" / "w@000000000003").write_bytes(b"\x00" * 9000)
+    (tmp_path / "lease" / "v@999999999999").write_bytes(leases.encode(
+        Lease(1, "v", 1, "x", "nx")))
+    (tmp_path / "lease" / "nonsense").write_bytes(b"x")
+    (tmp_path / "alive" / "Not A Nonce").write_bytes(b"x")
+    os.mkfifo(tmp_path / "lease" / "u@000000000001")
+    os.mkfifo(tmp_path / "alive" / "pipe")
+    seen = a.look()
+    assert set(seen.unreadable) == {"w", "u"} and seen.members == {A}
+    for work in ("w", "u", "v"):
+        with pytest.raises(Unreadable):
+            a.ask(Ask(work, 1, 0, Stamp(1, "nx", 0)))
+
+
+def test_a_log_in_a_folder_goes_over_several_shelves(tmp_path: Path) -> None:
+    a = store(tmp_path)
+    log = FencedLog("w", lambda position, record: None)
+    assert a.run(claim(log, 1, "na", "a")) == Done(0)
+    log.next = 1
+    for position in range(1, 1003):
+        assert a.put("w", position, b"x")
+    assert not a.put("w", 1002, b"y")
+    fresh = FencedLog("w", lambda position, record: None)
+    assert a.run(append(fresh, 1, "na", "a", lambda: 7)) == Done(1003)
+
+
+# --- Consul ---
+async def consul_store(consul: Consul, me: Me, term_s: float = 0.5) -> ConsulStore:
+    table = FleetTable(store="consul", agents=(f"127.0.0.1:{consul.port}",), term_s=term_s)
+    return ConsulStore(table, SocketNetwork(asyncio.get_running_loop()), me)
+
+
+async def asked(ask: Any) -> Any:
+    done = asyncio.get_running_loop().create_future()
+    ask(lambda answer, why: done.set_result((answer, why)))
+    async with asyncio.timeout(10.0):
+        return await done
+
+
+def test_consul_keeps_a_lease_under_a_session_and_frees_it_with_it() -> None:
+    async def run() -> None:
+        consul = await Consul().start()
+        a, b = await consul_store(consul, A), await consul_store(consul, B)
+        answer, _ = await asked(lambda told: a.ask(Ask("w", 1, 6, None), told))
+        assert answer.yes and answer.lease.fence == 7
+        answer, _ = await asked(lambda told: b.ask(Ask("w", 1, 0, None), told))
+        assert not answer.yes and answer.lease.nonce == "na"
+        answer, _ = await asked(lambda told: a.renew([("w", 7)], told))
+        assert answer["w"].yes
+        view, _ = await asked(b.look)
+        assert not view.leases["w"].free and view.members is None
+        view, _ = await asked(b.look)  # waits for news: nobody renews, so the session ends
+        assert view.leases["w"].free and view.leases["w"].fence == 7
+        answer, _ = await asked(lambda told: b.ask(Ask("w", 2, 0, None), told))
+        assert answer.yes and answer.lease.fence == 8
+        answer, _ = await asked(lambda told: a.renew([("w", 7)], told))
+        assert not answer["w"].yes
+        answer, _ = await asked(lambda told: b.release("w", 8, told))
+        assert answer.yes
+        a.close()
+        b.close()
+        await consul.stop()
+
+    asyncio.run(run())
+
+
+def test_a_lease_is_not_taken_under_a_session_that_is_about_to_end_nor_renewed_by_another(
+        ) -> None:
+    async def run() -> None:
+        consul = await Consul().start()
+        a = await consul_store(consul, A, 5.0)
+        await asked(lambda told: a.ask(Ask("v", 1, 0, None), told))
+        first, before = a.keys.session, len(consul.asked)
+        await asked(lambda told: a.ask(Ask("w", 1, 0, None), told))
+        assert any(target.startswith("/v1/session/renew/") for target in consul.asked[before:])
+        consul.kv._end(first)
+        await asked(lambda told: a.ask(Ask("u", 1, 0, None), told))  # makes another session
+        assert a.keys.session not in ("", first)
+        answer, _ = await asked(lambda told: a.renew([("v", 1), ("u", 1)], told))
+        assert not answer["v"].yes and answer["u"].yes
+        a.close()
+        await consul.stop()
+
+    asyncio.run(run())
+
+
+def test_an_answer_lost_after_the_write_and_a_store_that_forgets_are_got_over() -> None:
+    async def run() -> None:
+        consul = await Consul().start()
+        a = await consul_store(consul, A)
+        consul.loses_answers = True
+        answer, why = await asked(lambda told: a.ask(Ask("w", 1, 0, None), told))
+        assert answer is None and why
+        consul.loses_answers = False
+        answer, _ = await asked(lambda told: a.ask(Ask("w", 2, 0, None), told))
+        assert answer.yes
+        log = FencedLog("w", lambda position, record: None)
+        result, _ = await asked(lambda told: a.run(claim(log, 3, "na", "a"), told))
+        assert result == Done(0)
+        consul.kv.forget()
+        answer, _ = await asked(lambda told: a.renew([("w", answer.lease.fence)], told))
+        assert not answer["w"].yes
+        answer, _ = await asked(lambda told: a.ask(Ask("w", 3, 3, None), told))
+        assert answer.yes and answer.lease.fence == 4  # above what was heard of
+        a.close()
+        await consul.stop()
+
+    asyncio.run(run())
+
+
+# --- the settlement ---
+def batch(key: str, period: int, units: int, kind: str = "period") -> Batch:
+    return Batch(key, period, kind, (("acme", "lookup", units), (None, "optout", 1)))
+
+
+def settlement(now: float, **more: float) -> Settlement:
+    made = Settlement(lambda period: period + 300.0, more.get("wait_s", 900.0), 86_400.0)
+    made.now = now
+    return made
+
+
+def test_a_period_is_billed_when_all_have_closed_it_or_were_waited_for() -> None:
+    books = settlement(0.0)
+    books.gathered(1400.0, [batch("a/1.x/1", 1000, 5)],
+                   [Through("a", 1300.0), Through("b", 1000.0)])
+    assert books.missing(1000) == ["b"] and books.decide() is None
+    books.gathered(2200.0, [], [])
+    bill = books.decide()
+    assert bill["missing"] == ["b"] and bill["units"] == 6 and bill["kind"] == "bill"
+    books.took(bill)
+    assert books.decide() is None
+    books.gathered(2300.0, [batch("b/1.y/1", 1000, 2), batch("a/1.x/1", 1000, 5)],
+                   [Through("b", 1300.0)])
+    late = books.decide()
+    assert late["kind"] == "correction" and late["keys"] == ["b/1.y/1"]
+
+
+def test_no_batch_is_in_two_bills_whoever_wrote_them() -> None:
+    one, two = settlement(5000.0), settlement(5000.0)
+    for books in (one, two):
+        books.gathered(5000.0, [batch("a/1.x/1", 1000, 5)], [Through("a", 1300.0)])
+    bill = one.decide()
+    assert two.decide() == bill
+    two.took(bill)
+    assert two.decide() is None
+    two.gathered(5001.0, [batch("a/1.x/1", 1000, 5)], [])  # its file is still there
+    assert two.decide() is None
+    two.took("nonsense")
+    two.took({"keys": [7, "x", None, "a/1.x/999999999999999999"], "units": "x", "period": 1})
+
+
+def test_settled_keys_are_kept_as_ranges() -> None:
+    keys = Keys()
+    for number in (5, 1, 3, 2, 4, 9, 7, 8):
+        keys.add(f"a/1.x/{number}")
+    assert keys.ranges == 2
+    assert "a/1.x/4" in keys and "a/1.x/6" not in keys and "b/1.x/4" not in keys
+
+
+def test_files_that_do_not_add_up_are_left_alone(tmp_path: Path) -> None:
+    class Now:
+        def submit(self, job: Any, told: Any) -> None:
+            told(job(), None)
+
+        def close(self, wait_s: float) -> None:
+            pass
+
+    good = (b'{"batch":"a/1.x/1","seq":1,"kind":"period","period":1000,"lines":1,"units":5}\n'
+            b'{"tenant":"acme","class":"lookup","units":5}\n')
+    assert parse(good).key == "a/1.x/1"
+    for name, data in (("good.jsonl", good), ("short.jsonl", good[:-30]), ("empty.jsonl", b""),
+                       ("key.jsonl", good.replace(b"a/1.x/1", b"nokey")), ("x.csv", b"a"),
+                       ("more.jsonl", good.replace(b'"units":5}\n{', b'"units":6}\n{')),
+                       ("a.through", b'{"ledger":"a","until":1300.0}'),
+                       ("b.through", b"garbage")):
+        (tmp_path / name).write_bytes(data)
+    books = settlement(0.0)
+    gatherer, said = Gatherer(tmp_path, books, Now(), lambda: 5000.0), []
+    gatherer(said.append)
+    assert said == [""] and list(books.batches) == ["a/1.x/1"] and list(books.through) == ["a"]
+    books.took(books.decide())
+    gatherer(said.append)
+    assert (tmp_path / "settled" / "good.jsonl").exists() and not books.batches
+    assert (tmp_path / "short.jsonl").exists()
+
+
+# --- the whole part ---
+def fleet(path: Path, name: str, endpoint: int, **more: Any) -> Fleet:
+    from violetroute.fleet.make import store_of
+
+    table = FleetTable(store="folder", folder=str(path), works=("beat-0", "beat-1"), term_s=0.5,
+                       look_s=0.05, call_s=0.5, beat_s=0.01, move_s=0.2)
+    net = SocketNetwork(asyncio.get_running_loop())
+
+    def work(of: str) -> LogWork:
+        return LogWork(of, net, Beat(), 0.01, Address("127.0.0.1", endpoint), "/x", 0.5)
+
+    return Fleet(table, name, net, store_of(table, net), work)
+
+
+async def until(what: Any) -> None:
+    async with asyncio.timeout(20.0):
+        while not what():
+            await asyncio.sleep(0.01)
+
+
+def test_works_are_spread_handed_back_and_go_on_elsewhere(tmp_path: Path) -> None:
+    async def run() -> None:
+        effects = await Effects().start()
+        one = fleet(tmp_path, "one", effects.port)
+        await until(lambda: len(one.owned()) == 2 and len(effects.taken) > 4)
+        two = fleet(tmp_path, "two", effects.port)
+        await until(lambda: len(one.owned()) == 1 and len(two.owned()) == 1)  # handed on
+        await one.close()
+        await until(lambda: len(two.owned()) == 2)
+        seen = len(effects.taken)
+        await until(lambda: len(effects.taken) > seen + 4)
+        two.configure(())
+        await until(lambda: not two.owned())
+        two.stop()
+        for work in ("beat-0", "beat-1"):
+            beats = [e.body["beat"] for e in effects.taken if e.key.startswith(work)]
+            assert beats == list(range(1, len(beats) + 1))
+        await effects.stop()
+
+    asyncio.run(run())
+
+
+def test_an_owner_that_is_cut_off_from_the_endpoint_hands_its_work_on(tmp_path: Path) -> None:
+    async def run() -> None:
+        effects = await Effects().start()
+        cut = fleet(tmp_path, "cut", 1)  # nobody listens there
+        await until(lambda: len(cut.owned()) == 2)
+        well = fleet(tmp_path, "well", effects.port)
+        await until(lambda: len(well.owned()) == 2 and len(effects.taken) > 4)
+        cut.stop()
+        well.stop()
+        await effects.stop()
+
+    asyncio.run(run())
+
+
+def test_the_endpoint_refuses_a_late_owner_and_names_the_fence() -> None:
+    effects = Effects()
+    first = {"idempotency-key": '"w/4.n/0"', "fence": "4;n"}
+
+    async def run() -> None:
+        assert effects._take(first, b"1")[0] == 201
+        assert effects._take(first, b"1")[0] == 200
+        assert effects._take(first, b"2")[0] == 422
+        for fence in ("3;m", "4;m"):
+            status, said = effects._take({"idempotency-key": '"w/3.m/1"', "fence": fence}, b"1")
+            assert status == 412 and json.loads(said) == {"fence": 4}
+
+    asyncio.run(run())
+
+
+# --- settings ---
+@pytest.mark.parametrize(("table", "key"), [
+    ({"store": "folder"}, "folder"), ({"folder": "/x"}, "store"), ({"store": "consul"}, "agents"),
+    ({"store": "consul", "agents": ["nowhere"]}, "agents"), ({"store": "cloud"}, "store"),
+    ({"store": "folder", "folder": "/x", "works": ["dance"]}, "works"),
+    ({"store": "folder", "folder": "/x", "works": ["Beat!"]}, "works"),
+    ({"store": "folder", "folder": "/x", "works": ["settlement"]}, "works"),
+    ({"store": "folder", "folder": "/x", "endpoint": "x"}, "endpoint"),
+    ({"store": "folder", "folder": "/x", "path": "x"}, "path"),
+    ({"store": "folder", "folder": "/x", "term_s": 0.0}, "term_s"),
+    ({"store": "folder", "folder": "/x", "term": 1.0}, "term")])
+def test_a_setting_that_can_not_be_meant_is_one_line_with_its_key(
+        table: dict[str, Any], key: str) -> None:
+    with pytest.raises(ConfigError) as wrong:
+        parse_operator({"fleet": table}, "op.toml")
+    assert f"[fleet] {key}" in str(wrong.value) and "\n" not in str(wrong.value)
+
+
+def test_works_change_with_a_reload_and_the_rest_with_a_restart() -> None:
+    def read(**more: Any) -> Any:
+        return parse_operator({"fleet": {"store": "folder", "folder": "/x"} | more}, "op.toml")
+
+    assert restart_needed(read(), read(works=["beat-1"])) == []
+    assert restart_needed(read(), read(term_s=3.0)) == ["fleet"]
--- a/violetroute/fleet/folder.py
+++ b/violetroute/fleet/folder.py
@@ -98,7 +98,7 @@
             if not NONCE.match(name):
                 self._tidy(path, name)
                 continue
-            with contextlib.suppress(FileNotFoundError):
+            with contextlib.suppress(OSError):  # gone since, or no file
                 runs, told = self._runs(path)
                 if runs:
                     there.append(Me(told, name))
@@ -125,6 +125,14 @@
     # --- leases ---
     def look(self) -> View:
         self.open()
+        view = self.view()
+        for nonce in view.dead:  # marks of killed processes must not pile up; a lease whose
+            with contextlib.suppress(OSError):  # mark is gone is a dead one's all the same
+                os.unlink(self._path / "alive" / nonce)
+        return view
+
+    def view(self) -> View:
+        """As `look`, for who is no life of the fleet."""
         found: dict[str, Lease] = {}
         unreadable: dict[str, str] = {}
         for work, number in self._versions().items():
@@ -284,36 +292,43 @@
 
 
 class Threaded:
-    """The folder's calls beside the loop, one at a time; as `store.Store`."""
+    """The folder's calls beside the loop; as `store.Store`.
+
+    Leases have a writer of their own: a renewal that stands behind what works read and write at a
+    slow disk comes too late, and then nobody owns anything for long.
+    """
+
+    vouches = False
 
-    def __init__(self, store: FolderStore, writer: Writer) -> None:
-        self._store, self._writer = store, writer
+    def __init__(self, store: FolderStore, leases: Writer, logs: Writer) -> None:
+        self._store, self._leases, self._logs = store, leases, logs
         self._closed = False
 
-    def _submit(self, job: Callable[[], T], told: Told[T]) -> None:
+    def _submit(self, writer: Writer, job: Callable[[], T], told: Told[T]) -> None:
         def done(result: T | None, error: BaseException | None) -> None:
             if not self._closed:
                 told(result, "" if error is None else
                      " ".join(str(error).split()) or type(error).__name__)
 
-        self._writer.submit(job, done)
+        writer.submit(job, done)
 
     def look(self, told: Told[View]) -> None:
-        self._submit(self._store.look, told)
+        self._submit(self._leases, self._store.look, told)
 
     def ask(self, ask: Ask, told: Told[Answer]) -> None:
-        self._submit(lambda: self._store.ask(ask), told)
+        self._submit(self._leases, lambda: self._store.ask(ask), told)
 
     def renew(self, terms: Sequence[tuple[str, int]], told: Told[Mapping[str, Answer]]) -> None:
-        self._submit(lambda: self._store.renew(terms), told)
+        self._submit(self._leases, lambda: self._store.renew(terms), told)
 
     def release(self, work: str, fence: int, told: Told[Answer]) -> None:
-        self._submit(lambda: self._store.release(work, fence), told)
+        self._submit(self._leases, lambda: self._store.release(work, fence), told)
 
     def run(self, steps: Steps, told: Told[Result]) -> None:
-        self._submit(lambda: self._store.run(steps), told)
+        self._submit(self._logs, lambda: self._store.run(steps), told)
 
     def close(self) -> None:
         self._closed = True
-        self._writer.submit(self._store.close, lambda result, error: None)
-        self._writer.close(1.0)
+        self._leases.submit(self._store.close, lambda result, error: None)
+        self._logs.close(0.0)
+        self._leases.close(1.0)
--- a/violetroute/fleet/keeper.py
+++ b/violetroute/fleet/keeper.py
@@ -43,6 +43,8 @@
     may: Callable[[], bool]  # whether an effect may be begun now
     fenced: Callable[[int], None]  # an effect was refused: the highest fence of its place
     run: Callable[[Steps, Callable[[Result | None, str], None]], None]  # at the store
+    hand_on: Callable[[], None]  # another may fare better: the lease goes back
+    term_s: float
 
 
 class Work(Protocol):
@@ -68,7 +70,8 @@
         self._chance = random.Random(f"{name}/{self.me.nonce}")
         self._store = store(self.me)
         self._make = works
-        self._terms = Terms(table.term_s, table.drift, table.look_s * STEP_SHARE)
+        self._terms = Terms(table.term_s, table.drift, table.look_s * STEP_SHARE,
+                            self._store.vouches)
         self._owners: dict[str, Owner] = {}
         self._works: dict[str, Work] = {}
         self._timer: Any = None
@@ -175,7 +178,8 @@
             actions: list[Action] = []
             for work, owner in self._owners.items():
                 if work in view.unreadable:
-                    continue  # nobody's: what it says may be a later version's
+                    owner.unreadable()
+                    continue
                 lease = view.leases.get(work)
                 alive = lease is None or lease.nonce not in view.dead
                 actions += owner.look(now, asked_at, lease, alive)
@@ -249,7 +253,12 @@
             self.calls += 1
             self._store.run(steps, lambda result, why: None if self._closed else told(result, why))
 
-        part.begin(Term(work, fence, self.me, may, fenced, run))
+        def hand_on() -> None:
+            if owner.fence == fence:
+                self._do(owner.hand_on(self._loop.time()))
+                self._go_on()
+
+        part.begin(Term(work, fence, self.me, may, fenced, run, hand_on, self.table.term_s))
 
     def _end(self, work: str, fence: int, why: str) -> None:
         owner = self._owners[work]
--- /dev/null
+++ b/violetroute/fleet/kv.py
@@ -0,0 +1,350 @@
+"""Leases and logs in Consul's KV store, under sessions, by its published HTTP API.
+
+    PREFIX/lease/WORK                  the record, locked by its owner's session
+    PREFIX/log/NAME/SHELF/POSITION     one position of a log, made only where there is none
+
+One session is a life's, made when it first asks for a work; renewing it renews all its leases in
+one call.  Who only waits has no session: it has one blocking query, so a fleet at rest costs one
+call a proxy and WAIT s.
+
+What of Consul is weak, and what meets it: a session may live on for twice its TTL (others wait
+longer; its owner has stopped by then); it may be lost with a leader (the owner is told at its next
+renewal, or by a look; its effects are fenced); `lock-delay` is turned off, since what it would
+guard against is the fence's business; an answer may be lost after the write (the record's nonce
+says whose it is); a snapshot put back, or an empty store, begins its indexes anew (the fence is in
+the record and in the logs, and what has met a higher one says so).
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections.abc import Callable, Generator, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from violetroute.transport import Network, parse_address
+from violetroute.transport.call import Call, secret
+from violetroute.transport.tls import TlsKeys
+
+from . import lease as leases
+from .lease import Lease, Me, Unreadable
+from .log import ENTRY_MOST, PAGE, Put, Read, Result, Steps
+from .owner import Ask
+from .store import Answer, Told, View
+from .table import FleetTable
+
+WAIT = 30.0  # s of a look without news
+JITTER = 16  # a server adds up to a 16th of it
+SHELF = 64  # positions of a log in one shelf, which one call reads
+BODY_MOST = 2 * SHELF * ENTRY_MOST // 16  # bytes of an answer: a shelf of usual entries
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """One call: what is asked, and s for its answer."""
+
+    method: str
+    target: str
+    body: bytes = b""
+    limit: float = 0.0  # beyond the table's time for a call
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    status: int
+    headers: Mapping[str, str]  # names in small letters
+    body: bytes
+
+
+class NoAnswer(Exception):
+    """Nothing came, or nothing that counts."""
+
+
+Asking = Generator[Asked, Answered, Any]
+
+
+class _Entry(msgspec.Struct, rename="pascal"):
+    """One key, as GET /v1/kv answers."""
+
+    key: str
+    modify_index: int
+    value: str | None = None
+    session: str = ""
+
+    @property
+    def data(self) -> bytes:
+        try:
+            return base64.b64decode(self.value or "", validate=True)
+        except binascii.Error as error:
+            raise NoAnswer(f"{self.key}: {error}") from None
+
+
+class Keys:
+    """What is asked, and what answers mean.  Pure; `session` is this life's, "" for none."""
+
+    def __init__(self, table: FleetTable, me: Me) -> None:
+        self._prefix = quote(table.prefix, safe="/-._~")
+        self._me, self._term_s = me, table.term_s
+        self.session = ""
+        self.index = 0
+        self._under: dict[str, str] = {}  # the session that each of our leases is locked by
+
+    # --- looking ---
+    def look(self) -> Asking:
+        """All leases; waits for news where there was an index before."""
+        target, limit = f"/v1/kv/{self._prefix}/lease/?recurse", 0.0
+        if self.index:
+            target += f"&index={self.index}&wait={round(WAIT * 1000)}ms"
+            limit = WAIT * (1.0 + 1.0 / JITTER)
+        answered = yield Asked("GET", target, limit=limit)
+        entries = _entries(answered)
+        text = answered.headers.get("x-consul-index", "0")
+        index = int(text) if text.isdecimal() and len(text) < 20 else 0
+        self.index = 0 if index < self.index else index
+        found: dict[str, Lease] = {}
+        unreadable: dict[str, str] = {}
+        for entry in entries:
+            work = entry.key.rpartition("/")[2]
+            try:
+                found[work] = _lease(entry, work)
+            except Unreadable as error:
+                unreadable[work] = str(error)
+        return View(found, None, frozenset(), unreadable)
+
+    def _read(self, work: str) -> Generator[Asked, Answered, tuple[int, Lease | None]]:
+        answered = yield Asked("GET", f"/v1/kv/{self._lease_key(work)}?consistent")
+        entries = _entries(answered)
+        if not entries:
+            return 0, None
+        return entries[0].modify_index, _lease(entries[0], work)
+
+    def _lease_key(self, work: str) -> str:
+        return f"{self._prefix}/lease/{work}"
+
+    # --- leases ---
+    def ask(self, ask: Ask, wall: float) -> Asking:
+        """A session if there is none, and the record under it if it stands as we have read it."""
+        index, current = yield from self._read(ask.work)
+        # Only the store says that another's lease has ended: `over` is not looked at.
+        made = leases.taken(ask.work, current, None, ask.floor, self._me, wall)
+        if made is None:
+            return Answer(False, current)
+        # One that was made for an earlier ask may be about to end: its time to live has to be
+        # reckoned from after this asking, as the owner reckons its term.
+        if not self.session or not (yield from self._renew_session()):
+            yield from self._begin_session()
+        session = self.session  # what comes back later may have made another
+        key = self._lease_key(ask.work)
+        stands = {"Verb": "check-index", "Key": key, "Index": index} if index else \
+            {"Verb": "check-not-exists", "Key": key}
+        done = yield from self._transact(stands, {
+            "Verb": "lock", "Key": key, "Value": _b64(leases.encode(made)),
+            "Session": session})
+        if not done:  # another was first, or our session has gone: the next ask will see
+            index, current = yield from self._read(ask.work)
+        else:
+            self._under[ask.work] = session
+        return Answer(done, made if done else current)
+
+    def _begin_session(self) -> Generator[Asked, Answered, None]:
+        answered = yield Asked("PUT", "/v1/session/create", msgspec.json.encode({
+            "Name": f"limebridge {self._me.name}", "TTL": f"{round(self._term_s * 1000)}ms",
+            "LockDelay": "0s", "Behavior": "release", "NodeChecks": []}))
+        if answered.status != 200:
+            raise NoAnswer(f"no session: {answered.status} {_text(answered.body)}")
+        try:
+            told = msgspec.json.decode(answered.body)
+            made = str(told["ID"])
+        except (msgspec.DecodeError, KeyError, TypeError):
+            raise NoAnswer("no session: an answer without an ID") from None
+        # Where two works ask at once the second keeps to the first one's, renewed for its own
+        # asking; the one that it has made just ends.
+        if not self.session or not (yield from self._renew_session()):
+            self.session = made
+
+    def _renew_session(self) -> Generator[Asked, Answered, bool]:
+        """Whether it stands."""
+        session = self.session
+        answered = yield Asked("PUT", f"/v1/session/renew/{quote(session, safe='')}")
+        if answered.status == 404:
+            if self.session == session:
+                self.session = ""
+            return False
+        if answered.status != 200:
+            raise NoAnswer(f"answered {answered.status}")
+        return True
+
+    def renew(self, terms: Sequence[tuple[str, int]]) -> Asking:
+        """A lease that was taken under a session before this one has gone with that one."""
+        session = self.session
+        stands = bool(session) and (yield from self._renew_session())
+        return {work: Answer(stands and self._under.get(work) == session, None)
+                for work, _ in terms}
+
+    def release(self, work: str, fence: int) -> Asking:
+        index, current = yield from self._read(work)
+        made = leases.released(current, fence, self._me)
+        if made is None or not self.session:
+            return Answer(False, current)
+        key = self._lease_key(work)
+        done = yield from self._transact(
+            {"Verb": "check-index", "Key": key, "Index": index},
+            {"Verb": "unlock", "Key": key, "Value": _b64(leases.encode(made)),
+             "Session": self.session})
+        return Answer(done, made if done else current)
+
+    def _transact(self, *steps: dict[str, Any]) -> Generator[Asked, Answered, bool]:
+        """Whether all of it was done: one by itself never is."""
+        answered = yield Asked("PUT", "/v1/txn",
+                              msgspec.json.encode([{"KV": step} for step in steps]))
+        if answered.status not in (200, 409):
+            raise NoAnswer(f"answered {answered.status} {_text(answered.body)}")
+        return answered.status == 200
+
+    # --- logs ---
+    def _position(self, log: str, position: int) -> tuple[str, str]:
+        """Shelf and key."""
+        shelf = f"{self._prefix}/log/{log}/{position // SHELF:09d}/"
+        return shelf, f"{shelf}{position:012d}"
+
+    def read(self, log: str, position: int) -> Asking:
+        """Records from there on, to the end of a shelf at most: a full one is followed."""
+        shelf, _ = self._position(log, position)
+        answered = yield Asked("GET", f"/v1/kv/{shelf}?recurse&consistent")
+        there = {entry.key: entry for entry in _entries(answered)}
+        found: list[bytes] = []
+        while (entry := there.get(self._position(log, position + len(found))[1])) is not None:
+            found.append(entry.data)
+        return found
+
+    def run(self, steps: Steps) -> Asking:
+        """All steps of a log."""
+        answer: Any = None
+        while True:
+            try:
+                step = steps.send(answer)
+            except StopIteration as end:
+                return end.value
+            match step:
+                case Read(log, position):
+                    answer = yield from self.read(log, position)
+                    while 0 < len(answer) < PAGE and (position + len(answer)) % SHELF == 0:
+                        more = yield from self.read(log, position + len(answer))
+                        answer += more
+                        if not more:
+                            break
+                case Put(log, position, data):
+                    key = self._position(log, position)[1]
+                    answer = yield from self._transact(
+                        {"Verb": "check-not-exists", "Key": key},
+                        {"Verb": "set", "Key": key, "Value": _b64(data)})
+
+
+def _b64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _text(body: bytes) -> str:
+    return " ".join(body[:100].decode("utf-8", "replace").split())
+
+
+def _entries(answered: Answered) -> list[_Entry]:
+    """NoAnswer for an answer that tells nothing."""
+    if answered.status == 404:
+        return []
+    if answered.status != 200:
+        raise NoAnswer(f"answered {answered.status} {_text(answered.body)}")
+    if answered.headers.get("x-consul-knownleader", "true").lower() == "false":
+        raise NoAnswer("no leader")
+    try:
+        return msgspec.json.decode(answered.body, type=list[_Entry])
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise NoAnswer(f"no list of keys: {error}") from None
+
+
+def _lease(entry: _Entry, work: str) -> Lease:
+    """Held is what a session holds; whoever wrote what it says."""
+    lease = leases.decode(entry.data, work)
+    return lease if entry.session else msgspec.structs.replace(lease, free=True)
+
+
+class ConsulStore:
+    """As `store.Store`: each call over connections of its own, one operation of a kind at a
+    time.
+    """
+
+    vouches = True
+
+    def __init__(self, table: FleetTable, net: Network, me: Me) -> None:
+        self._table, self._net = table, net
+        self.keys = Keys(table, me)
+        self._tls = TlsKeys(table.tls) if table.tls.ca else None
+        self._agent = 0
+        self._calls: set[Call] = set()
+        self._closed = False
+
+    def look(self, told: Told[View]) -> None:
+        self._run(self.keys.look(), told)
+
+    def ask(self, ask: Ask, told: Told[Answer]) -> None:
+        self._run(self.keys.ask(ask, self._net.wall()), told)
+
+    def renew(self, terms: Sequence[tuple[str, int]], told: Told[Mapping[str, Answer]]) -> None:
+        self._run(self.keys.renew(terms), told)
+
+    def release(self, work: str, fence: int, told: Told[Answer]) -> None:
+        self._run(self.keys.release(work, fence), told)
+
+    def run(self, steps: Steps, told: Told[Result]) -> None:
+        self._run(self.keys.run(steps), told)
+
+    def close(self) -> None:
+        """A session ends with its time to live: nothing is waited for here."""
+        self._closed = True
+        for call in list(self._calls):
+            call.stop()
+        self._calls.clear()
+
+    def _run(self, asking: Asking, told: Callable[[Any, str], None]) -> None:
+        self._net.loop.call_soon(self._go_on, asking, None, told)
+
+    def _go_on(self, asking: Asking, answered: Answered | None,
+               told: Callable[[Any, str], None]) -> None:
+        if self._closed:
+            return
+        try:
+            ask = asking.send(answered)  # type: ignore[arg-type]
+        except StopIteration as end:
+            told(end.value, "")
+        except (NoAnswer, Unreadable, ValueError) as error:
+            told(None, " ".join(str(error).split()))
+        else:
+            self._call(ask, asking, told)
+
+    def _call(self, ask: Asked, asking: Asking, told: Callable[[Any, str], None]) -> None:
+        table = self._table
+        try:
+            token = secret(table.token_file)
+        except OSError as error:
+            told(None, f"token_file: {error.strerror}")
+            return
+        headers = {"X-Consul-Token": token} if token else {}
+        call: Call
+
+        def done(status: int, headers: dict[str, str], body: bytes, why: str) -> None:
+            self._calls.discard(call)
+            if status:
+                self._go_on(asking, Answered(status, headers, body), told)
+            else:
+                self._agent = (self._agent + 1) % len(table.agents)
+                asking.close()
+                told(None, why)
+
+        call = Call(self._net, parse_address(table.agents[self._agent]), self._tls,
+                    table.call_s + ask.limit, ask.target, headers, ask.body, done, ask.method,
+                    BODY_MOST)
+        self._calls.add(call)
--- a/violetroute/fleet/make.py
+++ b/violetroute/fleet/make.py
@@ -27,8 +27,14 @@
 
 
 def store_of(table: FleetTable, net: Network) -> Callable[[Me], Store]:
+    if table.store == "consul":
+        from .kv import ConsulStore
+
+        return lambda me: ConsulStore(table, net, me)
+
     def folder(me: Me) -> Store:
-        return Threaded(FolderStore(Path(table.folder), me, net.wall), ThreadWriter(net.loop))
+        return Threaded(FolderStore(Path(table.folder), me, net.wall), ThreadWriter(net.loop),
+                        ThreadWriter(net.loop))
 
     return folder
 
--- a/violetroute/fleet/owner.py
+++ b/violetroute/fleet/owner.py
@@ -25,6 +25,7 @@
 
 RENEW_SHARE = 1.0 / 3.0  # of the kept time after which a renewal is sent: two may be lost
 JITTER = 0.2  # of a wait
+INFINITE = float("inf")
 BACKOFF_FIRST = 0.1  # of a term, after a call that failed; doubles
 BACKOFF_MOST = 1.0  # of a term: a store that is back is met again within that
 
@@ -37,11 +38,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Terms:
-    """Seconds.  `step_s`: by which each place in the order of those who wait asks later."""
+    """Seconds.  `step_s`: by which each place in the order of those who wait asks later.
+
+    `vouches`: the store itself ends a lease whose owner is silent, so nobody else reckons it.
+    """
 
     term_s: float
     drift: float
     step_s: float
+    vouches: bool = False
 
     @property
     def kept_s(self) -> float:
@@ -133,7 +138,7 @@
             held = self._busy or not self._stopped
             return self.until if held else min(self.until, self._renew_at)
         if not self.wanted or self._busy or not self._stopped or self._seen_at is None:
-            return float("inf")
+            return INFINITE
         return self._when()
 
     # --- from whoever decides who should work ---
@@ -196,7 +201,7 @@
             self._seen, self._seen_at = here, now
             self._open_at = now
             if here is not None and here.nonce != self._nonce:
-                self._open_at = now + self._terms.term_s
+                self._open_at = INFINITE if self._terms.vouches else now + self._terms.term_s
         if here is not None and not alive:
             self._open_at = min(self._open_at, now)
         if self.state == "owner" and asked_at >= self._gained_at and not self._busy \
@@ -204,6 +209,10 @@
             return self._over("lost", now)
         return []
 
+    def unreadable(self) -> None:
+        """The record is garbage or a later version's: nothing is asked until one can be read."""
+        self._seen, self._seen_at = None, None
+
     def granted(self, now: float, number: int, fence: int) -> list[Action]:
         if not self._answered("ask", number):
             return []
--- a/violetroute/fleet/settlement.py
+++ b/violetroute/fleet/settlement.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 KEYS_MOST = 1000  # batches of one entry; more make several entries of one period
-LINES_MOST = 20_000  # of one entry, but for a single batch that has more
+LINES_MOST = 5000  # of one entry, but for a single batch that has more
 
 
 @dataclass(frozen=True, slots=True)
--- a/violetroute/fleet/store.py
+++ b/violetroute/fleet/store.py
@@ -39,6 +39,8 @@
 
 
 class Store(Protocol):
+    vouches: bool  # it ends the lease of a silent owner by itself
+
     def look(self, told: Told[View]) -> None: ...
 
     def ask(self, ask: Ask, told: Told[Answer]) -> None: ...
--- a/violetroute/fleet/work.py
+++ b/violetroute/fleet/work.py
@@ -80,6 +80,7 @@
         self._timer: Any = None
         self._call: Call | None = None
         self._failures = 0
+        self._failing_since: float | None = None
         self._chance = random.Random(name)
 
     def _took(self, position: int, record: Record) -> None:
@@ -88,7 +89,8 @@
 
     # --- from the fleet ---
     def begin(self, term: Term) -> None:
-        self._term, self._claimed, self._failures = term, False, 0
+        self._term, self._claimed = term, False
+        self._well()
         self._next(0.0)
 
     def end(self, ended: Callable[[], None]) -> None:
@@ -169,7 +171,7 @@
             elif isinstance(result, Fenced):
                 term.fenced(result.floor)
             else:
-                self._failures = 0
+                self._well()
                 did(result)
 
         term.run(steps, told)
@@ -197,7 +199,24 @@
 
     def _failed(self, why: str) -> None:
         tell("fleet.work_failed", work=self.name, reason=why)
-        self._next(self._wait())
+        if not self._stands_still():
+            self._next(self._wait())
+
+    def _well(self) -> None:
+        self._failures, self._failing_since = 0, None
+
+    def _stands_still(self) -> bool:
+        """Nothing has come off for a whole term: perhaps it is us who are cut off.  Handed on then.
+
+        Where it is the store or the endpoint that is down, the work goes round once a term.
+        """
+        now, term = self._loop.time(), self._term
+        if self._failing_since is None:
+            self._failing_since = now
+        if term is None or now - self._failing_since < term.term_s:
+            return False
+        term.hand_on()
+        return True
 
     def _wait(self, at_least: float = 0.0) -> float:
         ceiling = min(MOST, FIRST * 2.0 ** min(self._failures, 20))
@@ -215,7 +234,7 @@
                 return
             floor = _floor(answer) if status == 412 else 0
             if 200 <= status < 300:
-                self._failures = 0
+                self._well()
                 self._run(append(self._log, term.fence, term.me.nonce, term.me.name,
                                  lambda: {"handed": position}
                                  if position in self._outbox.waits else None), self._handed)
@@ -225,7 +244,8 @@
                 wait = self._wait(_retry_after(headers) if status in (429, 503) else 0.0)
                 tell("fleet.undelivered", work=self.name, reason=why or f"answered {status}",
                      wait_s=round(wait, 1))
-                self._next(wait)
+                if not self._stands_still():
+                    self._next(wait)
 
         headers = {"Idempotency-Key": key_of(record, position), "Content-Type":
                    "application/json", "Fence": f"{term.fence};{term.me.nonce}"}
--- a/violetroute/membership/consul.py
+++ b/violetroute/membership/consul.py
@@ -10,6 +10,7 @@
 
 from violetroute.logs import tell
 from violetroute.transport import Network, Stream, parse_address
+from violetroute.transport.call import secret
 from violetroute.transport.tls import TlsKeys, TlsStream
 
 from .belief import Belief, Differences
@@ -23,7 +24,6 @@
 BODY_WHOLE = 10.0  # s over one body
 CONFIRM_AFTER = 0.1  # s from one ask to the leader's word, however few asks the table allows
 CONFIRM_WITHIN = 0.3  # s for the leader's word: a drain has to be kept after 0.5
-TOKEN_MOST = 4096  # bytes of a token's file
 
 _shared = memoryview(bytearray(READ_SIZE))
 
@@ -89,7 +89,7 @@
         self._next = None
         self._asked_at = self._loop.time()
         try:
-            token = _token(self._table.token_file)
+            token = secret(self._table.token_file)
         except OSError as error:
             self._failed(f"token_file: {error.strerror}")
             return
@@ -182,14 +182,6 @@
         self._due = None if due is None else self._loop.call_at(due + 0.001, self._tell)
 
 
-def _token(path: str) -> str:
-    if not path:
-        return ""
-    with open(path, encoding="ascii", errors="ignore") as file:
-        text = file.read(TOKEN_MOST)
-    return "".join(c for c in text.strip() if c.isprintable())
-
-
 class _Call:
     """One connection to an agent, with one ask at a time."""
 
--- a/violetroute/transport/call.py
+++ b/violetroute/transport/call.py
@@ -17,12 +17,22 @@
 from .tls import TlsKeys, TlsStream
 
 BODY_MOST = 256 * 1024  # bytes of an answer
+SECRET_MOST = 4096  # bytes of a token's file
 READ_SIZE = 16 * 1024
 _shared = memoryview(bytearray(READ_SIZE))
 
 Done = Callable[[int, dict[str, str], bytes, str], None]  # status (0: none), headers, body, why
 
 
+def secret(path: str) -> str:
+    """A token's file as it is now, so that it can rotate; "" without one.  OSError."""
+    if not path:
+        return ""
+    with open(path, encoding="ascii", errors="ignore") as file:
+        text = file.read(SECRET_MOST)
+    return "".join(c for c in text.strip() if c.isprintable())
+
+
 class Call:
     """Told `done` once, from the loop; never after `stop`."""
 
