Placement keep: plans solved and published by one owner, refused from earlier ones

Need: a plan is solved by hand and put by whoever; an owner that wakes up late could put an old one.

Change: limebridge placement keep is a life of the fleet under the work placement. A plan is an entry of its fenced log; the file that daemons read is its copy, with fence and position.

--- a/limebridge/placement/command.py
+++ b/limebridge/placement/command.py
@@ -1,4 +1,4 @@
-"""`limebridge placement solve | check | new`."""
+"""`limebridge placement solve | check | new | keep`."""
 
 from __future__ import annotations
 
@@ -207,3 +207,35 @@
             file.write(EXAMPLE.read_text())
     except OSError as error:
         _stop(error)
+
+
+@app.command("keep")
+def keep_command(
+    fleet_file: FleetFile,
+    operator: Annotated[Path, typer.Option(
+        "--operator", metavar="FILE", help="Its [fleet] says where the lease and the log live.")],
+    out: Annotated[Path, typer.Option("--out", "-o", metavar="PLAN.json",
+                                      help="The plan that the daemons' [placement] names.")],
+    name: Annotated[str, typer.Option(help="Of this keeper, for people.")] = "keeper",
+    drift: Annotated[float, typer.Option(min=0.0, max=1.0, help=(
+        "Share of the keys that a new plan has to move to be published."))] = 0.02,
+    every: Annotated[float, typer.Option(min=0.0, help="Seconds between two plans.")] = 600.0,
+    look: Annotated[float, typer.Option(min=0.05, help=(
+        "Seconds between two looks at FLEET.toml."))] = 5.0,
+) -> None:
+    """Publish plans as a work of the fleet: several may run, one owns it.  Until SIGTERM."""
+    import asyncio
+
+    from violetroute.config.operator import load_operator
+
+    from .keeping import keep
+
+    try:
+        ours = load_operator(str(operator))
+    except ConfigError as error:
+        _stop(error)
+    if ours.fleet.store == "off":
+        _stop(f"{operator}: [fleet] store: off")
+    _fleet(fleet_file)
+    asyncio.run(keep(ours, name, fleet_file, out, drift, every, look,
+                     lambda why: typer.echo(f"limebridge: {fleet_file}: {why}", err=True)))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -124,7 +124,8 @@
     assert load_operator(str(path)) == Operator()
     written = tomllib.loads(path.read_text())
     assert {table: set(keys) for table, keys in written.items()} == \
-        {table: set(keys) for table, keys in msgspec.to_builtins(Operator()).items()}
+        {table.name: set(type(table.default).__struct_fields__)
+         for table in msgspec.structs.fields(Operator)}
 
 
 def test_shares_divide_what_the_platform_grants(tmp_path: Path) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -275,3 +275,96 @@
             await asyncio.sleep(0.02)
 
     asyncio.run(run())
+
+
+# --- plans of several owners ---
+def published(fence: int, position: int = 0, **nodes: float) -> Plan:
+    return Plan(1, 0.0, nodes or {"a": 1.0}, fence=fence, position=position)
+
+
+def test_a_plan_of_an_earlier_owner_is_left_alone_after_a_restart_too(tmp_path: Path) -> None:
+    loop = VirtualLoop(Kernel())
+    table = PlacementTable(file="-", seen=str(tmp_path / "seen"))
+
+    def keeper() -> Keeper:
+        return Keeper(loop, lambda: 0.0, lambda sizes: None)
+
+    one = keeper()
+    one.take(published(4, 7), table)
+    for late in (published(3, 9), published(4, 6)):
+        one.take(late, table)
+        assert one._plan == published(4, 7)
+    one.take(published(4, 8), table)
+    again = keeper()
+    again.take(published(4, 7), table)
+    assert again._plan is None
+    again.take(published(5), table)
+    assert again._plan == published(5)
+    again.take(plan(a=1.0), table)  # by hand: the operator's word
+    assert again._plan == plan(a=1.0)
+    (tmp_path / "seen").write_bytes(b"garbage")
+    third = keeper()
+    third.take(published(1), table)
+    assert third._plan == published(1)
+    loop.close()
+
+
+def test_a_published_plan_is_taken_without_a_signal(tmp_path: Path) -> None:
+    loop = VirtualLoop(Kernel())
+    path = tmp_path / "plan.json"
+    table = PlacementTable(file=str(path), every_s=1.0)
+    path.write_bytes(msgspec.json.encode(published(1)))
+    keeper = Keeper(loop, lambda: 0.0, lambda sizes: None)
+    keeper.take(load_plan(str(path)), table)
+    path.write_bytes(msgspec.json.encode(published(2)))
+    loop.run_until_complete(asyncio.sleep(1.1))
+    assert keeper._plan == published(2)
+    path.write_bytes(b"{")
+    loop.run_until_complete(asyncio.sleep(1.1))
+    path.write_bytes(msgspec.json.encode(published(1)))
+    loop.run_until_complete(asyncio.sleep(1.1))
+    assert keeper._plan == published(2)
+    path.write_bytes(msgspec.json.encode(published(2, 5)))
+    loop.run_until_complete(asyncio.sleep(1.1))
+    assert keeper._plan == published(2, 5)
+    keeper.close()
+    loop.close()
+
+
+def test_one_of_two_keepers_publishes_and_the_other_goes_on(tmp_path: Path) -> None:
+    from limebridge.placement.command import EXAMPLE
+    from limebridge.placement.keeping import keep
+
+    fleet, out = tmp_path / "fleet.toml", tmp_path / "plan.json"
+    fleet.write_text(EXAMPLE.read_text())
+    ours = parse_operator({"fleet": {"store": "folder", "folder": str(tmp_path / "f"),
+                                     "term_s": 0.5, "look_s": 0.05}}, "op.toml")
+
+    async def run() -> None:
+        async def until(what: Any) -> None:
+            async with asyncio.timeout(30.0):
+                while not what():
+                    await asyncio.sleep(0.02)
+
+        ends = [asyncio.Event(), asyncio.Event()]
+        keepers = [asyncio.create_task(keep(ours, f"k{n}", fleet, out, 0.0, 0.0, 0.05,
+                                            lambda why: None, ends[n])) for n in range(2)]
+        await until(out.exists)
+        first = load_plan(str(out))
+        assert first.fence == 1
+        out.write_bytes(msgspec.json.encode(published(0)))  # another's copy in its place
+        await until(lambda: load_plan(str(out)) == first)
+        ends[0].set()  # whichever of them owns it: the other has it at last
+        await keepers[0]
+        ends[1].set()
+        await keepers[1]
+        ends.append(asyncio.Event())
+        out.unlink()
+        last = asyncio.create_task(keep(ours, "k2", fleet, out, 0.0, 0.0, 0.05,
+                                        lambda why: None, ends[2]))
+        await until(out.exists)  # a later owner goes on from the log
+        assert load_plan(str(out)) == first
+        ends[2].set()
+        await last
+
+    asyncio.run(run())
--- a/violetroute/fleet/work.py
+++ b/violetroute/fleet/work.py
@@ -81,11 +81,17 @@
         self._call: Call | None = None
         self._failures = 0
         self._failing_since: float | None = None
+        self._hears: Callable[[int, Record], None] = lambda position, record: None
         self._chance = random.Random(name)
 
     def _took(self, position: int, record: Record) -> None:
         if self._outbox.took(position, record):
             self._decider.took(record.body)
+            self._hears(position, record)
+
+    def hears(self, told: Callable[[int, Record], None]) -> None:
+        """Tell of each entry that counts, with its place."""
+        self._hears = told
 
     # --- from the fleet ---
     def begin(self, term: Term) -> None:
--- a/violetroute/placement/keeper.py
+++ b/violetroute/placement/keeper.py
@@ -7,7 +7,7 @@
 
 from violetroute.logs import tell
 
-from .plan import Like, PlacementTable, Plan, sizes, unfit
+from .plan import Like, PlacementTable, Plan, load_plan, read_seen, sizes, unfit, write_seen
 from .ramp import Ramp
 
 STEP = 1.0  # s between two steps on the way to a new plan
@@ -32,6 +32,9 @@
         self._told: dict[int, float] = {}
         self._refused = ""
         self._timer: asyncio.TimerHandle | None = None
+        self._looks: asyncio.TimerHandle | None = None
+        self._seen = (0, 0)  # the highest version of a plan that was taken
+        self._late = (0, 0)  # and one that was refused, so that it is told once
 
     @property
     def sizes(self) -> dict[int, float]:
@@ -41,8 +44,12 @@
     def take(self, plan: Plan | None, table: PlacementTable) -> None:
         """The plan from here on, at the start and after a reload."""
         first = self._plan is None and not self._listed
-        self._plan, self._table, self._refused = plan, table, ""
+        self._table, self._refused = table, ""
         self._ramp.rate = table.moved_per_s
+        self._follow()
+        if plan is not None and not self._is_new(plan):
+            plan = self._plan  # a late owner's: what was taken stays, or none
+        self._plan = plan
         if plan is not None:
             age = (self._clock() - plan.made_at) / 3600.0
             tell("placement.taken", nodes=len(plan.nodes), age_h=round(age, 1))
@@ -64,7 +71,51 @@
         if self._plan is not None:
             self._aim(jump=first)
 
+    def _is_new(self, plan: Plan) -> bool:
+        """No lower fence than was seen, kept over a restart where there is a file for it."""
+        if self._table.seen:
+            self._seen = max(self._seen, read_seen(self._table.seen))
+        if plan.fence and plan.version < self._seen:
+            if plan.version != self._late:
+                self._late = plan.version
+                tell("placement.late", fence=plan.fence, seen=self._seen[0])
+            return False
+        if plan.version > self._seen:
+            self._seen = plan.version
+            if self._table.seen:
+                try:
+                    write_seen(self._table.seen, self._seen)
+                except OSError as error:
+                    tell("placement.unkept", reason=error.strerror)
+        return True
+
+    def _follow(self) -> None:
+        """Look for another file from time to time, where the table says so."""
+        if self._looks is not None:
+            self._looks.cancel()
+            self._looks = None
+        if self._table.file and self._table.every_s:
+            self._looks = self._loop.call_later(self._table.every_s, self._look)
+
+    def _look(self) -> None:
+        """A plan that can't be read changes nothing, as with SIGHUP."""
+        self._looks = None
+        try:
+            plan = load_plan(self._table.file)
+        except ValueError as error:
+            tell("placement.refused", reason=str(error))
+            self._follow()
+            return
+        if plan != self._plan and plan.version >= self._seen:
+            self.take(plan, self._table)
+        else:
+            self._is_new(plan)
+            self._follow()
+
     def close(self) -> None:
+        if self._looks is not None:
+            self._looks.cancel()
+            self._looks = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/violetroute/placement/plan.py
+++ b/violetroute/placement/plan.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import os
 from collections.abc import Iterable, Mapping
 from typing import Annotated
 
@@ -26,6 +27,9 @@
     least_match: Share = 0.5  # share of the listed nodes that a plan has to know of
     moved_per_s: Annotated[float, msgspec.Meta(gt=0.0, le=1.0)] = 0.02  # of the keys, on the way
     #                           from one plan to the next
+    every_s: Annotated[float, msgspec.Meta(ge=0.0, le=3600.0)] = 0.0  # between looks at whether the
+    #                           file is another one; 0: only with SIGHUP
+    seen: str = ""  # a file that keeps the highest fence of any plan taken, over restarts
     stale_h: Annotated[float, msgspec.Meta(gt=0.0, le=100_000.0)] = 168.0  # age that is logged
 
 
@@ -37,6 +41,13 @@
     nodes: dict[str, Share]  # by the id that discovery gives; they add up to 1
     others: dict[str, Share] = {}  # for nodes that are not named, by "SITE/KIND" or "KIND"
     note: str = ""
+    fence: int = 0  # of the owner who has published it; 0: made by hand
+    position: int = 0  # in its log
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """What rises: an owner's fence, and within its term the log's position."""
+        return self.fence, self.position
 
     def size(self, name: str, site: str, kind: str) -> float | None:
         """Of a node; None where the plan knows nothing of its like."""
@@ -101,3 +112,22 @@
     if not any(size > 0.0 for size in known.values()):
         return "it gives no listed node a share"
     return ""
+
+
+def read_seen(path: str) -> tuple[int, int]:
+    """The highest version that was taken, (0, 0) where nothing is kept or it can't be read."""
+    try:
+        with open(path, "rb") as file:
+            fence, position = msgspec.json.decode(file.read(256), type=tuple[int, int])
+        return fence, position
+    except (OSError, ValueError):
+        return 0, 0
+
+
+def write_seen(path: str, version: tuple[int, int]) -> None:
+    """Kept, or OSError: whole, in place of the one before."""
+    with open(f"{path}.new", "wb") as file:
+        file.write(msgspec.json.encode(version))
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(f"{path}.new", path)
