--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,7 +1,7 @@
 """What ownership costs and how long a work is without an owner, on real daemons.
 
-    python benchmarks/fleet.py gaps --rounds 10      # kill, stop, cut, clean stop: s without effects
-    python benchmarks/fleet.py calls                 # calls at a Consul: at rest, after all restart
+    python benchmarks/fleet.py gaps --rounds 10      # kill, stop, cut, clean stop
+    python benchmarks/fleet.py calls                 # at a Consul: at rest, after all restart
     python benchmarks/fleet.py emulated --lives 710  # the same with lives in memory
     python benchmarks/fleet.py off                   # memory and CPU at rest, off and on, in turn
     python benchmarks/fleet.py cut                   # work done while a fifth is cut off
@@ -31,6 +31,8 @@
 from limebridge.standins.consul import Consul
 from limebridge.virtual import fleet as virtual
 from limebridge.virtual.lives import Process
+from limebridge.virtual.stage import quiet
+from violetroute.fleet.lease import Lease
 from violetroute.fleet.spread import RANK_MOST
 
 TERM, LOOK, CALL = 0.8, 0.1, 0.4
@@ -101,7 +103,7 @@
     for store in ("folder", "consul"):
         for kind in ("kill", "stop", "cut", "term"):
             with tempfile.TemporaryDirectory() as folder:
-                rig = Owners(Plan(1, 60.0, 5, store, 1, False, TERM), Path(folder))  # type: ignore[arg-type]
+                rig = Owners(Plan(1, 60.0, 5, store, 1, False, TERM), Path(folder))
                 rig.kind, rig.rounds = kind, rounds
                 outcome = asyncio.run(rig.play())
             found = sorted(rig.found)
@@ -157,12 +159,14 @@
         for process in self.processes:
             process.start()
         again = await self._peak(30.0)
+        owned = [msgspec.json.decode(entry.value, type=Lease)
+                 for key, entry in self.consul.kv.entries.items() if "/lease/" in key]
         for process in self.processes:
             process.kill()
         return {"lives": lives, "works": len(self.works), "start_calls": first[0],
                 "start_peak_in_a_s": first[1], "rest_calls_a_s": round(rest[0] / 30.0, 2),
                 "restart_calls": again[0], "restart_peak_in_a_s": again[1],
-                "owned": len({work for p in self.processes for work in self.works})}
+                "owned": sum(not lease.free for lease in owned)}
 
     async def _door(self, part: Consul) -> int:
         server = await asyncio.start_server(part._serve, "127.0.0.1", 0)
@@ -183,7 +187,7 @@
     with tempfile.TemporaryDirectory() as folder:
         world = Quiet(plan, Path(folder))
         world.works = [f"beat-{number}" for number in range(10)]
-        with virtual.quiet(50):
+        with quiet(50):
             told = world.loop.run_until_complete(world.measure(lives))
     print(json.dumps(told | {"wall_s": round(time.perf_counter() - began, 1)}))
 
@@ -263,7 +267,7 @@
 def cut() -> None:
     for store in ("folder", "consul"):
         with tempfile.TemporaryDirectory() as folder:
-            rig = Cut(Plan(1, 60.0, 5, store, 5, False, TERM), Path(folder))  # type: ignore[arg-type]
+            rig = Cut(Plan(1, 60.0, 5, store, 5, False, TERM), Path(folder))
             outcome = asyncio.run(rig.play())
         print(json.dumps({"store": store, "effects_a_s": round(rig.well, 1),
                           "with_a_fifth_cut_off": round(rig.cut, 1),
