--- a/limebridge/virtual/fleet.py
+++ b/limebridge/virtual/fleet.py
@@ -58,6 +58,7 @@
         self.history = History()
         self.effects, self.consul = Effects(), Consul(seed=plan.seed)
         self.lives = 0
+        self.beat, self.look = BEAT, 0.1
         self.broken: list[tuple[str, str]] = []
 
     async def play(self) -> None:
--- a/limebridge/virtual/lives.py
+++ b/limebridge/virtual/lives.py
@@ -185,8 +185,8 @@
         plan = world.plan
         table = FleetTable(
             store=plan.store, folder=str(world.folder), agents=(f"127.0.0.1:{self.consul_port}",),
-            works=tuple(self.works), term_s=plan.term_s, drift=DRIFT, look_s=0.1, call_s=0.4,
-            move_s=1.0, beat_s=BEAT, endpoint=f"127.0.0.1:{self.port}")
+            works=tuple(self.works), term_s=plan.term_s, drift=DRIFT, look_s=world.look, call_s=0.4,
+            move_s=1.0, beat_s=world.beat, endpoint=f"127.0.0.1:{self.port}")
         rng = random.Random(f"{plan.seed}/{self.owner}")
         self.folder_store: FolderStore | None = None
 
@@ -198,8 +198,8 @@
                                 lambda: world.kernel.now < self.failing_until, world.call)
 
         def work(name: str) -> Work:
-            return LogWork(name, net, Beat(), BEAT, parse_address(table.endpoint), table.path,
-                           table.call_s)
+            endpoint = parse_address(table.endpoint) if self.port else None
+            return LogWork(name, net, Beat(), world.beat, endpoint, table.path, table.call_s)
 
         self.fleet = Fleet(table, self.name, net, store, work, nonce=f"n{world.lives}")
 
