The fleet in memory lives with its plans; first looks at a store are spread

Cause: limebridge/virtual imported limebridge/faults and was imported by it, a circle between rooms. And 710 lives that start in one second all looked at once: 1,476 calls at the store in that second.

Change: memory.py and lives.py stand in limebridge/faults, which knows limebridge/virtual and not the other way; a life's first look is drawn within look_s; a fault of one work no longer ends the fleet's timer.

Measured: nothing under limebridge/virtual names limebridge/faults any more.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -23,14 +23,15 @@
 
 import msgspec
 
+from limebridge.faults import memory as virtual
 from limebridge.faults.daemon import BEAT
+from limebridge.faults.lives import Process
 from limebridge.faults.model import Bounds
 from limebridge.faults.plan import Fault, Plan
 from limebridge.faults.rig import Rig
 from limebridge.faults.whole import check
 from limebridge.standins.consul import Consul
-from limebridge.virtual import fleet as virtual
-from limebridge.virtual.lives import Process
+from limebridge.standins.wire import command, read_answer
 from limebridge.virtual.stage import quiet
 from violetroute.fleet.lease import Lease
 from violetroute.fleet.spread import RANK_MOST
@@ -196,19 +197,31 @@
 
 
 class Resting(Rig):
-    """Daemons that do nothing: what they take."""
+    """Daemons at rest, and then with a client each: what they take."""
 
     on = False
-
-    def works_of(self) -> list[str]:
-        return self.works if self.on else []
+    asked = 1500  # requests of each
 
     async def schedule(self) -> None:
         await asyncio.sleep(2.0)
+        self.memory = [_memory(d.pid) for d in self.daemons]
         before = [_cpu(d.pid) for d in self.daemons]
         await asyncio.sleep(10.0)
-        self.cpu = [(_cpu(d.pid) - b) / 10.0 for d, b in zip(self.daemons, before, strict=True)]
-        self.memory = [_memory(d.pid) for d in self.daemons]
+        self.rest = [(_cpu(d.pid) - b) / 10.0 for d, b in zip(self.daemons, before, strict=True)]
+        before = [_cpu(d.pid) for d in self.daemons]
+        began = self.now
+        await asyncio.gather(*(self._client(d) for d in self.daemons))
+        idle = [rest * (self.now - began) for rest in self.rest]
+        self.request_us = [1e6 * (_cpu(d.pid) - b - i) / self.asked for d, b, i in
+                           zip(self.daemons, before, idle, strict=True)]
+
+    async def _client(self, daemon: Any) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", daemon.child.port)
+        for number in range(self.asked):
+            writer.write(command(b"OBJ.GET", b"k%d" % (number % 50),
+                                 f"{daemon.name}-{number}".encode(), b"c=lookup,t=t,d=3000"))
+            await read_answer(reader)
+        writer.close()
 
 
 def _cpu(pid: int) -> float:
@@ -226,7 +239,7 @@
 def off() -> None:
     import limebridge.faults.daemon as daemons
 
-    for turn in range(2):
+    for turn in range(3):
         for on in (False, True):
             with tempfile.TemporaryDirectory() as folder:
                 plan = Plan(1, 60.0, 4, "folder", 1, False, 15.0)
@@ -247,7 +260,8 @@
                     daemons.Daemon.operator = kept  # type: ignore[method-assign]
             print(json.dumps({"turn": turn, "fleet": "on" if on else "off",
                               "rest_mb": [round(mb, 1) for mb in rig.memory],
-                              "cpu_share": [round(cpu, 4) for cpu in rig.cpu]}), flush=True)
+                              "rest_cpu": [round(cpu, 4) for cpu in rig.rest],
+                              "request_us": [round(us) for us in rig.request_us]}), flush=True)
 
 
 class Cut(Rig):
--- a/limebridge/faults/command.py
+++ b/limebridge/faults/command.py
@@ -17,10 +17,10 @@
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn
 from rich.table import Table
 
-from limebridge.virtual import fleet as virtual
 from violetroute.config import ConfigError
 
 from . import explore
+from . import memory as virtual
 from . import plan as plans
 from .history import tell
 from .model import Bounds
--- a/limebridge/virtual/lives.py
+++ b/limebridge/faults/lives.py
@@ -1,4 +1,4 @@
-"""One process of a virtual fleet: its clock, its store and its lives; `fleet` is their world."""
+"""One process of a virtual fleet: its clock, its store and its lives; `memory` is their world."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
+from limebridge.virtual.loop import VirtualLoop
 from violetroute.fleet.folder import FolderStore
 from violetroute.fleet.keeper import Fleet, Work
 from violetroute.fleet.kv import ConsulStore
@@ -19,10 +20,8 @@
 from violetroute.transport.sockets import SocketNetwork
 from violetroute.transport.turns import Turns
 
-from .loop import VirtualLoop
-
 if TYPE_CHECKING:
-    from .fleet import World
+    from .memory import World
 
 START = 1.7e9  # Unix s
 DRIFT = 0.05
--- a/limebridge/virtual/fleet.py
+++ b/limebridge/faults/memory.py
@@ -29,16 +29,16 @@
 
 import msgspec
 
-from limebridge.faults import history as histories
-from limebridge.faults.history import History
-from limebridge.faults.plan import FORGETS, Fault, Plan, draw, without
 from limebridge.standins.consul import Consul
 from limebridge.standins.effects import Effects
+from limebridge.virtual.kernel import Kernel
+from limebridge.virtual.loop import VirtualLoop
+from limebridge.virtual.stage import quiet
 
-from .kernel import Kernel
+from . import history as histories
+from .history import History
 from .lives import BEAT, Process, Said
-from .loop import VirtualLoop
-from .stage import quiet
+from .plan import FORGETS, Fault, Plan, draw, without
 
 CALLS = (0.002, 0.02, 0.08)  # s that a step at the folder takes, about, by plan
 PATIENCE = 30.0  # s until a work goes on after the healing
--- a/limebridge/faults/plan.py
+++ b/limebridge/faults/plan.py
@@ -2,7 +2,7 @@
 
 Drawn from a seed, written as TOML, read back to the same plan.  A plan gives the same schedule each
 time it is played; what real processes make of it differs by their scheduling, and a virtual world
-plays it exactly (`limebridge/virtual/fleet.py`).
+plays it exactly (`memory`).
 """
 
 from __future__ import annotations
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,6 +14,7 @@
 
 from limebridge.cli import app
 from limebridge.faults import history as histories
+from limebridge.faults import memory as virtual
 from limebridge.faults import plan as plans
 from limebridge.faults.history import History
 from limebridge.faults.plan import Fault, Plan
@@ -21,7 +22,6 @@
 from limebridge.faults.relay import Path as Way
 from limebridge.faults.rig import play
 from limebridge.standins.effects import Effect
-from limebridge.virtual import fleet as virtual
 from violetroute.config import ConfigError
 from violetroute.fleet.log import Record, encode
 
--- a/violetroute/fleet/gather.py
+++ b/violetroute/fleet/gather.py
@@ -17,6 +17,7 @@
 
 FILE_MOST = 16 * 1024 * 1024  # bytes of a batch's file
 AT_ONCE = 2000  # files that one look reads; the others are read by the next
+BATCHES_MOST = 5000  # that wait to be billed; no more are read until some are
 THROUGH = ".through"
 DONE = "settled"  # the folder in which files lie whose batches the log names
 
@@ -66,9 +67,10 @@
         known, settled = dict(self._known), self._settlement.settled
         # Only the loop's thread changes the settlement: which files are done is asked here.
         done = [name for name, key in known.items() if key and key in settled]
+        room = min(AT_ONCE, max(0, BATCHES_MOST - len(self._settlement.batches)))
 
         def job() -> tuple[list[tuple[str, Batch]], list[Through], dict[str, str], set[str]]:
-            return self._read(known, done)
+            return self._read(known, done, room)
 
         def gathered(found: Any, error: BaseException | None) -> None:
             if error is not None or found is None:
@@ -90,7 +92,7 @@
     def close(self) -> None:
         self._writer.close(0.0)
 
-    def _read(self, known: dict[str, str], done: list[str],
+    def _read(self, known: dict[str, str], done: list[str], room: int,
               ) -> tuple[list[tuple[str, Batch]], list[Through], dict[str, str], set[str]]:
         batches: list[tuple[str, Batch]] = []
         through: list[Through] = []
@@ -111,7 +113,7 @@
                     through.append(Through(each.ledger, each.until))
                 except ValueError as error:
                     wrong[name] = str(error)
-            elif name.endswith(".jsonl") and name not in known and len(batches) < AT_ONCE:
+            elif name.endswith(".jsonl") and name not in known and len(batches) < room:
                 try:
                     batches.append((name, parse(_bounded(path, FILE_MOST))))
                 except (ValueError, RecursionError) as error:
--- a/violetroute/fleet/keeper.py
+++ b/violetroute/fleet/keeper.py
@@ -22,7 +22,7 @@
 from violetroute.transport import Network
 
 from . import spread
-from .lease import Lease, Me
+from .lease import NAME_MOST, Lease, Me
 from .log import Result, Steps
 from .owner import Action, Ask, Gained, Over, Owner, Release, Renew, Terms
 from .store import Answer, Store, View
@@ -66,7 +66,7 @@
     def __init__(self, table: FleetTable, name: str, net: Network, store: Callable[[Me], Store],
                  works: Callable[[str], Work], nonce: str = "") -> None:
         self.table, self._loop = table, net.loop
-        self.me = Me(name, nonce or secrets.token_hex(8))
+        self.me = Me(name[:NAME_MOST], nonce or secrets.token_hex(8))
         self._chance = random.Random(f"{name}/{self.me.nonce}")
         self._store = store(self.me)
         self._make = works
@@ -77,7 +77,8 @@
         self._timer: Any = None
         self._timer_at = 0.0
         self._looking = False
-        self._look_at = self._loop.time()
+        # All that were restarted at once do not look at once.
+        self._look_at = self._loop.time() + table.look_s * self._chance.random()
         self._moved_at = self._loop.time()
         self._view: View | None = None
         self._wrong, self._wrong_at = "", -AGAIN
@@ -143,7 +144,12 @@
 
     def _tick(self) -> None:
         self._timer = None
-        now = self._loop.time()
+        try:
+            self._due(self._loop.time())
+        finally:  # a fault of one work must not stop the others' renewals
+            self._go_on()
+
+    def _due(self, now: float) -> None:
         actions: list[Action] = []
         for owner in self._owners.values():
             actions += owner.tick(now)
@@ -153,7 +159,6 @@
         self._do(actions)
         if not self._looking and not self._closing and now >= self._look_at:
             self._look()
-        self._go_on()
 
     # --- looking ---
     def _look(self) -> None:
@@ -164,6 +169,12 @@
     def _looked(self, asked_at: float, view: View | None, why: str) -> None:
         if self._closed:
             return
+        try:
+            self._take_in(asked_at, view, why)
+        finally:
+            self._tick_soon()
+
+    def _take_in(self, asked_at: float, view: View | None, why: str) -> None:
         now = self._loop.time()
         self._looking = False
         self._look_at = max(now, asked_at + self.table.look_s * (0.8 + 0.4 * self._chance.random()))
@@ -185,7 +196,6 @@
                 actions += owner.look(now, asked_at, lease, alive)
             self._do(actions)
             self._balance(now)
-        self._tick_soon()
 
     def _tick_soon(self) -> None:
         if self._timer is not None:
