Faults: a fault of the rig's own is told and costs no other plan

Cause: a run of 500 plans ended with FileNotFoundError in the judge and all its counts were lost: the settlement's owner moves a batch's file to settled/ between the judge's listing and its reading, and an exception of one plan ended all of them.

Change: a file that has been moved is read where it is now (it never comes back); an exception of a plan is kept as its outcome, under the name "rig", with its trace.

--- a/limebridge/faults/billed.py
+++ b/limebridge/faults/billed.py
@@ -166,8 +166,13 @@
 
     def _exported(self) -> Exported:
         found = Exported()
-        for path in sorted([*self.out.glob("*.jsonl"), *self.out.glob("settled/*.jsonl")]):
-            found.add(path.read_text(), path.name)
+        for name in sorted({path.name for path in (*self.out.glob("*.jsonl"),
+                                                   *self.out.glob("settled/*.jsonl"))}):
+            try:  # an owner moves them when they are settled, and never back
+                text = (self.out / name).read_text()
+            except FileNotFoundError:
+                text = (self.out / "settled" / name).read_text()
+            found.add(text, name)
         return found
 
     def _judge_keys(self) -> None:
--- a/limebridge/faults/explore.py
+++ b/limebridge/faults/explore.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import traceback
 from collections.abc import Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from dataclasses import dataclass, field
@@ -30,8 +31,12 @@
 
 
 def one(plan: Plan, patch: str = "") -> Told:
-    """One plan, told."""
-    outcome = play(plan, patch)
+    """One plan, told.  A fault of the rig's own is told too, and costs no other plan."""
+    try:
+        outcome = play(plan, patch)
+    except Exception as error:
+        trace = "".join(traceback.format_exception(error))
+        return Told(plan, (("rig", f"{type(error).__name__}: {error}"),), 0.0, 0, (), trace)
     story = tell(outcome.history, outcome.broken) if outcome.broken else ""
     gaps = []
     for _, since, gap in outcome.gaps:
