--- a/limebridge/rehearsal/vary.py
+++ b/limebridge/rehearsal/vary.py
@@ -25,6 +25,9 @@
     if not changes:
         return scenario
     raw: dict[str, Any] = msgspec.to_builtins(scenario)
+    # Written out it lacks the tables that say nothing, and a key of theirs may be changed too.
+    raw["operator"] = {name: msgspec.to_builtins(getattr(scenario.operator, name))
+                       for name in scenario.operator.__struct_fields__}
     for key, value in changes.items():
         if key == "load.scale":
             _scale(raw, value)
