Faults: what is asked at the store or endpoint may be asked twice by a middleman

Need: of the faults of what is shared that the issue names, the store that answers twice was not caused anywhere. A way may now send again, over a connection of its own, what a closed connection had asked (TCP), and the endpoint may take a post twice; in memory the endpoint does. Drawn with the others.

--- a/limebridge/faults/memory.py
+++ b/limebridge/faults/memory.py
@@ -8,7 +8,8 @@
 
 Not played, since they are the kernel's and not ours: limits of a process (an error of the folder
 stands for them), a reset's and half an answer's bytes (a blocked path stands for them), starved
-cores (a short stop stands for one).
+cores (a short stop stands for one), what a middleman asks again (a slow way; the endpoint takes
+posts twice).
 """
 
 from __future__ import annotations
@@ -171,7 +172,7 @@
                 twin.port, twin.consul_port = process.port, process.consul_port
                 twin.start()
                 process.twins.append(twin)
-            case "cut" | "cut_there" | "cut_back" | "half" | "drip" | "reset" | "slow":
+            case "cut" | "cut_there" | "cut_back" | "half" | "drip" | "reset" | "slow" | "twice":
                 await self._way(fault, process)
             case _:
                 await self._shared(fault)
@@ -179,7 +180,7 @@
     async def _way(self, fault: Fault, process: Process) -> None:
         ports = [process.port, *([process.consul_port] if self.plan.store == "consul" else [])]
         port = self.rng.choice(ports)
-        if fault.kind == "slow":
+        if fault.kind in ("slow", "twice"):
             self._link(port, to=False, back=False, latency=0.1)
         else:
             self._link(port, to=fault.kind in ("cut", "cut_there"), back=fault.kind != "cut_there")
@@ -189,7 +190,7 @@
     async def _shared(self, fault: Fault) -> None:
         match fault.kind:
             case "endpoint":
-                troubles = ("lost before", "lost after", "500 after")
+                troubles = ("lost before", "lost after", "500 after", "twice")
                 self.effects.trouble = lambda: (
                     self.rng.choice(troubles) if self.rng.random() < 0.5 else "")
                 await asyncio.sleep(fault.seconds)
--- a/limebridge/faults/plan.py
+++ b/limebridge/faults/plan.py
@@ -20,12 +20,13 @@
     # to a process
     "kill", "term", "stop", "hup", "core", "no_files", "no_room", "twin",
     # to the way between a process and the endpoint, or a Consul
-    "cut", "cut_there", "cut_back", "slow", "half", "drip", "reset",
+    "cut", "cut_there", "cut_back", "slow", "half", "drip", "reset", "twice",
     # to what is shared
     "endpoint", "gone", "older", "torn", "leader", "lose_answers", "forget"]
 PROCESS: tuple[Kind, ...] = ("kill", "term", "stop", "stop", "hup", "core", "no_files", "no_room",
                              "twin")
-WAYS: tuple[Kind, ...] = ("cut", "cut_there", "cut_back", "slow", "half", "drip", "reset")
+WAYS: tuple[Kind, ...] = ("cut", "cut_there", "cut_back", "slow", "half", "drip", "reset",
+                          "twice")
 FOLDER: tuple[Kind, ...] = ("endpoint", "endpoint", "torn", "gone", "older")
 CONSUL: tuple[Kind, ...] = ("endpoint", "leader", "lose_answers", "forget")
 FORGETS: frozenset[Kind] = frozenset(("gone", "older", "forget"))  # what was written is lost
--- a/limebridge/faults/relay.py
+++ b/limebridge/faults/relay.py
@@ -8,11 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from dataclasses import dataclass
 from typing import Any
 
 CHUNK = 64 * 1024
+AGAIN_MOST = 256 * 1024  # bytes that a relay keeps to send them again
+AGAIN_WAIT = 1.0  # s that the second answer is read for; nobody gets it
 HELD_MOST = 256  # datagrams that wait in a relay; what comes beyond is dropped
 
 
@@ -25,6 +28,7 @@
     jitter: float = 0.0  # added to it, drawn evenly
     drip: float = 0.0  # between single bytes
     half: int = -1  # bytes after which the connection is reset; -1: none
+    twice: bool = False  # TCP: once it is over all is sent again, by a connection of its own
     drop: float = 0.0  # UDP
     double: float = 0.0  # UDP
     reorder: float = 0.0  # UDP: of those held back so long that later ones overtake
@@ -77,8 +81,13 @@
             await self._while_cut(lambda: self.there)
             other_reader, other = await asyncio.open_connection("127.0.0.1", self._to)
             self.open[other] = None
-            await asyncio.gather(self._pump(reader, other, lambda: self.there),
-                                 self._pump(other_reader, writer, lambda: self.back))
+            sent = bytearray()
+            try:
+                await asyncio.gather(self._pump(reader, other, lambda: self.there, sent),
+                                     self._pump(other_reader, writer, lambda: self.back))
+            finally:
+                if self.there.twice and sent and self._server.is_serving():
+                    await self._again(bytes(sent))
         except (OSError, asyncio.IncompleteReadError):
             pass
         except asyncio.CancelledError:  # by `stop`: nobody waits for this task any more
@@ -90,12 +99,22 @@
                     self.open.pop(each, None)
                     each.transport.abort()
 
+    async def _again(self, data: bytes) -> None:
+        """As something between that tries again on its own: what was asked is asked twice."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._to)
+        try:
+            writer.write(data)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(reader.read(), AGAIN_WAIT)
+        finally:
+            writer.transport.abort()
+
     async def _while_cut(self, path: Any) -> None:
         while path().cut:
             await self._mended.wait()
 
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                    path: Any) -> None:
+                    path: Any, kept: bytearray | None = None) -> None:
         passed = 0
         while True:
             await self._while_cut(path)
@@ -113,6 +132,8 @@
                 await writer.drain()
                 raise ConnectionResetError("half an answer")
             passed += len(data)
+            if kept is not None and len(kept) + len(data) <= AGAIN_MOST:
+                kept += data
             if way.drip:
                 for place in range(len(data)):
                     writer.write(data[place:place + 1])
--- a/limebridge/faults/rig.py
+++ b/limebridge/faults/rig.py
@@ -144,7 +144,7 @@
 
     async def _fault(self, fault: Fault, daemon: Daemon) -> None:
         name = fault.kind
-        if name in ("cut", "cut_there", "cut_back", "slow", "half", "drip", "reset"):
+        if name in ("cut", "cut_there", "cut_back", "slow", "half", "drip", "reset", "twice"):
             await self._way(fault, daemon)
         elif name in ("endpoint", "gone", "older", "torn", "leader", "lose_answers", "forget"):
             await self._shared(fault)
@@ -168,6 +168,8 @@
                 way.set(back=Way(half=20))
             case "drip":
                 way.set(back=Way(drip=0.005))
+            case "twice":
+                way.set(there=Way(twice=True))
             case _:
                 way.reset()
         await asyncio.sleep(fault.seconds)
@@ -177,7 +179,7 @@
     async def _shared(self, fault: Fault) -> None:
         match fault.kind:
             case "endpoint":
-                troubles = ("lost before", "lost after", "500 after")
+                troubles = ("lost before", "lost after", "500 after", "twice")
                 self.effects.trouble = lambda: (
                     self.rng.choice(troubles) if self.rng.random() < 0.5 else "")
                 await asyncio.sleep(fault.seconds)
--- a/limebridge/standins/effects.py
+++ b/limebridge/standins/effects.py
@@ -52,6 +52,8 @@
                 writer.transport.abort()
                 return
             status, said = self._take(headers, body)
+            if trouble == "twice":
+                status, said = self._take(headers, body)
             if trouble == "lost after":
                 writer.transport.abort()
                 return
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -182,6 +182,29 @@
     asyncio.run(run())
 
 
+def test_a_relay_asks_again_what_was_asked() -> None:
+    async def run() -> None:
+        heard: asyncio.Queue[bytes] = asyncio.Queue()
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await heard.put(await reader.readexactly(3))
+            writer.write(b"yes")
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        relay = await Relay(server.sockets[0].getsockname()[1], "t").start()
+        relay.set(there=Way(twice=True))
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        writer.write(b"one")
+        assert await reader.read() == b"yes"
+        writer.close()
+        assert [await heard.get(), await heard.get()] == [b"one", b"one"]
+        await relay.stop()
+        server.close()
+
+    asyncio.run(run())
+
+
 class _Ear(asyncio.DatagramProtocol):
     def __init__(self) -> None:
         self.heard: list[bytes] = []
