--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -37,6 +37,7 @@
 from .membership import Listing, Membership, Places, as_member, stable_hash
 from .parts import Parts
 from .placement import Keeper, Like
+from .requests import OpenRequest, refusal
 from .resp import Command, CommandError
 from .transport import Network
 from .upstream import Attempt, Pool
@@ -47,19 +48,6 @@
 PULSE = 0.05  # s; the longest the loop sleeps while requests are open
 
 
-class OpenRequest:
-    """A request from its last byte until its answer is given and its attempts have ended."""
-
-    __slots__ = ("answer", "answered", "attempts", "command", "give_up_at", "id", "out")
-
-    def __init__(self, number: int, command: Command, answer: Answer, give_up_at: float) -> None:
-        self.id, self.command, self.answer = number, command, answer
-        self.give_up_at = give_up_at
-        self.answered = False
-        self.attempts: list[Attempt] = []
-        self.out = 0  # attempts without an outcome
-
-
 class Proxy:
     def __init__(self, config: Config, net: Network) -> None:
         self._loop = loop = net.loop
@@ -144,7 +132,7 @@
         if backoff is None:
             command.wait -= unread  # it counts from when the client sent it
             return None
-        return _refusal(backoff)
+        return refusal(backoff)
 
     def _beat(self) -> None:
         """Due while requests are open: a pause of the process shows by how late the loop wakes."""
@@ -304,7 +292,7 @@
                 self._housekeeping = timer
         elif kind is Refuse:
             assert isinstance(action, Refuse)
-            self._answer(self._open[action.request_id], _refusal(action.backoff))
+            self._answer(self._open[action.request_id], refusal(action.backoff))
         elif kind is Fail:
             assert isinstance(action, Fail)
             self._answer(self._open[action.request_id], FAILED)
@@ -393,8 +381,3 @@
 
     def _fault(self, text: str) -> None:
         tell("requests.fault", what=text, error=sys.exc_info()[1])
-
-
-def _refusal(backoff: float) -> bytes:
-    """`backoff` in ms; without one the client decides."""
-    return b"-BUSY %d\r\n" % round(backoff) if backoff >= 0.5 else b"-BUSY\r\n"
