--- a/limebridge/faults/sharing/memory.py
+++ b/limebridge/faults/sharing/memory.py
@@ -11,6 +11,7 @@
 import logging
 import os
 import random
+from collections import deque
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
@@ -23,6 +24,8 @@
 from limebridge.virtual.kernel import Kernel
 from limebridge.virtual.loop import VirtualLoop
 from limebridge.virtual.stage import quiet
+from snowstall.messages import Judged
+from violetroute.membership import Places
 from violetroute.sharing.table import BudgetTable, SharingTable
 from violetroute.sharing.talk import Sharing
 from violetroute.sharing.wire import Keys
@@ -47,11 +50,11 @@
 class Proxy:
     """What the part asks of the proxy."""
 
-    def hint(self, nodes: list[int]) -> None:
-        pass
+    def __init__(self) -> None:
+        self.places, self.judged = Places(), deque[Judged]()
 
-    def name_of(self, node: int) -> str:
-        return str(node)
+    def others(self, bad: list[int], outcomes: list[Judged]) -> None:
+        pass
 
 
 class Process:
@@ -184,7 +187,7 @@
         watch.cancel()
 
     async def _watch(self) -> None:
-        """What all lives together may spend, each by its own clock, at instants of the world's."""
+        """What all lives may spend together, each by its own clock, at instants of the world's."""
         most = self.plan.per_s * 1000.0 * (1.0 + len(
             [fault for fault in self.plan.fault if fault.kind == "twin"]) / self.plan.daemons)
         while not self.wrong:
@@ -192,8 +195,9 @@
             may = sum(process.sharing.budgets["all"].loans.authority(process.clock.time())
                       for process in (*self.processes, *self.twins) if process.sharing is not None)
             if may > most:
+                at = self.kernel.now - self.seen.began
                 self.wrong.append(("authority", f"{may / 1000.0:.3f} a second of "
-                                   f"{most / 1000.0:.3f} at {self.kernel.now - self.seen.began:.3f}"))
+                                   f"{most / 1000.0:.3f} at {at:.3f}"))
 
     async def _fault(self, fault: Fault) -> None:
         plan, who = self.plan, fault.who % self.plan.daemons
--- a/limebridge/rehearsal/engine.py
+++ b/limebridge/rehearsal/engine.py
@@ -31,6 +31,7 @@
 from .attainable import STEP, Room, attainable, compare, troubles
 from .blame import Watch, costs, totals
 from .crowd import Front, Want
+from .fleet import Talk
 from .result import Result
 from .scenario import Class, Scenario, rate, spread
 from .score import WINDOW, Asked, score
@@ -46,6 +47,8 @@
 class Morning(Troubles):
     """Everything of one run."""
 
+    _talk: Talk | None = None
+
     def __init__(self, scenario: Scenario, seed: int) -> None:
         self.scenario, self.seed = scenario, seed
         self.kernel = Kernel(seed)
@@ -148,6 +151,8 @@
         await self._build()
         await asyncio.sleep(STARTS)
         self._began = self.kernel.now
+        if self._talk is not None:
+            self._talk.settle(self.kernel.now)
         for front in self.fronts:
             front.began = self._began
         for event in scenario.event:
@@ -164,8 +169,7 @@
             self._left(process)
         for judge in self.judges.values():
             judge.end(self.kernel.now)
-        for node in self.nodes:
-            await node.die()
+        await asyncio.gather(*(node.die() for node in self.nodes))
         await self.discovery.stop()
 
     def _left(self, process: Process) -> None:
@@ -197,7 +201,7 @@
         sites = [site.name for site in scenario.site]
         shares = [site.share for site in scenario.site]
         caps = {"connectTimeoutMs": 120.0, "secondCopies": True, "retryAfter": True}
-        settings = {"classes": [self._class(c) for c in scenario.classes],
+        settings = {"classes": [c.told() for c in scenario.classes],
                     "caps": SETTINGS["caps"] | caps}
         homes = spread(sites, shares, scenario.proxies.count)
         for number in range(scenario.proxies.count):
@@ -217,6 +221,8 @@
     def _world(self) -> None:
         self.wall = WALL  # Unix s at the clock's 0
         self.kernel.extra = self._distance
+        if self.scenario.proxies.fleet:
+            self._talk = Talk(self.scenario, self.kernel, self.random("talk"))
 
     def _hear(self) -> None:
         """Judge by the bytes that each process was told."""
@@ -236,6 +242,7 @@
         process = Process(self.kernel, self.loop, lambda: self.kernel.now + WALL,
                           lambda sock: int(sock.undelivered()), owner,
                           measured().over(cores) if cores else None)
+        process.joins = None if self._talk is None else self._talk.join
         return process, process.start(parse(raw, self.scenario.operator))
 
     async def _restart(self, process: Any, port: int) -> None:
@@ -285,13 +292,6 @@
         return node.entry(node.name, lifecycle, zone=self._sites[node.name],
                           machineType=self._kinds[node.name], startedAtMs=born)
 
-    @staticmethod
-    def _class(of: Class) -> dict[str, Any]:
-        told: dict[str, Any] = {
-            "name": of.name, "promiseMs": of.aim_ms, "deadlineMs": of.deadline_ms,
-            "effect": of.effect, "worth": of.worth, "lateValue": of.late}
-        return told | ({"group": "all", "keyTtlMs": of.window_ms} if of.effect == "token" else {})
-
     # --- load ---
     async def _load(self) -> None:
         if self.scenario.load.trace:
--- /dev/null
+++ b/limebridge/rehearsal/fleet.py
@@ -0,0 +1,70 @@
+"""A rehearsal's proxies talk to each other: who is there, what they met at the nodes.
+
+They begin as a fleet that has stood for long: each knows all.  `deaf`: a share of them hear nothing
+from the others; `liars`: a share tell of trouble at each node they know.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from limebridge.virtual.kernel import Kernel
+from violetroute.sharing import make
+from violetroute.sharing.table import SharingTable
+from violetroute.sharing.talk import Sharing
+from violetroute.sharing.wire import Keys, Saw
+from violetroute.transport.sockets import SocketNetwork
+
+from .scenario import Scenario
+
+PORT = 20_000  # of the first proxy
+WAY = 0.0005  # s one way
+KEYS = Keys([b"a key of an emulated fleet"])
+
+
+class Talk:
+    """All proxies of one run."""
+
+    def __init__(self, scenario: Scenario, kernel: Kernel, random: Random) -> None:
+        self._proxies = scenario.proxies
+        self._lives = 0
+        names = [f"p{number}" for number in range(scenario.proxies.count)]
+        random.shuffle(names)
+        deaf = round(scenario.proxies.deaf * len(names))
+        self._deaf = {PORT + int(name[1:]) for name in names[:deaf]}
+        self._liars = set(names[deaf:deaf + round(scenario.proxies.liars * len(names))])
+        kernel.weather = lambda owner, port: [] if port in self._deaf else [WAY]
+        self.here: list[Sharing] = []
+
+    def join(self, process: Any, net: SocketNetwork) -> Sharing:
+        """One more life of a proxy."""
+        number, settings = int(process.owner[1:]), process.proxy_config.settings
+        self._lives += 1
+        table = SharingTable(
+            listen=f"127.0.0.1:{PORT + number}", proxies=self._proxies.count,
+            seeds=(f"127.0.0.1:{PORT}", f"127.0.0.1:{PORT + 1}"))
+        sharing = Sharing(table, KEYS, process.owner, settings.zone, settings.max_backoff, net,
+                          process.proxy, life=f"life{self._lives}")
+        make.attach(sharing, process.proxy)
+        if process.owner in self._liars and sharing.hearsay is not None:
+            hearsay = sharing.hearsay
+            hearsay.tells = lambda now, most=24: [  # type: ignore[method-assign]
+                Saw(node, known.started, 0.0, 9.0)
+                for node, known in list(hearsay._nodes.items())[:most]]
+        self.here.append(sharing)
+        return sharing
+
+    def settle(self, now: float) -> None:
+        """Each knows all, and had a word of it."""
+        own = [(sharing.name, sharing.members.own()) for sharing in self.here]
+        for sharing in self.here:
+            for name, rumor in own:
+                if name != sharing.name and name not in sharing.members.members:
+                    sharing.members.know(rumor, now)
+
+    def cost(self, seconds: float) -> dict[str, float]:
+        """Datagrams and bytes a second of one member."""
+        many = max(1, len(self.here)) * seconds
+        return {"datagrams": sum(sharing.sent for sharing in self.here) / many,
+                "bytes": sum(sharing.bytes_sent for sharing in self.here) / many}
--- a/limebridge/rehearsal/scenario.py
+++ b/limebridge/rehearsal/scenario.py
@@ -9,7 +9,7 @@
 import itertools
 import re
 from pathlib import Path
-from typing import Annotated, Literal, get_args
+from typing import Annotated, Any, Literal, get_args
 
 import msgspec
 
@@ -84,6 +84,14 @@
     effect: Literal["pure", "token", "side_effect"] = "pure"
     window_ms: From0 = 0.0
 
+    def told(self) -> dict[str, Any]:
+        """As the platform's settings have it."""
+        found: dict[str, Any] = {
+            "name": self.name, "promiseMs": self.aim_ms, "deadlineMs": self.deadline_ms,
+            "effect": self.effect, "worth": self.worth, "lateValue": self.late}
+        return found | ({"group": "all", "keyTtlMs": self.window_ms}
+                        if self.effect == "token" else {})
+
 
 class Keys(_Table, frozen=True):
     count: Count = 2000
@@ -100,6 +108,9 @@
     count: Count = 6
     descriptors: Count = 256
     cores: From0 = 0.0  # of each; its own time is played then (virtual/costs.json), not at 0
+    fleet: bool = False  # they talk to each other: [sharing] is on
+    deaf: Share = 0.0  # of them hear nothing of the others
+    liars: Share = 0.0  # of them tell of trouble at each node
 
 
 class Point(_Table, frozen=True):
--- a/limebridge/virtual/process.py
+++ b/limebridge/virtual/process.py
@@ -16,6 +16,7 @@
 from violetroute.clients import Listener
 from violetroute.config import Config
 from violetroute.proxy import Proxy
+from violetroute.sharing.talk import Sharing
 from violetroute.transport.sockets import SocketNetwork
 from violetroute.transport.turns import PAUSE, Turns
 
@@ -77,6 +78,9 @@
         self.paused_until = 0.0
         self._draining: asyncio.Task[None] | None = None
         self.meter = None if costs is None else Meter(kernel, loop, owner, costs)
+        # What a new life joins, given this process and its net; closed with it.
+        self.joins: Callable[[Process, SocketNetwork], Sharing] | None = None
+        self.sharing: Sharing | None = None
 
     def start(self, config: Config, port: int = 0) -> int:
         """As the program's start-up puts it together; returns the port."""
@@ -93,6 +97,7 @@
         listen = replace(config.listen, port=port or config.listen.port)
         self.state = "up"
         self._longest = config.longest_deadline + DRAIN_SLACK
+        self.sharing = None if self.joins is None else self.joins(self, net)
         return self.listener.start(listen).port
 
     async def term(self) -> bool:
@@ -103,8 +108,12 @@
         return not self._draining.cancelled()
 
     async def _drain(self) -> None:
+        if self.sharing is not None:
+            self.sharing.leave()
         await self.listener.drain(self._longest)
         self.proxy.close()
+        if self.sharing is not None:
+            self.sharing.close()
         await asyncio.sleep(0.01)
         self.state = "down"
 
--- a/snowstall/__init__.py
+++ b/snowstall/__init__.py
@@ -9,6 +9,7 @@
     Effect,
     Fail,
     Group,
+    Judged,
     ListKind,
     Member,
     Outcome,
@@ -25,7 +26,7 @@
 
 __all__ = [
     "HOUSEKEEPING",
-    "Action", "Balancer", "CacheState", "Cancel", "Effect", "Fail", "Group", "ListKind",
+    "Action", "Balancer", "CacheState", "Cancel", "Effect", "Fail", "Group", "Judged", "ListKind",
     "Member", "Outcome", "Refuse", "Request", "RequestClass", "Result", "Send", "Settings",
     "Subscribe", "Tenant", "Timer",
 ]
--- a/snowstall/attempts.py
+++ b/snowstall/attempts.py
@@ -57,8 +57,6 @@
             return False
         if now > min(a.sent_at for a in ran) + cls.repeat_window - REPEAT_MARGIN:
             return False  # the caches may have forgotten the first arrival by then
-        if cls.group is Group.ZONE:
-            return all(a.cache.zone == cache.zone for a in ran)
-        if cls.group is Group.CELL:
-            return all(a.cache.cell == cache.cell for a in ran)
-        return True
+        return cls.group is Group.ALL or all(
+            a.cache.zone == cache.zone if cls.group is Group.ZONE else a.cache.cell == cache.cell
+            for a in ran)
--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -14,7 +14,7 @@
 from .choice import SPARE_CANDIDATES, Choice
 from .gate import Gate, OwnLoad
 from .learning import ERROR_LIMIT, FAIR_ANSWERS, LIFE_SIGN, PROBE_CAP, PROBE_EARN
-from .messages import Action, Effect, ListKind, Member, Outcome, Request, Result, Settings
+from .messages import Action, Effect, Judged, ListKind, Member, Outcome, Request, Result, Settings
 
 RETRY_EARN, RETRY_CAP = 0.15, 6.0  # further attempts per request, and saved up at most
 FORGIVEN = 30_000.0  # ms until it is asked like any other though nothing could ask it
@@ -96,12 +96,14 @@
         self._subscribed, self._asking, self._ask_failures = False, True, 0
         return [messages.Subscribe()]
 
-    def on_hints(self, now: float, hinted: Iterable[int]) -> list[Action]:
-        """Others meet trouble at these: sent away as by own evidence, never the other way round."""
+    def on_others(self, now: float, bad: Iterable[int], outcomes: Iterable[Judged]) -> list[Action]:
+        """What others met: caches are sent away as by own evidence, and only that; of the load."""
         self._tick(now)
-        for cache in [self._caches[name] for name in hinted if name in self._caches]:
+        for cache in [self._caches[name] for name in bad if name in self._caches]:
             if now >= cache.absent_until:
                 self._eject(cache, now)
+        for kept, badness, took, aim, queued in outcomes:
+            (self.gate if kept else self.fetches).learn(badness, now, True, took, aim, queued)
         return []
 
     def on_arrival(self, now: float, class_name: str, stood: float, left: float, spent: float,
@@ -328,11 +330,9 @@
     def _another(self, pending: Pending, now: float) -> Cache | None:
         """A warm cache not tried yet, in the key's order: cold ones get no retries."""
         tried = {a.cache.id for a in pending.attempts}
-        for cache in self._placement(pending.key, 2 + SPARE_CANDIDATES):
-            if cache.id not in tried and self._sound(cache, now) \
-                    and self._warmth(cache, now) >= 1.0 and pending.may_send(cache, now):
-                return cache
-        return None
+        return next((cache for cache in self._placement(pending.key, 2 + SPARE_CANDIDATES)
+                     if cache.id not in tried and self._sound(cache, now)
+                     and self._warmth(cache, now) >= 1.0 and pending.may_send(cache, now)), None)
 
     def _end(self, pending: Pending, actions: list[Action], failed: bool = False) -> None:
         """The final answer when it was not served: a refusal where that is true."""
--- a/snowstall/cache.py
+++ b/snowstall/cache.py
@@ -21,8 +21,7 @@
     __slots__ = ("cache", "lost", "out", "overtaken", "own_error", "ran", "sent_at", "stood")
 
     def __init__(self, cache: Cache, now: float) -> None:
-        self.cache, self.sent_at = cache, now
-        self.out = True
+        self.cache, self.sent_at, self.out = cache, now, True
         self.overtaken = False  # what was sent there later came back quickly
         self.stood = 0.0  # ms in which this process stood still while it was out
         self.lost = False  # swallowed, by all that can be seen
--- a/snowstall/fleet.py
+++ b/snowstall/fleet.py
@@ -62,8 +62,7 @@
             return cache
         if member.started_at > cache.started_at:  # restarted: empty and cold again
             cache.started_at = cache.cold_since = member.started_at
-            cache.suspect = False
-            cache.absent_until = 0.0
+            cache.suspect, cache.absent_until = False, 0.0
             self.unproven.pop(cache.id, None)
             cache.slow_weight = cache.slow_sum = 0.0
         return None
--- a/snowstall/learning.py
+++ b/snowstall/learning.py
@@ -1,12 +1,13 @@
 """What outcomes tell: of a cache alone, of the load, of the origin."""
 
 import math
+from collections import deque
 
 from .attempts import REDIRECTS, Pending
 from .cache import OTHERS_ERRORS, RATIO_CAP, Attempt, Cache, Mean
 from .fleet import Fleet
 from .gate import Gate
-from .messages import Outcome, RequestClass, Result, Settings
+from .messages import Judged, Outcome, RequestClass, Result, Settings
 
 KEPT = 8_192  # keys of which is known who served them last
 AWAY = 1_000.0  # ms until a cache that failed is asked again, by few
@@ -30,6 +31,7 @@
         super().__init__(settings, seed, now)
         self.gate = Gate(settings, now)  # of what some cache likely has
         self.fetches = Gate(settings, now, self.gate)  # of what goes on to the origin
+        self.judged: deque[Judged] = deque(maxlen=256)  # for whoever tells other proxies
         self._kept: dict[int, tuple[Cache, float]] = {}  # by key: who served it last, and when
         self._answers: dict[str, Mean] = {}  # by class, of those who gave the caches time
         self._kinds: dict[str, Mean] = {}
@@ -52,6 +54,8 @@
         if pending.fair and not (bad and any(a.lost for a in pending.attempts)):
             took = self._now - pending.arrived_at - fetch
             pending.gate.learn(bad, self._now, pending.patient, took, pending.cls.aim, queued)
+            if pending.patient:
+                self.judged.append((pending.gate is self.gate, bad, took, pending.cls.aim, queued))
 
     def _fetch(self, cls: RequestClass) -> float:
         hits, misses = self._mean(cls, True), self._mean(cls, False)
@@ -107,8 +111,7 @@
                 cache.suspect = False
                 if self._may_suspect(now):
                     cache.cold_since = now
-            if self.unproven:
-                self._prove(cache)
+            self._prove(cache)
             cache.served_at = cache.owing_since = self._answered_at = now
             self._keep(pending.key, cache, pending.request.write)
             mean = self._mean(pending.cls, outcome.hit is not False)
--- a/snowstall/messages.py
+++ b/snowstall/messages.py
@@ -119,6 +119,11 @@
     SILENT = "silent"  # a watch that stood has fallen silent
 
 
+# What came of a request: whether a cache likely had its key, its badness (0 in time, 1 nothing),
+# the ms that it took and its class's aim, whether it tells of queues.
+Judged = tuple[bool, float, float, float, bool]
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     id: int
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -11,9 +13,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from typer.testing import CliRunner
 
-from limebridge.cli import app
 from limebridge.faults.sharing import judge, memory, plan, rig
 from limebridge.faults.sharing.judge import Seen
 from limebridge.faults.sharing.plan import Fault, Plan
@@ -61,11 +61,12 @@
 @pytest.mark.parametrize("plant", PLANTED)
 def test_a_planted_fault_is_found_in_memory(plant: str) -> None:
     patch = ROOT / "tests" / "planted_sharing" / f"{plant}.py"
-    told = CliRunner().invoke(app, ["faults", "sharing", "explore", "--seeds", "60", "--jobs", "2",
-                                    "--patch", str(patch), "--json"])
-    assert told.exit_code == 1, told.output
-    assert PLANTED[plant] in {rule for _, rule, _ in msgspec.json.decode(
-        told.output.splitlines()[-1])["broken"]}
+    told = subprocess.run(  # a plant stays in its process
+        [sys.executable, "-m", "limebridge", "faults", "sharing", "explore", "--seeds", "60",
+         "--jobs", "2", "--patch", str(patch), "--json"], capture_output=True, text=True, cwd=ROOT,
+        check=False, timeout=150)
+    assert told.returncode == 1, told.stderr[-2000:]
+    assert PLANTED[plant] in {rule for _, rule, _ in msgspec.json.decode(told.stdout)["broken"]}
 
 
 def test_a_plan_is_read_back_and_one_that_is_none_is_one_line(tmp_path: Path) -> None:
@@ -173,7 +174,7 @@
 def envelope(number: int = 1, name: str = "a", life: str = "l", **more: Any) -> Envelope:
     items = [wire.raw(wire.packed(item)) for item in more.pop("items", [Ping(1)])]
     return Envelope(name, life, 1, number, more.pop("to", "b"), more.pop("to_life", ""),
-                    more.pop("heard", 0), items)
+                    more.pop("heard", 0), 0, items)
 
 
 def test_a_datagram_is_opened_with_either_key_and_nothing_else() -> None:
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -18,6 +18,7 @@
     Cancel,
     Effect,
     Fail,
+    Judged,
     ListKind,
     Outcome,
     Refuse,
@@ -65,6 +66,7 @@
         self._housekeeping: asyncio.TimerHandle | None = None  # the module's own, one at a time
         self._turns.tell_pauses(self._paused)
         self._balancer = Balancer(config.settings, config.seed, self.clock())
+        self.judged = self._balancer.judged  # what came of requests, for who tells others
         self._settings = config.settings
         self._beliefs = Beliefs(loop.time, self.places.name)
         self._classes = {c.name: c for c in config.settings.classes}
@@ -261,13 +263,9 @@
             ((stable_hash(e.instance.encode()), Like(e.instance, e.zone, e.kind)) for e in serving),
             (e.instance for e in listing.entries if e.state is not CacheState.READY))
 
-    def hint(self, nodes: list[int]) -> None:
-        """These seem bad by what other proxies met there."""
-        self._tell(None, self._balancer.on_hints, nodes)
-
-    def name_of(self, node: int) -> str:
-        """As a person knows it."""
-        return self.places.name(node)
+    def others(self, bad: list[int], outcomes: list[Judged]) -> None:
+        """What other proxies met at the nodes."""
+        self._tell(None, self._balancer.on_others, bad, outcomes)
 
     def _size(self, sizes: Mapping[int, float]) -> None:
         self._tell(None, self._balancer.on_sizes, sizes)
--- a/violetroute/sharing/counts.py
+++ b/violetroute/sharing/counts.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from .wire import Counted
 
@@ -90,9 +91,9 @@
         self.kind, self.own, self._at, self._size = kind, Summary(size), now, size
         self._others: dict[str, tuple[Summary, float]] = {}
 
-    def add(self, now: float, key: int) -> None:
+    def add(self, now: float, key: int, weight: float = 1.0) -> None:
         self._fade(now)
-        self.own.add(key)
+        self.own.add(key, weight)
 
     def _fade(self, now: float) -> None:
         if now - self._at >= WINDOW / 50.0:
@@ -134,3 +135,8 @@
                              for key, c in summary.counters.items()}
             every.append(aged)
         return merge(every, self._size)
+
+
+def hash_of(text: str) -> int:
+    """63 bits that are the same in every process."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big") >> 1
--- a/violetroute/sharing/hearsay.py
+++ b/violetroute/sharing/hearsay.py
@@ -29,17 +29,19 @@
 
 from .wire import Saw
 
-HALF_LIFE = 2.0  # s
+HALF_LIFE = 4.0  # s: of 46 proxies that see little three have met a bad node within one
 WITNESSES = 3
+BAD_LEAST = 2.0  # outcomes that have not faded: one in a hundred fails anywhere
 BAD_SHARE = 0.5
 WELL_SHARE = 0.3  # below it a node that was held for bad is not any more
-CUT_SHARE = 0.5
+CUT_SHARE = 0.75
 CUT_LEAST = 3  # nodes that a member must speak of to be judged by that
 WEIGHT_MOST = 2.0  # times the median witness
 WEIGHT_LEAST = 0.2  # outcomes: what has faded further says nothing
 OWN_ENOUGH = 4.0  # outcomes of one's own
 NODES_MOST = 4096
 MEMBERS_MOST = 4096
+TROUBLED_S = 20.0  # s after the last word of trouble: five half-lives
 TELLS_MOST = 24  # nodes that one datagram tells of
 
 
@@ -71,6 +73,7 @@
     own: Tally = field(default_factory=Tally)
     said: dict[str, Tally] = field(default_factory=dict)  # by member
     bad: bool = False  # as it was judged last
+    troubled_until: float = 0.0  # since a member told of trouble there
 
 
 class Hearsay:
@@ -81,6 +84,7 @@
         self._nodes: dict[int, _Node] = {}
         self._zones: dict[str, str] = {}  # of members
         self._next = 0
+        self._troubled_until = 0.0
 
     # --- the list ---
     def listed(self, node: int, started: float) -> None:
@@ -113,6 +117,8 @@
             return
         left = 0.5 ** (age / HALF_LIFE)
         node.said[member] = Tally(saw.good * left, saw.bad * left, now)
+        if saw.bad * left >= WEIGHT_LEAST:
+            self._troubled_until = node.troubled_until = now + TROUBLED_S
         self._zones[member] = zone
 
     def left(self, member: str) -> None:
@@ -141,22 +147,40 @@
     # --- judging ---
     def judge(self, now: float) -> list[int]:
         """Nodes that seem bad by what others saw, and not by what we did."""
-        for node in self._nodes.values():
-            for member, tally in list(node.said.items()):
-                tally.fade(now)
-                if tally.weight < WEIGHT_LEAST:
-                    del node.said[member]
-            node.own.fade(now)
-        cut = self._cut()
+        if now >= self._troubled_until:
+            return []  # nobody has told of any trouble that has not faded
         found = []
         for number, node in self._nodes.items():
-            node.bad = self._is_bad(node, cut)
+            if now >= node.troubled_until:
+                node.bad = False
+                continue
+            self._fade(node, now)
+            node.bad = self._is_bad(node, set())
             if node.bad:
                 found.append(number)
+        if not found:
+            return []
+        cut = self.cut(now)
+        for number in list(found):
+            node = self._nodes[number]
+            if cut and not self._is_bad(node, cut):
+                node.bad = False
+                found.remove(number)
         return found
 
-    def _cut(self) -> set[str]:
-        """Members who see trouble nearly everywhere."""
+    def _fade(self, node: _Node, now: float) -> None:
+        for member, tally in list(node.said.items()):
+            tally.fade(now)
+            if tally.weight < WEIGHT_LEAST:
+                del node.said[member]
+        node.own.fade(now)
+
+    def cut(self, now: float) -> set[str]:
+        """Members who see trouble nearly everywhere.  Looks at all that was said: ask rarely."""
+        if now >= self._troubled_until:
+            return set()
+        for node in self._nodes.values():
+            self._fade(node, now)
         spoke: dict[str, int] = {}
         troubled: dict[str, int] = {}
         for node in self._nodes.values():
@@ -178,7 +202,9 @@
         most = WEIGHT_MOST * median(tally.weight for tally in votes)
         weights = [min(tally.weight, most) for tally in votes]
         bad = sum(weight * tally.share for weight, tally in zip(weights, votes, strict=True))
-        return bad > (WELL_SHARE if node.bad else BAD_SHARE) * sum(weights)
+        if node.bad:
+            return bad > WELL_SHARE * sum(weights)
+        return bad >= BAD_LEAST and bad > BAD_SHARE * sum(weights)
 
     # --- looking ---
     def beliefs(self, now: float) -> list[tuple[int, int, float, float, bool]]:
--- a/violetroute/sharing/look.py
+++ b/violetroute/sharing/look.py
@@ -25,7 +25,7 @@
                             for m in sharing.members.members.values()]}
     if what == "beliefs":
         return {"nodes": [] if sharing.hearsay is None else [
-            {"node": sharing.host.name_of(node), "witnesses": witnesses,
+            {"node": sharing.host.places.name(node), "witnesses": witnesses,
              "trouble": round(share, 3), "own_trouble": round(own, 3), "avoided": bad}
             for node, witnesses, share, own, bad in sharing.hearsay.beliefs(now)],
             "counts": {kind: [[f"{key:016x}", round(count, 1), round(error, 1)]
--- a/violetroute/sharing/make.py
+++ b/violetroute/sharing/make.py
@@ -5,7 +5,6 @@
 from functools import partial
 from typing import Protocol
 
-from violetroute.membership import Places
 from violetroute.parts import Parts
 from violetroute.transport import Network
 from violetroute.transport.local import LocalDoor
@@ -19,21 +18,24 @@
     """The proxy."""
 
     parts: Parts
-    places: Places
-
 
 def make_sharing(table: SharingTable, name: str, zone: str, max_backoff: float, net: Network,
                  proxy: Heard) -> Sharing:
     """OSError where it cannot listen, OSError or ValueError where the key can't be read."""
     sharing = Sharing(table, read_keys(table.key_file), name, zone, max_backoff, net, proxy)
+    attach(sharing, proxy)
+    return sharing
+
+
+def attach(sharing: Sharing, proxy: Heard) -> None:
+    """It hears of requests, attempts and lists from now on."""
     parts = proxy.parts
-    if table.judge:
+    if sharing.hearsay is not None:
         parts.ended.append(sharing.met)
         parts.listed.append(sharing.listed)
         sharing.listed(proxy.places.members())
     parts.taken.append(sharing.asked)
     parts.admits = sharing.admits
-    return sharing
 
 
 def door_of(table: SharingTable, sharing: Sharing) -> LocalDoor | None:
--- a/violetroute/sharing/members.py
+++ b/violetroute/sharing/members.py
@@ -25,10 +25,10 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
-from .rumors import Rumors, State, overrides
+from .rumors import Member, Rumors, overrides
 from .wire import Ack, Item, Nack, Need, Page, Paged, Ping, Rumor
 
 MEMBERS_MOST = 4096
@@ -42,32 +42,11 @@
 HEALTH_MOST = 6  # how slow one's own bad health makes one
 PAGE = 12  # members of one page
 AGAIN_S = 3.0  # s between two asks of who is thought dead, or of a seed
-PAGE_S = 5.0  # s between two pages asked for without a cause
+PAGE_S = 10.0  # s at most between two walks through the pages without a cause
+PAGE_FEW = 50  # members; for more the walks are rarer
 FORGET_S = 60.0  # s after which the dead are forgotten: they have been asked again by then
 
 
-@dataclass(slots=True)
-class Member:
-    """As it is believed to stand."""
-
-    name: str
-    life: str
-    incarnation: int
-    state: State
-    place: str
-    zone: str
-    since: float
-    heard_at: float = -math.inf  # a word of its own came
-    suspected_by: set[str] = field(default_factory=set)
-
-    @property
-    def up(self) -> bool:
-        return self.state in ("a", "s")
-
-    def rumor(self, by: str = "") -> Rumor:
-        return Rumor(self.name, self.life, self.incarnation, self.state, self.place, self.zone, by)
-
-
 @dataclass(frozen=True, slots=True)
 class Out:
     """To be sent: to a member by name, or to a place of which the name is not known yet."""
@@ -99,6 +78,8 @@
         self._seeds = [seed for seed in seeds if seed != place]
         self._random, self._changed = random, changed
         self.members: dict[str, Member] = {}
+        self._up: list[str] | None = None  # names of those that are there, once asked for
+        self._doubted: dict[str, None] = {}  # of those that are not plainly alive
         self.health = 0  # 0 is well
         self.twin: Member | None = None  # another life of our name, above us
         self._order: list[str] = []
@@ -114,7 +95,9 @@
     # --- what is known ---
     def up(self) -> list[str]:
         """Names of those that are there, without this one."""
-        return [member.name for member in self.members.values() if member.up]
+        if self._up is None:
+            self._up = [member.name for member in self.members.values() if member.up]
+        return self._up
 
     def is_up(self, name: str, life: str) -> bool:
         member = self.members.get(name)
@@ -123,7 +106,7 @@
     @property
     def size(self) -> int:
         """Of the fleet as it is believed, this one with it."""
-        return 1 + sum(member.up for member in self.members.values())
+        return 1 + len(self.up())
 
     def of(self, name: str) -> tuple[str, str, str]:
         """Life, place and zone; "" each of one that is not known."""
@@ -156,7 +139,8 @@
             self._again_at = now + AGAIN_S * (0.75 + 0.5 * self._random.random())
             out += self._again()
         if now >= self._page_at:
-            self._page_at = now + PAGE_S * (0.75 + 0.5 * self._random.random())
+            # A larger fleet's pages are more: asked for as much more rarely.
+            self._page_at = now + PAGE_S * (1.0 + self.size / PAGE_FEW) * self._random.random()
             names = self.up()
             if names:
                 after = self._random.choice(["", *names])
@@ -183,7 +167,7 @@
             if member is not None and member.up:
                 break
         else:
-            self._order = self.up()
+            self._order = list(self.up())
             self._random.shuffle(self._order)
             if not self._order:
                 return []
@@ -225,20 +209,21 @@
         return max(least, most - (most - least) * share) * (1 + self.health / 2.0)
 
     def _suspicions(self, now: float) -> None:
-        for member in list(self.members.values()):
+        for member in [self.members[name] for name in self._doubted]:
             if member.state == "s" and \
                     now - member.since >= self.suspicion(len(member.suspected_by) - 1):
                 self._take(Rumor(member.name, member.life, member.incarnation, "d", member.place,
                                  member.zone, self.name), now)
             elif not member.up and now - member.since >= FORGET_S:
-                del self.members[member.name]
+                del self.members[member.name], self._doubted[member.name]
                 self._changed(member.name, "", member.state)
         if self.twin is not None and now - self.twin.since >= self.suspicion(0):
             self._alone_again(self.twin.incarnation)
 
     def _again(self) -> list[Out]:
         """Those thought dead may be back, and seeds may know a part that we do not."""
-        dead = [member for member in self.members.values() if member.state == "d"]
+        dead = [member for name in self._doubted
+                if (member := self.members[name]).state == "d"]
         out = []
         if dead:
             member = self._random.choice(dead)
@@ -344,9 +329,7 @@
         if known is None:
             if rumor.state in ("d", "l") or len(self.members) >= MEMBERS_MOST:
                 return []  # of whom nothing is known nothing need be forgotten
-            known = self.members[rumor.name] = Member(
-                rumor.name, rumor.life, rumor.incarnation, "a", rumor.place, rumor.zone, now)
-            self._order.insert(int(self._random.random() * (len(self._order) + 1)), rumor.name)
+            known = self.know(rumor, now)
             self._changed(rumor.name, "a", "")
             if rumor.state == "a":
                 self._rumors.add(known.rumor())
@@ -355,7 +338,7 @@
                 and rumor.life == known.life:
             if rumor.by and rumor.by not in known.suspected_by \
                     and len(known.suspected_by) <= CONFIRMED:
-                known.suspected_by.add(rumor.by)
+                known.suspected_by |= {rumor.by}
                 self._rumors.add(rumor)
             return []
         if not overrides(rumor, known.state, known.life, known.incarnation):
@@ -365,12 +348,25 @@
         known.state, known.since = rumor.state, now  # type: ignore[assignment]
         if rumor.state == "a":
             known.place, known.zone = rumor.place or known.place, rumor.zone or known.zone
-        known.suspected_by = {rumor.by} if rumor.state == "s" else set()
+        known.suspected_by = frozenset((rumor.by,) if rumor.state == "s" else ())
+        self._up = None
+        if rumor.state == "a":
+            self._doubted.pop(rumor.name, None)
+        else:
+            self._doubted[rumor.name] = None
         if was != known.state or life != known.life:
             self._changed(rumor.name, known.state if life == known.life else "a", was)
         self._rumors.add(rumor)
         return []
 
+    def know(self, rumor: Rumor, now: float) -> Member:
+        """Take one that is not known yet for alive, without sending it on."""
+        known = self.members[rumor.name] = Member(
+            rumor.name, rumor.life, rumor.incarnation, "a", rumor.place, rumor.zone, now)
+        self._order.insert(int(self._random.random() * (len(self._order) + 1)), rumor.name)
+        self._up = None
+        return known
+
     def _of_me(self, rumor: Rumor, now: float) -> None:
         if rumor.life != self.life:
             if rumor.state in ("a", "s"):
--- a/violetroute/sharing/rumors.py
+++ b/violetroute/sharing/rumors.py
@@ -1,8 +1,9 @@
-"""Which word of a member is later, and how often each is sent on.  Pure."""
+"""A member as it is believed to stand; which word of it is later, and how often that is sent on."""
 
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from typing import Literal
 
 from .wire import Rumor
@@ -14,6 +15,28 @@
 State = Literal["a", "s", "d", "l"]
 
 
+@dataclass(slots=True)
+class Member:
+    """As it is believed to stand."""
+
+    name: str
+    life: str
+    incarnation: int
+    state: State
+    place: str
+    zone: str
+    since: float
+    heard_at: float = -math.inf  # a word of its own came
+    suspected_by: frozenset[str] = frozenset()
+
+    @property
+    def up(self) -> bool:
+        return self.state in ("a", "s")
+
+    def rumor(self, by: str = "") -> Rumor:
+        return Rumor(self.name, self.life, self.incarnation, self.state, self.place, self.zone, by)
+
+
 class Rumors:
     """What is still to be sent on, the least often sent first."""
 
--- /dev/null
+++ b/violetroute/sharing/strain.py
@@ -0,0 +1,68 @@
+"""What came of other proxies' requests, for a limit that one alone sees too little to set.  Pure.
+
+Each member tells now and then what came of its own requests since it told last: how many, how many
+of them to nothing, what they took, by whether a cache likely had the key.  No member counts for
+more than WEIGHT_MOST times the median one, and those that hearsay takes for cut off are left out.
+So what one in ten says wrongly moves the mean badness by 0.1 * WEIGHT_MOST / (0.9 + 0.1 *
+WEIGHT_MOST) at most, 0.18: less than the limit's rest at a quarter and what is shed beyond it.
+
+What comes out are a few outcomes that are the mean of what was heard in a round; the module takes
+them as it takes its own, beside its own, and its limit stays one of its own requests.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from statistics import median
+
+from snowstall.messages import Judged
+
+from .wire import Came
+
+WEIGHT_MOST = 2.0  # times the median member's count
+LEAST = 3  # members that have to be heard in a round
+EACH = 4.0  # outcomes heard that make one of those that the module takes
+MOST = 8  # that it takes in a round: its own must not drown
+MEMBERS_MOST = 256  # heard in one round
+
+
+class Strain:
+    """One proxy's: its own since it told last, and the others' in this round."""
+
+    def __init__(self) -> None:
+        self._heard: dict[tuple[str, bool], Came] = {}
+
+    @staticmethod
+    def tells(judged: Iterable[Judged]) -> list[Came]:
+        """Sums of what was judged since the last time."""
+        sums: dict[bool, list[float]] = {}
+        for kept, badness, took, aim, queued in judged:
+            here = sums.setdefault(kept, [0.0] * 5)
+            for place, value in enumerate((1.0, badness, took, aim, float(queued))):
+                here[place] += value
+        return [Came(kept, *(round(min(value, 1e6), 3) for value in here))
+                for kept, here in sums.items()]
+
+    def heard(self, member: str, came: Came) -> None:
+        """The latest of a member in a round counts."""
+        if came.bad <= came.count and came.queued <= came.count and came.aim > 0.0 \
+                and came.count >= 1.0 and len(self._heard) < MEMBERS_MOST:
+            self._heard[member, came.kept] = came
+
+    def round(self, cut: Collection[str]) -> list[Judged]:
+        """What the module takes of this round; the next begins."""
+        heard, self._heard = self._heard, {}
+        found: list[Judged] = []
+        for kept in (True, False):
+            said = [came for (member, which), came in heard.items()
+                    if which is kept and member not in cut]
+            if len(said) < LEAST:
+                continue
+            most = WEIGHT_MOST * median(came.count for came in said)
+            shares = [min(1.0, most / came.count) for came in said]
+            count, bad, took, aim, queued = (
+                sum(share * getattr(came, name) for share, came in zip(shares, said, strict=True))
+                for name in ("count", "bad", "took", "aim", "queued"))
+            one = kept, bad / count, took / count, aim / count, queued > count / 2.0
+            found += [one] * min(MOST, round(count / EACH))
+        return found
--- a/violetroute/sharing/talk.py
+++ b/violetroute/sharing/talk.py
@@ -11,31 +11,38 @@
 
 from __future__ import annotations
 
+import math
 import random
 import secrets
+from collections import deque
 from collections.abc import Sequence
 from typing import Any, Protocol
 
 from snowstall import CacheState, Member, Result
+from snowstall.messages import Judged
 from violetroute.logs import tell
+from violetroute.membership import Places
 from violetroute.transport import Address, Network, parse_address
 
 from . import wire
 from .budget import Ask, Back, Budget
-from .counts import Counts
+from .counts import Counts, hash_of
 from .hearsay import Hearsay
 from .loans import Terms
 from .members import Members
+from .strain import Strain
 from .table import SharingTable
-from .wire import Counted, Envelope, Item, Keys, Lend, Numbers, Saw, Spare
+from .wire import Came, Counted, Envelope, Item, Keys, Lend, Numbers, Saw, Spare
 
 TICK = 0.1  # s
 TELL_S = 0.5  # s between two rounds of telling what was met and what is to spare
 FEW, MANY = 2, 16  # members that a round tells: in calm, and of fresh trouble
 FRESH = 0.5  # bad outcomes from which a round tells many
 AGE_MOST = 5.0  # s: older word than that is not taken
+ROUND_AGE = 1.0  # s: of what came of requests
 TAKEN_S, TAKEN_BURST = 100.0, 200.0  # datagrams of one member a second, and at once
 SENT_S, SENT_BURST = 200.0, 200.0  # datagrams of ours
+SAMPLED = 0.25  # of the requests: a full summary costs as much as all else here
 COUNT_S = 1.0  # s between two tellings of counts, at least
 LEAST_BACKOFF = 40.0  # ms
 BAD = frozenset({Result.LATE, Result.RESET, Result.NO_CONNECTION})
@@ -44,11 +51,11 @@
 class Host(Protocol):
     """What the proxy is asked for."""
 
-    def hint(self, nodes: list[int]) -> None:
-        """These seem bad to others."""
+    places: Places
+    judged: deque[Judged]  # what came of its own requests, until it is taken out
 
-    def name_of(self, node: int) -> str:
-        """As a person knows it."""
+    def others(self, bad: list[int], outcomes: list[Judged]) -> None:
+        """What others met: nodes that seem bad, and what came of their requests."""
 
 
 class Rate:
@@ -89,6 +96,7 @@
         self.budgets: dict[str, Budget] = {}
         self._by_request: dict[tuple[str, str], list[Budget]] = {}
         self.hearsay = Hearsay(zone) if table.judge else None
+        self.strain = Strain()
         self.counts = {kind: Counts(kind, now) for kind in ("tenant", "key")}
         self._numbers = Numbers()
         self._out: dict[tuple[str, str], list[Item]] = {}
@@ -174,7 +182,8 @@
     def asked(self, tenant: str, key: int) -> None:
         """A request was let in."""
         now = self.loop.time()
-        self.counts["key"].add(now, key & (2**63 - 1))
+        if self._random.random() < SAMPLED:
+            self.counts["key"].add(now, key & (2**63 - 1), 1.0 / SAMPLED)
         if tenant:
             self.counts["tenant"].add(now, hash_of(tenant))
 
@@ -212,16 +221,19 @@
                              if (spare := budget.spare(now))]
         most = FEW
         if self.hearsay is not None:
-            saw = self.hearsay.tells(now)
-            items += saw
-            most = MANY if any(each.bad >= FRESH for each in saw) else FEW
+            saw, came = self.hearsay.tells(now), self.strain.tells(self.host.judged)
+            self.host.judged.clear()
+            items += (*came, *saw)
+            worst = max((*(s.bad for s in saw), *(c.bad for c in came)), default=0.0)
+            most = MANY if worst >= FRESH else FEW
             hinted = self.hearsay.judge(now)
+            outcomes = self.strain.round(self.hearsay.cut(now))
             for node in hinted:
                 if node not in self._hinted:
-                    tell("sharing.avoided", node=self.host.name_of(node))
+                    tell("sharing.avoided", node=self.host.places.name(node))
             self._hinted = hinted
-            if hinted:
-                self.host.hint(hinted)
+            if hinted or outcomes:
+                self.host.others(hinted, outcomes)
         if now >= self._count_at:
             self._count_at = now + COUNT_S
             items += [counts.tells(now) for counts in self.counts.values() if counts.own.counters]
@@ -299,7 +311,8 @@
         life = self.members.of(to)[0]
         data = self._keys.seal(Envelope(
             self.name, self.life, self.members.incarnation, self._numbers.next(to, now), to, life,
-            self._numbers.heard(to, life) if life else 0, [wire.raw(each) for each in raw]))
+            self._numbers.heard(to, life) if life else 0, int(self._net.wall() * 1000.0),
+            [wire.raw(each) for each in raw]))
         self.sent += 1
         self.bytes_sent += len(data)
         self._box.send(data, address)
@@ -319,12 +332,17 @@
             return
         self.received += 1
         place = f"{origin.host}:{origin.port}"
-        age = self._numbers.age(name, envelope.heard, now) \
-            if envelope.to_life == self.life else None
+        age = self._age(envelope, now)
         for item in wire.items(envelope):
-            if isinstance(item, Lend | Spare | Saw | Counted | wire.Ask | wire.Back):
-                if age is not None and age <= AGE_MOST and self.members.is_up(name, life):
-                    self._heard(now, name, life, item, age)
+            if isinstance(item, Saw | Came | Counted):
+                if age <= AGE_MOST and self.members.is_up(name, life):
+                    self._believe(now, name, item, age)
+            elif isinstance(item, Lend | Spare | wire.Ask | wire.Back):
+                budget = self.budgets.get(item.budget)
+                # An answer counts for the life that asked, whoever has its name by now.
+                if budget is not None and self.members.is_up(name, life) \
+                        and (envelope.to_life == self.life or not isinstance(item, Lend)):
+                    self._lend_or_borrow(now, name, life, item, budget)
             else:
                 for out in self.members.heard(now, name, life, envelope.incarnation, item, place):
                     self._put(out.to, out.place, *out.items)
@@ -339,19 +357,25 @@
             rate = self._taken[name] = Rate(TAKEN_S, TAKEN_BURST, now)
         return rate.take(now)
 
-    def _heard(self, now: float, name: str, life: str, item: Any, age: float) -> None:
+    def _age(self, envelope: Envelope, now: float) -> float:
+        """Seconds ago that it was written at most; infinite where nothing says so."""
+        if envelope.to_life == self.life:
+            age = self._numbers.age(envelope.name, envelope.heard, now)
+            if age is not None:
+                return age
+        apart = self._net.wall() - envelope.at / 1000.0
+        return max(0.0, apart) if abs(apart) <= AGE_MOST else math.inf
+
+    def _believe(self, now: float, name: str, item: Saw | Came | Counted, age: float) -> None:
         """Word of a member that is up, written at most `age` s ago."""
-        match item:
-            case Saw():
-                if self.hearsay is not None:
-                    self.hearsay.heard(now, name, self.members.of(name)[2], item, age)
-            case Counted():
-                if item.kind in self.counts:
-                    self.counts[item.kind].heard(now, name, item, age)
-            case _:
-                budget = self.budgets.get(item.budget)
-                if budget is not None:
-                    self._lend_or_borrow(now, name, life, item, budget)
+        if isinstance(item, Came):
+            if self.hearsay is not None and age <= ROUND_AGE:
+                self.strain.heard(name, item)
+        elif isinstance(item, Counted):
+            if item.kind in self.counts:
+                self.counts[item.kind].heard(now, name, item, age)
+        elif self.hearsay is not None:
+            self.hearsay.heard(now, name, self.members.of(name)[2], item, age)
 
     def _lend_or_borrow(self, now: float, name: str, life: str, item: Any,
                         budget: Budget) -> None:
@@ -367,10 +391,3 @@
                     self._back(budget.name, [back])
             case wire.Back():
                 budget.returned(now, f"{name}/{life}", item.number)
-
-
-def hash_of(text: str) -> int:
-    """63 bits that are the same in every process."""
-    from hashlib import blake2b
-
-    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big") >> 1
--- a/violetroute/sharing/wire.py
+++ b/violetroute/sharing/wire.py
@@ -11,9 +11,11 @@
 **Replays and late ones.**  Each life numbers what it sends; a number that came before, or is more
 than 64 behind the highest, is refused.  A datagram also names the life of who it is meant for and
 the highest number that its sender had from there.  So its receiver knows, by its own clock alone,
-that it was written after that one was sent: that bounds its age, whatever the network held back,
-and one that was recorded for an earlier life of the receiver shows no such number and says nothing
-but that somebody is there.  No wall clock is compared with another's.
+that it was written after that one was sent: that bounds its age, whatever the network held back.
+In a large fleet most that come are a pair's first for long and show no such number; these are dated
+by the wall clocks where both say nearly the same time, and are not believed where they don't.  That
+is for judgements and counts.  Loans need no age: a late ask, answer or return is harmless by its
+number and by whose life it names.
 """
 
 from __future__ import annotations
@@ -125,6 +127,17 @@
     bad: Small
 
 
+class Came(Item, frozen=True, tag="o"):
+    """Sums over a member's own requests since it told last: how many, their badness, ms, aims."""
+
+    kept: bool
+    count: Small
+    bad: Small
+    took: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+    aim: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+    queued: Small
+
+
 class Counted(Item, frozen=True, tag="c"):
     """Heavy hitters of one kind: keyed hashes, counts and by how much these may be too high."""
 
@@ -134,7 +147,8 @@
     errors: list[Small]
 
 
-Any_ = Ping | Ack | Nack | Need | Rumor | Page | Paged | Spare | Ask | Lend | Back | Saw | Counted
+Any_ = Ping | Ack | Nack | Need | Rumor | Page | Paged | Spare | Ask | Lend | Back | Saw | Came \
+    | Counted
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -147,6 +161,7 @@
     to: Annotated[str, msgspec.Meta(max_length=64)]
     to_life: Annotated[str, msgspec.Meta(max_length=32)]
     heard: Number
+    at: Number  # ms of the sender's wall clock
     items: Annotated[list[msgspec.Raw], msgspec.Meta(max_length=ITEMS_MOST)]
 
 
@@ -207,7 +222,7 @@
 
 def room(name: str, to: str) -> int:
     """Bytes for items in a datagram between two of these names, whatever its numbers are."""
-    return DATAGRAM_MOST - HEAD - 2 * 34 - len(name.encode()) - len(to.encode()) - 4 - 3 * 9 - 10
+    return DATAGRAM_MOST - HEAD - 2 * 34 - len(name.encode()) - len(to.encode()) - 4 - 4 * 9 - 10
 
 
 @dataclass(slots=True)
