--- a/violetroute/sharing/talk.py
+++ b/violetroute/sharing/talk.py
@@ -169,8 +169,8 @@
             if not budget.spend(now):
                 for other in spent:
                     other.refund()
-                wait = min(self.max_backoff, max(LEAST_BACKOFF, budget.wait(now) * 1000.0))
-                return wait * self._random.uniform(0.75, 1.0)
+                wait = max(LEAST_BACKOFF, budget.wait(now) * 1000.0)  # spread, not all at once
+                return min(self.max_backoff, wait * self._random.uniform(1.0, 1.5))
             spent.append(budget)
         return None
 
