--- a/snowstall/gate.py
+++ b/snowstall/gate.py
@@ -102,7 +102,7 @@
         passes = True
         if self.limit < math.inf:
             level = self._level + self.limit * (now - self._level_at) / 1_000.0
-            most = max(1.0, self.limit * 0.03 * self._settings.proxies ** 0.5)  # sums vary less
+            most = max(1.0, self.limit * min(0.42, 0.03 * self._settings.proxies ** 0.5))  # s
             self._level, self._level_at = min(most, level), now
             cheaper = sum(d for w, d in self._demand.items() if w < worth)
             debt = (1.0 + self.limit * DEBT / 1_000.0) * cheaper / sum(self._demand.values())
