A run out of memory in a handler ends its worker's run; a rig that fails leaves no daemon

Seen: the whole suite stood for minutes in a worker that may have 60 MB (its stack, from outside: MemoryError in a stream's handler, told and gone on with, without end), and one daemon of a rig was left since 01:00. Cause: a handler's fault ends its stream alone, which is right but for memory; a rig whose first daemon failed killed the others' lives while some were still being started. Change: worker's loop ends the run on MemoryError; all starts and faults are waited for before the killing.

--- a/limebridge/experiments/worker.py
+++ b/limebridge/experiments/worker.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import json
 import resource
@@ -29,9 +30,17 @@
 LEAST_US, MOST_US, DIGITS = 1, 60_000_000, 3  # of a histogram of answers
 
 
+def _ends(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Out of memory in a handler of the daemon's costs it a stream, and the run would go on so."""
+    if isinstance(context.get("exception"), MemoryError):
+        raise SystemExit
+    loop.default_exception_handler(context)
+
+
 def play(scenario: Scenario, seed: int) -> dict[str, Any]:
     """Measures, the histogram of answers' times, and what explains them."""
     morning = Morning(scenario, seed)
+    morning.loop.set_exception_handler(_ends)
     result = morning.run()
     told = plain(result)
     times = HdrHistogram(LEAST_US, MOST_US, DIGITS)
@@ -91,7 +100,7 @@
             told = play(scenario, job["seed"]) | {"scenario": digest(job["scenario"])}
     except ConfigError as error:
         told = {"state": "invalid", "why": str(error)}
-    except MemoryError:
+    except (MemoryError, SystemExit):
         told = {"state": "crashed", "why": "it needed more memory than it may have"}
     except Exception as error:
         told = {"state": "crashed", "why": f"{type(error).__name__}: {error}"}
--- a/limebridge/faults/sharing/rig.py
+++ b/limebridge/faults/sharing/rig.py
@@ -179,6 +179,7 @@
         self.ids: Counter[bytes] = Counter()
         self.refused = 0
         self.ends = False
+        self.faults: list[asyncio.Task[None]] = []
         self.twins: list[Child] = []
         self.cut: Counter[tuple[int, int]] = Counter()
         self.rng = random.Random(f"rig/{plan.seed}")
@@ -203,7 +204,11 @@
         tasks: list[asyncio.Task[None]] = []
         try:
             self.seen.began = self.now
-            await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+            # All of them come to an end before one's failure is told: none may start afterwards.
+            for failed in await asyncio.gather(*(daemon.start() for daemon in self.daemons),
+                                               return_exceptions=True):
+                if isinstance(failed, BaseException):
+                    raise failed
             self.seen.began = self.now
             tasks = [asyncio.create_task(daemon.asks()) for daemon in self.daemons]
             tasks.append(asyncio.create_task(self._lateness()))
@@ -219,9 +224,9 @@
             end = self.now
         finally:
             self.ends = True
-            for task in tasks:
+            for task in (*tasks, *self.faults):
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, *self.faults, return_exceptions=True)
             for child in (*self.twins, *(c for d in self.daemons for c in d.lives)):
                 await child.kill()
             for relay in self.relays.values():
@@ -262,7 +267,7 @@
 
     # --- faults ---
     async def _schedule(self) -> None:
-        tasks = []
+        tasks = self.faults
         for fault in self.plan.fault:
             await asyncio.sleep(max(0.0, self.seen.began + fault.at - self.now))
             self.seen.notes.append((self.now, f"{fault.kind} p{fault.who % self.plan.daemons} "
