A lender has its own part back when it needs it; what is known of borrowers is bounded

Found by a second reading: a loan that was asked for anew was lent anew whatever its lender needed by then, so a proxy's own part could be away for good, against what is promised, and one that stands aside for another of its name went on lending that one's part; both tests fail without the change. After 4,096 borrowers' lives nothing was lent to new ones any more, and what members said to have to spare was kept for ever. The Unix socket's mode was set by the process's umask, which other threads saw. A key changed between check and start was a traceback, and another part's error was told as sharing's. No line said that a budget turns away. Change: what may be lent is reckoned anew with each ask (Loans.pot); the oldest borrowers are forgotten, what a member said goes with it; fchmod before bind; sharing.spent and sharing.room, once a state. In memory a proxy that is asked for more than its part has to have all of it (floor), with a planted fault that breaks it.

--- a/limebridge/faults/sharing/memory.py
+++ b/limebridge/faults/sharing/memory.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 import os
 import random
 from collections import deque
@@ -41,6 +42,7 @@
 HEAL = 10.0  # s, fifty probes, until all is found well again: suspicions, a loan, another
 LOADED = 2.0  # times the budget that the loaded proxy is asked for
 IDLE = 0.5  # requests a second of each other
+KNOWN = 1.5  # s until a proxy knows a demand of half as much again as its part
 REDRAWN = 0.2  # s after which a client's wait is drawn anew
 LOOK = 0.02  # s between two looks at what all may spend
 LATENCY = 0.0005  # s one way
@@ -66,6 +68,7 @@
         self.sharing: Sharing | None = None
         self.owner = ""
         self.busy = False
+        self.needs = math.inf  # since when it is asked for more than its part
 
     def start(self) -> None:
         world = self.world
@@ -192,6 +195,8 @@
             [fault for fault in self.plan.fault if fault.kind == "twin"]) / self.plan.daemons)
         while not self.wrong:
             await asyncio.sleep(LOOK)
+            for process in self.processes:
+                self._floor(process)
             may = sum(process.sharing.budgets["all"].loans.authority(process.clock.time())
                       for process in (*self.processes, *self.twins) if process.sharing is not None)
             if may > most:
@@ -199,6 +204,21 @@
                 self.wrong.append(("authority", f"{may / 1000.0:.3f} a second of "
                                    f"{most / 1000.0:.3f} at {at:.3f}"))
 
+    def _floor(self, process: Process) -> None:
+        """Who has been asked for more than its part for long has all of that, whoever borrows."""
+        sharing, now = process.sharing, self.kernel.now
+        if sharing is None or now < process.clock.until or sharing.members.twin is not None:
+            process.needs = math.inf
+            return
+        loans, clock = sharing.budgets["all"].loans, process.clock.time()
+        if 1000.0 * self.rates[process.number] < 1.5 * loans.home or clock < loans.waits_until:
+            process.needs = math.inf
+            return
+        process.needs = min(process.needs, now)
+        if now - process.needs > KNOWN + 1.2 * self.plan.loan_s and loans.own(clock) < loans.home:
+            self.wrong.append(("floor", f"{process.owner} has {loans.own(clock) / 1000.0:.3f} of "
+                               f"its {loans.home / 1000.0:.3f} at {now - self.seen.began:.3f}"))
+
     async def _fault(self, fault: Fault) -> None:
         plan, who = self.plan, fault.who % self.plan.daemons
         process, others = self.processes[who], [n for n in range(plan.daemons) if n != who]
--- /dev/null
+++ b/tests/planted_sharing/renewed_for_ever.py
@@ -0,0 +1,10 @@
+"""A loan is lent anew whenever it is asked for, whatever its lender needs by then."""
+
+from violetroute.sharing.loans import Loans
+
+
+def plant() -> None:
+    def pot(self: Loans, now: float, need: int) -> int:
+        return 0 if self.aside or now < self._full_at else self.home - self.floor
+
+    Loans.pot = pot
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -23,7 +23,7 @@
 from violetroute.sharing.budget import Ask, Budget, evenly, home_part
 from violetroute.sharing.counts import Counts, Summary, merge
 from violetroute.sharing.hearsay import Hearsay
-from violetroute.sharing.loans import Terms
+from violetroute.sharing.loans import SEEN_MOST, Terms
 from violetroute.sharing.make import safely
 from violetroute.sharing.members import Members, Out
 from violetroute.sharing.wire import Counted, Envelope, Keys, Numbers, Ping, Saw
@@ -55,7 +55,7 @@
 # Each with the property that it breaks in memory; the same plants are found whole in
 # tests/test_sharing_whole.py, where the shortest story is told.
 PLANTED = {"whole_at_once": "authority", "from_the_receipt": "authority",
-           "lender_goes_on": "the sum",
+           "lender_goes_on": "the sum", "renewed_for_ever": "floor",
            "no_way_back": "goes on"}
 
 
@@ -125,6 +125,41 @@
     assert evenly(0, [5]) == 0 and home_part(100.0, 7) == 14_285
 
 
+def test_a_lender_that_needs_its_part_has_it_back_when_the_loan_is_over() -> None:
+    lender = budget()
+    number, at = 0, 2.0
+    while at < 3.0:  # nobody asks it: it lends, again and again
+        number += 1
+        assert lender.asked(at, "a/1", number, 9_500) == 9_500
+        at += 0.25
+    while at < 6.0:  # it is asked for all that it has, and the borrower asks on
+        number += 1
+        for step in range(5):
+            lender.spend(at + step / 20.0)
+        lent = lender.asked(at, "a/1", number, 9_500)
+        assert lent <= 9_500 if at < 4.5 else lent == 0
+        at += 0.25
+    assert lender.loans.own(6.0) == 10_000
+
+
+def test_one_that_stands_aside_renews_no_loan() -> None:
+    lender = budget()
+    assert lender.asked(2.0, "a/1", 1, 5_000) == 5_000
+    lender.aside(True, 2.2)  # its part is another process's from now on
+    assert lender.asked(2.5, "a/1", 2, 5_000) == 0
+    assert lender.loans.lent(3.1) == 0
+
+
+def test_borrowers_come_and_go_for_ever_and_it_goes_on_lending() -> None:
+    lender, at = budget(), 2.0
+    for life in range(SEEN_MOST + 10):  # names of a platform that draws new ones at each start
+        at += 2.0
+        assert lender.asked(at, f"p/{life}", 1, 1_000) == 1_000
+        lender.told(at, f"p{life}", 500)
+        lender.left(f"p{life}")
+    assert len(lender.loans._seen) <= SEEN_MOST and not lender._spares
+
+
 amounts = st.integers(0, 12_000)
 
 
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -45,7 +45,7 @@
         if self.ledger is not None:
             self.proxy.parts.served.append(self.ledger.served)
         self.fleet = _fleet(config, net)
-        self.sharing = _sharing(config, net, self.proxy)
+        self.sharing: Sharing | None = None
         self.draining = False
 
     def reload(self) -> None:
@@ -73,6 +73,7 @@
             self.fleet.configure(config.operator.fleet.works)
         if self.sharing is not None and "sharing" not in fixed:
             self.sharing.configure(config.operator.sharing)
+            self.sharing.max_backoff = config.settings.max_backoff
         tell("config.reloaded", discovery=f"{config.discovery.host}:{config.discovery.port}",
              operator=config.operator_path or "")
 
@@ -122,10 +123,11 @@
     ended = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)  # a second one changes nothing
+    daemon = Daemon(config, net := SocketNetwork(loop, turns), logs)
     try:
-        daemon = Daemon(config, SocketNetwork(loop, turns), logs)
+        daemon.sharing = _sharing(config, net, daemon.proxy)
         door = None if daemon.sharing is None else await _door(daemon.sharing)
-    except OSError as error:
+    except (OSError, ValueError) as error:  # ValueError: the key is another since it was checked
         print(f"violetroute: [sharing]: {error}", file=sys.stderr)
         return 1
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -97,6 +97,10 @@
                              ("node",)),
     "sharing.gone": Event(logging.INFO, "a proxy is there no more", ("proxy", "how")),
     "sharing.joined": Event(logging.INFO, "a proxy is there", ("proxy",)),
+    "sharing.room": Event(logging.INFO, "nothing is turned away for this budget any more",
+                          ("budget",)),
+    "sharing.spent": Event(logging.WARNING, "requests beyond this budget are turned away",
+                           ("budget", "asked_s", "may_s")),
     "sharing.too_many": Event(logging.ERROR, "more proxies than [sharing] proxies says",
                               ("proxies", "heard")),
     "sharing.twin": Event(logging.ERROR, "another process has this name, nothing of a budget is"
--- a/violetroute/sharing/budget.py
+++ b/violetroute/sharing/budget.py
@@ -30,6 +30,7 @@
 ASKS_AT_ONCE = 8  # asks that one tick sends
 ASK_WAIT = 0.4  # s for an answer
 WAIT_MOST = 1.0  # s between two rounds of asking while nobody has any
+OPEN_S = 5.0  # s without a request turned away after which a budget counts as open
 SPARE_AGE = 5.0  # s for which another's word of what it has to spare is believed
 
 
@@ -66,6 +67,8 @@
         self._askers: dict[str, tuple[int, float]] = {}  # by life: what it asks for, and when
         self._ask_at, self._wait = now, ASK_WAIT / 4.0
         self.let_in = self.turned_away = 0
+        self.shut = False  # requests are turned away, as it was told last
+        self._turned_at = -math.inf
 
     # --- spending ---
     def spend(self, now: float) -> bool:
@@ -75,11 +78,21 @@
         self._fill(now)
         if self._level < UNIT:
             self.turned_away += 1
+            self._turned_at = now
             return False
         self._level -= UNIT
         self.let_in += 1
         return True
 
+    def turns(self, now: float) -> bool:
+        """Whether `shut` has changed: shut by the first that is turned away, open after a while.
+
+        Once a state, not once a request: at its bound a budget goes to and fro many times a second.
+        """
+        shut = now - self._turned_at < OPEN_S
+        changed, self.shut = shut != self.shut, shut
+        return changed
+
     def refund(self) -> None:
         """What was let in was not, for another budget's sake."""
         self._level += UNIT
@@ -142,6 +155,10 @@
         if spare >= LEAST:
             self._ask_at = min(self._ask_at, now)
 
+    def left(self, member: str) -> None:
+        """It is there no more: what it said counts for nothing."""
+        self._spares.pop(member, None)
+
     def granted(self, now: float, lender: str, number: int, amount: int) -> Back | None:
         """An answer; what is to be told the lender if it came too late to be believed."""
         self._fill(now)
--- a/violetroute/sharing/loans.py
+++ b/violetroute/sharing/loans.py
@@ -133,32 +133,31 @@
         return sum(max((loan.amount for loan in loans if now < loan.until), default=0)
                    for loans in self._lent.values())
 
-    def spare(self, now: float, need: int) -> int:
-        """What may be lent beside what is, if `need` is kept for own requests."""
+    def pot(self, now: float, need: int) -> int:
+        """What may be lent in all, if `need` is kept for own requests."""
         if self.aside or now < self._full_at:
             return 0
-        return max(0, self.home - self.lent(now) - max(need, self.floor))
+        return max(0, self.home - max(need, self.floor))
 
-    def pot(self, now: float, need: int) -> int:
-        """What is lent, and what may be."""
-        return self.spare(now, need) + self.lent(now)
+    def spare(self, now: float, need: int) -> int:
+        """What of it is not lent."""
+        return max(0, self.pot(now, need) - self.lent(now))
 
     def asked(self, now: float, borrower: str, number: int, amount: int, need: int) -> int:
         """A borrower's life asks for so much at most; what it is lent, 0 being nothing.
 
-        An ask that came before, or is older
-        than another that came, lends nothing new: its number has had its answer.
+        An ask that came before, or is older than another that came, lends nothing new: its number
+        has had its answer.  A loan is asked for anew like any other: where the lender needs its
+        part, or it is another process's by now, what stands ends at its time.
         """
         self._prune(now)
         seen = self._seen.get(borrower, 0)
         loans = self._lent.get(borrower, [])
         if number <= seen:
             return max((loan.amount for loan in loans if loan.number == number), default=0)
-        if borrower not in self._seen and len(self._seen) >= SEEN_MOST:
-            return 0  # whom we can't remember might be answered twice
-        self._seen[borrower] = number
+        self._note(borrower, number)
         mine = max((loan.amount for loan in loans), default=0)
-        grant = min(amount, mine + self.spare(now, need))
+        grant = min(amount, self.pot(now, need) - (self.lent(now) - mine))
         if grant < LEAST or sum(map(len, self._lent.values())) >= LENT_MOST:
             return 0
         self._lent.setdefault(borrower, []).append(
@@ -167,8 +166,7 @@
 
     def returned(self, now: float, borrower: str, number: int) -> None:
         """That life believes in no loan of an ask up to `number`, and never will."""
-        if borrower in self._seen or len(self._seen) < SEEN_MOST:
-            self._seen[borrower] = max(number, self._seen.get(borrower, 0))
+        self._note(borrower, max(number, self._seen.get(borrower, 0)))
         if borrower in self._lent:
             self._lent[borrower] = [loan for loan in self._lent[borrower]
                                     if loan.number > number]
@@ -180,10 +178,14 @@
             if not self._lent[borrower]:
                 del self._lent[borrower]
 
-    def forget(self, borrower: str) -> None:
-        """A life that is over asks no more; its loans stand until their end."""
-        if borrower not in self._lent:
-            self._seen.pop(borrower, None)
+    def _note(self, borrower: str, number: int) -> None:
+        """Its highest ask.  Who was heard of least lately is forgotten first: an ask of its that
+        comes once more then lends in vain, since its answer has had its turn.
+        """
+        self._seen.pop(borrower, None)
+        self._seen[borrower] = number
+        if len(self._seen) > SEEN_MOST:
+            del self._seen[next(iter(self._seen))]
 
     # --- borrowing ---
     def ask(self, now: float, lender: str) -> int:
--- a/violetroute/sharing/talk.py
+++ b/violetroute/sharing/talk.py
@@ -30,6 +30,7 @@
 from .hearsay import Hearsay
 from .loans import Terms
 from .members import Members
+from .rate import Rate
 from .strain import Strain
 from .table import SharingTable
 from .wire import Came, Counted, Envelope, Item, Keys, Lend, Numbers, Saw, Spare
@@ -58,23 +59,6 @@
         """What others met: nodes that seem bad, and what came of their requests."""
 
 
-class Rate:
-    """So many a second."""
-
-    __slots__ = ("_at", "_burst", "_level", "_rate")
-
-    def __init__(self, rate: float, burst: float, now: float) -> None:
-        self._rate, self._burst, self._level, self._at = rate, burst, burst, now
-
-    def take(self, now: float) -> bool:
-        self._level = min(self._burst, self._level + self._rate * (now - self._at))
-        self._at = now
-        if self._level < 1.0:
-            return False
-        self._level -= 1.0
-        return True
-
-
 class Sharing:
     """One proxy's part in the fleet's talk."""
 
@@ -210,11 +194,20 @@
                     self._put(action.to, "", wire.Ask(name, action.number, action.amount))
                 else:
                     self._put(action.to, "", wire.Back(name, action.number))
+            if budget.turns(now):
+                self._tell_turns(budget, now)
         if now >= self._tell_at:
             self._tell_at = now + TELL_S * (0.8 + 0.4 * self._random.random())
             self._round(now, up)
         self._flush(now)
 
+    def _tell_turns(self, budget: Budget, now: float) -> None:
+        if budget.shut:
+            tell("sharing.spent", budget=budget.name, asked_s=round(budget.demand(now), 1),
+                 may_s=round(budget.loans.authority(now) / 1000.0, 1))
+        else:
+            tell("sharing.room", budget=budget.name)
+
     def _round(self, now: float, up: list[str]) -> None:
         """What is told unasked, and what follows from what was heard."""
         items: list[Item] = [Spare(name, spare) for name, budget in self.budgets.items()
@@ -260,6 +253,8 @@
                 counts.left(name)
             if self.hearsay is not None:
                 self.hearsay.left(name)
+            for budget in self.budgets.values():
+                budget.left(name)
             self._numbers.forget(name)
             self._taken.pop(name, None)
         if self.members.size > self.table.proxies >= self.divided:
--- a/violetroute/transport/local.py
+++ b/violetroute/transport/local.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import os
+import socket
 import stat
 from collections.abc import Callable
 from typing import Any
@@ -33,12 +34,15 @@
         with contextlib.suppress(FileNotFoundError):
             if stat.S_ISSOCK(os.stat(self._path).st_mode):
                 os.unlink(self._path)
-        before = os.umask(0o177)
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         try:
-            self._server = await asyncio.start_unix_server(self._serve, self._path,
+            os.fchmod(sock.fileno(), 0o600)  # its file has it from the first instant (Linux)
+            sock.bind(self._path)
+            self._server = await asyncio.start_unix_server(self._serve, sock=sock,
                                                            limit=LINE_MOST)
-        finally:
-            os.umask(before)
+        except OSError:
+            sock.close()
+            raise
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self._callers >= CALLERS_MOST:
