--- /dev/null
+++ b/tests/test_sharing_talk.py
@@ -0,0 +1,257 @@
+"""What is believed of a datagram, bounded and judged: the thin part on a virtual network."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Any
+
+import pytest
+
+from limebridge.virtual.kernel import Kernel
+from limebridge.virtual.loop import VirtualLoop
+from snowstall import (
+    Balancer,
+    CacheState,
+    Effect,
+    Judged,
+    ListKind,
+    Member,
+    Request,
+    RequestClass,
+    Send,
+    Settings,
+)
+from violetroute.membership import Places
+from violetroute.sharing import talk, wire
+from violetroute.sharing.look import look
+from violetroute.sharing.strain import MOST, Strain
+from violetroute.sharing.table import BudgetTable, SharingTable
+from violetroute.sharing.talk import Sharing
+from violetroute.sharing.wire import Ask, Back, Came, Envelope, Item, Keys, Lend, Ping, Rumor, Saw
+from violetroute.transport import Address
+from violetroute.transport.sockets import SocketNetwork
+
+KEYS = Keys([b"a key of sixteen bytes and more"])
+ORIGIN = Address("127.0.0.1", 7001)
+WALL = 1.7e9
+
+
+class Proxy:
+    def __init__(self) -> None:
+        self.places, self.judged = Places(), deque[Judged]()
+        self.told: list[tuple[list[int], list[Judged]]] = []
+
+    def others(self, bad: list[int], outcomes: list[Judged]) -> None:
+        self.told.append((bad, outcomes))
+
+
+class One:
+    """One proxy; `hears` gives it a datagram of p1, or of whoever is named."""
+
+    def __init__(self, **more: Any) -> None:
+        self.kernel = Kernel(1, start=1000.0)
+        self.loop = VirtualLoop(self.kernel)
+        self.sent: list[Envelope] = []
+        net = SocketNetwork(self.loop, make=self.kernel.maker("p0"),
+                            clock=lambda: WALL + self.kernel.now)
+        table = SharingTable(listen="127.0.0.1:7000", proxies=2, loan_s=1.0, **{
+            "budget": (BudgetTable("b", 20.0),), **more})
+        self.proxy = Proxy()
+        self.sharing = Sharing(table, KEYS, "p0", "a", 1000.0, net, self.proxy, life="l0")
+        send = self.sharing._box.send
+
+        def kept(data: bytes, address: Address) -> bool:
+            opened = KEYS.open(data)
+            assert opened is not None
+            self.sent.append(opened)
+            return send(data, address)
+
+        self.sharing._box.send = kept  # type: ignore[method-assign]
+        self.number = 0
+        self.hears(Rumor("p1", "l1", 1, "a", "127.0.0.1:7001"))
+
+    def hears(self, *items: Item, name: str = "p1", life: str = "l1", to: str = "p0",
+              to_life: str = "l0", heard: int = 0, at: float | None = None,
+              number: int = 0) -> bytes:
+        self.number += 1
+        wall = WALL + self.kernel.now if at is None else at
+        data = KEYS.seal(Envelope(name, life, 1, number or self.number, to, to_life, heard,
+                                  int(wall * 1000.0),
+                                  [wire.raw(wire.packed(item)) for item in items]))
+        self.sharing.datagram(data, ORIGIN)
+        return data
+
+    def run(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def said(self, kind: type[Item]) -> list[Any]:
+        return [item for envelope in self.sent for item in wire.items(envelope)
+                if isinstance(item, kind)]
+
+    @property
+    def loans(self) -> Any:
+        return self.sharing.budgets["b"].loans
+
+
+def test_an_ask_that_comes_twice_is_one_and_a_return_frees_it() -> None:
+    one = One()
+    one.run(1.5)
+    data = one.hears(Ask("b", 1, 5_000))
+    assert one.said(Lend) == [Lend("b", 1, 5_000)] and one.loans.lent(one.kernel.now) == 5_000
+    one.sharing.datagram(data, ORIGIN)  # the network's copy
+    one.hears(Ask("b", 1, 5_000))  # the member's own
+    assert one.loans.lent(one.kernel.now) == 5_000
+    one.hears(Back("b", 1))
+    assert one.loans.lent(one.kernel.now) == 0
+
+
+@pytest.mark.parametrize("wrong", [
+    {"to_life": "before"}, {"to": "p7"}, {"name": "p9", "life": "l9"}, {"life": "l1-before"}])
+def test_a_loan_is_believed_of_the_member_that_was_asked_by_the_life_that_asked(
+        wrong: dict[str, str]) -> None:
+    one = One()
+    one.run(1.5)
+    number = one.loans.ask(one.kernel.now, "p1")
+    one.hears(Lend("b", number, 5_000), **wrong)
+    assert one.loans.held(one.kernel.now) == 0
+    one.hears(Lend("b", number, 5_000))
+    assert one.loans.held(one.kernel.now) == 5_000
+
+
+def test_word_that_is_old_or_of_no_known_age_is_not_taken() -> None:
+    one = One()
+    one.sharing.listed([Member(5, CacheState.READY, started_at=1.0)])
+    node = one.sharing.hearsay._nodes[5]  # type: ignore[union-attr]
+    one.hears(Saw(5, 1, 0.0, 3.0), at=WALL + one.kernel.now - 6.0)  # written long ago
+    one.hears(Saw(5, 1, 0.0, 3.0), at=WALL + one.kernel.now + 600.0)  # or by another clock
+    assert not node.said
+    one.run(3.0)  # it is asked whether it is there, and shows what it has had
+    heard = next(e.number for e in one.sent if e.to == "p1")
+    one.hears(Saw(5, 1, 0.0, 3.0), heard=heard, at=0.0)
+    assert list(node.said) == ["p1"]
+    one.run(6.0)
+    node.said.clear()
+    one.hears(Saw(5, 1, 0.0, 3.0), heard=heard, at=WALL + one.kernel.now)
+    assert not node.said  # held back since: by our own clock, whatever it says
+
+
+def test_one_member_is_taken_so_often_and_no_more_and_what_is_sent_is_bounded() -> None:
+    one = One()
+    before = one.sharing.received
+    for _ in range(1_000):
+        one.hears(Ping(7))
+    assert one.sharing.received - before <= talk.TAKEN_BURST
+    assert len(one.sent) <= talk.SENT_BURST
+    one.hears(Ping(7), name="p2", life="l2", number=1)  # another has its own room
+    assert one.sharing.members.size == 2 and one.sharing.refused >= 700
+
+
+def test_a_budget_is_told_once_as_spent_and_once_as_open(caplog: Any) -> None:
+    one = One()
+    caplog.set_level("INFO", logger="violetroute")
+
+    def told() -> list[str]:
+        return [r.event for r in caplog.records if r.event in ("sharing.spent", "sharing.room")]
+
+    for _ in range(20):
+        one.run(0.3)
+        for _ in range(30):
+            one.sharing.admits("", "lookup")
+    assert told() == ["sharing.spent"]
+    one.run(6.0)
+    assert told() == ["sharing.spent", "sharing.room"]
+    shown, = look(one.sharing, "budgets")["budgets"]
+    assert shown["let_in"] + shown["turned_away"] == 600
+
+
+def test_more_proxies_than_the_settings_know_divide_a_budget_by_themselves() -> None:
+    one = One()
+    assert one.loans.home == 10_000
+    for number in range(2, 6):
+        one.hears(Rumor(f"p{number}", "l", 1, "a", "127.0.0.1:7009"))
+    assert one.loans.home == 20_000 // 6
+
+
+# --- strain ---
+def came(bad: float, count: float = 4.0, kept: bool = True) -> Came:
+    return Came(kept, count, bad * count, 100.0 * count, 300.0 * count, 0.0)
+
+
+def test_a_round_is_the_mean_of_three_members_at_least() -> None:
+    strain = Strain()
+    for member in "ab":
+        strain.heard(member, came(1.0))
+    assert strain.round(()) == []
+    for member, bad in (("a", 1.0), ("b", 0.0), ("c", 0.5)):
+        strain.heard(member, came(bad))
+    found = strain.round(())
+    assert found == [(True, 0.5, 100.0, 300.0, False)] * 3
+    assert strain.round(()) == []  # of that round only
+    for member in "abcd":
+        strain.heard(member, came(1.0))
+    assert strain.round({"a", "b"}) == []  # who is cut off speaks of itself
+
+
+@pytest.mark.parametrize("members", [10, 40])
+def test_one_in_ten_that_lie_move_the_mean_by_no_more_than_is_stated(members: int) -> None:
+    strain = Strain()
+    for number in range(members):
+        lies = number < members // 10
+        strain.heard(f"m{number}", came(1.0 if lies else 0.0, 1e6 if lies else 4.0))
+    found = strain.round(())
+    assert 0 < len(found) <= MOST and all(badness <= 0.2 / 1.1 + 1e-9 for _, badness, *_ in found)
+
+
+def test_sums_that_make_no_sense_are_left_out() -> None:
+    strain = Strain()
+    for number, wrong in enumerate((Came(True, 1.0, 2.0, 1.0, 1.0, 0.0),
+                                    Came(True, 0.0, 0.0, 0.0, 0.0, 0.0),
+                                    Came(True, 2.0, 1.0, 1.0, 0.0, 0.0))):
+        strain.heard(str(number), wrong)
+    assert strain.round(()) == []
+    told = Strain.tells([(True, 1.0, 50.0, 300.0, True), (True, 0.0, 30.0, 300.0, False)])
+    assert told == [Came(True, 2.0, 1.0, 80.0, 600.0, 1.0)]
+
+
+# --- what reaches the module ---
+def module(caches: int) -> Balancer:
+    made = Balancer(Settings(classes=(RequestClass("lookup", 300.0, 600.0, Effect.PURE),),
+                             max_attempts=3), 1, 0.0)
+    made.on_list(0.0, ListKind.FULL, [Member(number) for number in range(caches)])
+    return made
+
+
+def sent(made: Balancer, now: float, count: int) -> set[int]:
+    found = set()
+    for number in range(count):
+        for action in made.on_request(now, Request(int(now) * 1000 + number, "lookup", now + 500.0,
+                                                   key=number * 7919)):
+            if isinstance(action, Send):
+                found.add(action.cache_id)
+    return found
+
+
+def test_a_hint_only_takes_away_and_never_too_much() -> None:
+    made = module(10)
+    assert made.on_others(1.0, [3, 77], []) == []  # 77 is nobody
+    assert 3 not in sent(made, 2.0, 200)
+    assert len(sent(made, 3.0, 200)) == 9
+    assert made.on_others(4.0, range(10), []) == []  # all of them: somebody has to be asked
+    assert sent(made, 5.0, 200)
+
+
+def test_a_hint_brings_back_nothing_that_drains_or_is_gone() -> None:
+    made = module(4)
+    made.on_list(1.0, ListKind.CHANGES, [Member(2, CacheState.DRAINING)])
+    made.on_others(2.0, [2], [])
+    assert 2 not in made.unproven and 2 not in sent(made, 2.0, 200)
+
+
+def test_others_outcomes_begin_a_limit_that_a_thin_proxy_would_not() -> None:
+    alone, fleet = module(4), module(4)
+    for second in range(1, 5):
+        for made in (alone, fleet):
+            sent(made, second * 1000.0, 2)
+        fleet.on_others(second * 1000.0 + 1.0, [], [(True, 1.0, 600.0, 300.0, True)] * 8)
+    assert alone.gate.limit == float("inf") and fleet.gate.limit < 10.0
