Bounds and guards of sharing each have a test that fails without them

Need: of 27 guards of sharing taken out one by one, nine were missed by every test (numbers that came before, what is sent a second, senseless sums, single failures, a node's earlier start, a life that is over, old word of spares, bounds on loans, asks, members, relays). Change: tests. Measured: all 27 are found now.

--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -23,10 +23,11 @@
 from violetroute.sharing.budget import Ask, Budget, evenly, home_part
 from violetroute.sharing.counts import Counts, Summary, merge
 from violetroute.sharing.hearsay import Hearsay
-from violetroute.sharing.loans import SEEN_MOST, Terms
+from violetroute.sharing.loans import ASKS_MOST, LENT_MOST, SEEN_MOST, Loans, Terms
 from violetroute.sharing.make import safely
-from violetroute.sharing.members import Members, Out
-from violetroute.sharing.wire import Counted, Envelope, Keys, Numbers, Ping, Saw
+from violetroute.sharing.members import MEMBERS_MOST, RELAYS_MOST, Members, Out
+from violetroute.sharing.rumors import MOST, overrides
+from violetroute.sharing.wire import Counted, Envelope, Keys, Nack, Need, Numbers, Ping, Rumor, Saw
 
 ROOT = Path(__file__).parent.parent
 KEYS = Keys([b"the fleet's secret key"])
@@ -160,6 +161,17 @@
     assert len(lender.loans._seen) <= SEEN_MOST and not lender._spares
 
 
+def test_who_said_lately_that_it_has_something_is_asked_first() -> None:
+    members = [f"m{n}" for n in range(200)]
+    for after, first in ((1.0, True), (6.0, False)):  # then it may have none any more
+        one = budget()
+        one.told(2.0, "m7", 4_000)
+        for n in range(100):
+            one.spend(2.0 + after + n / 100.0)
+        asks = [a for a in one.tick(3.0 + after, members) if isinstance(a, Ask)]
+        assert (asks[0].to == "m7") is first
+
+
 amounts = st.integers(0, 12_000)
 
 
@@ -168,8 +180,6 @@
                           st.integers(0, 3), st.integers(0, 3), amounts), max_size=60))
 def test_whatever_happens_the_sum_of_four_lives_is_never_above(
         steps: list[tuple[str, int, int, int]]) -> None:
-    from violetroute.sharing.loans import Loans
-
     terms, rates = Terms(1.0, 0.05), (0.95, 1.05, 1.0, 1.02)
     now, lives = 10.0, [0] * 4
     loans = [Loans(10_000, terms, 10.0 * rate - 1.0) for rate in rates]
@@ -356,6 +366,28 @@
     assert fleet.here["p3"].twin is None and fleet.here["p6"].of("p3")[:2] == ("x", "p3")
 
 
+def test_word_of_a_life_that_is_over_changes_nothing() -> None:
+    for state in ("s", "d", "l"):
+        assert not overrides(Rumor("x", "before", 5, state), "a", "now", 5)
+        assert overrides(Rumor("x", "now", 5, state), "a", "now", 5)
+    assert overrides(Rumor("x", "after", 6, "a"), "d", "now", 5)
+
+
+def test_what_members_make_one_keep_is_bounded() -> None:
+    one = Members("p0", "l", 1, "here", "", 1.0, [], random.Random(1), 0.0)
+    for number in range(MEMBERS_MOST + 50):
+        one.heard(1.0, "p1", "l", 1, Rumor(f"p{number}", "l", 1, "a", f"at{number}"))
+    assert len(one.members) == MEMBERS_MOST
+    for number in range(RELAYS_MOST + 50):
+        answers = one.heard(1.0, "p1", "l", 1, Need(number, "p2"))
+    assert answers[0].items == (Nack(RELAYS_MOST + 49),)
+    assert len(one._rumors._waiting) <= MOST
+    loans = Loans(10**9, Terms(), -10.0)
+    lent = [loans.asked(1.0, f"p{n}/1", 1, 100, 0) for n in range(LENT_MOST + 50)]
+    assert lent.count(100) == LENT_MOST
+    assert [loans.ask(1.0, f"p{n}") > 0 for n in range(ASKS_MOST + 5)].count(True) == ASKS_MOST
+
+
 def test_a_life_whose_clock_was_set_back_is_believed_all_the_same() -> None:
     fleet = Fleet(6)
     fleet.run(8.0)
@@ -420,8 +452,16 @@
     anew = heard(bad)
     anew.listed(3, 9.0)
     assert anew.judge(1.0) == []
-    anew.heard(1.0, "m0", "a", Saw(3, 5, 0.0, 9.0), 0.0)  # of the start before
+    for member in bad:
+        anew.heard(1.0, member, "a", Saw(3, 5, 0.0, 9.0), 0.0)  # of the start before
     assert anew.judge(1.0) == []
+    for member in bad:
+        anew.heard(1.0, member, "a", Saw(3, 9, 0.0, 9.0), 0.0)
+    assert anew.judge(1.0) == [3]
+
+
+def test_single_failures_anywhere_make_no_hint() -> None:
+    assert heard({f"m{n}": {3: (0.0, 0.5)} for n in range(3)}).judge(1.0) == []
 
 
 def test_what_is_told_is_ones_own_and_the_worst_first() -> None:
--- a/tests/test_sharing_talk.py
+++ b/tests/test_sharing_talk.py
@@ -28,7 +28,19 @@
 from violetroute.sharing.strain import MOST, Strain
 from violetroute.sharing.table import BudgetTable, SharingTable
 from violetroute.sharing.talk import Sharing
-from violetroute.sharing.wire import Ask, Back, Came, Envelope, Item, Keys, Lend, Ping, Rumor, Saw
+from violetroute.sharing.wire import (
+    Ack,
+    Ask,
+    Back,
+    Came,
+    Envelope,
+    Item,
+    Keys,
+    Lend,
+    Ping,
+    Rumor,
+    Saw,
+)
 from violetroute.transport import Address
 from violetroute.transport.sockets import SocketNetwork
 
@@ -142,9 +154,21 @@
     for _ in range(1_000):
         one.hears(Ping(7))
     assert one.sharing.received - before <= talk.TAKEN_BURST
+    assert one.sharing.refused >= 700
+    for number in range(2, 6):  # others have room of their own, and are answered no further
+        before = one.sharing.received
+        for _ in range(150):
+            one.hears(Ping(7), name=f"p{number}", life="l")
+        assert one.sharing.received - before == 150
     assert len(one.sent) <= talk.SENT_BURST
-    one.hears(Ping(7), name="p2", life="l2", number=1)  # another has its own room
-    assert one.sharing.members.size == 2 and one.sharing.refused >= 700
+
+
+def test_a_datagram_that_comes_twice_is_taken_once() -> None:
+    one = One()
+    data = one.hears(Ping(7))
+    answers = len(one.said(Ack))
+    one.sharing.datagram(data, ORIGIN)
+    assert answers == 1 == len(one.said(Ack)) and one.sharing.refused == 1
 
 
 def test_a_budget_is_told_once_as_spent_and_once_as_open(caplog: Any) -> None:
@@ -205,11 +229,11 @@
 
 def test_sums_that_make_no_sense_are_left_out() -> None:
     strain = Strain()
-    for number, wrong in enumerate((Came(True, 1.0, 2.0, 1.0, 1.0, 0.0),
-                                    Came(True, 0.0, 0.0, 0.0, 0.0, 0.0),
-                                    Came(True, 2.0, 1.0, 1.0, 0.0, 0.0))):
-        strain.heard(str(number), wrong)
-    assert strain.round(()) == []
+    for wrong in (Came(True, 1.0, 2.0, 1.0, 1.0, 0.0), Came(True, 1.0, 1.0, 1.0, 1.0, 2.0),
+                  Came(True, 0.0, 0.0, 0.0, 0.0, 0.0), Came(True, 2.0, 1.0, 1.0, 0.0, 0.0)):
+        for member in "abc":
+            strain.heard(member, wrong)
+        assert strain.round(()) == []
     told = Strain.tells([(True, 1.0, 50.0, 300.0, True), (True, 0.0, 30.0, 300.0, False)])
     assert told == [Came(True, 2.0, 1.0, 80.0, 600.0, 1.0)]
 
