--- a/limebridge/faults/command.py
+++ b/limebridge/faults/command.py
@@ -153,12 +153,7 @@
     """Check ownership in every order of what may happen, on the pure core."""
     began = time.monotonic()
     found = check(World(Bounds(lives=lives)), states)
-    print(f"{found.states} states, {found.orders} steps, depth {found.depth}, "
-          f"{'all of them' if found.whole else 'and more are left'}, {found.healed} healed, "
-          f"{time.monotonic() - began:.0f} s")
-    for rule, story in found.stories.items():
-        print(f"BROKEN {rule}: {', '.join(story)}")
-    raise typer.Exit(1 if found.stories else 0)
+    raise typer.Exit(found.tell(time.monotonic() - began))
 
 
 def explore_fleet(first: int, seeds: int, jobs: int, prepare: Callable[[], None] | None,
--- a/limebridge/faults/lives.py
+++ b/limebridge/faults/lives.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
+from limebridge.virtual.kernel import Kernel
 from limebridge.virtual.loop import VirtualLoop
 from violetroute.fleet.folder import FolderStore
 from violetroute.fleet.keeper import Fleet, Work
@@ -67,6 +68,18 @@
     def call_soon(self, callback: Callable[..., Any], *args: Any) -> Any:
         return self._loop.call_soon(self._run, callback, args)
 
+    def stop(self, kernel: Kernel, owner: str, seconds: float) -> None:
+        """Neither its timers nor its sockets go on for so long."""
+        until = self.until = max(self.until, kernel.now + seconds)
+        kernel.paused[owner] = until
+
+        def goes_on() -> None:
+            if kernel.paused.get(owner, 0.0) <= kernel.now:
+                kernel.paused.pop(owner, None)
+                kernel.touch_all(owner)
+
+        kernel.at(until, goes_on)
+
     def _run(self, callback: Callable[..., Any], args: tuple[Any, ...]) -> None:
         if self.dead:
             return
@@ -218,18 +231,8 @@
             self.folder_store._let_go()
 
     def stop(self, seconds: float) -> None:
-        if self.fleet is None:
-            return
-        kernel, owner = self.world.kernel, self.owner
-        until = self.clock.until = max(self.clock.until, kernel.now + seconds)
-        kernel.paused[owner] = until
-
-        def goes_on() -> None:
-            if kernel.paused.get(owner, 0.0) <= kernel.now:
-                kernel.paused.pop(owner, None)
-                kernel.touch_all(owner)
-
-        kernel.at(until, goes_on)
+        if self.fleet is not None:
+            self.clock.stop(self.world.kernel, self.owner, seconds)
 
     async def term(self) -> None:
         if self.fleet is not None:
--- a/limebridge/faults/memory.py
+++ b/limebridge/faults/memory.py
@@ -21,10 +21,9 @@
 import shutil
 import tempfile
 from collections.abc import Callable, Iterator
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
+from functools import partial
 from hashlib import blake2b
-from multiprocessing import get_context
 from pathlib import Path
 from typing import Any
 
@@ -37,6 +36,7 @@
 from limebridge.virtual.stage import quiet
 
 from . import history as histories
+from . import many
 from .history import History
 from .lives import BEAT, Process, Said
 from .plan import FORGETS, Fault, Plan, draw, without
@@ -271,31 +271,13 @@
     return play(msgspec.structs.replace(plan, daemons=daemons) if daemons else plan)
 
 
-def _chunk(first: int, count: int, daemons: int, prepare: Callable[[], None] | None,
-           ) -> list[Outcome]:
-    if prepare is not None:
-        prepare()
-    return [played(seed, daemons) for seed in range(first, first + count)]
-
-
 def explore(first: int, seeds: int, jobs: int, daemons: int,
             prepare: Callable[[], None] | None = None) -> Iterator[list[Outcome]]:
     """Outcomes by chunks, in the seeds' order."""
-    size = max(1, min(20, seeds // (4 * (jobs or os.cpu_count() or 1)) or 1))
-    with ProcessPoolExecutor(jobs or os.cpu_count(), mp_context=get_context("spawn")) as pool:
-        waits = [pool.submit(_chunk, at, min(size, first + seeds - at), daemons, prepare)
-                 for at in range(first, first + seeds, size)]
-        for wait in waits:
-            yield wait.result()
+    return many.explore(partial(played, daemons=daemons), first, seeds, jobs, prepare)
 
 
 def shrink(found: Outcome) -> Outcome:
     """The fewest faults with which the same property breaks, and its story."""
-    rule, kept, place = found.broken[0][0], found, 0
-    while place < len(kept.plan.fault):
-        smaller = play(without(kept.plan, place))
-        if any(name == rule for name, _ in smaller.broken):
-            kept = smaller
-        else:
-            place += 1
-    return play(kept.plan, tells=True)
+    return play(many.shrink(found, play, without).plan, tells=True)
+
--- a/limebridge/faults/plan.py
+++ b/limebridge/faults/plan.py
@@ -9,7 +9,7 @@
 
 import random
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 import tomli_w
@@ -82,15 +82,22 @@
     return Plan(seed, round(seconds, 3), daemons, where, rng.randint(1, 3), billed, 0.8, faults)
 
 
+P = TypeVar("P", bound=msgspec.Struct)
+
+
 def read(path: Path) -> Plan:
     """ConfigError, one line with the key, for anything else than a plan."""
-    return typed(read_toml(str(path)), Plan, str(path))
+    return read_as(path, Plan)
+
+
+def read_as(path: Path, kind: type[P]) -> P:
+    return typed(read_toml(str(path)), kind, str(path))
 
 
-def dump(plan: Plan) -> str:
+def dump(plan: msgspec.Struct) -> str:
     return tomli_w.dumps(msgspec.to_builtins(plan))
 
 
-def without(plan: Plan, place: int) -> Plan:
+def without(plan: Any, place: int) -> Any:
     """The plan but for one fault."""
     return msgspec.structs.replace(plan, fault=plan.fault[:place] + plan.fault[place + 1:])
--- a/limebridge/faults/sharing/memory.py
+++ b/limebridge/faults/sharing/memory.py
@@ -10,17 +10,15 @@
 import asyncio
 import logging
 import math
-import os
 import random
 from collections import deque
 from collections.abc import Callable, Iterator
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from hashlib import blake2b
-from multiprocessing import get_context
 
 import msgspec
 
+from limebridge.faults import many
 from limebridge.faults.lives import DRIFT, START, ProcessClock
 from limebridge.virtual.kernel import Kernel
 from limebridge.virtual.loop import VirtualLoop
@@ -117,18 +115,8 @@
             self.kill()
 
     def stop(self, seconds: float) -> None:
-        if self.sharing is None:
-            return
-        kernel, owner = self.world.kernel, self.owner
-        until = self.clock.until = max(self.clock.until, kernel.now + seconds)
-        kernel.paused[owner] = until
-
-        def goes_on() -> None:
-            if kernel.paused.get(owner, 0.0) <= kernel.now:
-                kernel.paused.pop(owner, None)
-                kernel.touch_all(owner)
-
-        kernel.at(until, goes_on)
+        if self.sharing is not None:
+            self.clock.stop(self.world.kernel, self.owner, seconds)
 
 
 class World:
@@ -302,33 +290,16 @@
                    digest.hexdigest(), judge.tell(seen, wrong) if tells or wrong else "")
 
 
-def _chunk(first: int, count: int, prepare: Callable[[], None] | None) -> list[Outcome]:
-    if prepare is not None:
-        prepare()
-    return [play(draw(seed)) for seed in range(first, first + count)]
-
-
 def explore(first: int, seeds: int, jobs: int,
             prepare: Callable[[], None] | None = None) -> Iterator[list[Outcome]]:
     """Outcomes by chunks, in the seeds' order."""
-    size = max(1, min(20, seeds // (4 * (jobs or os.cpu_count() or 1)) or 1))
-    with ProcessPoolExecutor(jobs or os.cpu_count(), mp_context=get_context("spawn")) as pool:
-        waits = [pool.submit(_chunk, at, min(size, first + seeds - at), prepare)
-                 for at in range(first, first + seeds, size)]
-        for wait in waits:
-            yield wait.result()
+    return many.explore(played, first, seeds, jobs, prepare)
 
 
 def shrink(found: Outcome) -> Outcome:
     """The fewest faults with which the same property breaks, and its story."""
-    rule, kept, place = found.broken[0][0], found, 0
-    while place < len(kept.plan.fault):
-        smaller = play(without(kept.plan, place))
-        if any(name == rule for name, _ in smaller.broken):
-            kept = smaller
-        else:
-            place += 1
-    return play(kept.plan, tells=True)
+    return play(many.shrink(found, play, without).plan, tells=True)
+
 
 
 def played(seed: int, **changes: object) -> Outcome:
--- a/limebridge/faults/sharing/plan.py
+++ b/limebridge/faults/sharing/plan.py
@@ -7,9 +7,10 @@
 from typing import Annotated, Literal
 
 import msgspec
-import tomli_w
 
-from violetroute.config.tables import read_toml, typed
+from limebridge.faults.plan import AT_MOST, Seconds, dump, read_as, without
+
+__all__ = ["Fault", "Kind", "Plan", "draw", "dump", "read", "without"]
 
 Kind = Literal[
     # to a process
@@ -20,8 +21,6 @@
     "crowd", "moves"]
 KINDS: tuple[Kind, ...] = ("kill", "kill", "term", "stop", "stop", "twin", "all", "cut", "deaf",
                            "mute", "split", "split", "loss", "storm", "crowd", "moves")
-AT_MOST = 24
-Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=600.0)]
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -58,13 +57,4 @@
 
 def read(path: Path) -> Plan:
     """ConfigError, one line with the key, for anything else than a plan."""
-    return typed(read_toml(str(path)), Plan, str(path))
-
-
-def dump(plan: Plan) -> str:
-    return tomli_w.dumps(msgspec.to_builtins(plan))
-
-
-def without(plan: Plan, place: int) -> Plan:
-    """The plan but for one fault."""
-    return msgspec.structs.replace(plan, fault=plan.fault[:place] + plan.fault[place + 1:])
+    return read_as(path, Plan)
--- a/limebridge/faults/whole.py
+++ b/limebridge/faults/whole.py
@@ -48,6 +48,15 @@
     healed: int = 0  # states from which it was looked whether it goes on
     stories: dict[str, list[str]] = field(default_factory=dict)
 
+    def tell(self, seconds: float) -> int:
+        """Print what came of it; the exit status."""
+        print(f"{self.states} states, {self.orders} steps, depth {self.depth}, "
+              f"{'all of them' if self.whole else 'and more are left'}, {self.healed} healed, "
+              f"{seconds:.0f} s")
+        for rule, story in self.stories.items():
+            print(f"BROKEN {rule}: {', '.join(story)}")
+        return 1 if self.stories else 0
+
 
 def check(start: World, most: int = 1_000_000, heal_every: int = 64,
           stop_at_first: bool = False) -> Checked:
