--- a/limebridge/rehearsal/fleet.py
+++ b/limebridge/rehearsal/fleet.py
@@ -47,8 +47,8 @@
         sharing = Sharing(table, KEYS, process.owner, settings.zone, settings.max_backoff, net,
                           process.proxy, life=f"life{self._lives}")
         make.attach(sharing, process.proxy)
-        if process.owner in self._liars and sharing.hearsay is not None:
-            hearsay = sharing.hearsay
+        hearsay = sharing.rounds.hearsay
+        if process.owner in self._liars and hearsay is not None:
             hearsay.tells = lambda now, most=24: [  # type: ignore[method-assign]
                 Saw(node, known.started, 0.0, 9.0)
                 for node, known in list(hearsay._nodes.items())[:most]]
--- a/tests/test_sharing_talk.py
+++ b/tests/test_sharing_talk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
 from typing import Any
 
@@ -19,12 +20,14 @@
     Member,
     Request,
     RequestClass,
+    Result,
     Send,
     Settings,
 )
 from violetroute.membership import Places
 from violetroute.sharing import talk, wire
 from violetroute.sharing.look import look
+from violetroute.sharing.rounds import FEW, MANY, ROUND_AGE, Rounds
 from violetroute.sharing.strain import MOST, Strain
 from violetroute.sharing.table import BudgetTable, SharingTable
 from violetroute.sharing.talk import Sharing
@@ -134,7 +137,7 @@
 def test_word_that_is_old_or_of_no_known_age_is_not_taken() -> None:
     one = One()
     one.sharing.listed([Member(5, CacheState.READY, started_at=1.0)])
-    node = one.sharing.hearsay._nodes[5]  # type: ignore[union-attr]
+    node = one.sharing.rounds.hearsay._nodes[5]  # type: ignore[union-attr]
     one.hears(Saw(5, 1, 0.0, 3.0), at=WALL + one.kernel.now - 6.0)  # written long ago
     one.hears(Saw(5, 1, 0.0, 3.0), at=WALL + one.kernel.now + 600.0)  # or by another clock
     assert not node.said
@@ -205,16 +208,16 @@
 def test_a_round_is_the_mean_of_three_members_at_least() -> None:
     strain = Strain()
     for member in "ab":
-        strain.heard(member, came(1.0))
-    assert strain.round(()) == []
+        strain.heard(1.0, member, came(1.0))
+    assert strain.round(1.5, (), 1.0) == []
     for member, bad in (("a", 1.0), ("b", 0.0), ("c", 0.5)):
-        strain.heard(member, came(bad))
-    found = strain.round(())
+        strain.heard(1.0, member, came(bad))
+    found = strain.round(1.5, (), 1.0)
     assert found == [(True, 0.5, 100.0, 300.0, False)] * 3
-    assert strain.round(()) == []  # of that round only
+    assert strain.round(1.5, (), 1.0) == []  # of that round only
     for member in "abcd":
-        strain.heard(member, came(1.0))
-    assert strain.round({"a", "b"}) == []  # who is cut off speaks of itself
+        strain.heard(1.0, member, came(1.0))
+    assert strain.round(1.5, {"a", "b"}, 1.0) == []  # who is cut off speaks of itself
 
 
 @pytest.mark.parametrize("members", [10, 40])
@@ -222,18 +225,47 @@
     strain = Strain()
     for number in range(members):
         lies = number < members // 10
-        strain.heard(f"m{number}", came(1.0 if lies else 0.0, 1e6 if lies else 4.0))
-    found = strain.round(())
+        strain.heard(1.0, f"m{number}", came(1.0 if lies else 0.0, 1e6 if lies else 4.0))
+    found = strain.round(1.5, (), 1.0)
     assert 0 < len(found) <= MOST and all(badness <= 0.2 / 1.1 + 1e-9 for _, badness, *_ in found)
 
 
+def test_what_was_heard_before_a_stop_of_this_process_is_of_another_hour() -> None:
+    strain = Strain()
+    for member in "abcd":
+        strain.heard(1.0, member, came(1.0))
+    assert strain.round(21.0, (), 1.0) == []
+
+
+def test_a_round_tells_few_in_calm_many_of_trouble_and_nothing_beside_a_twin() -> None:
+    up = [f"m{number}" for number in range(100)]
+    rounds = Rounds("a", True, 0.0, random.Random(1))
+    rounds.listed([Member(5, CacheState.READY, started_at=1.0)])
+    rounds.met(1.0, 5, Result.OK)
+    rounds.met(1.0, 5, Result.FULL)  # tells of the load, not of the node
+    calm = rounds.next(1.0, up, [], {}, False)
+    assert len(calm.to) == FEW and Saw(5, 1, 1.0, 0.0) in calm.items
+    rounds.met(1.5, 5, Result.LATE)
+    assert not rounds.due(1.3) and rounds.due(1.7)
+    assert len(rounds.next(1.7, up, [], {}, False).to) == MANY
+    assert rounds.next(2.4, up, [], {}, True).to == []
+    for member in ("m1", "m2", "m3"):
+        rounds.heard(3.0, member, "a", Saw(5, 1, 0.0, 3.0), 0.0)
+        rounds.heard(3.0, member, "a", came(1.0), ROUND_AGE + 0.1)  # too old to be of this round
+    first, second = (rounds.next(at, up, [], {}, False) for at in (3.1, 3.7))
+    assert (first.bad, first.new, second.bad, second.new) == ([5], [5], [5], [])
+    assert not first.outcomes
+    rounds.left("m1")
+    assert rounds.next(4.3, up, [], {}, False).bad == []  # two are left
+
+
 def test_sums_that_make_no_sense_are_left_out() -> None:
     strain = Strain()
     for wrong in (Came(True, 1.0, 2.0, 1.0, 1.0, 0.0), Came(True, 1.0, 1.0, 1.0, 1.0, 2.0),
                   Came(True, 0.0, 0.0, 0.0, 0.0, 0.0), Came(True, 2.0, 1.0, 1.0, 0.0, 0.0)):
         for member in "abc":
-            strain.heard(member, wrong)
-        assert strain.round(()) == []
+            strain.heard(1.0, member, wrong)
+        assert strain.round(1.5, (), 1.0) == []
     told = Strain.tells([(True, 1.0, 50.0, 300.0, True), (True, 0.0, 30.0, 300.0, False)])
     assert told == [Came(True, 2.0, 1.0, 80.0, 600.0, 1.0)]
 
--- a/violetroute/sharing/look.py
+++ b/violetroute/sharing/look.py
@@ -24,13 +24,13 @@
                              if m.heard_at > 0.0 else None}
                             for m in sharing.members.members.values()]}
     if what == "beliefs":
-        return {"nodes": [] if sharing.hearsay is None else [
+        return {"nodes": [] if sharing.rounds.hearsay is None else [
             {"node": sharing.host.places.name(node), "witnesses": witnesses,
              "trouble": round(share, 3), "own_trouble": round(own, 3), "avoided": bad}
-            for node, witnesses, share, own, bad in sharing.hearsay.beliefs(now)],
+            for node, witnesses, share, own, bad in sharing.rounds.hearsay.beliefs(now)],
             "counts": {kind: [[f"{key:016x}", round(count, 1), round(error, 1)]
                               for key, count, error in counts.fleet(now).top()[:10]]
-                       for kind, counts in sharing.counts.items()}}
+                       for kind, counts in sharing.rounds.counts.items()}}
     if what == "budgets":
         return {"proxies": sharing.divided, "budgets": [
             {"name": name, "own": budget.loans.own(now) / 1000.0,
--- a/violetroute/sharing/make.py
+++ b/violetroute/sharing/make.py
@@ -34,7 +34,7 @@
 def attach(sharing: Sharing, proxy: Heard) -> None:
     """It hears of requests, attempts and lists from now on."""
     parts = proxy.parts
-    if sharing.hearsay is not None:
+    if sharing.rounds.hearsay is not None:
         parts.ended.append(safely(sharing.met))
         parts.listed.append(safely(sharing.listed))
         sharing.listed(proxy.places.members())
--- a/violetroute/sharing/strain.py
+++ b/violetroute/sharing/strain.py
@@ -30,7 +30,7 @@
     """One proxy's: its own since it told last, and the others' in this round."""
 
     def __init__(self) -> None:
-        self._heard: dict[tuple[str, bool], Came] = {}
+        self._heard: dict[tuple[str, bool], tuple[Came, float]] = {}
 
     @staticmethod
     def tells(judged: Iterable[Judged]) -> list[Came]:
@@ -43,19 +43,22 @@
         return [Came(kept, *(round(min(value, 1e6), 3) for value in here))
                 for kept, here in sums.items()]
 
-    def heard(self, member: str, came: Came) -> None:
+    def heard(self, now: float, member: str, came: Came) -> None:
         """The latest of a member in a round counts."""
         if came.bad <= came.count and came.queued <= came.count and came.aim > 0.0 \
                 and came.count >= 1.0 and len(self._heard) < MEMBERS_MOST:
-            self._heard[member, came.kept] = came
+            self._heard[member, came.kept] = came, now
 
-    def round(self, cut: Collection[str]) -> list[Judged]:
-        """What the module takes of this round; the next begins."""
+    def round(self, now: float, cut: Collection[str], age: float) -> list[Judged]:
+        """What the module takes of this round; the next begins.
+
+        What was heard before a stop of this process, more than `age` s ago, is of another hour.
+        """
         heard, self._heard = self._heard, {}
         found: list[Judged] = []
         for kept in (True, False):
-            said = [came for (member, which), came in heard.items()
-                    if which is kept and member not in cut]
+            said = [came for (member, which), (came, at) in heard.items()
+                    if which is kept and member not in cut and now - at <= age]
             if len(said) < LEAST:
                 continue
             most = WEIGHT_MOST * median(came.count for came in said)
--- a/violetroute/sharing/talk.py
+++ b/violetroute/sharing/talk.py
@@ -18,35 +18,24 @@
 from collections.abc import Sequence
 from typing import Any, Protocol
 
-from snowstall import CacheState, Member, Result
-from snowstall.messages import Judged
+from snowstall import Judged, Member, Result
 from violetroute.logs import tell
 from violetroute.membership import Places
 from violetroute.transport import Address, Network, parse_address
 
 from . import wire
 from .budget import Ask, Back, Budget
-from .counts import Counts, hash_of
-from .hearsay import Hearsay
 from .loans import Terms
 from .members import Members
 from .rate import Rate
-from .strain import Strain
+from .rounds import AGE_MOST, Rounds
 from .table import SharingTable
 from .wire import Came, Counted, Envelope, Item, Keys, Lend, Numbers, Saw, Spare
 
 TICK = 0.1  # s
-TELL_S = 0.5  # s between two rounds of telling what was met and what is to spare
-FEW, MANY = 2, 16  # members that a round tells: in calm, and of fresh trouble
-FRESH = 0.5  # bad outcomes from which a round tells many
-AGE_MOST = 5.0  # s: older word than that is not taken
-ROUND_AGE = 1.0  # s: of what came of requests
 TAKEN_S, TAKEN_BURST = 100.0, 200.0  # datagrams of one member a second, and at once
 SENT_S, SENT_BURST = 200.0, 200.0  # datagrams of ours
-SAMPLED = 0.25  # of the requests: a full summary costs as much as all else here
-COUNT_S = 1.0  # s between two tellings of counts, at least
 LEAST_BACKOFF = 40.0  # ms
-BAD = frozenset({Result.LATE, Result.RESET, Result.NO_CONNECTION})
 
 
 class Host(Protocol):
@@ -79,16 +68,11 @@
         self._terms = Terms(table.loan_s, table.drift)
         self.budgets: dict[str, Budget] = {}
         self._by_request: dict[tuple[str, str], list[Budget]] = {}
-        self.hearsay = Hearsay(zone) if table.judge else None
-        self.strain = Strain()
-        self.counts = {kind: Counts(kind, now) for kind in ("tenant", "key")}
+        self.rounds = Rounds(zone, table.judge, now, self._random)
         self._numbers = Numbers()
         self._out: dict[tuple[str, str], list[Item]] = {}
         self._taken: dict[str, Rate] = {}
         self._sending = Rate(SENT_S, SENT_BURST, now)
-        self._tell_at = now + TELL_S * self._random.random()
-        self._count_at = now
-        self._hinted: list[int] = []
         self.refused = self.sent = self.received = self.bytes_sent = 0
         self.configure(table)
         self._timer = self.loop.call_later(TICK * self._random.random(), self._tick)
@@ -160,25 +144,15 @@
 
     def met(self, node: int, result: Result) -> None:
         """How an attempt ended at a node."""
-        if self.hearsay is not None and (result is Result.OK or result in BAD):
-            self.hearsay.met(self.loop.time(), node, result is not Result.OK)
+        self.rounds.met(self.loop.time(), node, result)
 
     def asked(self, tenant: str, key: int) -> None:
         """A request was let in."""
-        now = self.loop.time()
-        if self._random.random() < SAMPLED:
-            self.counts["key"].add(now, key & (2**63 - 1), 1.0 / SAMPLED)
-        if tenant:
-            self.counts["tenant"].add(now, hash_of(tenant))
+        self.rounds.asked(self.loop.time(), tenant, key)
 
     def listed(self, members: Sequence[Member]) -> None:
         """Nodes that serve, and those that do not any more."""
-        if self.hearsay is not None:
-            for member in members:
-                if member.state is CacheState.READY:
-                    self.hearsay.listed(member.id, member.started_at)
-                else:
-                    self.hearsay.gone(member.id)
+        self.rounds.listed(members)
 
     # --- time ---
     def _tick(self) -> None:
@@ -196,8 +170,7 @@
                     self._put(action.to, "", wire.Back(name, action.number))
             if budget.turns(now):
                 self._tell_turns(budget, now)
-        if now >= self._tell_at:
-            self._tell_at = now + TELL_S * (0.8 + 0.4 * self._random.random())
+        if self.rounds.due(now):
             self._round(now, up)
         self._flush(now)
 
@@ -209,30 +182,15 @@
             tell("sharing.room", budget=budget.name)
 
     def _round(self, now: float, up: list[str]) -> None:
-        """What is told unasked, and what follows from what was heard."""
-        items: list[Item] = [Spare(name, spare) for name, budget in self.budgets.items()
-                             if (spare := budget.spare(now))]
-        most = FEW
-        if self.hearsay is not None:
-            saw, came = self.hearsay.tells(now), self.strain.tells(self.host.judged)
-            self.host.judged.clear()
-            items += (*came, *saw)
-            worst = max((*(s.bad for s in saw), *(c.bad for c in came)), default=0.0)
-            most = MANY if worst >= FRESH else FEW
-            hinted = self.hearsay.judge(now)
-            outcomes = self.strain.round(self.hearsay.cut(now))
-            for node in hinted:
-                if node not in self._hinted:
-                    tell("sharing.avoided", node=self.host.places.name(node))
-            self._hinted = hinted
-            if hinted or outcomes:
-                self.host.others(hinted, outcomes)
-        if now >= self._count_at:
-            self._count_at = now + COUNT_S
-            items += [counts.tells(now) for counts in self.counts.values() if counts.own.counters]
-        if items and self.members.twin is None:
-            for name in self._random.sample(up, min(most, len(up))):
-                self._put(name, "", *items)
+        host = self.host
+        done = self.rounds.next(now, up, host.judged, self.budgets, self.members.twin is not None)
+        host.judged.clear()
+        for node in done.new:
+            tell("sharing.avoided", node=host.places.name(node))
+        if done.bad or done.outcomes:
+            host.others(done.bad, done.outcomes)
+        for name in done.to:
+            self._put(name, "", *done.items)
 
     def _changed(self, name: str, state: str, was: str) -> None:
         """How a member stands, or this one."""
@@ -249,10 +207,7 @@
             tell("sharing.joined", proxy=name)
         elif state in ("d", "l"):
             tell("sharing.gone", proxy=name, how="left" if state == "l" else "dead")
-            for counts in self.counts.values():
-                counts.left(name)
-            if self.hearsay is not None:
-                self.hearsay.left(name)
+            self.rounds.left(name)
             for budget in self.budgets.values():
                 budget.left(name)
             self._numbers.forget(name)
@@ -330,8 +285,8 @@
         age = self._age(envelope, now)
         for item in wire.items(envelope):
             if isinstance(item, Saw | Came | Counted):
-                if age <= AGE_MOST and self.members.is_up(name, life):
-                    self._believe(now, name, item, age)
+                if self.members.is_up(name, life):
+                    self.rounds.heard(now, name, self.members.of(name)[2], item, age)
             elif isinstance(item, Lend | Spare | wire.Ask | wire.Back):
                 budget = self.budgets.get(item.budget)
                 # An answer counts for the life that asked, whoever has its name by now.
@@ -361,17 +316,6 @@
         apart = self._net.wall() - envelope.at / 1000.0
         return max(0.0, apart) if abs(apart) <= AGE_MOST else math.inf
 
-    def _believe(self, now: float, name: str, item: Saw | Came | Counted, age: float) -> None:
-        """Word of a member that is up, written at most `age` s ago."""
-        if isinstance(item, Came):
-            if self.hearsay is not None and age <= ROUND_AGE:
-                self.strain.heard(name, item)
-        elif isinstance(item, Counted):
-            if item.kind in self.counts:
-                self.counts[item.kind].heard(now, name, item, age)
-        elif self.hearsay is not None:
-            self.hearsay.heard(now, name, self.members.of(name)[2], item, age)
-
     def _lend_or_borrow(self, now: float, name: str, life: str, item: Any,
                         budget: Budget) -> None:
         match item:
