--- a/tests/test_redirects.py
+++ b/tests/test_redirects.py
@@ -178,7 +178,7 @@
         await rig.ask(get(1))
         cluster.importing[slot] = target
         assert await rig.ask(get(2), get(3)) == [b"value of id2", b"value of id3"]
-        assert target.ran == [b"id2", b"id3"]
+        assert sorted(target.ran) == [b"id2", b"id3"]  # each on a connection of its own
         assert [words for words in target.commands if words[0] == b"ASKING"] == [[b"ASKING"]] * 2
         del cluster.importing[slot]
         before = len(target.commands)
