--- /dev/null
+++ b/tests/test_crossings_process.py
@@ -0,0 +1,133 @@
+"""Crossings at a process: signals against its start, its settings and what it has taken."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from pathlib import Path
+
+import pytest
+
+from limebridge.standins.configuration import SETTINGS, configuration
+from tests.rig import CacheNode, Discovery, until
+from tests.scene import Scene, get, read_answer, scene
+from tests.test_crossings_lists import TOLD, away
+from tests.test_program import Program, launch
+from violetroute import __main__ as program
+from violetroute.config import LogTable, parse
+from violetroute.logs import Logs
+from violetroute.transport.sockets import SocketNetwork
+from violetroute.upstream.pool import IDLE_SHARE
+
+SHORT = [cls | {"deadlineMs": 200.0, "promiseMs": 100.0} for cls in SETTINGS["classes"]]
+
+
+def test_a_hangup_that_crosses_the_start_is_not_lost(tmp_path: Path) -> None:
+    # Found by reading: it was ignored until the loop stood.  The file is a pipe here, so that the
+    # signal comes exactly between the daemon's opening of the old one and its first line.
+    async def play() -> None:
+        before, after = await Discovery().start(), await Discovery().start()
+        node = await CacheNode().start()
+        probe = await CacheNode().start()
+        await probe.stop()
+        raw = configuration(before.port, [node.entry("s-0")], listen=probe.port)
+        path = tmp_path / "config.json"
+        os.mkfifo(path)
+        one = Program(await launch(path), path, raw)
+        pipe = await asyncio.to_thread(open, path, "w")  # returns once the daemon has opened it
+        one.configure(json.dumps(raw | {"discovery": f"127.0.0.1:{after.port}"}))
+        with pipe:
+            pipe.write(json.dumps(raw))
+        try:
+            await until(lambda: after.open)
+            assert not before.open
+        finally:
+            one.process.send_signal(signal.SIGTERM)
+            assert await one.ended() == 0
+            for each in (before, after, node):
+                await each.stop()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("longer", [True, False])
+def test_a_drain_lasts_as_long_as_what_was_taken_may_be_answered(
+        longer: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Found by reading: it lasted as long as the deadlines of the process's start.
+    async def play() -> None:
+        discovery, node = await Discovery().start(), await CacheNode().start()
+        raw = configuration(discovery.port, [node.entry("s-0")])
+        first, second = parse(raw), parse(raw | {"settings": SETTINGS | {"classes": SHORT}})
+        if longer:
+            first, second = second, first
+        net = SocketNetwork(asyncio.get_running_loop())
+        logs = Logs(lambda line: None, net.loop.time, net.wall, LogTable())
+        daemon = program.Daemon(first, net, logs)
+        port = daemon.listener.start(first.listen).port
+
+        async def never(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            pass
+
+        node.behaviour = never
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        if not longer:  # taken before the reload, under the longer deadlines
+            writer.write(get(1))
+            await until(lambda: node.commands)
+        monkeypatch.setattr(program, "load", lambda operator: second)
+        daemon.reload()
+        if longer:
+            writer.write(get(1))
+            await until(lambda: node.commands)
+        assert 7.0 < daemon.drain_time() <= 10.0 + program.DRAIN_SLACK
+        writer.close()
+        await until(lambda: not daemon.proxy.open_requests)
+        assert daemon.drain_time() == (10.0 if longer else 0.2) + program.DRAIN_SLACK
+        await daemon.listener.drain(0.1)
+        daemon.proxy.close()
+        for each in (discovery, node):
+            await each.stop()
+
+    asyncio.run(play())
+
+
+def test_new_settings_hold_for_connections_to_nodes_that_are_open_already() -> None:
+    # Found by reading: pool and limits kept the figures of the process's start.
+    async def part(here: Scene) -> None:
+        reader, writer = await here.client()
+        writer.write(get(1))
+        await read_answer(reader)
+        caps = SETTINGS["caps"] | {"connIdleMs": 400.0, "connectTimeoutMs": 100.0}
+        here.proxy.reload(parse(here.raw | {"settings": SETTINGS | {"caps": caps}}))
+        await asyncio.sleep(0.4 * IDLE_SHARE + 0.01)  # the node may close it from here on
+        writer.write(get(2))
+        await read_answer(reader)
+        assert here.nodes[0].connections == 2
+        here.kernel.block(here.nodes[0].port)
+        await asyncio.sleep(0.4)
+        begun = here.loop.time()
+        writer.write(get(3))
+        assert (await read_answer(reader)).startswith(b"-") and here.loop.time() - begun < 0.5
+
+    scene(part)
+
+
+def test_idle_clients_leave_descriptors_for_discovery_and_nodes_while_it_is_down() -> None:
+    async def part(here: Scene) -> None:
+        trouble = asyncio.ensure_future(away(here))
+        await here.until(lambda: not here.discovery.open)
+        idle = [await here.client() for _ in range(200)]  # more than all that there are
+        await trouble
+        back = here.loop.time()
+        await here.until(lambda: here.discovery.open)
+        assert here.loop.time() - back <= TOLD
+        reader, writer = await here.client()
+        writer.write(get(1))
+        assert await read_answer(reader) == b"value of id1"
+        stopped = asyncio.ensure_future(here.process.term())
+        for _, each in idle:
+            each.close()
+        assert await stopped and here.process.left()["descriptors"] == 0
+
+    scene(part, nodes=2, sockets=64)
