--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,5 +2,7 @@
 
 from hypothesis import settings
 
+pytest_plugins = ["tests.known_red"]
+
 settings.register_profile("same", derandomize=True, deadline=None)
 settings.load_profile("same")
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -88,6 +88,31 @@
           balancers=700, guarantees=SETTINGS["guarantees"] | {"askWithinMs": 10_000.0})
 
 
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+@pytest.mark.parametrize("seed", range(6))
+def test_what_a_watch_misses_that_fell_silent_is_kept_6_s_after_its_last_word(
+        mode: str, seed: int) -> None:
+    async def part(here: Scene) -> None:
+        await here.until(lambda: here.discovery.open)
+        here.discovery.tell(*here.entries(), reset=True)
+        mute, send = set(here.discovery.open), here.discovery.send
+        here.discovery.send = lambda writer, text: (  # type: ignore[method-assign]
+            None if writer in mute else send(writer, text))
+        await asyncio.sleep(0.05 * seed)
+        here.discovery.tell(here.nodes[0].entry("s-0", "terminating"))
+        told, drained = here.loop.time() + TOLD, here.nodes[0].port
+        reader, writer = await here.client()
+        number = 0
+        while here.loop.time() < told + 1.0:
+            number += 1
+            writer.write(get(number))
+            await read_answer(reader)
+            await asyncio.sleep(0.01)
+        assert all(at <= told for at, port, _ in here.begun if port == drained)
+
+    scene(part, nodes=2, seed=seed, membershipMode=mode, balancers=700)
+
+
 def test_pushed_lists_are_followed_from_the_start_and_a_drain_is_kept_at_once() -> None:
     # Found on a made-up customer: with membershipMode `automatic` no watch was ever opened.
     async def part(here: Scene) -> None:
