--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -29,7 +29,6 @@
     Tenant,
     Timer,
 )
-from snowstall.gate import Gate
 from violetroute.membership.native import CALL_TIMEOUT, SILENCE
 
 ANSWERED = 2.0  # s for which discovery lets a call wait that it answers in the end, at most
@@ -434,10 +433,12 @@
 def test_new_figures_of_tenants_hold_from_a_reload_on_and_keep_what_was_learned() -> None:
     # Found by reading: with the same tenants the figures of the settings before went on.
     tenants = (Tenant("t", 1.0, 100.0),)
-    gate = Gate(replace(SETTINGS, proxies=1, tenants=tenants, over_share_worth=0.5), 0.0)
+    before = replace(SETTINGS, proxies=1, tenants=tenants, over_share_worth=0.5)
+    balancer, cls = Balancer(before, 1, 0.0), SETTINGS.classes[0]
+    gate = balancer.gate
     gate.limit = 7.0
-    gate.configure(replace(SETTINGS, proxies=100, tenants=tenants, over_share_worth=0.25), 0.0)
-    cls = SETTINGS.classes[0]
+    balancer.on_settings(0.0, replace(before, proxies=100, over_share_worth=0.25))
+    assert balancer.gate is gate
     worths = [gate.count(cls, "t", key, 100.0, 0.0) for key in range(3)]
     assert worths == [cls.worth, 0.25 * cls.worth, 0.25 * cls.worth] and gate.limit == 7.0
 
