--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -328,7 +328,33 @@
     return whole, sorted(set(near.saw)), sorted(set(far.saw))
 
 
-SCRIPTS = (ends_what_is_not_delivered, hello_and_close, back_pressure, half_close,
+async def ended_behind_what_is_not_read(world: World) -> object:
+    """What no event tells while reading is paused, and what a quiet look does not tell apart."""
+    seen = []
+    for end in ("nothing", "half-close", "close", "reset"):
+        near, far = await world.pair()
+        stream(far).pause()
+        stream(near).write(b"asked and not read")
+        while stream(far).quiet():
+            await asyncio.sleep(0.001)
+        seen.append(stream(far).peer_ended())
+        if end == "half-close":
+            stream(near).end()
+        elif end == "close":
+            stream(near).close()
+        elif end == "reset":
+            linger(near)
+            stream(near).abort()
+        async with asyncio.timeout(20.0):
+            while end != "nothing" and not stream(far).peer_ended():
+                await asyncio.sleep(0.001)
+        seen.append(stream(far).peer_ended())
+        stream(far).abort()
+        seen.append(stream(far).peer_ended())  # ours: nobody is asked any more
+    return seen
+
+
+SCRIPTS = (ended_behind_what_is_not_read, ends_what_is_not_delivered, hello_and_close, back_pressure, half_close,
            reset_with_unread, reset_by_linger,
            data_then_reset, reset_right_behind_data, write_after_the_peer_closed, refused,
            full_backlog, closed_in_the_backlog, peeks, tells_what_arrived, called_off,
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,7 @@
 import pytest
 
 from limebridge.standins.configuration import SETTINGS
-from tests.rig import CacheNode, Rig
+from tests.rig import CacheNode, Rig, until
 from tests.scene import NO_CANCEL, Scene, get, put, read_answer, scene
 
 GONE = 0.1  # s after which nothing more begins for a client that has left
@@ -87,6 +87,20 @@
     scene(part, sockets=1024)
 
 
+def test_so_it_does_on_real_sockets() -> None:
+    async def play() -> None:
+        async with Rig(CacheNode(never), sockets=1024) as rig:
+            _, writer = await rig.client()
+            for number in range(300):
+                writer.write(get(number))
+            await until(lambda: rig.listener._unread and rig.proxy.open_requests == 128)
+            writer.close()
+            await until(lambda: not rig.listener.connections and not rig.proxy.open_requests)
+            assert not rig.listener._unread and rig.listener.budget.used == 0
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("left", [True, False])
 def test_a_process_that_stood_asks_whether_the_client_is_still_there(left: bool) -> None:
     # Nodes come first in a turn: the connection that came up in the pause would be written to
--- a/violetroute/config/operator.py
+++ b/violetroute/config/operator.py
@@ -74,6 +74,12 @@
     fleet: FleetTable = FleetTable()
     sharing: SharingTable = SharingTable()
 
+    @property
+    def platform_alone(self) -> bool:
+        """Whether lists come from the platform's discovery and from nowhere else."""
+        return self.membership.sources == ("platform",) \
+            or not (self.membership.sources or self.consul.agents)
+
 
 NEEDS_RESTART = ("client_share", "value_share", "idle_share")  # of [limits]
 
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -223,7 +223,7 @@
         name=env.get("PROXY_NAME") or told.name,
         listen=_address("listen", listen), discovery=_address("discovery", discovery), seed=seed,
         sockets=int(told.limits.sockets), memory_mb=float(told.limits.memory_mb),
-        known=known, settings=_settings(raw["settings"]),
+        known=known, settings=_settings(raw["settings"], operator),
         connect_timeout=caps.connect_timeout_ms / 1000.0,
         idle_timeout=caps.conn_idle_ms / 1000.0,
         drain_grace=rules.stop_sending_within_ms / 1000.0,
@@ -231,14 +231,15 @@
         unknown=tuple(_unknown(raw, _File, "")))
 
 
-def _settings(raw: dict[str, Any]) -> Settings:
+def _settings(raw: dict[str, Any], operator: Operator) -> Settings:
     """On sockets lists come to nobody unasked: pushed means that the agent beside us is asked.
 
     Found on a made-up customer with pushed lists: no watch was ever opened, so each drain was
-    missed and the list handed over at the start held for good.
+    missed and the list handed over at the start held for good.  Other sources have no such agent.
     """
     settings = parse_settings(raw)
-    return replace(settings, must_subscribe=True, pushed=not settings.must_subscribe)
+    pushed = not settings.must_subscribe and operator.platform_alone
+    return replace(settings, must_subscribe=True, pushed=pushed)
 
 
 def _unknown(raw: Mapping[str, Any], struct: type[msgspec.Struct], place: str) -> Iterator[str]:
