Settings: NaN, infinity, names that stand twice and odd modes are refused by their key

Seen: of 43 settings that can't be used, tried one by one, 17 were taken (a deadline of infinity, a late value of NaN, a price of NaN, a negative quota, two classes of one name, an unknown membershipMode) and 6 refused without their key. Cause: Python's JSON reads NaN and Infinity, and only what had a lower bound was checked; tariffs, realms and familyInfo were not typed.

--- a/snowstall/adapter.py
+++ b/snowstall/adapter.py
@@ -35,9 +35,9 @@
 def parse_settings(conf: dict[str, Any]) -> b.Settings:
     """Translate the settings of the wire; a missing or senseless one is a ValueError."""
     caps, rules = _part(conf, "caps"), _part(conf, "guarantees")
-    prices = conf.get("tariffs", {})
-    family = conf.get("familyInfo", {})
-    kinds = conf.get("kinds", [])
+    prices = conf.get("tariffs") or {}
+    family = conf.get("familyInfo") or {}
+    kinds = conf.get("kinds") or []
     origin = family.get("originKind", -1)
     aside = family.get("mode") == "aside"
     return b.Settings(
@@ -62,7 +62,7 @@
         tenants=tuple(
             b.Tenant(_need(t, "name", "realms[]."), float(t.get("share", 0.0)),
                      float(t.get("quotaPerS", 0.0)))
-            for t in conf.get("realms", [])
+            for t in conf.get("realms") or ()
         ),
     )
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -49,7 +49,33 @@
     "effect": (("settings", "classes", 0, "effect"), "odd", "settings.classes[0].effect:"),
     "aim": (("settings", "classes", 0, "promiseMs"), -1, "settings.classes[0].promiseMs:"),
     "no settings": (("settings",), None, "settings"),
+    "two of a name": (("settings", "classes", 1, "name"), "lookup", "settings.classes: a name"),
+    "no name": (("settings", "classes", 0, "name"), "", "settings.classes[0].name:"),
+    "mode": (("settings", "membershipMode"), "told", "settings.membershipMode:"),
+    "price": (("settings", "tariffs"), {"crossZone": "dear"}, "settings.tariffs.crossZone:"),
+    "tenant": (("settings", "realms"), [{"share": 1}], "settings.realms[0]"),
+    "quota": (("settings", "realms"), [{"name": "a", "quotaPerS": -1}],
+              "settings.realms[0].quotaPerS:"),
+    "two tenants": (("settings", "realms"), [{"name": "a"}] * 2, "settings.realms: a name"),
 }
+# Python's JSON has NaN and Infinity, and a deadline of either passed for one.
+FIGURES = [("limits", "sockets"), ("limits", "memory_mb"), ("settings", "balancers"),
+           ("settings", "overShareWorth"),
+           *(("settings", "caps", key) for key in ("mostTries", "connIdleMs", "connectTimeoutMs",
+                                                   "maxRetryAfterMs")),
+           *(("settings", "guarantees", key) for key in ("coldFrom", "warmWithinMs", "askWithinMs",
+                                                         "stopSendingWithinMs")),
+           *(("settings", "classes", 0, key) for key in ("promiseMs", "deadlineMs", "worth",
+                                                         "lateValue", "keyTtlMs"))]
+WRONG |= {f"{value} {keys[-1]}": (keys, value, f"{keys[-1]}:")
+          for keys in FIGURES for value in (float("nan"), float("inf"), -1.0)}
+
+
+def test_what_is_null_is_as_if_it_were_not_there(tmp_path: Path) -> None:
+    absent = dict.fromkeys(("tariffs", "realms", "familyInfo", "kinds"))
+    raw = configuration(1, [])
+    assert loaded(tmp_path, raw | {"settings": raw["settings"] | absent}).settings \
+        == loaded(tmp_path, raw).settings
 
 
 @pytest.mark.parametrize("name", WRONG)
--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -354,7 +354,8 @@
     return seen
 
 
-SCRIPTS = (ended_behind_what_is_not_read, ends_what_is_not_delivered, hello_and_close, back_pressure, half_close,
+SCRIPTS = (ended_behind_what_is_not_read, ends_what_is_not_delivered, hello_and_close,
+           back_pressure, half_close,
            reset_with_unread, reset_by_linger,
            data_then_reset, reset_right_behind_data, write_after_the_peer_closed, refused,
            full_backlog, closed_in_the_backlog, peeks, tells_what_arrived, called_off,
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -26,57 +26,84 @@
 PROCESS_MB = 20  # what the program takes with no request open
 LEAST_VALUES = 1024 * 1024  # bytes: some values of the longest kind must always fit
 Number = float  # JSON integers are taken too
-Above0 = Annotated[Number, msgspec.Meta(gt=0)]
+# Python reads NaN and Infinity in JSON: a bound on both sides refuses them.
+MOST = 1e12
+Above0 = Annotated[Number, msgspec.Meta(gt=0, le=MOST)]
+AtLeast0 = Annotated[Number, msgspec.Meta(ge=0, le=MOST)]
+Count = Annotated[Number, msgspec.Meta(ge=1, le=1e9)]
+Part = Annotated[Number, msgspec.Meta(ge=0, le=1)]
+Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 # Keys that the platform documents and nothing here uses; any other unknown one is logged.
 UNUSED = frozenset({
-    "clientHabits", "familyInfo", "feedback", "kindOfService", "kinds", "layers", "me",
-    "objectiveMix", "overShareWorth", "realms", "stage", "tariffs", "tickMs", "valueBy",
-    "weightKind", "zones", "cpuUsPerRequest", "cpuUsPerS", "maxStreams", "mostHeld",
+    "clientHabits", "feedback", "kindOfService", "layers", "me", "objectiveMix", "stage", "tickMs",
+    "valueBy", "weightKind", "zones", "cpuUsPerRequest", "cpuUsPerS", "maxStreams", "mostHeld",
     "peerMessages", "probes", "answerSlackMs", "fallMs", "overloadFactor", "streaming",
     "aimStretch", "cores"})
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    sockets: Number = 1024
+    sockets: Number = 1024  # both are checked below, against what the program needs
     memory_mb: Number = 64
 
 
 class _Caps(msgspec.Struct, rename="camel", frozen=True):
-    most_tries: Annotated[Number, msgspec.Meta(ge=1)]
+    most_tries: Count
     cancel: bool | int = False
     conn_idle_ms: Above0 = 15_000.0
     connect_timeout_ms: Above0 = 250.0
-    max_retry_after_ms: Number = 0.0
+    max_retry_after_ms: AtLeast0 = 0.0
     retry_after: bool | int = False
     second_copies: bool | int = False
 
 
 class _Guarantees(msgspec.Struct, rename="camel"):
-    cold_from: Annotated[Number, msgspec.Meta(ge=0, le=1)]
-    warm_within_ms: Number
-    ask_within_ms: Number = 10_000.0
-    stop_sending_within_ms: Number = 500.0
+    cold_from: Part
+    warm_within_ms: AtLeast0
+    ask_within_ms: AtLeast0 = 10_000.0
+    stop_sending_within_ms: AtLeast0 = 500.0
 
 
 class _Class(msgspec.Struct, rename="camel"):
-    name: str
+    name: Name
     promise_ms: Above0
     deadline_ms: Above0
     effect: Literal["pure", "token", "side_effect"]
-    worth: Number = 1.0
-    late_value: Number = 0.0
+    worth: AtLeast0 = 1.0
+    late_value: Part = 0.0
     group: Literal["all", "zone", "cell"] = "all"
-    key_ttl_ms: Number = 0.0
+    key_ttl_ms: AtLeast0 = 0.0
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: Name
+    share: AtLeast0 = 0.0
+    quota_per_s: AtLeast0 = 0.0
+
+
+class _Prices(msgspec.Struct, rename="camel"):
+    cross_zone: AtLeast0 = 0.0
+    origin: AtLeast0 = 0.0
+    waste: AtLeast0 = 0.0
+
+
+class _Family(msgspec.Struct, rename="camel"):
+    mode: str = ""
+    origin_kind: int = -1
 
 
 class _Settings(msgspec.Struct, rename="camel"):
     caps: _Caps
     guarantees: _Guarantees
     classes: Annotated[list[_Class], msgspec.Meta(min_length=1)]
-    balancers: Number = 1
+    balancers: Count = 1
     zone: str = ""
-    membership_mode: str = "automatic"
+    membership_mode: Literal["automatic", "subscribe"] = "automatic"
+    over_share_worth: AtLeast0 = 1.0
+    realms: list[_Tenant] | None = None
+    tariffs: _Prices | None = None
+    family_info: _Family | None = None
+    kinds: list[str] | None = None
 
 
 class _File(msgspec.Struct):
@@ -211,6 +238,10 @@
     except ValueError:
         raise ValueError("seed: not a hexadecimal number") from None
     caps, rules = told.settings.caps, told.settings.guarantees
+    for key, names in (("classes", [c.name for c in told.settings.classes]),
+                       ("realms", [t.name for t in told.settings.realms or ()])):
+        if len(set(names)) != len(names):
+            raise ValueError(f"settings.{key}: a name stands there twice")
     try:
         known = parse_listing(told.known or {"instances": []})
     except ValueError as error:
@@ -245,13 +276,14 @@
 def _unknown(raw: Mapping[str, Any], struct: type[msgspec.Struct], place: str) -> Iterator[str]:
     """Keys that are neither used nor documented by the platform."""
     fields = {field.encode_name: field.type for field in msgspec.structs.fields(struct)}
+    lists: dict[str, type[msgspec.Struct]] = {"classes": _Class, "realms": _Tenant}
     for key, value in raw.items():
         inner = fields.get(key)
         if inner is None:
             if key not in UNUSED:
                 yield f"{place}{key}"
-        elif key == "classes":
+        elif key in lists and value is not None:
             for item in value:
-                yield from _unknown(item, _Class, f"{place}{key}[].")
+                yield from _unknown(item, lists[key], f"{place}{key}[].")
         elif isinstance(inner, type) and issubclass(inner, msgspec.Struct):
             yield from _unknown(value, inner, f"{place}{key}.")
