--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -146,7 +146,7 @@
 
             net.connect = stalls  # type: ignore[method-assign]
             reader, writer = await rig.client()
-            writer.write(put(1, wait=500) if cls == b"optout" else get(1, wait=500))
+            writer.write(put(1) if cls == b"optout" else get(1, wait=500))
             await read_answer(reader)
             over = stands > (0.4 if cls == b"optout" else 0.5)
             assert opened[0] == 2
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -196,6 +196,6 @@
 
         watch.start = started
         await here.until(lambda: len(waits) == 4)
-        assert max(b - a for a, b in pairwise(waits)) <= CONNECT + 1.5
+        assert max(b - a for a, b in pairwise(waits)) <= 3.0 == CONNECT + 1.5
 
     scene(part)
