--- a/limebridge/rules/judge.py
+++ b/limebridge/rules/judge.py
@@ -15,6 +15,7 @@
 PAUSE_SEEN = 0.1  # s of a pause that a process can see; what came in a shorter one may be late
 BURST = 0.01  # s in which a new watch may say a drain again that it has just taken back
 BEFORE = ""  # the source of what was handed over, or told by sources that are not followed any more
+GONE = 0.1  # s after which nothing begins for a client that has left, whatever came in between
 SLACK = 6  # requests beyond a cold node's bound: what chance alone brings
 
 
@@ -51,6 +52,7 @@
     answered_at: float | None = None
     answer: str = ""
     gone_at: float | None = None
+    end_came_at: float | None = None  # to the proxy's machine
     excused: bool = False
     accepted: list[str] = field(default_factory=list)  # nodes that may have run it
     effects: int = 0
@@ -123,6 +125,14 @@
         request.story.append(f"{at:.6f} its client has gone")
         request.gone_at = at
 
+    def end_came(self, at: float, id_: str) -> None:
+        """The end of one that has gone is on the proxy's machine: its kernel knows.
+
+        Counts also while the process stands.  An end behind more than the receive buffer holds is
+        still at the sender, and nobody here can know of it.
+        """
+        self._requests[id_].end_came_at = at
+
     def closed_under(self, at: float, id_: str) -> None:
         """The proxy ended the connection while this was open on it."""
         request = self._requests[id_]
@@ -172,7 +182,10 @@
         request.story.append(f"{at:.6f} came to {node}, sent at {sent_at:.6f}")
         if request.answered_at is not None and sent_at > request.answered_at:
             self._break(1, at, f"sent to {node} after the final answer", id_)
-        if request.gone_at is not None and sent_at > self._could_know(request.gone_at) + 0.01:
+        if request.end_came_at is not None and sent_at > request.end_came_at + GONE:
+            self._break(1, at, f"sent to {node} {(sent_at - request.end_came_at) * 1000:.0f} ms "
+                               "after its client's end had come", id_)
+        elif request.gone_at is not None and sent_at > self._could_know(request.gone_at) + 0.01:
             self._break(1, at, f"sent to {node} after its client had gone", id_)
         heard = min(seen.told.values(), default=None)
         if heard is not None and sent_at > max(heard + self._terms.grace, seen.burst_at):
--- a/limebridge/virtual/client.py
+++ b/limebridge/virtual/client.py
@@ -30,6 +30,8 @@
     def kernel(self) -> Network: ...
     @property
     def loop(self) -> asyncio.AbstractEventLoop: ...
+    @property
+    def leaving(self) -> dict[Any, list[str]]: ...
     def note(self, text: str) -> None: ...
     def start(self, work: Any) -> None: ...
 
@@ -106,6 +108,7 @@
             timer.cancel()
             world.judge.gone(world.kernel.now, id_)
         if self._writer is not None:
+            world.leaving[self._writer.get_extra_info("socket")._sock] = list(self.open)
             self._writer.transport.abort()
 
     def close(self) -> None:
--- a/limebridge/virtual/network.py
+++ b/limebridge/virtual/network.py
@@ -61,6 +61,8 @@
         # Told of bytes that a socket has received, and of those that it was given to send.
         self.received: Callable[[Any, bytes], None] = lambda sock, data: None
         self.given: Callable[[Any, bytes], None] = lambda sock, data: None
+        # Told of a socket that its peer's end, or a reset, has come to.
+        self.ended: Callable[[Any], None] = lambda sock: None
 
     # --- time ---
     def at(self, when: float, what: Callable[[], None]) -> None:
--- a/limebridge/virtual/sockets.py
+++ b/limebridge/virtual/sockets.py
@@ -53,13 +53,11 @@
     # --- names, options ---
     def fileno(self) -> int:
         return self.number
-
     def setblocking(self, flag: bool) -> None:
         pass
 
     def gettimeout(self) -> float:
         return 0.0
-
     def getsockname(self) -> tuple[str, int]:
         return self._name
 
@@ -309,6 +307,7 @@
         if self.peer is not None and not self.peer._closed:
             self.peer._end_came = True
             self._kernel.touch(self.peer)
+            self._kernel.ended(self.peer)
 
     def _send_reset(self) -> None:
         if self.peer is not None and not self._reset:
@@ -320,6 +319,7 @@
         if peer is None or peer._reset:
             return
         peer._reset = True
+        self._kernel.ended(peer)
         # Told after what had come before has been read; Linux names it by the state it met.
         peer._error = errno.EPIPE if peer._end_came else errno.ECONNRESET
         peer._sending.clear()
--- a/limebridge/virtual/world.py
+++ b/limebridge/virtual/world.py
@@ -32,7 +32,7 @@
 WINDOW = 0.8  # s for which nodes know a key: less than a request may take
 DESCRIPTORS = 96  # of the proxy
 REST = 3.0  # s after the last question, in which everything has to end
-UNWATCHED = 8.0  # s without a watch, though discovery can be reached: drains go unheard
+UNWATCHED = 6.0  # s without a watch, though discovery can be reached: what it has counts as told
 SILENT = 2.5  # s without a byte of any source; an empty line comes every 2 s
 DRAIN_NEW = 0.5  # s from the telling of a drain; rule three's grace
 LOOK = 32  # polls between two looks at the program's own bounds
@@ -84,6 +84,8 @@
         self._births: dict[float, float] = {}  # starts as they are told, and when they were
         self._listed: dict[str, None] = {}  # by the watch that the process follows
         self.ears = Ears(self.kernel, {OWNER}, self._line, self._answer)
+        self.kernel.ended = self._end_came
+        self.leaving: dict[Any, list[str]] = {}  # by the socket of a client that has left
         self._old: list[Discovery] = []
         self._tasks: dict[asyncio.Task[None], None] = {}
         self._wall_off = 1.7e9
@@ -95,6 +97,11 @@
         self._ending = False
         self._watched_at = self.kernel.now
 
+    def _end_came(self, sock: Any) -> None:
+        """A peer's end has come to this socket's machine."""
+        for id_ in self.leaving.pop(sock.peer, ()):
+            self.judge.end_came(self.kernel.now, id_)
+
     # --- what nodes see ---
     def arrived(self, at: float, node: str, id_: str, sent_at: float) -> None:
         self.note(f"{id_} at {node}, sent {sent_at:.6f}")
--- /dev/null
+++ b/tests/planted/left_unseen.py
@@ -0,0 +1,6 @@
+"""Found by exploration, taken back: whether a client has left is not asked of the kernel."""
+from violetroute.clients.connection import ClientConnection
+
+
+def plant():
+    ClientConnection.left = lambda self: False
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -9,6 +9,7 @@
 from violetroute import resp
 from violetroute.cluster import Dialect, Session
 from violetroute.transport import Stream
+from violetroute.transport.turns import LATE
 
 from .answers import Answer
 from .assembly import Assembly
@@ -164,13 +165,16 @@
             self._owe().finish(b"+PONG\r\n")
             return
         taker, answer = self._listener.taker, None
+        waited = self._standing.waited(self._loop.time())
+        if waited > LATE and self.left():
+            self.ended()  # found by exploration: read in the second turn after a pause
+            return
         try:
             command = resp.parse_command(args, head)
             if dialect is not None and (moved := dialect.moved(command.key)) is not None:
                 self._owe().finish(moved)
                 return
-            refusal = taker.turned_away(command, self._taken_now(),
-                                        self._standing.waited(self._loop.time()))
+            refusal = taker.turned_away(command, self._taken_now(), waited)
             if refusal is not None:  # in an overload of our own, so it must cost next to nothing
                 self._refuse(refusal)
                 return
