--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -250,6 +250,9 @@
 class Unread:
     """To a client that takes nothing: the first write already waits for it."""
 
+    def peer_ended(self) -> bool:
+        return False
+
     def __init__(self, connection: ClientConnection) -> None:
         self._connection, self.written, self.reading = connection, bytearray(), True
         self.descriptor, self.closing = -1, False
