A cache is silent after 0.1 s at the least: a shorter stall of our own looks the same

Traced: each was redirected to an owner held for silent after 19 to 23 ms without an answer, four deviations beyond answers of a few ms; the process itself had stood for that long, which is told as a pause only from 0.1 s on.

--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -18,7 +18,7 @@
 
 RETRY_EARN, RETRY_CAP = 0.15, 6.0  # further attempts per request, and saved up at most
 FORGIVEN = 30_000.0  # ms until it is asked like any other though nothing could ask it
-SILENCE = 4.0  # deviations beyond the slowest mean: who answers nothing for longer is silent
+SILENCE, STALL = 4.0, 100.0  # deviations beyond the slowest mean: silent; ms of our own, untold
 ASK_LEAST, ASK_SPREAD = 500.0, 50.0  # wait before asking discovery: at least, and a proxy
 ASK_MOST, ASK_SILENT, ASK_AGENT = 1_500.0, 1_000.0, 50.0  # at most: all counts as told after 6 s
 HEDGE_DEVIATIONS = 3.0  # an answer, hit or miss, this late is likely stuck in a jam
@@ -149,8 +149,8 @@
             self._refresh_head(now)
             for cache in [c for c in self.unproven.values() if now - c.absent_until > FORGIVEN]:
                 del self.unproven[cache.id]  # too little traffic, or none that is harmless
-            self._silence = max((m.value + SILENCE * m.deviation for m in self._times.values()
-                                 if m.count >= FAIR_ANSWERS), default=math.inf)
+            self._silence = max((max(STALL, m.value + SILENCE * m.deviation) for m in
+                                 self._times.values() if m.count >= FAIR_ANSWERS), default=math.inf)
         actions: list[Action] = []
         if gate.admits(worth, now):
             self._start(pending, actions)
