Second reading: noise teaches no rest; a fault over one client ends no look for others

Found by reading the change again. A byte on a resting connection counted as a late second answer at any age, and on one that had answered nothing as infinitely late, so a node that makes noise had all connections left alone for 0.1 s: beyond 0.1 s it teaches nothing. Both tests fail without. Also tested: an agent beside the proxy is only where the platform alone tells.

--- a/limebridge/virtual/net.py
+++ b/limebridge/virtual/net.py
@@ -16,5 +16,10 @@
     """What an older build does not ask of its sockets it does not miss: it is played here too."""
     net = SocketNetwork(loop, turns, make=kernel.maker(owner), clock=clock,
                         undelivered=lambda sock: int(sock.undelivered()))  # type: ignore[attr-defined]
-    net.hung_up = lambda sock: bool(sock.hung_up())  # type: ignore[attr-defined]
+    net.hung_up = _hung_up
     return net
+
+
+def _hung_up(sock: Any) -> bool:
+    """POLLRDHUP, POLLHUP or POLLERR."""
+    return bool(sock._end_came or sock._reset or sock._error)
--- a/limebridge/virtual/sockets.py
+++ b/limebridge/virtual/sockets.py
@@ -53,11 +53,13 @@
     # --- names, options ---
     def fileno(self) -> int:
         return self.number
+
     def setblocking(self, flag: bool) -> None:
         pass
 
     def gettimeout(self) -> float:
         return 0.0
+
     def getsockname(self) -> tuple[str, int]:
         return self._name
 
@@ -381,9 +383,6 @@
     def undelivered(self) -> int:  # bytes that have not arrived over there; SIOCOUTQ
         return len(self._sending) + self._flying
 
-    def hung_up(self) -> bool:  # POLLRDHUP, POLLHUP or POLLERR
-        return self._end_came or self._reset or bool(self._error)
-
     # --- for the poll ---
     def ready(self) -> int:
         """READ and WRITE as epoll would report them, errors and hang-ups as both."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -199,3 +199,11 @@
     monkeypatch.setattr("violetroute.config.operator.find_spec", lambda name: None)
     result = CliRunner().invoke(app, ["check", "--operator", str(path)])
     assert result.exit_code == 2 and "zstandard" in result.output
+
+
+def test_an_agent_beside_the_proxy_is_only_where_the_platform_alone_tells(tmp_path: Path) -> None:
+    raw = configuration(1, [], membershipMode="automatic")
+    for operator, pushed in (("", True), ('[membership]\nsources = ["platform"]\n', True),
+                             ('[consul]\nagents = ["127.0.0.1:1"]\n', False)):
+        settings = loaded(tmp_path, raw, operator).settings
+        assert settings.must_subscribe and settings.pushed is pushed
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -254,3 +254,27 @@
         assert await stopped
 
     scene(part)
+
+
+def test_a_fault_over_one_that_is_not_read_leaves_the_others_looked_at() -> None:
+    async def part(here: Scene) -> None:
+        here.nodes[0].behaviour = never
+        here.loop.set_exception_handler(lambda loop, context: None)
+        clients = [await here.client() for _ in range(2)]
+        for place, (_, writer) in enumerate(clients):
+            for number in range(200):
+                writer.write(get(1000 * place + number))
+        await here.until(lambda: len(here.listener._unread) == 2)
+
+        def fault() -> bool:
+            raise RuntimeError("a fault of ours")
+
+        first = next(iter(here.listener._unread))
+        first.left = fault
+        await asyncio.sleep(0.2)
+        clients[1][1].close()
+        clients[0][1].close()
+        del first.left
+        await here.until(lambda: not here.listener.connections, GONE)
+
+    scene(part, sockets=1024)
--- a/tests/test_crossings_nodes.py
+++ b/tests/test_crossings_nodes.py
@@ -107,3 +107,19 @@
         handler.buffer()[: len(late)] = late
         handler.received(len(late))
         assert world.ended == [(1, result)] and stream.closing == (result is Result.SPOILT)
+
+
+def test_noise_long_after_an_answer_or_before_any_teaches_nothing() -> None:
+    # Found in a second reading: each such byte had all connections left alone for 0.1 s.
+    for answered in (True, False):
+        world = World()
+        if answered:
+            world.served(1)
+            world.now += 2.0
+        else:
+            world.send(1)
+            world.streams[0][0].opened()
+            world.pool.give_up(world.send(2))
+            world.streams[1][0].opened()
+        world.streams[-1][0].received(1)
+        assert world.streams[-1][1].closing and world.pool._quiet(world.now) == QUIET
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -207,11 +207,12 @@
         has left: the end stands behind what is not read, or in a window that is closed (only
         there it is not seen).  Harm: a system call for each of these in each LEAVERS seconds.
         """
+        # First, as the sweep does: a fault over one must not end the looks for the others.
+        self._leaving = self.loop.call_later(LEAVERS, self._look_for_leavers) \
+            if self._unread else None
         for connection in list(self._unread):
             if connection.left():
                 connection.ended()
-        self._leaving = self.loop.call_later(LEAVERS, self._look_for_leavers) \
-            if self._unread else None
 
     def lingering(self, connection: ClientConnection) -> None:
         self._move(connection, self._lingering)
--- a/violetroute/upstream/pool.py
+++ b/violetroute/upstream/pool.py
@@ -145,10 +145,15 @@
         self._lost[place] = share + AGE_GAIN * (broken - share), self.loop.time()
 
     def stray(self, connection: NodeConnection) -> None:
-        """Something came on a free connection: how long after its last answer."""
+        """Something came on a free connection: how long after its last answer.
+
+        What comes later than QUIET_MOST, or where nothing was answered, is noise and no second
+        answer: a node that makes some would have all connections left alone.
+        """
         now = self.loop.time()
-        late = min(QUIET_MOST, QUIET_TIMES * (now - connection.answered_at))
-        if late > self._faded(now):
+        age = now - connection.answered_at
+        late = min(QUIET_MOST, QUIET_TIMES * age)
+        if age <= QUIET_MOST and late > self._faded(now):
             self._stray, self._stray_at = late, now
 
     def _faded(self, now: float) -> float:
