--- a/benchmarks/bad_nodes.py
+++ b/benchmarks/bad_nodes.py
@@ -74,9 +74,20 @@
     pass
 
 
-KINDS: dict[str, Behaviour] = {kind.__name__: kind for kind in (
-    closes, resets, noise, endless_line, endless_value, half_an_answer, answers_twice,
-    answers_and_closes, says_nothing)}
+KINDS: dict[str, Behaviour] = {
+    kind.__name__: kind
+    for kind in (
+        closes,
+        resets,
+        noise,
+        endless_line,
+        endless_value,
+        half_an_answer,
+        answers_twice,
+        answers_and_closes,
+        says_nothing,
+    )
+}
 
 
 async def settled(pid: int, most: int) -> int:
@@ -101,16 +112,18 @@
 
 
 async def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--count", type=int, default=10_000)
     parser.add_argument("--most", type=float, default=45.0, help="seconds of a kind")
     parser.add_argument("--build", type=Path, default=harness.ROOT, help="another checkout")
     options = parser.parse_args()
     bad = False
     nodes = [await Node(serves).start() for _ in range(4)]
-    async with harness.daemon([node.port for node in nodes], options.build.resolve(),
-                              sockets=512) as daemon:
+    async with harness.daemon(
+        [node.port for node in nodes], options.build.resolve(), sockets=512
+    ) as daemon:
         await played(nodes, daemon.port, EASY, 1_000_000, 1.0)
         await asyncio.sleep(SETTLES)
         before = descriptors(daemon.pid)
@@ -127,12 +140,23 @@
             after, kinds = await settled(daemon.pid, before), crowd.kinds()
             wrong = after > before or bool(kinds["expired"]) or served < 950
             bad |= wrong
-            print(json.dumps({"kind": name, "connections": seen, "answers": dict(kinds),
-                              "descriptors": [before, after],
-                              "served_of_last_1000_when_good": served, "passes": not wrong,
-                              "resident_mb": [round(memory, 1),
-                                              round(harness.resident_mb(daemon.pid), 1)]}),
-                  flush=True)
+            print(
+                json.dumps(
+                    {
+                        "kind": name,
+                        "connections": seen,
+                        "answers": dict(kinds),
+                        "descriptors": [before, after],
+                        "served_of_last_1000_when_good": served,
+                        "passes": not wrong,
+                        "resident_mb": [
+                            round(memory, 1),
+                            round(harness.resident_mb(daemon.pid), 1),
+                        ],
+                    }
+                ),
+                flush=True,
+            )
     for node in nodes:
         await node.stop()
     return int(bad)
--- a/benchmarks/bad_peers.py
+++ b/benchmarks/bad_peers.py
@@ -69,13 +69,17 @@
 
 
 async def huge_value(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"*5\r\n$7\r\nOBJ.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$12\r\nc=optout,d=9\r\n"
-                 b"$60000000\r\n" + b"x" * 10_000)
+    writer.write(
+        b"*5\r\n$7\r\nOBJ.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$12\r\nc=optout,d=9\r\n"
+        b"$60000000\r\n" + b"x" * 10_000
+    )
     await to_the_end(reader)
 
 
-KINDS: dict[str, Kind] = {kind.__name__: kind for kind in (
-    says_nothing, noise, endless_line, half_a_command, asks_and_resets, huge_value)}
+KINDS: dict[str, Kind] = {
+    kind.__name__: kind
+    for kind in (says_nothing, noise, endless_line, half_a_command, asks_and_resets, huge_value)
+}
 
 
 async def many(port: int, kind: Kind, count: int) -> None:
@@ -101,14 +105,17 @@
 
 
 async def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--count", type=int, default=10_000)
     parser.add_argument("--build", type=Path, default=harness.ROOT, help="another checkout")
     options = parser.parse_args()
     bad = False
-    async with harness.nodes(2, 200) as ports, \
-            harness.daemon(ports, options.build.resolve(), sockets=512) as daemon:
+    async with (
+        harness.nodes(2, 200) as ports,
+        harness.daemon(ports, options.build.resolve(), sockets=512) as daemon,
+    ):
         for name, kind in KINDS.items():
             before, memory = descriptors(daemon.pid), harness.resident_mb(daemon.pid)
             started = time.monotonic()
@@ -124,12 +131,22 @@
             while descriptors(daemon.pid) > before + len(ports):
                 await asyncio.sleep(0.1)
             bad |= after > before + len(ports) or not served  # each node may keep one
-            print(json.dumps({"kind": name, "count": options.count,
-                              "per_s": round(options.count / took),
-                              "descriptors": [before, after], "served_after": served,
-                              "resident_mb": [round(memory, 1),
-                                              round(harness.resident_mb(daemon.pid), 1)]}),
-                  flush=True)
+            print(
+                json.dumps(
+                    {
+                        "kind": name,
+                        "count": options.count,
+                        "per_s": round(options.count / took),
+                        "descriptors": [before, after],
+                        "served_after": served,
+                        "resident_mb": [
+                            round(memory, 1),
+                            round(harness.resident_mb(daemon.pid), 1),
+                        ],
+                    }
+                ),
+                flush=True,
+            )
     return int(bad)
 
 
--- a/benchmarks/calibrate.py
+++ b/benchmarks/calibrate.py
@@ -32,8 +32,11 @@
 
 def calls(count: int = 20_000) -> tuple[float, float]:
     """Seconds of a send and of a read of 100 B on a TCP connection over loopback."""
-    with socket.create_server(("127.0.0.1", 0)) as door, \
-            socket.create_connection(door.getsockname()) as one, door.accept()[0] as other:
+    with (
+        socket.create_server(("127.0.0.1", 0)) as door,
+        socket.create_connection(door.getsockname()) as one,
+        door.accept()[0] as other,
+    ):
         data, sent, read = bytes(100), 0.0, 0.0
         for _ in range(count):
             began = time.perf_counter()
@@ -55,8 +58,12 @@
             words = b""
             for _ in range(deep):
                 number += 1
-                words += command(b"OBJ.GET", b"k%d" % (number % 500), b"%016x" % number,
-                                 b"c=lookup,t=x,d=" + told)
+                words += command(
+                    b"OBJ.GET",
+                    b"k%d" % (number % 500),
+                    b"%016x" % number,
+                    b"c=lookup,t=x,d=" + told,
+                )
             sock.sendall(words)
             for _ in range(deep):
                 line = answers.readline()
@@ -70,8 +77,13 @@
         ask(port, told, deep, 1)
 
 
-async def cost(work: Callable[[int, bytes, int, int], None], size: int = SMALL,
-               told: bytes = NO_TIME, deep: int = 1, count: int = 4000) -> float:
+async def cost(
+    work: Callable[[int, bytes, int, int], None],
+    size: int = SMALL,
+    told: bytes = NO_TIME,
+    deep: int = 1,
+    count: int = 4000,
+) -> float:
     """Seconds of CPU a question."""
     async with harness.nodes(4, size) as ports, harness.daemon(ports, sockets=2048) as daemon:
         await asyncio.to_thread(work, daemon.port, told, deep, count // 4)
@@ -83,9 +95,13 @@
 async def terms() -> dict[str, float]:
     found: dict[str, list[float]] = {}
     for _ in range(3):
-        for name, work in (("refused", cost(ask)), ("together", cost(ask, deep=16, count=32_000)),
-                           ("served", cost(ask, told=b"600")),
-                           ("large", cost(ask, LARGE, b"600")), ("connect", cost(connect))):
+        for name, work in (
+            ("refused", cost(ask)),
+            ("together", cost(ask, deep=16, count=32_000)),
+            ("served", cost(ask, told=b"600")),
+            ("large", cost(ask, LARGE, b"600")),
+            ("connect", cost(connect)),
+        ):
             found.setdefault(name, []).append(await work)
     mean = {name: statistics.median(each) for name, each in found.items()}
     write, read = calls()
@@ -93,23 +109,29 @@
     turn = mean["refused"] - parsed  # a wake, a read and a write
     decided = (mean["served"] - parsed - 2.0 * turn) / 2.0
     solved = {
-        "wake": turn - read - write, "read": read, "write": write, "command": parsed,
-        "decision": decided, "byte": (mean["large"] - mean["served"]) / 2.0 / (LARGE - SMALL),
-        "connect": mean["connect"] - mean["refused"]}
+        "wake": turn - read - write,
+        "read": read,
+        "write": write,
+        "command": parsed,
+        "decision": decided,
+        "byte": (mean["large"] - mean["served"]) / 2.0 / (LARGE - SMALL),
+        "connect": mean["connect"] - mean["refused"],
+    }
     print(json.dumps({name: round(each * 1e6, 2) for name, each in mean.items()}))
-    return {name: max(LEAST if name != "byte" else 1e-11, value)
-            for name, value in solved.items()}
+    return {name: max(LEAST if name != "byte" else 1e-11, value) for name, value in solved.items()}
 
 
 async def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--write", action="store_true")
     options = parser.parse_args()
-    solved = {name: float(f"{value:.3g}") for name, value in
-              (await terms()).items()}
-    text = json.dumps({"measured": datetime.date.today().isoformat(), "seconds": solved},
-                      indent=1) + "\n"
+    solved = {name: float(f"{value:.3g}") for name, value in (await terms()).items()}
+    text = (
+        json.dumps({"measured": datetime.date.today().isoformat(), "seconds": solved}, indent=1)
+        + "\n"
+    )
     print(text, end="")
     if options.write:
         Path(STORED).write_text(text)
--- a/benchmarks/choices.py
+++ b/benchmarks/choices.py
@@ -43,9 +43,10 @@
 def drawn(skew: float, keys: int, messages: int, seed: int) -> list[int]:
     """Keys by Zipf's law, as numbers that say nothing of their rank."""
     rng = random.Random(f"{skew}/{seed}")
-    total = list(itertools.accumulate(1.0 / rank ** skew for rank in range(1, keys + 1)))
-    return [mix(bisect.bisect_left(total, rng.random() * total[-1]), 7) >> 12
-            for _ in range(messages)]
+    total = list(itertools.accumulate(1.0 / rank**skew for rank in range(1, keys + 1)))
+    return [
+        mix(bisect.bisect_left(total, rng.random() * total[-1]), 7) >> 12 for _ in range(messages)
+    ]
 
 
 def imbalance(loads: list[int]) -> float:
@@ -99,8 +100,9 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--keys", type=int, default=10_000)
     parser.add_argument("--messages", type=int, default=100_000)
     parser.add_argument("--sources", type=int, default=5)
@@ -114,16 +116,26 @@
         keys = drawn(skew, options.keys, options.messages, 1)
         for nodes in options.nodes:
             of_module, choices = module(keys, nodes, options.sources, 1)
-            row = {"zipf": skew, "nodes": nodes,
-                   "one": hashed(keys, nodes, options.sources, 1),
-                   "two": hashed(keys, nodes, options.sources, 2), "d": of_module,
-                   "w": anywhere(keys, nodes, options.sources),
-                   "shuffle": imbalance([len(keys) // nodes + (place < len(keys) % nodes)
-                                         for place in range(nodes)]), "choices": choices}
-            print(json.dumps(row) if options.json else
-                  f"{skew:5.1f} {nodes:5d} " + " ".join(
-                      f"{row[name]:8.5f}" for name in ("one", "two", "d", "w", "shuffle"))
-                  + f" {choices:8d}", flush=True)
+            row = {
+                "zipf": skew,
+                "nodes": nodes,
+                "one": hashed(keys, nodes, options.sources, 1),
+                "two": hashed(keys, nodes, options.sources, 2),
+                "d": of_module,
+                "w": anywhere(keys, nodes, options.sources),
+                "shuffle": imbalance(
+                    [len(keys) // nodes + (place < len(keys) % nodes) for place in range(nodes)]
+                ),
+                "choices": choices,
+            }
+            print(
+                json.dumps(row)
+                if options.json
+                else f"{skew:5.1f} {nodes:5d} "
+                + " ".join(f"{row[name]:8.5f}" for name in ("one", "two", "d", "w", "shuffle"))
+                + f" {choices:8d}",
+                flush=True,
+            )
     return 0
 
 
--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -23,10 +23,12 @@
 from limebridge.standins.wire import bulk, read_answer
 
 ONE = '[cluster]\nappear = "one"\n'
-SEVERAL = ('[cluster]\nappear = "several"\nforeign = "{}"\n'
-           '[[cluster.proxies]]\nname = "n0"\naddress = "127.0.0.1:7000"\nslots = ["0-8191"]\n'
-           '[[cluster.proxies]]\nname = "n1"\naddress = "127.0.0.1:7001"\n'
-           'slots = ["8192-16383"]\n')
+SEVERAL = (
+    '[cluster]\nappear = "several"\nforeign = "{}"\n'
+    '[[cluster.proxies]]\nname = "n0"\naddress = "127.0.0.1:7000"\nslots = ["0-8191"]\n'
+    '[[cluster.proxies]]\nname = "n1"\naddress = "127.0.0.1:7001"\n'
+    'slots = ["8192-16383"]\n'
+)
 TABLES = {"off": "", "one": ONE, "several": SEVERAL.format("serve")}
 TURNS = 3
 
@@ -37,8 +39,9 @@
     before = harness.cpu(pid)
     for _ in range(count):
         writer.write(words)
-        await read_answer(reader) if not words.startswith(b"*2\r\n$7\r\nCLUSTER") \
-            else await reader.readuntil(b"*0\r\n")
+        await read_answer(reader) if not words.startswith(
+            b"*2\r\n$7\r\nCLUSTER"
+        ) else await reader.readuntil(b"*0\r\n")
     used = harness.cpu(pid) - before
     writer.close()
     return used / count * 1e6
@@ -56,8 +59,9 @@
 
 
 async def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--seconds", type=float, default=4.0, help="a turn and side")
     parser.add_argument("--rate", type=float, default=2000.0)
     parser.add_argument("--limit", type=float)
@@ -78,14 +82,23 @@
                         served = min(served, crowd.kinds()["served"] / crowd.asked)
             async with harness.daemon(ports, operator=paths["moved"]) as daemon:
                 moved = await redirected(daemon.port, daemon.pid, options.rate, options.seconds)
-                slots = await repeated(daemon.port, daemon.pid,
-                                       b"*2\r\n" + bulk(b"CLUSTER") + bulk(b"SLOTS"))
+                slots = await repeated(
+                    daemon.port, daemon.pid, b"*2\r\n" + bulk(b"CLUSTER") + bulk(b"SLOTS")
+                )
     means = {name: sum(found) / TURNS for name, found in costs.items()}
     ratios = {name: round(means[name] / means["off"], 3) for name in ("one", "several")}
-    print(json.dumps({"rate": options.rate, "us": {n: [round(c, 1) for c in found]
-                                                   for n, found in costs.items()},
-                      "ratio": ratios, "served_share": round(served, 4),
-                      "half_moved_us": round(moved, 1), "cluster_slots_us": round(slots, 1)}))
+    print(
+        json.dumps(
+            {
+                "rate": options.rate,
+                "us": {n: [round(c, 1) for c in found] for n, found in costs.items()},
+                "ratio": ratios,
+                "served_share": round(served, 4),
+                "half_moved_us": round(moved, 1),
+                "cluster_slots_us": round(slots, 1),
+            }
+        )
+    )
     return int(options.limit is not None and max(ratios.values()) > options.limit)
 
 
--- a/benchmarks/experiments.py
+++ b/benchmarks/experiments.py
@@ -35,15 +35,15 @@
 from limebridge.experiments.store import Store  # noqa: E402
 from limebridge.rehearsal.scenario import load  # noqa: E402
 
-SMALL = '[run]\nseconds = 4.0\n[load]\ncurve = [{at = 0.0, rate = 60.0}]\n'
-SWEEP = '''question = "how much does the tool cost"
+SMALL = "[run]\nseconds = 4.0\n[load]\ncurve = [{at = 0.0, rate = 60.0}]\n"
+SWEEP = """question = "how much does the tool cost"
 scenario = "{folder}/mini.toml"
 seeds = {seeds}
 measures = ["service"]
 [factors]
 "load.scale" = [1.0, 1.2, 1.4, 1.6]
-'''
-BUSY = '''[run]
+"""
+BUSY = """[run]
 seconds = 14.0
 about = "a busy morning to put troubles on"
 [load]
@@ -58,7 +58,7 @@
 at = {a = 3, b = 2}
 [proxies]
 count = 2
-'''
+"""
 Draw = Callable[[np.random.Generator, int], Any]
 KINDS: dict[str, Draw] = {
     "normal": lambda rng, n: rng.normal(0.0, 1.0, n),
@@ -91,16 +91,25 @@
                 low, high, _ = statistics.studentized(found, 0.05, number)
                 ours += not low <= 0.0 <= high
                 plain += percentiles(found, number)
-            tell(kind=kind, nodes=pairs, stated=0.05, studentized=ours / repeats,
-                 percentiles=plain / repeats)
+            tell(
+                kind=kind,
+                nodes=pairs,
+                stated=0.05,
+                studentized=ours / repeats,
+                percentiles=plain / repeats,
+            )
     rng = np.random.default_rng(1)
     wrong = looked = 0
     for _ in range(repeats):  # ten comparisons without a difference, all looked at together
         ps = [statistics.studentized(rng.normal(0.0, 1.0, 8), 0.05, n)[2] for n in range(10)]
         wrong += any(statistics.holm(ps))
         looked += any(p <= 0.05 for p in ps)
-    tell(kind="ten together, Holm", stated=0.05, studentized=wrong / repeats,
-         percentiles=looked / repeats)
+    tell(
+        kind="ten together, Holm",
+        stated=0.05,
+        studentized=wrong / repeats,
+        percentiles=looked / repeats,
+    )
     stopped = naive = 0
     for _ in range(repeats):  # four looks, at 5, 10, 20 and 40 pairs
         found = rng.normal(0.0, 1.0, 40)
@@ -116,8 +125,17 @@
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         sweep = _sweep(folder, seeds)
-        command = [sys.executable, "-m", "limebridge", "experiment", "run", str(sweep), "--store",
-                   str(folder / "s.sqlite"), "--json"]
+        command = [
+            sys.executable,
+            "-m",
+            "limebridge",
+            "experiment",
+            "run",
+            str(sweep),
+            "--store",
+            str(folder / "s.sqlite"),
+            "--json",
+        ]
         done = 0
         while done < kills:
             with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL) as child:
@@ -130,10 +148,11 @@
         made = read(str(sweep))
         whole = Store(folder / "t.sqlite")
         asyncio.run(runner.run(made, whole))
-        tables = [{(r.point, r.seed): r.measures for r in store.runs(made.digest)}
-                  for store in (Store(folder / "s.sqlite"), whole)]
-        tell(kills=done, runs=len(tables[1]), there=len(tables[0]),
-             equal=tables[0] == tables[1])
+        tables = [
+            {(r.point, r.seed): r.measures for r in store.runs(made.digest)}
+            for store in (Store(folder / "s.sqlite"), whole)
+        ]
+        tell(kills=done, runs=len(tables[1]), there=len(tables[0]), equal=tables[0] == tables[1])
 
 
 def _sweep(folder: Path, seeds: int) -> Path:
@@ -151,9 +170,14 @@
         began, before = time.monotonic(), _cpu()
         found = asyncio.run(runner.run(made, store))
         own, wall = _cpu() - before, time.monotonic() - began
-        tell(runs=found.played, runs_s=round(found.spent, 2), own_s=round(own, 2),
-             share=round(own / found.spent, 4), wall_s=round(wall, 2),
-             beside_wall=round(1.0 - found.spent / (wall * runner.cores()), 4))
+        tell(
+            runs=found.played,
+            runs_s=round(found.spent, 2),
+            own_s=round(own, 2),
+            share=round(own / found.spent, 4),
+            wall_s=round(wall, 2),
+            beside_wall=round(1.0 - found.spent / (wall * runner.cores()), 4),
+        )
 
 
 def _cpu() -> float:
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -64,8 +64,11 @@
             began = self.now
             fault = Fault(0.0, "stop", who.number, 3.0 * TERM)
             task = asyncio.create_task(self._do(who, fault))
-            await self.until(lambda last=last: self.effects.taken[-1].nonce != last.nonce,  # type: ignore[misc]
-                             "goes on", lambda: "no other owner")
+            await self.until(
+                lambda last=last: self.effects.taken[-1].nonce != last.nonce,  # type: ignore[misc]
+                "goes on",
+                lambda: "no other owner",
+            )
             at = next(e.at for e in reversed(self.effects.taken) if e.nonce == last.nonce)
             first = next(e.at for e in self.effects.taken if e.at > at)
             self.found.append(first - max(at, began))
@@ -108,11 +111,21 @@
                 rig.kind, rig.rounds = kind, rounds
                 outcome = asyncio.run(rig.play())
             found = sorted(rig.found)
-            print(json.dumps({
-                "store": store, "owner": kind, "rounds": len(found),
-                "least": round(found[0], 3), "middle": round(found[len(found) // 2], 3),
-                "most": round(found[-1], 3), "bound": round(bound(kind, store), 3),
-                "broken": outcome.broken}), flush=True)
+            print(
+                json.dumps(
+                    {
+                        "store": store,
+                        "owner": kind,
+                        "rounds": len(found),
+                        "least": round(found[0], 3),
+                        "middle": round(found[len(found) // 2], 3),
+                        "most": round(found[-1], 3),
+                        "bound": round(bound(kind, store), 3),
+                        "broken": outcome.broken,
+                    }
+                ),
+                flush=True,
+            )
 
 
 class Counting(Rig):
@@ -138,17 +151,25 @@
     with tempfile.TemporaryDirectory() as folder:
         rig = Counting(Plan(1, 60.0, 8, "consul", 4, False, TERM), Path(folder))
         outcome = asyncio.run(rig.play())
-    print(json.dumps({"daemons": 8, "works": 4, "term_s": TERM,
-                      "rest_calls_a_s": round(rig.rest[0] / rig.rest[1], 1),
-                      "of_them_for_effects": round(3.0 * rig.effects_put / rig.rest[1], 1),
-                      "restart_calls": rig.restart[0], "restart_s": round(rig.restart[1], 1),
-                      "broken": outcome.broken}))
+    print(
+        json.dumps(
+            {
+                "daemons": 8,
+                "works": 4,
+                "term_s": TERM,
+                "rest_calls_a_s": round(rig.rest[0] / rig.rest[1], 1),
+                "of_them_for_effects": round(3.0 * rig.effects_put / rig.rest[1], 1),
+                "restart_calls": rig.restart[0],
+                "restart_s": round(rig.restart[1], 1),
+                "broken": outcome.broken,
+            }
+        )
+    )
 
 
 class Quiet(virtual.World):
     """Many lives that want ten works, whose works do nothing but their claims."""
 
-
     async def measure(self, lives: int) -> dict[str, float]:
         self.processes = [Process(self, number) for number in range(lives)]
         for process in self.processes:
@@ -161,14 +182,23 @@
         for process in self.processes:
             process.start()
         again = await self._peak(30.0)
-        owned = [msgspec.json.decode(entry.value, type=Lease)
-                 for key, entry in self.consul.kv.entries.items() if "/lease/" in key]
+        owned = [
+            msgspec.json.decode(entry.value, type=Lease)
+            for key, entry in self.consul.kv.entries.items()
+            if "/lease/" in key
+        ]
         for process in self.processes:
             process.kill()
-        return {"lives": lives, "works": len(self.works), "start_calls": first[0],
-                "start_peak_in_a_s": first[1], "rest_calls_a_s": round(rest[0] / 30.0, 2),
-                "restart_calls": again[0], "restart_peak_in_a_s": again[1],
-                "owned": sum(not lease.free for lease in owned)}
+        return {
+            "lives": lives,
+            "works": len(self.works),
+            "start_calls": first[0],
+            "start_peak_in_a_s": first[1],
+            "rest_calls_a_s": round(rest[0] / 30.0, 2),
+            "restart_calls": again[0],
+            "restart_peak_in_a_s": again[1],
+            "owned": sum(not lease.free for lease in owned),
+        }
 
     async def _door(self, part: Consul) -> int:
         server = await asyncio.start_server(part._serve, "127.0.0.1", 0)
@@ -212,14 +242,22 @@
         began = self.now
         await asyncio.gather(*(self._client(d) for d in self.daemons))
         idle = [rest * (self.now - began) for rest in self.rest]
-        self.request_us = [1e6 * (_cpu(d.pid) - b - i) / self.asked for d, b, i in
-                           zip(self.daemons, before, idle, strict=True)]
+        self.request_us = [
+            1e6 * (_cpu(d.pid) - b - i) / self.asked
+            for d, b, i in zip(self.daemons, before, idle, strict=True)
+        ]
 
     async def _client(self, daemon: Any) -> None:
         reader, writer = await asyncio.open_connection("127.0.0.1", daemon.child.port)
         for number in range(self.asked):
-            writer.write(command(b"OBJ.GET", b"k%d" % (number % 50),
-                                 f"{daemon.name}-{number}".encode(), b"c=lookup,t=t,d=3000"))
+            writer.write(
+                command(
+                    b"OBJ.GET",
+                    b"k%d" % (number % 50),
+                    f"{daemon.name}-{number}".encode(),
+                    b"c=lookup,t=t,d=3000",
+                )
+            )
             await read_answer(reader)
         writer.close()
 
@@ -258,10 +296,18 @@
                 asyncio.run(rig.play())
                 if not on:
                     daemons.Daemon.operator = kept  # type: ignore[method-assign]
-            print(json.dumps({"turn": turn, "fleet": "on" if on else "off",
-                              "rest_mb": [round(mb, 1) for mb in rig.memory],
-                              "rest_cpu": [round(cpu, 4) for cpu in rig.rest],
-                              "request_us": [round(us) for us in rig.request_us]}), flush=True)
+            print(
+                json.dumps(
+                    {
+                        "turn": turn,
+                        "fleet": "on" if on else "off",
+                        "rest_mb": [round(mb, 1) for mb in rig.memory],
+                        "rest_cpu": [round(cpu, 4) for cpu in rig.rest],
+                        "request_us": [round(us) for us in rig.request_us],
+                    }
+                ),
+                flush=True,
+            )
 
 
 class Cut(Rig):
@@ -286,23 +332,43 @@
         with tempfile.TemporaryDirectory() as folder:
             rig = Cut(Plan(1, 60.0, 5, store, 5, False, TERM), Path(folder))
             outcome = asyncio.run(rig.play())
-        print(json.dumps({"store": store, "effects_a_s": round(rig.well, 1),
-                          "with_a_fifth_cut_off": round(rig.cut, 1),
-                          "share": round(rig.cut / rig.well, 3), "broken": outcome.broken}),
-              flush=True)
+        print(
+            json.dumps(
+                {
+                    "store": store,
+                    "effects_a_s": round(rig.well, 1),
+                    "with_a_fifth_cut_off": round(rig.cut, 1),
+                    "share": round(rig.cut / rig.well, 3),
+                    "broken": outcome.broken,
+                }
+            ),
+            flush=True,
+        )
 
 
 def whole(states: int, lives: int) -> None:
     began = time.perf_counter()
     found = check(World(Bounds(lives=lives)), states)
-    print(json.dumps({"lives": lives, "states": found.states, "steps": found.orders,
-                      "depth": found.depth, "whole": found.whole, "healed": found.healed,
-                      "stories": found.stories, "s": round(time.perf_counter() - began)}))
+    print(
+        json.dumps(
+            {
+                "lives": lives,
+                "states": found.states,
+                "steps": found.orders,
+                "depth": found.depth,
+                "whole": found.whole,
+                "healed": found.healed,
+                "stories": found.stories,
+                "s": round(time.perf_counter() - began),
+            }
+        )
+    )
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("what", choices=("gaps", "calls", "emulated", "off", "cut", "whole"))
     parser.add_argument("--rounds", type=int, default=10)
     parser.add_argument("--lives", type=int, default=710)
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -19,8 +19,16 @@
 from limebridge.standins.configuration import SETTINGS, configuration  # noqa: E402
 from limebridge.standins.discovery import Discovery  # noqa: E402
 
-CLASSES = [{"name": "lookup", "promiseMs": 300.0, "deadlineMs": 600.0, "effect": "pure",
-            "worth": 2.0, "lateValue": 0.3}]
+CLASSES = [
+    {
+        "name": "lookup",
+        "promiseMs": 300.0,
+        "deadlineMs": 600.0,
+        "effect": "pure",
+        "worth": 2.0,
+        "lateValue": 0.3,
+    }
+]
 PATIENCE = 30.0  # s for a process to say that it is ready
 
 
@@ -68,8 +76,9 @@
 @asynccontextmanager
 async def nodes(count: int, size: int, delay: float = 0.0) -> AsyncIterator[list[int]]:
     """Cache nodes that answer `size` bytes after `delay` ms."""
-    process = await spawn("benchmarks/nodes.py", str(count), str(size), str(delay),
-                          stdout=asyncio.subprocess.PIPE)
+    process = await spawn(
+        "benchmarks/nodes.py", str(count), str(size), str(delay), stdout=asyncio.subprocess.PIPE
+    )
     try:
         yield json.loads(await first_line(process))
     finally:
@@ -79,8 +88,9 @@
 @asynccontextmanager
 async def relay(ports: list[int], loop: str) -> AsyncIterator[Running]:
     flags = ["--uvloop"] if loop == "uvloop" else []
-    process = await spawn("benchmarks/relay.py", *map(str, ports), *flags,
-                          stdout=asyncio.subprocess.PIPE)
+    process = await spawn(
+        "benchmarks/relay.py", *map(str, ports), *flags, stdout=asyncio.subprocess.PIPE
+    )
     try:
         yield Running(process, int(await first_line(process)))
     finally:
@@ -88,16 +98,36 @@
 
 
 @asynccontextmanager
-async def daemon(ports: list[int], build: Path = ROOT, sockets: int = 1024,
-                 operator: Path | None = None, **settings: Any) -> AsyncIterator[Running]:
+async def daemon(
+    ports: list[int],
+    build: Path = ROOT,
+    sockets: int = 1024,
+    operator: Path | None = None,
+    **settings: Any,
+) -> AsyncIterator[Running]:
     """The daemon of `build` in front of nodes on these ports, ready to be asked."""
     discovery = await Discovery().start()
-    entries = [{"instanceId": f"s-{port}", "hostPort": f"127.0.0.1:{port}", "zone": "a",
-                "machineType": "m", "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0}
-               for port in ports]
+    entries = [
+        {
+            "instanceId": f"s-{port}",
+            "hostPort": f"127.0.0.1:{port}",
+            "zone": "a",
+            "machineType": "m",
+            "lifecycle": "in_service",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+        for port in ports
+    ]
     (listen,) = free_ports(1)
-    raw = configuration(discovery.port, entries, sockets=sockets, memory_mb=192, listen=listen,
-                        **({"classes": CLASSES} | settings))
+    raw = configuration(
+        discovery.port,
+        entries,
+        sockets=sockets,
+        memory_mb=192,
+        listen=listen,
+        **({"classes": CLASSES} | settings),
+    )
     assert SETTINGS["membershipMode"] == "subscribe"
     with tempfile.TemporaryDirectory() as folder:
         child = Child(Path(folder), "config", build=build, told=loud)
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -66,16 +66,22 @@
                         rest[name] = harness.resident_mb(daemon.pid)
                         used, crowd = await measure(daemon, rate, seconds)
                         found[name].append(used)
-                        times = sorted((ask.answered_at - ask.asked_at) * 1000.0
-                                       for ask in crowd.asks if ask.kind == "served")
+                        times = sorted(
+                            (ask.answered_at - ask.asked_at) * 1000.0
+                            for ask in crowd.asks
+                            if ask.kind == "served"
+                        )
                         p99[name].append(times[int(0.99 * len(times))])
     ratio = statistics.mean(found["on"]) / statistics.mean(found["off"])
     added = statistics.median(p99["on"]) - statistics.median(p99["off"])
-    return {"ratio": round(ratio, 3), "added_p99_ms": round(added, 3),
-            "us": {name: [round(x, 1) for x in each] for name, each in found.items()},
-            "p99_ms": {name: [round(x, 2) for x in each] for name, each in p99.items()},
-            "rest_mb": {name: round(x, 1) for name, x in rest.items()},
-            "held": ratio <= COST_MOST and added <= P99_MOST_MS}
+    return {
+        "ratio": round(ratio, 3),
+        "added_p99_ms": round(added, 3),
+        "us": {name: [round(x, 1) for x in each] for name, each in found.items()},
+        "p99_ms": {name: [round(x, 2) for x in each] for name, each in p99.items()},
+        "rest_mb": {name: round(x, 1) for name, x in rest.items()},
+        "held": ratio <= COST_MOST and added <= P99_MOST_MS,
+    }
 
 
 def store(flushes: int = 200, lines: int = 100) -> dict[str, object]:
@@ -87,19 +93,29 @@
     for _ in range(2):
         for name in found:
             with tempfile.TemporaryDirectory() as folder:
-                flush = _log(Path(folder), periods) if name == "log" else \
-                    _sqlite(Path(folder), "WAL" if name.endswith("wal") else "DELETE")
+                flush = (
+                    _log(Path(folder), periods)
+                    if name == "log"
+                    else _sqlite(Path(folder), "WAL" if name.endswith("wal") else "DELETE")
+                )
                 for _ in range(flushes):
                     units: dict[tuple[int, str | None, str], int] = {
-                        (START, f"t{rng.randrange(500)}", "lookup"): 1 for _ in range(lines)}
+                        (START, f"t{rng.randrange(500)}", "lookup"): 1 for _ in range(lines)
+                    }
                     before = time.perf_counter()
                     flush(units)
                     found[name].append((time.perf_counter() - before) * 1000.0)
-                size[name] = sum(path.stat().st_size for path in Path(folder).rglob("*")
-                                 if path.is_file())
-    return {name: {"median_ms": round(statistics.median(each), 3),
-                   "p99_ms": round(sorted(each)[int(0.99 * len(each))], 3),
-                   "bytes": size[name]} for name, each in found.items()}
+                size[name] = sum(
+                    path.stat().st_size for path in Path(folder).rglob("*") if path.is_file()
+                )
+    return {
+        name: {
+            "median_ms": round(statistics.median(each), 3),
+            "p99_ms": round(sorted(each)[int(0.99 * len(each))], 3),
+            "bytes": size[name],
+        }
+        for name, each in found.items()
+    }
 
 
 def _log(folder: Path, periods: Periods) -> Flush:
@@ -122,14 +138,18 @@
     base = sqlite3.connect(folder / "ledger.db", isolation_level=None)
     base.execute(f"PRAGMA journal_mode={mode}")
     base.execute("PRAGMA synchronous=FULL")
-    base.execute("CREATE TABLE units (period, tenant, class, units, "
-                 "PRIMARY KEY (period, tenant, class)) WITHOUT ROWID")
+    base.execute(
+        "CREATE TABLE units (period, tenant, class, units, "
+        "PRIMARY KEY (period, tenant, class)) WITHOUT ROWID"
+    )
 
     def flush(units: dict[tuple[int, str | None, str], int]) -> None:
         base.execute("BEGIN IMMEDIATE")
-        base.executemany("INSERT INTO units VALUES (?, ?, ?, ?) ON CONFLICT DO UPDATE "
-                         "SET units = units + excluded.units",
-                         [(*key, count) for key, count in units.items()])
+        base.executemany(
+            "INSERT INTO units VALUES (?, ?, ?, ?) ON CONFLICT DO UPDATE "
+            "SET units = units + excluded.units",
+            [(*key, count) for key, count in units.items()],
+        )
         base.execute("COMMIT")
 
     return flush
@@ -153,14 +173,23 @@
     tracemalloc.stop()
     named = {tenant for tenant, _ in book.counts[START] if tenant is not None}
     # On paper: 500 tenants by 5 classes by 96 periods a day, 400 days, 710 proxies.
-    batch = Batch(1, "period", START, [(f"t{t:03d}", f"class{c}", 9) for t in range(500)
-                                       for c in range(5)], "p/1.x/1")
+    batch = Batch(
+        1,
+        "period",
+        START,
+        [(f"t{t:03d}", f"class{c}", 9) for t in range(500) for c in range(5)],
+        "p/1.x/1",
+    )
     packed = len(zstandard.ZstdCompressor(level=6).compress(json_lines(batch)))
-    return {"kib": marks, "named": len(named), "regulars_kept": sum(
-                name.startswith("regular") for name in named),
-            "units": book.units(START), "period_bytes": packed,
-            "gb_a_proxy_400_days": round(packed * 96 * 400 / 1e9, 3),
-            "held": marks[-1] <= marks[0] * 1.2}
+    return {
+        "kib": marks,
+        "named": len(named),
+        "regulars_kept": sum(name.startswith("regular") for name in named),
+        "units": book.units(START),
+        "period_bytes": packed,
+        "gb_a_proxy_400_days": round(packed * 96 * 400 / 1e9, 3),
+        "held": marks[-1] <= marks[0] * 1.2,
+    }
 
 
 def archive() -> dict[str, object]:
@@ -168,10 +197,19 @@
     rng = random.Random(2)
 
     def batch(number: int) -> bytes:
-        return json_lines(Batch(number, "period", START + 900 * number, sorted(
-            (f"tenant-{rng.randrange(500):03d}", cls, rng.randrange(1, 400))
-            for cls in ("lookup", "optout", "template-save") for _ in range(150)),
-            f"p1/1.ab/{number}"))
+        return json_lines(
+            Batch(
+                number,
+                "period",
+                START + 900 * number,
+                sorted(
+                    (f"tenant-{rng.randrange(500):03d}", cls, rng.randrange(1, 400))
+                    for cls in ("lookup", "optout", "template-save")
+                    for _ in range(150)
+                ),
+                f"p1/1.ab/{number}",
+            )
+        )
 
     samples = [batch(number) for number in range(200)]
     trained = zstandard.train_dictionary(32 * 1024, [*samples[:150]])
@@ -183,13 +221,14 @@
             sizes = [len(packer.compress(sample)) for sample in samples[150:]]
             found[f"level {level}{name}"] = {
                 "bytes": round(statistics.mean(sizes)),
-                "ms": round((time.perf_counter() - before) / 50 * 1000.0, 3)}
+                "ms": round((time.perf_counter() - before) / 50 * 1000.0, 3),
+            }
     return found
 
 
 def sketch(size: int = 1_000_000) -> dict[str, object]:
     """Bytes that are sent and CPU seconds of both sides, by the number that differ."""
-    base = np.random.default_rng(7).integers(0, 2 ** 64, size, np.uint64)
+    base = np.random.default_rng(7).integers(0, 2**64, size, np.uint64)
     table: dict[str, object] = {}
     for differ in (1, 100, 10_000):
         ours, theirs = base, base[differ:]
@@ -221,13 +260,18 @@
         sums_used = time.process_time() - before
         assert len(whole) == differ
         table[str(differ)] = {
-            "sketch": {"bytes": sent, "cpu_s": round(used, 2), "fell_back": fell_back,
-                       "estimated": about},
+            "sketch": {
+                "bytes": sent,
+                "cpu_s": round(used, 2),
+                "fell_back": fell_back,
+                "estimated": about,
+            },
             "whole set": {"bytes": 8 * size, "cpu_s": round(whole_used, 2)},
-            "sums by bucket": {"bytes": 8 * buckets + 8 * resent, "cpu_s": round(sums_used, 2)}}
+            "sums by bucket": {"bytes": 8 * buckets + 8 * resent, "cpu_s": round(sums_used, 2)},
+        }
     falls = 0
     for salt in range(200):
-        some = np.random.default_rng(salt).integers(0, 2 ** 64, 2000, np.uint64)
+        some = np.random.default_rng(salt).integers(0, 2**64, 2000, np.uint64)
         about = Strata(some).differ(Strata(some[100:]))
         sides = [Sketch.of(side, int(about * 1.5)) for side in (some, some[100:])]
         falls += isinstance(sides[0].against(sides[1]), int)
@@ -246,19 +290,28 @@
     began = time.monotonic()
     with multiprocessing.get_context("spawn").Pool() as pool:
         found = pool.map(_cut, range(1, points + 1), chunksize=20)
-    return {"points": sum(killed == 1 for killed, _, _ in found),
-            "doubled": sum(doubled for _, doubled, _ in found),
-            "missing_most": max(missing for _, _, missing in found),
-            "missing_mean": round(statistics.mean(missing for _, _, missing in found), 2),
-            "seconds": round(time.monotonic() - began, 1),
-            "held": not any(doubled for _, doubled, _ in found)}
+    return {
+        "points": sum(killed == 1 for killed, _, _ in found),
+        "doubled": sum(doubled for _, doubled, _ in found),
+        "missing_most": max(missing for _, _, missing in found),
+        "missing_mean": round(statistics.mean(missing for _, _, missing in found), 2),
+        "seconds": round(time.monotonic() - began, 1),
+        "held": not any(doubled for _, doubled, _ in found),
+    }
 
 
 def _trial(seed: int) -> tuple[int, int, int, int, int]:
     logging.disable(logging.CRITICAL)
     rng = random.Random(seed)
-    found = play(Trial(seed, minutes=12.0, kills=rng.randint(0, 20), cuts=rng.randint(0, 4),
-                       restored=seed % 5 == 0))
+    found = play(
+        Trial(
+            seed,
+            minutes=12.0,
+            kills=rng.randint(0, 20),
+            cuts=rng.randint(0, 4),
+            restored=seed % 5 == 0,
+        )
+    )
     over = sum((found.billed - found.served).values())
     return over, found.missing, sum(found.served.values()), found.killed, seed % 5 == 0
 
@@ -272,34 +325,59 @@
     kept = [each for each in found if not each[4]]
     logging.disable(logging.CRITICAL)
     many = play(Trial(1, minutes=20.0, kills=500))
-    return {"seeds": len(found), "over": sum(each[0] for each in found),
-            "served": sum(each[2] for each in found), "killed": sum(each[3] for each in found),
-            "missing_a_kill": round(sum(each[1] for each in kept)
-                                    / max(1, sum(each[3] for each in kept)), 2),
-            "seconds": round(taken, 1),
-            "many kills": {"killed": many.killed, "served": sum(many.served.values()),
-                          "billed": sum(many.billed.values()), "missing": many.missing,
-                          "at_risk": many.at_risk, "doubled": many.doubled},
-            "held": not any(each[0] for each in found) and not many.doubled
-            and many.missing == many.at_risk}
+    return {
+        "seeds": len(found),
+        "over": sum(each[0] for each in found),
+        "served": sum(each[2] for each in found),
+        "killed": sum(each[3] for each in found),
+        "missing_a_kill": round(
+            sum(each[1] for each in kept) / max(1, sum(each[3] for each in kept)), 2
+        ),
+        "seconds": round(taken, 1),
+        "many kills": {
+            "killed": many.killed,
+            "served": sum(many.served.values()),
+            "billed": sum(many.billed.values()),
+            "missing": many.missing,
+            "at_risk": many.at_risk,
+            "doubled": many.doubled,
+        },
+        "held": not any(each[0] for each in found)
+        and not many.doubled
+        and many.missing == many.at_risk,
+    }
 
 
 async def kills() -> dict[str, object]:
     with tempfile.TemporaryDirectory() as folder:
         report = await play_kills(Path(folder), kills=30, seconds=45.0)
     assert report.before is not None and report.after is not None
-    return {"kills": report.kills, "served": sum(report.served.values()), "posts": report.posts,
-            "doubled": report.doubled, "short_before": report.before.short,
-            "moved": report.before.moved, "differ_after": len(report.after.differences),
-            "held": not report.doubled and not report.after.differences}
+    return {
+        "kills": report.kills,
+        "served": sum(report.served.values()),
+        "posts": report.posts,
+        "doubled": report.doubled,
+        "short_before": report.before.short,
+        "moved": report.before.moved,
+        "differ_after": len(report.after.differences),
+        "held": not report.doubled and not report.after.differences,
+    }
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parts: dict[str, Callable[[], dict[str, object]]] = {
-        "cost": lambda: asyncio.run(cost()), "store": store, "memory": memory, "archive": archive,
-        "sketch": sketch, "cuts": cuts, "trials": trials, "kills": lambda: asyncio.run(kills())}
+        "cost": lambda: asyncio.run(cost()),
+        "store": store,
+        "memory": memory,
+        "archive": archive,
+        "sketch": sketch,
+        "cuts": cuts,
+        "trials": trials,
+        "kills": lambda: asyncio.run(kills()),
+    }
     parser.add_argument("parts", nargs="*", choices=[*parts, []], metavar="PART")
     failed: Counter[str] = Counter()
     for name in parser.parse_args().parts or parts:
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -39,11 +39,13 @@
 def filled(instances: int) -> Catalogue:
     catalogue = Catalogue()
     for number in range(instances):
-        catalogue.register(f"cache-{number}", 20_000 + number % 40_000,
-                           address=f"127.0.{number % 200}.{1 + number // 200}",
-                           meta={"zone": "abc"[number % 3], "machine_type": "fast",
-                                 "started_at_ms": "0"},
-                           checks={f"service:cache-{number}": "passing"})
+        catalogue.register(
+            f"cache-{number}",
+            20_000 + number % 40_000,
+            address=f"127.0.{number % 200}.{1 + number // 200}",
+            meta={"zone": "abc"[number % 3], "machine_type": "fast", "started_at_ms": "0"},
+            checks={f"service:cache-{number}": "passing"},
+        )
     return catalogue
 
 
@@ -53,8 +55,10 @@
     with tempfile.TemporaryDirectory() as folder:
         operator = Path(folder) / "operator.toml"
         operator.write_text(f'[consul]\nagents = ["127.0.0.1:{agent.port}"]\n')
-        async with harness.nodes(1, 200) as ports, \
-                harness.daemon(ports, operator=operator) as daemon:
+        async with (
+            harness.nodes(1, 200) as ports,
+            harness.daemon(ports, operator=operator) as daemon,
+        ):
             while not any("index" in asked for asked in agent.asked):
                 await asyncio.sleep(0.05)
             await asyncio.sleep(2.0)
@@ -65,9 +69,12 @@
                     catalogue.check(name, "warning" if number % 2 else "passing")
                     catalogue.services[name].weights["Warning"] = 1 + number
                 await asyncio.sleep(1.0)
-            return {"instances": instances, "changes": changes,
-                    "share_of_a_core": round((harness.cpu(daemon.pid) - before) / seconds, 4),
-                    "resident_mb": round(harness.resident_mb(daemon.pid), 1)}
+            return {
+                "instances": instances,
+                "changes": changes,
+                "share_of_a_core": round((harness.cpu(daemon.pid) - before) / seconds, 4),
+                "resident_mb": round(harness.resident_mb(daemon.pid), 1),
+            }
 
 
 class Follower:
@@ -84,8 +91,12 @@
     """From the last byte of an answer with one change until it has been told on."""
     loop = asyncio.get_running_loop()
     catalogue, follower, took = filled(instances), Follower(), []
-    watch = ConsulWatch(follower, ConsulTable(agents=("127.0.0.1:1",)), SocketNetwork(loop),
-                        lambda: time.time() * 1000.0)
+    watch = ConsulWatch(
+        follower,
+        ConsulTable(agents=("127.0.0.1:1",)),
+        SocketNetwork(loop),
+        lambda: time.time() * 1000.0,
+    )
     watch.start(0)
     for number in range(12):
         watch._stop_asking()  # answers are handed to it: there is no agent
@@ -95,10 +106,13 @@
         watch.answered(200, {"x-consul-index": str(number + 10)}, body, False)
         took.append(time.perf_counter() - began)
     watch.stop()
-    return {"answer_kb": len(body) // 1024, "told": follower.told,
-            "first_ms": round(took[0] * 1000.0, 1),
-            "median_ms": round(statistics.median(took[1:]) * 1000.0, 1),
-            "most_ms": round(max(took[1:]) * 1000.0, 1)}
+    return {
+        "answer_kb": len(body) // 1024,
+        "told": follower.told,
+        "first_ms": round(took[0] * 1000.0, 1),
+        "median_ms": round(statistics.median(took[1:]) * 1000.0, 1),
+        "most_ms": round(max(took[1:]) * 1000.0, 1),
+    }
 
 
 def served(outcome: Outcome) -> float:
@@ -124,8 +138,9 @@
     spread: Counter[int] = Counter()
     total: Counter[int] = Counter()
     for seed in range(seeds):
-        plan = Plan(seed, 90.0, 6, 8, 20.0, consul=True,
-                    faults=(Fault(10.0, "consul_flaps", 1, 60.0),))
+        plan = Plan(
+            seed, 90.0, 6, 8, 20.0, consul=True, faults=(Fault(10.0, "consul_flaps", 1, 60.0),)
+        )
         outcome = play(plan)
         assert not outcome.broken, outcome.broken[0].what
         for line in outcome.trace:
@@ -134,8 +149,11 @@
                 bin_ = int(float(at) // 10)
                 total[bin_] += 1
                 spread[bin_] += " at n1," in rest
-    return {"flaps_from_s": 10, "to_s": 70, "share_by_10_s": [
-        round(spread[b] / total[b], 3) for b in range(9)]}
+    return {
+        "flaps_from_s": 10,
+        "to_s": 70,
+        "share_by_10_s": [round(spread[b] / total[b], 3) for b in range(9)],
+    }
 
 
 def wake_up() -> dict[str, object]:
@@ -145,12 +163,18 @@
     for seed in range(PROXIES):
         settings = Settings((lookup,), 4, proxies=PROXIES, must_subscribe=True)
         module = Balancer(settings, seed, 0.0)
-        asks += [action.delay for action in module.on_list(1.0, ListKind.FAILED, [])
-                 if isinstance(action, Timer)]
+        asks += [
+            action.delay
+            for action in module.on_list(1.0, ListKind.FAILED, [])
+            if isinstance(action, Timer)
+        ]
     bins = Counter(int(at // 250) for at in asks)
     mean = len(asks) / (max(asks) / 250.0)
-    return {"proxies": PROXIES, "within_s": round(max(asks) / 1000.0, 2),
-            "peak_to_mean_in_250_ms": round(max(bins.values()) / mean, 2)}
+    return {
+        "proxies": PROXIES,
+        "within_s": round(max(asks) / 1000.0, 2),
+        "peak_to_mean_in_250_ms": round(max(bins.values()) / mean, 2),
+    }
 
 
 def told(row: dict[str, Any]) -> None:
@@ -164,8 +188,9 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--instances", type=int, default=2_000)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--seeds", type=int, default=5)
--- a/benchmarks/mixed.py
+++ b/benchmarks/mixed.py
@@ -51,13 +51,22 @@
 
 def fleet() -> Fleet:
     """Three kinds of machines at three sites, one of each."""
-    return parse_fleet({
-        "load": {"requests_per_s": rate(), "work_ms": WORK * 1000.0, "busiest": 0.85},
-        "sites": {site: {} for site in SITES},
-        "kinds": {kind: {"cores": cores, "speed": speed} for kind, (cores, speed) in KINDS.items()},
-        "nodes": [{"name": f"{site}-{kind}", "site": site, "kind": kind}
-                  for site in SITES for kind in KINDS],
-        "lost": [{"name": "a site", "any": "site", "busiest": 1.3}]}, "mixed")
+    return parse_fleet(
+        {
+            "load": {"requests_per_s": rate(), "work_ms": WORK * 1000.0, "busiest": 0.85},
+            "sites": {site: {} for site in SITES},
+            "kinds": {
+                kind: {"cores": cores, "speed": speed} for kind, (cores, speed) in KINDS.items()
+            },
+            "nodes": [
+                {"name": f"{site}-{kind}", "site": site, "kind": kind}
+                for site in SITES
+                for kind in KINDS
+            ],
+            "lost": [{"name": "a site", "any": "site", "busiest": 1.3}],
+        },
+        "mixed",
+    )
 
 
 def rate() -> float:
@@ -101,16 +110,25 @@
         loop.close()
 
 
-async def _play(kernel: Kernel, loop: VirtualLoop, seed: int, seconds: float, plan: Plan | None,
-                lost: bool) -> Result:
+async def _play(
+    kernel: Kernel, loop: VirtualLoop, seed: int, seconds: float, plan: Plan | None, lost: bool
+) -> Result:
     seen = Seen(loop)
     database = CustomerDatabase(at_once=64, latency=0.05, waiting=1024, seed=seed)
     nodes: list[FleetNode] = []
     for site in SITES:
         for kind, (cores, speed) in KINDS.items():
             name = f"{site}-{kind}"
-            node = FleetNode(name, database, Effects(2.0), seen, f"{seed}/{name}",
-                             slots=cores, waiting=4 * cores, service=WORK / speed)
+            node = FleetNode(
+                name,
+                database,
+                Effects(2.0),
+                seen,
+                f"{seed}/{name}",
+                slots=cores,
+                waiting=4 * cores,
+                service=WORK / speed,
+            )
             await node.start()
             nodes.append(node)
     discovery = await Discovery().start()
@@ -121,9 +139,14 @@
 
     proxies, crowds = [], []
     for number in range(PROXIES):
-        raw = configuration(discovery.port, [entry(node) for node in nodes], classes=[CLASS],
-                            caps=SETTINGS["caps"] | {"connectTimeoutMs": 250.0}, balancers=PROXIES,
-                            zone=SITES[number % len(SITES)])
+        raw = configuration(
+            discovery.port,
+            [entry(node) for node in nodes],
+            classes=[CLASS],
+            caps=SETTINGS["caps"] | {"connectTimeoutMs": 250.0},
+            balancers=PROXIES,
+            zone=SITES[number % len(SITES)],
+        )
         raw["seed"] = f"{seed * PROXIES + number:x}"
         config = replace(parse(raw), plan=plan)
         kernel.limit(f"p{number}", 256)
@@ -157,8 +180,14 @@
     return result
 
 
-def _result(crowds: list[Crowd], nodes: list[FleetNode], seen: Seen, database: CustomerDatabase,
-            seconds: float, lost: bool) -> Result:
+def _result(
+    crowds: list[Crowd],
+    nodes: list[FleetNode],
+    seen: Seen,
+    database: CustomerDatabase,
+    seconds: float,
+    lost: bool,
+) -> Result:
     asks = [ask for crowd in crowds for ask in crowd.asks if ask.asked_at >= seen.counts_from]
     served = sorted(ask.answered_at - ask.asked_at for ask in asks if ask.kind == "served")
     here = [node for node in nodes if not (lost and node.name.startswith(SITES[-1]))]
@@ -168,8 +197,9 @@
     return Result(
         in_time=sum(time <= 0.3 for time in served) / max(1, len(asks)),
         p99=served[int(0.99 * len(served))] if served else 0.0,
-        busiest=max(busy), least_busy=min(busy), fetches=database.fetches,
-        off_plan=sum(abs(seen.arrivals[node.name] / total - node.capacity / whole)
-                     for node in here) / 2)
-
-
+        busiest=max(busy),
+        least_busy=min(busy),
+        fetches=database.fetches,
+        off_plan=sum(abs(seen.arrivals[node.name] / total - node.capacity / whole) for node in here)
+        / 2,
+    )
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -69,8 +69,9 @@
     return best
 
 
-async def overload(port: int, clients: int, able: float, times: float,
-                   seconds: float) -> dict[str, float]:
+async def overload(
+    port: int, clients: int, able: float, times: float, seconds: float
+) -> dict[str, float]:
     crowd = Crowd(port, clients, seed=2)
     loop = asyncio.get_running_loop()
     await crowd.connect()
@@ -95,7 +96,9 @@
     goodput = share(during, "served") * len(during) / seconds / able
     fair = sum(each.values()) / clients
     return {
-        "clients": clients, "times": times, "capacity": round(able),
+        "clients": clients,
+        "times": times,
+        "capacity": round(able),
         "capacity_spread": round(abs(again - before) / able, 3),
         "offered": round(len(during) / seconds),
         "goodput": round(goodput, 3),
@@ -110,8 +113,9 @@
     }
 
 
-async def standing(daemon: harness.Running, clients: int, deep: int,
-                   seconds: float) -> dict[str, Any]:
+async def standing(
+    daemon: harness.Running, clients: int, deep: int, seconds: float
+) -> dict[str, Any]:
     """Each client holds `deep` commands at any time: what is answered, it asks again."""
     crowd = Crowd(daemon.port, clients, seed=3)
     await crowd.connect()
@@ -132,17 +136,23 @@
     during = [ask for ask in asks if ask.answered_at < end]
     waits = [(ask.answered_at - ask.asked_at) * 1000.0 for ask in during if ask.kind != "expired"]
     each = Counter(ask.client for ask in during if ask.kind == "served")
-    return {"clients": clients, "deep": deep, "asked_per_s": round(len(during) / seconds),
-            "served_per_s": round(share(during, "served") * len(during) / seconds),
-            "answers": dict(Counter(ask.kind for ask in asks)),
-            "answer_p50_ms": round(percentile(waits, 0.5), 1),
-            "answer_p99_ms": round(percentile(waits, 0.99), 1),
-            "clients_served": len(each), "resident_mb": [round(before, 1), round(most, 1)]}
+    return {
+        "clients": clients,
+        "deep": deep,
+        "asked_per_s": round(len(during) / seconds),
+        "served_per_s": round(share(during, "served") * len(during) / seconds),
+        "answers": dict(Counter(ask.kind for ask in asks)),
+        "answer_p50_ms": round(percentile(waits, 0.5), 1),
+        "answer_p99_ms": round(percentile(waits, 0.99), 1),
+        "clients_served": len(each),
+        "resident_mb": [round(before, 1), round(most, 1)],
+    }
 
 
 async def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--times", type=float, nargs="+", default=[1.5, 2.5])
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--clients", type=int, default=200)
@@ -152,14 +162,25 @@
     parser.add_argument("--build", type=Path, default=harness.ROOT, help="another checkout")
     options = parser.parse_args()
     os.sched_setaffinity(0, os.sched_getaffinity(0) - {options.core})
-    caps = {"cancel": True, "connIdleMs": 5000.0, "connectTimeoutMs": 250.0,
-            "maxRetryAfterMs": 1000.0, "mostTries": 4, "retryAfter": True, "secondCopies": False}
-    async with harness.nodes(4, 200) as ports, \
-            harness.daemon(ports, options.build.resolve(), sockets=2048, caps=caps) as daemon, \
-            quarter(daemon.pid, options.core):
+    caps = {
+        "cancel": True,
+        "connIdleMs": 5000.0,
+        "connectTimeoutMs": 250.0,
+        "maxRetryAfterMs": 1000.0,
+        "mostTries": 4,
+        "retryAfter": True,
+        "secondCopies": False,
+    }
+    async with (
+        harness.nodes(4, 200) as ports,
+        harness.daemon(ports, options.build.resolve(), sockets=2048, caps=caps) as daemon,
+        quarter(daemon.pid, options.core),
+    ):
         if options.deep:
-            print(json.dumps(await standing(daemon, options.clients, options.deep,
-                                            options.seconds)), flush=True)
+            print(
+                json.dumps(await standing(daemon, options.clients, options.deep, options.seconds)),
+                flush=True,
+            )
             return 0
         for times in options.times:
             able = await capacity(daemon.port, options.clients, options.start)
--- a/benchmarks/own_time.py
+++ b/benchmarks/own_time.py
@@ -32,21 +32,36 @@
 from limebridge.virtual.process import Process
 from violetroute.config import parse
 
-CAPS = {"cancel": True, "connIdleMs": 5000.0, "connectTimeoutMs": 250.0, "maxRetryAfterMs": 1000.0,
-        "mostTries": 4, "retryAfter": True, "secondCopies": False}
+CAPS = {
+    "cancel": True,
+    "connIdleMs": 5000.0,
+    "connectTimeoutMs": 250.0,
+    "maxRetryAfterMs": 1000.0,
+    "mostTries": 4,
+    "retryAfter": True,
+    "secondCopies": False,
+}
 
 
 async def _answer(words: list[bytes], writer: asyncio.StreamWriter) -> None:
     writer.write(reply(b"v" * 200))
 
 
-async def _play(kernel: Kernel, loop: VirtualLoop, costs: Costs, clients: int,
-                times: list[float], seconds: float, start: float) -> list[dict[str, Any]]:
+async def _play(
+    kernel: Kernel,
+    loop: VirtualLoop,
+    costs: Costs,
+    clients: int,
+    times: list[float],
+    seconds: float,
+    start: float,
+) -> list[dict[str, Any]]:
     discovery = await Discovery().start()
     nodes = [await Answering(_answer).start() for _ in range(4)]
     entries = [node.entry(f"s-{n}") for n, node in enumerate(nodes)]
-    raw = configuration(discovery.port, entries, sockets=2048, memory_mb=192, caps=CAPS,
-                        classes=harness.CLASSES)
+    raw = configuration(
+        discovery.port, entries, sockets=2048, memory_mb=192, caps=CAPS, classes=harness.CLASSES
+    )
     discovery.tell(*entries, reset=True)
     process = Process(kernel, loop, lambda: kernel.now + 1.7e9, costs=costs)
     port = process.start(parse(raw))
@@ -58,15 +73,20 @@
     return rows
 
 
-def virtual(costs: Costs, clients: int, times: list[float], seconds: float,
-            start: float = 500.0, seed: int = 1) -> list[dict[str, Any]]:
+def virtual(
+    costs: Costs,
+    clients: int,
+    times: list[float],
+    seconds: float,
+    start: float = 500.0,
+    seed: int = 1,
+) -> list[dict[str, Any]]:
     """overload.py's rows; the same for the same arguments, on any machine."""
     kernel = Kernel(seed)
     loop = VirtualLoop(kernel)
     gc.disable()
     try:
-        return loop.run_until_complete(
-            _play(kernel, loop, costs, clients, times, seconds, start))
+        return loop.run_until_complete(_play(kernel, loop, costs, clients, times, seconds, start))
     finally:
         for task in asyncio.all_tasks(loop):
             task.cancel()
@@ -78,8 +98,9 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--times", type=float, nargs="+", default=[1.5, 2.5])
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--clients", type=int, default=200)
@@ -89,15 +110,25 @@
     options = parser.parse_args()
     if options.patch is not None:
         runpy.run_path(str(options.patch))["plant"]()
-    for row in virtual(measured().over(options.cores), options.clients, options.times,
-                       options.seconds):
+    for row in virtual(
+        measured().over(options.cores), options.clients, options.times, options.seconds
+    ):
         print(json.dumps({"clock": "virtual"} | row), flush=True)
     if options.real:
         here = Path(__file__).parent
-        asked = [sys.executable, str(here / "overload.py"), "--times", *map(str, options.times),
-                 "--seconds", str(options.seconds), "--clients", str(options.clients)]
-        for line in subprocess.run(asked, check=True, capture_output=True,
-                                   text=True).stdout.splitlines():
+        asked = [
+            sys.executable,
+            str(here / "overload.py"),
+            "--times",
+            *map(str, options.times),
+            "--seconds",
+            str(options.seconds),
+            "--clients",
+            str(options.clients),
+        ]
+        for line in subprocess.run(
+            asked, check=True, capture_output=True, text=True
+        ).stdout.splitlines():
             print(json.dumps({"clock": "real"} | json.loads(line)), flush=True)
     return 0
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -36,11 +36,16 @@
     """The example's fleet with about so many nodes and as much more load."""
     fleet = load_fleet(str(EXAMPLE))
     before = len(fleet.machines())
-    groups = [msgspec.structs.replace(node, count=max(1, round((node.count or 1) * nodes / before)))
-              for node in fleet.nodes]
+    groups = [
+        msgspec.structs.replace(node, count=max(1, round((node.count or 1) * nodes / before)))
+        for node in fleet.nodes
+    ]
     fleet = msgspec.structs.replace(
-        fleet, nodes=groups, limits=msgspec.structs.replace(fleet.limits, cost=None),
-        prefer=msgspec.structs.replace(fleet.prefer, choose=choose))
+        fleet,
+        nodes=groups,
+        limits=msgspec.structs.replace(fleet.limits, cost=None),
+        prefer=msgspec.structs.replace(fleet.prefer, choose=choose),
+    )
     return fleet.asking(fleet.load.requests_per_s * len(fleet.machines()) / before)
 
 
@@ -55,9 +60,14 @@
     trouble = explain(fleet.asking(fleet.load.requests_per_s * 3.0))
     explained = time.perf_counter() - began
     assert trouble is not None
-    return {"nodes": len(fleet.machines()), "choose": choose, "rows": len(found.model.rows),
-            "median_s": round(statistics.median(took), 3), "most_s": round(max(took), 3),
-            "explained_s": round(explained, 2)}
+    return {
+        "nodes": len(fleet.machines()),
+        "choose": choose,
+        "rows": len(found.model.rows),
+        "median_s": round(statistics.median(took), 3),
+        "most_s": round(max(took), 3),
+        "explained_s": round(explained, 2),
+    }
 
 
 def service(seconds: float, pairs: int, lost: bool) -> dict[str, object]:
@@ -75,13 +85,15 @@
             "busiest": round(statistics.mean(r.busiest for r in each), 3),
             "least_busy": round(statistics.mean(r.least_busy for r in each), 3),
             "fetches": round(statistics.mean(r.fetches for r in each)),
-            "off_plan": round(statistics.mean(r.off_plan for r in each), 3)}
+            "off_plan": round(statistics.mean(r.off_plan for r in each), 3),
+        }
     return told
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--nodes", type=int, nargs="+", default=[9, 60, 200])
     parser.add_argument("--repeat", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=20.0)
--- a/benchmarks/refusal.py
+++ b/benchmarks/refusal.py
@@ -20,8 +20,9 @@
 from limebridge.standins.clients import Client, Crowd
 
 
-async def measure(target: harness.Running, rate: float, seconds: float, deep: int,
-                  told: bytes) -> tuple[float, float]:
+async def measure(
+    target: harness.Running, rate: float, seconds: float, deep: int, told: bytes
+) -> tuple[float, float]:
     """Microseconds of CPU a question, and the share that was refused."""
     crowd = Crowd(target.port, clients=200, told=told)
     await crowd.connect()
@@ -40,26 +41,39 @@
 
 
 async def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--seconds", type=float, default=4.0, help="a row and side")
     parser.add_argument("--rate", type=float, default=2000.0)
     parser.add_argument("--build", type=Path, default=harness.ROOT, help="another checkout")
     options = parser.parse_args()
     for deep in (1, 16):
-        async with harness.nodes(4, 200) as ports, \
-                harness.daemon(ports, options.build.resolve(), sockets=2048) as daemon:
+        async with (
+            harness.nodes(4, 200) as ports,
+            harness.daemon(ports, options.build.resolve(), sockets=2048) as daemon,
+        ):
             costs: dict[bytes, list[float]] = {b"": [], b"0.001": []}
             refused = 0.0
             for _ in range(2):
                 for told, found in costs.items():
-                    cost, refused = await measure(daemon, options.rate, options.seconds / 2,
-                                                  deep, told)
+                    cost, refused = await measure(
+                        daemon, options.rate, options.seconds / 2, deep, told
+                    )
                     found.append(cost)
         answer, refusal = (sum(found) / 2 for found in costs.values())
-        print(json.dumps({"deep": deep, "answer_us": round(answer, 1),
-                          "refusal_us": round(refusal, 1), "refused": round(refused, 3),
-                          "ratio": round(refusal / answer, 3)}), flush=True)
+        print(
+            json.dumps(
+                {
+                    "deep": deep,
+                    "answer_us": round(answer, 1),
+                    "refusal_us": round(refusal, 1),
+                    "refused": round(refused, 3),
+                    "ratio": round(refusal / answer, 3),
+                }
+            ),
+            flush=True,
+        )
     return 0
 
 
--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -68,8 +68,7 @@
         self.kernel = Kernel(1, start=1000.0)
         self.loop = VirtualLoop(self.kernel)
         self.random = random.Random(1)
-        self.kernel.weather = lambda owner, port: \
-            [] if self.random.random() < loss else [0.0005]
+        self.kernel.weather = lambda owner, port: [] if self.random.random() < loss else [0.0005]
         self.proxies = [Quiet() for _ in range(count)]
         self.told: list[tuple[float, str, str]] = []
         self.here: list[Sharing] = []
@@ -83,12 +82,17 @@
                         sharing.members.know(rumor, self.kernel.now)
 
     def start(self, number: int) -> None:
-        net = SocketNetwork(self.loop, make=self.kernel.maker(f"p{number}"),
-                            clock=lambda: 1.7e9 + self.kernel.now)
-        table = SharingTable(listen=f"127.0.0.1:{20_000 + number}", proxies=len(self.proxies),
-                             seeds=("127.0.0.1:20000", "127.0.0.1:20001"))
-        sharing = Sharing(table, KEYS, f"p{number}", "a", 1000.0, net, self.proxies[number],
-                          life=f"l{number}")
+        net = SocketNetwork(
+            self.loop, make=self.kernel.maker(f"p{number}"), clock=lambda: 1.7e9 + self.kernel.now
+        )
+        table = SharingTable(
+            listen=f"127.0.0.1:{20_000 + number}",
+            proxies=len(self.proxies),
+            seeds=("127.0.0.1:20000", "127.0.0.1:20001"),
+        )
+        sharing = Sharing(
+            table, KEYS, f"p{number}", "a", 1000.0, net, self.proxies[number], life=f"l{number}"
+        )
         before = sharing.members._changed
 
         def changed(name: str, state: str, was: str) -> None:
@@ -112,8 +116,12 @@
     """Of the budget that is spent with load on one of so many real daemons."""
     plan = Plan(1, seconds, daemons, 120.0, 3.0)
     outcome = rig.play(plan)
-    return {"daemons": daemons, "spent": round(outcome.again, 3),
-            "fixed_parts": round(1.0 / daemons, 3), "broken": outcome.broken}
+    return {
+        "daemons": daemons,
+        "spent": round(outcome.again, 3),
+        "fixed_parts": round(1.0 / daemons, 3),
+        "broken": outcome.broken,
+    }
 
 
 def split(daemons: int) -> dict[str, Any]:
@@ -122,10 +130,12 @@
     outcome = rig.play(plan)
     seen = outcome.seen
     at = seen.began + 4.0
-    return {"before": round(judge.share(plan, seen, at - 2.0, at), 3),
-            "split": round(judge.share(plan, seen, at + 1.0, at + 6.0), 3),
-            "five_seconds_after": round(judge.share(plan, seen, at + 6.0, at + 11.0), 3),
-            "broken": outcome.broken}
+    return {
+        "before": round(judge.share(plan, seen, at - 2.0, at), 3),
+        "split": round(judge.share(plan, seen, at + 1.0, at + 6.0), 3),
+        "five_seconds_after": round(judge.share(plan, seen, at + 6.0, at + 11.0), 3),
+        "broken": outcome.broken,
+    }
 
 
 def members(count: int, loss: float) -> dict[str, Any]:
@@ -138,23 +148,32 @@
     fleet.run(30.0)
     cpu = time.process_time() - began
     found = Counter(state for _, _, state in fleet.told)
-    sent, size = (sum(s.sent for s in fleet.here) - sent,
-                  sum(s.bytes_sent for s in fleet.here) - size)
+    sent, size = (
+        sum(s.sent for s in fleet.here) - sent,
+        sum(s.bytes_sent for s in fleet.here) - size,
+    )
     gone = fleet.here[3]
     gone._timer.cancel()
     gone._box.close()
     at = fleet.kernel.now
     fleet.told.clear()
     fleet.run(40.0 + 20.0 * math.log10(count))
-    heard = sorted(when - at for when, name, state in fleet.told
-                   if name == gone.name and state == "d")
-    return {"members": count, "loss": loss,
-            "datagrams_a_second": round(sent / count / 30.0, 2),
-            "bytes_a_second": round(size / count / 30.0), "cpu_share": round(cpu / 30.0 / count, 5),
-            "suspected_a_minute": 2 * found["s"], "dead_for_nothing": found["d"],
-            "death_known_s": [round(heard[0], 1), round(heard[len(heard) // 2], 1),
-                              round(heard[-1], 1)] if heard else [],
-            "known_to": len(heard)}
+    heard = sorted(
+        when - at for when, name, state in fleet.told if name == gone.name and state == "d"
+    )
+    return {
+        "members": count,
+        "loss": loss,
+        "datagrams_a_second": round(sent / count / 30.0, 2),
+        "bytes_a_second": round(size / count / 30.0),
+        "cpu_share": round(cpu / 30.0 / count, 5),
+        "suspected_a_minute": 2 * found["s"],
+        "dead_for_nothing": found["d"],
+        "death_known_s": [round(heard[0], 1), round(heard[len(heard) // 2], 1), round(heard[-1], 1)]
+        if heard
+        else [],
+        "known_to": len(heard),
+    }
 
 
 def judged(count: int, calm: float) -> dict[str, Any]:
@@ -181,13 +200,20 @@
         fleet.kernel.at(now + rng.expovariate(1.0 / EVERY), lambda: request(place))
 
     for place in range(count):
-        fleet.kernel.at(fleet.kernel.now + rng.random() * EVERY,
-                        lambda place=place: request(place))  # type: ignore[misc]
+        fleet.kernel.at(fleet.kernel.now + rng.random() * EVERY, lambda place=place: request(place))  # type: ignore[misc]
     fleet.run(calm + 20.0)
     times = sorted(avoided.values())
-    return {"members": count, "avoided_by": len(times),
-            "s": {str(part): round(times[min(len(times) - 1, int(part * len(times)))], 2)
-                  for part in (0.1, 0.5, 0.9)} if times else {}, "false_looks": false}
+    return {
+        "members": count,
+        "avoided_by": len(times),
+        "s": {
+            str(part): round(times[min(len(times) - 1, int(part * len(times)))], 2)
+            for part in (0.1, 0.5, 0.9)
+        }
+        if times
+        else {},
+        "false_looks": false,
+    }
 
 
 def counts() -> list[dict[str, Any]]:
@@ -207,17 +233,33 @@
             made.append(summary)
         merged = merge(made)
         top = [key for key, _ in exact.most_common(10)]
-        size = len(wire.packed(wire.Counted("key", [k << 40 for k, _, _ in made[0].top()],
-                                            [c for _, c, _ in made[0].top()],
-                                            [e for _, _, e in made[0].top()])))
+        size = len(
+            wire.packed(
+                wire.Counted(
+                    "key",
+                    [k << 40 for k, _, _ in made[0].top()],
+                    [c for _, c, _ in made[0].top()],
+                    [e for _, _, e in made[0].top()],
+                )
+            )
+        )
         total = sum(exact.values())
-        rows.append({"members": many, "bytes_each": size,
-                     "top_ten_found": sum(key in merged.counters for key in top),
-                     "error_of_top_ten": round(max(
-                         abs(merged.counters[key].count - exact[key]) / total
-                         for key in top if key in merged.counters), 4),
-                     "error_stated": round(max(c.error for c in merged.counters.values()) / total,
-                                           4)})
+        rows.append(
+            {
+                "members": many,
+                "bytes_each": size,
+                "top_ten_found": sum(key in merged.counters for key in top),
+                "error_of_top_ten": round(
+                    max(
+                        abs(merged.counters[key].count - exact[key]) / total
+                        for key in top
+                        if key in merged.counters
+                    ),
+                    4,
+                ),
+                "error_stated": round(max(c.error for c in merged.counters.values()) / total, 4),
+            }
+        )
     return rows
 
 
@@ -225,8 +267,7 @@
     """What a request passes of this part: `admits`, `asked`, `met`; against nothing."""
     loop = VirtualLoop(Kernel(1))
     net = SocketNetwork(loop, make=loop.kernel.maker("p"), clock=lambda: 1.7e9)
-    table = SharingTable(listen="127.0.0.1:20000", proxies=1,
-                         budget=(BudgetTable("all", 1e6),))
+    table = SharingTable(listen="127.0.0.1:20000", proxies=1, budget=(BudgetTable("all", 1e6),))
     sharing = Sharing(table, KEYS, "p", "a", 1000.0, net, Quiet())
     sharing.listed([Member(number, CacheState.READY) for number in range(NODES)])
     rng = random.Random(1)
@@ -253,9 +294,14 @@
         key = folder / "key"
         key.write_text("a key of sixteen bytes and more\n")
         operator = folder / "operator.toml"
-        operator.write_text("" if not on else (
-            f'[sharing]\nlisten = "127.0.0.1:{free_ports(1)[0]}"\nkey_file = "{key}"\n'
-            'budget = [{name = "all", per_s = 100.0}]\n'))
+        operator.write_text(
+            ""
+            if not on
+            else (
+                f'[sharing]\nlisten = "127.0.0.1:{free_ports(1)[0]}"\nkey_file = "{key}"\n'
+                'budget = [{name = "all", per_s = 100.0}]\n'
+            )
+        )
         child = Child(folder, "p0")
         try:
             await child.start(configuration(free_ports(1)[0], []), free_ports(1)[0], operator)
@@ -274,9 +320,13 @@
         for _ in range(3):
             for name in found:
                 found[name].append(asyncio.run(one(Path(folder), name == "on")))
-    return {name: {"mb": round(statistics.median(mb for mb, _ in runs), 1),
-                   "cores": round(statistics.median(cpu for _, cpu in runs), 4)}
-            for name, runs in found.items()}
+    return {
+        name: {
+            "mb": round(statistics.median(mb for mb, _ in runs), 1),
+            "cores": round(statistics.median(cpu for _, cpu in runs), 4),
+        }
+        for name, runs in found.items()
+    }
 
 
 def fuzz(datagrams: int) -> dict[str, Any]:
@@ -284,8 +334,9 @@
     fleet = Emulated(3)
     fleet.run(3.0)
     target, rng = fleet.here[0], random.Random(3)
-    good = KEYS.seal(wire.Envelope("p1", "l1", 1, 10**6, "p0", "l0", 0, 0, [
-        wire.raw(wire.packed(wire.Ping(1)))]))
+    good = KEYS.seal(
+        wire.Envelope("p1", "l1", 1, 10**6, "p0", "l0", 0, 0, [wire.raw(wire.packed(wire.Ping(1)))])
+    )
     origin = Address("127.0.0.1", 20_001)
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     began = time.process_time()
@@ -295,42 +346,81 @@
             data = rng.randbytes(rng.randrange(1300))
         elif kind == 1:
             place = rng.randrange(len(good))
-            data = good[:place] + bytes([good[place] ^ (1 << rng.randrange(8))]) + good[place + 1:]
+            data = good[:place] + bytes([good[place] ^ (1 << rng.randrange(8))]) + good[place + 1 :]
         elif kind == 2:
             body = rng.randbytes(rng.randrange(200))
             data = wire.MAGIC + KEYS._first + wire._mac(KEYS._keys[KEYS._first], body) + body
         else:
-            data = KEYS.seal(wire.Envelope(
-                f"p{rng.randrange(9)}", f"l{rng.randrange(9)}", rng.getrandbits(40), number, "p0",
-                "l0", rng.getrandbits(20), rng.getrandbits(40), [
-                    msgspec.Raw(msgspec.msgpack.encode([
-                        rng.choice("panqrgGsblkwoc"), *(rng.choice(
-                            (rng.getrandbits(60), rng.random(), "x" * rng.randrange(70), True, [],
-                             -1)) for _ in range(rng.randrange(8)))]))
-                    for _ in range(rng.randrange(5))]))
+            data = KEYS.seal(
+                wire.Envelope(
+                    f"p{rng.randrange(9)}",
+                    f"l{rng.randrange(9)}",
+                    rng.getrandbits(40),
+                    number,
+                    "p0",
+                    "l0",
+                    rng.getrandbits(20),
+                    rng.getrandbits(40),
+                    [
+                        msgspec.Raw(
+                            msgspec.msgpack.encode(
+                                [
+                                    rng.choice("panqrgGsblkwoc"),
+                                    *(
+                                        rng.choice(
+                                            (
+                                                rng.getrandbits(60),
+                                                rng.random(),
+                                                "x" * rng.randrange(70),
+                                                True,
+                                                [],
+                                                -1,
+                                            )
+                                        )
+                                        for _ in range(rng.randrange(8))
+                                    ),
+                                ]
+                            )
+                        )
+                        for _ in range(rng.randrange(5))
+                    ],
+                )
+            )
         fleet.kernel.now += 0.003  # else most would be too many a second of one member
         target.datagram(data, origin)
     took = time.process_time() - began
     fleet.run(1.0)
-    return {"datagrams": datagrams, "us_each": round(took / datagrams * 1e6, 1),
-            "refused": target.refused, "taken": target.received,
-            "members": len(target.members.members),
-            "mb_more": round((resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before) / 1e3,
-                             1)}
+    return {
+        "datagrams": datagrams,
+        "us_each": round(took / datagrams * 1e6, 1),
+        "refused": target.refused,
+        "taken": target.received,
+        "members": len(target.members.members),
+        "mb_more": round((resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before) / 1e3, 1),
+    }
 
 
 def whole(states: int, names: int) -> dict[str, Any]:
     began = time.monotonic()
     found = check(World(Bounds(names=names)), states)
-    return {"names": names, "states": found.states, "steps": found.orders, "depth": found.depth,
-            "all": found.whole, "healed": found.healed, "broken": found.stories,
-            "seconds": round(time.monotonic() - began)}
+    return {
+        "names": names,
+        "states": found.states,
+        "steps": found.orders,
+        "depth": found.depth,
+        "all": found.whole,
+        "healed": found.healed,
+        "broken": found.stories,
+        "seconds": round(time.monotonic() - began),
+    }
 
 
 def main() -> None:
     parser = argparse.ArgumentParser()
-    parser.add_argument("what", choices=["use", "split", "members", "judged", "counts", "request",
-                                         "rest", "fuzz", "whole"])
+    parser.add_argument(
+        "what",
+        choices=["use", "split", "members", "judged", "counts", "request", "rest", "fuzz", "whole"],
+    )
     parser.add_argument("--daemons", type=int, default=10)
     parser.add_argument("--count", type=int, default=46)
     parser.add_argument("--loss", type=float, default=0.0)
--- a/limebridge/child.py
+++ b/limebridge/child.py
@@ -47,8 +47,14 @@
     line of its log goes to `told`, and all of it is taken, so that a flood blocks nothing.
     """
 
-    def __init__(self, folder: Path, owner: str, command: tuple[str, ...] = INSTALLED,
-                 build: Path | None = None, told: Callable[[str], None] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        owner: str,
+        command: tuple[str, ...] = INSTALLED,
+        build: Path | None = None,
+        told: Callable[[str], None] | None = None,
+    ) -> None:
         self.owner, self._command, self._folder, self._build = owner, command, folder, build
         self._told = told
         self.state = "down"
@@ -77,9 +83,14 @@
         path.write_text(json.dumps(raw | {"listen": f"127.0.0.1:{port}"}))
         more = () if operator is None else ("--operator", str(operator))
         self._process = await asyncio.create_subprocess_exec(
-            *self._command, *more, stderr=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.DEVNULL, env=environment(path), cwd=self._build,
-            start_new_session=True)
+            *self._command,
+            *more,
+            stderr=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.DEVNULL,
+            env=environment(path),
+            cwd=self._build,
+            start_new_session=True,
+        )
         ready = asyncio.get_running_loop().create_future()
         self._log = asyncio.create_task(self._read(self._process, ready))
         try:
@@ -96,8 +107,7 @@
                 await self.kill()
         return port
 
-    async def _read(self, process: asyncio.subprocess.Process,
-                    ready: asyncio.Future[bool]) -> None:
+    async def _read(self, process: asyncio.subprocess.Process, ready: asyncio.Future[bool]) -> None:
         """All of its log is taken, a line of it kept: a flood of it costs no memory here."""
         assert process.stderr is not None
         while chunk := await process.stderr.read(65536):
--- a/limebridge/cli.py
+++ b/limebridge/cli.py
@@ -35,8 +35,9 @@
 from .virtual import explore as explorer
 from .virtual import plan as plans
 
-app = typer.Typer(add_completion=False, no_args_is_help=True,
-                  help="The kit round the limebridge proxy.")
+app = typer.Typer(
+    add_completion=False, no_args_is_help=True, help="The kit round the limebridge proxy."
+)
 
 
 app.add_typer(placement_app, name="placement")
@@ -56,24 +57,41 @@
 def demo(
     nodes: Annotated[int, typer.Option(min=1, max=64, help="Cache nodes.")] = 4,
     rate: Annotated[float, typer.Option(min=0.1, max=5000.0, help="Questions a second.")] = 100.0,
-    as_json: Annotated[bool, typer.Option(
-        "--json", help="One line once all is ready; no clients; until SIGTERM.")] = False,
-    consul: Annotated[bool, typer.Option(
-        "--consul", help="The nodes are the service `cache` of a Consul that the proxy follows.",
-    )] = False,
-    cluster: Annotated[bool, typer.Option(
-        "--cluster", help="Two proxies that share the slots of a cluster, for cluster clients.",
-    )] = False,
+    as_json: Annotated[
+        bool, typer.Option("--json", help="One line once all is ready; no clients; until SIGTERM.")
+    ] = False,
+    consul: Annotated[
+        bool,
+        typer.Option(
+            "--consul",
+            help="The nodes are the service `cache` of a Consul that the proxy follows.",
+        ),
+    ] = False,
+    cluster: Annotated[
+        bool,
+        typer.Option(
+            "--cluster",
+            help="Two proxies that share the slots of a cluster, for cluster clients.",
+        ),
+    ] = False,
 ) -> None:
     """Start the daemon with cache nodes, a customer database and discovery on loopback."""
     try:
         if as_json:
-            asyncio.run(demo_module.play(
-                nodes, rate, lambda d: print(json.dumps(d.describe()), flush=True), None,
-                consul, cluster))
+            asyncio.run(
+                demo_module.play(
+                    nodes,
+                    rate,
+                    lambda d: print(json.dumps(d.describe()), flush=True),
+                    None,
+                    consul,
+                    cluster,
+                )
+            )
         elif cluster:
-            raise typer.BadParameter("goes with --json: the table's clients speak no cluster",
-                                     param_hint="--cluster")
+            raise typer.BadParameter(
+                "goes with --json: the table's clients speak no cluster", param_hint="--cluster"
+            )
         else:
             _show(nodes, rate, consul)
     except demo_module.DemoError as error:
@@ -81,10 +99,18 @@
         raise typer.Exit(1) from None
 
 
-OperatorFile = Annotated[Path | None, typer.Option(
-    "--operator", metavar="FILE", help="The operator's file; wins over LIMEBRIDGE_OPERATOR.")]
-PlatformFile = Annotated[Path | None, typer.Argument(
-    metavar="[CONFIG.json]", help="The platform's file; else the one that PROXY_CONFIG names.")]
+OperatorFile = Annotated[
+    Path | None,
+    typer.Option(
+        "--operator", metavar="FILE", help="The operator's file; wins over LIMEBRIDGE_OPERATOR."
+    ),
+]
+PlatformFile = Annotated[
+    Path | None,
+    typer.Argument(
+        metavar="[CONFIG.json]", help="The platform's file; else the one that PROXY_CONFIG names."
+    ),
+]
 
 
 def _environment(config: Path | None) -> dict[str, str]:
@@ -98,9 +124,11 @@
 
 
 @app.command()
-def check(config: PlatformFile = None, operator: OperatorFile = None,
-          as_json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
-          ) -> None:
+def check(
+    config: PlatformFile = None,
+    operator: OperatorFile = None,
+    as_json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
+) -> None:
     """Say what the daemon would do with these files, and start nothing.
 
     With --operator and no platform's file, the operator's is checked alone. Exit status 2 when
@@ -133,13 +161,14 @@
         "operator's file": path or "none: defaults",
         "log": f"{operator.log.level}, {operator.log.format}",
         "nodes from": ", else ".join(_source(name, operator) for name in order(operator)),
-        "placement": "off" if planned is None else
-            f"{operator.placement.file} ({planned} nodes)",
+        "placement": "off" if planned is None else f"{operator.placement.file} ({planned} nodes)",
         "cluster": operator.cluster.appear,
-        "ledger": "off" if not ledger.folder else
-            f"{ledger.folder}, {ledger.period_min} min in {ledger.zone}, export {ledger.export}",
-        "fleet": "off" if fleet.store == "off" else
-            f"{fleet.folder or ', '.join(fleet.agents)}, works {', '.join(fleet.works) or 'none'}",
+        "ledger": "off"
+        if not ledger.folder
+        else f"{ledger.folder}, {ledger.period_min} min in {ledger.zone}, export {ledger.export}",
+        "fleet": "off"
+        if fleet.store == "off"
+        else f"{fleet.folder or ', '.join(fleet.agents)}, works {', '.join(fleet.works) or 'none'}",
     }
 
 
@@ -153,10 +182,14 @@
         "node connections": config.upstream_sockets,
         "room for values, KiB": config.value_room // 1024,
         "known nodes": len(config.known.entries),
-        "classes": [f"{c.name} ({c.effect.value}, {c.deadline:g} ms)"
-                    for c in config.settings.classes],
-        **_ours(config.operator, config.operator_path,
-                None if config.plan is None else len(config.plan.nodes)),
+        "classes": [
+            f"{c.name} ({c.effect.value}, {c.deadline:g} ms)" for c in config.settings.classes
+        ],
+        **_ours(
+            config.operator,
+            config.operator_path,
+            None if config.plan is None else len(config.plan.nodes),
+        ),
         "unknown keys": list(config.unknown),
     }
 
@@ -170,8 +203,10 @@
     os.execve(sys.executable, arguments, _environment(config))
 
 
-PatchFile = Annotated[Path | None, typer.Option(
-    "--patch", metavar="FILE", help="A Python file whose plant() is called first.")]
+PatchFile = Annotated[
+    Path | None,
+    typer.Option("--patch", metavar="FILE", help="A Python file whose plant() is called first."),
+]
 
 
 @app.command()
@@ -180,17 +215,29 @@
     first: Annotated[int, typer.Option("--from", min=0, help="The first seed.")] = 0,
     jobs: Annotated[int, typer.Option(min=0, help="Processes; 0 is one a core.")] = 0,
     budget: Annotated[float, typer.Option(min=0.0, help="Seconds after which to end.")] = 0,
-    keep: Annotated[Path | None, typer.Option(
-        metavar="DIR", help="Where shrunk plans of what broke are written.")] = None,
+    keep: Annotated[
+        Path | None,
+        typer.Option(metavar="DIR", help="Where shrunk plans of what broke are written."),
+    ] = None,
     patch: PatchFile = None,
-    consul: Annotated[bool, typer.Option(
-        "--consul", help="The list comes from Consul, whose faults come on top.")] = False,
-    goes_on: Annotated[bool, typer.Option(
-        "--next", help="Seeds that no run here has played, leaning towards what this build has met "
-        "least; --from is not looked at.")] = False,
-    fleet: Annotated[bool, typer.Option(
-        "--fleet", help="Several processes and the works that they own (`limebridge faults`).",
-    )] = False,
+    consul: Annotated[
+        bool, typer.Option("--consul", help="The list comes from Consul, whose faults come on top.")
+    ] = False,
+    goes_on: Annotated[
+        bool,
+        typer.Option(
+            "--next",
+            help="Seeds that no run here has played, leaning towards what this build has met "
+            "least; --from is not looked at.",
+        ),
+    ] = False,
+    fleet: Annotated[
+        bool,
+        typer.Option(
+            "--fleet",
+            help="Several processes and the works that they own (`limebridge faults`).",
+        ),
+    ] = False,
     as_json: Annotated[bool, typer.Option("--json", help="JSON as the last line.")] = False,
 ) -> None:
     """Run the daemon's own code in memory against faults drawn from seeds.
@@ -214,10 +261,10 @@
     columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn())
     with Progress(*columns, console=Console(stderr=True), disable=as_json) as progress:
         bar = progress.add_task("exploring", total=seeds)
-        for summary in explorer.explore(first, seeds, jobs, budget, prepare, consul,
-                                        pairs):
-            progress.update(bar, completed=summary.seeds,
-                            description=f"{len(summary.broken)} broken")
+        for summary in explorer.explore(first, seeds, jobs, budget, prepare, consul, pairs):
+            progress.update(
+                bar, completed=summary.seeds, description=f"{len(summary.broken)} broken"
+            )
     summary.broken.sort(key=lambda found: found.seed)
     if prepare is not None:
         prepare()
@@ -234,10 +281,16 @@
         typer.echo(story.tell(world.play(smaller)), err=True)
     if history is not None:
         history.add(summary.seeds, summary.met)
-    told = {"first": first, "seeds": summary.seeds, "seconds": round(summary.seconds, 2),
-            "requests": summary.requests, "broken": len(summary.broken),
-            "broken_seeds": [found.seed for found in summary.broken],
-            "met": dict(sorted(summary.met.items())), "digest": summary.digest}
+    told = {
+        "first": first,
+        "seeds": summary.seeds,
+        "seconds": round(summary.seconds, 2),
+        "requests": summary.requests,
+        "broken": len(summary.broken),
+        "broken_seeds": [found.seed for found in summary.broken],
+        "met": dict(sorted(summary.met.items())),
+        "digest": summary.digest,
+    }
     if as_json:
         print(json.dumps(told))
     else:
@@ -245,19 +298,26 @@
         for key, count in sorted(summary.met.items()):
             table.add_row(*key.split("/"), str(count))
         Console().print(table)
-        print(f"{summary.seeds} seeds, {summary.requests} requests, {summary.seconds:.1f} s, "
-              f"{len(summary.broken)} broken, digest {summary.digest}")
+        print(
+            f"{summary.seeds} seeds, {summary.requests} requests, {summary.seconds:.1f} s, "
+            f"{len(summary.broken)} broken, digest {summary.digest}"
+        )
     raise typer.Exit(1 if summary.broken else 0)
 
 
 @app.command()
 def replay(
     what: Annotated[str, typer.Argument(metavar="FILE_OR_SEED")],
-    html: Annotated[Path | None, typer.Option(
-        metavar="FILE", help="Write a picture with the story.")] = None,
+    html: Annotated[
+        Path | None, typer.Option(metavar="FILE", help="Write a picture with the story.")
+    ] = None,
     patch: PatchFile = None,
-    consul: Annotated[bool, typer.Option(
-        "--consul", help="The seed is one of `explore --consul`; a file says so itself.")] = False,
+    consul: Annotated[
+        bool,
+        typer.Option(
+            "--consul", help="The seed is one of `explore --consul`; a file says so itself."
+        ),
+    ] = False,
     as_json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
 ) -> None:
     """Play one plan again and tell its story.  Exit status 1 when it breaks something."""
@@ -273,9 +333,17 @@
     outcome = world.play(plan)
     if html is not None:
         html.write_text(story.picture(outcome))
-    print(json.dumps({"digest": outcome.digest, "requests": outcome.requests,
-                      "broken": [[b.rule, round(b.at, 6), b.what] for b in outcome.broken]})
-          if as_json else story.tell(outcome))
+    print(
+        json.dumps(
+            {
+                "digest": outcome.digest,
+                "requests": outcome.requests,
+                "broken": [[b.rule, round(b.at, 6), b.what] for b in outcome.broken],
+            }
+        )
+        if as_json
+        else story.tell(outcome)
+    )
     raise typer.Exit(1 if outcome.broken else 0)
 
 
@@ -301,16 +369,23 @@
     def table() -> Table:
         made = Table("requests", "served", "refused", "failed", "p50 ms", "p99 ms")
         figures = [last[int(part * len(last))] if last else 0.0 for part in (0.5, 0.99)]
-        made.add_row(str(sum(total.values())), str(total["served"]), str(total["refused"]),
-                     str(total["failed"] + total["expired"] + total["closed"]),
-                     *(f"{figure:.1f}" for figure in figures))
+        made.add_row(
+            str(sum(total.values())),
+            str(total["served"]),
+            str(total["refused"]),
+            str(total["failed"] + total["expired"] + total["closed"]),
+            *(f"{figure:.1f}" for figure in figures),
+        )
         return made
 
     with Live(table(), console=console, auto_refresh=False) as live:
+
         def ready(running: demo_module.Demo) -> None:
             words = running.describe()
-            live.console.print(f"proxy {words['proxy']}, discovery {words['discovery']}, "
-                               f"nodes {', '.join(words['nodes'])}; Ctrl-C ends it")
+            live.console.print(
+                f"proxy {words['proxy']}, discovery {words['discovery']}, "
+                f"nodes {', '.join(words['nodes'])}; Ctrl-C ends it"
+            )
 
         def told(kinds: Counter[str], times: list[float]) -> None:
             total.update(kinds)
--- a/limebridge/demo.py
+++ b/limebridge/demo.py
@@ -24,10 +24,24 @@
 
 CLASSES: list[dict[str, Any]] = [
     {"name": "lookup", "promiseMs": 300.0, "deadlineMs": 600.0, "effect": "pure", "worth": 2.0},
-    {"name": "optout", "promiseMs": 300.0, "deadlineMs": 1200.0, "effect": "token",
-     "group": "all", "keyTtlMs": 2000.0, "worth": 5.0},
-    {"name": "template-save", "promiseMs": 750.0, "deadlineMs": 3000.0, "effect": "token",
-     "group": "all", "keyTtlMs": 2000.0, "worth": 5.0},
+    {
+        "name": "optout",
+        "promiseMs": 300.0,
+        "deadlineMs": 1200.0,
+        "effect": "token",
+        "group": "all",
+        "keyTtlMs": 2000.0,
+        "worth": 5.0,
+    },
+    {
+        "name": "template-save",
+        "promiseMs": 750.0,
+        "deadlineMs": 3000.0,
+        "effect": "token",
+        "group": "all",
+        "keyTtlMs": 2000.0,
+        "worth": 5.0,
+    },
 ]
 
 
@@ -52,15 +66,17 @@
         words: dict[str, Any] = {"proxy": f"127.0.0.1:{self.port}"}
         if len(self.ports) > 1:
             words["proxies"] = [f"127.0.0.1:{port}" for port in self.ports]
-        words |= {"nodes": [f"127.0.0.1:{node.port}" for node in self.nodes],
-                  "discovery": f"127.0.0.1:{self.discovery.port}"}
-        return words if self.consul is None else words | {
-            "consul": f"127.0.0.1:{self.consul.port}"}
+        words |= {
+            "nodes": [f"127.0.0.1:{node.port}" for node in self.nodes],
+            "discovery": f"127.0.0.1:{self.discovery.port}",
+        }
+        return words if self.consul is None else words | {"consul": f"127.0.0.1:{self.consul.port}"}
 
 
 @asynccontextmanager
-async def running(count: int, with_consul: bool = False,
-                  with_cluster: bool = False) -> AsyncIterator[Demo]:
+async def running(
+    count: int, with_consul: bool = False, with_cluster: bool = False
+) -> AsyncIterator[Demo]:
     """Everything started and ready; ended in order whatever happens.
 
     `with_consul`: the nodes are registered there as the service `cache`, and the proxy follows it.
@@ -71,16 +87,25 @@
     nodes = [await Shelf(database).start() for _ in range(count)]
     if consul is not None:
         for number, node in enumerate(nodes):
-            consul.catalogue.register(f"node-{number}", node.port, address="127.0.0.1",
-                                      checks={f"service:node-{number}": "passing"})
+            consul.catalogue.register(
+                f"node-{number}",
+                node.port,
+                address="127.0.0.1",
+                checks={f"service:node-{number}": "passing"},
+            )
     ports = free_ports(2 if with_cluster else 1)
     tables = ""
     if consul is not None:
         tables += f'[consul]\nagents = ["127.0.0.1:{consul.port}"]\n'
     if with_cluster:
         tables += _cluster(ports)
-    raw = configuration(discovery.port, [n.entry(f"node-{i}") for i, n in enumerate(nodes)],
-                        sockets=1024, memory_mb=192, classes=CLASSES)
+    raw = configuration(
+        discovery.port,
+        [n.entry(f"node-{i}") for i, n in enumerate(nodes)],
+        sockets=1024,
+        memory_mb=192,
+        classes=CLASSES,
+    )
     with tempfile.TemporaryDirectory() as folder:
         processes: list[Child] = []
         try:
@@ -101,9 +126,11 @@
 def _cluster(ports: list[int]) -> str:
     """The operator's table for proxies n0, n1, ... that share the slots evenly."""
     step = SLOTS // len(ports)
-    parts = "".join(f'[[cluster.proxies]]\nname = "n{place}"\naddress = "127.0.0.1:{port}"\n'
-                    f'slots = ["{place * step}-{(place + 1) * step - 1}"]\n'
-                    for place, port in enumerate(ports))
+    parts = "".join(
+        f'[[cluster.proxies]]\nname = "n{place}"\naddress = "127.0.0.1:{port}"\n'
+        f'slots = ["{place * step}-{(place + 1) * step - 1}"]\n'
+        for place, port in enumerate(ports)
+    )
     return f'[cluster]\nappear = "several"\n{parts}'
 
 
@@ -123,9 +150,14 @@
     return await Consul(Catalogue()).start()
 
 
-async def play(count: int, rate: float, ready: Callable[[Demo], None],
-               told: Callable[[Counter[str], list[float]], None] | None,
-               with_consul: bool = False, with_cluster: bool = False) -> None:
+async def play(
+    count: int,
+    rate: float,
+    ready: Callable[[Demo], None],
+    told: Callable[[Counter[str], list[float]], None] | None,
+    with_consul: bool = False,
+    with_cluster: bool = False,
+) -> None:
     """Until SIGTERM or SIGINT.  With `told`, clients ask and it hears once a second.
 
     DemoError when the daemon ends by itself.
@@ -162,11 +194,14 @@
             wait.cancel()
 
 
-async def _ask(crowd: Crowd, rate: float,
-               told: Callable[[Counter[str], list[float]], None]) -> None:
+async def _ask(
+    crowd: Crowd, rate: float, told: Callable[[Counter[str], list[float]], None]
+) -> None:
     await crowd.connect()
     while True:
         await crowd.play(rate, 1.0)
         asks, crowd.asks = crowd.asks, []
-        told(Counter(a.kind for a in asks),
-             sorted((a.answered_at - a.asked_at) * 1000.0 for a in asks if a.kind == "served"))
+        told(
+            Counter(a.kind for a in asks),
+            sorted((a.answered_at - a.asked_at) * 1000.0 for a in asks if a.kind == "served"),
+        )
--- a/limebridge/experiments/bench.py
+++ b/limebridge/experiments/bench.py
@@ -34,8 +34,9 @@
             told = json.loads(line)
         except ValueError:
             continue
-        found += [each for each in (told if isinstance(told, list) else [told])
-                  if isinstance(each, dict)]
+        found += [
+            each for each in (told if isinstance(told, list) else [told]) if isinstance(each, dict)
+        ]
     return found
 
 
@@ -52,8 +53,9 @@
     return point, measures
 
 
-async def play(name: str, arguments: list[str], times: int, store: Store,
-               limit_s: float) -> list[dict[str, Any]]:
+async def play(
+    name: str, arguments: list[str], times: int, store: Store, limit_s: float
+) -> list[dict[str, Any]]:
     """Run benchmarks/NAME.py `times` times; each is a seed of its points."""
     path = FOLDER / f"{name}.py"
     if not path.exists():
@@ -66,8 +68,13 @@
     for number in range(first, first + times):
         began = time.monotonic()
         process = await asyncio.create_subprocess_exec(
-            sys.executable, str(path), *arguments, cwd=builds.ROOT,
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            str(path),
+            *arguments,
+            cwd=builds.ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
         try:
             async with asyncio.timeout(limit_s):
                 out, err = await process.communicate()
@@ -84,8 +91,17 @@
         for row in told:
             point, measures = split(row)
             point["arguments"] = " ".join(arguments)
-            store.put(Run(id_, json.dumps(point, sort_keys=True, separators=(",", ":")), commit,
-                          number, machine=machine(), seconds=time.monotonic() - began,
-                          at=time.time(), measures=measures))
+            store.put(
+                Run(
+                    id_,
+                    json.dumps(point, sort_keys=True, separators=(",", ":")),
+                    commit,
+                    number,
+                    machine=machine(),
+                    seconds=time.monotonic() - began,
+                    at=time.time(),
+                    measures=measures,
+                )
+            )
         found += told
     return found
--- a/limebridge/experiments/builds.py
+++ b/limebridge/experiments/builds.py
@@ -37,10 +37,19 @@
     if build == HERE:
         daemon = f"here-{_print(*(ROOT / room for room in THEIRS))}"
     else:
-        daemon = _git("rev-parse", "--verify", "--quiet", "--end-of-options",
-                      f"{build}^{{commit}}", why=f"build {build}: no such commit")
-    kit = [path for path in sorted((ROOT / "limebridge").iterdir())
-           if path.is_dir() and path.name not in NO_MATTER]
+        daemon = _git(
+            "rev-parse",
+            "--verify",
+            "--quiet",
+            "--end-of-options",
+            f"{build}^{{commit}}",
+            why=f"build {build}: no such commit",
+        )
+    kit = [
+        path
+        for path in sorted((ROOT / "limebridge").iterdir())
+        if path.is_dir() and path.name not in NO_MATTER
+    ]
     return f"{daemon}.{_print(*kit, ROOT / 'limebridge' / 'experiments' / 'worker.py')}"
 
 
@@ -73,8 +82,9 @@
     if build == HERE:  # a copy: an edit while runs go on would mix two builds
         for room in (*THEIRS, *OURS):
             if (ROOT / room).is_dir():
-                shutil.copytree(ROOT / room, made / room,
-                                ignore=shutil.ignore_patterns("__pycache__"))
+                shutil.copytree(
+                    ROOT / room, made / room, ignore=shutil.ignore_patterns("__pycache__")
+                )
     else:
         _unpack(build, made)
     try:
@@ -97,22 +107,23 @@
 def _unpack(build: str, made: Path) -> None:
     """The daemon of a commit, beside this checkout's kit as it is now."""
     whole = commit(build).partition(".")[0]
-    archive = subprocess.run(["git", "-C", str(ROOT), "archive", whole, *THEIRS],
-                             capture_output=True, check=False)
+    archive = subprocess.run(
+        ["git", "-C", str(ROOT), "archive", whole, *THEIRS], capture_output=True, check=False
+    )
     if archive.returncode:
         raise NoBuild(f"build {build}: {archive.stderr.decode().strip()}")
     with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as tar:
         tar.extractall(made, filter="data")
     for room in OURS:
         if (ROOT / room).is_dir():
-            shutil.copytree(ROOT / room, made / room,
-                            ignore=shutil.ignore_patterns("__pycache__"))
+            shutil.copytree(ROOT / room, made / room, ignore=shutil.ignore_patterns("__pycache__"))
 
 
 def _git(*words: str, why: str) -> str:
     try:
-        done = subprocess.run(["git", "-C", str(ROOT), *words], capture_output=True, text=True,
-                              check=False)
+        done = subprocess.run(
+            ["git", "-C", str(ROOT), *words], capture_output=True, text=True, check=False
+        )
     except OSError as error:
         raise NoBuild(f"{why}: {error}") from None
     if done.returncode:
--- a/limebridge/experiments/charts.py
+++ b/limebridge/experiments/charts.py
@@ -47,10 +47,16 @@
     from matplotlib import pyplot
 
     style: dict[Any, Any] = {
-             "svg.fonttype": "none", "svg.hashsalt": "limebridge", "font.size": 10,
-             "axes.spines.top": False, "axes.spines.right": False, "legend.frameon": False,
-             **{f"{part}.color": INK for part in ("text", "xtick", "ytick")},
-             "axes.edgecolor": INK, "axes.labelcolor": INK}
+        "svg.fonttype": "none",
+        "svg.hashsalt": "limebridge",
+        "font.size": 10,
+        "axes.spines.top": False,
+        "axes.spines.right": False,
+        "legend.frameon": False,
+        **{f"{part}.color": INK for part in ("text", "xtick", "ytick")},
+        "axes.edgecolor": INK,
+        "axes.labelcolor": INK,
+    }
     with matplotlib.rc_context(style):
         figure, axes = pyplot.subplots(figsize=SIZE, layout="constrained")
         try:
@@ -60,13 +66,20 @@
         finally:
             pyplot.close(figure)
     text = out.getvalue()
-    text = text[text.index("<svg"):].replace(INK, "currentColor")
+    text = text[text.index("<svg") :].replace(INK, "currentColor")
     return re.sub(r' (width|height)="[\d.]+pt"', "", text, count=2)
 
 
 def _line(axes: Any, n: int, xs: Sequence[float], ys: Sequence[float], label: str) -> None:
-    axes.plot(xs, ys, color=COLOURS[n % len(COLOURS)], linestyle=DASHES[n % len(DASHES)],
-              marker=MARKS[n % len(MARKS)], markersize=4, label=label)
+    axes.plot(
+        xs,
+        ys,
+        color=COLOURS[n % len(COLOURS)],
+        linestyle=DASHES[n % len(DASHES)],
+        marker=MARKS[n % len(MARKS)],
+        markersize=4,
+        label=label,
+    )
 
 
 def ribbons(found: Sequence[Cell], factor: str, measure: str) -> Picture:
@@ -80,26 +93,38 @@
 
     def paint(axes: Any) -> None:
         for n, (label, row) in enumerate(shown):
-            row = sorted((c for c in row if c.mean(measure) is not None),
-                         key=lambda c: float(c.point[factor]))
+            row = sorted(
+                (c for c in row if c.mean(measure) is not None),
+                key=lambda c: float(c.point[factor]),
+            )
             xs = [float(c.point[factor]) for c in row]
             ys = [c.mean(measure) or 0.0 for c in row]
             _line(axes, n, xs, ys, label)
-            axes.fill_between(xs, [min(c.known(measure).values()) for c in row],
-                              [max(c.known(measure).values()) for c in row],
-                              color=COLOURS[n % len(COLOURS)], alpha=0.15, linewidth=0)
+            axes.fill_between(
+                xs,
+                [min(c.known(measure).values()) for c in row],
+                [max(c.known(measure).values()) for c in row],
+                color=COLOURS[n % len(COLOURS)],
+                alpha=0.15,
+                linewidth=0,
+            )
             bend = knee(xs, ys)
             if bend is not None:
-                axes.annotate(f"knee at {xs[bend]:g}", (xs[bend], ys[bend]),
-                              textcoords="offset points", xytext=(6, 8))
+                axes.annotate(
+                    f"knee at {xs[bend]:g}",
+                    (xs[bend], ys[bend]),
+                    textcoords="offset points",
+                    xytext=(6, 8),
+                )
         axes.set_xlabel(factor)
         axes.set_ylabel(measure)
         if len(shown) > 1:
             axes.legend(fontsize=8)
 
     more = f" (the first {MOST_LINES} of {len(lines)} lines)" if len(lines) > MOST_LINES else ""
-    return Picture(f"{measure} over {factor}; ribbons from the worst seed to the best{more}",
-                   drawn(paint))
+    return Picture(
+        f"{measure} over {factor}; ribbons from the worst seed to the best{more}", drawn(paint)
+    )
 
 
 def interaction(found: Sequence[Cell], one: str, two: str, measure: str) -> Picture:
@@ -115,8 +140,14 @@
             for x, value in enumerate(row):
                 low, high = image.get_clim()
                 dark = value < (low + high) / 2
-                axes.text(x, y, f"{value:.3g}", ha="center", va="center",
-                          color="white" if dark else "black")
+                axes.text(
+                    x,
+                    y,
+                    f"{value:.3g}",
+                    ha="center",
+                    va="center",
+                    color="white" if dark else "black",
+                )
         axes.set_xticks(range(len(columns)), [str(v) for v in columns])
         axes.set_yticks(range(len(rows)), [str(v) for v in rows])
         axes.set_xlabel(two)
@@ -131,13 +162,25 @@
 
     def paint(axes: Any) -> None:
         there = [c for c in found if c.mean(one) is not None and c.mean(two) is not None]
-        axes.scatter([c.mean(one) for c in there], [c.mean(two) for c in there],
-                     color=COLOURS[0], s=22)
-        axes.plot([c.mean(one) for c in best], [c.mean(two) for c in best], color=COLOURS[1],
-                  linestyle="--", marker="D", markersize=6)
+        axes.scatter(
+            [c.mean(one) for c in there], [c.mean(two) for c in there], color=COLOURS[0], s=22
+        )
+        axes.plot(
+            [c.mean(one) for c in best],
+            [c.mean(two) for c in best],
+            color=COLOURS[1],
+            linestyle="--",
+            marker="D",
+            markersize=6,
+        )
         for cell in best[:8]:
-            axes.annotate(cell.label, (cell.mean(one), cell.mean(two)), fontsize=7,
-                          textcoords="offset points", xytext=(5, 4))
+            axes.annotate(
+                cell.label,
+                (cell.mean(one), cell.mean(two)),
+                fontsize=7,
+                textcoords="offset points",
+                xytext=(5, 4),
+            )
         axes.set_xlabel(f"{one} ({'more' if MEASURES[one][0] else 'less'} is better)")
         axes.set_ylabel(f"{two} ({'more' if MEASURES[two][0] else 'less'} is better)")
 
@@ -160,10 +203,20 @@
 
     def paint(axes: Any) -> None:
         for seed in sorted(set().union(*means)):
-            axes.plot(range(len(names)), [m.get(seed, float("nan")) for m in means],
-                      color=INK, alpha=0.25, linewidth=0.8)
-        _line(axes, 0, range(len(names)),
-              [sum(m.values()) / len(m) if m else float("nan") for m in means], "mean")
+            axes.plot(
+                range(len(names)),
+                [m.get(seed, float("nan")) for m in means],
+                color=INK,
+                alpha=0.25,
+                linewidth=0.8,
+            )
+        _line(
+            axes,
+            0,
+            range(len(names)),
+            [sum(m.values()) / len(m) if m else float("nan") for m in means],
+            "mean",
+        )
         axes.set_xticks(range(len(names)), [str(name)[:10] for name in names])
         axes.set_ylabel(measure)
 
@@ -173,11 +226,18 @@
 def pictures(made: Experiment, found: Sequence[Cell]) -> list[Picture]:
     """Whatever the factors and measures of this experiment can show."""
     told: list[Picture] = []
-    numbers = [name for name in made.factors
-               if name != BUILD and all(_number(c.point.get(name)) for c in found)
-               and len({c.point.get(name) for c in found}) > 1]
-    factors = [name for name in (SCENARIO, *made.factors)
-               if len({str(c.point.get(name)) for c in found}) > 1]
+    numbers = [
+        name
+        for name in made.factors
+        if name != BUILD
+        and all(_number(c.point.get(name)) for c in found)
+        and len({c.point.get(name) for c in found}) > 1
+    ]
+    factors = [
+        name
+        for name in (SCENARIO, *made.factors)
+        if len({str(c.point.get(name)) for c in found}) > 1
+    ]
     drawn_at_random = made.design.kind in ("latin", "sobol")
     for measure in made.measures:
         if not any(c.mean(measure) is not None for c in found):
@@ -200,21 +260,38 @@
     def figure(value: float | None) -> str:
         return "" if value is None else f"{value:.4f}" if abs(value) < 100 else f"{value:.0f}"
 
-    environment = jinja2.Environment(autoescape=True, trim_blocks=True, lstrip_blocks=True,
-                                     undefined=jinja2.StrictUndefined)
+    environment = jinja2.Environment(
+        autoescape=True, trim_blocks=True, lstrip_blocks=True, undefined=jinja2.StrictUndefined
+    )
     text = files(__package__).joinpath("chart.html").read_text()
     commits = sorted({cell.commit[:10] for cell in found})
     return environment.from_string(text).render(
-        name=made.name, question=made.question, scenario=", ".join(made.scenarios),
+        name=made.name,
+        question=made.question,
+        scenario=", ".join(made.scenarios),
         runs=sum(row.state == "done" for row in rows),
         void=sum(row.state != "done" for row in rows),
-        commits=f"commit {', '.join(commits)}", pictures=pictures(made, found),
-        measures=made.measures, against=found[0].label,
-        rows=[{"label": c.label, "seeds": c.seeds, "figures": [figure(c.mean(m))
-                                                              for m in made.measures]}
-              for c in found],
-        compared=[{"label": r.after.label, "measure": r.measure,
-                   "by": f"{r.difference.mean:+.4f}", "low": f"{r.difference.low:+.4f}",
-                   "high": f"{r.difference.high:+.4f}", "verdict": r.verdict}
-                  for r in compared])
-
+        commits=f"commit {', '.join(commits)}",
+        pictures=pictures(made, found),
+        measures=made.measures,
+        against=found[0].label,
+        rows=[
+            {
+                "label": c.label,
+                "seeds": c.seeds,
+                "figures": [figure(c.mean(m)) for m in made.measures],
+            }
+            for c in found
+        ],
+        compared=[
+            {
+                "label": r.after.label,
+                "measure": r.measure,
+                "by": f"{r.difference.mean:+.4f}",
+                "low": f"{r.difference.low:+.4f}",
+                "high": f"{r.difference.high:+.4f}",
+                "verdict": r.verdict,
+            }
+            for r in compared
+        ],
+    )
--- a/limebridge/experiments/command.py
+++ b/limebridge/experiments/command.py
@@ -70,11 +70,15 @@
 
 
 @app.command()
-def run(what: What, store: StoreFile = HERE,
-        jobs: Annotated[int, typer.Option(min=0, help="Processes; 0 is one a core.")] = 0,
-        again: Annotated[bool, typer.Option(
-            help="Play those that came to nothing (overtime, crashed) once more.")] = False,
-        as_json: AsJson = False) -> None:
+def run(
+    what: What,
+    store: StoreFile = HERE,
+    jobs: Annotated[int, typer.Option(min=0, help="Processes; 0 is one a core.")] = 0,
+    again: Annotated[
+        bool, typer.Option(help="Play those that came to nothing (overtime, crashed) once more.")
+    ] = False,
+    as_json: AsJson = False,
+) -> None:
     """Play what is not there yet; Ctrl-C keeps what is done, and the next call goes on.
 
     Exit status 1 when a run came to nothing, 2 when the file or the store can't be used.
@@ -82,16 +86,24 @@
     made, kept = known(what), opened(store, must_be=False)
     if again:
         kept.again(made.digest, ("overtime", "crashed"))
-    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(),
-               TimeElapsedColumn())
+    columns = (
+        TextColumn("{task.description}"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeElapsedColumn(),
+    )
     try:
         with Progress(*columns, console=Console(stderr=True), disable=as_json) as shown:
             bar = shown.add_task(escape(made.name), total=None)
 
             def told(found: runner.Progress) -> None:
                 failed = f", {found.failed} came to nothing" if found.failed else ""
-                shown.update(bar, total=found.total, completed=found.before + found.played
-                             - found.busy, description=escape(made.name) + failed)
+                shown.update(
+                    bar,
+                    total=found.total,
+                    completed=found.before + found.played - found.busy,
+                    description=escape(made.name) + failed,
+                )
 
             found = asyncio.run(_run(made, kept, jobs, told))
     except (ConfigError, NoBuild, StoreError) as error:
@@ -102,12 +114,23 @@
             raise
         stop(wrong.exceptions[0])
     if as_json:
-        print(json.dumps({"total": found.total, "before": found.before, "played": found.played,
-                          "states": found.states, "spent": round(found.spent, 3),
-                          "ended": found.why or "whole"}))
+        print(
+            json.dumps(
+                {
+                    "total": found.total,
+                    "before": found.before,
+                    "played": found.played,
+                    "states": found.states,
+                    "spent": round(found.spent, 3),
+                    "ended": found.why or "whole",
+                }
+            )
+        )
     else:
-        print(f"{found.played} runs played, {found.before} were there, of {found.total}"
-              + (f"; {found.why}" if found.why else ""))
+        print(
+            f"{found.played} runs played, {found.before} were there, of {found.total}"
+            + (f"; {found.why}" if found.why else "")
+        )
         for state, count in sorted(found.states.items()):
             if state != "done":
                 print(f"  {count} {state}: `limebridge experiment show` says why")
@@ -131,15 +154,31 @@
     """Experiments that are shipped, and what the store holds of any."""
     found = opened(store).experiments() if store.exists() else []
     if as_json:
-        print(json.dumps([{"id": id_, "name": name, "question": question, "states": states,
-                           "seconds": round(seconds, 1)}
-                          for id_, name, question, states, seconds in found]))
+        print(
+            json.dumps(
+                [
+                    {
+                        "id": id_,
+                        "name": name,
+                        "question": question,
+                        "states": states,
+                        "seconds": round(seconds, 1),
+                    }
+                    for id_, name, question, states, seconds in found
+                ]
+            )
+        )
         return
     table = Table("experiment", "runs", "void", "CPU min", "question", **NARROW)
     for _, name, question, states, seconds in found:
         done = states.get("done", 0)
-        table.add_row(escape(name), str(done), str(sum(states.values()) - done),
-                      f"{seconds / 60:.1f}", escape(question))
+        table.add_row(
+            escape(name),
+            str(done),
+            str(sum(states.values()) - done),
+            f"{seconds / 60:.1f}",
+            escape(question),
+        )
     there = {name for _, name, *_ in found}
     for name, path in named().items():
         if name not in there:
@@ -157,16 +196,28 @@
 
 
 @app.command()
-def show(what: What, store: StoreFile = HERE, measure: Measures = None,
-         as_json: AsJson = False) -> None:
+def show(
+    what: What, store: StoreFile = HERE, measure: Measures = None, as_json: AsJson = False
+) -> None:
     """The mean of each measure by point, and why runs came to nothing."""
     made = known(what)
     found, rows = played(made, opened(store))
     names = _measures(made, measure)
     if as_json:
-        print(json.dumps([{"point": cell.point, "commit": cell.commit, "seeds": cell.seeds,
-                           "failed": cell.failed} | {n: cell.mean(n) for n in names}
-                          for cell in found]))
+        print(
+            json.dumps(
+                [
+                    {
+                        "point": cell.point,
+                        "commit": cell.commit,
+                        "seeds": cell.seeds,
+                        "failed": cell.failed,
+                    }
+                    | {n: cell.mean(n) for n in names}
+                    for cell in found
+                ]
+            )
+        )
         return
     table = Table("point", "seeds", *names, **NARROW)
     for cell in found:
@@ -186,12 +237,19 @@
 
 
 @app.command("compare")
-def compare_(what: What, store: StoreFile = HERE, measure: Measures = None,
-             against: Annotated[int, typer.Option(
-                 min=1, help="The point that the others are held against, as `show` lists.")] = 1,
-             builds: Annotated[bool, typer.Option(
-                 help="Each build against the first one, point by point.")] = False,
-             as_json: AsJson = False) -> None:
+def compare_(
+    what: What,
+    store: StoreFile = HERE,
+    measure: Measures = None,
+    against: Annotated[
+        int,
+        typer.Option(min=1, help="The point that the others are held against, as `show` lists."),
+    ] = 1,
+    builds: Annotated[
+        bool, typer.Option(help="Each build against the first one, point by point.")
+    ] = False,
+    as_json: AsJson = False,
+) -> None:
     """Each point against one, in pairs of equal seeds; says "cannot tell" where it can't."""
     made = known(what)
     found, _ = played(made, opened(store))
@@ -208,28 +266,50 @@
     else:
         rows = compare(base, [cell for cell in found if cell is not base], names)
     if as_json:
-        told: list[dict[str, Any]] = [{
-            "point": row.after.point, "commit": row.after.commit, "measure": row.measure,
-            "mean": row.difference.mean, "low": row.difference.low, "high": row.difference.high,
-            "pairs": row.difference.pairs, "p": row.difference.p, "verdict": row.verdict,
-            "more": row.difference.more} for row in rows]
+        told: list[dict[str, Any]] = [
+            {
+                "point": row.after.point,
+                "commit": row.after.commit,
+                "measure": row.measure,
+                "mean": row.difference.mean,
+                "low": row.difference.low,
+                "high": row.difference.high,
+                "pairs": row.difference.pairs,
+                "p": row.difference.p,
+                "verdict": row.verdict,
+                "more": row.difference.more,
+            }
+            for row in rows
+        ]
         print(json.dumps(told).replace("-Infinity", "null").replace("Infinity", "null"))
         return
     table = Table("point", "measure", "by", "95% from", "to", "pairs", "", "more seeds", **NARROW)
     for row in rows:
         of = row.difference
-        table.add_row(escape(row.after.label), row.measure, f"{of.mean:+.4f}", f"{of.low:+.4f}",
-                      f"{of.high:+.4f}", str(of.pairs), row.verdict,
-                      "" if of.more is None else f"about {of.more}")
+        table.add_row(
+            escape(row.after.label),
+            row.measure,
+            f"{of.mean:+.4f}",
+            f"{of.low:+.4f}",
+            f"{of.high:+.4f}",
+            str(of.pairs),
+            row.verdict,
+            "" if of.more is None else f"about {of.more}",
+        )
     of_whom = "the first build" if builds else base.label
-    Console().print(f"against {escape(of_whom)}; all verdicts hold together, one time in "
-                    "twenty wrong at most")
+    Console().print(
+        f"against {escape(of_whom)}; all verdicts hold together, one time in twenty wrong at most"
+    )
     Console().print(table)
 
 
 @app.command()
-def chart(what: What, out: Annotated[Path, typer.Option("--html", metavar="FILE")],
-          store: StoreFile = HERE, measure: Measures = None) -> None:
+def chart(
+    what: What,
+    out: Annotated[Path, typer.Option("--html", metavar="FILE")],
+    store: StoreFile = HERE,
+    measure: Measures = None,
+) -> None:
     """One HTML file that needs nothing else: curves, grids, fronts, all points."""
     from .charts import page
 
@@ -240,8 +320,11 @@
 
 
 @app.command()
-def export(what: What, out: Annotated[Path, typer.Argument(metavar="FILE.csv|FILE.parquet")],
-           store: StoreFile = HERE) -> None:
+def export(
+    what: What,
+    out: Annotated[Path, typer.Argument(metavar="FILE.csv|FILE.parquet")],
+    store: StoreFile = HERE,
+) -> None:
     """All rows, a column a factor, a measure and a percentile of the answers' times."""
     from .export import flat, write
 
@@ -269,8 +352,18 @@
     """
     try:
         base = named_scenario(scenario)
-        told = asyncio.run(_search(base, runs, seed, finds, folder, not random,
-                                   jobs or len(os.sched_getaffinity(0)), as_json))
+        told = asyncio.run(
+            _search(
+                base,
+                runs,
+                seed,
+                finds,
+                folder,
+                not random,
+                jobs or len(os.sched_getaffinity(0)),
+                as_json,
+            )
+        )
     except (ConfigError, NoBuild, OSError) as error:
         stop(error)
     if as_json:
@@ -278,16 +371,25 @@
     else:
         table = Table("lost", "other seeds", "kinds", "scenario", **NARROW)
         for each in told["finds"]:
-            table.add_row(f"{each['loss']:.3f}", f"{each['others']:.3f}", each["kind"],
-                          each["file"])
+            table.add_row(
+                f"{each['loss']:.3f}", f"{each['others']:.3f}", each["kind"], each["file"]
+            )
         Console().print(table)
         for plan in told["broken"]:
             print(f"a rule broke: {plan}")
     raise typer.Exit(1 if told["broken"] else 0)
 
 
-async def _search(base: Scenario, runs: int, seed: int, finds: int, folder: Path, guided: bool,
-                  jobs: int, quiet: bool) -> dict[str, Any]:
+async def _search(
+    base: Scenario,
+    runs: int,
+    seed: int,
+    finds: int,
+    folder: Path,
+    guided: bool,
+    jobs: int,
+    quiet: bool,
+) -> dict[str, Any]:
     hunt = Hunt(base, Path(".builds"), jobs)
     columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn())
     try:
@@ -295,8 +397,13 @@
             bar = shown.add_task("searching", total=runs)
 
             def told(archive: Archive) -> None:
-                shown.update(bar, completed=len(archive.tried), description=(
-                    f"worst {archive.worst_so_far[-1]:.3f}, {len(archive.best)} kinds"))
+                shown.update(
+                    bar,
+                    completed=len(archive.tried),
+                    description=(
+                        f"worst {archive.worst_so_far[-1]:.3f}, {len(archive.best)} kinds"
+                    ),
+                )
 
             archive = await hunt.go(runs, seed, guided, told)
             shown.update(bar, description="shrinking")
@@ -304,12 +411,25 @@
     finally:
         await hunt.end()
     paths = written(base, found, folder)
-    return {"scenario": base.name, "guided": guided, "seed": seed, "runs": hunt.runs,
-            "worst": archive.worst_so_far[-1], "kinds": len(archive.best),
-            "finds": [{"loss": f.loss, "others": f.others, "kind": f.kind, "file": str(path),
-                       "plan": msgspec.to_builtins(f.plan)}
-                      for f, path in zip(found, paths, strict=True)],
-            "broken": [msgspec.to_builtins(plan) for plan, _ in hunt.broken]}
+    return {
+        "scenario": base.name,
+        "guided": guided,
+        "seed": seed,
+        "runs": hunt.runs,
+        "worst": archive.worst_so_far[-1],
+        "kinds": len(archive.best),
+        "finds": [
+            {
+                "loss": f.loss,
+                "others": f.others,
+                "kind": f.kind,
+                "file": str(path),
+                "plan": msgspec.to_builtins(f.plan),
+            }
+            for f, path in zip(found, paths, strict=True)
+        ],
+        "broken": [msgspec.to_builtins(plan) for plan, _ in hunt.broken],
+    }
 
 
 @app.command()
@@ -318,7 +438,8 @@
     arguments: Annotated[list[str] | None, typer.Argument(help="Its own, behind --.")] = None,
     times: Annotated[int, typer.Option(min=1, max=1000)] = 1,
     limit: Annotated[float, typer.Option("--limit-s", min=1.0, help="Of one run.")] = 1800.0,
-    store: StoreFile = HERE, as_json: AsJson = False,
+    store: StoreFile = HERE,
+    as_json: AsJson = False,
 ) -> None:
     """Play a benchmark and keep its figures in the same store."""
     from .bench import Failed, play
--- a/limebridge/experiments/export.py
+++ b/limebridge/experiments/export.py
@@ -34,10 +34,12 @@
     told = []
     for row, point in made:
         times = percentiles(row.times) if row.times else {}
-        told.append({name: getattr(row, name) for name in FIXED}
-                    | {f"factor.{name}": point.get(name) for name in factors}
-                    | {name: row.measures.get(name) for name in MEASURES}
-                    | {f"answers.{name}": times.get(name) for name in names})
+        told.append(
+            {name: getattr(row, name) for name in FIXED}
+            | {f"factor.{name}": point.get(name) for name in factors}
+            | {name: row.measures.get(name) for name in MEASURES}
+            | {f"answers.{name}": times.get(name) for name in names}
+        )
     return told
 
 
@@ -63,8 +65,9 @@
         values = [row[name] for row in rows if row[name] is not None]
         if values and all(isinstance(v, int) and not isinstance(v, bool) for v in values):
             return "BIGINT"
-        numbers = values and all(isinstance(v, int | float) and not isinstance(v, bool)
-                                 for v in values)
+        numbers = values and all(
+            isinstance(v, int | float) and not isinstance(v, bool) for v in values
+        )
         return "DOUBLE" if numbers else "VARCHAR"
 
     names = list(rows[0])
@@ -72,8 +75,14 @@
     with duckdb.connect() as db:
         columns = ", ".join(f'"{name.replace(chr(34), "")}" {kinds[name]}' for name in names)
         db.execute(f"CREATE TABLE t ({columns})")
-        db.executemany(f"INSERT INTO t VALUES ({', '.join('?' * len(names))})", [
-            [row[n] if kinds[n] != "VARCHAR" or row[n] is None else str(row[n]) for n in names]
-            for row in rows])
-        db.execute(f"COPY t TO '{str(path).replace(chr(39), chr(39) * 2)}' (FORMAT parquet, "
-                   "COMPRESSION zstd)")
+        db.executemany(
+            f"INSERT INTO t VALUES ({', '.join('?' * len(names))})",
+            [
+                [row[n] if kinds[n] != "VARCHAR" or row[n] is None else str(row[n]) for n in names]
+                for row in rows
+            ],
+        )
+        db.execute(
+            f"COPY t TO '{str(path).replace(chr(39), chr(39) * 2)}' (FORMAT parquet, "
+            "COMPRESSION zstd)"
+        )
--- a/limebridge/experiments/hunt.py
+++ b/limebridge/experiments/hunt.py
@@ -24,8 +24,14 @@
 class Hunt:
     """One search; its workers are its own and end with it."""
 
-    def __init__(self, base: Scenario, under: Path, jobs: int, limit_s: float = 300.0,
-                 memory_mb: float = 4000.0) -> None:
+    def __init__(
+        self,
+        base: Scenario,
+        under: Path,
+        jobs: int,
+        limit_s: float = 300.0,
+        memory_mb: float = 4000.0,
+    ) -> None:
         self._base, self._limit = base, limit_s
         folder = builds.folder(HERE, under)
         self._free = [Worker(folder, memory_mb) for _ in range(jobs)]
@@ -39,8 +45,13 @@
         try:
             made = scenario_of(self._base, plan, self._base.name)
             told = await worker.play(
-                {"scenario": msgspec.to_builtins(made), "seed": made.run.seed + later,
-                 "constants": {}}, self._limit)
+                {
+                    "scenario": msgspec.to_builtins(made),
+                    "seed": made.run.seed + later,
+                    "constants": {},
+                },
+                self._limit,
+            )
         finally:
             self._free.append(worker)
         self.runs += 1
@@ -51,8 +62,13 @@
             self.broken.append((plan, told["detail"]["broken"]))
         return loss_of(measures["whole"], measures["service"])
 
-    async def go(self, budget: int, seed: int, guided: bool = True,
-                 told: Callable[[Archive], None] | None = None) -> Archive:
+    async def go(
+        self,
+        budget: int,
+        seed: int,
+        guided: bool = True,
+        told: Callable[[Archive], None] | None = None,
+    ) -> Archive:
         """The whole budget."""
         archive = Archive()
         for plans in batches(self._base, archive, budget, len(self._all), seed, guided):
@@ -105,10 +121,13 @@
     for number, each in enumerate(found, 1):
         path = folder / f"worst-{number}-{each.kind}.toml"
         made = scenario_of(base, each.plan, "")
-        about = (f"found by search on {base.name}: loses {each.loss:.3f} of the attainable, "
-                 f"{each.others:.3f} under {OTHERS} other seeds")
-        raw = msgspec.to_builtins(msgspec.structs.replace(
-            made, run=msgspec.structs.replace(made.run, about=about)))
+        about = (
+            f"found by search on {base.name}: loses {each.loss:.3f} of the attainable, "
+            f"{each.others:.3f} under {OTHERS} other seeds"
+        )
+        raw = msgspec.to_builtins(
+            msgspec.structs.replace(made, run=msgspec.structs.replace(made.run, about=about))
+        )
         del raw["name"]
         path.write_text(tomli_w.dumps(raw))
         paths.append(path)
--- a/limebridge/experiments/plan.py
+++ b/limebridge/experiments/plan.py
@@ -104,7 +104,8 @@
     path = named().get(what) or Path(what)
     if not path.exists():
         raise ConfigError(
-            f"{what}: neither an experiment of ours ({', '.join(named())}) nor a file")
+            f"{what}: neither an experiment of ours ({', '.join(named())}) nor a file"
+        )
     raw = read_toml(str(path))
     for key in ("name", "text"):
         if key in raw:
@@ -137,8 +138,10 @@
             if not found.low < found.high:
                 raise ConfigError(f"{path}: [factors] {key}: from has to be below to")
         elif not isinstance(levels, list) or not levels:
-            raise ConfigError(f"{path}: [factors] {key}: a list of levels"
-                              + (", or {from = , to = }" if made.design.kind != "grid" else ""))
+            raise ConfigError(
+                f"{path}: [factors] {key}: a list of levels"
+                + (", or {from = , to = }" if made.design.kind != "grid" else "")
+            )
     if made.design.kind == "list" and len({len(v) for v in made.factors.values()}) > 1:
         raise ConfigError(f"{path}: [factors]: in a list all have as many levels")
 
@@ -171,9 +174,14 @@
     else:
         sampler = qmc.Sobol(count, rng=made.design.seed)
         unit = sampler.random_base2(max(0, (made.design.points - 1).bit_length()))
-        unit = unit[:made.design.points]
-    return [tuple(_level(levels, float(part)) for levels, part in zip(
-        made.factors.values(), row, strict=True)) for row in unit]
+        unit = unit[: made.design.points]
+    return [
+        tuple(
+            _level(levels, float(part))
+            for levels, part in zip(made.factors.values(), row, strict=True)
+        )
+        for row in unit
+    ]
 
 
 def _level(levels: Any, part: float) -> Any:
@@ -196,11 +204,18 @@
 
 def applied(scenario: Scenario, point: Point) -> Scenario:
     """The scenario of a point.  ConfigError where its figures don't go together."""
-    return varied(scenario, {name: value for name, value in point.items()
-                             if name not in (BUILD, SCENARIO) and not name.startswith(POLICY)})
+    return varied(
+        scenario,
+        {
+            name: value
+            for name, value in point.items()
+            if name not in (BUILD, SCENARIO) and not name.startswith(POLICY)
+        },
+    )
 
 
 def constants(point: Point) -> dict[str, float]:
     """`MODULE.CONSTANT` of the decision module, by what the point says."""
-    return {name.removeprefix(POLICY): value for name, value in point.items()
-            if name.startswith(POLICY)}
+    return {
+        name.removeprefix(POLICY): value for name, value in point.items() if name.startswith(POLICY)
+    }
--- a/limebridge/experiments/runner.py
+++ b/limebridge/experiments/runner.py
@@ -110,10 +110,18 @@
         process = self._process
         if process is None or process.returncode is not None:
             process = self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "limebridge.experiments.worker", str(self._memory),
-                cwd=self._folder, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
-                stderr=asyncio.subprocess.DEVNULL, limit=LINE, start_new_session=True,
-                env=os.environ | {"OPENBLAS_NUM_THREADS": "1", "OMP_NUM_THREADS": "1"})
+                sys.executable,
+                "-m",
+                "limebridge.experiments.worker",
+                str(self._memory),
+                cwd=self._folder,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.DEVNULL,
+                limit=LINE,
+                start_new_session=True,
+                env=os.environ | {"OPENBLAS_NUM_THREADS": "1", "OMP_NUM_THREADS": "1"},
+            )
         assert process.stdin is not None and process.stdout is not None
         began = time.monotonic()
         try:
@@ -142,9 +150,14 @@
             await process.wait()
 
 
-async def run(made: Experiment, store: Store, workers: int = 0,
-              told: Told | None = None, under: Path | None = None,
-              progress: Progress | None = None) -> Progress:
+async def run(
+    made: Experiment,
+    store: Store,
+    workers: int = 0,
+    told: Told | None = None,
+    under: Path | None = None,
+    progress: Progress | None = None,
+) -> Progress:
     """Play what is not there yet.  Cancelled: what is under way is given back."""
     todo = list(jobs(made))
     progress = progress or Progress()
@@ -154,8 +167,9 @@
     have = store.done(id_)
     todo = [job for job in todo if (key(job.point), job.commit, job.seed) not in have]
     progress.before = progress.total - len(todo)
-    folders = {job.build: builds.folder(job.build, under or store.path.parent / ".builds")
-               for job in todo}
+    folders = {
+        job.build: builds.folder(job.build, under or store.path.parent / ".builds") for job in todo
+    }
     queue = iter(todo)
     until = time.monotonic() + made.budget.minutes * 60.0
     count = workers or cores()
@@ -199,18 +213,27 @@
     if job.scenario is None:
         return {"state": "invalid", "why": job.why, "seconds": 0.0}
     raw = msgspec.to_builtins(job.scenario)
-    return await worker.play({"scenario": raw, "seed": job.seed,
-                              "constants": constants(job.point)}, made.budget.limit_s)
+    return await worker.play(
+        {"scenario": raw, "seed": job.seed, "constants": constants(job.point)}, made.budget.limit_s
+    )
 
 
-def _note(progress: Progress, store: Store, name: tuple[str, str, str, int],
-          result: dict[str, Any]) -> None:
+def _note(
+    progress: Progress, store: Store, name: tuple[str, str, str, int], result: dict[str, Any]
+) -> None:
     times = result.get("times")
-    row = Run(*name, scenario=result.get("scenario", ""), machine=machine(),
-              state=result["state"], seconds=result["seconds"], at=time.time(),
-              measures=result.get("measures", {}), why=result.get("why", ""),
-              times=None if times is None else base64.b64decode(times),
-              detail=result.get("detail", {}) | {"head": builds.head()})
+    row = Run(
+        *name,
+        scenario=result.get("scenario", ""),
+        machine=machine(),
+        state=result["state"],
+        seconds=result["seconds"],
+        at=time.time(),
+        measures=result.get("measures", {}),
+        why=result.get("why", ""),
+        times=None if times is None else base64.b64decode(times),
+        detail=result.get("detail", {}) | {"head": builds.head()},
+    )
     store.put(row)
     progress.spent += row.seconds
     progress.failed += row.state != "done"
--- a/limebridge/experiments/search.py
+++ b/limebridge/experiments/search.py
@@ -29,9 +29,12 @@
 KEEPS = 0.85  # of its loss, in a plan that was shrunk
 KINDS: dict[str, tuple[float, float, float, float, float, float]] = {
     # share from, to; amount from, to; lasts from, to.  Within what the user has recorded or fears
-    "slow": (0.05, 0.5, 2.0, 10.0, 2.0, 15.0), "stalls": (0.05, 0.5, 1.0, 1.0, 0.1, 10.0),
-    "dies": (0.1, 0.3, 1.0, 1.0, 2.0, 15.0), "drains": (0.1, 0.4, 1.0, 1.0, 2.0, 10.0),
-    "hot_key": (0.05, 0.25, 1.0, 1.0, 3.0, 15.0), "scan": (0.03, 0.2, 1.0, 1.0, 3.0, 15.0),
+    "slow": (0.05, 0.5, 2.0, 10.0, 2.0, 15.0),
+    "stalls": (0.05, 0.5, 1.0, 1.0, 0.1, 10.0),
+    "dies": (0.1, 0.3, 1.0, 1.0, 2.0, 15.0),
+    "drains": (0.1, 0.4, 1.0, 1.0, 2.0, 10.0),
+    "hot_key": (0.05, 0.25, 1.0, 1.0, 3.0, 15.0),
+    "scan": (0.03, 0.2, 1.0, 1.0, 3.0, 15.0),
     "database_slow": (1.0, 1.0, 1.5, 5.0, 2.0, 12.0),
     "database_stops": (1.0, 1.0, 1.0, 1.0, 1.0, 5.0),
     "discovery_down": (1.0, 1.0, 1.0, 1.0, 2.0, 15.0),
@@ -83,10 +86,14 @@
     kind = rng.choice(kinds)
     share, share_to, amount, amount_to, lasts, lasts_to = KINDS[kind]
     length = rng.uniform(lasts, min(lasts_to, scenario.run.seconds / 2))
-    return Event(at=_at(rng.uniform(0.0, 1.0), scenario, length), kind=kind,  # type: ignore[arg-type]
-                 lasts=round(length, 2), share=round(rng.uniform(share, share_to), 3),
-                 amount=round(rng.uniform(amount, amount_to), 2),
-                 site=rng.choice(sites) if kind == "site_lost" else "")
+    return Event(
+        at=_at(rng.uniform(0.0, 1.0), scenario, length),
+        kind=kind,  # type: ignore[arg-type]
+        lasts=round(length, 2),
+        share=round(rng.uniform(share, share_to), 3),
+        amount=round(rng.uniform(amount, amount_to), 2),
+        site=rng.choice(sites) if kind == "site_lost" else "",
+    )
 
 
 def _at(part: float, scenario: Scenario, lasts: float) -> float:
@@ -128,9 +135,12 @@
     length = near(old.lasts, lasts, min(lasts_to, scenario.run.seconds / 2))
     last = max(WARM, scenario.run.seconds - LEFT - length)
     return msgspec.structs.replace(
-        old, lasts=round(length, 2), share=round(near(old.share, share, share_to), 3),
+        old,
+        lasts=round(length, 2),
+        share=round(near(old.share, share, share_to), 3),
         amount=round(near(old.amount, amount, amount_to), 2),
-        at=round(near(old.at, WARM, last), 2))
+        at=round(near(old.at, WARM, last), 2),
+    )
 
 
 def cross(rng: Random, one: Plan, two: Plan) -> Plan:
@@ -161,8 +171,9 @@
     return mutate(rng, parent(), scenario)
 
 
-def batches(scenario: Scenario, archive: Archive, budget: int, size: int, seed: int,
-            guided: bool = True) -> Iterator[list[Plan]]:
+def batches(
+    scenario: Scenario, archive: Archive, budget: int, size: int, seed: int, guided: bool = True
+) -> Iterator[list[Plan]]:
     """Plans to try, `size` at a time (so many go side by side); the caller adds what they cost."""
     rng = Random(f"search/{seed}")
     asked = 0
@@ -190,16 +201,22 @@
 
     place = 0
     while place < len(best.plan):  # events that it does not need
-        if not (yield from holds(best.plan[:place] + best.plan[place + 1:])):
+        if not (yield from holds(best.plan[:place] + best.plan[place + 1 :])):
             place += 1
     for place in range(len(best.plan)):
         for name in ("lasts", "share"):
             for _ in range(3):
                 old = best.plan[place]
                 value = round(getattr(old, name) * 0.6, 3)
-                if value < KINDS[old.kind][4 if name == "lasts" else 0] or not (yield from holds(
-                        (*best.plan[:place], msgspec.structs.replace(old, **{name: value}),
-                         *best.plan[place + 1:]))):
+                if value < KINDS[old.kind][4 if name == "lasts" else 0] or not (
+                    yield from holds(
+                        (
+                            *best.plan[:place],
+                            msgspec.structs.replace(old, **{name: value}),
+                            *best.plan[place + 1 :],
+                        )
+                    )
+                ):
                     break
     return best
 
@@ -217,8 +234,13 @@
 def scenario_of(base: Scenario, plan: Plan, name: str) -> Scenario:
     """What `limebridge rehearse` plays; its bars are taken off, since they are another plan's."""
     replace = msgspec.structs.replace
-    return replace(base, event=list(plan), name=name, bar=type(base.bar)(),
-                   run=replace(base.run, drawn_as=base.run.drawn_as or base.name))
+    return replace(
+        base,
+        event=list(plan),
+        name=name,
+        bar=type(base.bar)(),
+        run=replace(base.run, drawn_as=base.run.drawn_as or base.name),
+    )
 
 
 def loss_of(whole: float | None, service: float) -> float:
--- a/limebridge/experiments/statistics.py
+++ b/limebridge/experiments/statistics.py
@@ -37,8 +37,13 @@
     more: int | None  # seeds that would likely tell them apart; None: none would, or it is told
 
 
-def paired(before: Mapping[int, float], after: Mapping[int, float], more_is_better: bool = True,
-           alpha: float = ALPHA, seed: int = 1) -> Difference:
+def paired(
+    before: Mapping[int, float],
+    after: Mapping[int, float],
+    more_is_better: bool = True,
+    alpha: float = ALPHA,
+    seed: int = 1,
+) -> Difference:
     """By the seeds that both have."""
     both = sorted(set(before) & set(after))
     found = np.array([after[s] - before[s] for s in both], dtype=np.float64)
@@ -103,13 +108,13 @@
 def spent(look: int, alpha: float = ALPHA) -> float:
     """What the look number `look` (from 1) may use of alpha: who looks again and again after some
     more seeds, and stops at the first difference, is wrong no oftener than by alpha in all."""
-    return alpha * 0.5 ** look
+    return alpha * 0.5**look
 
 
 def warm_up(values: Sequence[float], batch: int = 5) -> int:
     """How many of a run's first values to leave out (MSER, White 1997): the cut after which the
     mean of the rest is known best; never more than half."""
-    means = [sum(values[n:n + batch]) / batch for n in range(0, len(values) - batch + 1, batch)]
+    means = [sum(values[n : n + batch]) / batch for n in range(0, len(values) - batch + 1, batch)]
     best, cut = math.inf, 0
     for first in range(len(means) // 2 + 1):
         rest = np.array(means[first:])
--- a/limebridge/experiments/store.py
+++ b/limebridge/experiments/store.py
@@ -84,13 +84,17 @@
 
     def _prepare(self) -> None:
         with self._writing():
-            there = {row[0] for row in self._db.execute(
-                "SELECT name FROM sqlite_master WHERE type = 'table'")}
+            there = {
+                row[0]
+                for row in self._db.execute("SELECT name FROM sqlite_master WHERE type = 'table'")
+            }
             if "meta" in there:
                 (version,) = self._db.execute("SELECT version FROM meta").fetchone()
                 if version > VERSION:
-                    raise StoreError(f"{self.path}: written by a later version ({version}; this "
-                                     f"one knows {VERSION})")
+                    raise StoreError(
+                        f"{self.path}: written by a later version ({version}; this "
+                        f"one knows {VERSION})"
+                    )
             elif there:
                 raise StoreError(f"{self.path}: a database, and not a store of experiments")
             for line in SCHEMA.split(";\n"):
@@ -115,18 +119,22 @@
             self._db.execute(
                 "INSERT INTO experiments VALUES (?, ?, ?, ?, ?) ON CONFLICT (id) DO UPDATE SET "
                 "name = excluded.name, question = excluded.question, file = excluded.file",
-                (id_, name, question, file, time.time()))
+                (id_, name, question, file, time.time()),
+            )
 
     def experiments(self) -> list[tuple[str, str, str, dict[str, int], float]]:
         """id, name, question, runs by state, seconds of work."""
         found = []
         for id_, name, question in self._db.execute(
-                "SELECT id, name, question FROM experiments ORDER BY name").fetchall():
+            "SELECT id, name, question FROM experiments ORDER BY name"
+        ).fetchall():
             states: dict[str, int] = {}
             total = 0.0
             for state, count, seconds in self._db.execute(
-                    "SELECT state, count(*), sum(seconds) FROM runs WHERE experiment = ? "
-                    "GROUP BY state", (id_,)):
+                "SELECT state, count(*), sum(seconds) FROM runs WHERE experiment = ? "
+                "GROUP BY state",
+                (id_,),
+            ):
                 states[state], total = count, total + seconds
             found.append((id_, name, question, states, total))
         return found
@@ -135,15 +143,22 @@
     def claim(self, name: Name) -> bool:
         """Whether this process may work on a run: nobody has done it, nobody else does."""
         with self._writing():
-            if self._db.execute("SELECT 1 FROM runs WHERE experiment = ? AND point = ? AND "
-                                "commit_ = ? AND seed = ?", name).fetchone():
+            if self._db.execute(
+                "SELECT 1 FROM runs WHERE experiment = ? AND point = ? AND "
+                "commit_ = ? AND seed = ?",
+                name,
+            ).fetchone():
                 return False
-            held = self._db.execute("SELECT holder FROM claims WHERE experiment = ? AND point = ? "
-                                    "AND commit_ = ? AND seed = ?", name).fetchone()
+            held = self._db.execute(
+                "SELECT holder FROM claims WHERE experiment = ? AND point = ? "
+                "AND commit_ = ? AND seed = ?",
+                name,
+            ).fetchone()
             if held is not None and held[0] != self._holder and alive(held[0]):
                 return False
-            self._db.execute("INSERT OR REPLACE INTO claims VALUES (?, ?, ?, ?, ?)",
-                             (*name, self._holder))
+            self._db.execute(
+                "INSERT OR REPLACE INTO claims VALUES (?, ?, ?, ?, ?)", (*name, self._holder)
+            )
             return True
 
     def release(self, name: Name) -> None:
@@ -152,18 +167,30 @@
             self._drop(name)
 
     def _drop(self, name: Name) -> None:
-        self._db.execute("DELETE FROM claims WHERE experiment = ? AND point = ? AND commit_ = ? "
-                         "AND seed = ?", name)
+        self._db.execute(
+            "DELETE FROM claims WHERE experiment = ? AND point = ? AND commit_ = ? AND seed = ?",
+            name,
+        )
 
     def put(self, run: Run) -> bool:
         """One result, once: False when there is one already."""
-        detail = None if run.detail is None else zstandard.compress(
-            json.dumps(run.detail).encode())
+        detail = None if run.detail is None else zstandard.compress(json.dumps(run.detail).encode())
         with self._writing():
             done = self._db.execute(
                 "INSERT OR IGNORE INTO runs VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)",
-                (*run.name, run.scenario, run.machine, run.state, run.seconds, run.at,
-                 json.dumps(run.measures), run.why, run.times, detail))
+                (
+                    *run.name,
+                    run.scenario,
+                    run.machine,
+                    run.state,
+                    run.seconds,
+                    run.at,
+                    json.dumps(run.measures),
+                    run.why,
+                    run.times,
+                    detail,
+                ),
+            )
             self._drop(run.name)
             return done.rowcount == 1
 
@@ -172,13 +199,19 @@
         those of machines that are gone.  A run played twice by that is counted once."""
         with self._writing():
             self._db.execute("DELETE FROM claims WHERE experiment = ?", (experiment,))
-            return sum(self._db.execute(
-                "DELETE FROM runs WHERE experiment = ? AND state = ?", (experiment, state)).rowcount
-                for state in states)
+            return sum(
+                self._db.execute(
+                    "DELETE FROM runs WHERE experiment = ? AND state = ?", (experiment, state)
+                ).rowcount
+                for state in states
+            )
 
     def done(self, experiment: str) -> set[tuple[str, str, int]]:
-        return set(self._db.execute(
-            "SELECT point, commit_, seed FROM runs WHERE experiment = ?", (experiment,)))
+        return set(
+            self._db.execute(
+                "SELECT point, commit_, seed FROM runs WHERE experiment = ?", (experiment,)
+            )
+        )
 
     def version(self) -> int:
         """Another number once another process has written."""
@@ -186,22 +219,41 @@
 
     def run(self, name: Name) -> Run | None:
         """One row, whole."""
-        return next(self._rows("times, detail", "experiment = ? AND point = ? AND commit_ = ? "
-                               "AND seed = ?", name), None)
+        return next(
+            self._rows(
+                "times, detail", "experiment = ? AND point = ? AND commit_ = ? AND seed = ?", name
+            ),
+            None,
+        )
 
     def runs(self, experiment: str, whole: bool = False) -> Iterator[Run]:
         """In the order of their names.  `whole`: with histogram and detail."""
-        return self._rows("times, detail" if whole else "NULL, NULL", "experiment = ?",
-                          (experiment,))
+        return self._rows(
+            "times, detail" if whole else "NULL, NULL", "experiment = ?", (experiment,)
+        )
 
     def _rows(self, more: str, where: str, values: tuple[object, ...]) -> Iterator[Run]:
         for row in self._db.execute(
-                f"SELECT experiment, point, commit_, seed, scenario, machine, state, seconds, at, "
-                f"measures, why, {more} FROM runs WHERE {where} ORDER BY point, commit_, seed",
-                values):
+            f"SELECT experiment, point, commit_, seed, scenario, machine, state, seconds, at, "
+            f"measures, why, {more} FROM runs WHERE {where} ORDER BY point, commit_, seed",
+            values,
+        ):
             detail = None if row[12] is None else json.loads(zstandard.decompress(row[12]))
-            yield Run(row[0], row[1], row[2], row[3], row[4], row[5], row[6], row[7], row[8],
-                      json.loads(row[9]), row[10], row[11], detail)
+            yield Run(
+                row[0],
+                row[1],
+                row[2],
+                row[3],
+                row[4],
+                row[5],
+                row[6],
+                row[7],
+                row[8],
+                json.loads(row[9]),
+                row[10],
+                row[11],
+                detail,
+            )
 
 
 class _Transaction:
--- a/limebridge/experiments/tables.py
+++ b/limebridge/experiments/tables.py
@@ -40,8 +40,11 @@
     @property
     def label(self) -> str:
         """Short, for a table or a chart."""
-        words = [f"{name.rpartition('.')[2]}={value}" if name != SCENARIO else str(value)
-                 for name, value in self.point.items() if name != BUILD]
+        words = [
+            f"{name.rpartition('.')[2]}={value}" if name != SCENARIO else str(value)
+            for name, value in self.point.items()
+            if name != BUILD
+        ]
         if BUILD in self.point:
             words.append(f"build={self.commit[:8]}")
         return " ".join(words) or "as it is"
@@ -69,9 +72,11 @@
     for run in runs:
         if run.at >= last.get(run.point, (0.0, ""))[0]:
             last[run.point] = run.at, run.commit
-    return [cell for cell in found
-            if last[json.dumps(cell.point, sort_keys=True, separators=(",", ":"))][1]
-            == cell.commit]
+    return [
+        cell
+        for cell in found
+        if last[json.dumps(cell.point, sort_keys=True, separators=(",", ":"))][1] == cell.commit
+    ]
 
 
 @dataclass(frozen=True)
@@ -90,36 +95,58 @@
 
 def by_build(found: Sequence[Cell]) -> list[tuple[Cell, Cell]]:
     """Each point of a later build with the same point of the first one."""
+
     def rest(cell: Cell) -> str:
         return str(sorted((k, str(v)) for k, v in cell.point.items() if k != BUILD))
 
     first = {rest(c): c for c in found if c.point.get(BUILD) == found[0].point.get(BUILD)}
-    return [(first[rest(c)], c) for c in found
-            if rest(c) in first and first[rest(c)] is not c]
+    return [(first[rest(c)], c) for c in found if rest(c) in first and first[rest(c)] is not c]
 
 
 def compare_pairs(pairs: Sequence[tuple[Cell, Cell]], measures: Sequence[str]) -> list[Compared]:
     """Each pair on all measures, as `compare`."""
-    rows = [(before, cell, measure, paired(before.known(measure), cell.known(measure),
-                                           MEASURES[measure][0]))
-            for before, cell in pairs for measure in measures]
+    rows = [
+        (
+            before,
+            cell,
+            measure,
+            paired(before.known(measure), cell.known(measure), MEASURES[measure][0]),
+        )
+        for before, cell in pairs
+        for measure in measures
+    ]
     holds = holm([difference.p for *_, difference in rows])
-    return [Compared(before, cell, measure, difference,
-                     difference.verdict if hold or difference.p == 1.0 else CANNOT)
-            for (before, cell, measure, difference), hold in zip(rows, holds, strict=True)]
+    return [
+        Compared(
+            before,
+            cell,
+            measure,
+            difference,
+            difference.verdict if hold or difference.p == 1.0 else CANNOT,
+        )
+        for (before, cell, measure, difference), hold in zip(rows, holds, strict=True)
+    ]
 
 
 def front(found: Sequence[Cell], one: str, two: str) -> list[Cell]:
     """Those that no other beats in both measures, by the first."""
+
     def worth(cell: Cell, measure: str) -> float:
         value = cell.mean(measure)
         assert value is not None
         return value if MEASURES[measure][0] else -value
 
     there = [c for c in found if c.mean(one) is not None and c.mean(two) is not None]
-    kept = [c for c in there if not any(
-        worth(o, one) >= worth(c, one) and worth(o, two) >= worth(c, two)
-        and (worth(o, one) > worth(c, one) or worth(o, two) > worth(c, two)) for o in there)]
+    kept = [
+        c
+        for c in there
+        if not any(
+            worth(o, one) >= worth(c, one)
+            and worth(o, two) >= worth(c, two)
+            and (worth(o, one) > worth(c, one) or worth(o, two) > worth(c, two))
+            for o in there
+        )
+    ]
     return sorted(kept, key=lambda c: worth(c, one))
 
 
@@ -139,8 +166,9 @@
     return place
 
 
-def grid(found: Sequence[Cell], one: str, two: str, measure: str) -> Mapping[
-        tuple[Any, Any], float]:
+def grid(
+    found: Sequence[Cell], one: str, two: str, measure: str
+) -> Mapping[tuple[Any, Any], float]:
     """The mean by two factors' levels, over the others."""
     sums: dict[tuple[Any, Any], list[float]] = defaultdict(list)
     for cell in found:
--- a/limebridge/experiments/watch.py
+++ b/limebridge/experiments/watch.py
@@ -40,7 +40,9 @@
     """A screen that asks the store again and again."""
 
     BINDINGS: ClassVar[list[BindingType]] = [
-        ("escape", "app.back", "Back"), ("q", "app.quit", "Quit")]
+        ("escape", "app.back", "Back"),
+        ("q", "app.quit", "Quit"),
+    ]
 
     @property
     def store(self) -> Store:
@@ -75,11 +77,22 @@
         yield Footer()
 
     def look(self) -> None:
-        fill(self.query_one(DataTable), (
-            (id_, [name, str(states.get("done", 0)),
-                   str(sum(states.values()) - states.get("done", 0)), f"{seconds / 60:.1f}",
-                   question])
-            for id_, name, question, states, seconds in self.store.experiments()))
+        fill(
+            self.query_one(DataTable),
+            (
+                (
+                    id_,
+                    [
+                        name,
+                        str(states.get("done", 0)),
+                        str(sum(states.values()) - states.get("done", 0)),
+                        f"{seconds / 60:.1f}",
+                        question,
+                    ],
+                )
+                for id_, name, question, states, seconds in self.store.experiments()
+            ),
+        )
 
     def on_data_table_row_selected(self, event: DataTable.RowSelected) -> None:
         if event.row_key.value is not None:
@@ -111,20 +124,41 @@
         self._names = sorted({n for c in found for n in c.values}) or ["service"]
         name = self._names[self._measure % len(self._names)]
         more = MEASURES.get(name, (True, ""))[0]
-        ranked = sorted((c for c in found if c.mean(name) is not None),
-                        key=lambda c: c.mean(name) or 0.0, reverse=more)
+        ranked = sorted(
+            (c for c in found if c.mean(name) is not None),
+            key=lambda c: c.mean(name) or 0.0,
+            reverse=more,
+        )
         told = f"{name}, {'more' if more else 'less'} is better; {len(rows)} runs."
         if ranked:
-            told += (f"  Best {ranked[0].mean(name):.4g} {ranked[0].label}; "
-                     f"worst {ranked[-1].mean(name):.4g} {ranked[-1].label}")
+            told += (
+                f"  Best {ranked[0].mean(name):.4g} {ranked[0].label}; "
+                f"worst {ranked[-1].mean(name):.4g} {ranked[-1].label}"
+            )
         self.query_one("#best", Static).update(Text(told))
-        values = [row.measures[name] for row in sorted(rows, key=lambda r: r.at)
-                  if row.measures.get(name) is not None]
+        values = [
+            row.measures[name]
+            for row in sorted(rows, key=lambda r: r.at)
+            if row.measures.get(name) is not None
+        ]
         self.query_one(Sparkline).data = [float(v or 0.0) for v in values[-200:]]
         self._cells = {f"{n}": cell for n, cell in enumerate(found[:ROWS])}
-        fill(self.query_one(DataTable), (
-            (key, [cell.label, str(cell.seeds), str(cell.failed), _four(cell.mean(name)),
-                   _four(_worst(cell, name, more))]) for key, cell in self._cells.items()))
+        fill(
+            self.query_one(DataTable),
+            (
+                (
+                    key,
+                    [
+                        cell.label,
+                        str(cell.seeds),
+                        str(cell.failed),
+                        _four(cell.mean(name)),
+                        _four(_worst(cell, name, more)),
+                    ],
+                )
+                for key, cell in self._cells.items()
+            ),
+        )
 
     def action_measure(self) -> None:
         self._measure += 1
@@ -155,13 +189,29 @@
         import json
 
         point = json.dumps(self._cell.point, sort_keys=True, separators=(",", ":"))
-        self._rows = {str(row.seed): row for row in self.store.runs(self._experiment)
-                      if row.point == point and row.commit == self._cell.commit}
-        fill(self.query_one(DataTable), (
-            (key, [key, row.state, _four(row.measures.get("service")),
-                   _four(row.measures.get("worst")), _four(row.measures.get("p99_ms")),
-                   f"{row.seconds:.1f}", row.why])
-            for key, row in list(self._rows.items())[:ROWS]))
+        self._rows = {
+            str(row.seed): row
+            for row in self.store.runs(self._experiment)
+            if row.point == point and row.commit == self._cell.commit
+        }
+        fill(
+            self.query_one(DataTable),
+            (
+                (
+                    key,
+                    [
+                        key,
+                        row.state,
+                        _four(row.measures.get("service")),
+                        _four(row.measures.get("worst")),
+                        _four(row.measures.get("p99_ms")),
+                        f"{row.seconds:.1f}",
+                        row.why,
+                    ],
+                )
+                for key, row in list(self._rows.items())[:ROWS]
+            ),
+        )
 
     def on_data_table_row_selected(self, event: DataTable.RowSelected) -> None:
         row = self._rows.get(str(event.row_key.value))
@@ -192,18 +242,27 @@
     def _show(self, row: Run) -> None:
         detail = row.detail or {}
         self.query_one(Sparkline).data = [
-            earned / asked if asked else 1.0 for asked, earned in detail.get("seconds", [])]
-        lines = [f"seed {row.seed}, {row.state} {row.why}",
-                 f"worst ten seconds from {detail.get('worst_at', 0):g} s on"]
-        lines += [f"lost {part:.4f}: {what}" for what, part in
-                  list(detail.get("blame", {}).items())[:5]]
+            earned / asked if asked else 1.0 for asked, earned in detail.get("seconds", [])
+        ]
+        lines = [
+            f"seed {row.seed}, {row.state} {row.why}",
+            f"worst ten seconds from {detail.get('worst_at', 0):g} s on",
+        ]
+        lines += [
+            f"lost {part:.4f}: {what}" for what, part in list(detail.get("blame", {}).items())[:5]
+        ]
         costs = sorted(detail.get("costs", []), key=lambda c: -c[1])[:3]
-        lines += [f"second {second}: {by} ({part:.0%} of {lost:.2f})"
-                  for second, lost, by, part in costs]
+        lines += [
+            f"second {second}: {by} ({part:.0%} of {lost:.2f})" for second, lost, by, part in costs
+        ]
         self.query_one("#words", Static).update(Text("\n".join(lines)))
-        fill(self.query_one(DataTable), (
-            (str(n), [f"{at:.3f}", cls, tenant, site, ", ".join(ends)])
-            for n, (at, cls, tenant, site, ends) in enumerate(detail.get("unserved", []))))
+        fill(
+            self.query_one(DataTable),
+            (
+                (str(n), [f"{at:.3f}", cls, tenant, site, ", ".join(ends)])
+                for n, (at, cls, tenant, site, ends) in enumerate(detail.get("unserved", []))
+            ),
+        )
 
 
 class Watch(App[None]):
--- a/limebridge/experiments/worker.py
+++ b/limebridge/experiments/worker.py
@@ -48,18 +48,36 @@
         if each.answered is not None:
             times.record_value(max(LEAST_US, round((each.answered - each.at) * 1e6)))
     share = told["share"] or {}
-    measures = {name: told[name] for name in (
-        "service", "worst", "worst_class", "total", "p99_ms", "database_most", "crossed")}
+    measures = {
+        name: told[name]
+        for name in (
+            "service",
+            "worst",
+            "worst_class",
+            "total",
+            "p99_ms",
+            "database_most",
+            "crossed",
+        )
+    }
     measures |= {name: share.get(name) for name in ("whole", "trouble", "after", "back", "swing")}
     measures["broken"] = len(result.broken)
     detail = {
-        "failed": told["failed"], "blame": told["blame"], "costs": told["costs"],
-        "worst_at": told["worst_at"], "ends": told["ends"],
+        "failed": told["failed"],
+        "blame": told["blame"],
+        "costs": told["costs"],
+        "worst_at": told["worst_at"],
+        "ends": told["ends"],
         "seconds": [[round(a, 4), round(e, 4)] for a, e in result.score.seconds],
         "unserved": [[round(a.at, 4), a.cls, a.tenant, a.site, a.ends] for a in result.unserved],
-        "broken": told["broken"]}
-    return {"state": "done", "measures": measures, "detail": detail,
-            "times": base64.b64encode(times.encode()).decode()}
+        "broken": told["broken"],
+    }
+    return {
+        "state": "done",
+        "measures": measures,
+        "detail": detail,
+        "times": base64.b64encode(times.encode()).decode(),
+    }
 
 
 @contextmanager
--- a/limebridge/faults/billed.py
+++ b/limebridge/faults/billed.py
@@ -58,10 +58,20 @@
         self.periods = Periods("UTC", MINUTES)
 
     def more_tables(self, daemon: Daemon) -> dict[str, Any]:
-        return {"ledger": {
-            "folder": str(self.ledgers), "period_min": MINUTES, "grace_s": 30.0, "flush_s": 0.05,
-            "ids": True, "retry_s": 0.05, "retry_most_s": 0.5, "export": "files",
-            "export_folder": str(self.out), "closings": True}}
+        return {
+            "ledger": {
+                "folder": str(self.ledgers),
+                "period_min": MINUTES,
+                "grace_s": 30.0,
+                "flush_s": 0.05,
+                "ids": True,
+                "retry_s": 0.05,
+                "retry_most_s": 0.5,
+                "export": "files",
+                "export_folder": str(self.out),
+                "closings": True,
+            }
+        }
 
     async def open(self) -> None:
         await super().open()
@@ -75,8 +85,17 @@
     async def _serves(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
         fields = dict(item.split("=") for item in words[3].decode().split(","))
         id_ = words[2].decode()
-        self.rows.append(json.dumps({"proxy": id_.partition("-")[0], "tenant": fields["t"],
-                                     "class": fields["c"], "at": self.wall(), "id": id_}))
+        self.rows.append(
+            json.dumps(
+                {
+                    "proxy": id_.partition("-")[0],
+                    "tenant": fields["t"],
+                    "class": fields["c"],
+                    "at": self.wall(),
+                    "id": id_,
+                }
+            )
+        )
         writer.write(reply(b"value"))
 
     async def schedule(self) -> None:
@@ -92,8 +111,10 @@
                 reader, writer = await asyncio.open_connection("127.0.0.1", daemon.child.port)
                 while not self.ends:
                     self.asked += 1
-                    tenant, cls = rng.choice((b"acme", b"zeta", b"city")), rng.choice(
-                        (b"lookup", b"optout"))
+                    tenant, cls = (
+                        rng.choice((b"acme", b"zeta", b"city")),
+                        rng.choice((b"lookup", b"optout")),
+                    )
                     listed = b"c=%b,t=%b,d=3000" % (cls, tenant)
                     id_ = f"{daemon.name}-{self.asked}".encode()
                     words = [b"OBJ.GET", b"k%d" % rng.randrange(50), id_, listed]
@@ -133,9 +154,11 @@
         for daemon in self.daemons:
             if any(d.proxy == daemon.name for d in found.differences):
                 Folder(self.ledgers / daemon.name).put(
-                    f"{SIGNED}0.json", corrections(found, daemon.name, "the operator"))
-        self.history.notes.append(f"{sum(served.values())} served, {found.short} short, "
-                                  f"{found.moved} moved")
+                    f"{SIGNED}0.json", corrections(found, daemon.name, "the operator")
+                )
+        self.history.notes.append(
+            f"{sum(served.values())} served, {found.short} short, {found.moved} moved"
+        )
         units: Counter[tuple[str | None, str]] = Counter()
         for (_, _, tenant, cls), count in served.items():
             units[tenant, cls] += count
@@ -148,9 +171,14 @@
                         made[tenant, cls] += count
             return made
 
-        await self.until(lambda: +billed() == +units, "bills", lambda: (
-            f"served {sum(units.values())}, settled {sum(billed().values())}: "
-            f"{dict(units - billed())} short, {dict(billed() - units)} too many"))
+        await self.until(
+            lambda: +billed() == +units,
+            "bills",
+            lambda: (
+                f"served {sum(units.values())}, settled {sum(billed().values())}: "
+                f"{dict(units - billed())} short, {dict(billed() - units)} too many"
+            ),
+        )
         self._judge_keys()
 
     def _all_out(self) -> bool:
@@ -166,8 +194,9 @@
 
     def _exported(self) -> Exported:
         found = Exported()
-        for name in sorted({path.name for path in (*self.out.glob("*.jsonl"),
-                                                   *self.out.glob("settled/*.jsonl"))}):
+        for name in sorted(
+            {path.name for path in (*self.out.glob("*.jsonl"), *self.out.glob("settled/*.jsonl"))}
+        ):
             try:  # an owner moves them when they are settled, and never back
                 text = (self.out / name).read_text()
             except FileNotFoundError:
--- a/limebridge/faults/budgets.py
+++ b/limebridge/faults/budgets.py
@@ -68,8 +68,10 @@
     def __post_init__(self) -> None:
         if not self.left:
             self.left = {name: getattr(self.bounds, name) for name in KINDS}
-            self.lives = [Loans(HOME, TERMS, self.clock(place) - TERMS.loan_s)
-                          for place in range(self.bounds.names)]
+            self.lives = [
+                Loans(HOME, TERMS, self.clock(place) - TERMS.loan_s)
+                for place in range(self.bounds.names)
+            ]
             self.life = [0] * self.bounds.names
 
     def clock(self, place: int) -> float:
@@ -103,8 +105,10 @@
                         yield ("ask", place, other, amount)
                 if left["asks"] and self.lives[place].is_open(f"p{other}"):
                     yield ("give up", place, other)
-                if left["backs"] and (f"p{other}" in self.lives[place].lenders()
-                                      or self.lives[place].is_open(f"p{other}")):
+                if left["backs"] and (
+                    f"p{other}" in self.lives[place].lenders()
+                    or self.lives[place].is_open(f"p{other}")
+                ):
                     yield ("back", place, other)
 
     def step(self, what: str, *args: Any) -> None:
@@ -153,14 +157,25 @@
         match message.kind:
             case "ask":
                 amount = loans.asked(now, message.life, message.number, message.amount, 0)
-                self._send(Message("lend", self.name(place), message.life.partition("/")[0],
-                                   message.number, amount, message.life))
+                self._send(
+                    Message(
+                        "lend",
+                        self.name(place),
+                        message.life.partition("/")[0],
+                        message.number,
+                        amount,
+                        message.life,
+                    )
+                )
             case "lend":
                 if message.life != self.name(place):
                     return
                 lender = message.from_life.partition("/")[0]
-                if not loans.granted(now, lender, message.number, message.amount) \
-                        and message.amount and self.left["backs"]:
+                if (
+                    not loans.granted(now, lender, message.number, message.amount)
+                    and message.amount
+                    and self.left["backs"]
+                ):
                     number = loans.unwanted(lender, message.number)
                     if number:
                         self.left["backs"] -= 1
@@ -173,12 +188,23 @@
 
     # --- states ---
     def key(self) -> Any:
-        return (round(self.now, 6), tuple(self.life), self.net, tuple(self.left.values()),
-                tuple((loans._number, tuple(sorted(loans._asked.items())),
-                       tuple(sorted(loans._held.items(), key=lambda at: at[0])),
-                       tuple(sorted((life, tuple(lent)) for life, lent in loans._lent.items())),
-                       tuple(sorted(loans._seen.items())), loans._full_at)
-                      for loans in self.lives))
+        return (
+            round(self.now, 6),
+            tuple(self.life),
+            self.net,
+            tuple(self.left.values()),
+            tuple(
+                (
+                    loans._number,
+                    tuple(sorted(loans._asked.items())),
+                    tuple(sorted(loans._held.items(), key=lambda at: at[0])),
+                    tuple(sorted((life, tuple(lent)) for life, lent in loans._lent.items())),
+                    tuple(sorted(loans._seen.items())),
+                    loans._full_at,
+                )
+                for loans in self.lives
+            ),
+        )
 
     def before(self, event: tuple[Any, ...]) -> World:
         return self.copy()
@@ -187,8 +213,9 @@
         """Nothing is sent any more: each has all of its home part again, and nothing else."""
         later = self.copy()
         later.now += 4.0
-        back = all(loans.authority(later.clock(place)) == HOME
-                   for place, loans in enumerate(later.lives))
+        back = all(
+            loans.authority(later.clock(place)) == HOME for place, loans in enumerate(later.lives)
+        )
         return "" if back else "back"
 
 
--- a/limebridge/faults/command.py
+++ b/limebridge/faults/command.py
@@ -31,8 +31,12 @@
 
 app = typer.Typer(no_args_is_help=True, help="Several processes, and what breaks between them.")
 app.add_typer(sharing, name="sharing")
-PatchFile = Annotated[Path | None, typer.Option(
-    "--patch", metavar="FILE", help="A Python file whose plant() each daemon calls first.")]
+PatchFile = Annotated[
+    Path | None,
+    typer.Option(
+        "--patch", metavar="FILE", help="A Python file whose plant() each daemon calls first."
+    ),
+]
 SHOWN = 3  # broken plans that are made small and told
 
 
@@ -42,10 +46,16 @@
     first: Annotated[int, typer.Option("--from", min=0, help="The first seed.")] = 0,
     jobs: Annotated[int, typer.Option(min=0, help="Plans at once; 0 is one a core.")] = 0,
     store: Annotated[str, typer.Option(help="folder or consul; else as the seeds say.")] = "",
-    settles: Annotated[bool | None, typer.Option(
-        "--settles/--beats", help="With ledgers and settlement, or without; else by seed.")] = None,
-    keep: Annotated[Path | None, typer.Option(
-        metavar="DIR", help="Where plans of what broke are written, made small.")] = None,
+    settles: Annotated[
+        bool | None,
+        typer.Option(
+            "--settles/--beats", help="With ledgers and settlement, or without; else by seed."
+        ),
+    ] = None,
+    keep: Annotated[
+        Path | None,
+        typer.Option(metavar="DIR", help="Where plans of what broke are written, made small."),
+    ] = None,
     patch: PatchFile = None,
     as_json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
 ) -> None:
@@ -53,8 +63,9 @@
     if store not in ("", "folder", "consul"):
         typer.echo(f"limebridge: --store {store}: folder or consul", err=True)
         raise typer.Exit(2)
-    where: Literal["folder", "consul"] | None = \
+    where: Literal["folder", "consul"] | None = (
         "folder" if store == "folder" else "consul" if store == "consul" else None
+    )
     signal.signal(signal.SIGTERM, _ends_with)
     chosen = [plans.draw(seed, where, settles) for seed in range(first, first + seeds)]
     began, told = time.monotonic(), list[explore.Told]()
@@ -78,14 +89,20 @@
         typer.echo(f"{line}\n{small.story}", err=True)
     gaps = sorted(gap for each in told for kind, gap in each.gaps if kind != "end")
     summary = {
-        "plans": len(told), "seconds": round(seconds, 1),
+        "plans": len(told),
+        "seconds": round(seconds, 1),
         "plans_a_minute": round(60.0 * len(told) / seconds, 1),
         "effects": sum(each.effects for each in told),
         "faults": dict(Counter(f.kind for each in told for f in each.plan.fault).most_common()),
         "changes_of_owner": len(gaps),
-        "without_owner_s": {str(part): round(gaps[min(len(gaps) - 1, int(part * len(gaps)))], 3)
-                            for part in (0.5, 0.9, 0.99, 1.0)} if gaps else {},
-        "broken": [[each.plan.seed, *each.broken[0]] for each in bad]}
+        "without_owner_s": {
+            str(part): round(gaps[min(len(gaps) - 1, int(part * len(gaps)))], 3)
+            for part in (0.5, 0.9, 0.99, 1.0)
+        }
+        if gaps
+        else {},
+        "broken": [[each.plan.seed, *each.broken[0]] for each in bad],
+    }
     if as_json:
         print(json.dumps(summary))
     else:
@@ -101,18 +118,25 @@
     what: Annotated[str, typer.Argument(metavar="FILE_OR_SEED")],
     store: Annotated[str, typer.Option(help="As it was given to run.")] = "",
     settles: Annotated[bool | None, typer.Option("--settles/--beats")] = None,
-    in_memory: Annotated[bool, typer.Option(
-        "--virtual", help="In memory, as `explore --fleet` plays it: exact.")] = False,
-    tries: Annotated[int, typer.Option(min=1, max=10_000, help=(
-        "Under so many seeds, until one breaks something: its waits and clocks differ."))] = 1,
+    in_memory: Annotated[
+        bool, typer.Option("--virtual", help="In memory, as `explore --fleet` plays it: exact.")
+    ] = False,
+    tries: Annotated[
+        int,
+        typer.Option(
+            min=1,
+            max=10_000,
+            help=("Under so many seeds, until one breaks something: its waits and clocks differ."),
+        ),
+    ] = 1,
     patch: PatchFile = None,
 ) -> None:
     """Play one plan again and tell its story.  Exit status 1 when it breaks something."""
-    where: Literal["folder", "consul"] | None = \
+    where: Literal["folder", "consul"] | None = (
         "folder" if store == "folder" else "consul" if store == "consul" else None
+    )
     try:
-        plan = plans.draw(int(what), where, settles) if what.isdecimal() \
-            else plans.read(Path(what))
+        plan = plans.draw(int(what), where, settles) if what.isdecimal() else plans.read(Path(what))
     except ConfigError as error:
         typer.echo(f"limebridge: {error}", err=True)
         raise typer.Exit(2) from None
@@ -132,15 +156,20 @@
 
 
 @app.command("list")
-def list_(seed: Annotated[int | None, typer.Argument(help="The plan of this seed.")] = None,
-          ) -> None:
+def list_(
+    seed: Annotated[int | None, typer.Argument(help="The plan of this seed.")] = None,
+) -> None:
     """The kinds of faults, or what a seed's plan is."""
     if seed is not None:
         print(plans.dump(plans.draw(seed)))
         return
     table = Table("to", "kinds", box=None)
-    for to, kinds in (("a process", plans.PROCESS), ("a way", plans.WAYS),
-                      ("a shared folder", plans.FOLDER), ("a Consul", plans.CONSUL)):
+    for to, kinds in (
+        ("a process", plans.PROCESS),
+        ("a way", plans.WAYS),
+        ("a shared folder", plans.FOLDER),
+        ("a Consul", plans.CONSUL),
+    ):
         table.add_row(to, ", ".join(dict.fromkeys(kinds)))
     Console().print(table)
 
@@ -156,8 +185,9 @@
     raise typer.Exit(found.tell(time.monotonic() - began))
 
 
-def explore_fleet(first: int, seeds: int, jobs: int, prepare: Callable[[], None] | None,
-                  as_json: bool) -> int:
+def explore_fleet(
+    first: int, seeds: int, jobs: int, prepare: Callable[[], None] | None, as_json: bool
+) -> int:
     """`limebridge explore --fleet`: the same plans in memory; the exit status."""
     began, played, effects = time.monotonic(), 0, 0
     bad: list[virtual.Outcome] = []
@@ -177,17 +207,28 @@
         prepare()
     for each in bad[:SHOWN]:
         small = virtual.shrink(each)
-        typer.echo(f"seed {each.plan.seed}, made small:\n{plans.dump(small.plan)}{small.story}",
-                   err=True)
+        typer.echo(
+            f"seed {each.plan.seed}, made small:\n{plans.dump(small.plan)}{small.story}", err=True
+        )
     gaps.sort()
-    told = {"first": first, "seeds": played, "seconds": round(time.monotonic() - began, 1),
-            "effects": effects, "changes_of_owner": len(gaps),
-            "without_owner_s": {str(part): round(gaps[min(len(gaps) - 1, int(part * len(gaps)))], 3)
-                                for part in (0.5, 0.9, 0.99, 1.0)} if gaps else {},
-            "broken": [[each.plan.seed, *each.broken[0]] for each in bad],
-            "digest": digest.hexdigest()}
-    print(json.dumps(told) if as_json else
-          "\n".join(f"{key}: {value}" for key, value in told.items()))
+    told = {
+        "first": first,
+        "seeds": played,
+        "seconds": round(time.monotonic() - began, 1),
+        "effects": effects,
+        "changes_of_owner": len(gaps),
+        "without_owner_s": {
+            str(part): round(gaps[min(len(gaps) - 1, int(part * len(gaps)))], 3)
+            for part in (0.5, 0.9, 0.99, 1.0)
+        }
+        if gaps
+        else {},
+        "broken": [[each.plan.seed, *each.broken[0]] for each in bad],
+        "digest": digest.hexdigest(),
+    }
+    print(
+        json.dumps(told) if as_json else "\n".join(f"{key}: {value}" for key, value in told.items())
+    )
     return 1 if bad else 0
 
 
--- a/limebridge/faults/daemon.py
+++ b/limebridge/faults/daemon.py
@@ -47,17 +47,26 @@
     def operator(self) -> Path:
         plan = self.rig.plan
         fleet: dict[str, Any] = {
-            "store": plan.store, "works": self.works, "term_s": plan.term_s, "look_s": 0.1,
-            "call_s": 0.4, "beat_s": BEAT, "move_s": 1.0,
-            "endpoint": f"127.0.0.1:{self.ways[0].port}"}
+            "store": plan.store,
+            "works": self.works,
+            "term_s": plan.term_s,
+            "look_s": 0.1,
+            "call_s": 0.4,
+            "beat_s": BEAT,
+            "move_s": 1.0,
+            "endpoint": f"127.0.0.1:{self.ways[0].port}",
+        }
         if plan.store == "folder":
             fleet["folder"] = str(self.rig.shared)
         else:
             fleet["agents"] = [f"127.0.0.1:{self.ways[1].port}"]
         path = self.rig.folder / f"{self.name}.toml"
-        path.write_text(tomli_w.dumps(
-            {"log": {"format": "json", "per_second": 1000.0}, "fleet": fleet}
-            | self.rig.more_tables(self)))
+        path.write_text(
+            tomli_w.dumps(
+                {"log": {"format": "json", "per_second": 1000.0}, "fleet": fleet}
+                | self.rig.more_tables(self)
+            )
+        )
         return path
 
     async def start(self) -> None:
--- a/limebridge/faults/explore.py
+++ b/limebridge/faults/explore.py
@@ -40,11 +40,15 @@
     story = tell(outcome.history, outcome.broken) if outcome.broken else ""
     gaps = []
     for _, since, gap in outcome.gaps:
-        kinds = {what.partition(" ")[0] for at, what, _ in outcome.history.faults
-                 if since - 0.5 <= at <= since + gap}
+        kinds = {
+            what.partition(" ")[0]
+            for at, what, _ in outcome.history.faults
+            if since - 0.5 <= at <= since + gap
+        }
         healed = outcome.history.healed_at
-        gaps.append(("end" if healed and since > healed - 0.5 else
-                     "+".join(sorted(kinds)) or "none", gap))
+        gaps.append(
+            ("end" if healed and since > healed - 0.5 else "+".join(sorted(kinds)) or "none", gap)
+        )
     return Told(plan, tuple(outcome.broken), outcome.seconds, outcome.effects, tuple(gaps), story)
 
 
