--- a/limebridge/standins/kv.py
+++ b/limebridge/standins/kv.py
@@ -89,7 +89,8 @@
         if session.timer is not None:
             session.timer.cancel()
         session.timer = asyncio.get_running_loop().call_later(
-            session.ttl * self.rng.uniform(1.0, 2.0), self._end, id_)
+            session.ttl * self.rng.uniform(1.0, 2.0), self._end, id_
+        )
 
     def _end(self, id_: str, tell: bool = True) -> None:
         session = self.sessions.pop(id_, None)
@@ -114,15 +115,19 @@
         if not ttl:
             return 400, b"Invalid Session TTL"
         delay = body.get("LockDelay")
-        self.sessions[id_] = Session(ttl, LOCK_DELAY if delay is None else duration(str(delay)),
-                                     body.get("Behavior", "release"))
+        self.sessions[id_] = Session(
+            ttl,
+            LOCK_DELAY if delay is None else duration(str(delay)),
+            body.get("Behavior", "release"),
+        )
         self._wind(id_)
         self.servers.change()
         return 200, json.dumps({"ID": id_}).encode()
 
     # --- calls ---
-    async def answer(self, method: str, path: list[str], asks: dict[str, str],
-                     body: bytes) -> tuple[int, bytes, int]:
+    async def answer(
+        self, method: str, path: list[str], asks: dict[str, str], body: bytes
+    ) -> tuple[int, bytes, int]:
         """Status, body and index: of a read the highest of what it looked at, as a prefix has."""
         self.calls += 1
         if method == "GET":
@@ -134,8 +139,16 @@
 
     def _index(self, key: str, recurse: bool) -> int:
         """What has gone leaves its mark, or nobody would hear of it."""
-        return max([1, *(modify for name, modify in self.marks.items()
-                         if name == key or (recurse and name.startswith(key)))])
+        return max(
+            [
+                1,
+                *(
+                    modify
+                    for name, modify in self.marks.items()
+                    if name == key or (recurse and name.startswith(key))
+                ),
+            ]
+        )
 
     async def _news(self, key: str, recurse: bool, index: int, wait: str) -> None:
         """Until this prefix has changed, or that long."""
@@ -161,15 +174,27 @@
         return 404, b"no such thing"
 
     def _get(self, key: str, recurse: bool) -> tuple[int, bytes]:
-        found = {name: entry for name, entry in sorted(self.entries.items())
-                 if name == key or (recurse and name.startswith(key))}
+        found = {
+            name: entry
+            for name, entry in sorted(self.entries.items())
+            if name == key or (recurse and name.startswith(key))
+        }
         if not found:
             return 404, b""
-        return 200, json.dumps([{
-            "Key": name, "Value": base64.b64encode(entry.value).decode(), "Flags": 0,
-            "CreateIndex": entry.create, "ModifyIndex": entry.modify, "LockIndex": entry.lock,
-            **({"Session": entry.session} if entry.session else {})}
-            for name, entry in found.items()]).encode()
+        return 200, json.dumps(
+            [
+                {
+                    "Key": name,
+                    "Value": base64.b64encode(entry.value).decode(),
+                    "Flags": 0,
+                    "CreateIndex": entry.create,
+                    "ModifyIndex": entry.modify,
+                    "LockIndex": entry.lock,
+                    **({"Session": entry.session} if entry.session else {}),
+                }
+                for name, entry in found.items()
+            ]
+        ).encode()
 
     def _transaction(self, steps: list[dict[str, Any]]) -> tuple[int, bytes]:
         """All of it or nothing: checks come before any change, whatever their order."""
@@ -178,8 +203,12 @@
         asked = [step["KV"] for step in steps]
         wrong = [place for place, step in enumerate(asked) if not self._holds(step)]
         if wrong:
-            return 409, json.dumps({"Results": None, "Errors": [
-                {"OpIndex": place, "What": "failed"} for place in wrong]}).encode()
+            return 409, json.dumps(
+                {
+                    "Results": None,
+                    "Errors": [{"OpIndex": place, "What": "failed"} for place in wrong],
+                }
+            ).encode()
         for step in asked:
             self._apply(step)
         self.servers.change()
@@ -196,8 +225,10 @@
                 return len(base64.b64decode(step["Value"])) <= VALUE_MOST
             case "lock":
                 return step["Session"] in self.sessions and (
-                    entry is None or entry.session == step["Session"]
-                    or (not entry.session and self._now >= entry.free_at))
+                    entry is None
+                    or entry.session == step["Session"]
+                    or (not entry.session and self._now >= entry.free_at)
+                )
             case "unlock":
                 return entry is not None and entry.session == step["Session"]
             case "delete":
--- a/limebridge/standins/nodes.py
+++ b/limebridge/standins/nodes.py
@@ -60,6 +60,13 @@
 
     def entry(self, name: str, lifecycle: str = "in_service", **more: Any) -> dict[str, Any]:
         """This node in discovery's form."""
-        return {"instanceId": name, "hostPort": f"127.0.0.1:{self.port}", "zone": "a",
-                "machineType": "m", "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0,
-                **more}
+        return {
+            "instanceId": name,
+            "hostPort": f"127.0.0.1:{self.port}",
+            "zone": "a",
+            "machineType": "m",
+            "lifecycle": lifecycle,
+            "weight": 1.0,
+            "startedAtMs": 0,
+            **more,
+        }
--- a/limebridge/standins/wire.py
+++ b/limebridge/standins/wire.py
@@ -24,8 +24,10 @@
     KeyError without a length, ValueError for one that is none, IncompleteReadError at an end.
     """
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    headers = {name.lower(): value.strip() for name, _, value in
-               (line.partition(":") for line in head[1:] if line)}
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in head[1:] if line)
+    }
     return head[0], headers, await reader.readexactly(int(headers["content-length"]))
 
 
--- a/limebridge/virtual/client.py
+++ b/limebridge/virtual/client.py
@@ -12,8 +12,15 @@
 
 CLASSES: list[dict[str, Any]] = [
     {"name": "lookup", "promiseMs": 300.0, "deadlineMs": 600.0, "effect": "pure", "worth": 2.0},
-    {"name": "optout", "promiseMs": 300.0, "deadlineMs": 1200.0, "effect": "token",
-     "group": "all", "keyTtlMs": 800.0, "worth": 5.0},
+    {
+        "name": "optout",
+        "promiseMs": 300.0,
+        "deadlineMs": 1200.0,
+        "effect": "token",
+        "group": "all",
+        "keyTtlMs": 800.0,
+        "worth": 5.0,
+    },
     {"name": "once", "promiseMs": 300.0, "deadlineMs": 1500.0, "effect": "side_effect"},
 ]
 WAITS = {c["name"]: c["deadlineMs"] / 1000.0 for c in CLASSES}
@@ -69,15 +76,22 @@
         try:
             while True:
                 answer = await read_answer(reader)
-                kind = "refused" if answer.startswith(b"-BUSY") else \
-                    "failed" if answer.startswith(b"-") else "served"
+                kind = (
+                    "refused"
+                    if answer.startswith(b"-BUSY")
+                    else "failed"
+                    if answer.startswith(b"-")
+                    else "served"
+                )
                 if not self.open:
                     world.judge.stray(world.kernel.now, repr(answer[:40]))
                     break
                 id_ = next(iter(self.open))
                 self.open.pop(id_).cancel()
-                if kind == "served" and answer not in (b"stored",
-                                                       b"template of " + world.keys[id_]):
+                if kind == "served" and answer not in (
+                    b"stored",
+                    b"template of " + world.keys[id_],
+                ):
                     world.judge.fault(world.kernel.now, f"{id_} got another's answer: {answer!r}")
                 world.note(f"{kind} {id_}")
                 world.judge.answered(world.kernel.now, id_, kind)
--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -25,10 +25,19 @@
 from .world import World
 
 FLAP = 0.3  # s between two states of a node that flaps
-HEALTHY: dict[str, Any] = {"black": False, "status": 200, "retry_after": "", "delay": 0.0, "cut": 0,
-                           "answers": [], "headers": {}, "frozen": None}
-TABLE = ConsulTable(wait_s=2.0, least_interval_s=0.05, return_s=0.3, return_most_s=2.0,
-                    cold_after_s=1.0)
+HEALTHY: dict[str, Any] = {
+    "black": False,
+    "status": 200,
+    "retry_after": "",
+    "delay": 0.0,
+    "cut": 0,
+    "answers": [],
+    "headers": {},
+    "frozen": None,
+}
+TABLE = ConsulTable(
+    wait_s=2.0, least_interval_s=0.05, return_s=0.3, return_most_s=2.0, cold_after_s=1.0
+)
 
 
 class ConsulWorld(World):
@@ -55,8 +64,10 @@
         self.table = replace_agents(self.agents)
         if self.plan.sources:
             self.discovery.tell(*(self._entry(node) for node in self.nodes), reset=True)
-        return Operator(consul=self.table, membership=MembershipTable(
-            sources=self.plan.sources, patience_s=2.0, settle_s=0.5))
+        return Operator(
+            consul=self.table,
+            membership=MembershipTable(sources=self.plan.sources, patience_s=2.0, settle_s=0.5),
+        )
 
     async def _end_sources(self) -> None:
         for agent in self.agents:
@@ -76,9 +87,13 @@
 
     # --- what the catalogue hears ---
     def _register(self, node: FleetNode) -> None:
-        self.catalogue.register(node.name, node.port, address="127.0.0.1",
-                                meta={"zone": "a", "started_at_ms": repr(self._born(node))},
-                                checks={f"service:{node.name}": "passing"})
+        self.catalogue.register(
+            node.name,
+            node.port,
+            address="127.0.0.1",
+            meta={"zone": "a", "started_at_ms": repr(self._born(node))},
+            checks={f"service:{node.name}": "passing"},
+        )
 
     def _tell(self, node: FleetNode, lifecycle: str) -> None:
         super()._tell(node, lifecycle)
@@ -96,8 +111,9 @@
         self._register(node)
 
     # --- what the proxy hears ---
-    def _answer(self, owner: str, port: int, target: str, headers: dict[str, str],
-                body: bytes) -> None:
+    def _answer(
+        self, owner: str, port: int, target: str, headers: dict[str, str], body: bytes
+    ) -> None:
         """A whole answer has reached the process: what it tells counts."""
         leader = headers.get("x-consul-knownleader")
         says = headers.get("x-consul-index", ""), body, leader
@@ -108,8 +124,7 @@
         gone = self._told - elements.keys()
         if leader == "false":
             # It is old: what it says of drains counts alone.
-            gone, elements = set(), {name: each for name, each in elements.items()
-                                     if _drains(each)}
+            gone, elements = set(), {name: each for name, each in elements.items() if _drains(each)}
         if not elements:
             return  # an emptied catalogue tells of no node
         if len(gone) > self.table.floor * len(self._told) and "consistent" not in target:
@@ -167,8 +182,11 @@
                 writer.transport.abort()
 
     async def _consul_500(self, fault: Fault, node: FleetNode) -> None:
-        await self._agents(fault, status=500 if fault.amount < 0.5 else 429,
-                           retry_after="1" if fault.amount < 0.5 else "")
+        await self._agents(
+            fault,
+            status=500 if fault.amount < 0.5 else 429,
+            retry_after="1" if fault.amount < 0.5 else "",
+        )
 
     async def _consul_late(self, fault: Fault, node: FleetNode) -> None:
         await self._agents(fault, delay=fault.amount)
@@ -177,8 +195,14 @@
         await self._agents(fault, cut=200 if fault.amount < 0.5 else 900)
 
     async def _consul_noise(self, fault: Fault, node: FleetNode) -> None:
-        await self._agents(fault, answers=[b"\x00\xff\r\n\r\n", b"HTTP/1.1 200 X\r\nContent-Length:"
-                                           b" 2\r\n\r\n{}", b"HTTP/1.1 200 X\r\n\r\n[}"])
+        await self._agents(
+            fault,
+            answers=[
+                b"\x00\xff\r\n\r\n",
+                b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}",
+                b"HTTP/1.1 200 X\r\n\r\n[}",
+            ],
+        )
 
     async def _consul_no_leader(self, fault: Fault, node: FleetNode) -> None:
         await self._agents(fault, headers={"X-Consul-KnownLeader": "false"})
@@ -229,12 +253,14 @@
 
     async def _plan_changes(self, fault: Fault, node: FleetNode) -> None:
         """A plan made for nobody in particular, taken on and taken back under load."""
-        shares = _shares([one.name for one in self.nodes], fault.amount,
-                         self.kernel.random(f"plan/{fault.at}"))
+        shares = _shares(
+            [one.name for one in self.nodes], fault.amount, self.kernel.random(f"plan/{fault.at}")
+        )
         table = PlacementTable(file="-", least_match=0.1, moved_per_s=0.3)
         operator = msgspec.structs.replace(self.config.operator, placement=table)
-        await self._reloads(lambda: replace(self.config, operator=operator,
-                                            plan=Shares(1, 0.0, shares)))
+        await self._reloads(
+            lambda: replace(self.config, operator=operator, plan=Shares(1, 0.0, shares))
+        )
         await asyncio.sleep(0.5 + fault.lasts)
         await self._reloads(lambda: self.config)
 
@@ -242,8 +268,13 @@
         """From Consul to the platform's list, and back."""
         both = self.config, replace(self.config, operator=Operator())
         self.discovery.lines.clear()
-        self.discovery.tell(*(self._entry(one, "in_service" if one.name not in self.draining
-                                          else "terminating") for one in self.nodes), reset=True)
+        self.discovery.tell(
+            *(
+                self._entry(one, "in_service" if one.name not in self.draining else "terminating")
+                for one in self.nodes
+            ),
+            reset=True,
+        )
         await self._reloads(lambda: both[1])
         await asyncio.sleep(0.5 + fault.lasts)
         await self._reloads(lambda: both[0])
@@ -251,8 +282,9 @@
 
 def _shares(names: list[str], amount: float, random: Random) -> dict[str, float]:
     """Any shares that add up to 1; the smaller `amount` is, the more nodes have none."""
-    raw = {name: random.uniform(0.05, 1.0) if random.random() < 0.2 + amount else 0.0
-           for name in names}
+    raw = {
+        name: random.uniform(0.05, 1.0) if random.random() < 0.2 + amount else 0.0 for name in names
+    }
     raw[names[0]] += 0.01
     total = sum(raw.values())
     return {name: share / total for name, share in raw.items()}
--- a/limebridge/virtual/costs.py
+++ b/limebridge/virtual/costs.py
@@ -46,8 +46,9 @@
 
 def measured() -> Costs:
     """Of the machine and the day that `costs.json` names."""
-    return msgspec.json.decode(files(__package__).joinpath("costs.json").read_bytes(),
-                               type=_Stored).seconds
+    return msgspec.json.decode(
+        files(__package__).joinpath("costs.json").read_bytes(), type=_Stored
+    ).seconds
 
 
 class _Stored(msgspec.Struct):
@@ -123,8 +124,9 @@
 
     __slots__ = ("_args", "_callback", "_cancelled", "_when", "timer")
 
-    def __init__(self, callback: Callable[..., object], args: tuple[Any, ...],
-                 when: float = 0.0) -> None:
+    def __init__(
+        self, callback: Callable[..., object], args: tuple[Any, ...], when: float = 0.0
+    ) -> None:
         self._callback, self._args, self._when = callback, args, when
         self._cancelled = False
         self.timer: asyncio.TimerHandle | None = None
--- a/limebridge/virtual/coverage.py
+++ b/limebridge/virtual/coverage.py
@@ -86,13 +86,25 @@
         brings, least, most = BRINGS[state]
         first = next((fault for fault in faults if fault.kind == brings), None)
         if first is None:
-            first = Fault(round(rng.uniform(0.5, plan.seconds - 6.0), 4), brings,
-                          rng.randrange(plan.nodes), round(rng.uniform(0.1, most), 4), 0.2)
+            first = Fault(
+                round(rng.uniform(0.5, plan.seconds - 6.0), 4),
+                brings,
+                rng.randrange(plan.nodes),
+                round(rng.uniform(0.1, most), 4),
+                0.2,
+            )
             faults.append(first)
         begins = first.at + (first.lasts if state.startswith("not heard") else 0.0)
         node = first.node if rng.random() < 0.5 else rng.randrange(plan.nodes)
-        faults.append(Fault(round(begins + rng.uniform(least, most), 4), kind, node,
-                            round(rng.choice((0.05, 0.3, 1.0)), 4), rng.choice((0.2, 0.6, 1.0))))
+        faults.append(
+            Fault(
+                round(begins + rng.uniform(least, most), 4),
+                kind,
+                node,
+                round(rng.choice((0.05, 0.3, 1.0)), 4),
+                rng.choice((0.2, 0.6, 1.0)),
+            )
+        )
     return msgspec.structs.replace(plan, faults=tuple(sorted(faults, key=lambda f: f.at)))
 
 
--- a/limebridge/virtual/datagrams.py
+++ b/limebridge/virtual/datagrams.py
@@ -45,8 +45,7 @@
             raise error(errno.EBADF)
         kernel = self._kernel
         for late in kernel.weather(self.owner, address[1]):
-            kernel.at(kernel.now + late,
-                      lambda: self._arrives(bytes(data), address[1]))
+            kernel.at(kernel.now + late, lambda: self._arrives(bytes(data), address[1]))
         return len(data)
 
     def _arrives(self, data: bytes, port: int) -> None:
--- a/limebridge/virtual/ears.py
+++ b/limebridge/virtual/ears.py
@@ -31,9 +31,13 @@
     letters) and body of each whole answer that is no watch, with status 200.
     """
 
-    def __init__(self, kernel: Kernel, owners: Container[str],
-                 line: Callable[[str, int, dict[str, Any], bool], None],
-                 answer: Callable[[str, int, str, dict[str, str], bytes], None]) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        owners: Container[str],
+        line: Callable[[str, int, dict[str, Any], bool], None],
+        answer: Callable[[str, int, str, dict[str, str], bytes], None],
+    ) -> None:
         self._kernel, self._owners, self._line, self._answer = kernel, owners, line, answer
         self._ports: set[int] = set()
         self.heard_at = kernel.now  # the last bytes of any source, in s
--- a/limebridge/virtual/explore.py
+++ b/limebridge/virtual/explore.py
@@ -70,9 +70,15 @@
     return Found(seed, outcome.plan, outcome.broken, outcome.requests, outcome.digest, outcome.met)
 
 
-def explore(first: int, count: int, jobs: int = 0, budget: float = 0.0,
-            prepare: Callable[[], None] | None = None, consul: bool = False,
-            pairs: Pairs = ()) -> Iterator[Summary]:
+def explore(
+    first: int,
+    count: int,
+    jobs: int = 0,
+    budget: float = 0.0,
+    prepare: Callable[[], None] | None = None,
+    consul: bool = False,
+    pairs: Pairs = (),
+) -> Iterator[Summary]:
     """The summary after each seed; ends early when `budget` seconds have passed, if above 0.
 
     `prepare` runs once in each process, before the first seed.
@@ -95,8 +101,9 @@
     return any(found.rule == rule for found in outcome.broken)
 
 
-def shrink(plan: Plan, rule: int, tries: int = TRIES,
-           run: Callable[[Plan], Outcome] = play) -> Plan:
+def shrink(
+    plan: Plan, rule: int, tries: int = TRIES, run: Callable[[Plan], Outcome] = play
+) -> Plan:
     """A smaller plan that still breaks this rule: fewer faults, shorter, simpler, less load.
 
     Greedy, and bounded in its runs; what it returns has been seen to fail.
@@ -126,9 +133,9 @@
     size = len(faults)
     if size > 2:
         yield msgspec.structs.replace(plan, faults=faults[: size // 2])
-        yield msgspec.structs.replace(plan, faults=faults[size // 2:])
+        yield msgspec.structs.replace(plan, faults=faults[size // 2 :])
     for place in range(size):
-        yield msgspec.structs.replace(plan, faults=faults[:place] + faults[place + 1:])
+        yield msgspec.structs.replace(plan, faults=faults[:place] + faults[place + 1 :])
     last = max((fault.at for fault in faults), default=0.0) + 3.0
     if last < plan.seconds - 0.5:
         yield msgspec.structs.replace(plan, seconds=round(last, 3))
@@ -143,5 +150,6 @@
     for place, fault in enumerate(faults):
         if fault.lasts > 0.1:
             half: Fault = msgspec.structs.replace(fault, lasts=round(fault.lasts / 2, 4))
-            yield msgspec.structs.replace(plan, faults=(*faults[:place], half,
-                                                        *faults[place + 1:]))
+            yield msgspec.structs.replace(
+                plan, faults=(*faults[:place], half, *faults[place + 1 :])
+            )
--- a/limebridge/virtual/kernel.py
+++ b/limebridge/virtual/kernel.py
@@ -43,5 +43,6 @@
 
     def maker(self, owner: str) -> Callable[[int, int], Any]:
         """For SocketNetwork."""
-        return lambda family, kind: self.datagrams(owner) if kind & ~FLAGS == SOCK_DGRAM \
-            else self.socket(owner)
+        return lambda family, kind: (
+            self.datagrams(owner) if kind & ~FLAGS == SOCK_DGRAM else self.socket(owner)
+        )
--- a/limebridge/virtual/ledger.py
+++ b/limebridge/virtual/ledger.py
@@ -30,10 +30,29 @@
 
 NAME = "p1"
 WRITE = 0.004  # s that a write takes
-TROUBLES = ("lost before", "lost after", "500 after", "cut after", "503", "429", "409", "redirect",
-            "noise")
-TABLE = LedgerTable(folder="-", period_min=5, grace_s=5.0, flush_s=0.5, export="http", retry_s=0.5,
-                    retry_most_s=5.0, timeout_s=2.0, tenants_most=50, ids=True)
+TROUBLES = (
+    "lost before",
+    "lost after",
+    "500 after",
+    "cut after",
+    "503",
+    "429",
+    "409",
+    "redirect",
+    "noise",
+)
+TABLE = LedgerTable(
+    folder="-",
+    period_min=5,
+    grace_s=5.0,
+    flush_s=0.5,
+    export="http",
+    retry_s=0.5,
+    retry_most_s=5.0,
+    timeout_s=2.0,
+    tenants_most=50,
+    ids=True,
+)
 START = 1.7e9  # Unix s
 
 
@@ -78,8 +97,9 @@
 class TrialWriter:
     """Does a job at once, as far as the disk goes, and tells of it when a write would be over."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, fails: Callable[[], None],
-                 slow: Callable[[], float]) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, fails: Callable[[], None], slow: Callable[[], float]
+    ) -> None:
         self._loop, self._fails, self._slow = loop, fails, slow
         self.dead = False
 
@@ -127,8 +147,14 @@
         net = network(self.kernel, "ledger", self.loop, self.wall)
         table = msgspec.structs.replace(TABLE, endpoint=f"127.0.0.1:{self.billing.port}")
         self.writer = TrialWriter(self.loop, self.power_fails, lambda: self.slow)
-        self.ledger = Ledger(table, NAME, net, lambda: self.disk, self.writer,
-                             nonce=f"{self.trial.seed:x}-{self.starts}")
+        self.ledger = Ledger(
+            table,
+            NAME,
+            net,
+            lambda: self.disk,
+            self.writer,
+            nonce=f"{self.trial.seed:x}-{self.starts}",
+        )
         if self.writer.dead:  # the power failed as it opened its files
             self.stops()
 
@@ -203,8 +229,13 @@
                 self.start()
             await asyncio.sleep(10.0)
             ledger = self.ledger
-            if ledger is not None and ledger.state == "open" and not ledger._book.counts \
-                    and ledger._book.due is None and not ledger._tally.units:
+            if (
+                ledger is not None
+                and ledger.state == "open"
+                and not ledger._book.counts
+                and ledger._book.due is None
+                and not ledger._tally.units
+            ):
                 break
         ledger, out = self.ledger, self.out
         assert ledger is not None
@@ -259,8 +290,11 @@
 
 
 def _units(book: Book) -> int:
-    return sum(book.billed.values()) + sum(batch.units for batch in book.batches.values()) \
+    return (
+        sum(book.billed.values())
+        + sum(batch.units for batch in book.batches.values())
         + sum(sum(of.values()) for of in book.counts.values())
+    )
 
 
 def play(trial: Trial) -> Outcome:
--- a/limebridge/virtual/loop.py
+++ b/limebridge/virtual/loop.py
@@ -135,12 +135,14 @@
         pass
 
     def run_in_executor(  # type: ignore[override]
-            self, executor: Any, func: Any, *args: Any) -> Any:
+        self, executor: Any, func: Any, *args: Any
+    ) -> Any:
         raise RuntimeError("a virtual world has no threads")
 
     # --- signals ---
     def add_signal_handler(  # type: ignore[override]
-            self, sig: int, callback: Callable[..., Any], *args: Any) -> None:
+        self, sig: int, callback: Callable[..., Any], *args: Any
+    ) -> None:
         self._signals[sig] = lambda: callback(*args)
 
     def remove_signal_handler(self, sig: int) -> bool:
@@ -155,8 +157,9 @@
     def _virtual(self) -> Any:
         return self.kernel.socket()
 
-    async def create_connection(self, protocol_factory: Any, host: Any = None, port: Any = None,
-                                **options: Any) -> Any:
+    async def create_connection(
+        self, protocol_factory: Any, host: Any = None, port: Any = None, **options: Any
+    ) -> Any:
         sock = self._virtual()
         try:
             await self.sock_connect(sock, (host, port))
@@ -164,7 +167,8 @@
             sock.close()
             raise
         return await self._create_connection_transport(  # type: ignore[attr-defined]
-            sock, protocol_factory, None, "")
+            sock, protocol_factory, None, ""
+        )
 
     async def sock_connect(self, sock: Any, address: Any) -> None:
         """One try to a literal address; the caller bounds its time."""
@@ -186,8 +190,15 @@
         if not done.done():
             done.set_result(None)
 
-    async def create_server(self, protocol_factory: Any, host: Any = None, port: Any = None,
-                            *, backlog: int = 100, **options: Any) -> Any:
+    async def create_server(
+        self,
+        protocol_factory: Any,
+        host: Any = None,
+        port: Any = None,
+        *,
+        backlog: int = 100,
+        **options: Any,
+    ) -> Any:
         sock: VirtualSocket = self._virtual()
         sock.bind((host or "127.0.0.1", port or 0))
         sockets: list[Any] = [sock]
--- a/limebridge/virtual/net.py
+++ b/limebridge/virtual/net.py
@@ -11,11 +11,17 @@
 from .kernel import Kernel
 
 
-def network(kernel: Kernel, owner: str, loop: Any, clock: Callable[[], float],
-            turns: Turns | None = None) -> SocketNetwork:
+def network(
+    kernel: Kernel, owner: str, loop: Any, clock: Callable[[], float], turns: Turns | None = None
+) -> SocketNetwork:
     """What an older build does not ask of its sockets it does not miss: it is played here too."""
-    net = SocketNetwork(loop, turns, make=kernel.maker(owner), clock=clock,
-                        undelivered=lambda sock: int(sock.undelivered()))  # type: ignore[attr-defined]
+    net = SocketNetwork(
+        loop,
+        turns,
+        make=kernel.maker(owner),
+        clock=clock,
+        undelivered=lambda sock: int(sock.undelivered()),
+    )  # type: ignore[attr-defined]
     net.hung_up = _hung_up
     return net
 
--- a/limebridge/virtual/plan.py
+++ b/limebridge/virtual/plan.py
@@ -9,25 +9,84 @@
 import msgspec
 
 Kind = Literal[
-    "node_slow", "node_stalls", "node_dies", "node_replaced", "node_drains", "node_swallows",
-    "node_spoils", "node_errors", "node_resets", "node_closes_idle", "path_cut", "path_cut_to",
-    "path_cut_back", "discovery_cut", "discovery_ends", "discovery_lies", "discovery_moves",
-    "clients_leave", "client_rude", "reload", "wall_steps",
-    "proxy_term", "proxy_killed", "proxy_paused",
-    "consul_stops", "consul_black", "consul_500", "consul_late", "consul_breaks_off",
-    "consul_noise", "consul_empty", "consul_halved", "consul_index", "consul_lags",
-    "consul_flaps", "consul_all_critical", "consul_no_leader", "plan_changes"]
+    "node_slow",
+    "node_stalls",
+    "node_dies",
+    "node_replaced",
+    "node_drains",
+    "node_swallows",
+    "node_spoils",
+    "node_errors",
+    "node_resets",
+    "node_closes_idle",
+    "path_cut",
+    "path_cut_to",
+    "path_cut_back",
+    "discovery_cut",
+    "discovery_ends",
+    "discovery_lies",
+    "discovery_moves",
+    "clients_leave",
+    "client_rude",
+    "reload",
+    "wall_steps",
+    "proxy_term",
+    "proxy_killed",
+    "proxy_paused",
+    "consul_stops",
+    "consul_black",
+    "consul_500",
+    "consul_late",
+    "consul_breaks_off",
+    "consul_noise",
+    "consul_empty",
+    "consul_halved",
+    "consul_index",
+    "consul_lags",
+    "consul_flaps",
+    "consul_all_critical",
+    "consul_no_leader",
+    "plan_changes",
+]
 WEIGHTS: dict[Kind, int] = {
-    "node_slow": 3, "node_stalls": 4, "node_dies": 4, "node_replaced": 4, "node_drains": 5,
-    "node_swallows": 2, "node_spoils": 3, "node_errors": 2, "node_resets": 3,
-    "node_closes_idle": 3, "path_cut": 3, "path_cut_to": 2, "path_cut_back": 2,
-    "discovery_cut": 2, "discovery_ends": 2, "discovery_lies": 2, "discovery_moves": 2,
-    "clients_leave": 4, "client_rude": 2, "reload": 2, "wall_steps": 1}
+    "node_slow": 3,
+    "node_stalls": 4,
+    "node_dies": 4,
+    "node_replaced": 4,
+    "node_drains": 5,
+    "node_swallows": 2,
+    "node_spoils": 3,
+    "node_errors": 2,
+    "node_resets": 3,
+    "node_closes_idle": 3,
+    "path_cut": 3,
+    "path_cut_to": 2,
+    "path_cut_back": 2,
+    "discovery_cut": 2,
+    "discovery_ends": 2,
+    "discovery_lies": 2,
+    "discovery_moves": 2,
+    "clients_leave": 4,
+    "client_rude": 2,
+    "reload": 2,
+    "wall_steps": 1,
+}
 CONSUL_WEIGHTS: dict[Kind, int] = {
-    "consul_stops": 4, "consul_black": 4, "consul_500": 3, "consul_late": 4,
-    "consul_breaks_off": 3, "consul_noise": 2, "consul_empty": 3, "consul_halved": 3,
-    "consul_index": 2, "consul_lags": 3, "consul_flaps": 5, "consul_all_critical": 3,
-    "consul_no_leader": 3, "plan_changes": 4}
+    "consul_stops": 4,
+    "consul_black": 4,
+    "consul_500": 3,
+    "consul_late": 4,
+    "consul_breaks_off": 3,
+    "consul_noise": 2,
+    "consul_empty": 3,
+    "consul_halved": 3,
+    "consul_index": 2,
+    "consul_lags": 3,
+    "consul_flaps": 5,
+    "consul_all_critical": 3,
+    "consul_no_leader": 3,
+    "plan_changes": 4,
+}
 PROCESS_WEIGHTS: dict[Kind, int] = {"proxy_term": 3, "proxy_killed": 3, "proxy_paused": 4}
 PROCESS = (0, 0, 1, 1, 2, 3)  # how many of these come on top
 Sources = tuple[Literal["consul", "platform"], ...]
@@ -73,11 +132,20 @@
     kinds, weights = list(CONSUL_WEIGHTS), list(CONSUL_WEIGHTS.values())
     for _ in range(rng.randint(1, 5)):
         other = rng.choice(faults)
-        at = other.at + rng.choice(CLOSE) * rng.uniform(0.5, 1.5) if rng.random() < OVERLAP \
+        at = (
+            other.at + rng.choice(CLOSE) * rng.uniform(0.5, 1.5)
+            if rng.random() < OVERLAP
             else rng.uniform(0.5, seconds - 4.0)
-        faults.append(Fault(round(at, 4), rng.choices(kinds, weights)[0], rng.randrange(plan.nodes),
-                            round(rng.choice((0.1, 0.5, 2.0, 5.0)) * rng.uniform(0.7, 1.3), 4),
-                            rng.choice((0.05, 0.4, 1.0))))
+        )
+        faults.append(
+            Fault(
+                round(at, 4),
+                rng.choices(kinds, weights)[0],
+                rng.randrange(plan.nodes),
+                round(rng.choice((0.1, 0.5, 2.0, 5.0)) * rng.uniform(0.7, 1.3), 4),
+                rng.choice((0.05, 0.4, 1.0)),
+            )
+        )
     faults.sort(key=lambda fault: fault.at)
     # A stream of its own: what is drawn before stays as it was.
     sources = random.Random(f"sources/{seed}").choice(SOURCES)
@@ -105,14 +173,23 @@
             kind = rng.choice(("node_closes_idle", "node_resets"))
         lasts = rng.choice((0.05, 0.3, 1.0, 3.0)) * rng.uniform(0.7, 1.3)
         amount = {"node_slow": rng.choice((3.0, 10.0)), "wall_steps": rng.uniform(-60, 60)}.get(
-            kind, rng.choice((0.2, 0.6, 1.0)))
+            kind, rng.choice((0.2, 0.6, 1.0))
+        )
         faults.append(Fault(round(at, 4), kind, node, round(lasts, 4), round(amount, 3)))
     faults += _of_the_process(seed, seconds, faults)
     clients, rate = rng.randint(6, 12), rng.choices((20.0, 22.0, 30.0, 60.0), (6, 6, 4, 1))[0]
-    return Plan(seed, seconds, nodes, clients, rate,
-                rng.choice((0.0, 0.000_1, 0.002)), rng.random() < 0.4, True,
-                tuple(sorted(faults, key=lambda fault: fault.at)),
-                rng.choice((64 * 1024, 64 * 1024, 5000)))
+    return Plan(
+        seed,
+        seconds,
+        nodes,
+        clients,
+        rate,
+        rng.choice((0.0, 0.000_1, 0.002)),
+        rng.random() < 0.4,
+        True,
+        tuple(sorted(faults, key=lambda fault: fault.at)),
+        rng.choice((64 * 1024, 64 * 1024, 5000)),
+    )
 
 
 def _of_the_process(seed: int, seconds: float, others: list[Fault]) -> list[Fault]:
@@ -120,11 +197,21 @@
     rng, found = random.Random(f"process/{seed}"), []
     kinds, weights = list(PROCESS_WEIGHTS), list(PROCESS_WEIGHTS.values())
     for _ in range(rng.choice(PROCESS)):
-        at = rng.choice(others).at + rng.choice(CLOSE) * rng.uniform(0.5, 1.5) \
-            if rng.random() < OVERLAP else rng.uniform(0.5, seconds - 4.0)
+        at = (
+            rng.choice(others).at + rng.choice(CLOSE) * rng.uniform(0.5, 1.5)
+            if rng.random() < OVERLAP
+            else rng.uniform(0.5, seconds - 4.0)
+        )
         lasts = rng.choice((0.02, 0.15, 0.4, 1.0)) * rng.uniform(0.7, 1.3)
-        found.append(Fault(round(at, 4), rng.choices(kinds, weights)[0], 0, round(lasts, 4),
-                           rng.choice((0.2, 0.8))))
+        found.append(
+            Fault(
+                round(at, 4),
+                rng.choices(kinds, weights)[0],
+                0,
+                round(lasts, 4),
+                rng.choice((0.2, 0.8)),
+            )
+        )
     return found
 
 
--- a/limebridge/virtual/process.py
+++ b/limebridge/virtual/process.py
@@ -69,9 +69,14 @@
 class Process:
     """One daemon after another under one name, on one port."""
 
-    def __init__(self, kernel: Kernel, loop: VirtualLoop, clock: Callable[[], float],
-                 owner: str = OWNER,
-                 costs: Costs | None = None) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        loop: VirtualLoop,
+        clock: Callable[[], float],
+        owner: str = OWNER,
+        costs: Costs | None = None,
+    ) -> None:
         self.owner = owner
         self._kernel, self._loop = kernel, loop
         self._clock = clock
@@ -92,8 +97,9 @@
         self.proxy = Proxy(config, net)
         if self.meter is not None:
             self.proxy._balancer = Metered(self.proxy._balancer, self.meter)  # type: ignore[assignment]
-        self.listener = Listener(self.proxy, config.client_sockets, config.value_room, net,
-                                 config.limits)
+        self.listener = Listener(
+            self.proxy, config.client_sockets, config.value_room, net, config.limits
+        )
         listen = replace(config.listen, port=port or config.listen.port)
         self.state = "up"
         self._longest = config.longest_deadline + DRAIN_SLACK
@@ -170,11 +176,16 @@
 
     def left(self) -> dict[str, int]:
         """What an exited process must not have left: counts by name, all 0."""
-        return {"requests": self.proxy.open_requests, "descriptors": self._kernel.held(self.owner),
-                "connections": self.listener.connections,
-                "bytes of the budget": self.listener.budget.used,
-                "timers": sum(isinstance(handle, asyncio.TimerHandle) and is_ours(handle)
-                              for handle in self._loop._scheduled)}  # type: ignore[attr-defined]
+        return {
+            "requests": self.proxy.open_requests,
+            "descriptors": self._kernel.held(self.owner),
+            "connections": self.listener.connections,
+            "bytes of the budget": self.listener.budget.used,
+            "timers": sum(
+                isinstance(handle, asyncio.TimerHandle) and is_ours(handle)
+                for handle in self._loop._scheduled
+            ),
+        }  # type: ignore[attr-defined]
 
 
 def is_ours(handle: asyncio.Handle) -> bool:
--- a/limebridge/virtual/sockets.py
+++ b/limebridge/virtual/sockets.py
@@ -70,8 +70,9 @@
 
     def setsockopt(self, level: int, option: int, value: Any) -> None:
         if level == socket.SOL_SOCKET and option == socket.SO_LINGER:
-            self._abortive = bytes(value)[:4] != struct.pack("i", 0) \
-                and bytes(value)[4:8] == struct.pack("i", 0)
+            self._abortive = bytes(value)[:4] != struct.pack("i", 0) and bytes(value)[
+                4:8
+            ] == struct.pack("i", 0)
         elif level == socket.IPPROTO_TCP and option == socket.TCP_USER_TIMEOUT:
             self._within = value / 1000.0
 
@@ -209,12 +210,17 @@
         if self._end_asked or self._reset:
             raise error(errno.EPIPE)
         if self._state != "open":
-            raise error(errno.EAGAIN if self._state in ("connecting", "opening")
-                         else errno.ENOTCONN)
+            raise error(
+                errno.EAGAIN if self._state in ("connecting", "opening") else errno.ENOTCONN
+            )
         taken = 0
         if self.peer is not None:
-            self.peer._stamps.append((self._sent, self._kernel.now
-                                      + (self._meter.spent if self._meter is not None else 0.0)))
+            self.peer._stamps.append(
+                (
+                    self._sent,
+                    self._kernel.now + (self._meter.spent if self._meter is not None else 0.0),
+                )
+            )
         for part in parts:
             room = self._kernel.buffer - len(self._sending) - self._flying
             if room <= 0:
@@ -231,9 +237,14 @@
         if self._meter is not None:
             self._meter.charge(self._meter.costs.write + taken * self._meter.costs.byte)
         self._transmit()
-        if self._within and self._link is not None \
-                and (self._sending or (self._link.blocked_to if self._towards
-                                       else self._link.blocked_back)):
+        if (
+            self._within
+            and self._link is not None
+            and (
+                self._sending
+                or (self._link.blocked_to if self._towards else self._link.blocked_back)
+            )
+        ):
             whole, late = self._sent, PROBES_LATE if self._sending else 0.0
             self._kernel.at(self._kernel.now + self._within + late, lambda: self._overdue(whole))
         return taken
@@ -285,8 +296,13 @@
             # What a sender has thrown away it does not send again; nor is a reset.
             link.held.append(lambda: None if self._abandoned else self._pass(arrives, HEALED))
             return
-        when = max(self._last_arrival, self._kernel.now + held + self._delay()
-                   + (self._meter.spent if self._meter is not None else 0.0))
+        when = max(
+            self._last_arrival,
+            self._kernel.now
+            + held
+            + self._delay()
+            + (self._meter.spent if self._meter is not None else 0.0),
+        )
         self._last_arrival = when
         self._kernel.at(when, arrives)
 
@@ -393,7 +409,9 @@
         if self._state != "open":
             return 0
         mask = READ if self._received or self._end_came else 0
-        if not self._end_asked and self._kernel.buffer - len(self._sending) - self._flying \
-                >= self._kernel.buffer // 3:
+        if (
+            not self._end_asked
+            and self._kernel.buffer - len(self._sending) - self._flying >= self._kernel.buffer // 3
+        ):
             mask |= WRITE
         return mask
--- a/limebridge/virtual/stage.py
+++ b/limebridge/virtual/stage.py
@@ -38,8 +38,9 @@
             gc.enable()
 
 
-def run(loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, None],
-        fault: Callable[[str], None]) -> None:
+def run(
+    loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, None], fault: Callable[[str], None]
+) -> None:
     """To its end, after which no task is left; a run that can't go on is a fault."""
     try:
         loop.run_until_complete(work)
@@ -54,8 +55,9 @@
         loop.close()
 
 
-async def during(seconds: float, nodes: Iterable[FleetNode], name: str, value: float,
-                 well: float | None) -> None:
+async def during(
+    seconds: float, nodes: Iterable[FleetNode], name: str, value: float, well: float | None
+) -> None:
     """This attribute of the nodes is so for a while, and as a well node has it from then on."""
     changed = list(nodes)
     for node in changed:
--- a/limebridge/virtual/story.py
+++ b/limebridge/virtual/story.py
@@ -14,12 +14,16 @@
 
 def tell(outcome: Outcome) -> str:
     """The faults, each break with its request's story, and what led there."""
-    lines = [f"seed {outcome.plan.seed}: {outcome.requests} requests in "
-             f"{outcome.virtual_seconds:.1f} s, {outcome.answers}",
-             f"digest {outcome.digest}"]
+    lines = [
+        f"seed {outcome.plan.seed}: {outcome.requests} requests in "
+        f"{outcome.virtual_seconds:.1f} s, {outcome.answers}",
+        f"digest {outcome.digest}",
+    ]
     for fault in outcome.plan.faults:
-        lines.append(f"  {fault.at:9.4f} fault {fault.kind}, node {fault.node}, "
-                     f"lasts {fault.lasts:g} s, amount {fault.amount:g}")
+        lines.append(
+            f"  {fault.at:9.4f} fault {fault.kind}, node {fault.node}, "
+            f"lasts {fault.lasts:g} s, amount {fault.amount:g}"
+        )
     if not outcome.broken:
         return "\n".join([*lines, "no rule broken"])
     for found in outcome.broken[:5]:
@@ -44,26 +48,36 @@
     def x(at: float) -> float:
         return LEFT + at / span * (WIDTH - LEFT - 10.0)
 
-    parts = [f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH:.0f}" '
-             f'height="{height:.0f}" font-family="sans-serif" font-size="12">']
+    parts = [
+        f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH:.0f}" '
+        f'height="{height:.0f}" font-family="sans-serif" font-size="12">'
+    ]
     for name, y in rows.items():
-        parts.append(f'<text x="4" y="{y + 4:.0f}">{escape(name)}</text>'
-                     f'<line x1="{LEFT}" x2="{WIDTH}" y1="{y:.0f}" y2="{y:.0f}" stroke="#ddd"/>')
+        parts.append(
+            f'<text x="4" y="{y + 4:.0f}">{escape(name)}</text>'
+            f'<line x1="{LEFT}" x2="{WIDTH}" y1="{y:.0f}" y2="{y:.0f}" stroke="#ddd"/>'
+        )
     for fault in outcome.plan.faults:
         parts.append(_fault(fault, rows, x, height))
     for line in outcome.trace:
         node = _node(line)
         if node:
             at = x(float(line.split(" ", 1)[0]))
-            parts.append(f'<circle cx="{at:.1f}" cy="{rows[node]:.0f}" r="2.5" fill="#2a6">'
-                         f"<title>{escape(line)}</title></circle>")
+            parts.append(
+                f'<circle cx="{at:.1f}" cy="{rows[node]:.0f}" r="2.5" fill="#2a6">'
+                f"<title>{escape(line)}</title></circle>"
+            )
     for found in outcome.broken:
         at = x(found.at - 1000.0)
-        parts.append(f'<line x1="{at:.1f}" x2="{at:.1f}" y1="0" y2="{height:.0f}" stroke="red">'
-                     f"<title>{escape(found.what)} {escape(found.request)}</title></line>")
+        parts.append(
+            f'<line x1="{at:.1f}" x2="{at:.1f}" y1="0" y2="{height:.0f}" stroke="red">'
+            f"<title>{escape(found.what)} {escape(found.request)}</title></line>"
+        )
     parts.append("</svg>")
-    return ("<!doctype html><meta charset=utf-8><title>seed "
-            f"{outcome.plan.seed}</title>{''.join(parts)}<pre>{escape(tell(outcome))}</pre>\n")
+    return (
+        "<!doctype html><meta charset=utf-8><title>seed "
+        f"{outcome.plan.seed}</title>{''.join(parts)}<pre>{escape(tell(outcome))}</pre>\n"
+    )
 
 
 def _node(line: str) -> str:
@@ -72,10 +86,14 @@
     return words[3].rstrip(",").rstrip("'") if len(words) > 3 and words[2] == "at" else ""
 
 
-def _fault(fault: Fault, rows: dict[str, float], x: Callable[[float], float],
-           height: float) -> str:
-    y = rows.get(f"n{fault.node}", height - ROW) if fault.kind.startswith(("node", "path")) \
+def _fault(fault: Fault, rows: dict[str, float], x: Callable[[float], float], height: float) -> str:
+    y = (
+        rows.get(f"n{fault.node}", height - ROW)
+        if fault.kind.startswith(("node", "path"))
         else height - ROW
+    )
     begin, end = x(fault.at), x(fault.at + max(fault.lasts, 0.02))
-    return (f'<rect x="{begin:.1f}" y="{y - 9:.0f}" width="{end - begin:.1f}" height="18" '
-            f'fill="#f90" fill-opacity="0.35"><title>{fault.kind} at {fault.at}</title></rect>')
+    return (
+        f'<rect x="{begin:.1f}" y="{y - 9:.0f}" width="{end - begin:.1f}" height="18" '
+        f'fill="#f90" fill-opacity="0.35"><title>{fault.kind} at {fault.at}</title></rect>'
+    )
--- a/limebridge/virtual/troubles.py
+++ b/limebridge/virtual/troubles.py
@@ -22,8 +22,13 @@
 from .process import OWNER, Process
 from .stage import during, refused, stalled
 
-RUDE = (b"\x00\xff noise", b"*4\r\n$7\r\nOBJ.G", b"*999999\r\n", b"*1\r\n$4\r\nNOPE\r\n",
-        b"*1\r\n$4\r\nPING\r\n" * 40)
+RUDE = (
+    b"\x00\xff noise",
+    b"*4\r\n$7\r\nOBJ.G",
+    b"*999999\r\n",
+    b"*1\r\n$4\r\nNOPE\r\n",
+    b"*1\r\n$4\r\nPING\r\n" * 40,
+)
 
 
 class Troubles:
@@ -165,11 +170,14 @@
         self.ears.follow(self.discovery.port)
         link = self.kernel.link(self.discovery.port)
         link.latency, link.jitter, link.cut = 0.000_5, self.plan.jitter, self.plan.cut
-        entries = [self._entry(one, "in_service" if one.name not in self.draining
-                               else "terminating") for one in self.nodes]
+        entries = [
+            self._entry(one, "in_service" if one.name not in self.draining else "terminating")
+            for one in self.nodes
+        ]
         self.discovery.tell(*entries, reset=True)
-        self.config = replace(self.config, discovery=replace(
-            self.config.discovery, port=self.discovery.port))
+        self.config = replace(
+            self.config, discovery=replace(self.config.discovery, port=self.discovery.port)
+        )
         await self._reloads(lambda: self.config)
         for _ in range(3):
             await asyncio.sleep(0.1 + fault.lasts / 3)
@@ -211,8 +219,11 @@
 
     # --- the process itself ---
     async def _proxy_term(self, fault: Fault, node: FleetNode) -> None:
-        if self.process.state == "up" and self.kernel.now >= self.process.paused_until \
-                and await self.process.term():
+        if (
+            self.process.state == "up"
+            and self.kernel.now >= self.process.paused_until
+            and await self.process.term()
+        ):
             self._nothing(self.process.gone())
             await self._again(fault)
 
@@ -236,13 +247,19 @@
         self._started_at = self.kernel.now
         fresh = fault.amount < 0.5
         states = {node.name: not fresh or node.name not in self.draining for node in self.nodes}
-        known = parse_listing({"instances": [
-            self._entry(node, "in_service" if states[node.name] else "terminating")
-            for node in self.nodes]})
+        known = parse_listing(
+            {
+                "instances": [
+                    self._entry(node, "in_service" if states[node.name] else "terminating")
+                    for node in self.nodes
+                ]
+            }
+        )
         self.note(f"the proxy starts again, with {'its last' if fresh else 'an old'} list")
         self._restarted(states)
-        self.process.start(replace(self.config, known=known,
-                                   seed=self.config.seed + self._starts), self.port)
+        self.process.start(
+            replace(self.config, known=known, seed=self.config.seed + self._starts), self.port
+        )
 
     async def _proxy_paused(self, fault: Fault, node: FleetNode) -> None:
         if self.process.state == "up" and self.kernel.now >= self.process.paused_until:
--- a/limebridge/virtual/world.py
+++ b/limebridge/virtual/world.py
@@ -64,8 +64,9 @@
             return
         fields = dict(getattr(record, "fields", ()))
         error = record.exc_info[1] if record.exc_info else None
-        self._world.judge.fault(self._world.kernel.now, f"{record.getMessage()}: "
-                                f"{fields.get('what', '')} {error!r}")
+        self._world.judge.fault(
+            self._world.kernel.now, f"{record.getMessage()}: {fields.get('what', '')} {error!r}"
+        )
 
 
 class World(Troubles):
@@ -74,8 +75,7 @@
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
         self.kernel = Kernel(plan.seed, buffer=plan.buffer)
-        self.loop = VirtualLoop(self.kernel,
-                                self.kernel.random("order") if plan.shuffle else None)
+        self.loop = VirtualLoop(self.kernel, self.kernel.random("order") if plan.shuffle else None)
         self.judge = Judge(Terms({c["name"]: c["effect"] for c in CLASSES}))
         self.trace: list[str] = []
         self.keys: dict[str, bytes] = {}
@@ -132,8 +132,16 @@
         with quiet(logging.ERROR, Faults(self)):
             run(self.loop, self._play(), lambda what: self.judge.fault(self.kernel.now, what))
         digest = hashlib.sha256("\n".join(self.trace).encode()).hexdigest()
-        return Outcome(self.plan, self.judge.broken, self.judge.requests, self.judge.answers,
-                       digest, self.kernel.now - self._began, self.trace, self.met)
+        return Outcome(
+            self.plan,
+            self.judge.broken,
+            self.judge.requests,
+            self.judge.answers,
+            digest,
+            self.kernel.now - self._began,
+            self.trace,
+            self.met,
+        )
 
     def _stray(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         error = context.get("exception")
@@ -163,8 +171,13 @@
             else:
                 if cls == "optout":
                     listed += b",k=" + id_.encode()
-                words = command(b"OBJ.SET", key, id_.encode(), listed, b"v" * random.choice(
-                    (10, 10, 3000, 60_000)))
+                words = command(
+                    b"OBJ.SET",
+                    key,
+                    id_.encode(),
+                    listed,
+                    b"v" * random.choice((10, 10, 3000, 60_000)),
+                )
             self.start(client.ask(id_, words, cls))
         await asyncio.sleep(REST)
         await self._finish()
@@ -177,15 +190,28 @@
         self.ears.follow(self.discovery.port)
         self.nodes = []
         for number in range(plan.nodes):
-            node = FleetNode(f"n{number}", self.database, effects, self,
-                             f"{plan.seed}/node{number}", slots=1, service=0.06, sent_at=sent_at)
+            node = FleetNode(
+                f"n{number}",
+                self.database,
+                effects,
+                self,
+                f"{plan.seed}/node{number}",
+                slots=1,
+                service=0.06,
+                sent_at=sent_at,
+            )
             await node.start()
             self.nodes.append(node)
         for port in (self.discovery.port, *(node.port for node in self.nodes)):
             link = self.kernel.link(port)
             link.latency, link.jitter, link.cut = 0.000_5, plan.jitter, plan.cut
-        raw = configuration(self.discovery.port, [self._entry(node) for node in self.nodes],
-                            sockets=DESCRIPTORS, classes=CLASSES, caps=CAPS)
+        raw = configuration(
+            self.discovery.port,
+            [self._entry(node) for node in self.nodes],
+            sockets=DESCRIPTORS,
+            classes=CLASSES,
+            caps=CAPS,
+        )
         raw["seed"] = f"{plan.seed:x}"
         self.config: Config = parse(raw, await self._sources())
         self.kernel.limit(OWNER, DESCRIPTORS)
@@ -200,8 +226,9 @@
     def _unwatched(self) -> bool:
         """Whether nobody follows the list though it could be had."""
         link = self.kernel.link(self.discovery.port)
-        return not (self.discovery.open or self.discovery.refuse or link.blocked_to
-                    or link.blocked_back)
+        return not (
+            self.discovery.open or self.discovery.refuse or link.blocked_to or link.blocked_back
+        )
 
     def _entry(self, node: FleetNode, lifecycle: str = "in_service") -> dict[str, Any]:
         born = self._born(node)
@@ -274,15 +301,22 @@
                 listed.pop(name, None)
             else:
                 listed[name] = None
-            self.judge.heard(self.kernel.now, name, ready, "platform",
-                             self._births.get(entry.get("startedAtMs", 0.0)), burst)
+            self.judge.heard(
+                self.kernel.now,
+                name,
+                ready,
+                "platform",
+                self._births.get(entry.get("startedAtMs", 0.0)),
+                burst,
+            )
         for name in before:
             if value["reset"] and name not in listed:
                 self.judge.heard(self.kernel.now, name, False, "platform", burst=burst)
         self._listed = listed
 
-    def _answer(self, owner: str, port: int, target: str, headers: dict[str, str],
-                body: bytes) -> None:
+    def _answer(
+        self, owner: str, port: int, target: str, headers: dict[str, str], body: bytes
+    ) -> None:
         """Only Consul answers without a watch."""
 
     # --- faults ---
@@ -300,8 +334,11 @@
         now = self.kernel.now
         if self.process.state == "down":
             return {"no process"}
-        found = {f"a drain {'just told' if age < DRAIN_NEW else 'kept'}, by "
-                 f"{source or 'the list before'}" for source, age in self.judge.told_by(now)}
+        found = {
+            f"a drain {'just told' if age < DRAIN_NEW else 'kept'}, by "
+            f"{source or 'the list before'}"
+            for source, age in self.judge.told_by(now)
+        }
         if self.ears.heard_at < self._started_at:
             found.add("not heard since its start")
         elif now - self.ears.heard_at > SILENT:
--- a/snowstall/adapter.py
+++ b/snowstall/adapter.py
@@ -15,14 +15,27 @@
 import snowstall as b
 
 RESULTS = {
-    "GOOD": b.Result.OK, "BAD": b.Result.ERROR, "FULL": b.Result.FULL, "LATE": b.Result.LATE,
-    "NOCONN": b.Result.NO_CONNECTION, "RST": b.Result.RESET, "CXL": b.Result.CANCELLED,
-    "NOP": b.Result.NEVER_SENT, "MISS": b.Result.MISS,
+    "GOOD": b.Result.OK,
+    "BAD": b.Result.ERROR,
+    "FULL": b.Result.FULL,
+    "LATE": b.Result.LATE,
+    "NOCONN": b.Result.NO_CONNECTION,
+    "RST": b.Result.RESET,
+    "CXL": b.Result.CANCELLED,
+    "NOP": b.Result.NEVER_SENT,
+    "MISS": b.Result.MISS,
+}
+STATES = {
+    "Ready": b.CacheState.READY,
+    "Terminating": b.CacheState.DRAINING,
+    "Gone": b.CacheState.GONE,
+}
+LISTS = {
+    "delta": b.ListKind.CHANGES,
+    "full": b.ListKind.FULL,
+    "cached": b.ListKind.CACHED,
+    "failed": b.ListKind.FAILED,
 }
-STATES = {"Ready": b.CacheState.READY, "Terminating": b.CacheState.DRAINING,
-          "Gone": b.CacheState.GONE}
-LISTS = {"delta": b.ListKind.CHANGES, "full": b.ListKind.FULL, "cached": b.ListKind.CACHED,
-         "failed": b.ListKind.FAILED}
 EFFECTS = {"pure": b.Effect.PURE, "token": b.Effect.KEYED, "side_effect": b.Effect.UNSAFE}
 GROUPS = {"all": b.Group.ALL, "zone": b.Group.ZONE, "cell": b.Group.CELL}
 HITS = {"1": True, "2": False, "3": False}
@@ -60,8 +73,11 @@
         max_backoff=float(caps.get("maxRetryAfterMs", 0.0)),
         over_share_worth=float(conf.get("overShareWorth", 1.0)),
         tenants=tuple(
-            b.Tenant(_need(t, "name", "realms[]."), float(t.get("share", 0.0)),
-                     float(t.get("quotaPerS", 0.0)))
+            b.Tenant(
+                _need(t, "name", "realms[]."),
+                float(t.get("share", 0.0)),
+                float(t.get("quotaPerS", 0.0)),
+            )
             for t in conf.get("realms") or ()
         ),
     )
@@ -132,8 +148,12 @@
         self._now = 0.0
         self.proxy = ""  # the instance of the event at hand, for fault messages
         self._events: dict[str, Callable[[dict[str, str]], list[b.Action]]] = {
-            "demand": self._demand, "ended": self._ended, "timer": self._timer,
-            "abandoned": self._abandoned, "view": self._view, "accepted": self._accepted,
+            "demand": self._demand,
+            "ended": self._ended,
+            "timer": self._timer,
+            "abandoned": self._abandoned,
+            "view": self._view,
+            "accepted": self._accepted,
             "detach": self._detach,
         }
 
@@ -200,8 +220,11 @@
     def _demand(self, fields: dict[str, str]) -> list[b.Action]:
         key = fields.get("affinity")
         request = b.Request(
-            int(fields["xid"]), fields["priority"], float(fields["giveUpAtMs"]),
-            int(key) if key is not None else None, fields.get("mutates") == "1",
+            int(fields["xid"]),
+            fields["priority"],
+            float(fields["giveUpAtMs"]),
+            int(key) if key is not None else None,
+            fields.get("mutates") == "1",
             fields.get("userGroup", ""),
         )
         return self._balancer.on_request(self._now, request)
@@ -212,9 +235,13 @@
         if pressure:
             report = {k: float(v) for k, v in (p.split(":") for p in pressure.split(","))}
         outcome = b.Outcome(
-            int(fields["xid"]), int(fields.get("sendNo", 0)), RESULTS[fields["rc"]],
-            fields.get("closed") == "1", float(fields.get("lagMs", 0.0)),
-            HITS.get(fields.get("note", "")), report,
+            int(fields["xid"]),
+            int(fields.get("sendNo", 0)),
+            RESULTS[fields["rc"]],
+            fields.get("closed") == "1",
+            float(fields.get("lagMs", 0.0)),
+            HITS.get(fields.get("note", "")),
+            report,
         )
         return self._balancer.on_outcome(self._now, outcome)
 
@@ -244,8 +271,12 @@
     if state is None:
         raise WireError(f"unknown readiness {fields['readiness']!r}")
     return b.Member(
-        int(fields["node"]), state, fields.get("campus", ""), fields.get("type", ""),
-        int(fields.get("unitGroup", 0)), float(fields.get("heft", 1.0)),
+        int(fields["node"]),
+        state,
+        fields.get("campus", ""),
+        fields.get("type", ""),
+        int(fields.get("unitGroup", 0)),
+        float(fields.get("heft", 1.0)),
         float(fields.get("readyAtMs", 0.0)),
     )
 
--- a/snowstall/attempts.py
+++ b/snowstall/attempts.py
@@ -12,8 +12,9 @@
 
 REDIRECTS = frozenset({Result.MOVED, Result.ASKED})
 RETRY_COST = {Result.NO_CONNECTION: 0.0, Result.RESET: BROKEN_COST, Result.SPOILT: BROKEN_COST}
-NEVER_RAN = frozenset({Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS}) \
-    | REDIRECTS
+NEVER_RAN = (
+    frozenset({Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS}) | REDIRECTS
+)
 
 
 @dataclass(slots=True)
@@ -59,4 +60,5 @@
             return False  # the caches may have forgotten the first arrival by then
         return cls.group is Group.ALL or all(
             a.cache.zone == cache.zone if cls.group is Group.ZONE else a.cache.cell == cache.cell
-            for a in ran)
+            for a in ran
+        )
--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -103,8 +103,9 @@
             (self.gate if kept else self.fetches).learn(badness, now, True, took, aim, queued)
         return []
 
-    def on_arrival(self, now: float, class_name: str, stood: float, left: float, spent: float,
-                   taken: int) -> float | None:
+    def on_arrival(
+        self, now: float, class_name: str, stood: float, left: float, spent: float, taken: int
+    ) -> float | None:
         """A command was read after it `stood` unread, its client has `left`; times in ms.
 
         None: it becomes a request.  Else it is refused with this backoff, nothing of it having
@@ -136,8 +137,9 @@
         # Two limits: an origin that can't keep up must not shut what needs nothing of it.
         kept = not request.write and (key in self.head or self._is_kept(key))
         gate = self.gate if kept else self.fetches
-        pending = Pending(request, cls, now, key, gate,
-                          self._is_patient(cls, request.give_up_at - now))
+        pending = Pending(
+            request, cls, now, key, gate, self._is_patient(cls, request.give_up_at - now)
+        )
         self._pending[request.id] = pending
         self._budget = min(RETRY_CAP, self._budget + RETRY_EARN * self._open())
         if self.unproven:
@@ -149,8 +151,14 @@
             self._refresh_head(now)
             for cache in [c for c in self.unproven.values() if now - c.absent_until > FORGIVEN]:
                 del self.unproven[cache.id]  # too little traffic, or none that is harmless
-            self._silence = max((max(STALL, m.value + SILENCE * m.deviation) for m in
-                                 self._times.values() if m.count >= FAIR_ANSWERS), default=math.inf)
+            self._silence = max(
+                (
+                    max(STALL, m.value + SILENCE * m.deviation)
+                    for m in self._times.values()
+                    if m.count >= FAIR_ANSWERS
+                ),
+                default=math.inf,
+            )
         actions: list[Action] = []
         if gate.admits(worth, now):
             self._start(pending, actions)
@@ -259,8 +267,9 @@
             wait = HELD_SHARE * max(0.0, pending.request.give_up_at - self._now)
             actions.append(messages.Timer(wait, pending.request.id))
 
-    def _send(self, pending: Pending, cache: Cache, actions: list[Action],
-              asking: bool = False) -> None:
+    def _send(
+        self, pending: Pending, cache: Cache, actions: list[Action], asking: bool = False
+    ) -> None:
         now = self._now
         attempt = Attempt(cache, now)
         pending.attempts.append(attempt)
@@ -273,8 +282,12 @@
 
     def _may_hedge(self) -> bool:
         """Second copies only where allowed and affordable, and never into an overload."""
-        return (self.settings.second_copies and self._budget >= 1.0
-                and self._open() >= 1.0 and self._errors < ERROR_LIMIT)
+        return (
+            self.settings.second_copies
+            and self._budget >= 1.0
+            and self._open() >= 1.0
+            and self._errors < ERROR_LIMIT
+        )
 
     def _open(self) -> float:  # the lesser: a further attempt's cache may have to fetch
         return min(self.gate.open, self.fetches.open)
@@ -289,8 +302,9 @@
         if sum(m.count for m in times) >= 10 and delay < HEDGE_LATEST * cls.aim:
             actions.append(messages.Timer(delay, pending.request.id))
 
-    def _go_on(self, pending: Pending, result: Result, actions: list[Action],
-               to: int | None = None) -> None:
+    def _go_on(
+        self, pending: Pending, result: Result, actions: list[Action], to: int | None = None
+    ) -> None:
         """No attempt is out and none was served: try again or give the final answer."""
         now = self._now
         if pending.streaming or now >= pending.request.give_up_at or result is Result.NEVER_SENT:
@@ -304,8 +318,10 @@
             elif result is Result.MISS and self._origins:
                 cache = self._least(self._origins, now)  # not a retry: the way of a miss
             elif self._budget >= (cost := RETRY_COST.get(result, 1.0)) and (
-                    result is not Result.ERROR or pending.attempts[-1].own_error
-                    or self._errors < ERROR_LIMIT):
+                result is not Result.ERROR
+                or pending.attempts[-1].own_error
+                or self._errors < ERROR_LIMIT
+            ):
                 cache = self._again(pending, result, now) or self._another(pending, now)
                 if cache is not None:
                     self._budget -= cost
@@ -319,26 +335,40 @@
     def _again(self, pending: Pending, result: Result, now: float) -> Cache | None:
         """The same cache, which has the key, if a connection failed and it is well itself."""
         cache = pending.attempts[-1].cache
-        if result not in RETRY_COST or not cache.listed or now < cache.absent_until \
-                or now - cache.served_at > LIFE_SIGN or self._warmth(cache, now) < 1.0 \
-                or sum(a.cache is cache for a in pending.attempts) > 1:
+        if (
+            result not in RETRY_COST
+            or not cache.listed
+            or now < cache.absent_until
+            or now - cache.served_at > LIFE_SIGN
+            or self._warmth(cache, now) < 1.0
+            or sum(a.cache is cache for a in pending.attempts) > 1
+        ):
             return None
         return cache if pending.may_send(cache, now) else None
 
     def _another(self, pending: Pending, now: float) -> Cache | None:
         """A warm cache not tried yet, in the key's order: cold ones get no retries."""
         tried = {a.cache.id for a in pending.attempts}
-        return next((cache for cache in self._placement(pending.key, 2 + SPARE_CANDIDATES)
-                     if cache.id not in tried and self._sound(cache, now)
-                     and self._warmth(cache, now) >= 1.0 and pending.may_send(cache, now)), None)
+        return next(
+            (
+                cache
+                for cache in self._placement(pending.key, 2 + SPARE_CANDIDATES)
+                if cache.id not in tried
+                and self._sound(cache, now)
+                and self._warmth(cache, now) >= 1.0
+                and pending.may_send(cache, now)
+            ),
+            None,
+        )
 
     def _end(self, pending: Pending, actions: list[Action], failed: bool = False) -> None:
         """The final answer when it was not served: a refusal where that is true."""
         if not failed and pending.may_refuse():
             wait = self._backoff(pending.gate)
             gives = pending.request.give_up_at - pending.arrived_at
-            pending.gate.sent_away(pending.key, gives, self._now,
-                                   wait * RETURN_SPREAD + RETURN_SLACK)
+            pending.gate.sent_away(
+                pending.key, gives, self._now, wait * RETURN_SPREAD + RETURN_SLACK
+            )
             actions.append(messages.Refuse(pending.request.id, wait))
         else:
             actions.append(messages.Fail(pending.request.id))
@@ -357,8 +387,11 @@
         pending.done = True
         self._held.pop(pending.request.id, None)
         if self.settings.can_cancel and not pending.streaming:
-            actions += [messages.Cancel(pending.request.id, number)
-                        for number, attempt in enumerate(pending.attempts) if attempt.out]
+            actions += [
+                messages.Cancel(pending.request.id, number)
+                for number, attempt in enumerate(pending.attempts)
+                if attempt.out
+            ]
         self._forget(pending)
 
     def _forget(self, pending: Pending) -> None:
--- a/snowstall/gate.py
+++ b/snowstall/gate.py
@@ -52,8 +52,11 @@
     def configure(self, settings: Settings, now: float) -> None:
         """New figures; what was learned of the load stays."""
         self._settings = settings
-        self._quotas = {t.name: t.quota_per_s / settings.proxies / 1000.0
-                        for t in settings.tenants if t.quota_per_s > 0}
+        self._quotas = {
+            t.name: t.quota_per_s / settings.proxies / 1000.0
+            for t in settings.tenants
+            if t.quota_per_s > 0
+        }
         self._buckets.clear()
         self._buckets.update({n: (r * 1000.0 * QUOTA_BURST, now) for n, r in self._quotas.items()})
 
@@ -71,8 +74,9 @@
         Who was sent away comes back, late by then: what an answer is still worth counts.  Known by
         key and the time it gives (ms): by the key alone first tries of hot keys were taken for it.
         """
-        worth = cls.worth * (1.0 if self._within_quota(tenant, now)
-                             else self._settings.over_share_worth)
+        worth = cls.worth * (
+            1.0 if self._within_quota(tenant, now) else self._settings.over_share_worth
+        )
         for mark in self._returns.get(key, ()):
             if now <= mark[1] and abs(mark[0] - gives) <= SAME_TIME:
                 self._returns[key].remove(mark)
@@ -90,7 +94,7 @@
         if len(self._returns) >= RETURNS:
             self._returns.clear()
         away = [mark for mark in self._returns.get(key, ()) if now <= mark[1]]
-        self._returns[key] = [*away[1 - RETURNS_EACH:], (gives, now + wait)]
+        self._returns[key] = [*away[1 - RETURNS_EACH :], (gives, now + wait)]
 
     def _within_quota(self, tenant: str, now: float) -> bool:
         rate = self._quotas.get(tenant)
@@ -107,7 +111,7 @@
         passes = True
         if self.limit < math.inf:
             level = self._level + self.limit * (now - self._level_at) / 1_000.0
-            most = max(1.0, self.limit * min(0.42, 0.03 * self._settings.proxies ** 0.5))  # s
+            most = max(1.0, self.limit * min(0.42, 0.03 * self._settings.proxies**0.5))  # s
             self._level, self._level_at = min(most, level), now
             cheaper = sum(d for w, d in self._demand.items() if w < worth)
             debt = (1.0 + self.limit * DEBT / 1_000.0) * cheaper / sum(self._demand.values())
@@ -120,8 +124,9 @@
         self._passed += passes
         return passes
 
-    def learn(self, badness: float, now: float, patient: bool, delay: float,
-              aim: float, queued: bool) -> None:
+    def learn(
+        self, badness: float, now: float, patient: bool, delay: float, aim: float, queued: bool
+    ) -> None:
         """badness: 0 for an answer in time, 1 for a request that came to nothing after `delay` ms.
 
         `queued`: it tells of queues.  Hurried requests count only while patient ones fail as well.
--- a/snowstall/learning.py
+++ b/snowstall/learning.py
@@ -87,17 +87,26 @@
         later, from a jam at the origin by a quick miss since, from chance by the time it is out.
         Harm: a cache that serves the newest first looks like this in an overload.
         """
-        return (attempt.overtaken and self._fetched > attempt.sent_at
-                and self._overdue(cls, self._now - attempt.sent_at - attempt.stood))
+        return (
+            attempt.overtaken
+            and self._fetched > attempt.sent_at
+            and self._overdue(cls, self._now - attempt.sent_at - attempt.stood)
+        )
 
     def _learn(self, pending: Pending, attempt: Attempt, outcome: Outcome) -> None:
         now, cache, result = self._now, attempt.cache, outcome.result
         self._learn_error(pending.cls, attempt, outcome)
         silent = now - cache.owing_since > self._silence
-        attempt.lost = self._lost(pending, attempt) if result is Result.LATE else \
-            result is Result.FULL and silent and self._alone(attempt)
-        late = result is Result.LATE and not attempt.lost \
+        attempt.lost = (
+            self._lost(pending, attempt)
+            if result is Result.LATE
+            else result is Result.FULL and silent and self._alone(attempt)
+        )
+        late = (
+            result is Result.LATE
+            and not attempt.lost
             and self._overdue(pending.cls, outcome.latency)
+        )
         overloaded = (result is Result.FULL and not silent) or late
         self._overloads += ERROR_GAIN * (overloaded - self._overloads)
         if result is Result.OK:
@@ -156,8 +165,11 @@
 
     def _lost(self, pending: Pending, attempt: Attempt) -> bool:
         """Whether what became of it tells of its cache alone, and not of the load."""
-        silent = attempt.cache.owing_since <= attempt.sent_at and self._alone(attempt) \
+        silent = (
+            attempt.cache.owing_since <= attempt.sent_at
+            and self._alone(attempt)
             and self._now - attempt.sent_at - attempt.stood > self._silence
+        )
         return silent or self._swallowed(pending.cls, attempt)
 
     def _alone(self, attempt: Attempt) -> bool:
@@ -179,8 +191,12 @@
         hit = self._mean(cls, True)
         if outcome.latency <= hit.value + hit.deviation:
             cache.errors += ERROR_GAIN * (1.0 - cache.errors)
-            if cache.errors >= OWN_ERRORS and cache.listed and cache not in self._origins \
-                    and self._warmth(cache, self._now) >= 1.0:
+            if (
+                cache.errors >= OWN_ERRORS
+                and cache.listed
+                and cache not in self._origins
+                and self._warmth(cache, self._now) >= 1.0
+            ):
                 # The middle one: of several at fault none may excuse the others.
                 middle = sorted(c.errors for c in self._ready)[len(self._ready) // 2]
                 attempt.own_error = middle < OTHERS_ERRORS
--- a/tests/bad_builds/cold_flooded.py
+++ b/tests/bad_builds/cold_flooded.py
@@ -1,4 +1,5 @@
 """A node that has just started is taken for a warm one."""
+
 from snowstall.balance import Balancer
 
 
@@ -12,4 +13,5 @@
             return admits(self, cache, key, now)
         finally:
             cache.cold_since = since
+
     Balancer._admits = admitted
--- a/tests/bad_builds/descriptor_leak.py
+++ b/tests/bad_builds/descriptor_leak.py
@@ -1,4 +1,5 @@
 """A connection to a cache node that ends keeps its descriptor."""
+
 from violetroute.transport.stream import SocketStream
 
 
@@ -21,4 +22,5 @@
             LEAKED.append(self._socket)
             self._socket = Kept(self._socket)
         finish(self, error)
+
     SocketStream._finish = finished
--- a/tests/bad_builds/drains_ignored.py
+++ b/tests/bad_builds/drains_ignored.py
@@ -1,4 +1,5 @@
 """A node that drains is taken for one in service."""
+
 from snowstall import CacheState
 from violetroute.membership import native
 
--- a/tests/bad_builds/ejection_unbounded.py
+++ b/tests/bad_builds/ejection_unbounded.py
@@ -1,4 +1,5 @@
 """Every cache that is late or full once is sent away, for long, however many are away already."""
+
 from snowstall import Result, balance, learning
 
 
@@ -11,4 +12,5 @@
         learn(self, pending, attempt, outcome)
         if outcome.result in (Result.LATE, Result.FULL):
             self._eject(attempt.cache, self._now)
+
     balance.Balancer._learn = learned
--- a/tests/bad_builds/gate_twice_gain.py
+++ b/tests/bad_builds/gate_twice_gain.py
@@ -1,4 +1,5 @@
 """The gate moves twice as fast as its news allow."""
+
 from snowstall import gate
 
 
--- a/tests/bad_builds/keyed_late.py
+++ b/tests/bad_builds/keyed_late.py
@@ -1,4 +1,5 @@
 """A keyed command is repeated after its window as before it."""
+
 from snowstall import attempts, balance
 
 
@@ -9,4 +10,5 @@
     def sent(self, pending, cache, actions, asking=False):
         send(self, pending, cache, actions, asking)
         actions[-1].deliver_by = 0.0
+
     balance.Balancer._send = sent
--- a/tests/bad_builds/no_shedding.py
+++ b/tests/bad_builds/no_shedding.py
@@ -1,4 +1,5 @@
 """Nothing is turned away: neither by the gate nor by the proxy's own load."""
+
 from snowstall.balance import Balancer
 from snowstall.gate import Gate
 
--- a/tests/bad_builds/retry_storm.py
+++ b/tests/bad_builds/retry_storm.py
@@ -1,4 +1,5 @@
 """Every failed attempt is tried again at once, without a budget, as often as time allows."""
+
 from dataclasses import replace
 
 from snowstall import balance, choice
@@ -11,4 +12,5 @@
 
     def begin(self, settings, seed, now):
         first(self, replace(settings, max_attempts=12), seed, now)
+
     balance.Balancer.__init__ = begin
--- a/tests/bad_builds/same_wait.py
+++ b/tests/bad_builds/same_wait.py
@@ -1,4 +1,5 @@
 """All that are refused are told the same wait, and come back together."""
+
 from snowstall.balance import Balancer
 
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -34,8 +34,9 @@
     def __init__(self, listed: dict[str, str]) -> None:
         self.listed = listed
 
-    def pytest_collection_modifyitems(self, config: pytest.Config,
-                                      items: list[pytest.Item]) -> None:
+    def pytest_collection_modifyitems(
+        self, config: pytest.Config, items: list[pytest.Item]
+    ) -> None:
         found = {item.nodeid for item in items}
         files = {name.partition("::")[0] for name in found}
         for name in self.listed:  # a run of some files alone tells nothing of the others
@@ -45,7 +46,8 @@
 
     @pytest.hookimpl(wrapper=True)
     def pytest_runtest_makereport(
-            self, item: pytest.Item) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+        self, item: pytest.Item
+    ) -> Generator[None, pytest.TestReport, pytest.TestReport]:
         report = yield
         if item.nodeid not in self.listed:
             return report
--- a/tests/planted/after_grace.py
+++ b/tests/planted/after_grace.py
@@ -1,4 +1,5 @@
 """A node that drains gets something new in the last ms after the grace."""
+
 from violetroute.proxy import Proxy
 
 tell_list = Proxy._tell_list
--- a/tests/planted/answer_twice.py
+++ b/tests/planted/answer_twice.py
@@ -1,4 +1,5 @@
 """An answer is sent twice, when two attempts were out."""
+
 from violetroute.clients.answers import Answer
 
 finish = Answer.finish
--- a/tests/planted/budget_leak.py
+++ b/tests/planted/budget_leak.py
@@ -1,4 +1,5 @@
 """Written after the explorer: an answer that its client never takes keeps its room."""
+
 from violetroute.clients.answers import Answer
 
 
--- a/tests/planted/clients_before_news.py
+++ b/tests/planted/clients_before_news.py
@@ -1,4 +1,5 @@
 """Found by exploration, taken back: after a pause clients are read before what discovery says."""
+
 from violetroute.membership.native import Call
 from violetroute.transport.sockets import SocketNetwork
 
--- a/tests/planted/cold_burst.py
+++ b/tests/planted/cold_burst.py
@@ -1,4 +1,5 @@
 """A cold node is taken for a warm one, and the youngest is asked first."""
+
 from snowstall import Balancer
 
 cost = Balancer._cost
--- a/tests/planted/connect_leak.py
+++ b/tests/planted/connect_leak.py
@@ -1,4 +1,5 @@
 """A connect that is called off keeps its descriptor."""
+
 from violetroute.upstream.pool import Pool
 
 discard = Pool._discard
--- a/tests/planted/early_drain.py
+++ b/tests/planted/early_drain.py
@@ -1,4 +1,5 @@
 """Found by exploration, taken back: a drain in the first answers, which have no leader, is lost."""
+
 from violetroute.membership.belief import Belief
 
 
--- a/tests/planted/forgotten_on_reload.py
+++ b/tests/planted/forgotten_on_reload.py
@@ -1,4 +1,5 @@
 """A reload forgets the requests that are open."""
+
 from violetroute.proxy import Proxy
 
 reload = Proxy.reload
--- a/tests/planted/handed_out_twice.py
+++ b/tests/planted/handed_out_twice.py
@@ -1,4 +1,5 @@
 """An idle connection is handed out twice: it stays in the list of idle ones."""
+
 from violetroute.upstream.connection import NodeConnection
 from violetroute.upstream.pool import Pool
 
--- a/tests/planted/held_in_a_pause.py
+++ b/tests/planted/held_in_a_pause.py
@@ -1,4 +1,5 @@
 """Found by exploration, taken back: after a pause the deadline of a held request comes first."""
+
 from violetroute.proxy import Proxy
 
 
--- a/tests/planted/keyed_late.py
+++ b/tests/planted/keyed_late.py
@@ -1,4 +1,5 @@
 """A keyed request is repeated up to 100 ms late, and nobody asks whether it arrived in time."""
+
 from snowstall import attempts
 from violetroute.proxy import Proxy
 
--- a/tests/planted/late_byte.py
+++ b/tests/planted/late_byte.py
@@ -1,4 +1,5 @@
 """A late byte is read by the next request: nobody looks behind an answer."""
+
 from violetroute.upstream.connection import NodeConnection
 
 received = NodeConnection.received
--- a/tests/planted/late_in_a_pause.py
+++ b/tests/planted/late_in_a_pause.py
@@ -1,4 +1,5 @@
 """Found by exploration, taken back: no clock but the daemon's own calls a command off."""
+
 from violetroute.transport.stream import SocketStream
 
 
--- a/tests/planted/leaderless_drain.py
+++ b/tests/planted/leaderless_drain.py
@@ -1,4 +1,5 @@
 """Found by exploration, taken back: a drain in an answer without a leader is not kept."""
+
 from violetroute.membership.consul import ConsulWatch
 
 
--- a/tests/planted/left_unseen.py
+++ b/tests/planted/left_unseen.py
@@ -1,4 +1,5 @@
 """Found by exploration, taken back: whether a client has left is not asked of the kernel."""
+
 from violetroute.clients.connection import ClientConnection
 
 
--- a/tests/planted/lost_wake_up.py
+++ b/tests/planted/lost_wake_up.py
@@ -1,4 +1,5 @@
 """Who waits for a connection is not woken when one is free or stands."""
+
 from violetroute.proxy import Proxy
 from violetroute.upstream.pool import Pool
 
--- a/tests/planted/old_watch.py
+++ b/tests/planted/old_watch.py
@@ -1,4 +1,5 @@
 """Discovery's old watch is believed after a move."""
+
 from violetroute.membership.source import Membership
 
 
--- a/tests/planted/other_source_drain.py
+++ b/tests/planted/other_source_drain.py
@@ -1,4 +1,5 @@
 """A drain that the source which does not speak tells of is not kept."""
+
 from violetroute.membership import merge
 
 
--- a/tests/planted/pause_forgotten.py
+++ b/tests/planted/pause_forgotten.py
@@ -1,4 +1,5 @@
 """Found by exploration, taken back: what stood unread in a pause is taken for new."""
+
 from violetroute.clients.standing import Standing
 
 
--- a/tests/planted/refused_after_reset.py
+++ b/tests/planted/refused_after_reset.py
@@ -1,4 +1,5 @@
 """A reset counts as never sent, so an unsafe request is refused or tried again after it."""
+
 from snowstall import Result
 from violetroute.upstream.connection import NodeConnection
 
@@ -7,4 +8,5 @@
 
 def plant():
     NodeConnection._break = lambda self, result: break_(
-        self, Result.NO_CONNECTION if result is Result.RESET else result)
+        self, Result.NO_CONNECTION if result is Result.RESET else result
+    )
--- a/tests/planted/reused_after_give_up.py
+++ b/tests/planted/reused_after_give_up.py
@@ -1,4 +1,5 @@
 """An attempt's connection is used again after the attempt was given up."""
+
 from violetroute.upstream.connection import NodeConnection
 
 
--- a/tests/planted/spoilt_as_unsent.py
+++ b/tests/planted/spoilt_as_unsent.py
@@ -1,4 +1,5 @@
 """Written after the explorer: an answer that can't be read counts as never sent."""
+
 from snowstall import Result
 from violetroute.proxy import Proxy
 
@@ -7,4 +8,5 @@
 
 def plant():
     Proxy.attempt_ended = lambda self, attempt, result, *more, **named: ended(
-        self, attempt, Result.NEVER_SENT if result is Result.SPOILT else result, *more, **named)
+        self, attempt, Result.NEVER_SENT if result is Result.SPOILT else result, *more, **named
+    )
--- a/tests/planted/stale_address.py
+++ b/tests/planted/stale_address.py
@@ -1,4 +1,5 @@
 """Found by exploration, taken back: a node that drains no longer has its address."""
+
 from snowstall import CacheState
 from violetroute.membership.places import Places
 
@@ -7,6 +8,8 @@
     take = Places.take
 
     def taken(self, member, address, inferred=False):
-        return take(self, member, None if member.state is CacheState.DRAINING else address, inferred)
+        return take(
+            self, member, None if member.state is CacheState.DRAINING else address, inferred
+        )
 
     Places.take = taken
--- a/tests/planted/undelivered_ignored.py
+++ b/tests/planted/undelivered_ignored.py
@@ -2,6 +2,7 @@
 
 Both clocks are taken out: the daemon's own, and the kernel's behind it.
 """
+
 from violetroute.proxy import Proxy
 from violetroute.transport.stream import SocketStream
 
--- a/tests/planted/watch_end_untold.py
+++ b/tests/planted/watch_end_untold.py
@@ -1,4 +1,5 @@
 """Written after the explorer: the end of discovery's watch is not told."""
+
 from violetroute.membership.native import Call
 
 
--- a/tests/planted/window_forgotten.py
+++ b/tests/planted/window_forgotten.py
@@ -1,4 +1,5 @@
 """Found by exploration, taken back: a read that leaves nothing passes for the last of a pause."""
+
 from violetroute.clients import standing
 
 
--- a/tests/planted_fleet/fence_not_checked.py
+++ b/tests/planted_fleet/fence_not_checked.py
@@ -13,8 +13,12 @@
                     log_.take(data)
                     return log.Done(log_.next - 1)
             return log.Crowded()
+
         return put
 
     work.claim, work.append = unchecked("claim", None), unchecked("entry", None)
     log.Seal.admits = lambda self, fence, nonce: (
-        setattr(self, "fence", fence), setattr(self, "nonce", nonce), True)[2]
+        setattr(self, "fence", fence),
+        setattr(self, "nonce", nonce),
+        True,
+    )[2]
--- a/tests/planted_fleet/time_from_the_answer.py
+++ b/tests/planted_fleet/time_from_the_answer.py
@@ -8,6 +8,7 @@
         def told(self, now, number, *fence):
             self._asked_at = now
             return old(self, now, number, *fence)
+
         return told
 
     Owner.granted, Owner.renewed = late(Owner.granted), late(Owner.renewed)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -24,13 +24,29 @@
 from violetroute.transport.sockets import SocketNetwork
 from violetroute.transport.turns import Turns
 
-__all__ = ["SETTINGS", "Behaviour", "CacheNode", "Discovery", "Rig", "bulk", "command",
-           "configuration", "get", "put", "read_answer", "read_words", "reply", "serves", "soon",
-           "until"]
+__all__ = [
+    "SETTINGS",
+    "Behaviour",
+    "CacheNode",
+    "Discovery",
+    "Rig",
+    "bulk",
+    "command",
+    "configuration",
+    "get",
+    "put",
+    "read_answer",
+    "read_words",
+    "reply",
+    "serves",
+    "soon",
+    "until",
+]
 
 T = TypeVar("T")
 PATIENCE = 20.0  # s; a bound on waiting, far above what any step needs
 
+
 async def soon(what: Awaitable[T]) -> T:
     async with asyncio.timeout(PATIENCE):
         return await what
@@ -54,8 +70,13 @@
 class Rig:
     """The proxy between the parts, as __main__ puts it together."""
 
-    def __init__(self, *nodes: CacheNode, turns: Turns | None = None,
-                 operator: config_module.Operator | None = None, **limits: Any) -> None:
+    def __init__(
+        self,
+        *nodes: CacheNode,
+        turns: Turns | None = None,
+        operator: config_module.Operator | None = None,
+        **limits: Any,
+    ) -> None:
         self.nodes, self.limits, self.turns = nodes, limits, turns
         self.operator = operator
         self.discovery = Discovery()
@@ -71,8 +92,9 @@
             self.config = replace(self.config, operator=self.operator)
         net = SocketNetwork(asyncio.get_running_loop(), self.turns)
         self.proxy = Proxy(self.config, net)
-        self.listener = Listener(self.proxy, self.config.client_sockets,
-                                 self.config.value_room, net)
+        self.listener = Listener(
+            self.proxy, self.config.client_sockets, self.config.value_room, net
+        )
         self.port = self.listener.start(self.config.listen).port
         return self
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -24,8 +24,9 @@
 
 
 def put(number: int, wait: int = 8000, value: bytes = b"v", cls: bytes = b"optout") -> bytes:
-    return command(b"OBJ.SET", b"k", b"id%d" % number,
-                   b"c=%b,t=x,d=%d,k=key%d" % (cls, wait, number), value)
+    return command(
+        b"OBJ.SET", b"k", b"id%d" % number, b"c=%b,t=x,d=%d,k=key%d" % (cls, wait, number), value
+    )
 
 
 class Scene:
@@ -82,8 +83,13 @@
         return [name for _, _, name in self.begun]
 
 
-def scene(part: Callable[[Scene], Awaitable[None]], nodes: int = 1, sockets: int = 256,
-          seed: int = 5, **settings: Any) -> None:
+def scene(
+    part: Callable[[Scene], Awaitable[None]],
+    nodes: int = 1,
+    sockets: int = 256,
+    seed: int = 5,
+    **settings: Any,
+) -> None:
     """Play one, and end all that it has started."""
     kernel = Kernel(seed)
     loop = VirtualLoop(kernel, kernel.random("order"))
--- a/tests/test_attainable.py
+++ b/tests/test_attainable.py
@@ -15,18 +15,30 @@
 from limebridge.rehearsal.score import Asked
 
 
-def want(place: int, worth: float, wait: int, life: int, late: float = 0.5,
-         fresh: bool = False) -> Asked:
+def want(
+    place: int, worth: float, wait: int, life: int, late: float = 0.5, fresh: bool = False
+) -> Asked:
     """One bin's work, asked at the end of a bin: its waits are then whole bins."""
-    return Asked((place + 0.999) * STEP, f"{worth} {wait} {life}", "t", "s", worth, wait * STEP,
-                 late, work=1.0, life=life * STEP, fresh=fresh)
+    return Asked(
+        (place + 0.999) * STEP,
+        f"{worth} {wait} {life}",
+        "t",
+        "s",
+        worth,
+        wait * STEP,
+        late,
+        work=1.0,
+        life=life * STEP,
+        fresh=fresh,
+    )
 
 
 def brute(found: list[Asked], rooms: list[Room]) -> float:
     """The best of all ways to put each request whole into a bin, or into none."""
     best = 0.0
-    for ways in itertools.product(*(
-            [None, *range(int(a.at / STEP), int((a.at + a.life) / STEP) + 1)] for a in found)):
+    for ways in itertools.product(
+        *([None, *range(int(a.at / STEP), int((a.at + a.life) / STEP) + 1)] for a in found)
+    ):
         used = [0.0] * len(rooms)
         fetched = [0.0] * len(rooms)
         total = 0.0
@@ -37,20 +49,35 @@
             fetched[place] += each.fresh
             in_time = place <= int(int(each.at / STEP) + 1 + each.aim / STEP)
             total += each.worth * (1.0 if in_time else each.late)
-        if all(u <= r.work and f <= r.fetches
-               for u, f, r in zip(used, fetched, rooms, strict=True)):
+        if all(
+            u <= r.work and f <= r.fetches for u, f, r in zip(used, fetched, rooms, strict=True)
+        ):
             best = max(best, total)
     return best
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(st.tuples(st.integers(0, 2), st.sampled_from([2.0, 5.0]), st.integers(0, 2),
-                          st.integers(0, 2), st.booleans()), min_size=1, max_size=5),
-       st.lists(st.tuples(st.integers(0, 2), st.integers(0, 1)), min_size=4, max_size=4))
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 2),
+            st.sampled_from([2.0, 5.0]),
+            st.integers(0, 2),
+            st.integers(0, 2),
+            st.booleans(),
+        ),
+        min_size=1,
+        max_size=5,
+    ),
+    st.lists(st.tuples(st.integers(0, 2), st.integers(0, 1)), min_size=4, max_size=4),
+)
 def test_nobody_can_earn_more_and_the_bound_is_reached(
-        wants: list[tuple[int, float, int, int, bool]], rooms: list[tuple[int, int]]) -> None:
-    found = [want(p, worth, wait, max(wait + 1, life), fresh=fresh)
-             for p, worth, wait, life, fresh in wants]
+    wants: list[tuple[int, float, int, int, bool]], rooms: list[tuple[int, int]]
+) -> None:
+    found = [
+        want(p, worth, wait, max(wait + 1, life), fresh=fresh)
+        for p, worth, wait, life, fresh in wants
+    ]
     there = [Room(float(work), float(fetches)) for work, fetches in rooms] + [Room(0.0, 0.0)] * 3
     got = sum(attainable(found, there, 4))
     best = brute(found, there)
@@ -115,13 +142,15 @@
     earned = sum(pair[1] for pair in result.score.seconds)
     assert earned <= sum(result.share.attainable) * 1.01  # the luck of drawn work
     assert result.share.trouble < 0.95 and sum(result.share.attainable) < sum(
-        pair[0] for pair in result.score.seconds)
+        pair[0] for pair in result.score.seconds
+    )
 
 
 def test_what_the_database_gives_is_measured_while_it_stands_still(tmp_path: Path) -> None:
     path = tmp_path / "small.toml"
-    path.write_text(SMALL.replace("KIND", "database_stops").replace("400.0", "60.0")
-                    + "[keys]\nonce = 0.5\n")
+    path.write_text(
+        SMALL.replace("KIND", "database_stops").replace("400.0", "60.0") + "[keys]\nonce = 0.5\n"
+    )
     share = play(load(str(path))).share
     assert share is not None
     assert share.attainable[5] < 0.8 * share.attainable[2]
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -25,8 +25,10 @@
     assert said == []
     for _ in range(3):
         made.look({2: 0, 1: 0}, math.inf, 41.66)
-    assert said == [("nodes.doubted", {"count": 2, "nodes": "10.0.0.1:1 10.0.0.2:1"}),
-                    ("admission.limited", {"of": "fetched", "a_second": 41.7})]
+    assert said == [
+        ("nodes.doubted", {"count": 2, "nodes": "10.0.0.1:1 10.0.0.2:1"}),
+        ("admission.limited", {"of": "fetched", "a_second": 41.7}),
+    ]
     now[0] += AGAIN
     made.look({2: 0}, math.inf, 30.0)  # better, not well: nothing new
     assert len(said) == 2
@@ -39,7 +41,8 @@
 
 
 def test_what_comes_and_goes_is_a_line_now_and_then(
-        said: list[tuple[str, dict[str, object]]]) -> None:
+    said: list[tuple[str, dict[str, object]]],
+) -> None:
     now = [0.0]
     made = Beliefs(lambda: now[0], str)
     for turn in range(600):  # half a minute of looks
@@ -62,7 +65,8 @@
 
 
 def test_a_limit_that_spreads_from_the_database_to_the_nodes_is_told(
-        said: list[tuple[str, dict[str, object]]]) -> None:
+    said: list[tuple[str, dict[str, object]]],
+) -> None:
     now = [0.0]
     made = Beliefs(lambda: now[0], str)
     for kept, fetched in ((math.inf, 9.0), (7.0, 9.0), (7.0, math.inf), (math.inf, math.inf)):
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -124,8 +124,12 @@
     "negative": b"*-3\r\n",
     "negative bulk": b"*1\r\n$-5\r\n",
     "huge array": b"*999999999\r\n",
-    "huge value": b"*5\r\n" + bulk(b"OBJ.SET") + bulk(b"k") + bulk(b"i") + bulk(b"c=optout,d=9")
-                  + b"$60000000\r\n",
+    "huge value": b"*5\r\n"
+    + bulk(b"OBJ.SET")
+    + bulk(b"k")
+    + bulk(b"i")
+    + bulk(b"c=optout,d=9")
+    + b"$60000000\r\n",
     "wrong length": b"*4\r\n$3\r\nOBJ.GET\r\n",
     "not a bulk": b"*1\r\n:5\r\n",
     "letters": b"*4x\r\n",
@@ -241,8 +245,11 @@
     async def part(rig: Rig, node: CacheNode) -> None:
         async def spell(start: int) -> None:
             for number in range(start, start + 60):
-                await rig.ask(get(number, key=b"key%d" % (number % 60)), put(number + 100_000),
-                              SENSELESS["class"])
+                await rig.ask(
+                    get(number, key=b"key%d" % (number % 60)),
+                    put(number + 100_000),
+                    SENSELESS["class"],
+                )
             await until(lambda: not rig.listener.connections and not rig.proxy.open_requests)
             node.commands.clear()
             for writer in list(node.open):  # how many are kept is no leak
@@ -252,9 +259,11 @@
         def objects() -> int:
             gc.collect()
             # A timer that was called off, with its context, stays with the loop until it is due.
-            return sum(not isinstance(o, Context)
-                       and not (isinstance(o, asyncio.TimerHandle) and o.cancelled())
-                       for o in gc.get_objects())
+            return sum(
+                not isinstance(o, Context)
+                and not (isinstance(o, asyncio.TimerHandle) and o.cancelled())
+                for o in gc.get_objects()
+            )
 
         await spell(0)  # the module learns the keys
         await spell(1_000)
@@ -330,14 +339,19 @@
 
 
 async def asked_unread(
-    rig: Rig, *commands: bytes,
+    rig: Rig,
+    *commands: bytes,
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """A connection that has been idle, whose next commands stand unread in the kernel."""
     reader, writer = await rig.client()
     writer.write(command(b"PING"))
     assert await read_answer(reader) == b"+PONG"
-    await until(lambda: list(rig.listener._idle) and rig.listener.loop.time()
-                - next(iter(rig.listener._idle)).since > IDLE_LEAST)
+    await until(
+        lambda: (
+            list(rig.listener._idle)
+            and rig.listener.loop.time() - next(iter(rig.listener._idle)).since > IDLE_LEAST
+        )
+    )
     writer.write(b"".join(commands))  # into the kernel at once, no turn of the loop in between
     return reader, writer
 
@@ -355,8 +369,10 @@
         elif close == "give way":
             assert not listener._give_way()
         elif close == "overstay":
-            listener._slots, listener.limits = 1, msgspec.structs.replace(
-                listener.limits, idle_s=IDLE_LEAST)
+            listener._slots, listener.limits = (
+                1,
+                msgspec.structs.replace(listener.limits, idle_s=IDLE_LEAST),
+            )
             next(iter(listener._idle)).look(listener.loop.time())
         else:
             drained = asyncio.create_task(listener.drain(5.0))
@@ -435,8 +451,9 @@
         _, writer = await rig.client()
         writer.transport.pause_reading()  # type: ignore[attr-defined]
         writer.write(b"".join(map(get, range(120))))
-        await until(lambda: any(c._stream is not None and c._stream.unsent
-                                for c in rig.listener._serving))
+        await until(
+            lambda: any(c._stream is not None and c._stream.unsent for c in rig.listener._serving)
+        )
         stuck = rig.listener.loop.time()
         await until(lambda: not rig.listener.connections)
         assert rig.listener.loop.time() - stuck > 0.7  # and not at the first look
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -35,30 +35,47 @@
 
 
 def several(*shares: tuple[str, int, tuple[str, ...]], foreign: Any = "moved") -> ClusterTable:
-    return ClusterTable("several", foreign=foreign, proxies=tuple(
-        ClusterProxy(name, f"127.0.0.1:{port}", slots) for name, port, slots in shares))
+    return ClusterTable(
+        "several",
+        foreign=foreign,
+        proxies=tuple(
+            ClusterProxy(name, f"127.0.0.1:{port}", slots) for name, port, slots in shares
+        ),
+    )
 
 
 HALVES = several(("n0", 7000, ("0-8191",)), ("n1", 7001, ("8192-16383",)))
 
 
 # --- slots ---
-@given(st.binary(max_size=40) | st.lists(st.sampled_from([b"{", b"}", b"a", b"bc"]),
-                                         max_size=8).map(b"".join))
+@given(
+    st.binary(max_size=40)
+    | st.lists(st.sampled_from([b"{", b"}", b"a", b"bc"]), max_size=8).map(b"".join)
+)
 def test_slots_are_those_of_a_client_that_others_wrote(key: bytes) -> None:
     assert key_slot(key) == redis_slot(key)
 
 
-@pytest.mark.parametrize(("table", "said"), [
-    (several(("n0", 1, ("0-8191",)), ("n1", 2, ("8191-16383",))), "slot 8191 belongs to two"),
-    (several(("n0", 1, ("0-8191",)), ("n1", 2, ("8193-16383",))), "slot 8192 belongs to nobody"),
-    (several(("n1", 1, ("0-16383",))), "'n0', is not among them"),
-    (several(("n0", 1, ("0-16384",))), "does not lie within 0-16383"),
-    (several(("n0", 1, ("5-3",))), "does not lie within"),
-    (several(("n0", 1, ("a-b",))), "no range of slots"),
-    (several(("n0", 1, ("0-8191",)), ("n0", 2, ("8192-16383",))), "twice"),
-    (ClusterTable("several", proxies=(ClusterProxy("n0", "a.name:1", ("0-16383",)),)), "n0: addr"),
-    (ClusterTable("one", announce="here"), "announce: ")])
+@pytest.mark.parametrize(
+    ("table", "said"),
+    [
+        (several(("n0", 1, ("0-8191",)), ("n1", 2, ("8191-16383",))), "slot 8191 belongs to two"),
+        (
+            several(("n0", 1, ("0-8191",)), ("n1", 2, ("8193-16383",))),
+            "slot 8192 belongs to nobody",
+        ),
+        (several(("n1", 1, ("0-16383",))), "'n0', is not among them"),
+        (several(("n0", 1, ("0-16384",))), "does not lie within 0-16383"),
+        (several(("n0", 1, ("5-3",))), "does not lie within"),
+        (several(("n0", 1, ("a-b",))), "no range of slots"),
+        (several(("n0", 1, ("0-8191",)), ("n0", 2, ("8192-16383",))), "twice"),
+        (
+            ClusterTable("several", proxies=(ClusterProxy("n0", "a.name:1", ("0-16383",)),)),
+            "n0: addr",
+        ),
+        (ClusterTable("one", announce="here"), "announce: "),
+    ],
+)
 def test_a_wrong_table_is_one_line_that_names_its_key(table: ClusterTable, said: str) -> None:
     with pytest.raises(ValueError, match=r"^(proxies|announce): ") as raised:
         topology(table, "n0", HERE)
@@ -76,7 +93,8 @@
 
 def test_where_it_listens_everywhere_the_host_is_the_one_that_was_asked() -> None:
     assert made(ClusterTable("one"), listen=Address("0.0.0.0", 5)).slots() == [
-        [0, SLOTS - 1, [b"", 5, made(ClusterTable("one")).parts[0].id.encode(), []]]]
+        [0, SLOTS - 1, [b"", 5, made(ClusterTable("one")).parts[0].id.encode(), []]]
+    ]
     assert made(ClusterTable("one", announce="10.0.0.1:9")).parts[0].address.port == 9
 
 
@@ -84,8 +102,12 @@
     key = next(b"k%d" % n for n in itertools.count() if key_slot(b"k%d" % n) > 8191)
     assert Dialect(made(HALVES)).moved(key) == b"-MOVED %d 127.0.0.1:7001\r\n" % key_slot(key)
     assert Dialect(made(HALVES, "n1")).moved(key) is None
-    assert Dialect(made(several(("n0", 7000, ("0-8191",)), ("n1", 7001, ("8192-16383",)),
-                                foreign="serve"))).moved(key) is None
+    assert (
+        Dialect(
+            made(several(("n0", 7000, ("0-8191",)), ("n1", 7001, ("8192-16383",)), foreign="serve"))
+        ).moved(key)
+        is None
+    )
     assert Dialect(made(ClusterTable("one"))).moved(key) is None
 
 
@@ -97,27 +119,46 @@
     return answer
 
 
-@pytest.mark.parametrize(("words", "answer"), [
-    (b"CLUSTER KEYSLOT {user}x", b":5474\r\n"), (b"cluster links", b"*0\r\n"),
-    (b"CLUSTER KEYSLOT", b"-ERR wrong number of arguments for 'cluster|keyslot' command\r\n"),
-    (b"CLUSTER", b"-ERR wrong number of arguments for 'cluster' command\r\n"),
-    (b"CLUSTER FAILOVER", b"-ERR unknown subcommand 'FAILOVER'. Try CLUSTER HELP.\r\n"),
-    (b"CLUSTER COUNTKEYSINSLOT 1", b"-ERR a proxy holds no keys to count\r\n"),
-    (b"ASKING", b"+OK\r\n"), (b"READONLY", b"+OK\r\n"), (b"READWRITE", b"+OK\r\n"),
-    (b"SELECT 0", b"+OK\r\n"), (b"SELECT 1", b"-ERR SELECT is not allowed in cluster mode\r\n"),
-    (b"PING", b"+PONG\r\n"), (b"PING hi", b"$2\r\nhi\r\n"), (b"ECHO hi", b"$2\r\nhi\r\n"),
-    (b"CLIENT ID", b":1\r\n"), (b"CLIENT GETNAME", b"$0\r\n\r\n"),
-    (b"CLIENT SETINFO lib-name x", b"+OK\r\n"), (b"CLIENT NO-EVICT on", b"+OK\r\n"),
-    (b"CLIENT KILL x", b"-ERR unknown subcommand 'KILL'. Try CLIENT HELP.\r\n"),
-    (b"MGET a b", b"-CROSSSLOT Keys in request don't hash to the same slot\r\n"),
-    (b"MSET {a}1 x {a}2 y", b"-ERR unknown command 'mset', with args beginning with: "
-                            b"'{a}1' 'x' '{a}2' 'y' \r\n"),
-    (b"COMMAND COUNT", b":15\r\n"), (b"COMMAND GETKEYS OBJ.GET k i l", b"*1\r\n$1\r\nk\r\n"),
-    (b"COMMAND GETKEYS PING", b"-ERR The command has no key arguments\r\n"),
-    (b"HELLO 4", b"-NOPROTO unsupported protocol version\r\n"),
-    (b"HELLO 3 AUTH a b", b"-ERR AUTH called without any password configured for the default "
-                          b"user. Are you sure your configuration is correct?\r\n"),
-    (b"RESET", b"+RESET\r\n"), (b"QUIT", b"+OK\r\n")])
+@pytest.mark.parametrize(
+    ("words", "answer"),
+    [
+        (b"CLUSTER KEYSLOT {user}x", b":5474\r\n"),
+        (b"cluster links", b"*0\r\n"),
+        (b"CLUSTER KEYSLOT", b"-ERR wrong number of arguments for 'cluster|keyslot' command\r\n"),
+        (b"CLUSTER", b"-ERR wrong number of arguments for 'cluster' command\r\n"),
+        (b"CLUSTER FAILOVER", b"-ERR unknown subcommand 'FAILOVER'. Try CLUSTER HELP.\r\n"),
+        (b"CLUSTER COUNTKEYSINSLOT 1", b"-ERR a proxy holds no keys to count\r\n"),
+        (b"ASKING", b"+OK\r\n"),
+        (b"READONLY", b"+OK\r\n"),
+        (b"READWRITE", b"+OK\r\n"),
+        (b"SELECT 0", b"+OK\r\n"),
+        (b"SELECT 1", b"-ERR SELECT is not allowed in cluster mode\r\n"),
+        (b"PING", b"+PONG\r\n"),
+        (b"PING hi", b"$2\r\nhi\r\n"),
+        (b"ECHO hi", b"$2\r\nhi\r\n"),
+        (b"CLIENT ID", b":1\r\n"),
+        (b"CLIENT GETNAME", b"$0\r\n\r\n"),
+        (b"CLIENT SETINFO lib-name x", b"+OK\r\n"),
+        (b"CLIENT NO-EVICT on", b"+OK\r\n"),
+        (b"CLIENT KILL x", b"-ERR unknown subcommand 'KILL'. Try CLIENT HELP.\r\n"),
+        (b"MGET a b", b"-CROSSSLOT Keys in request don't hash to the same slot\r\n"),
+        (
+            b"MSET {a}1 x {a}2 y",
+            b"-ERR unknown command 'mset', with args beginning with: '{a}1' 'x' '{a}2' 'y' \r\n",
+        ),
+        (b"COMMAND COUNT", b":15\r\n"),
+        (b"COMMAND GETKEYS OBJ.GET k i l", b"*1\r\n$1\r\nk\r\n"),
+        (b"COMMAND GETKEYS PING", b"-ERR The command has no key arguments\r\n"),
+        (b"HELLO 4", b"-NOPROTO unsupported protocol version\r\n"),
+        (
+            b"HELLO 3 AUTH a b",
+            b"-ERR AUTH called without any password configured for the default "
+            b"user. Are you sure your configuration is correct?\r\n",
+        ),
+        (b"RESET", b"+RESET\r\n"),
+        (b"QUIT", b"+OK\r\n"),
+    ],
+)
 def test_words_are_the_standards(words: bytes, answer: bytes) -> None:
     assert say(*words.split()) == answer
 
@@ -133,9 +174,30 @@
     assert (session.version, session.name) == (2, b"")
 
 
-@given(st.lists(st.binary(max_size=12) | st.sampled_from(
-    [b"CLUSTER", b"slots", b"HELLO", b"3", b"SETNAME", b"CLIENT", b"COMMAND", b"docs", b"info",
-     b"getkeys", b"obj.set", b"MGET", b"AUTH"]), min_size=1, max_size=16))
+@given(
+    st.lists(
+        st.binary(max_size=12)
+        | st.sampled_from(
+            [
+                b"CLUSTER",
+                b"slots",
+                b"HELLO",
+                b"3",
+                b"SETNAME",
+                b"CLIENT",
+                b"COMMAND",
+                b"docs",
+                b"info",
+                b"getkeys",
+                b"obj.set",
+                b"MGET",
+                b"AUTH",
+            ]
+        ),
+        min_size=1,
+        max_size=16,
+    )
+)
 def test_whatever_is_asked_is_one_whole_answer(words: list[bytes]) -> None:
     dialect = Dialect(made(HALVES))
     answer = dialect.answer(dialect.session(), words)
@@ -154,13 +216,18 @@
 # --- clients that others wrote ---
 def cluster(part: Callable[[list[Rig]], Awaitable[None]], count: int = 2) -> None:
     """`count` proxies that share the slots, before one fleet of nodes."""
+
     async def run() -> None:
         nodes = [await CacheNode(serves).start() for _ in range(3)]
         async with AsyncExitStack() as stack:
             rigs = [await stack.enter_async_context(Rig(*nodes)) for _ in range(count)]
             step = SLOTS // count
-            table = several(*((f"n{n}", rig.port, (f"{n * step}-{(n + 1) * step - 1}",))
-                              for n, rig in enumerate(rigs)))
+            table = several(
+                *(
+                    (f"n{n}", rig.port, (f"{n * step}-{(n + 1) * step - 1}",))
+                    for n, rig in enumerate(rigs)
+                )
+            )
             for number, rig in enumerate(rigs):
                 rig.listener.dialect = Dialect(made(table, f"n{number}"))
             await part(rigs)
@@ -170,18 +237,20 @@
 
 def test_a_proxy_alone_is_a_node_that_owns_all_slots() -> None:
     async def part(rigs: list[Rig]) -> None:
-        rig, = rigs
-        rig.listener.dialect = Dialect(made(ClusterTable("one"),
-                                            listen=Address("127.0.0.1", rig.port)))
+        (rig,) = rigs
+        rig.listener.dialect = Dialect(
+            made(ClusterTable("one"), listen=Address("127.0.0.1", rig.port))
+        )
 
         def drive() -> None:
             for protocol in (2, 3):
-                client = redis.cluster.RedisCluster(host="127.0.0.1", port=rig.port,
-                                                    protocol=protocol)
+                client = redis.cluster.RedisCluster(
+                    host="127.0.0.1", port=rig.port, protocol=protocol
+                )
                 for number in range(50):
                     assert client.execute_command(
-                        "OBJ.GET", f"k{number}", f"id{protocol}-{number}",
-                        "c=lookup,t=x,d=5000") == b"value of id%d-%d" % (protocol, number)
+                        "OBJ.GET", f"k{number}", f"id{protocol}-{number}", "c=lookup,t=x,d=5000"
+                    ) == b"value of id%d-%d" % (protocol, number)
                 client.close()
 
         await soon(asyncio.to_thread(drive))
@@ -193,16 +262,18 @@
     async def part(rigs: list[Rig]) -> None:
         client = redis.asyncio.cluster.RedisCluster(host="127.0.0.1", port=rigs[0].port)
         for number in range(200):
-            value = await client.execute_command("OBJ.GET", f"k{number}", f"id{number}",
-                                                 "c=lookup,t=x,d=5000")
+            value = await client.execute_command(
+                "OBJ.GET", f"k{number}", f"id{number}", "c=lookup,t=x,d=5000"
+            )
             assert value == b"value of id%d" % number
         # The proxies change places: the client's map is wrong now, and MOVED mends it.
         swapped = several(("n0", rigs[0].port, ("8192-16383",)), ("n1", rigs[1].port, ("0-8191",)))
         for number, rig in enumerate(rigs):
             rig.listener.dialect = Dialect(made(swapped, f"n{number}"))
         for number in range(200, 400):
-            value = await client.execute_command("OBJ.GET", f"k{number}", f"id{number}",
-                                                 "c=lookup,t=x,d=5000")
+            value = await client.execute_command(
+                "OBJ.GET", f"k{number}", f"id{number}", "c=lookup,t=x,d=5000"
+            )
             assert value == b"value of id%d" % number
         await client.aclose()
 
@@ -215,8 +286,11 @@
         here = [key_slot(key) < SLOTS // 2 for key in keys]
         answers = await rigs[0].ask(*(get(number, key=key) for number, key in enumerate(keys)))
         for number, (answer, mine) in enumerate(zip(answers, here, strict=True)):
-            assert answer == b"value of id%d" % number if mine else \
-                answer == b"-MOVED %d 127.0.0.1:%d" % (key_slot(keys[number]), rigs[1].port)
+            assert (
+                answer == b"value of id%d" % number
+                if mine
+                else answer == b"-MOVED %d 127.0.0.1:%d" % (key_slot(keys[number]), rigs[1].port)
+            )
         assert 20 < sum(here) < 80
 
     cluster(part)
@@ -237,7 +311,7 @@
 def test_without_the_dialect_nothing_of_it_is_answered() -> None:
     async def run() -> None:
         async with Rig(await CacheNode(serves).start()) as rig:
-            answer, = await rig.ask(b"*2\r\n$7\r\nCLUSTER\r\n$5\r\nSLOTS\r\n")
+            (answer,) = await rig.ask(b"*2\r\n$7\r\nCLUSTER\r\n$5\r\nSLOTS\r\n")
             assert answer == b"-ERR unknown command"
 
     asyncio.run(run())
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -41,8 +41,11 @@
     "known": (("known",), {"instances": 3}, "known:"),
     "tries missing": (("settings", "caps", "mostTries"), None, "mostTries"),
     "tries": (("settings", "caps", "mostTries"), 0, "settings.caps.mostTries:"),
-    "timeout": (("settings", "caps", "connectTimeoutMs"), "soon",
-                "settings.caps.connectTimeoutMs:"),
+    "timeout": (
+        ("settings", "caps", "connectTimeoutMs"),
+        "soon",
+        "settings.caps.connectTimeoutMs:",
+    ),
     "idle": (("settings", "caps", "connIdleMs"), 0, "settings.caps.connIdleMs:"),
     "cold": (("settings", "guarantees", "coldFrom"), 3, "settings.guarantees.coldFrom:"),
     "no classes": (("settings", "classes"), [], "settings.classes:"),
@@ -54,28 +57,46 @@
     "mode": (("settings", "membershipMode"), "told", "settings.membershipMode:"),
     "price": (("settings", "tariffs"), {"crossZone": "dear"}, "settings.tariffs.crossZone:"),
     "tenant": (("settings", "realms"), [{"share": 1}], "settings.realms[0]"),
-    "quota": (("settings", "realms"), [{"name": "a", "quotaPerS": -1}],
-              "settings.realms[0].quotaPerS:"),
+    "quota": (
+        ("settings", "realms"),
+        [{"name": "a", "quotaPerS": -1}],
+        "settings.realms[0].quotaPerS:",
+    ),
     "two tenants": (("settings", "realms"), [{"name": "a"}] * 2, "settings.realms: a name"),
 }
 # Python's JSON has NaN and Infinity, and a deadline of either passed for one.
-FIGURES = [("limits", "sockets"), ("limits", "memory_mb"), ("settings", "balancers"),
-           ("settings", "overShareWorth"),
-           *(("settings", "caps", key) for key in ("mostTries", "connIdleMs", "connectTimeoutMs",
-                                                   "maxRetryAfterMs")),
-           *(("settings", "guarantees", key) for key in ("coldFrom", "warmWithinMs", "askWithinMs",
-                                                         "stopSendingWithinMs")),
-           *(("settings", "classes", 0, key) for key in ("promiseMs", "deadlineMs", "worth",
-                                                         "lateValue", "keyTtlMs"))]
-WRONG |= {f"{value} {keys[-1]}": (keys, value, f"{keys[-1]}:")
-          for keys in FIGURES for value in (float("nan"), float("inf"), -1.0)}
+FIGURES = [
+    ("limits", "sockets"),
+    ("limits", "memory_mb"),
+    ("settings", "balancers"),
+    ("settings", "overShareWorth"),
+    *(
+        ("settings", "caps", key)
+        for key in ("mostTries", "connIdleMs", "connectTimeoutMs", "maxRetryAfterMs")
+    ),
+    *(
+        ("settings", "guarantees", key)
+        for key in ("coldFrom", "warmWithinMs", "askWithinMs", "stopSendingWithinMs")
+    ),
+    *(
+        ("settings", "classes", 0, key)
+        for key in ("promiseMs", "deadlineMs", "worth", "lateValue", "keyTtlMs")
+    ),
+]
+WRONG |= {
+    f"{value} {keys[-1]}": (keys, value, f"{keys[-1]}:")
+    for keys in FIGURES
+    for value in (float("nan"), float("inf"), -1.0)
+}
 
 
 def test_what_is_null_is_as_if_it_were_not_there(tmp_path: Path) -> None:
     absent = dict.fromkeys(("tariffs", "realms", "familyInfo", "kinds"))
     raw = configuration(1, [])
-    assert loaded(tmp_path, raw | {"settings": raw["settings"] | absent}).settings \
+    assert (
+        loaded(tmp_path, raw | {"settings": raw["settings"] | absent}).settings
         == loaded(tmp_path, raw).settings
+    )
 
 
 @pytest.mark.parametrize("name", WRONG)
@@ -104,8 +125,9 @@
 
 
 def test_unknown_keys_of_the_platform_are_allowed_and_named(tmp_path: Path) -> None:
-    raw = configuration(1, [], **{"newHere": 1, "tickMs": 5.0,
-                                  "caps": SETTINGS["caps"] | {"moreNew": 2}})
+    raw = configuration(
+        1, [], **{"newHere": 1, "tickMs": 5.0, "caps": SETTINGS["caps"] | {"moreNew": 2}}
+    )
     config = loaded(tmp_path, raw)
     assert set(config.unknown) == {"settings.newHere", "settings.caps.moreNew"}
 
@@ -149,9 +171,10 @@
     path = ROOT / "deploy" / "operator.toml"
     assert load_operator(str(path)) == Operator()
     written = tomllib.loads(path.read_text())
-    assert {table: set(keys) for table, keys in written.items()} == \
-        {table.name: set(type(table.default).__struct_fields__)
-         for table in msgspec.structs.fields(Operator)}
+    assert {table: set(keys) for table, keys in written.items()} == {
+        table.name: set(type(table.default).__struct_fields__)
+        for table in msgspec.structs.fields(Operator)
+    }
 
 
 def test_shares_divide_what_the_platform_grants(tmp_path: Path) -> None:
@@ -164,8 +187,9 @@
 
 
 def test_what_needs_a_restart_is_said() -> None:
-    now = parse_operator({"limits": {"client_share": 0.6, "depth": 5}, "log": {"level": "error"}},
-                         "f")
+    now = parse_operator(
+        {"limits": {"client_share": 0.6, "depth": 5}, "log": {"level": "error"}}, "f"
+    )
     assert restart_needed(Operator(), now) == ["limits.client_share"]
 
 
@@ -184,15 +208,18 @@
 
 
 def test_the_operators_file_is_checked_alone_and_the_shipped_one_passes(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.delenv("PROXY_CONFIG", raising=False)
     shipped = Path(__file__).parent.parent / "deploy" / "operator.toml"
     result = CliRunner().invoke(app, ["check", "--operator", str(shipped), "--json"])
     assert result.exit_code == 0 and json.loads(result.stdout)["ledger"] == "off"
     path = tmp_path / "op.toml"
-    for text, said in (('[ledger]\nfolder = "x"\nzone = "Nowhere"\n', "[ledger] zone"),
-                       ('[ledger]\nfolder = "x"\ntls_ca_file = "none"\n', "[ledger] tls files"),
-                       ('[ledger]\nfolder = "x"\n', "")):
+    for text, said in (
+        ('[ledger]\nfolder = "x"\nzone = "Nowhere"\n', "[ledger] zone"),
+        ('[ledger]\nfolder = "x"\ntls_ca_file = "none"\n', "[ledger] tls files"),
+        ('[ledger]\nfolder = "x"\n', ""),
+    ):
         path.write_text(text)
         result = CliRunner().invoke(app, ["check", "--operator", str(path)])
         assert (result.exit_code, said in result.output) == (2 if said else 0, True)
@@ -203,7 +230,10 @@
 
 def test_an_agent_beside_the_proxy_is_only_where_the_platform_alone_tells(tmp_path: Path) -> None:
     raw = configuration(1, [], membershipMode="automatic")
-    for operator, pushed in (("", True), ('[membership]\nsources = ["platform"]\n', True),
-                             ('[consul]\nagents = ["127.0.0.1:1"]\n', False)):
+    for operator, pushed in (
+        ("", True),
+        ('[membership]\nsources = ["platform"]\n', True),
+        ('[consul]\nagents = ["127.0.0.1:1"]\n', False),
+    ):
         settings = loaded(tmp_path, raw, operator).settings
         assert settings.must_subscribe and settings.pushed is pushed
--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -56,8 +56,11 @@
         self._tell("drained")
 
     def lost(self, error: OSError | None) -> None:
-        self._tell("lost" if error is None or error.errno is None
-                   else f"lost {errno.errorcode[error.errno]}")
+        self._tell(
+            "lost"
+            if error is None or error.errno is None
+            else f"lost {errno.errorcode[error.errno]}"
+        )
 
     async def until(self, true: Callable[[], object]) -> None:
         async with asyncio.timeout(20.0):
@@ -107,7 +110,8 @@
 def linger(end: End) -> None:
     """Make its close a reset."""
     end.stream._socket.setsockopt(  # type: ignore[union-attr]
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
 
 
 async def hello_and_close(world: World) -> object:
@@ -354,16 +358,33 @@
     return seen
 
 
-SCRIPTS = (ended_behind_what_is_not_read, ends_what_is_not_delivered, hello_and_close,
-           back_pressure, half_close,
-           reset_with_unread, reset_by_linger,
-           data_then_reset, reset_right_behind_data, write_after_the_peer_closed, refused,
-           full_backlog, closed_in_the_backlog, peeks, tells_what_arrived, called_off,
-           lowest_descriptor_first, end_while_the_peer_writes)
-
-
-def in_the_world(net: Callable[[asyncio.AbstractEventLoop], SocketNetwork],
-                 loop: asyncio.AbstractEventLoop, script: Script) -> object:
+SCRIPTS = (
+    ended_behind_what_is_not_read,
+    ends_what_is_not_delivered,
+    hello_and_close,
+    back_pressure,
+    half_close,
+    reset_with_unread,
+    reset_by_linger,
+    data_then_reset,
+    reset_right_behind_data,
+    write_after_the_peer_closed,
+    refused,
+    full_backlog,
+    closed_in_the_backlog,
+    peeks,
+    tells_what_arrived,
+    called_off,
+    lowest_descriptor_first,
+    end_while_the_peer_writes,
+)
+
+
+def in_the_world(
+    net: Callable[[asyncio.AbstractEventLoop], SocketNetwork],
+    loop: asyncio.AbstractEventLoop,
+    script: Script,
+) -> object:
     async def run() -> object:
         world = World(net(loop), script.__name__)
         world.listen()
@@ -392,7 +413,9 @@
         kernel.link = link  # type: ignore[assignment, method-assign]
     return in_the_world(
         lambda loop: network(kernel, "p", loop, lambda: kernel.now),
-        VirtualLoop(kernel, kernel.random("order")), script)
+        VirtualLoop(kernel, kernel.random("order")),
+        script,
+    )
 
 
 @pytest.mark.parametrize("script", SCRIPTS, ids=lambda script: script.__name__)
@@ -412,8 +435,9 @@
 
     kernel = Kernel()
     kernel.limit("p", 1)  # the door's
-    seen = in_the_world(lambda loop: SocketNetwork(loop, make=kernel.maker("p")),
-                        VirtualLoop(kernel), script)
+    seen = in_the_world(
+        lambda loop: SocketNetwork(loop, make=kernel.maker("p")), VirtualLoop(kernel), script
+    )
     loop = asyncio.SelectorEventLoop()
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
 
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -36,8 +36,11 @@
 # --- meaning ---
 def element(**more: Any) -> dict[str, Any]:
     service = {"ID": "c1", "Service": "cache", "Address": "10.0.0.1", "Port": 6379} | more
-    return {"Node": {"Node": "m1", "Address": "10.0.0.9"}, "Service": service,
-            "Checks": [{"CheckID": "serfHealth", "Status": "passing"}]}
+    return {
+        "Node": {"Node": "m1", "Address": "10.0.0.9"},
+        "Service": service,
+        "Checks": [{"CheckID": "serfHealth", "Status": "passing"}],
+    }
 
 
 def read(*elements: Any, table: ConsulTable = TABLE) -> dict[str, Instance]:
@@ -45,24 +48,37 @@
 
 
 def test_an_instance_with_all_that_its_meta_says() -> None:
-    found = read(element(Meta={"zone": "paterno", "machine_type": "old", "cell": "3",
-                               "started_at_ms": "1700"}, Weights={"Passing": 4, "Warning": 1}))
-    assert found == {"c1": Instance("c1", Address("10.0.0.1", 6379), Health.PASSING, "paterno",
-                                    "old", 3, 4.0, 1700.0)}
-
-
-@pytest.mark.parametrize(("checks", "health"), [
-    ([], Health.PASSING), ([("a", "warning"), ("b", "passing")], Health.WARNING),
-    ([("a", "warning"), ("b", "critical")], Health.CRITICAL),
-    ([("a", "new-word")], Health.CRITICAL),
-    ([("_node_maintenance", "critical")], Health.DRAINS),
-    ([("_service_maintenance:c1", "critical"), ("b", "critical")], Health.DRAINS),
-    ([("_node_maintenance", "passing")], Health.PASSING)])
+    found = read(
+        element(
+            Meta={"zone": "paterno", "machine_type": "old", "cell": "3", "started_at_ms": "1700"},
+            Weights={"Passing": 4, "Warning": 1},
+        )
+    )
+    assert found == {
+        "c1": Instance(
+            "c1", Address("10.0.0.1", 6379), Health.PASSING, "paterno", "old", 3, 4.0, 1700.0
+        )
+    }
+
+
+@pytest.mark.parametrize(
+    ("checks", "health"),
+    [
+        ([], Health.PASSING),
+        ([("a", "warning"), ("b", "passing")], Health.WARNING),
+        ([("a", "warning"), ("b", "critical")], Health.CRITICAL),
+        ([("a", "new-word")], Health.CRITICAL),
+        ([("_node_maintenance", "critical")], Health.DRAINS),
+        ([("_service_maintenance:c1", "critical"), ("b", "critical")], Health.DRAINS),
+        ([("_node_maintenance", "passing")], Health.PASSING),
+    ],
+)
 def test_states_by_the_worst_check_and_maintenance_as_a_plan(
-        checks: list[tuple[str, str]], health: Health) -> None:
+    checks: list[tuple[str, str]], health: Health
+) -> None:
     one = element(Weights={"Passing": 4, "Warning": 2})
     one["Checks"] = [{"CheckID": name, "Status": status} for name, status in checks]
-    found, = read(one).values()
+    (found,) = read(one).values()
     assert found.health is health
     assert found.weight == (2.0 if health is Health.WARNING else 4.0)
 
@@ -79,11 +95,22 @@
     assert read(element(Address="fd00::1"))["c1"].address == Address("fd00::1", 6379)
 
 
-@pytest.mark.parametrize("wrong", [
-    {"Port": 0}, {"Port": 70000}, {"Address": "a.name"}, {"Port": "x"}, {"Meta": {"cell": "x"}},
-    {"Meta": {"started_at_ms": "nan"}}, {"Weights": {"Passing": -1}}, {"ID": 7}])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"Port": 0},
+        {"Port": 70000},
+        {"Address": "a.name"},
+        {"Port": "x"},
+        {"Meta": {"cell": "x"}},
+        {"Meta": {"started_at_ms": "nan"}},
+        {"Weights": {"Passing": -1}},
+        {"ID": 7},
+    ],
+)
 def test_an_instance_that_makes_no_sense_is_left_out_and_the_others_hold(
-        wrong: dict[str, Any]) -> None:
+    wrong: dict[str, Any],
+) -> None:
     reader = Reader(TABLE)
     found = reader.read(json.dumps([element(**wrong), element(ID="c2"), 7, {}]).encode())
     assert set(found) == {"c2"} and reader.left_out == 3
@@ -95,9 +122,17 @@
     assert set(read(one, two, three)) == {"c1", "c1@m2", "m1"}
 
 
-@given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(),
-                    lambda inner: st.lists(inner) | st.dictionaries(
-                        st.sampled_from(("Node", "Service", "Checks", "ID", "Port", "x")), inner)))
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(),
+        lambda inner: (
+            st.lists(inner)
+            | st.dictionaries(
+                st.sampled_from(("Node", "Service", "Checks", "ID", "Port", "x")), inner
+            )
+        ),
+    )
+)
 def test_no_json_does_more_than_a_value_error(value: Any) -> None:
     try:
         assert isinstance(read(value), dict)
@@ -108,8 +143,10 @@
 
 # --- belief ---
 def some(count: int, health: Health = Health.PASSING, start: int = 0) -> dict[str, Instance]:
-    return {f"c{n}": Instance(f"c{n}", Address("10.0.0.1", 1000 + n), health)
-            for n in range(start, start + count)}
+    return {
+        f"c{n}": Instance(f"c{n}", Address("10.0.0.1", 1000 + n), health)
+        for n in range(start, start + count)
+    }
 
 
 def states(belief: Belief, now: float = 0.0) -> dict[str, CacheState]:
@@ -208,15 +245,20 @@
     one, two = (Entry(n, READY, Address("10.0.0.1", 1), "", "", 0, 1.0, 0.0) for n in ("a", "b"))
     assert changes({"a": one, "b": two}, {"a": one, "b": two}) == []
     assert changes({"a": one}, {"a": replace(one, state=DRAINING), "b": two}) == [
-        replace(one, state=DRAINING), two]
+        replace(one, state=DRAINING),
+        two,
+    ]
     assert changes({"a": one}, {}) == [replace(one, state=GONE, address=None)]
 
 
 def test_a_drain_in_an_answer_that_is_old_is_kept_and_nothing_else_of_it() -> None:
     belief = Belief(TABLE)
     belief.take(0.0, 1e9, some(4))
-    old = {"c0": replace(some(1)["c0"], health=Health.DRAINS), "c9": some(10)["c9"],
-           "c1": some(2, Health.CRITICAL)["c1"]}
+    old = {
+        "c0": replace(some(1)["c0"], health=Health.DRAINS),
+        "c9": some(10)["c9"],
+        "c1": some(2, Health.CRITICAL)["c1"],
+    }
     belief.plans(old)
     assert states(belief) == {"c0": DRAINING, "c1": READY, "c2": READY, "c3": READY}
 
@@ -225,8 +267,16 @@
 def test_the_index_by_the_published_rules() -> None:
     query = Query(ConsulTable(tag="x y", consistency="stale", datacenter="d"))
     assert query.target() == "/v1/health/service/cache?dc=d&tag=x+y&stale"
-    for header, index in (("7", 7), ("7", 7), ("3", 0), ("0", 0), ("-2", 0), ("x", 0), ("9", 9),
-                          ("9" * 30, 0)):
+    for header, index in (
+        ("7", 7),
+        ("7", 7),
+        ("3", 0),
+        ("0", 0),
+        ("-2", 0),
+        ("x", 0),
+        ("9", 9),
+        ("9" * 30, 0),
+    ):
         assert query.answered(200, {"x-consul-index": header}) is None
         assert query.index == index
     assert query.answered(200, {"x-consul-index": "5"}) is None
@@ -235,15 +285,24 @@
     assert query.target(confirm=True).endswith("&consistent")
 
 
-@pytest.mark.parametrize(("status", "headers", "reason", "wait"), [
-    (403, {}, "403", 0.0), (404, {}, "404", 0.0), (301, {"location": "x"}, "301", 0.0),
-    (429, {"retry-after": "7"}, "429", 7.0), (429, {"retry-after": "999999"}, "429", 60.0),
-    (429, {"retry-after": "soon"}, "429", 0.0), (500, {"retry-after": "7"}, "500", 0.0),
-    (200, {"x-consul-knownleader": "false"}, "no leader", 0.0),
-    (200, {"x-consul-lastcontact": "10001"}, "10001 ms old", 0.0),
-    (200, {"x-consul-results-filtered-by-acls": "true"}, "may not see", 0.0)])
-def test_answers_that_tell_nothing(status: int, headers: dict[str, str], reason: str,
-                                   wait: float) -> None:
+@pytest.mark.parametrize(
+    ("status", "headers", "reason", "wait"),
+    [
+        (403, {}, "403", 0.0),
+        (404, {}, "404", 0.0),
+        (301, {"location": "x"}, "301", 0.0),
+        (429, {"retry-after": "7"}, "429", 7.0),
+        (429, {"retry-after": "999999"}, "429", 60.0),
+        (429, {"retry-after": "soon"}, "429", 0.0),
+        (500, {"retry-after": "7"}, "500", 0.0),
+        (200, {"x-consul-knownleader": "false"}, "no leader", 0.0),
+        (200, {"x-consul-lastcontact": "10001"}, "10001 ms old", 0.0),
+        (200, {"x-consul-results-filtered-by-acls": "true"}, "may not see", 0.0),
+    ],
+)
+def test_answers_that_tell_nothing(
+    status: int, headers: dict[str, str], reason: str, wait: float
+) -> None:
     query = Query(TABLE)
     refused = query.answered(status, headers | {"x-consul-index": "8"})
     assert isinstance(refused, Refused) and reason in refused.reason and refused.wait == wait
@@ -252,8 +311,9 @@
 
 # --- one name for a node ---
 def entry(name: str, port: int, state: CacheState = READY) -> Entry:
-    return Entry(name, state, None if state is GONE else Address("10.0.0.1", port), "", "", 0, 1.0,
-                 0.0)
+    return Entry(
+        name, state, None if state is GONE else Address("10.0.0.1", port), "", "", 0, 1.0, 0.0
+    )
 
 
 def names(listing: Listing) -> list[str]:
@@ -283,7 +343,9 @@
     assert names(roster.take(early)) == ["s-1", "s-2"]
     whole = Listing(1, True, (entry("c1", 1), entry("c2", 2, DRAINING)))
     assert [(e.instance, e.state) for e in roster.take(whole).entries] == [
-        ("s-1", READY), ("s-2", DRAINING)]
+        ("s-1", READY),
+        ("s-2", DRAINING),
+    ]
 
 
 def test_drains_in_answers_that_count_for_nothing_else_are_told_before_the_first_list() -> None:
@@ -291,8 +353,14 @@
         setting.agent.headers = {"X-Consul-KnownLeader": "false"}
         setting.catalogue.maintain("c1", True)
         proxy = setting.rig.proxy
-        proxy.reload(replace(setting.rig.config, operator=Operator(consul=msgspec.structs.replace(
-            setting.rig.config.operator.consul, wait_s=0.4))))
+        proxy.reload(
+            replace(
+                setting.rig.config,
+                operator=Operator(
+                    consul=msgspec.structs.replace(setting.rig.config.operator.consul, wait_s=0.4)
+                ),
+            )
+        )
         await setting.uses("s-0", "s-2", "s-3")
 
     follow(part)
@@ -303,7 +371,9 @@
     roster = Roster()
     roster.take(Listing(1, False, (entry("s-1", 1), entry("s-2", 2))))  # handed over at the start
     assert names(roster.take(Listing(2, True, (entry("s-9", 1), entry("s-2", 2))))) == [
-        "s-9", "s-2"]
+        "s-9",
+        "s-2",
+    ]
 
 
 # --- the stand-in, driven by a client that others wrote ---
@@ -314,13 +384,14 @@
         def drive() -> None:
             client = py_consul.Consul(host="127.0.0.1", port=agent.port)
             assert client.agent.service.register(
-                "cache", service_id="c1", port=7001, tags=["t"],
-                check=py_consul.Check.ttl("10s"))
+                "cache", service_id="c1", port=7001, tags=["t"], check=py_consul.Check.ttl("10s")
+            )
             assert client.agent.check.ttl_pass("service:c1")
             index, found = client.health.service("cache", passing=True)
             assert [e["Service"]["ID"] for e in found] == ["c1"]
-            timer = threading.Timer(0.05, lambda: client.agent.service.register(
-                "cache", service_id="c2", port=7002))
+            timer = threading.Timer(
+                0.05, lambda: client.agent.service.register("cache", service_id="c2", port=7002)
+            )
             timer.start()
             later, found = client.health.service("cache", index=index, wait="5s")
             assert int(later) > int(index) and len(found) == 2
@@ -353,8 +424,11 @@
     def used(self) -> set[str]:
         """The nodes that may get something new."""
         known = set(self.rig.proxy.nodes)
-        return {name for name in (*(f"s-{n}" for n in range(9)), *(f"c{n}" for n in range(9)))
-                if stable_hash(name.encode()) in known}
+        return {
+            name
+            for name in (*(f"s-{n}" for n in range(9)), *(f"c{n}" for n in range(9)))
+            if stable_hash(name.encode()) in known
+        }
 
     async def uses(self, *wanted: str) -> None:
         await until(lambda: self.used() == set(wanted))
@@ -371,9 +445,12 @@
         nodes = [await CacheNode(serves).start() for _ in range(4)]
         for number, node in enumerate(nodes):
             catalogue.register(f"c{number}", node.port, address="127.0.0.1")
-        operator = Operator(consul=ConsulTable(
-            agents=tuple(f"127.0.0.1:{agent.port}" for agent in started),
-            **({"least_interval_s": 0.01, "return_s": 0.05, "wait_s": 0.5} | table)))
+        operator = Operator(
+            consul=ConsulTable(
+                agents=tuple(f"127.0.0.1:{agent.port}" for agent in started),
+                **({"least_interval_s": 0.01, "return_s": 0.05, "wait_s": 0.5} | table),
+            )
+        )
         async with Rig(*nodes, operator=operator) as rig:
             setting = Setting(rig, catalogue, started)
             # The platform's names last: the nodes were handed over under them at the start.
@@ -421,13 +498,18 @@
 
 
 TROUBLES: dict[str, dict[str, Any]] = {
-    "refused": {}, "black": {"black": True}, "500": {"status": 500},
-    "429": {"status": 429, "retry_after": "1"}, "403": {"token": "secret"},
-    "headers only": {"cut": 120}, "noise": {"answers": [b"\x00\xff\r\n\r\n"] * 3},
+    "refused": {},
+    "black": {"black": True},
+    "500": {"status": 500},
+    "429": {"status": 429, "retry_after": "1"},
+    "403": {"token": "secret"},
+    "headers only": {"cut": 120},
+    "noise": {"answers": [b"\x00\xff\r\n\r\n"] * 3},
     "no json": {"answers": [b"HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\n{{{"] * 3},
     "no list": {"answers": [b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}"] * 3},
-    "too large": {"answers": [b"HTTP/1.1 200 X\r\nContent-Length: 99999999\r\n\r\n" + b"[" * 99999]
-                  * 2},
+    "too large": {
+        "answers": [b"HTTP/1.1 200 X\r\nContent-Length: 99999999\r\n\r\n" + b"[" * 99999] * 2
+    },
     "redirect": {"answers": [b"HTTP/1.1 302 X\r\nLocation: /\r\nContent-Length: 0\r\n\r\n"] * 3},
     "no leader": {"headers": {"X-Consul-KnownLeader": "false"}},
     "stale": {"headers": {"X-Consul-LastContact": "60000"}},
@@ -509,8 +591,9 @@
         setting.agent.freeze()
         catalogue.services.update(kept)
         count = len(setting.agent.asked)
-        await until(lambda: any(asked.endswith("consistent")
-                                for asked in setting.agent.asked[count:]))
+        await until(
+            lambda: any(asked.endswith("consistent") for asked in setting.agent.asked[count:])
+        )
         assert len(setting.used()) == 4
         setting.agent.frozen = None
         catalogue.deregister("c1", "c2", "c3")
@@ -564,12 +647,14 @@
 
 @pytest.mark.parametrize("slow", ["drips", "stands still"])
 def test_a_body_that_does_not_come_to_its_end_is_given_up(
-        slow: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    slow: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(watching, "BODY_WHOLE", 0.4)
     monkeypatch.setattr(watching, "BODY_PATIENCE", 0.2)
     said: list[str] = []
-    monkeypatch.setattr(watching, "tell", lambda name, **more: said.append(
-        str(more.get("reason", ""))))
+    monkeypatch.setattr(
+        watching, "tell", lambda name, **more: said.append(str(more.get("reason", "")))
+    )
 
     async def part(setting: Setting) -> None:
         if slow == "drips":
@@ -578,8 +663,7 @@
             setting.agent.answers = [b"HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\n["]
         setting.catalogue.change()
         await until(lambda: said)
-        assert said[0] == ("the answer takes too long" if slow == "drips" else
-                           "no answer in time")
+        assert said[0] == ("the answer takes too long" if slow == "drips" else "no answer in time")
         setting.agent.drip = 0.0
         setting.catalogue.maintain("c0", True)
         await setting.uses("s-1", "s-2", "s-3")
@@ -590,16 +674,21 @@
 def test_bytes_behind_an_answer_are_not_the_next_one() -> None:
     async def part(setting: Setting) -> None:
         def framed(body: bytes) -> bytes:
-            return (b"HTTP/1.1 200 X\r\nX-Consul-Index: 99\r\nContent-Length: %d\r\n\r\n%b"
-                    % (len(body), body))
+            return b"HTTP/1.1 200 X\r\nX-Consul-Index: 99\r\nContent-Length: %d\r\n\r\n%b" % (
+                len(body),
+                body,
+            )
 
         good = json.dumps(setting.catalogue.listed("cache")).encode()
-        forged = json.dumps([each for each in setting.catalogue.listed("cache")
-                             if each["Service"]["ID"] != "c0"]).encode()
+        forged = json.dumps(
+            [each for each in setting.catalogue.listed("cache") if each["Service"]["ID"] != "c0"]
+        ).encode()
         told: list[CacheState] = []
         changed = setting.rig.proxy.list_changed
         setting.rig.proxy.list_changed = lambda listing: (  # type: ignore
-            told.extend(e.state for e in listing.entries), changed(listing))
+            told.extend(e.state for e in listing.entries),
+            changed(listing),
+        )
         setting.agent.answers = [framed(good) + framed(forged)]
         setting.catalogue.change()
         await setting.asks_again()
@@ -653,8 +742,11 @@
         async with Rig(*nodes) as rig:
             setting = Setting(rig, catalogue, [agent])
             await rig.watched()
-            whole = {"generation": 5, "reset": True, "instances": [
-                node.entry(f"s-{number}") for number, node in enumerate(nodes)]}
+            whole = {
+                "generation": 5,
+                "reset": True,
+                "instances": [node.entry(f"s-{number}") for number, node in enumerate(nodes)],
+            }
             rig.discovery.lines.append(whole)
             answers: list[bytes] = []
 
@@ -665,8 +757,12 @@
                     answers.extend(await rig.ask(get(number)))
 
             asking = asyncio.create_task(load())
-            to_consul = replace(rig.config, operator=Operator(consul=ConsulTable(
-                agents=(f"127.0.0.1:{agent.port}",), least_interval_s=0.01)))
+            to_consul = replace(
+                rig.config,
+                operator=Operator(
+                    consul=ConsulTable(agents=(f"127.0.0.1:{agent.port}",), least_interval_s=0.01)
+                ),
+            )
             rig.proxy.reload(to_consul)
             await until(lambda: any("index" in asked for asked in agent.asked))
             await until(lambda: not rig.discovery.open)
@@ -686,8 +782,11 @@
 
 
 def test_wrong_agents_are_named() -> None:
-    for agents, said in ((["consul.local:8500"], "not an address"), (["127.0.0.1"], "not an"),
-                         ("127.0.0.1:1", "Expected `array`")):
+    for agents, said in (
+        (["consul.local:8500"], "not an address"),
+        (["127.0.0.1"], "not an"),
+        ("127.0.0.1:1", "Expected `array`"),
+    ):
         with pytest.raises(ConfigError, match=r"\[consul\] agents: ") as raised:
             parse_operator({"consul": {"agents": agents}}, "f")
         assert said in str(raised.value)
@@ -712,7 +811,9 @@
         proxy = setting.rig.proxy
         taken = proxy.list_changed
         proxy.list_changed = lambda listing: (  # type: ignore[method-assign]
-            told.extend(e.instance for e in listing.entries), taken(listing))[1]
+            told.extend(e.instance for e in listing.entries),
+            taken(listing),
+        )[1]
         await setting.asks_again()  # waits that ran out
         assert told == []
         setting.catalogue.change()
--- a/tests/test_consul_morning.py
+++ b/tests/test_consul_morning.py
@@ -58,8 +58,10 @@
         loop, seen, catalogue = asyncio.get_running_loop(), Seen(), Catalogue()
         agents = [await Consul(catalogue, n).start() for n in range(2)]
         database, effects = CustomerDatabase(latency=0.01), Effects(2.0)
-        nodes = [FleetNode(f"c{n}", database, effects, seen, f"{n}", slots=4, service=0.01)
-                 for n in range(6)]
+        nodes = [
+            FleetNode(f"c{n}", database, effects, seen, f"{n}", slots=4, service=0.01)
+            for n in range(6)
+        ]
         for node in nodes:
             await node.start()
             catalogue.register(node.name, node.port, address="127.0.0.1")
@@ -70,9 +72,14 @@
 
         for agent in agents:
             agent.told = told
-        operator = Operator(consul=ConsulTable(
-            agents=tuple(f"127.0.0.1:{agent.port}" for agent in agents), wait_s=0.3,
-            least_interval_s=0.02, return_s=0.1))
+        operator = Operator(
+            consul=ConsulTable(
+                agents=tuple(f"127.0.0.1:{agent.port}" for agent in agents),
+                wait_s=0.3,
+                least_interval_s=0.02,
+                return_s=0.1,
+            )
+        )
         async with Rig(operator=operator, classes=[CLASS]) as rig:
             crowd = Crowd(rig.port, 12)
             await crowd.connect()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -32,7 +32,8 @@
 @pytest.mark.parametrize("caps", [{}, {"caps": NO_CANCEL}], ids=["may cancel", "may not"])
 @pytest.mark.parametrize("left_first", [True, False])
 def test_what_waits_for_a_connection_is_not_sent_once_its_client_has_left(
-        caps: dict[str, Any], left_first: bool) -> None:
+    caps: dict[str, Any], left_first: bool
+) -> None:
     async def part(here: Scene) -> None:
         here.kernel.link(here.nodes[0].port).latency = 0.2  # a connect takes 0.4 s
         _, writer = await here.client()
@@ -125,6 +126,7 @@
     # Found on `soak`: 3 MB more, since a command in pieces and its connection knew each other.
     async def play() -> None:
         async with Rig(CacheNode()) as rig:
+
             def held() -> int:
                 return sum(isinstance(each, ClientConnection) for each in gc.get_objects())
 
@@ -149,7 +151,8 @@
 @pytest.mark.parametrize("stands", [0.0, 0.3, 0.7])
 @pytest.mark.parametrize("cls", [b"optout", b"lookup"])
 def test_a_repeat_that_waited_past_its_window_or_its_time_is_not_sent(
-        stands: float, cls: bytes) -> None:
+    stands: float, cls: bytes
+) -> None:
     # Found by reading: after a stall the loop gives sockets their turn ahead of timers, so the
     # connection that had come up was written to and only then the window found to be over.  On the
     # real loop, whose order that is; the process stands right after it has asked for a connection.
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -58,12 +58,15 @@
 
 
 @pytest.mark.parametrize("mode", ["subscribe", "automatic"])
-@pytest.mark.parametrize("trouble", [refuses, unreachable, silent, away, paused],
-                         ids=lambda trouble: trouble.__name__)
+@pytest.mark.parametrize(
+    "trouble", [refuses, unreachable, silent, away, paused], ids=lambda trouble: trouble.__name__
+)
 @pytest.mark.parametrize("seed", range(6))
 def test_a_drain_is_kept_6_s_after_discovery_had_it_and_could_be_reached(
-        trouble: Trouble, mode: str, seed: int) -> None:
+    trouble: Trouble, mode: str, seed: int
+) -> None:
     """The worst of the module's waits, the call's own limits and what was under way just then."""
+
     async def part(here: Scene) -> None:
         await here.until(lambda: here.discovery.open)
         here.discovery.tell(*here.entries(), reset=True)
@@ -84,20 +87,28 @@
         broken = [at - told for at, port, _ in here.begun if port == drained and at > told]
         assert broken == [] and here.begun[-1][0] > told + 2.0
 
-    scene(part, nodes=2, seed=seed, membershipMode=mode,
-          balancers=700, guarantees=SETTINGS["guarantees"] | {"askWithinMs": 10_000.0})
+    scene(
+        part,
+        nodes=2,
+        seed=seed,
+        membershipMode=mode,
+        balancers=700,
+        guarantees=SETTINGS["guarantees"] | {"askWithinMs": 10_000.0},
+    )
 
 
 @pytest.mark.parametrize("mode", ["subscribe", "automatic"])
 @pytest.mark.parametrize("seed", range(6))
 def test_what_a_watch_misses_that_fell_silent_is_kept_6_s_after_its_last_word(
-        mode: str, seed: int) -> None:
+    mode: str, seed: int
+) -> None:
     async def part(here: Scene) -> None:
         await here.until(lambda: here.discovery.open)
         here.discovery.tell(*here.entries(), reset=True)
         mute, send = set(here.discovery.open), here.discovery.send
         here.discovery.send = lambda writer, text: (  # type: ignore[method-assign]
-            None if writer in mute else send(writer, text))
+            None if writer in mute else send(writer, text)
+        )
         await asyncio.sleep(0.05 * seed)
         here.discovery.tell(here.nodes[0].entry("s-0", "terminating"))
         told, drained = here.loop.time() + TOLD, here.nodes[0].port
--- a/tests/test_crossings_nodes.py
+++ b/tests/test_crossings_nodes.py
@@ -97,9 +97,12 @@
 
 def test_what_cannot_be_told_from_half_a_line_proves_nothing() -> None:
     # Half a line that crosses the next command reads as its answer: `-BUSY ` and the real one.
-    for late, result in ((b"-BUSY *3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n", Result.SPOILT),
-                         (b"-BUSY 5\r\n-BUSY 5\r\n", Result.SPOILT),
-                         (b"-BUSY 5\r\n", Result.FULL), (b"-BUSY\r\n", Result.FULL)):
+    for late, result in (
+        (b"-BUSY *3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n", Result.SPOILT),
+        (b"-BUSY 5\r\n-BUSY 5\r\n", Result.SPOILT),
+        (b"-BUSY 5\r\n", Result.FULL),
+        (b"-BUSY\r\n", Result.FULL),
+    ):
         world = World()
         world.send(1)
         handler, stream = world.streams[0]
--- a/tests/test_crossings_process.py
+++ b/tests/test_crossings_process.py
@@ -54,7 +54,8 @@
 
 @pytest.mark.parametrize("longer", [True, False])
 def test_a_drain_lasts_as_long_as_what_was_taken_may_be_answered(
-        longer: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    longer: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # Found by reading: it lasted as long as the deadlines of the process's start.
     async def play() -> None:
         discovery, node = await Discovery().start(), await CacheNode().start()
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -25,8 +25,18 @@
 @asynccontextmanager
 async def demo(*more: str) -> AsyncIterator[tuple[asyncio.subprocess.Process, dict[str, Any]]]:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "limebridge", "demo", "--json", "--nodes", "3", *more, cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "limebridge",
+        "demo",
+        "--json",
+        "--nodes",
+        "3",
+        *more,
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
     assert process.stdout is not None
     try:
         yield process, json.loads(await soon(process.stdout.readline()))
@@ -44,10 +54,13 @@
 
             def drive() -> list[Any]:
                 client = redis.Redis(host, int(port), protocol=2)
-                answers = [client.ping(),
-                           client.execute_command("OBJ.GET", "k1", "id1", "c=lookup,t=x,d=500"),
-                           client.execute_command("OBJ.SET", "k1", "id2",
-                                                  "c=optout,t=x,d=900,k=7", "stop")]
+                answers = [
+                    client.ping(),
+                    client.execute_command("OBJ.GET", "k1", "id1", "c=lookup,t=x,d=500"),
+                    client.execute_command(
+                        "OBJ.SET", "k1", "id2", "c=optout,t=x,d=900,k=7", "stop"
+                    ),
+                ]
                 client.close()
                 return answers
 
@@ -59,7 +72,8 @@
             assert await soon(process.wait()) == 0
             assert process.stderr is not None and await process.stderr.read() == b""
             with_proxy = await asyncio.gather(
-                asyncio.open_connection(host, int(port)), return_exceptions=True)
+                asyncio.open_connection(host, int(port)), return_exceptions=True
+            )
             assert isinstance(with_proxy[0], ConnectionError), "the daemon ended with it"
             writer.close()
 
@@ -80,8 +94,9 @@
                 nonlocal number
                 number += 1
                 try:
-                    return bool(proxy.execute_command("OBJ.GET", "k1", f"id{number}",
-                                                      "c=lookup,t=x,d=400"))
+                    return bool(
+                        proxy.execute_command("OBJ.GET", "k1", f"id{number}", "c=lookup,t=x,d=400")
+                    )
                 except redis.ResponseError as error:
                     assert str(error).startswith("BUSY")
                     return False
@@ -126,14 +141,18 @@
 
             def drive() -> list[Any]:
                 client = redis.RedisCluster(host=host, port=int(port))
-                answers = [client.execute_command("OBJ.GET", f"k{n}", f"id{n}",
-                                                  "c=lookup,t=x,d=500") for n in range(40)]
+                answers = [
+                    client.execute_command("OBJ.GET", f"k{n}", f"id{n}", "c=lookup,t=x,d=500")
+                    for n in range(40)
+                ]
                 answers.append(len(client.get_nodes()))
                 client.close()
                 return answers
 
             assert await asyncio.to_thread(drive) == [
-                *(b"template of k%d" % n for n in range(40)), 2]
+                *(b"template of k%d" % n for n in range(40)),
+                2,
+            ]
             process.send_signal(signal.SIGTERM)
             assert await soon(process.wait()) == 0
 
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -28,15 +28,15 @@
 from violetroute.config import ConfigError
 
 ROOT = Path(__file__).parent.parent
-MORNING = '[run]\nseconds = 2.0\n[load]\ncurve = [{at = 0.0, rate = 40.0}]\n'
-FILE = '''question = "how much more can be asked"
+MORNING = "[run]\nseconds = 2.0\n[load]\ncurve = [{at = 0.0, rate = 40.0}]\n"
+FILE = """question = "how much more can be asked"
 scenario = "{folder}/mini.toml"
 seeds = 2
 measures = ["service", "p99_ms"]
 [factors]
 "load.scale" = [1.0, 2.0]
 "policy.gate.GAIN" = [2.5, 5.0]
-'''
+"""
 
 
 def made(tmp_path: Path, text: str = FILE, morning: str = MORNING) -> Experiment:
@@ -60,11 +60,14 @@
 
 @pytest.mark.parametrize("kind", ["latin", "sobol"])
 def test_drawn_points_fill_each_factor_evenly_and_are_the_same_again(
-        tmp_path: Path, kind: str) -> None:
-    text = (FILE.partition("[factors]")[0]
-            + '[factors]\n"load.scale" = {from = 1.0, to = 3.0}\n"proxies.count" = '
-            + '{from = 1.0, to = 8.0, whole = true}\n"box.standard.slots" = [2, 4]\n'
-            + f'[design]\nkind = "{kind}"\npoints = 16\n')
+    tmp_path: Path, kind: str
+) -> None:
+    text = (
+        FILE.partition("[factors]")[0]
+        + '[factors]\n"load.scale" = {from = 1.0, to = 3.0}\n"proxies.count" = '
+        + '{from = 1.0, to = 8.0, whole = true}\n"box.standard.slots" = [2, 4]\n'
+        + f'[design]\nkind = "{kind}"\npoints = 16\n'
+    )
     found = points(made(tmp_path, text))
     assert found == points(made(tmp_path, text)) and len(found) == 16
     for part in range(4):  # four of the sixteen in each quarter
@@ -74,18 +77,23 @@
     assert all(isinstance(p["proxies.count"], int) for p in found)
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    (FILE.replace("question", "queston"), "queston"),
-    (FILE.replace("/mini.toml", "/none.toml"), "scenario"),
-    (FILE.replace('"p99_ms"', '"p9"'), "measures"),
-    (FILE.replace("[1.0, 2.0]", "[]"), "load.scale"),
-    (FILE.replace("seeds = 2", "seeds = 0"), "seeds"),
-    (FILE.replace("seeds = 2", "seeds = [1, 1]"), "seeds"),
-    (FILE + '[design]\nkind = "latin"\n[factors.x]\nfrom = 2.0\nto = 1.0\n', "[factors] x"),
-    (FILE.replace("[1.0, 2.0]", "[1.0]") + '[design]\nkind = "list"\n', "as many levels"),
-    (FILE + "[budget]\nruns = 0\n", "runs")])
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        (FILE.replace("question", "queston"), "queston"),
+        (FILE.replace("/mini.toml", "/none.toml"), "scenario"),
+        (FILE.replace('"p99_ms"', '"p9"'), "measures"),
+        (FILE.replace("[1.0, 2.0]", "[]"), "load.scale"),
+        (FILE.replace("seeds = 2", "seeds = 0"), "seeds"),
+        (FILE.replace("seeds = 2", "seeds = [1, 1]"), "seeds"),
+        (FILE + '[design]\nkind = "latin"\n[factors.x]\nfrom = 2.0\nto = 1.0\n', "[factors] x"),
+        (FILE.replace("[1.0, 2.0]", "[1.0]") + '[design]\nkind = "list"\n', "as many levels"),
+        (FILE + "[budget]\nruns = 0\n", "runs"),
+    ],
+)
 def test_a_file_that_cannot_be_used_is_one_line_with_its_key(
-        tmp_path: Path, text: str, said: str) -> None:
+    tmp_path: Path, text: str, said: str
+) -> None:
     with pytest.raises(ConfigError) as error:
         made(tmp_path, text)
     assert said in str(error.value) and "\n" not in str(error.value)
@@ -106,9 +114,11 @@
 
 
 def test_a_point_that_makes_no_sense_and_a_constant_that_there_is_not_are_told(
-        tmp_path: Path) -> None:
-    text = FILE.replace('"load.scale" = [1.0, 2.0]', '"class.lookup.aim_ms" = [200.0, 900.0]') \
-        .replace("GAIN", "GAINS")
+    tmp_path: Path,
+) -> None:
+    text = FILE.replace(
+        '"load.scale" = [1.0, 2.0]', '"class.lookup.aim_ms" = [200.0, 900.0]'
+    ).replace("GAIN", "GAINS")
     experiment, store = made(tmp_path, text), Store(tmp_path / "s.sqlite")
     assert play(experiment, store).states == {"invalid": 8}
     why = {row.why for row in store.runs(experiment.digest)}
@@ -117,21 +127,28 @@
 
 
 def test_a_run_that_never_ends_or_eats_memory_costs_only_itself(tmp_path: Path) -> None:
-    text = FILE.partition("[factors]")[0] + '[factors]\n"run.seconds" = [2.0, 90000.0]\n' \
+    text = (
+        FILE.partition("[factors]")[0]
+        + '[factors]\n"run.seconds" = [2.0, 90000.0]\n'
         + "[budget]\nlimit_s = 4.0\n"
+    )
     experiment, store = made(tmp_path, text), Store(tmp_path / "s.sqlite")
     assert play(experiment, store).states == {"done": 2, "overtime": 2}
-    small = made(tmp_path, text.replace("limit_s = 4.0", "memory_mb = 60.0").replace(
-        '"run.seconds" = [2.0, 90000.0]', '"load.scale" = [60.0]'))
+    small = made(
+        tmp_path,
+        text.replace("limit_s = 4.0", "memory_mb = 60.0").replace(
+            '"run.seconds" = [2.0, 90000.0]', '"load.scale" = [60.0]'
+        ),
+    )
     assert play(small, store).states == {"crashed": 2}
 
 
 def test_an_edited_scenario_is_played_anew_and_levels_taken_out_are_not_shown(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     store = Store(tmp_path / "s.sqlite")
     assert play(made(tmp_path), store).played == 8
-    edited = made(tmp_path, FILE.replace("[2.5, 5.0]", "[2.5]"),
-                  MORNING.replace("40.0", "50.0"))
+    edited = made(tmp_path, FILE.replace("[2.5, 5.0]", "[2.5]"), MORNING.replace("40.0", "50.0"))
     assert play(edited, store).played == 4
     found, rows = command.played(edited, store)
     assert len(found) == 2 and len(rows) == 8  # old and new of the two that are left
@@ -150,15 +167,17 @@
 
 
 def test_an_older_build_is_played_under_this_kit(tmp_path: Path) -> None:
-    head = subprocess.run(["git", "-C", str(ROOT), "rev-parse", "HEAD"], capture_output=True,
-                          text=True, check=False)
+    head = subprocess.run(
+        ["git", "-C", str(ROOT), "rev-parse", "HEAD"], capture_output=True, text=True, check=False
+    )
     if head.returncode:
         pytest.skip("no history here")
     text = FILE.replace('"policy.gate.GAIN" = [2.5, 5.0]', 'build = [".", "HEAD"]')
     experiment, store = made(tmp_path, text), Store(tmp_path / "s.sqlite")
     assert play(experiment, store).states == {"done": 8}
-    assert head.stdout.strip() in {row.commit.partition(".")[0]
-                                   for row in store.runs(experiment.digest)}
+    assert head.stdout.strip() in {
+        row.commit.partition(".")[0] for row in store.runs(experiment.digest)
+    }
     assert builds.commit(".").startswith("here-") and builds.commit(".") == builds.commit(".")
     with pytest.raises(builds.NoBuild, match="no such commit"):
         builds.commit("no-such")
@@ -169,8 +188,11 @@
     raw = msgspec.to_builtins(load(str(tmp_path / "mini.toml")))
 
     def job(seed: int, seconds: float) -> dict[str, Any]:
-        return {"scenario": raw | {"run": raw["run"] | {"seconds": seconds}}, "seed": seed,
-                "constants": {}}
+        return {
+            "scenario": raw | {"run": raw["run"] | {"seconds": seconds}},
+            "seed": seed,
+            "constants": {},
+        }
 
     async def play() -> None:
         one = runner.Worker(ROOT, 4000.0)
@@ -207,22 +229,36 @@
 def test_killed_at_any_time_nothing_is_counted_twice(tmp_path: Path) -> None:
     """Whole programs, killed outright while they work; the last one is left to end."""
     experiment = made(tmp_path, FILE.replace("seeds = 2", "seeds = 6"))
-    command = [sys.executable, "-m", "limebridge", "experiment", "run",
-               str(tmp_path / "sweep.toml"), "--store", str(tmp_path / "s.sqlite"), "--jobs", "3",
-               "--json"]
+    command = [
+        sys.executable,
+        "-m",
+        "limebridge",
+        "experiment",
+        "run",
+        str(tmp_path / "sweep.toml"),
+        "--store",
+        str(tmp_path / "s.sqlite"),
+        "--jobs",
+        "3",
+        "--json",
+    ]
     kills = 0
     for rows in (1, 5, 9, 14):
         with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL) as child:
             deadline = time.monotonic() + 40.0
-            while _count(tmp_path / "s.sqlite") < rows and child.poll() is None \
-                    and time.monotonic() < deadline:
+            while (
+                _count(tmp_path / "s.sqlite") < rows
+                and child.poll() is None
+                and time.monotonic() < deadline
+            ):
                 time.sleep(0.02)
             child.send_signal(signal.SIGKILL if kills % 2 else signal.SIGINT)
             kills += 1
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
     assert json.loads(done.stdout)["ended"] == "whole"
-    broken = {(r.point, r.seed): r.measures for r in Store(tmp_path / "s.sqlite").runs(
-        experiment.digest)}
+    broken = {
+        (r.point, r.seed): r.measures for r in Store(tmp_path / "s.sqlite").runs(experiment.digest)
+    }
     whole = Store(tmp_path / "t.sqlite")
     play(experiment, whole, 3)
     assert broken == {(r.point, r.seed): r.measures for r in whole.runs(experiment.digest)}
@@ -300,7 +336,9 @@
     with store._writing():
         store._db.executemany(
             "INSERT INTO runs VALUES ('e', ?, 'c', ?, '', '', 'done', 1.0, 0.0, '{}', '', NULL, "
-            "NULL)", ((f"{n // 10}", n % 10) for n in range(100_000)))
+            "NULL)",
+            ((f"{n // 10}", n % 10) for n in range(100_000)),
+        )
     began = time.process_time()
     assert store.experiments()[0][3] == {"done": 100_000}
     assert time.process_time() - began < 1.0
@@ -324,14 +362,14 @@
 def test_as_many_are_wrong_as_is_stated() -> None:
     """1,000 repeats of no difference at six seeds: one in twenty and the luck of the draw."""
     rng = np.random.default_rng(5)
-    wrong = sum(statistics.studentized(rng.normal(0.0, 1.0, 6), 0.05, n)[2] <= 0.05
-                for n in range(1000))
+    wrong = sum(
+        statistics.studentized(rng.normal(0.0, 1.0, 6), 0.05, n)[2] <= 0.05 for n in range(1000)
+    )
     assert wrong <= 70  # 50 are meant; 20 is three deviations of a binomial of 1,000
 
 
 @given(st.lists(st.floats(0.0, 1.0), min_size=1, max_size=20))
-def test_holm_is_stricter_than_each_alone_and_looser_than_all_by_the_count(
-        ps: list[float]) -> None:
+def test_holm_is_stricter_than_each_alone_and_looser_than_all_by_the_count(ps: list[float]) -> None:
     told = statistics.holm(ps)
     assert all(p <= 0.05 for p, t in zip(ps, told, strict=True) if t)
     assert all(t for p, t in zip(ps, told, strict=True) if p <= 0.05 / len(ps))
@@ -352,17 +390,22 @@
 
 
 def test_a_front_keeps_what_nothing_beats_and_a_knee_is_where_it_bends() -> None:
-    found = [cell({"x": 1}, service=0.9, p99_ms=300.0), cell({"x": 2}, service=0.8, p99_ms=200.0),
-             cell({"x": 3}, service=0.7, p99_ms=250.0)]
+    found = [
+        cell({"x": 1}, service=0.9, p99_ms=300.0),
+        cell({"x": 2}, service=0.8, p99_ms=200.0),
+        cell({"x": 3}, service=0.7, p99_ms=250.0),
+    ]
     assert [c.point["x"] for c in tables.front(found, "service", "p99_ms")] == [2, 1]
     assert tables.knee([1, 2, 3, 4, 5], [1.0, 1.0, 1.0, 0.5, 0.0]) == 2
     assert tables.knee([1, 2, 3], [1.0, 0.5, 0.0]) is None
 
 
 def test_of_several_edits_of_a_checkout_the_last_one_speaks() -> None:
-    rows = [Run("e", "{}", "old", 1, at=1.0, measures={"service": 0.1}),
-            Run("e", "{}", "new", 1, at=2.0, measures={"service": 0.9}),
-            Run("e", "{}", "new", 2, at=3.0, state="crashed")]
+    rows = [
+        Run("e", "{}", "old", 1, at=1.0, measures={"service": 0.1}),
+        Run("e", "{}", "new", 1, at=2.0, measures={"service": 0.9}),
+        Run("e", "{}", "new", 2, at=3.0, state="crashed"),
+    ]
     (found,) = tables.newest(tables.cells(rows), rows)
     assert found.commit == "new" and found.mean("service") == 0.9 and found.failed == 1
     assert found.mean("worst") is None  # a commit that lacks a measure
@@ -390,9 +433,10 @@
 
 def test_several_scenarios_and_builds_are_compared_point_by_point(tmp_path: Path) -> None:
     (tmp_path / "other.toml").write_text(MORNING)
-    text = FILE.replace('scenario = "{folder}/mini.toml"',
-                        'scenario = ["{folder}/mini.toml", "{folder}/other.toml"]') \
-        .replace('"policy.gate.GAIN" = [2.5, 5.0]', 'build = ["one", "two"]')
+    text = FILE.replace(
+        'scenario = "{folder}/mini.toml"',
+        'scenario = ["{folder}/mini.toml", "{folder}/other.toml"]',
+    ).replace('"policy.gate.GAIN" = [2.5, 5.0]', 'build = ["one", "two"]')
     found = points(made(tmp_path, text))
     assert len(found) == 8 and {Path(p["scenario"]).stem for p in found} == {"mini", "other"}
     made_cells = [cell(point, service=0.5 + (point["build"] == "two") / 10) for point in found]
@@ -401,6 +445,6 @@
     for before, after in pairs:
         assert (before.point["build"], after.point["build"]) == ("one", "two")
         assert before.point | {"build": "two"} == after.point
-    for wrong in ('scenario = []', 'scenario = ["{folder}/mini.toml", "no-such"]'):
+    for wrong in ("scenario = []", 'scenario = ["{folder}/mini.toml", "no-such"]'):
         with pytest.raises(ConfigError, match="scenario"):
             made(tmp_path, FILE.replace('scenario = "{folder}/mini.toml"', wrong))
--- a/tests/test_experiments_shown.py
+++ b/tests/test_experiments_shown.py
@@ -27,7 +27,7 @@
 from limebridge.rehearsal.scenario import Event, Scenario, load
 from violetroute.config import ConfigError
 
-MORNING = '''[run]
+MORNING = """[run]
 seconds = 12.0
 [load]
 curve = [{at = 0.0, rate = 40.0}]
@@ -38,15 +38,15 @@
 [[box]]
 name = "standard"
 at = {a = 2, b = 2}
-'''
-FILE = '''question = "<b>how</b> much more"
+"""
+FILE = """question = "<b>how</b> much more"
 scenario = "{folder}/mini.toml"
 seeds = 4
 measures = ["service", "p99_ms"]
 [factors]
 "load.scale" = [1.0, 2.0, 3.0]
 "policy.gate.GAIN" = [2.5, 5.0]
-'''
+"""
 
 
 @pytest.fixture(scope="module")
@@ -73,12 +73,14 @@
 
     def handle_starttag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
         self.count[tag] = self.count.get(tag, 0) + 1
-        self.outside += [v for k, v in attrs if k in ("src", "href", "xlink:href") and v
-                         and not v.startswith(("#", "data:"))]
+        self.outside += [
+            v
+            for k, v in attrs
+            if k in ("src", "href", "xlink:href") and v and not v.startswith(("#", "data:"))
+        ]
 
 
-def test_a_page_needs_nothing_else_and_shows_each_picture(
-        played: tuple[Experiment, Store]) -> None:
+def test_a_page_needs_nothing_else_and_shows_each_picture(played: tuple[Experiment, Store]) -> None:
     made, store = played
     rows = list(store.runs(made.digest))
     text = charts.page(made, tables.cells(rows), rows)
@@ -93,32 +95,47 @@
 
 def test_before_and_after_by_build_and_a_front() -> None:
     made = Experiment("q", "s", {"build": ["one", "two"]}, measures=["service", "back"])
-    found = [tables.Cell({"build": name}, name * 10, {
-        "service": {1: value, 2: value + 0.1}, "back": {1: 3.0, 2: None if name == "one" else 2.0}})
-        for name, value in (("one", 0.5), ("two", 0.7))]
+    found = [
+        tables.Cell(
+            {"build": name},
+            name * 10,
+            {
+                "service": {1: value, 2: value + 0.1},
+                "back": {1: 3.0, 2: None if name == "one" else 2.0},
+            },
+        )
+        for name, value in (("one", 0.5), ("two", 0.7))
+    ]
     said = [picture.said for picture in charts.pictures(made, found)]
     assert said == ["service by build; thin: a seed each", "back by build; thin: a seed each"]
 
 
 # --- export ---
 def test_rows_go_out_whole_with_any_percentile(
-        played: tuple[Experiment, Store], tmp_path: Path) -> None:
+    played: tuple[Experiment, Store], tmp_path: Path
+) -> None:
     made, store = played
     rows = export.flat(store.runs(made.digest, whole=True))
     export.write(rows, tmp_path / "x.csv")
     export.write(rows, tmp_path / "x.parquet")
     with (tmp_path / "x.csv").open() as file:
         assert len(list(csv.DictReader(file))) == 24
-    found = duckdb.connect().execute(
-        f"SELECT count(*), min(\"answers.p50_ms\"), avg(service), sum(\"factor.load.scale\") "
-        f"FROM '{tmp_path}/x.parquet'").fetchone()
+    found = (
+        duckdb.connect()
+        .execute(
+            f'SELECT count(*), min("answers.p50_ms"), avg(service), sum("factor.load.scale") '
+            f"FROM '{tmp_path}/x.parquet'"
+        )
+        .fetchone()
+    )
     assert found is not None and found[0] == 24 and found[3] == 48.0
     assert found[2] == pytest.approx(sum(row["service"] for row in rows) / 24)
     times = HdrHistogram(1, 60_000_000, 3)
     for ms in range(1, 1001):
         times.record_value(ms * 1000)
     assert export.percentiles(times.encode(), [50.0, 99.9]) == pytest.approx(
-        {"p50_ms": 500.0, "p99.9_ms": 999.0}, rel=0.002)
+        {"p50_ms": 500.0, "p99.9_ms": 999.0}, rel=0.002
+    )
     with pytest.raises(ValueError, match="csv"):
         export.write(rows, tmp_path / "x.txt")
 
@@ -138,8 +155,9 @@
             before = str(watch.screen.query_one("#best", Static).content)
             await pilot.press("m")
             await pilot.pause()
-            assert "Best" in before and str(
-                watch.screen.query_one("#best", Static).content) != before
+            assert (
+                "Best" in before and str(watch.screen.query_one("#best", Static).content) != before
+            )
             await pilot.press("enter")
             await pilot.pause()
             assert watch.screen.query_one(DataTable).row_count == 4
@@ -167,6 +185,7 @@
 
 def test_a_search_that_is_called_off_leaves_no_worker_and_no_run(tmp_path: Path) -> None:
     """While it shrinks, where it once waited for up to thirty runs in threads."""
+
     async def play() -> None:
         made = base(tmp_path)
         hunt = Hunt(made, tmp_path / "builds", 2)
@@ -231,9 +250,11 @@
 
 
 def test_a_find_is_shrunk_to_what_it_needs() -> None:
-    plan = (Event(at=1.0, kind="stalls", share=0.5, lasts=6.0),
-            Event(at=2.0, kind="scan", share=0.2, lasts=6.0),
-            Event(at=3.0, kind="database_slow", share=1.0, lasts=8.0))
+    plan = (
+        Event(at=1.0, kind="stalls", share=0.5, lasts=6.0),
+        Event(at=2.0, kind="scan", share=0.2, lasts=6.0),
+        Event(at=3.0, kind="database_slow", share=1.0, lasts=8.0),
+    )
     steps = search.shrunk(search.Found(plan, priced(plan)))
     asked = [next(steps)]
     with pytest.raises(StopIteration) as end:
@@ -250,8 +271,21 @@
 def test_what_is_found_is_a_scenario_that_rehearse_plays(tmp_path: Path) -> None:
     (tmp_path / "base.toml").write_text(MORNING)
     use = CliRunner()
-    done = use.invoke(app, ["experiment", "search", str(tmp_path / "base.toml"), "--runs", "8",
-                            "--finds", "2", "--out", str(tmp_path / "found"), "--json"])
+    done = use.invoke(
+        app,
+        [
+            "experiment",
+            "search",
+            str(tmp_path / "base.toml"),
+            "--runs",
+            "8",
+            "--finds",
+            "2",
+            "--out",
+            str(tmp_path / "found"),
+            "--json",
+        ],
+    )
     told = json.loads(done.stdout)
     assert told["runs"] >= 8 and told["finds"] and not told["broken"]
     worst = told["finds"][0]
@@ -268,7 +302,8 @@
     monkeypatch.setattr(bench, "FOLDER", tmp_path)
     (tmp_path / "one.py").write_text(
         "import json\nprint('words')\nprint(json.dumps({'rate': 400, 'ratio': 2.5, 'loop': 'a',"
-        " 'more': [1], 'ok': True}))\nprint(json.dumps([{'ratio': 3.0, 'loop': 'b'}]))\n")
+        " 'more': [1], 'ok': True}))\nprint(json.dumps([{'ratio': 3.0, 'loop': 'b'}]))\n"
+    )
     (tmp_path / "none.py").write_text("print('no figures here')\n")
     store = Store(tmp_path / "s.sqlite")
     for times in (1, 2):
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -36,8 +36,13 @@
 
 def replay(*arguments: str, hashes: str = "random") -> tuple[int, dict[str, object]]:
     done = subprocess.run(
-        [sys.executable, "-m", "limebridge", "replay", "--json", *arguments], cwd=TESTS.parent,
-        env=os.environ | {"PYTHONHASHSEED": hashes}, capture_output=True, text=True, timeout=60)
+        [sys.executable, "-m", "limebridge", "replay", "--json", *arguments],
+        cwd=TESTS.parent,
+        env=os.environ | {"PYTHONHASHSEED": hashes},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert done.stdout, done.stderr
     return done.returncode, json.loads(done.stdout)
 
@@ -111,8 +116,24 @@
     assert (code, told["digest"]) == (0, here.digest)
     patch = str(TESTS / "planted" / "other_source_drain.py")
     found = subprocess.run(  # in a process of its own: a patch is for good
-        [sys.executable, "-m", "limebridge", "explore", "--consul", "--from", "22", "--seeds", "1",
-         "--patch", patch], cwd=TESTS.parent, capture_output=True, text=True, timeout=60)
+        [
+            sys.executable,
+            "-m",
+            "limebridge",
+            "explore",
+            "--consul",
+            "--from",
+            "22",
+            "--seeds",
+            "1",
+            "--patch",
+            patch,
+        ],
+        cwd=TESTS.parent,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert found.returncode == 1
     (line,) = [line for line in found.stderr.splitlines() if line.startswith("limebridge replay")]
     assert line == f"limebridge replay 22 --consul --patch {patch}"
@@ -123,8 +144,12 @@
     path = tmp_path / "state" / "explored.json"
     one, other = History(path), History(path)
     other.build = "another"
-    assert [one.take("plain", 10)[0], other.take("plain", 5)[0], one.take("consul", 1)[0],
-            one.take("plain", 1)[0]] == [0, 10, 0, 15]
+    assert [
+        one.take("plain", 10)[0],
+        other.take("plain", 5)[0],
+        one.take("consul", 1)[0],
+        one.take("plain", 1)[0],
+    ] == [0, 10, 0, 15]
     one.add(10, {"reload/list: silent": 2})
     one.add(1, {"reload/list: silent": 1})
     assert one.take("plain", 1)[1] == {"reload/list: silent": 3}
@@ -135,7 +160,8 @@
 
 
 def test_next_goes_on_and_refuses_a_file_that_is_none_of_its_own(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setenv("XDG_STATE_HOME", str(tmp_path))
     run = ["explore", "--next", "--seeds", "2", "--jobs", "1", "--json"]
     firsts = [json.loads(CliRunner().invoke(app, run).stdout)["first"] for _ in range(2)]
@@ -145,16 +171,22 @@
 
 
 def test_plans_lean_towards_pairs_that_were_met_least() -> None:
-    met = {f"{kind}/list: {state}, by platform": 9 for kind in [*WEIGHTS, *PROCESS_WEIGHTS]
-           for state in BRINGS if (kind, state) != ("path_cut", "a drain just told")}
+    met = {
+        f"{kind}/list: {state}, by platform": 9
+        for kind in [*WEIGHTS, *PROCESS_WEIGHTS]
+        for state in BRINGS
+        if (kind, state) != ("path_cut", "a drain just told")
+    }
     assert rare(met, consul=False)[0] == ("path_cut", "a drain just told")
     pairs = rare(met, consul=False, most=1)
     leant = lean(draw(5), pairs)
     assert leant == lean(draw(5), pairs) and set(draw(5).faults) < set(leant.faults)
     drains = [fault.at for fault in leant.faults if fault.kind == "node_drains"]
     cuts = set(leant.faults) - set(draw(5).faults)
-    assert any(fault.kind == "path_cut" and any(0 <= fault.at - at <= 0.5 for at in drains)
-               for fault in cuts)
+    assert any(
+        fault.kind == "path_cut" and any(0 <= fault.at - at <= 0.5 for at in drains)
+        for fault in cuts
+    )
     assert play(leant).met["path_cut/list: a drain just told, by platform"]
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -30,21 +30,69 @@
 # Each is one real rig: what it was kept for stands with it.
 REAL = {
     "stopped between check and write, killed, handed back": Plan(
-        1, 3.0, 5, "folder", 2, False, 0.5, [
-            Fault(0.2, "stop", 0, 1.2), Fault(0.4, "stop", 1, 1.2), Fault(0.6, "stop", 2, 1.2),
-            Fault(0.8, "kill", 3, 0.3), Fault(2.2, "term", 4, 0.1)]),
+        1,
+        3.0,
+        5,
+        "folder",
+        2,
+        False,
+        0.5,
+        [
+            Fault(0.2, "stop", 0, 1.2),
+            Fault(0.4, "stop", 1, 1.2),
+            Fault(0.6, "stop", 2, 1.2),
+            Fault(0.8, "kill", 3, 0.3),
+            Fault(2.2, "term", 4, 0.1),
+        ],
+    ),
     "a folder that comes back older, two of one name, no room": Plan(
-        2, 3.0, 5, "folder", 1, False, 0.5, [
-            Fault(0.3, "twin", 0), Fault(0.5, "older", 0, 0.8), Fault(0.8, "no_room", 1, 0.5),
-            Fault(1.6, "torn", 2, 0.4), Fault(2.2, "gone", 3)]),
+        2,
+        3.0,
+        5,
+        "folder",
+        1,
+        False,
+        0.5,
+        [
+            Fault(0.3, "twin", 0),
+            Fault(0.5, "older", 0, 0.8),
+            Fault(0.8, "no_room", 1, 0.5),
+            Fault(1.6, "torn", 2, 0.4),
+            Fault(2.2, "gone", 3),
+        ],
+    ),
     "a Consul that loses its leader, answers, and all it knew": Plan(
-        3, 4.0, 5, "consul", 2, False, 0.8, [
-            Fault(0.5, "lose_answers", 0, 0.5), Fault(1.2, "leader", 0, 0.5),
-            Fault(2.2, "forget", 0), Fault(2.8, "cut", 1, 0.8), Fault(3.0, "hup", 2, 0.3)]),
+        3,
+        4.0,
+        5,
+        "consul",
+        2,
+        False,
+        0.8,
+        [
+            Fault(0.5, "lose_answers", 0, 0.5),
+            Fault(1.2, "leader", 0, 0.5),
+            Fault(2.2, "forget", 0),
+            Fault(2.8, "cut", 1, 0.8),
+            Fault(3.0, "hup", 2, 0.3),
+        ],
+    ),
     "bills through kills and a stop of their owner": Plan(
-        4, 4.0, 5, "folder", 1, True, 0.5, [
-            Fault(0.9, "kill", 0, 0.2), Fault(1.4, "kill", 1, 0.2), Fault(1.8, "stop", 2, 1.0),
-            Fault(2.0, "endpoint", 0, 1.0), Fault(3.0, "kill", 3, 0.2)]),
+        4,
+        4.0,
+        5,
+        "folder",
+        1,
+        True,
+        0.5,
+        [
+            Fault(0.9, "kill", 0, 0.2),
+            Fault(1.4, "kill", 1, 0.2),
+            Fault(1.8, "stop", 2, 1.0),
+            Fault(2.0, "endpoint", 0, 1.0),
+            Fault(3.0, "kill", 3, 0.2),
+        ],
+    ),
 }
 
 
@@ -63,8 +111,13 @@
 
 
 # Each as it was found by `limebridge explore --fleet` and made small, with the property it broke.
-PLANTED = {"fence_not_checked": "none late", "put_over": "none late", "handed_twice": "once",
-           "time_from_the_answer": "alone", "kept_over_a_stop": "alone"}
+PLANTED = {
+    "fence_not_checked": "none late",
+    "put_over": "none late",
+    "handed_twice": "once",
+    "time_from_the_answer": "alone",
+    "kept_over_a_stop": "alone",
+}
 
 
 @pytest.mark.parametrize("plant", PLANTED)
@@ -72,17 +125,41 @@
     plan = ROOT / "tests" / "plans_fleet" / f"{plant}.toml"
     patch = ROOT / "tests" / "planted_fleet" / f"{plant}.py"
     told = subprocess.run(
-        [sys.executable, "-m", "limebridge", "faults", "replay", str(plan), "--virtual", "--tries",
-         "40", "--patch", str(patch)], capture_output=True, text=True, cwd=ROOT, check=False,
-        timeout=150)
+        [
+            sys.executable,
+            "-m",
+            "limebridge",
+            "faults",
+            "replay",
+            str(plan),
+            "--virtual",
+            "--tries",
+            "40",
+            "--patch",
+            str(patch),
+        ],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        check=False,
+        timeout=150,
+    )
     assert told.returncode == 1 and f"BROKEN {PLANTED[plant]}" in told.stdout, told.stderr[-2000:]
     seed = int(told.stdout.split()[1])
     assert virtual.play(msgspec.structs.replace(plans.read(plan), seed=seed)).broken == ()
 
 
 # Two daemons own eight works between them: of eight stops some meet a write that is under way.
-STOPPED = Plan(7, 5.0, 2, "folder", 8, False, 0.4,
-               [Fault(round(0.3 + 0.7 * n, 3), "stop", n % 2, 0.9) for n in range(7)])
+STOPPED = Plan(
+    7,
+    5.0,
+    2,
+    "folder",
+    8,
+    False,
+    0.4,
+    [Fault(round(0.3 + 0.7 * n, 3), "stop", n % 2, 0.9) for n in range(7)],
+)
 
 
 @pytest.mark.parametrize("plant", ["put_over", "fence_not_checked"])
@@ -104,8 +181,12 @@
 
 def test_a_plan_that_is_none_is_one_line(tmp_path: Path) -> None:
     path = tmp_path / "plan.toml"
-    for text, key in (("seconds = -1", "seconds"), ("[[fault]]\nat = 1.0\nkind = 'rain'", "kind"),
-                      ("[[fault]]\nkind = 'kill'", "at"), ("x = 1", "x")):
+    for text, key in (
+        ("seconds = -1", "seconds"),
+        ("[[fault]]\nat = 1.0\nkind = 'rain'", "kind"),
+        ("[[fault]]\nkind = 'kill'", "at"),
+        ("x = 1", "x"),
+    ):
         path.write_text(text)
         with pytest.raises(ConfigError) as wrong:
             plans.read(path)
@@ -122,19 +203,47 @@
     return encode(Record(1, "w", fence, nonce, kind, body))  # type: ignore[arg-type]
 
 
-@pytest.mark.parametrize(("history", "rule"), [
-    (History(effects=[effect("w/2.b/1", 2, "b"), effect("w/1.a/0", 1, "a")]), "fence order"),
-    (History(effects=[effect("w/1.a/0", 1, "a"), effect("w/1.b/1", 1, "b")]), "fence order"),
-    (History(effects=[effect("w/1.a/0", 1, "a"), effect("w/1.a/0", 1, "a")]), "once"),
-    (History(effects=[effect("w/1.a/0", 1, "a", {"beat": 1}),
-                      effect("w/1.a/1", 1, "a", {"beat": 1})]), "once"),
-    (History(logs={"w": [entry(2, "b", None, "claim"), entry(1, "a", {"beat": 1})]}), "none late"),
-    (History(logs={"w": [entry(2, "b", None, "claim"), entry(1, "a", None, "claim")]}),
-     "none late"),
-    (History(logs={"w": [entry(1, "a", None, "claim"), entry(1, "a", {"beat": 1}),
-                         entry(1, "a", {"beat": 2})]}), "none lost"),
-    (History(logs={"w": [entry(1, "a", None, "claim"), entry(1, "a", {"beat": 2})]}), "none lost"),
-])
+@pytest.mark.parametrize(
+    ("history", "rule"),
+    [
+        (History(effects=[effect("w/2.b/1", 2, "b"), effect("w/1.a/0", 1, "a")]), "fence order"),
+        (History(effects=[effect("w/1.a/0", 1, "a"), effect("w/1.b/1", 1, "b")]), "fence order"),
+        (History(effects=[effect("w/1.a/0", 1, "a"), effect("w/1.a/0", 1, "a")]), "once"),
+        (
+            History(
+                effects=[
+                    effect("w/1.a/0", 1, "a", {"beat": 1}),
+                    effect("w/1.a/1", 1, "a", {"beat": 1}),
+                ]
+            ),
+            "once",
+        ),
+        (
+            History(logs={"w": [entry(2, "b", None, "claim"), entry(1, "a", {"beat": 1})]}),
+            "none late",
+        ),
+        (
+            History(logs={"w": [entry(2, "b", None, "claim"), entry(1, "a", None, "claim")]}),
+            "none late",
+        ),
+        (
+            History(
+                logs={
+                    "w": [
+                        entry(1, "a", None, "claim"),
+                        entry(1, "a", {"beat": 1}),
+                        entry(1, "a", {"beat": 2}),
+                    ]
+                }
+            ),
+            "none lost",
+        ),
+        (
+            History(logs={"w": [entry(1, "a", None, "claim"), entry(1, "a", {"beat": 2})]}),
+            "none lost",
+        ),
+    ],
+)
 def test_each_property_is_seen_to_be_broken(history: History, rule: str) -> None:
     assert rule in {name for name, _ in histories.broken(history)}
 
@@ -223,7 +332,8 @@
         door, _ = await loop.create_datagram_endpoint(lambda: far, local_addr=("127.0.0.1", 0))
         relay = await Datagrams(door.get_extra_info("sockname")[1], "t").start()
         ours, _ = await loop.create_datagram_endpoint(
-            lambda: near, remote_addr=("127.0.0.1", relay.port))
+            lambda: near, remote_addr=("127.0.0.1", relay.port)
+        )
 
         async def heard(count: int) -> None:
             async with asyncio.timeout(5.0):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -49,11 +49,20 @@
 
 
 # --- leases ---
-@pytest.mark.parametrize("data", [
-    b"", b"{}", b"\xff" * 20, b"[" * 3000, b'{"v":1,"work":"w","fence":0,"name":"a","nonce":"n"}',
-    b'{"v":1,"work":"other","fence":3,"name":"a","nonce":"n"}', b"x" * 5000,
-    b'{"v":1,"work":"w","fence":99999999999999999999,"name":"a","nonce":"n"}',
-    b'{"v":2,"work":"w","fence":3,"name":"a","nonce":"n","more":1}'])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{}",
+        b"\xff" * 20,
+        b"[" * 3000,
+        b'{"v":1,"work":"w","fence":0,"name":"a","nonce":"n"}',
+        b'{"v":1,"work":"other","fence":3,"name":"a","nonce":"n"}',
+        b"x" * 5000,
+        b'{"v":1,"work":"w","fence":99999999999999999999,"name":"a","nonce":"n"}',
+        b'{"v":2,"work":"w","fence":3,"name":"a","nonce":"n","more":1}',
+    ],
+)
 def test_a_record_that_is_not_ours_to_judge_is_no_lease(data: bytes) -> None:
     with pytest.raises(Unreadable):
         leases.decode(data, "w")
@@ -212,14 +221,15 @@
             if answer:
                 records.append(step.data)
         else:
-            answer = records[step.position:]
+            answer = records[step.position :]
 
 
 def test_a_late_owner_meets_the_claim_that_ended_its_term() -> None:
     records: list[bytes] = []
     taken: list[Any] = []
-    one, two = (FencedLog("w", lambda position, record: taken.append(record.body))
-                for _ in range(2))
+    one, two = (
+        FencedLog("w", lambda position, record: taken.append(record.body)) for _ in range(2)
+    )
     assert put_all(claim(one, 1, "na", "a"), records) == Done(0)
     late = append(one, 1, "na", "a", lambda: "late")
     step = late.send(None)
@@ -288,8 +298,7 @@
     assert b.look().leases["w"].nonce == "nb"
 
 
-def test_a_folder_that_is_copied_back_or_gone_does_not_make_the_living_dead(
-        tmp_path: Path) -> None:
+def test_a_folder_that_is_copied_back_or_gone_does_not_make_the_living_dead(tmp_path: Path) -> None:
     a, b = store(tmp_path / "f"), store(tmp_path / "f", B)
     a.ask(Ask("w", 1, 0, None))
     os.rename(tmp_path / "f", tmp_path / "old")
@@ -306,8 +315,7 @@
 def test_garbage_in_the_folder_makes_no_owner_and_is_named(tmp_path: Path) -> None:
     a = store(tmp_path)
     (tmp_path / "lease" / "w@000000000003").write_bytes(b"\x00" * 9000)
-    (tmp_path / "lease" / "v@999999999999").write_bytes(leases.encode(
-        Lease(1, "v", 1, "x", "nx")))
+    (tmp_path / "lease" / "v@999999999999").write_bytes(leases.encode(Lease(1, "v", 1, "x", "nx")))
     (tmp_path / "lease" / "nonsense").write_bytes(b"x")
     (tmp_path / "alive" / "Not A Nonce").write_bytes(b"x")
     os.mkfifo(tmp_path / "lease" / "u@000000000001")
@@ -371,8 +379,7 @@
     asyncio.run(run())
 
 
-def test_a_lease_is_not_taken_under_a_session_that_is_about_to_end_nor_renewed_by_another(
-        ) -> None:
+def test_a_lease_is_not_taken_under_a_session_that_is_about_to_end_nor_renewed_by_another() -> None:
     async def run() -> None:
         consul = await Consul().start()
         a = await consul_store(consul, A, 5.0)
@@ -428,16 +435,18 @@
 
 def test_a_period_is_billed_when_all_have_closed_it_or_were_waited_for() -> None:
     books = settlement(0.0)
-    books.gathered(1400.0, [batch("a/1.x/1", 1000, 5)],
-                   [Through("a", 1300.0), Through("b", 1000.0)])
+    books.gathered(
+        1400.0, [batch("a/1.x/1", 1000, 5)], [Through("a", 1300.0), Through("b", 1000.0)]
+    )
     assert books.missing(1000) == ["b"] and books.decide() is None
     books.gathered(2200.0, [], [])
     bill = books.decide()
     assert bill["missing"] == ["b"] and bill["units"] == 6 and bill["kind"] == "bill"
     books.took(bill)
     assert books.decide() is None
-    books.gathered(2300.0, [batch("b/1.y/1", 1000, 2), batch("a/1.x/1", 1000, 5)],
-                   [Through("b", 1300.0)])
+    books.gathered(
+        2300.0, [batch("b/1.y/1", 1000, 2), batch("a/1.x/1", 1000, 5)], [Through("b", 1300.0)]
+    )
     late = books.decide()
     assert late["kind"] == "correction" and late["keys"] == ["b/1.y/1"]
 
@@ -472,14 +481,21 @@
         def close(self, wait_s: float) -> None:
             pass
 
-    good = (b'{"batch":"a/1.x/1","seq":1,"kind":"period","period":1000,"lines":1,"units":5}\n'
-            b'{"tenant":"acme","class":"lookup","units":5}\n')
+    good = (
+        b'{"batch":"a/1.x/1","seq":1,"kind":"period","period":1000,"lines":1,"units":5}\n'
+        b'{"tenant":"acme","class":"lookup","units":5}\n'
+    )
     assert parse(good).key == "a/1.x/1"
-    for name, data in (("good.jsonl", good), ("short.jsonl", good[:-30]), ("empty.jsonl", b""),
-                       ("key.jsonl", good.replace(b"a/1.x/1", b"nokey")), ("x.csv", b"a"),
-                       ("more.jsonl", good.replace(b'"units":5}\n{', b'"units":6}\n{')),
-                       ("a.through", b'{"ledger":"a","until":1300.0}'),
-                       ("b.through", b"garbage")):
+    for name, data in (
+        ("good.jsonl", good),
+        ("short.jsonl", good[:-30]),
+        ("empty.jsonl", b""),
+        ("key.jsonl", good.replace(b"a/1.x/1", b"nokey")),
+        ("x.csv", b"a"),
+        ("more.jsonl", good.replace(b'"units":5}\n{', b'"units":6}\n{')),
+        ("a.through", b'{"ledger":"a","until":1300.0}'),
+        ("b.through", b"garbage"),
+    ):
         (tmp_path / name).write_bytes(data)
     books = settlement(0.0)
     gatherer, said = Gatherer(tmp_path, books, Now(), lambda: 5000.0), []
@@ -495,8 +511,16 @@
 def fleet(path: Path, name: str, endpoint: int, **more: Any) -> Fleet:
     from violetroute.fleet.make import store_of
 
-    table = FleetTable(store="folder", folder=str(path), works=("beat-0", "beat-1"), term_s=0.5,
-                       look_s=0.05, call_s=0.5, beat_s=0.01, move_s=0.2)
+    table = FleetTable(
+        store="folder",
+        folder=str(path),
+        works=("beat-0", "beat-1"),
+        term_s=0.5,
+        look_s=0.05,
+        call_s=0.5,
+        beat_s=0.01,
+        move_s=0.2,
+    )
     net = SocketNetwork(asyncio.get_running_loop())
 
     def work(of: str) -> LogWork:
@@ -563,18 +587,26 @@
 
 
 # --- settings ---
-@pytest.mark.parametrize(("table", "key"), [
-    ({"store": "folder"}, "folder"), ({"folder": "/x"}, "store"), ({"store": "consul"}, "agents"),
-    ({"store": "consul", "agents": ["nowhere"]}, "agents"), ({"store": "cloud"}, "store"),
-    ({"store": "folder", "folder": "/x", "works": ["dance"]}, "works"),
-    ({"store": "folder", "folder": "/x", "works": ["Beat!"]}, "works"),
-    ({"store": "folder", "folder": "/x", "works": ["settlement"]}, "works"),
-    ({"store": "folder", "folder": "/x", "endpoint": "x"}, "endpoint"),
-    ({"store": "folder", "folder": "/x", "path": "x"}, "path"),
-    ({"store": "folder", "folder": "/x", "term_s": 0.0}, "term_s"),
-    ({"store": "folder", "folder": "/x", "term": 1.0}, "term")])
+@pytest.mark.parametrize(
+    ("table", "key"),
+    [
+        ({"store": "folder"}, "folder"),
+        ({"folder": "/x"}, "store"),
+        ({"store": "consul"}, "agents"),
+        ({"store": "consul", "agents": ["nowhere"]}, "agents"),
+        ({"store": "cloud"}, "store"),
+        ({"store": "folder", "folder": "/x", "works": ["dance"]}, "works"),
+        ({"store": "folder", "folder": "/x", "works": ["Beat!"]}, "works"),
+        ({"store": "folder", "folder": "/x", "works": ["settlement"]}, "works"),
+        ({"store": "folder", "folder": "/x", "endpoint": "x"}, "endpoint"),
+        ({"store": "folder", "folder": "/x", "path": "x"}, "path"),
+        ({"store": "folder", "folder": "/x", "term_s": 0.0}, "term_s"),
+        ({"store": "folder", "folder": "/x", "term": 1.0}, "term"),
+    ],
+)
 def test_a_setting_that_can_not_be_meant_is_one_line_with_its_key(
-        table: dict[str, Any], key: str) -> None:
+    table: dict[str, Any], key: str
+) -> None:
     with pytest.raises(ConfigError) as wrong:
         parse_operator({"fleet": table}, "op.toml")
     assert f"[fleet] {key}" in str(wrong.value) and "\n" not in str(wrong.value)
--- a/tests/test_fleet_guards.py
+++ b/tests/test_fleet_guards.py
@@ -48,8 +48,9 @@
 
 
 # --- records of strangers ---
-@pytest.mark.parametrize("nonce", ["{}/precious", "../../../precious", "", "N" * 5, "a b",
-                                   "a" * 65])
+@pytest.mark.parametrize(
+    "nonce", ["{}/precious", "../../../precious", "", "N" * 5, "a b", "a" * 65]
+)
 def test_a_nonce_that_is_no_name_is_no_lease_and_no_record(tmp_path: Path, nonce: str) -> None:
     """A mark of that name would be tidied away.  Only files of this test's own are named here: run
     against a build with the fault it removes what it names.
@@ -66,8 +67,9 @@
     assert logs.decode(logs.encode(Record(1, "w", 1, nonce, "claim")), "w") is None
 
 
-def test_a_crowd_of_other_files_hides_no_life(tmp_path: Path,
-                                              monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_crowd_of_other_files_hides_no_life(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(folders, "MEMBERS_MOST", 3)
     a, b = store(tmp_path, Me("a", "zz-a")), store(tmp_path, Me("b", "zz-b"))
     a.ask(Ask("w", 1, 0, None))
@@ -131,12 +133,20 @@
 
 
 def table(path: Path, term_s: float) -> FleetTable:
-    return FleetTable(store="folder", folder=str(path), works=("beat-0",), term_s=term_s,
-                      look_s=0.05, call_s=0.5, beat_s=0.01)
-
-
-def joined(path: Path, name: str, hangs: bool = False, endpoint: int = 0,
-           term_s: float = 0.5) -> Fleet:
+    return FleetTable(
+        store="folder",
+        folder=str(path),
+        works=("beat-0",),
+        term_s=term_s,
+        look_s=0.05,
+        call_s=0.5,
+        beat_s=0.01,
+    )
+
+
+def joined(
+    path: Path, name: str, hangs: bool = False, endpoint: int = 0, term_s: float = 0.5
+) -> Fleet:
     loop = asyncio.get_running_loop()
     net = SocketNetwork(loop)
 
@@ -144,8 +154,15 @@
         logs = Hangs(loop) if hangs else ThreadWriter(loop)
         return Threaded(FolderStore(path, me, net.wall), ThreadWriter(loop), logs)
 
-    return Fleet(table(path, term_s), name, net, made, lambda of: LogWork(
-        of, net, Beat(), 0.01, Address("127.0.0.1", endpoint) if endpoint else None, "/x", 0.5))
+    return Fleet(
+        table(path, term_s),
+        name,
+        net,
+        made,
+        lambda of: LogWork(
+            of, net, Beat(), 0.01, Address("127.0.0.1", endpoint) if endpoint else None, "/x", 0.5
+        ),
+    )
 
 
 async def until(what: Any) -> None:
@@ -154,8 +171,9 @@
             await asyncio.sleep(0.01)
 
 
-def test_an_owner_whose_disk_hangs_gives_its_work_up(tmp_path: Path,
-                                                     monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_owner_whose_disk_hangs_gives_its_work_up(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(works, "HANGS", 0.3)
 
     async def run() -> None:
@@ -173,6 +191,7 @@
 @pytest.mark.parametrize("fence", [1, 0, -5, 2**60, "x", None])
 def test_a_refusal_that_names_no_later_owner_costs_no_fence(tmp_path: Path, fence: Any) -> None:
     """Or each try would be another term, and another claim in the log."""
+
     async def answers(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         said = json.dumps({"fence": fence}).encode()
@@ -185,7 +204,8 @@
     async def run() -> None:
         server = await asyncio.start_server(answers, "127.0.0.1", 0)
         FolderStore(tmp_path, A, lambda: 0.0).run(
-            claim(FencedLog("beat-0", lambda *told: None), 6, "na", "a"))
+            claim(FencedLog("beat-0", lambda *told: None), 6, "na", "a")
+        )
         one = joined(tmp_path, "one", endpoint=server.sockets[0].getsockname()[1], term_s=6.0)
         await until(lambda: len(posts) >= 3)  # well within a term, after which it is handed on
         assert one.owned() == {"beat-0": 7}
@@ -231,14 +251,21 @@
 
 
 # --- one file among the others ---
-GOOD = (b'{"batch":"a/1.x/1","seq":1,"kind":"period","period":1000,"lines":1,"units":5}\n'
-        b'{"tenant":"acme","class":"lookup","units":5}\n')
-
-
-@pytest.mark.parametrize("bad", [
-    GOOD.replace(b"1000", b"99999999999999999"), GOOD.replace(b"1000", b"-7"),
-    GOOD.replace(b'"units":5', b'"units":99999999999999999999'),
-    GOOD.replace(b"acme", b"x" * (4 * 1024 * 1024))])
+GOOD = (
+    b'{"batch":"a/1.x/1","seq":1,"kind":"period","period":1000,"lines":1,"units":5}\n'
+    b'{"tenant":"acme","class":"lookup","units":5}\n'
+)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        GOOD.replace(b"1000", b"99999999999999999"),
+        GOOD.replace(b"1000", b"-7"),
+        GOOD.replace(b'"units":5', b'"units":99999999999999999999'),
+        GOOD.replace(b"acme", b"x" * (4 * 1024 * 1024)),
+    ],
+)
 def test_one_bad_file_does_not_stop_the_other_bills(tmp_path: Path, bad: bytes) -> None:
     (tmp_path / "bad.jsonl").write_bytes(bad.replace(b"a/1.x/1", b"b/1.x/1"))
     (tmp_path / "good.jsonl").write_bytes(GOOD)
@@ -264,8 +291,14 @@
 
 def test_a_bill_takes_no_more_batches_than_a_store_takes_and_the_rest_follows() -> None:
     books = settlement(1e6)
-    books.gathered(1e6, [Batch(f"a/1.x/{n}", 1000, "period", (("t", "c", 1),),
-                               BYTES_MOST // 2 - 1) for n in range(5)], [Through("a", 2e6)])
+    books.gathered(
+        1e6,
+        [
+            Batch(f"a/1.x/{n}", 1000, "period", (("t", "c", 1),), BYTES_MOST // 2 - 1)
+            for n in range(5)
+        ],
+        [Through("a", 2e6)],
+    )
     sizes = []
     while (bill := books.decide()) is not None:
         sizes.append(len(bill["keys"]))
@@ -309,7 +342,8 @@
 
 # --- the loop ---
 def test_a_plans_file_is_read_when_it_has_changed_and_not_each_look(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     loop, reads = VirtualLoop(Kernel()), []
     path = tmp_path / "plan.json"
     path.write_bytes(msgspec.json.encode(Plan(1, 0.0, {"a": 1.0}, fence=1)))
