--- a/tests/test_fleet_whole.py
+++ b/tests/test_fleet_whole.py
@@ -36,8 +36,9 @@
 
 def kept_over_a_stop(patch: pytest.MonkeyPatch) -> None:
     """Who goes on after a stop believes what it knew."""
-    patch.setattr(Owner, "may", lambda self, now, need=0.0:
-                  self.fence if self.state == "owner" else 0)
+    patch.setattr(
+        Owner, "may", lambda self, now, need=0.0: self.fence if self.state == "owner" else 0
+    )
 
 
 def no_drift(patch: pytest.MonkeyPatch) -> None:
@@ -47,6 +48,7 @@
 
 def fence_not_checked(patch: pytest.MonkeyPatch) -> None:
     """Entries are put wherever the log ends."""
+
     def unchecked(kind: str) -> Any:
         def put(log_: log.FencedLog, fence: int, nonce: str, name: str, *more: Any) -> log.Steps:
             yield from log.read(log_)
@@ -54,6 +56,7 @@
             #   ignore[arg-type]
             yield log.Put(log_.name, log_.next, data)
             return log.Done(log_.next)
+
         return put
 
     patch.setattr(model, "claim", unchecked("claim"))
@@ -64,12 +67,16 @@
     """A forgotten store begins at 1 again, and the place of the effect looks at the number
     alone.
     """
+
     def claim(log_: log.FencedLog, fence: int, nonce: str, name: str) -> log.Steps:
         yield from log.read(log_)
         if log_.seal.fence > fence:
             return log.Fenced(log_.seal.fence)
-        yield log.Put(log_.name, log_.next, log.encode(
-            log.Record(log.VERSION, log_.name, fence, nonce, "claim")))
+        yield log.Put(
+            log_.name,
+            log_.next,
+            log.encode(log.Record(log.VERSION, log_.name, fence, nonce, "claim")),
+        )
         return log.Done(log_.next)
 
     patch.setattr(model, "claim", claim)
@@ -81,22 +88,29 @@
 
     def by_the_wall(work: str, current: Any, over: Any, floor: int, me: Any, wall: float) -> Any:
         made = taken(work, current, over, 0, me, wall)
-        return None if made is None else msgspec.structs.replace(
-            made, fence=9 if current is None else 3)
+        return (
+            None
+            if made is None
+            else msgspec.structs.replace(made, fence=9 if current is None else 3)
+        )
 
     patch.setattr(lease, "taken", by_the_wall)
 
 
-@pytest.mark.parametrize(("plant", "rule", "bounds"), [
-    (time_from_the_answer, "alone", SMALL),
-    (kept_over_a_stop, "alone", SMALL),
-    (no_drift, "alone", SMALL),
-    (fence_not_checked, "order", Bounds(stops=0, kills=0, lost=0, slow=0, stale=0, halves=1)),
-    (number_alone, "order", Bounds(stops=0, kills=0, lost=0, slow=0, stale=0, halves=1)),
-    (wall_clock, "goes on", Bounds(stops=0, forgets=0, lost=0, slow=0, stale=0)),
-])
+@pytest.mark.parametrize(
+    ("plant", "rule", "bounds"),
+    [
+        (time_from_the_answer, "alone", SMALL),
+        (kept_over_a_stop, "alone", SMALL),
+        (no_drift, "alone", SMALL),
+        (fence_not_checked, "order", Bounds(stops=0, kills=0, lost=0, slow=0, stale=0, halves=1)),
+        (number_alone, "order", Bounds(stops=0, kills=0, lost=0, slow=0, stale=0, halves=1)),
+        (wall_clock, "goes on", Bounds(stops=0, forgets=0, lost=0, slow=0, stale=0)),
+    ],
+)
 def test_a_planted_fault_is_found_with_its_shortest_story(
-        plant: Any, rule: str, bounds: Bounds, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant: Any, rule: str, bounds: Bounds, monkeypatch: pytest.MonkeyPatch
+) -> None:
     plant(monkeypatch)
     found = check(World(bounds), most=60_000, stop_at_first=True)
     assert rule in found.stories, found
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -92,8 +92,12 @@
 
 
 def test_a_drain_ends_when_its_source_takes_it_back_or_a_later_start_is_told() -> None:
-    told = {"other source": ("b", True, None), "own source": ("a", True, None),
-            "earlier start": ("b", True, 8.0), "later start": ("b", True, 9.2)}
+    told = {
+        "other source": ("b", True, None),
+        "own source": ("a", True, None),
+        "earlier start": ("b", True, 8.0),
+        "later start": ("b", True, 9.2),
+    }
     broken = {}
     for case, (source, ready, started_at) in told.items():
         judge = judged()
@@ -101,8 +105,12 @@
         judge.heard(9.5, "n0", ready, source, started_at)
         judge.arrived(10.9, "n0", "r1", 10.8)
         broken[case] = rules(judge)
-    assert broken == {"other source": [3], "own source": [], "earlier start": [3],
-                      "later start": []}
+    assert broken == {
+        "other source": [3],
+        "own source": [],
+        "earlier start": [3],
+        "later start": [],
+    }
 
 
 def test_what_a_new_watch_says_again_is_no_new_telling() -> None:
@@ -155,5 +163,8 @@
     judge.accepted(10.1, "n0", "r1")
     judge.answered(10.3, "r1", "refused")
     assert [step.split(" ", 1)[1] for step in judge.broken[0].story] == [
-        "asked (once, waits 600 ms)", "came to n0, sent at 10.050000", "accepted by n0",
-        "refused"]
+        "asked (once, waits 600 ms)",
+        "came to n0, sent at 10.050000",
+        "accepted by n0",
+        "refused",
+    ]
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -27,9 +27,23 @@
     (folder / "known_red.py").write_text((HERE / "known_red.py").read_text())
     (folder / "KNOWN-RED.txt").write_text(listed)
     done = subprocess.run(
-        [sys.executable, "-m", "pytest", "-q", "-p", "known_red", "-p", "no:cacheprovider",
-         *arguments], cwd=folder, env={"PYTHONPATH": str(folder)}, capture_output=True, text=True,
-        timeout=60)
+        [
+            sys.executable,
+            "-m",
+            "pytest",
+            "-q",
+            "-p",
+            "known_red",
+            "-p",
+            "no:cacheprovider",
+            *arguments,
+        ],
+        cwd=folder,
+        env={"PYTHONPATH": str(folder)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     return done.returncode, done.stdout + done.stderr
 
 
@@ -43,13 +57,18 @@
     assert code == 1 and "1 failed, 1 passed, 1 xfailed" in told
 
 
-@pytest.mark.parametrize(("listed", "said", "code"), [
-    ("test_some.py::test_good | why | 41", "passes: take its line out", 1),
-    ("test_some.py::test_gone | why | 41", "no such test", 4),
-    ("test_gone.py::test_red | why | 41", "no such test", 4),
-    ("test_some.py::test_red | why", "not `test id", 4),
-    ("\n".join(f"test_some.py::test_{n} | why | 41" for n in range(4)), "3 is the bound", 4)])
+@pytest.mark.parametrize(
+    ("listed", "said", "code"),
+    [
+        ("test_some.py::test_good | why | 41", "passes: take its line out", 1),
+        ("test_some.py::test_gone | why | 41", "no such test", 4),
+        ("test_gone.py::test_red | why | 41", "no such test", 4),
+        ("test_some.py::test_red | why", "not `test id", 4),
+        ("\n".join(f"test_some.py::test_{n} | why | 41" for n in range(4)), "3 is the bound", 4),
+    ],
+)
 def test_what_is_out_of_date_or_too_much_fails_the_run(
-        tmp_path: Path, listed: str, said: str, code: int) -> None:
+    tmp_path: Path, listed: str, said: str, code: int
+) -> None:
     found, told = run(tmp_path, listed, tests="def test_good():\n    pass\n")
     assert found == code and said in told
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -39,16 +39,23 @@
 
 
 def count(made: Book, at: float, **units: int) -> None:
-    decide(made, made.counted(at, {(int(at // 300) * 300, tenant, "lookup"): number
-                                   for tenant, number in units.items()}))
+    decide(
+        made,
+        made.counted(
+            at,
+            {(int(at // 300) * 300, tenant, "lookup"): number for tenant, number in units.items()},
+        ),
+    )
 
 
 # --- periods ---
-@pytest.mark.parametrize("zone", ["UTC", "Europe/Rome", "Australia/Lord_Howe", "Asia/Kathmandu",
-                                  "America/St_Johns"])
+@pytest.mark.parametrize(
+    "zone", ["UTC", "Europe/Rome", "Australia/Lord_Howe", "Asia/Kathmandu", "America/St_Johns"]
+)
 @pytest.mark.parametrize("minutes", [5, 15, 60])
 def test_periods_follow_one_another_through_every_change_of_the_clock(
-        zone: str, minutes: int) -> None:
+    zone: str, minutes: int
+) -> None:
     cuts, tz = Periods(zone, minutes), ZoneInfo(zone)
     for begin in (1_774_500_000, 1_775_000_000, 1_792_700_000, 1_793_400_000):  # changes of 2026
         at = cuts.of(begin)
@@ -114,7 +121,10 @@
 def test_a_signed_correction_is_taken_once() -> None:
     made = book()
     lines: list[tuple[int, str | None, str, int]] = [
-        (START, "acme", "lookup", -2), (START, "zeta", "lookup", 1), (START + 300, None, "x", 4)]
+        (START, "acme", "lookup", -2),
+        (START, "zeta", "lookup", 1),
+        (START + 300, None, "x", 4),
+    ]
     decide(made, made.signed("signed-1.json", "marta", lines))
     assert [(b.period, b.units) for b in made.batches.values()] == [(START, -1), (START + 300, 4)]
     assert made.signed("signed-1.json", "marta", lines) == []
@@ -135,9 +145,11 @@
     assert made.late_since == 5.0
 
 
-Change = st.tuples(st.sampled_from(("count", "cut", "send", "done", "hold", "sign", "crash",
-                                    "spill")),
-                   st.integers(0, 5), st.integers(0, 2000))
+Change = st.tuples(
+    st.sampled_from(("count", "cut", "send", "done", "hold", "sign", "crash", "spill")),
+    st.integers(0, 5),
+    st.integers(0, 2000),
+)
 
 
 @given(st.lists(Change, max_size=60))
@@ -169,14 +181,23 @@
             for record in made.spills():
                 kept[record[1]] = list(made.batches[record[1]].lines)
                 records.append(record)
-            records += [["back", seq, kept[seq]] for seq in kept
-                        if seq in made.batches and made.batches[seq].away is not None][number:]
+            records += [
+                ["back", seq, kept[seq]]
+                for seq in kept
+                if seq in made.batches and made.batches[seq].away is not None
+            ][number:]
         elif batch is not None and batch.away is None:
-            records = made.sends(batch.seq) if what == "send" else \
-                made.confirms(batch.seq) if what == "done" else made.holds(batch.seq, "why")
+            records = (
+                made.sends(batch.seq)
+                if what == "send"
+                else made.confirms(batch.seq)
+                if what == "done"
+                else made.holds(batch.seq, "why")
+            )
             if what == "send":
-                assert sent.setdefault(batch.key, export.json_lines(batch)) \
-                    == export.json_lines(batch)
+                assert sent.setdefault(batch.key, export.json_lines(batch)) == export.json_lines(
+                    batch
+                )
         log += decide(made, records)
         for period, units in counted.items():
             assert made.units(period) == units
@@ -186,10 +207,15 @@
 
 
 # --- records and files ---
-@given(st.lists(st.lists(st.integers(-9, 2 ** 40), max_size=4)
-                .map(lambda body: ["x", *body]), max_size=6), st.data())
+@given(
+    st.lists(
+        st.lists(st.integers(-9, 2**40), max_size=4).map(lambda body: ["x", *body]), max_size=6
+    ),
+    st.data(),
+)
 def test_a_file_is_believed_up_to_the_first_record_that_does_not_add_up(
-        records: list[Any], data: st.DataObject) -> None:
+    records: list[Any], data: st.DataObject
+) -> None:
     whole = frames.MAGIC + frames.encode(records)
     assert frames.decode(whole).records == records and not frames.decode(whole).wrong
     place = data.draw(st.integers(len(frames.MAGIC), len(whole)))
@@ -248,8 +274,9 @@
 def test_archives_are_read_up_to_what_was_torn_and_old_ones_go() -> None:
     disk = CutDisk()
     one, _ = store(disk)
-    one.commit([], {START: b"12345678", 300: b"x" * 8}, [(START, b"one"), (START, b"two"),
-                                                         (300, b"old")])
+    one.commit(
+        [], {START: b"12345678", 300: b"x" * 8}, [(START, b"one"), (START, b"two"), (300, b"old")]
+    )
     (name,) = [n for n in disk.names() if n.startswith("closed-2023")]
     data = disk.read(name)
     assert archived(data) == [b"one", b"two"] and archived(data[:-3]) == [b"one"]
@@ -280,7 +307,7 @@
 
 
 # --- outside ---
-NASTY = ["../../x", "a\"b,c\nd", "=1+1", "+x", "-x", "@x", "\tx", "è" * 100, "(others)", "'"]
+NASTY = ["../../x", 'a"b,c\nd', "=1+1", "+x", "-x", "@x", "\tx", "è" * 100, "(others)", "'"]
 
 
 def test_no_tenant_can_break_an_export_or_run_in_a_spreadsheet() -> None:
@@ -296,18 +323,27 @@
     assert "/" not in export.file_name(batch) and not export.file_name(batch).startswith(".")
 
 
-@pytest.mark.parametrize(("status", "headers", "body", "expected"), [
-    (200, {}, b"", ("done", 0.0)), (204, {}, b"", ("done", 0.0)), (422, {}, b"", ("held", 0.0)),
-    (409, {}, b"", ("again", 0.0)), (500, {}, b"", ("again", 0.0)),
-    (429, {"retry-after": "7"}, b"", ("again", 7.0)),
-    (503, {"retry-after": "99999999"}, b"", ("again", 3600.0)),
-    (503, {"retry-after": "Fri, 31 Dec"}, b"", ("again", 0.0)),
-    (307, {"location": "http://127.0.0.9/"}, b"", ("again", export.SLOW)),
-    (404, {}, b"", ("again", export.SLOW)), (412, {}, b"[]", ("again", export.SLOW)),
-    (412, {}, b'{"last": "k\\r\\nX: y", "periods": []}', ("again", export.SLOW)),
-    (412, {}, b'{"last": "k", "periods": [300]}', ("fork", 0.0))])
-def test_what_an_endpoints_answer_means(status: int, headers: dict[str, str], body: bytes,
-                                        expected: tuple[str, float]) -> None:
+@pytest.mark.parametrize(
+    ("status", "headers", "body", "expected"),
+    [
+        (200, {}, b"", ("done", 0.0)),
+        (204, {}, b"", ("done", 0.0)),
+        (422, {}, b"", ("held", 0.0)),
+        (409, {}, b"", ("again", 0.0)),
+        (500, {}, b"", ("again", 0.0)),
+        (429, {"retry-after": "7"}, b"", ("again", 7.0)),
+        (503, {"retry-after": "99999999"}, b"", ("again", 3600.0)),
+        (503, {"retry-after": "Fri, 31 Dec"}, b"", ("again", 0.0)),
+        (307, {"location": "http://127.0.0.9/"}, b"", ("again", export.SLOW)),
+        (404, {}, b"", ("again", export.SLOW)),
+        (412, {}, b"[]", ("again", export.SLOW)),
+        (412, {}, b'{"last": "k\\r\\nX: y", "periods": []}', ("again", export.SLOW)),
+        (412, {}, b'{"last": "k", "periods": [300]}', ("fork", 0.0)),
+    ],
+)
+def test_what_an_endpoints_answer_means(
+    status: int, headers: dict[str, str], body: bytes, expected: tuple[str, float]
+) -> None:
     found = export.said(status, headers, body)
     assert (found.what, found.wait) == expected
     assert found.periods == ((300,) if expected[0] == "fork" else ())
@@ -316,19 +352,24 @@
 def test_waits_double_with_jitter_and_are_bounded() -> None:
     backoff = export.Backoff(1.0, 60.0, "seed")
     waits = [backoff.failed(0.0) for _ in range(40)]
-    assert all(2 ** n / 2 <= wait <= 2 ** n for n, wait in enumerate(waits[:5]))
+    assert all(2**n / 2 <= wait <= 2**n for n, wait in enumerate(waits[:5]))
     assert max(waits) <= 60.0 and backoff.failed(500.0) == 500.0
     backoff.succeeded()
     assert backoff.failed(0.0) <= 1.0
 
 
-@pytest.mark.parametrize(("table", "key"), [
-    ({"zone": "UTC", "flush_s": 1.0}, "folder"), ({"folder": "x", "zone": "Nowhere"}, "zone"),
-    ({"folder": "x", "period_min": 7}, "period_min"), ({"folder": "x", "export": "files"},
-                                                       "export_folder"),
-    ({"folder": "x", "export": "http", "endpoint": "bill.example:1"}, "endpoint"),
-    ({"folder": "x", "export": "http", "endpoint": "127.0.0.1:1", "path": "a b"}, "path"),
-    ({"folder": "x", "tenants": 1}, "tenants")])
+@pytest.mark.parametrize(
+    ("table", "key"),
+    [
+        ({"zone": "UTC", "flush_s": 1.0}, "folder"),
+        ({"folder": "x", "zone": "Nowhere"}, "zone"),
+        ({"folder": "x", "period_min": 7}, "period_min"),
+        ({"folder": "x", "export": "files"}, "export_folder"),
+        ({"folder": "x", "export": "http", "endpoint": "bill.example:1"}, "endpoint"),
+        ({"folder": "x", "export": "http", "endpoint": "127.0.0.1:1", "path": "a b"}, "path"),
+        ({"folder": "x", "tenants": 1}, "tenants"),
+    ],
+)
 def test_a_table_that_cannot_be_meant_names_its_key(table: dict[str, Any], key: str) -> None:
     with pytest.raises(ConfigError, match=rf"\[ledger\].* ?{key}"):
         parse_operator({"ledger": table}, "op.toml")
--- a/tests/test_ledger_crash.py
+++ b/tests/test_ledger_crash.py
@@ -26,7 +26,8 @@
 
 @pytest.mark.parametrize("seed", range(8))
 def test_kills_troubles_and_clock_steps_lose_what_was_in_memory_and_double_nothing(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     outcome = play(Trial(seed, minutes=8.0, kills=15))
     assert outcome.killed > 5 and outcome.doubled == 0
     assert outcome.missing == outcome.at_risk < 4 * 35 and outcome.gaps == outcome.killed
@@ -36,8 +37,9 @@
 def test_power_cuts_at_any_write(part: int) -> None:
     # benchmarks/ledger.py plays each of more than 2,000.
     for cut_at in range(1 + part, 120, 8):
-        outcome = play(Trial(part, minutes=5.5, kills=0, cut_at=cut_at, troubles=False,
-                             steps=False))
+        outcome = play(
+            Trial(part, minutes=5.5, kills=0, cut_at=cut_at, troubles=False, steps=False)
+        )
         assert outcome.doubled == 0 and outcome.killed == 1
         assert outcome.missing <= 15  # what was counted in one flush, and in the write under way
 
--- a/tests/test_ledger_daemon.py
+++ b/tests/test_ledger_daemon.py
@@ -43,9 +43,18 @@
     async def whole() -> None:
         await billing.start(tls=tls)
         clock = Clock()
-        made = msgspec.structs.replace(LedgerTable(
-            folder=str(tmp_path / "ledgers"), period_min=5, grace_s=1.0, flush_s=0.01,
-            export="http", endpoint=f"127.0.0.1:{billing.port}", retry_s=0.01), **table)
+        made = msgspec.structs.replace(
+            LedgerTable(
+                folder=str(tmp_path / "ledgers"),
+                period_min=5,
+                grace_s=1.0,
+                flush_s=0.01,
+                export="http",
+                endpoint=f"127.0.0.1:{billing.port}",
+                retry_s=0.01,
+            ),
+            **table,
+        )
         ledger = Ledger(made, name, SocketNetwork(asyncio.get_running_loop(), clock=clock))
         async with Rig(CacheNode(serves)) as rig:
             rig.proxy.parts.served.append(ledger.served)
@@ -73,7 +82,8 @@
 
 
 def test_an_endpoint_that_is_away_for_days_costs_no_memory_and_gets_all_in_order(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
         away = [True]
         billing.trouble = lambda: "lost before" if away[0] else ""
@@ -90,14 +100,16 @@
         (held,) = ledger._book.batches.values()
         assert "batch-30" in held.why
         assert [period for _, period in billing.order["p1"]] == sorted(
-            period for _, period in billing.order["p1"])
+            period for _, period in billing.order["p1"]
+        )
 
     run(part, tmp_path, retry_most_s=0.02)
 
 
 @pytest.mark.parametrize("trouble", ["lost after", "500 after", "cut after", "redirect", "noise"])
 def test_ten_answers_that_say_no_though_some_took_it_bill_once(
-        tmp_path: Path, trouble: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, trouble: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr("violetroute.ledger.export.SLOW", 0.01)
 
     async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
@@ -112,7 +124,8 @@
 
 
 def test_a_disk_that_hangs_or_is_full_is_noticed_by_no_request(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     goes_on, full = threading.Event(), [True]
     append, put = Folder.append, Folder.put
 
@@ -145,8 +158,7 @@
     run(part, tmp_path)
 
 
-def test_two_processes_of_one_name_are_told_apart_and_the_second_takes_over(
-        tmp_path: Path) -> None:
+def test_two_processes_of_one_name_are_told_apart_and_the_second_takes_over(tmp_path: Path) -> None:
     async def part(rig: Rig, ledger: Ledger, billing: Billing, clock: Clock) -> None:
         await until(lambda: ledger.state == "open")
         other = Ledger(ledger.table, "p1", SocketNetwork(asyncio.get_running_loop(), clock=clock))
@@ -182,8 +194,11 @@
     authority.issue_cert("127.0.0.1").configure_cert(server)
     ours.configure_trust(server)
     server.verify_mode = ssl.CERT_REQUIRED
-    files = {"tls_ca_file": tmp_path / "ca", "tls_cert_file": tmp_path / "cert",
-             "tls_key_file": tmp_path / "key"}
+    files = {
+        "tls_ca_file": tmp_path / "ca",
+        "tls_cert_file": tmp_path / "cert",
+        "tls_key_file": tmp_path / "key",
+    }
     authority.cert_pem.write_to_path(files["tls_ca_file"])
 
     def key(by: trustme.CA) -> None:
@@ -201,8 +216,13 @@
         key(ours)
         await until(lambda: sum(billing.billed.values()) == 2)
 
-    run(part, tmp_path, tls=server, retry_most_s=0.05,
-        **{name: str(path) for name, path in files.items()})
+    run(
+        part,
+        tmp_path,
+        tls=server,
+        retry_most_s=0.05,
+        **{name: str(path) for name, path in files.items()},
+    )
 
 
 def test_files_are_written_whole_and_named_without_any_tenant(tmp_path: Path) -> None:
--- a/tests/test_ledger_tools.py
+++ b/tests/test_ledger_tools.py
@@ -26,18 +26,22 @@
 
 
 def ids(count: int, salt: int = 0) -> np.ndarray:
-    return np.random.default_rng(salt).integers(0, 2 ** 64, count, np.uint64)
+    return np.random.default_rng(salt).integers(0, 2**64, count, np.uint64)
 
 
 # --- sketches ---
-@given(st.sets(st.integers(0, 2 ** 64 - 1), max_size=60),
-       st.sets(st.integers(0, 2 ** 64 - 1), max_size=60))
+@given(
+    st.sets(st.integers(0, 2**64 - 1), max_size=60), st.sets(st.integers(0, 2**64 - 1), max_size=60)
+)
 @settings(max_examples=60)
 def test_a_sketch_tells_just_what_differs_or_that_it_is_too_small(
-        ours: set[int], theirs: set[int]) -> None:
+    ours: set[int], theirs: set[int]
+) -> None:
     common = ids(500)
-    sides = [Sketch.of(np.concatenate([common, np.array(sorted(side), np.uint64)]), 130)
-             for side in (ours, theirs)]
+    sides = [
+        Sketch.of(np.concatenate([common, np.array(sorted(side), np.uint64)]), 130)
+        for side in (ours, theirs)
+    ]
     found = Sketch.load(sides[0].dump()).against(Sketch.load(sides[1].dump()))
     shared = set(common.tolist())
     if not isinstance(found, int):
@@ -77,15 +81,24 @@
 
 # --- reconciling ---
 def test_short_long_and_at_the_edge_are_told_apart() -> None:
-    exported: Counter[Line] = Counter({
-        ("p1", START, "a", "c"): 5, ("p1", START + 300, "a", "c"): 4, ("p2", START, "b", "c"): 9})
-    served: Counter[Line] = Counter({
-        ("p1", START, "a", "c"): 7, ("p1", START + 300, "a", "c"): 3, ("p2", START, "b", "c"): 6,
-        ("p2", START, None, "c"): 1})
+    exported: Counter[Line] = Counter(
+        {("p1", START, "a", "c"): 5, ("p1", START + 300, "a", "c"): 4, ("p2", START, "b", "c"): 9}
+    )
+    served: Counter[Line] = Counter(
+        {
+            ("p1", START, "a", "c"): 7,
+            ("p1", START + 300, "a", "c"): 3,
+            ("p2", START, "b", "c"): 6,
+            ("p2", START, None, "c"): 1,
+        }
+    )
     found = reconcile(exported, served, PERIODS)
     assert found.moved == 1 and (found.short, found.long) == (2, 3)
     assert [(d.proxy, d.tenant, d.units) for d in found.differences] == [
-        ("p1", "a", 1), ("p2", "b", -3), ("p2", None, 1)]
+        ("p1", "a", 1),
+        ("p2", "b", -3),
+        ("p2", None, 1),
+    ]
 
 
 def test_a_batch_that_two_files_have_counts_once_and_one_that_differs_is_told() -> None:
@@ -119,16 +132,21 @@
     log = made.counted(START, {(period, "acme", "lookup"): 3, (period, "[b]=x\n", "lookup"): 1})
     for record in log:
         made.apply(record)
-    for step in (lambda: made.cut(START + 2000), lambda: made.sends(1), lambda: made.confirms(1),
-                 lambda: made.counted(START, {(period + 900, "acme", "optout"): 2})):
+    for step in (
+        lambda: made.cut(START + 2000),
+        lambda: made.sends(1),
+        lambda: made.confirms(1),
+        lambda: made.counted(START, {(period + 900, "acme", "optout"): 2}),
+    ):
         batch = made.batches.get(1)
         closed = [(batch.period, json_lines(batch))] if batch is not None else []
         records = step()
         for record in records:
             made.apply(record)
         log += records
-        store.commit(records if records[0] != log[0] else [], {},
-                     closed if records[0][0] == "done" else [])
+        store.commit(
+            records if records[0] != log[0] else [], {}, closed if records[0][0] == "done" else []
+        )
     store.rewrite(made.checkpoint())
     files.close()
     return folder
@@ -153,8 +171,11 @@
     closed.write_bytes(closed.read_bytes()[:-4])
     code, text = run("verify", str(folder))
     assert code == 1 and "4 units confirmed, 0 in the archive" in text
-    for arguments in (("show", str(tmp_path)), ("verify", str(tmp_path / "none")),
-                      ("export", str(folder))):
+    for arguments in (
+        ("show", str(tmp_path)),
+        ("verify", str(tmp_path / "none")),
+        ("export", str(folder)),
+    ):
         assert run(*arguments)[0] == 2
 
 
@@ -162,16 +183,30 @@
     folder = ledger(tmp_path)
     made = Book(Periods("UTC", 15), 60.0)
     for record in made.begin("p1", "n", START) + made.counted(
-            START, {(START, "acme", "lookup"): 3}):
+        START, {(START, "acme", "lookup"): 3}
+    ):
         made.apply(record)
     for record in made.cut(START + 2000):
         made.apply(record)
     (tmp_path / "out").mkdir()
     (tmp_path / "out" / "b.jsonl").write_bytes(json_lines(made.batches[1]))
     served = tmp_path / "served.jsonl"
-    served.write_text("".join(json.dumps(
-        {"proxy": "p1", "tenant": "acme", "class": "lookup", "at": START + n, "id": f"r{n % 4}"})
-        + "\n" for n in range(5)) + "\n")
+    served.write_text(
+        "".join(
+            json.dumps(
+                {
+                    "proxy": "p1",
+                    "tenant": "acme",
+                    "class": "lookup",
+                    "at": START + n,
+                    "id": f"r{n % 4}",
+                }
+            )
+            + "\n"
+            for n in range(5)
+        )
+        + "\n"
+    )
     arguments = ("reconcile", str(tmp_path / "out"), "--served", str(served))
     code, text = run(*arguments, "--write", str(tmp_path / "c"), "--json")
     told = json.loads(text)
@@ -180,9 +215,11 @@
     assert run("sign", str(folder), str(file), "--by", "marta")[0] == 0
     (signed,) = folder.glob("signed-*.json")
     assert json.loads(signed.read_bytes())["lines"] == [[START, "acme", "lookup", 1]]
-    for wrong in (("sign", str(folder), str(served), "--by", "m"),
-                  ("sign", str(folder), str(file), "--by", " "),
-                  ("sign", str(tmp_path / "none"), str(file), "--by", "m")):
+    for wrong in (
+        ("sign", str(folder), str(served), "--by", "m"),
+        ("sign", str(folder), str(file), "--by", " "),
+        ("sign", str(tmp_path / "none"), str(file), "--by", "m"),
+    ):
         assert run(*wrong)[0] == 2
     served.write_text(served.read_text() + "{}\n")
     assert "KeyError" in run(*arguments)[1]
@@ -191,8 +228,17 @@
 def test_sketches_at_the_keyboard(tmp_path: Path) -> None:
     for name, data in (("a", ids(2000)), ("b", ids(2000)[5:])):
         (tmp_path / f"ids-{name}").write_bytes(data.astype("<u8").tobytes())
-        assert run("sketch", str(tmp_path / f"ids-{name}"), "-o", str(tmp_path / name),
-                   "--differ", "20")[0] == 0
+        assert (
+            run(
+                "sketch",
+                str(tmp_path / f"ids-{name}"),
+                "-o",
+                str(tmp_path / name),
+                "--differ",
+                "20",
+            )[0]
+            == 0
+        )
     code, text = run("differ", str(tmp_path / "a"), str(tmp_path / "b"), "--json")
     assert code == 1 and len(json.loads(text)["ours"]) == 5
     assert run("differ", str(tmp_path / "a"), str(tmp_path / "a"))[0] == 0
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -62,13 +62,22 @@
 def test_an_event_is_one_line_with_its_fields(install: Callable[..., Written]) -> None:
     written = install()
     tell("daemon.listens", address="127.0.0.1:1", proxy="n0")
-    assert written.objects == [{
-        "at": "1970-01-01T00:00:01.500Z", "level": "info", "event": "daemon.listens",
-        "says": "listens on", "address": "127.0.0.1:1", "proxy": "n0"}]
+    assert written.objects == [
+        {
+            "at": "1970-01-01T00:00:01.500Z",
+            "level": "info",
+            "event": "daemon.listens",
+            "says": "listens on",
+            "address": "127.0.0.1:1",
+            "proxy": "n0",
+        }
+    ]
     written = install(format="text")
     tell("config.unusable", reason="two\nlines = one")
-    assert written.lines == [b"1970-01-01T00:00:01.500Z ERROR config.unusable not reloaded, the "
-                             b'old configuration stays: reason="two\\nlines = one"\n']
+    assert written.lines == [
+        b"1970-01-01T00:00:01.500Z ERROR config.unusable not reloaded, the "
+        b'old configuration stays: reason="two\\nlines = one"\n'
+    ]
 
 
 def test_lines_of_one_event_are_limited_and_counted(install: Callable[..., Written]) -> None:
@@ -159,8 +168,10 @@
     page = (ROOT / "docs" / "operators" / "logs.md").read_text()
     rows = re.findall(r"^\| `([a-z_]+\.[a-z_]+)` \| (\w+) \| ([^|]*) \|", page, re.MULTILINE)
     told = {name: (level, set(re.findall(r"`(\w+)`", fields))) for name, level, fields in rows}
-    assert told == {name: (logging.getLevelName(event.level).lower(), set(event.fields))
-                    for name, event in EVENTS.items()}
+    assert told == {
+        name: (logging.getLevelName(event.level).lower(), set(event.fields))
+        for name, event in EVENTS.items()
+    }
 
 
 def test_a_log_that_nobody_reads_and_a_broken_file_stop_nothing(tmp_path: Path) -> None:
@@ -173,8 +184,15 @@
         reading, writing = os.pipe()
         fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, 4096)
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "violetroute", "--operator", str(operator), cwd=ROOT,
-            stderr=writing, env=environment(config))
+            sys.executable,
+            "-m",
+            "violetroute",
+            "--operator",
+            str(operator),
+            cwd=ROOT,
+            stderr=writing,
+            env=environment(config),
+        )
         os.close(writing)
         said = bytearray()
         os.set_blocking(reading, False)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -87,8 +87,13 @@
     assert mix(0) == 16294208416658607535  # splitmix64 of state 0
     code = "from snowstall.hashing import mix; print(mix(123456789, 7))"
     seen = {
-        subprocess.run([sys.executable, "-c", code], env={"PYTHONHASHSEED": seed},
-                       capture_output=True, text=True, check=True).stdout
+        subprocess.run(
+            [sys.executable, "-c", code],
+            env={"PYTHONHASHSEED": seed},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
         for seed in ("0", "1", "77")
     }
     assert seen == {f"{mix(123456789, 7)}\n"}
--- a/tests/test_merge_whole.py
+++ b/tests/test_merge_whole.py
@@ -29,8 +29,11 @@
 TABLE = MembershipTable(patience_s=10.0, settle_s=5.0, least_match=0.5)
 SOURCES = ("a", "b")
 TELLS = ("ready", "drains", "gone", "starts", "whole", "whole drains", "whole without", "silent")
-EVENTS = [(source, what) for source in SOURCES for what in TELLS] \
-    + [("", "time"), ("", "restart"), ("", "sighup")]
+EVENTS = [(source, what) for source in SOURCES for what in TELLS] + [
+    ("", "time"),
+    ("", "restart"),
+    ("", "sighup"),
+]
 DEPTH = 6
 OTHERS = ("o1", "o2", "o3")
 
@@ -100,13 +103,18 @@
         """What is broken, if anything is."""
         here = self.merge.entries(self.wall).get("n")
         used = here is not None and here.state is READY
-        owed = {name for name, since in self.told.items()
-                if here is None or since >= here.started_at}
+        owed = {
+            name for name, since in self.told.items() if here is None or since >= here.started_at
+        }
         if used and (owed or (self.handed and self.merge.speaker is None)):
             return f"used, though told by {sorted(owed) or 'the list it began with'}"
         speaker = self.merge.speaker
-        if not used and not self.told and speaker is not None \
-                and "n" in self.merge._views[speaker].entries:
+        if (
+            not used
+            and not self.told
+            and speaker is not None
+            and "n" in self.merge._views[speaker].entries
+        ):
             return "kept out, though nobody says so"
         return ""
 
@@ -124,16 +132,29 @@
             return None if each is None else (each.state, rank[each.started_at])
 
         return (
-            self.merge.speaker, of(self.merge._before.get("n")), len(self.merge._before),
-            self.restarted, self.handed, rank[self.started],
+            self.merge.speaker,
+            of(self.merge._before.get("n")),
+            len(self.merge._before),
+            self.restarted,
+            self.handed,
+            rank[self.started],
             tuple(sorted((name, rank[at]) for name, at in self.told.items())),
-            tuple((of(view.entries.get("n")), len(view.entries),
-                   None if view.away_since is None
-                   else self.now >= view.away_since + TABLE.patience_s,
-                   view.away_since is None and self.now >= view.back_since + TABLE.settle_s,
-                   tuple((name, plan.gone, rank[plan.wall], of(plan.entry))
-                         for name, plan in view.plans.items()))
-                  for view in self.merge._views.values()))
+            tuple(
+                (
+                    of(view.entries.get("n")),
+                    len(view.entries),
+                    None
+                    if view.away_since is None
+                    else self.now >= view.away_since + TABLE.patience_s,
+                    view.away_since is None and self.now >= view.back_since + TABLE.settle_s,
+                    tuple(
+                        (name, plan.gone, rank[plan.wall], of(plan.entry))
+                        for name, plan in view.plans.items()
+                    ),
+                )
+                for view in self.merge._views.values()
+            ),
+        )
 
     def copy(self) -> Play:
         """Entries and plans are never changed, so they are shared."""
@@ -195,10 +216,16 @@
     view.plans.setdefault(told.instance, merge_module._Plan(told, gone, wall))
 
 
-@pytest.mark.parametrize(("where", "name", "fault"), [
-    (Merge, "carry", kept_for_good), (merge_module, "_apply", only_the_speaker),
-    (Merge, "_plan", first_telling_counts)])
-def test_each_mend_taken_back_is_found(monkeypatch: pytest.MonkeyPatch, where: Any, name: str,
-                                       fault: Any) -> None:
+@pytest.mark.parametrize(
+    ("where", "name", "fault"),
+    [
+        (Merge, "carry", kept_for_good),
+        (merge_module, "_apply", only_the_speaker),
+        (Merge, "_plan", first_telling_counts),
+    ],
+)
+def test_each_mend_taken_back_is_found(
+    monkeypatch: pytest.MonkeyPatch, where: Any, name: str, fault: Any
+) -> None:
     monkeypatch.setattr(where, name, fault)
     assert enumerate_all(5)[2]
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -94,8 +94,10 @@
     play(part)
 
 
-@pytest.mark.parametrize("load", [bulk(b"inflight=many"), bulk(b"\xff\xfe"), b":7\r\n",
-                                  bulk(b"inflight=nan"), b"$99\r\nshort"])
+@pytest.mark.parametrize(
+    "load",
+    [bulk(b"inflight=many"), bulk(b"\xff\xfe"), b":7\r\n", bulk(b"inflight=nan"), b"$99\r\nshort"],
+)
 def test_a_load_report_that_cannot_be_read_costs_no_value(load: bytes) -> None:
     async def part(rig: Rig, node: CacheNode) -> None:
         async def odd(words: list[bytes], writer: asyncio.StreamWriter) -> None:
@@ -218,8 +220,11 @@
                 rig.discovery.send(writer, nonsense)
             await until(lambda asked=asked: len(rig.discovery.asked) > asked)
         await rig.watched()
-        rig.discovery.tell({"instanceId": "odd", "lifecycle": "in_service", "hostPort": "x"},
-                           node.entry("s-1", weight=float("nan")), node.entry("s-2"))
+        rig.discovery.tell(
+            {"instanceId": "odd", "lifecycle": "in_service", "hostPort": "x"},
+            node.entry("s-1", weight=float("nan")),
+            node.entry("s-2"),
+        )
         await until(lambda: rig.proxy.generation == 100)
         assert await rig.ask(get(1)) == [b"value of id1"]
 
@@ -236,8 +241,10 @@
             writer.write(get(number, wait=1500))
         answers = [await read_answer(reader) for reader, _ in clients]
         assert all(a.startswith((b"-BUSY", b"-ERR failed")) for a in answers)
-        assert sum(a.startswith(b"-BUSY ") for a in answers) >= \
-            len(clients) - rig.config.upstream_sockets, "what no socket was left for"
+        assert (
+            sum(a.startswith(b"-BUSY ") for a in answers)
+            >= len(clients) - rig.config.upstream_sockets
+        ), "what no socket was left for"
         await until(lambda: not node.open and not rig.proxy.open_requests)
         for _, writer in clients:
             writer.close()
@@ -307,8 +314,9 @@
             answers = []
             for i in range(first, first + count, 4):
                 answers += await asyncio.gather(
-                    *(rig.ask(get(j, b"key %d" % j)) for j in range(i, i + 4)))
-            return [answer for answer, in answers]
+                    *(rig.ask(get(j, b"key %d" % j)) for j in range(i, i + 4))
+                )
+            return [answer for (answer,) in answers]
 
         for node in (broken, *others):
             node.behaviour = takes_its_time
@@ -347,7 +355,8 @@
 
 
 def test_a_command_half_written_to_a_node_that_drains_never_becomes_whole(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     # Taken out, this guard was missed by every test: the rest followed once the node read on,
     # however long after it was told to drain.
     monkeypatch.setattr(socket, "socket", Tight)
@@ -427,7 +436,8 @@
 
 
 def test_a_keyed_command_that_its_node_does_not_have_by_the_windows_end_is_called_off(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     # The daemon's own clock: the kernel's behind it is coarse, and may be late by half a second.
     monkeypatch.setattr(Pool, "delivered", lambda self, attempt: False)
     classes = [cls | {"keyTtlMs": 150.0} for cls in SETTINGS["classes"]]
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -28,8 +28,9 @@
 from snowstall.gate import Gate
 from snowstall.learning import KEPT
 
-LOOKUP = RequestClass("lookup", aim=300.0, deadline=600.0, effect=Effect.PURE, worth=2.0,
-                      late_value=0.3)
+LOOKUP = RequestClass(
+    "lookup", aim=300.0, deadline=600.0, effect=Effect.PURE, worth=2.0, late_value=0.3
+)
 OPTOUT = RequestClass("optout", aim=300.0, deadline=1200.0, effect=Effect.UNSAFE, worth=5.0)
 
 
@@ -37,8 +38,9 @@
     """A balancer of six warm caches which knows that answers take 20 ms."""
 
     def __init__(self) -> None:
-        self.balancer = Balancer(Settings(classes=(LOOKUP, OPTOUT), max_attempts=4,
-                                          max_backoff=1500.0), seed=3, now=0.0)
+        self.balancer = Balancer(
+            Settings(classes=(LOOKUP, OPTOUT), max_attempts=4, max_backoff=1500.0), seed=3, now=0.0
+        )
         self.balancer.on_list(0.0, ListKind.FULL, [Member(n) for n in range(6)])
         self.number = 0
         self.now = 0.0
@@ -46,14 +48,15 @@
             self.now += 50.0
             self.ask(answer=20.0)
 
-    def ask(self, key: int | None = None, answer: float | None = None,
-            cls: RequestClass = LOOKUP) -> tuple[int, int]:
+    def ask(
+        self, key: int | None = None, answer: float | None = None, cls: RequestClass = LOOKUP
+    ) -> tuple[int, int]:
         """The request and the cache that it goes to (-1: refused); answered if `answer` is."""
         self.number += 1
         key = self.number * 7919 if key is None else key
         action = self.balancer.on_request(
-            self.now, Request(self.number, cls.name, self.now + 400.0, key=key,
-                              write=cls is OPTOUT))[0]
+            self.now, Request(self.number, cls.name, self.now + 400.0, key=key, write=cls is OPTOUT)
+        )[0]
         if not isinstance(action, Send):
             return self.number, -1
         if answer is not None:
@@ -61,8 +64,11 @@
         return self.number, action.cache_id
 
     def outcome(self, number: int, result: Result, latency: float) -> list[object]:
-        return list(self.balancer.on_outcome(
-            self.now, Outcome(number, 0, result, result is Result.OK, latency)))
+        return list(
+            self.balancer.on_outcome(
+                self.now, Outcome(number, 0, result, result is Result.OK, latency)
+            )
+        )
 
     def others(self, bad: int) -> list[int]:
         """The caches but one answer something; what stays open at that one."""
@@ -307,10 +313,13 @@
 
     for _ in range(20):
         answered(False, 250.0)
+
     class Told(Gate):
-        def learn(self, badness: float, now: float, patient: bool, delay: float, aim: float,
-                  queued: bool) -> None:
+        def learn(
+            self, badness: float, now: float, patient: bool, delay: float, aim: float, queued: bool
+        ) -> None:
             told.append((badness, delay))
+
     driven.balancer.gate = driven.balancer.fetches = Told(driven.balancer.settings, driven.now)
     answered(False, 340.0)
     answered(True, 340.0)
@@ -415,10 +424,12 @@
 
 
 @settings(max_examples=40, deadline=None)
-@given(st.sampled_from([1, 6, 46]), st.floats(50.0, 3000.0), st.floats(1.2, 4.0),
-       st.integers(0, 999))
-def test_the_limit_settles_whatever_the_delay(gates: int, delay: float, crowd: float,
-                                              seed: int) -> None:
+@given(
+    st.sampled_from([1, 6, 46]), st.floats(50.0, 3000.0), st.floats(1.2, 4.0), st.integers(0, 999)
+)
+def test_the_limit_settles_whatever_the_delay(
+    gates: int, delay: float, crowd: float, seed: int
+) -> None:
     """Controllers that can't talk, a plant that fails what is beyond its capacity, late news."""
     capacity, rng = 200.0, random.Random(seed)
     made = [gate() for _ in range(gates)]
@@ -442,7 +453,7 @@
     late = [s / capacity for s in sent[30:]]
     # In the second half: neither shut nor open, and no cycle that grows from peak to trough.
     assert 0.6 < sum(late) / len(late) < 1.6
-    windows = [sum(late[n:n + 5]) / 5 for n in range(0, 30, 5)]
+    windows = [sum(late[n : n + 5]) / 5 for n in range(0, 30, 5)]
     assert max(windows) < 3.0 * min(windows)
 
 
@@ -454,7 +465,8 @@
         driven.now += 2.0
         driven.number += 1
         action = driven.balancer.on_request(
-            driven.now, Request(driven.number, "lookup", driven.now + 400.0, key=driven.number))[0]
+            driven.now, Request(driven.number, "lookup", driven.now + 400.0, key=driven.number)
+        )[0]
         if isinstance(action, Refuse):
             waits.append(action.backoff)
     assert len(waits) > 200 and max(waits) <= 1500.0
@@ -527,12 +539,19 @@
 
 
 def test_a_quota_is_one_whichever_limit_its_requests_fall_under() -> None:
-    told = Settings(classes=(LOOKUP,), max_attempts=4, tenants=(Tenant("shop", quota_per_s=10.0),),
-                    over_share_worth=0.1)
+    told = Settings(
+        classes=(LOOKUP,),
+        max_attempts=4,
+        tenants=(Tenant("shop", quota_per_s=10.0),),
+        over_share_worth=0.1,
+    )
     one = Gate(told, 0.0)
     two = Gate(told, 0.0, one)
-    full = [gate.count(LOOKUP, "shop", n, 400.0, 1.0) == LOOKUP.worth
-            for n in range(20) for gate in (one, two)]
+    full = [
+        gate.count(LOOKUP, "shop", n, 400.0, 1.0) == LOOKUP.worth
+        for n in range(20)
+        for gate in (one, two)
+    ]
     assert sum(full) == 10  # a second of its quota, and not one for each
 
 
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -37,14 +37,22 @@
 
 
 def balancer() -> Balancer:
-    made = Balancer(Settings(classes=(LOOKUP, OPTOUT), max_attempts=4, max_backoff=1000.0),
-                    seed=1, now=0.0)
+    made = Balancer(
+        Settings(classes=(LOOKUP, OPTOUT), max_attempts=4, max_backoff=1000.0), seed=1, now=0.0
+    )
     made.on_list(0.0, ListKind.FULL, [Member(1), Member(2)])
     return made
 
 
-def arrives(made: Balancer, now: float, name: str = "lookup", stood: float = OWN_TARGET,
-            left: float = 500.0, spent: float = OWN_TURN, taken: int = 0) -> float | None:
+def arrives(
+    made: Balancer,
+    now: float,
+    name: str = "lookup",
+    stood: float = OWN_TARGET,
+    left: float = 500.0,
+    spent: float = OWN_TURN,
+    taken: int = 0,
+) -> float | None:
     return made.on_arrival(now, name, stood, left, spent, taken)
 
 
@@ -104,8 +112,9 @@
 
 
 def test_a_pause_keeps_the_window_of_a_keyed_repeat() -> None:
-    keyed = RequestClass("save", aim=300.0, deadline=3000.0, effect=Effect.KEYED,
-                         repeat_window=1000.0)
+    keyed = RequestClass(
+        "save", aim=300.0, deadline=3000.0, effect=Effect.KEYED, repeat_window=1000.0
+    )
     made = Balancer(Settings(classes=(keyed,), max_attempts=4), seed=1, now=0.0)
     made.on_list(0.0, ListKind.FULL, [Member(number) for number in range(1, 9)])
     made.on_request(0.0, Request(1, "save", 2900.0, 5, True))
@@ -213,8 +222,9 @@
                 while not (await burst(OWN_EACH + 1))[-1].startswith(b"-BUSY"):
                     pass  # until the overload has stood for its interval
             answers = await burst(128)
-            assert [a.startswith(b"value of") for a in answers] == [True] * OWN_EACH + [
-                False] * (128 - OWN_EACH), "in their order"
+            assert [a.startswith(b"value of") for a in answers] == [True] * OWN_EACH + [False] * (
+                128 - OWN_EACH
+            ), "in their order"
             assert all(a.startswith(b"-BUSY") for a in answers[OWN_EACH:])
             others = await asyncio.gather(*(rig.ask(get(next(numbers))) for _ in range(60)))
             assert all(a[0].startswith(b"value of") for a in others)
@@ -351,9 +361,9 @@
     selector.close()
 
 
-def test_a_backlog_is_answered_whole_when_the_end_or_a_reload_comes_upon_it(
-        tmp_path: Path) -> None:
+def test_a_backlog_is_answered_whole_when_the_end_or_a_reload_comes_upon_it(tmp_path: Path) -> None:
     """SIGTERM, and SIGHUP, in the midst of more than was read: each command has its answer."""
+
     async def part(number: signal.Signals) -> None:
         node, discovery = await CacheNode().start(), await Discovery().start()
         path = tmp_path / number.name
@@ -390,8 +400,6 @@
         asyncio.run(part(number))
 
 
-
-
 def test_an_overload_of_refused_clients_alone_ends_when_its_cause_does() -> None:
     # Nothing but refused clients who come back when they were told to: each costs a refusal a
     # time, none is sent on, and the first that comes after the cause has gone is served.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -28,7 +28,8 @@
 
 Sizes = dict[int, float]
 SIZES = st.dictionaries(st.integers(1, 6), st.floats(0.0, 4.0), min_size=1, max_size=6).filter(
-    lambda sizes: sum(sizes.values()) > 0.1)
+    lambda sizes: sum(sizes.values()) > 0.1
+)
 
 
 def plan(**nodes: float) -> Plan:
@@ -37,7 +38,8 @@
 
 @given(SIZES, SIZES, st.floats(0.01, 0.5))
 def test_a_step_moves_no_more_than_the_rate_and_stays_between(
-        before: Sizes, wanted: Sizes, rate: float) -> None:
+    before: Sizes, wanted: Sizes, rate: float
+) -> None:
     ramp = Ramp(rate)
     ramp.jump(before)
     ramp.aim(wanted)
@@ -84,8 +86,11 @@
         self.said.append({round(n): round(s, 4) for n, s in sizes.items()})
 
     def listed(self, *names: str, whole: bool = True, gone: tuple[str, ...] = ()) -> None:
-        self.keeper.listed(whole, [(int(n[1:]), Like(n, "a", "old" if int(n[1:]) < 5 else "fast"))
-                                   for n in names], gone)
+        self.keeper.listed(
+            whole,
+            [(int(n[1:]), Like(n, "a", "old" if int(n[1:]) < 5 else "fast")) for n in names],
+            gone,
+        )
 
     def passes(self, seconds: float) -> None:
         self.loop.run_until_complete(asyncio.sleep(seconds))
@@ -94,8 +99,9 @@
 @pytest.fixture
 def told(monkeypatch: pytest.MonkeyPatch) -> Iterator[Told]:
     made = Told()
-    monkeypatch.setattr("violetroute.placement.keeper.tell",
-                        lambda name, **fields: made.events.append(name))
+    monkeypatch.setattr(
+        "violetroute.placement.keeper.tell", lambda name, **fields: made.events.append(name)
+    )
     yield made
     made.keeper.close()
     made.loop.close()
@@ -132,8 +138,9 @@
     told.passes(3 * STEP)
     assert told.said[-1] == {1: 0.5, 2: 1.5}
     assert told.events.count("placement.reached") == 1
-    assert all(moved(one, two) <= 0.1001
-               for one, two in zip(told.said, told.said[1:], strict=False))
+    assert all(
+        moved(one, two) <= 0.1001 for one, two in zip(told.said, told.said[1:], strict=False)
+    )
 
 
 def test_a_plan_that_ends_goes_back_to_even_shares_and_then_to_none(told: Told) -> None:
@@ -185,7 +192,9 @@
 
 
 BAD_PLANS = {
-    "{": "", "[]": "", "7": "",
+    "{": "",
+    "[]": "",
+    "7": "",
     '{"limebridge_placement": 2, "made_at": 1, "nodes": {"a": 1}}': "limebridge_placement: version",
     '{"limebridge_placement": 1, "made_at": 1, "nodes": {"a": 0.4}}': "nodes: the shares add up",
     '{"limebridge_placement": 1, "made_at": 1, "nodes": {}}': "nodes: the shares add up to 0",
@@ -219,8 +228,10 @@
     operator.write_text(f"[placement]\nfile = '{path}'")
     path.write_text(text)
     (tmp_path / "config.json").write_text(json.dumps(configuration(1, [])))
-    yield {"PROXY_CONFIG": str(tmp_path / "config.json"),
-           "LIMEBRIDGE_OPERATOR": str(operator)}, path
+    yield (
+        {"PROXY_CONFIG": str(tmp_path / "config.json"), "LIMEBRIDGE_OPERATOR": str(operator)},
+        path,
+    )
 
 
 def test_a_plan_that_cannot_be_used_refuses_the_whole_configuration(tmp_path: Path) -> None:
@@ -236,9 +247,11 @@
 
 
 def test_wrong_keys_of_the_table_are_named() -> None:
-    for text, said in {"fil = ''": "[placement] fil: unknown key; did you mean file?",
-                       "moved_per_s = 0": "[placement] moved_per_s:",
-                       "least_match = 2": "[placement] least_match:"}.items():
+    for text, said in {
+        "fil = ''": "[placement] fil: unknown key; did you mean file?",
+        "moved_per_s = 0": "[placement] moved_per_s:",
+        "least_match = 2": "[placement] least_match:",
+    }.items():
         with pytest.raises(ConfigError) as raised:
             parse_operator(tomllib.loads(f"[placement]\n{text}"), "f")
         assert said in str(raised.value)
@@ -248,10 +261,12 @@
     async def run() -> None:
         nodes = [CacheNode(serves) for _ in range(3)]
         async with Rig(*nodes) as rig:
+
             def reload(shares: dict[str, float] | None, **table: Any) -> None:
                 made = None if shares is None else Plan(1, 0.0, shares)
                 operator = msgspec.structs.replace(
-                    rig.config.operator, placement=PlacementTable(**table))
+                    rig.config.operator, placement=PlacementTable(**table)
+                )
                 rig.proxy.reload(replace(rig.config, plan=made, operator=operator))
 
             async def spread(first: int) -> list[int]:
@@ -337,8 +352,17 @@
 
     fleet, out = tmp_path / "fleet.toml", tmp_path / "plan.json"
     fleet.write_text(EXAMPLE.read_text())
-    ours = parse_operator({"fleet": {"store": "folder", "folder": str(tmp_path / "f"),
-                                     "term_s": 0.5, "look_s": 0.05}}, "op.toml")
+    ours = parse_operator(
+        {
+            "fleet": {
+                "store": "folder",
+                "folder": str(tmp_path / "f"),
+                "term_s": 0.5,
+                "look_s": 0.05,
+            }
+        },
+        "op.toml",
+    )
 
     async def run() -> None:
         async def until(what: Any) -> None:
@@ -347,8 +371,12 @@
                     await asyncio.sleep(0.02)
 
         ends = [asyncio.Event(), asyncio.Event()]
-        keepers = [asyncio.create_task(keep(ours, f"k{n}", fleet, out, 0.0, 0.0, 0.05,
-                                            lambda why: None, ends[n])) for n in range(2)]
+        keepers = [
+            asyncio.create_task(
+                keep(ours, f"k{n}", fleet, out, 0.0, 0.0, 0.05, lambda why: None, ends[n])
+            )
+            for n in range(2)
+        ]
         await until(out.exists)
         first = load_plan(str(out))
         assert first.fence == 1
@@ -360,8 +388,9 @@
         await keepers[1]
         ends.append(asyncio.Event())
         out.unlink()
-        last = asyncio.create_task(keep(ours, "k2", fleet, out, 0.0, 0.0, 0.05,
-                                        lambda why: None, ends[2]))
+        last = asyncio.create_task(
+            keep(ours, "k2", fleet, out, 0.0, 0.0, 0.05, lambda why: None, ends[2])
+        )
         await until(out.exists)  # a later owner goes on from the log
         assert load_plan(str(out)) == first
         ends[2].set()
--- a/tests/test_placement_solver.py
+++ b/tests/test_placement_solver.py
@@ -32,13 +32,20 @@
     sites, kinds = ("a", "b"), ("fast", "old")
     split = draw.choice((0.3, 0.5, 0.8))
     raw: dict[str, Any] = {
-        "load": {"requests_per_s": draw.uniform(40, 160), "work_ms": 50.0,
-                 "busiest": draw.choice((0.7, 0.9))},
+        "load": {
+            "requests_per_s": draw.uniform(40, 160),
+            "work_ms": 50.0,
+            "busiest": draw.choice((0.7, 0.9)),
+        },
         "sites": {"a": {"clients": split}, "b": {"clients": 1 - split}},
         "kinds": {"fast": {"cores": 4, "cost": 3.0}, "old": {"cores": 2, "cost": 1.0}},
-        "nodes": [{"name": f"n{number}", "site": draw.choice(sites), "kind": draw.choice(kinds)}
-                  for number in range(nodes)],
-        "prefer": {"choose": draw.random() < 0.6}, "lost": []}
+        "nodes": [
+            {"name": f"n{number}", "site": draw.choice(sites), "kind": draw.choice(kinds)}
+            for number in range(nodes)
+        ],
+        "prefer": {"choose": draw.random() < 0.6},
+        "lost": [],
+    }
     if draw.random() < 0.4:
         raw["sites"]["a"]["most"] = draw.choice((0.3, 0.6))
     if draw.random() < 0.3:
@@ -51,8 +58,15 @@
     if draw.random() < 0.3:
         limits["cost"] = draw.choice((3.0, 5.0))
     if draw.random() < 0.5:
-        raw["lost"].append({"name": "one", "busiest": 1.1, **draw.choice(
-            ({"any": "node"}, {"site": "a"}, {"any": "site", "clients": "leave"}))})
+        raw["lost"].append(
+            {
+                "name": "one",
+                "busiest": 1.1,
+                **draw.choice(
+                    ({"any": "node"}, {"site": "a"}, {"any": "site", "clients": "leave"})
+                ),
+            }
+        )
     return parse_fleet(raw, "drawn")
 
 
@@ -67,8 +81,11 @@
 
     def carried(lost: set[str], asked: float, busiest: float) -> bool:
         rest = 1.0 - sum(shares[name] for name in lost)
-        return all(shares[n.name] / rest * asked <= busiest * fleet.capacity(n) * (1 + slack)
-                   + slack for n in nodes if n.name not in lost)
+        return all(
+            shares[n.name] / rest * asked <= busiest * fleet.capacity(n) * (1 + slack) + slack
+            for n in nodes
+            if n.name not in lost
+        )
 
     if not carried(set(), load, fleet.load.busiest):
         return False
@@ -87,9 +104,14 @@
     if limits.crossings is not None and crossings > limits.crossings + slack:
         return False
     for loss in fleet.lost:
-        cases = [{n.name} for n in nodes] if loss.any == "node" else [
-            {n.name for n in nodes if n.site == site}
-            for site in (fleet.sites if loss.any == "site" else [loss.site])]
+        cases = (
+            [{n.name} for n in nodes]
+            if loss.any == "node"
+            else [
+                {n.name for n in nodes if n.site == site}
+                for site in (fleet.sites if loss.any == "site" else [loss.site])
+            ]
+        )
         for lost in filter(None, cases):
             gone = sum(shares[name] for name in lost)
             site = next(n.site for n in nodes if n.name in lost)
@@ -102,8 +124,9 @@
 def worth(fleet: Fleet, shares: dict[str, float]) -> tuple[float, float]:
     """The first two goals: cost, and how busy the busiest is."""
     nodes = fleet.machines()
-    cost = sum(fleet.kinds[n.kind].cost for n in nodes
-               if shares[n.name] > 0.0 or not fleet.prefer.choose)
+    cost = sum(
+        fleet.kinds[n.kind].cost for n in nodes if shares[n.name] > 0.0 or not fleet.prefer.choose
+    )
     return cost, max(shares[n.name] * fleet.load.requests_per_s / fleet.capacity(n) for n in nodes)
 
 
@@ -122,8 +145,9 @@
             best = worth(fleet, found.shares)
         for parts in itertools.product(range(steps + 1), repeat=len(names) - 1):
             if sum(parts) <= steps:
-                point = dict(zip(names, (*(p / steps for p in parts), 1 - sum(parts) / steps),
-                                 strict=True))
+                point = dict(
+                    zip(names, (*(p / steps for p in parts), 1 - sum(parts) / steps), strict=True)
+                )
                 if keeps(fleet, point, 0.0):
                     assert found is not None, (seed, point)
                     cost, busiest = worth(fleet, point)
@@ -139,8 +163,9 @@
     bounds: list[tuple[list[Fraction], Fraction]] = []  # factors * unknowns <= bound
     for row in model.rows:
         factors = [Fraction(row.terms.get(place, 0.0)) for place in places]
-        rest = sum(Fraction(factor) * fixed[place] for place, factor in row.terms.items()
-                   if place in fixed)
+        rest = sum(
+            Fraction(factor) * fixed[place] for place, factor in row.terms.items() if place in fixed
+        )
         if row.high < math.inf:
             bounds.append((factors, Fraction(row.high) - rest))
         if row.low > -math.inf:
@@ -155,9 +180,14 @@
     best = None
     for chosen in itertools.combinations([b for b in bounds if b is not equal], count):
         point = _crossing([equal, *chosen])
-        if point is not None and all(
+        if (
+            point is not None
+            and all(
                 sum(f * x for f, x in zip(factors, point, strict=True)) <= bound + tight
-                for factors, bound in bounds) and (best is None or point[-1] < best):
+                for factors, bound in bounds
+            )
+            and (best is None or point[-1] < best)
+        ):
             best = point[-1]
     return best
 
@@ -220,10 +250,10 @@
                 if relief is not None and not figure.whole:
                     back = figure.value - relief
                     tighter = relief + math.copysign(
-                        min(abs(back), max(0.01 * abs(back), 1e-3 * relief)), back)
+                        min(abs(back), max(0.01 * abs(back), 1e-3 * relief)), back
+                    )
                     assert feasible(build(fleet, None, {figure.name: relief}), taken - members)
-                    assert not feasible(build(fleet, None, {figure.name: tighter}),
-                                        taken - members)
+                    assert not feasible(build(fleet, None, {figure.name: tighter}), taken - members)
     assert seen > 10
 
 
@@ -239,29 +269,40 @@
         "load": {"requests_per_s": 100.0, "work_ms": 50.0},
         "sites": {"a": {"clients": 0.5, "most": 0.3}, "b": {"clients": 0.5, "most": 0.5}},
         "kinds": {"k": {"cores": 4, "cost": 1.0}},
-        "nodes": [{"name": "a-", "site": "a", "kind": "k", "count": 3},
-                  {"name": "b-", "site": "b", "kind": "k", "count": 3}]}
+        "nodes": [
+            {"name": "a-", "site": "a", "kind": "k", "count": 3},
+            {"name": "b-", "site": "b", "kind": "k", "count": 3},
+        ],
+    }
     return parse_fleet(raw | more, "two")
 
 
 def test_the_constraints_that_contradict_each_other_are_named_with_what_would_do() -> None:
     trouble = explain(two_sites())
     assert trouble is not None
-    conflict, = trouble.conflicts
+    (conflict,) = trouble.conflicts
     assert conflict.relief == {"sites.a.most": 0.5, "sites.b.most": 0.7}
     assert trouble.carries == 0.0  # no load is small enough
-    fleet = two_sites(sites={"a": {"nodes_least": 2}, "b": {"nodes_least": 3}},
-                      limits={"nodes": 4}, prefer={"choose": True})
+    fleet = two_sites(
+        sites={"a": {"nodes_least": 2}, "b": {"nodes_least": 3}},
+        limits={"nodes": 4},
+        prefer={"choose": True},
+    )
     trouble = explain(fleet)
     assert trouble is not None
-    conflict, = trouble.conflicts
-    assert conflict.relief == {"sites.a.nodes_least": 1, "sites.b.nodes_least": 2,
-                               "limits.nodes": 5}
+    (conflict,) = trouble.conflicts
+    assert conflict.relief == {
+        "sites.a.nodes_least": 1,
+        "sites.b.nodes_least": 2,
+        "limits.nodes": 5,
+    }
 
 
 def test_a_site_that_has_gone_for_good() -> None:
-    fleet = two_sites(sites={"a": {"clients": 0.5, "least": 0.4}, "b": {"clients": 0.5}},
-                      load={"requests_per_s": 190.0, "work_ms": 50.0, "busiest": 0.8})
+    fleet = two_sites(
+        sites={"a": {"clients": 0.5, "least": 0.4}, "b": {"clients": 0.5}},
+        load={"requests_per_s": 190.0, "work_ms": 50.0, "busiest": 0.8},
+    )
     assert solve(fleet) is not None
     gone = fleet.without("a")
     assert {node.site for node in gone.machines()} == {"b"}
@@ -282,7 +323,7 @@
     # What nodes had that are no more moves in any case, and that counts.
     trouble = explain(fleet, {"a-1": 0.5, "old": 0.5})
     assert trouble is not None
-    conflict, = trouble.conflicts
+    (conflict,) = trouble.conflicts
     assert conflict.relief == {"limits.moved": 0.5}
 
 
@@ -291,15 +332,22 @@
     assert one is not None and two is not None
     assert made(one.model.fleet, one.shares, 0.0) == made(two.model.fleet, two.shares, 0.0)
     for like in ("pa-old-", "ac-fast-"):
-        assert len({share for name, share in one.shares.items()
-                    if name.startswith(like) and share}) == 1
+        assert (
+            len({share for name, share in one.shares.items() if name.startswith(like) and share})
+            == 1
+        )
 
 
 def test_sixty_nodes_have_an_answer() -> None:
     fleet = load_fleet(str(EXAMPLE))
-    fleet = msgspec.structs.replace(fleet, nodes=[
-        msgspec.structs.replace(node, count=(node.count or 1) * 60 // 11 + 1)
-        for node in fleet.nodes], limits=msgspec.structs.replace(fleet.limits, cost=None))
+    fleet = msgspec.structs.replace(
+        fleet,
+        nodes=[
+            msgspec.structs.replace(node, count=(node.count or 1) * 60 // 11 + 1)
+            for node in fleet.nodes
+        ],
+        limits=msgspec.structs.replace(fleet.limits, cost=None),
+    )
     fleet = fleet.asking(1500.0)
     assert len(fleet.machines()) >= 60
     found = solve(fleet)
@@ -388,9 +436,16 @@
     told = json.loads(said)
     assert status == 1 and told["not_in_the_fleet"] == ["stranger"]
     assert {each["constraint"] for each in told["broken"]} >= {
-        "load.busiest", "kinds.old.most", "sites.catania-nord.least"}
-    for bad in (("solve", tmp_path / "none.toml"), ("check", fleet, fleet),
-                ("solve", fleet, "--lost", "nowhere"), ("solve", fleet, "-o", tmp_path / "a/b")):
+        "load.busiest",
+        "kinds.old.most",
+        "sites.catania-nord.least",
+    }
+    for bad in (
+        ("solve", tmp_path / "none.toml"),
+        ("check", fleet, fleet),
+        ("solve", fleet, "--lost", "nowhere"),
+        ("solve", fleet, "-o", tmp_path / "a/b"),
+    ):
         status, said = run(*bad)
         assert status == 2 and said.startswith("limebridge: ") and said.count("\n") == 1
 
@@ -403,9 +458,15 @@
 
 
 def test_a_report_escapes_names_that_are_markup() -> None:
-    fleet = parse_fleet({"load": {"requests_per_s": 1, "work_ms": 1}, "sites": {"<b>": {}},
-                         "kinds": {"k": {"cores": 1}},
-                         "nodes": [{"name": "<script>", "site": "<b>", "kind": "k"}]}, "f")
+    fleet = parse_fleet(
+        {
+            "load": {"requests_per_s": 1, "work_ms": 1},
+            "sites": {"<b>": {}},
+            "kinds": {"k": {"cores": 1}},
+            "nodes": [{"name": "<script>", "site": "<b>", "kind": "k"}],
+        },
+        "f",
+    )
     found = solve(fleet)
     assert found is not None
     page = report.html(found, "<title>")
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -198,15 +198,16 @@
     assert world.pool.fresh(age, world.now + 4 * AGE_FORGETS)
 
 
-@pytest.mark.parametrize(("left", "expected"), [
-    (2500.0, 2.0), (600.0, 0.3), (-5.0, 0.001), (None, 0.0)])
+@pytest.mark.parametrize(
+    ("left", "expected"), [(2500.0, 2.0), (600.0, 0.3), (-5.0, 0.001), (None, 0.0)]
+)
 def test_the_kernel_is_told_by_when_a_command_has_to_be_there(
-        left: float | None, expected: float) -> None:
+    left: float | None, expected: float
+) -> None:
     world = World()
     command = resp.parse_command([b"OBJ.GET", b"k", b"id1", b"c=lookup,t=x,d=600"])
     by = 0.0 if left is None else world.clock() + left
-    world.pool.send(Attempt(1, 0, 1, command, world.clock(), world.clock() + 600.0,
-                            deliver_by=by))
+    world.pool.send(Attempt(1, 0, 1, command, world.clock(), world.clock() + 600.0, deliver_by=by))
     handler, stream = world.streams[0]
     handler.opened()
     assert stream.written and stream.within == [pytest.approx(expected)]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -50,17 +50,22 @@
 
 async def launch(path: Path, **more: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "violetroute", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-        env=environment(path) | more)
+        sys.executable,
+        "-m",
+        "violetroute",
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+        env=environment(path) | more,
+    )
 
 
 @asynccontextmanager
-async def program(tmp_path: Path, discovery: Discovery, node: CacheNode,
-                  **settings: Any) -> AsyncIterator[Program]:
+async def program(
+    tmp_path: Path, discovery: Discovery, node: CacheNode, **settings: Any
+) -> AsyncIterator[Program]:
     probe = await CacheNode().start()  # for a port that is free
     await probe.stop()
-    raw = configuration(discovery.port, [node.entry("s-0")], listen=probe.port,
-                        **settings)
+    raw = configuration(discovery.port, [node.entry("s-0")], listen=probe.port, **settings)
     path = tmp_path / "config.json"
     path.write_text(json.dumps(raw))
     # The environment names discovery as at the start, as it does in service.
@@ -81,8 +86,12 @@
         old, new = await Discovery().start(), await Discovery().start()
         async with program(tmp_path, old, node) as one:
             await until(lambda: old.open)
-            for bad in ("{", "[]", json.dumps(one.raw | {"discovery": "nowhere"}),
-                        json.dumps({k: v for k, v in one.raw.items() if k != "settings"})):
+            for bad in (
+                "{",
+                "[]",
+                json.dumps(one.raw | {"discovery": "nowhere"}),
+                json.dumps({k: v for k, v in one.raw.items() if k != "settings"}),
+            ):
                 count = len(one.log)
                 one.configure(bad)
                 await until(lambda count=count: len(one.log) > count)
@@ -121,8 +130,11 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize("text", ["", "{", "[]", "{}", '{"settings": {}}', "[" * 100_000],
-                         ids=["empty", "cut", "array", "nothing", "no figures", "deep"])
+@pytest.mark.parametrize(
+    "text",
+    ["", "{", "[]", "{}", '{"settings": {}}', "[" * 100_000],
+    ids=["empty", "cut", "array", "nothing", "no figures", "deep"],
+)
 def test_bad_configuration_is_one_line_and_no_start(tmp_path: Path, text: str) -> None:
     async def play() -> None:
         path = tmp_path / "config.json"
@@ -145,8 +157,9 @@
 
         node, discovery = await CacheNode(waits).start(), await Discovery().start()
         async with program(tmp_path, discovery, node) as one:
-            clients = [await soon(asyncio.open_connection("127.0.0.1", one.port))
-                       for _ in range(24)]
+            clients = [
+                await soon(asyncio.open_connection("127.0.0.1", one.port)) for _ in range(24)
+            ]
             for number, (_, writer) in enumerate(clients[:16]):
                 writer.write(get(number) + get(number + 100))
             await until(lambda: len(node.commands) == 32)
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -38,8 +38,15 @@
 WARM, COLD = 20_000.0, 0.2
 CAPACITY = RATE / LOAD / NODES  # a second, of a warm node
 CLASS = RequestClass("read", 300, 600, Effect.PURE)
-SETTINGS = Settings((CLASS,), 4, can_cancel=True, second_copies=True, cold_share=COLD,
-                    warm_time=WARM, cross_zone_price=0.12)
+SETTINGS = Settings(
+    (CLASS,),
+    4,
+    can_cancel=True,
+    second_copies=True,
+    cold_share=COLD,
+    warm_time=WARM,
+    cross_zone_price=0.12,
+)
 
 
 class Fleet:
@@ -51,7 +58,8 @@
         self.cold = {member.id for member in self.members[:cold]}
         self.proxies = [
             Balancer(replace(SETTINGS, proxies=proxies, zone=f"z{n % 3}"), 1000 * seed + n, 0.0)
-            for n in range(proxies)]
+            for n in range(proxies)
+        ]
         self.weights = [0.2 + self.random.expovariate(1.0) for _ in self.proxies]
         self.keys = [self.random.getrandbits(52) for _ in range(2000)]
         self.ranks = list(itertools.accumulate(1.0 / (n + 1) ** 1.05 for n in range(2000)))
@@ -68,8 +76,10 @@
         for action in actions:
             if isinstance(action, Timer):
                 label = action.label
-                self.at(now + action.delay, lambda t, label=label: self.act(
-                    place, t, proxy.on_timer(t, label)))
+                self.at(
+                    now + action.delay,
+                    lambda t, label=label: self.act(place, t, proxy.on_timer(t, label)),
+                )
             elif isinstance(action, Send):
                 cold = action.cache_id in self.cold and now >= STARTS
                 if cold:
@@ -78,8 +88,10 @@
                 number = self.sends[place, action.request_id]
                 self.sends[place, action.request_id] += 1
                 outcome = Outcome(action.request_id, number, Result.OK, False, took, not cold)
-                self.at(now + took, lambda t, outcome=outcome: self.act(
-                    place, t, proxy.on_outcome(t, outcome)))
+                self.at(
+                    now + took,
+                    lambda t, outcome=outcome: self.act(place, t, proxy.on_outcome(t, outcome)),
+                )
 
     def asks(self, now: float) -> None:
         place = self.random.choices(range(len(self.proxies)), self.weights)[0]
--- a/tests/test_redirects.py
+++ b/tests/test_redirects.py
@@ -37,24 +37,41 @@
 
 
 # --- what they say ---
-@pytest.mark.parametrize(("text", "slot", "address"), [
-    (b"MOVED 3999 127.0.0.1:6381", 3999, Address("127.0.0.1", 6381)),
-    (b"ASK 0 [::1]:6381", 0, Address("::1", 6381)), (b"ASK 0 ::1:6381", 0, Address("::1", 6381)),
-    (b"MOVED 16383 :6381", 16383, Address("10.0.0.9", 6381)),
-    (b"MOVED 16384 127.0.0.1:1", -1, None), (b"MOVED -1 127.0.0.1:1", -1, None),
-    (b"MOVED x 127.0.0.1:1", -1, None), (b"MOVED 1", -1, None), (b"MOVED", -1, None),
-    (b"MOVED 1 a.name:1", -1, None), (b"MOVED 1 127.0.0.1:0", -1, None),
-    (b"MOVED 1 127.0.0.1:70000", -1, None), (b"MOVED 1 127.0.0.1", -1, None),
-    (b"MOVED 1 \xff:1", -1, None)])
+@pytest.mark.parametrize(
+    ("text", "slot", "address"),
+    [
+        (b"MOVED 3999 127.0.0.1:6381", 3999, Address("127.0.0.1", 6381)),
+        (b"ASK 0 [::1]:6381", 0, Address("::1", 6381)),
+        (b"ASK 0 ::1:6381", 0, Address("::1", 6381)),
+        (b"MOVED 16383 :6381", 16383, Address("10.0.0.9", 6381)),
+        (b"MOVED 16384 127.0.0.1:1", -1, None),
+        (b"MOVED -1 127.0.0.1:1", -1, None),
+        (b"MOVED x 127.0.0.1:1", -1, None),
+        (b"MOVED 1", -1, None),
+        (b"MOVED", -1, None),
+        (b"MOVED 1 a.name:1", -1, None),
+        (b"MOVED 1 127.0.0.1:0", -1, None),
+        (b"MOVED 1 127.0.0.1:70000", -1, None),
+        (b"MOVED 1 127.0.0.1", -1, None),
+        (b"MOVED 1 \xff:1", -1, None),
+    ],
+)
 def test_a_redirection_and_what_makes_no_sense_of_one(
-        text: bytes, slot: int, address: Address | None) -> None:
+    text: bytes, slot: int, address: Address | None
+) -> None:
     found = parse_redirect(text, ASKED)
     assert found == Redirect(text.startswith(b"ASK"), slot, address)
 
 
-@given(st.binary(max_size=60) | st.builds(
-    lambda *parts: b" ".join(parts), st.sampled_from([b"MOVED", b"ASK", b"ERR"]),
-    st.binary(max_size=8), st.binary(max_size=20)))
+@given(
+    st.binary(max_size=60)
+    | st.builds(
+        lambda *parts: b" ".join(parts),
+        st.sampled_from([b"MOVED", b"ASK", b"ERR"]),
+        st.binary(max_size=8),
+        st.binary(max_size=20),
+    )
+)
 def test_no_line_does_more_than_make_no_sense(text: bytes) -> None:
     found = parse_redirect(text, ASKED)
     assert found is None or (found.address is None) == (found.slot < 0)
@@ -78,8 +95,11 @@
 def balancer(effect: Effect = Effect.UNSAFE, cold: int = 0, attempts: int = 3) -> Balancer:
     cls = RequestClass("c", 300.0, 600.0, effect)
     made = Balancer(Settings((cls,), attempts, warm_time=20_000.0, cold_share=0.0), 1, 1000.0)
-    made.on_list(1000.0, ListKind.FULL, [
-        Member(n, started_at=1000.0 if n == cold else 0.0) for n in range(1, 6)])
+    made.on_list(
+        1000.0,
+        ListKind.FULL,
+        [Member(n, started_at=1000.0 if n == cold else 0.0) for n in range(1, 6)],
+    )
     return made
 
 
@@ -144,8 +164,9 @@
 
 
 # --- on real sockets ---
-def clustered(part: Callable[[Rig, SlotCluster], Awaitable[None]],
-              operator: Operator = FOLLOW) -> None:
+def clustered(
+    part: Callable[[Rig, SlotCluster], Awaitable[None]], operator: Operator = FOLLOW
+) -> None:
     async def run() -> None:
         cluster = SlotCluster(3)
         async with Rig(*cluster.nodes) as rig:
@@ -159,8 +180,7 @@
     async def part(rig: Rig, cluster: SlotCluster) -> None:
         for round_ in range(3):
             keys = [b"k%d" % number for number in range(60)]
-            answers = await rig.ask(*(get(100 * round_ + n, key=key)
-                                      for n, key in enumerate(keys)))
+            answers = await rig.ask(*(get(100 * round_ + n, key=key) for n, key in enumerate(keys)))
             assert answers == [b"value of id%d" % (100 * round_ + n) for n in range(60)]
             if not round_:
                 first = cluster.redirected
@@ -224,9 +244,19 @@
     clustered(part)
 
 
-@pytest.mark.parametrize("line", [
-    b"-MOVED 1 127.0.0.1:1", b"-MOVED 99999 127.0.0.1:1", b"-ASK 1", b"-TRYAGAIN x",
-    b"-CLUSTERDOWN x", b"-LOADING x", b"-READONLY x", b"-MASTERDOWN x"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"-MOVED 1 127.0.0.1:1",
+        b"-MOVED 99999 127.0.0.1:1",
+        b"-ASK 1",
+        b"-TRYAGAIN x",
+        b"-CLUSTERDOWN x",
+        b"-LOADING x",
+        b"-READONLY x",
+        b"-MASTERDOWN x",
+    ],
+)
 def test_what_names_nobody_has_not_run_and_is_refused(line: bytes) -> None:
     async def part(rig: Rig, cluster: SlotCluster) -> None:
         async def says(words: list[bytes], writer: asyncio.StreamWriter) -> None:
@@ -234,7 +264,7 @@
 
         for node in cluster.nodes:
             node.behaviour = says
-        answer, = await rig.ask(put(1, cls=b"once", wait=800))
+        (answer,) = await rig.ask(put(1, cls=b"once", wait=800))
         assert answer.startswith(b"-BUSY")
 
     clustered(part)
@@ -260,9 +290,12 @@
             while True:
                 picked = [chance.choice(keys) for _ in range(20)]
                 first = done * 20
-                answers = await rig.ask(*(get(first + n, key=key) if n % 4 else
-                                          put_at(first + n, key)
-                                          for n, key in enumerate(picked)))
+                answers = await rig.ask(
+                    *(
+                        get(first + n, key=key) if n % 4 else put_at(first + n, key)
+                        for n, key in enumerate(picked)
+                    )
+                )
                 assert answers == [b"value of id%d" % (first + n) for n in range(20)]
                 done += 1
 
@@ -271,7 +304,8 @@
             slot, seen = key_slot(chance.choice(keys)), done
             if chance.random() < 0.3:  # half moved for a while
                 cluster.importing[slot] = chance.choice(
-                    [node for node in cluster.nodes if node is not cluster.owner(slot)])
+                    [node for node in cluster.nodes if node is not cluster.owner(slot)]
+                )
                 await until(lambda seen=seen: done > seen or asking.done())
             cluster.move(slot, cluster.importing.get(slot) or chance.choice(cluster.nodes))
             await until(lambda seen=seen: done > seen or asking.done())
@@ -299,9 +333,7 @@
 
         await rig.ask(get(1))
         target.behaviour = wrong
-        answer, = await rig.ask(put(2, cls=b"once", wait=800))
+        (answer,) = await rig.ask(put(2, cls=b"once", wait=800))
         assert answer == b"-ERR failed"
 
     clustered(part)
-
-
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -33,7 +33,7 @@
 from violetroute.config import ConfigError
 
 ROOT = Path(__file__).parent.parent
-SHORT = '[run]\nseconds = 8.0\n[load]\ncurve = [{at = 0.0, rate = 60.0}]\n'
+SHORT = "[run]\nseconds = 8.0\n[load]\ncurve = [{at = 0.0, rate = 60.0}]\n"
 
 
 def made(tmp_path: Path, text: str = SHORT) -> Scenario:
@@ -50,21 +50,33 @@
     assert load("three-sites").size == 9 and len(load("three-sites").box) == 3
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    ("", "load"), ("[load]\ncurve = []\n", "[load] curve"),
-    ("[load]\ncurve = [{at = 1.0, rate = 1.0}]\n", "[load] curve"),
-    (SHORT + "[run2]\n", "run2"), (SHORT + "[nodes]\nwarmth = 1\n", "warmth"),
-    (SHORT + '[[box]]\nname = "x"\nat = {b = 1}\n', "[[box]] 1 at: no site 'b'"),
-    (SHORT + '[[box]]\nname = "x"\nspeed = [2.0, 1.0]\nat = {a = 1}\n', "[[box]] 1 speed"),
-    (SHORT + '[operator.placement]\nfile = "plan.json"\n', "[operator.placement]"),
-    (SHORT + '[[event]]\nat = 1.0\nkind = "sleeps"\n', "kind"),
-    (SHORT + '[[event]]\nat = 9.0\nkind = "slow"\n', "[[event]] 1 at"),
-    (SHORT + '[[event]]\nat = 1.0\nkind = "site_lost"\nsite = "z"\n', "[[event]] 1 site"),
-    (SHORT + '[clients]\npatience = [0.9, 0.5]\n', "[clients] patience"),
-    (SHORT + '[[class]]\nname = "w"\nshare = 1.0\nwork_ms = 1.0\naim_ms = 9.0\ndeadline_ms = 10.0\n'
-             'effect = "token"\n', "[[class]] w window_ms"), ('name = "x"\n' + SHORT, "name")])
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("", "load"),
+        ("[load]\ncurve = []\n", "[load] curve"),
+        ("[load]\ncurve = [{at = 1.0, rate = 1.0}]\n", "[load] curve"),
+        (SHORT + "[run2]\n", "run2"),
+        (SHORT + "[nodes]\nwarmth = 1\n", "warmth"),
+        (SHORT + '[[box]]\nname = "x"\nat = {b = 1}\n', "[[box]] 1 at: no site 'b'"),
+        (SHORT + '[[box]]\nname = "x"\nspeed = [2.0, 1.0]\nat = {a = 1}\n', "[[box]] 1 speed"),
+        (SHORT + '[operator.placement]\nfile = "plan.json"\n', "[operator.placement]"),
+        (SHORT + '[[event]]\nat = 1.0\nkind = "sleeps"\n', "kind"),
+        (SHORT + '[[event]]\nat = 9.0\nkind = "slow"\n', "[[event]] 1 at"),
+        (SHORT + '[[event]]\nat = 1.0\nkind = "site_lost"\nsite = "z"\n', "[[event]] 1 site"),
+        (SHORT + "[clients]\npatience = [0.9, 0.5]\n", "[clients] patience"),
+        (
+            SHORT
+            + '[[class]]\nname = "w"\nshare = 1.0\nwork_ms = 1.0\naim_ms = 9.0\ndeadline_ms = 10.0\n'
+            'effect = "token"\n',
+            "[[class]] w window_ms",
+        ),
+        ('name = "x"\n' + SHORT, "name"),
+    ],
+)
 def test_what_cannot_be_meant_is_one_line_with_its_key(
-        tmp_path: Path, text: str, said: str) -> None:
+    tmp_path: Path, text: str, said: str
+) -> None:
     with pytest.raises(ConfigError) as found:
         made(tmp_path, text)
     assert said in str(found.value) and "\n" not in str(found.value)
@@ -84,8 +96,9 @@
 
 
 def test_worth_counts_in_time_late_and_by_its_worst_parts() -> None:
-    found = score([asked(0.5, 0.7), asked(1.0, 1.5), asked(30.0, None, "d", 2.0),
-                   asked(31.0, 31.1)], 40.0)
+    found = score(
+        [asked(0.5, 0.7), asked(1.0, 1.5), asked(30.0, None, "d", 2.0), asked(31.0, 31.1)], 40.0
+    )
     assert found.service == pytest.approx(2.5 / 5.0)
     assert (found.worst, found.worst_class) == (0.0, 0.0)
     assert 21.0 <= found.worst_at <= 30.0 and found.classes["c"] == pytest.approx(2.5 / 3.0)
@@ -94,8 +107,10 @@
 
 def test_noise_is_no_change_and_a_change_is_told_with_its_error() -> None:
     def runs(*values: float) -> list[dict[str, Any]]:
-        return [{"seed": n, "service": v, "worst": 1.0, "worst_class": 1.0, "total": v}
-                for n, v in enumerate(values)]
+        return [
+            {"seed": n, "service": v, "worst": 1.0, "worst_class": 1.0, "total": v}
+            for n, v in enumerate(values)
+        ]
 
     before = runs(0.90, 0.92, 0.88, 0.91)
     assert changes(before, runs(0.91, 0.91, 0.89, 0.90)) == []
@@ -110,17 +125,43 @@
     here = json.dumps(plain(play(scenario)))
     for hashes in ("0", "random"):
         done = subprocess.run(
-            [sys.executable, "-m", "limebridge", "rehearse", "--json",
-             str(tmp_path / "short.toml")], cwd=ROOT, capture_output=True, text=True, timeout=60,
-            env=os.environ | {"PYTHONHASHSEED": hashes})
+            [
+                sys.executable,
+                "-m",
+                "limebridge",
+                "rehearse",
+                "--json",
+                str(tmp_path / "short.toml"),
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            env=os.environ | {"PYTHONHASHSEED": hashes},
+        )
         assert done.returncode == 0
         assert json.dumps(json.loads(done.stdout)["runs"][0]) == here
     assert json.dumps(plain(play(scenario, 2))) != here
 
 
-@pytest.mark.parametrize("kind", ["slow", "stalls", "dies", "drains", "hot_key", "scan",
-                                  "database_slow", "database_stops", "discovery_down",
-                                  "site_lost", "joins", "proxies_restart", "loses_answers"])
+@pytest.mark.parametrize(
+    "kind",
+    [
+        "slow",
+        "stalls",
+        "dies",
+        "drains",
+        "hot_key",
+        "scan",
+        "database_slow",
+        "database_stops",
+        "discovery_down",
+        "site_lost",
+        "joins",
+        "proxies_restart",
+        "loses_answers",
+    ],
+)
 def test_every_trouble_is_played_and_breaks_no_rule(tmp_path: Path, kind: str) -> None:
     event = f'[[event]]\nat = 2.0\nkind = "{kind}"\nlasts = 2.0\nsite = "a"\n'
     result = play(made(tmp_path, SHORT + "[proxies]\ncount = 2\n" + event))
@@ -130,14 +171,14 @@
 
 
 def test_a_bar_that_is_missed_fails_and_says_why(tmp_path: Path) -> None:
-    text = SHORT + '[bar]\nservice = 1.0\n[database]\nceiling = 1.0\nlatency_ms = 400.0\n'
+    text = SHORT + "[bar]\nservice = 1.0\n[database]\nceiling = 1.0\nlatency_ms = 400.0\n"
     result = play(made(tmp_path, text))
     assert any("service 0." in why for why in result.failed)
     assert any("customer database" in why for why in result.failed)
     page = html([result])
     assert "failed" in page and result.unserved
     worst = result.unserved[0]
-    assert worst.earned < worst.worth and f"<td class=\"n\">{worst.at:.3f}<td>lookup" in page
+    assert worst.earned < worst.worth and f'<td class="n">{worst.at:.3f}<td>lookup' in page
     assert all(0.0 <= each.at - result.score.worst_at < 10.0 for each in result.unserved)
 
 
@@ -159,15 +200,31 @@
 def test_a_known_bad_build_fails_and_says_why(name: str) -> None:
     scenario, why = BAD[name]
     done = subprocess.run(
-        [sys.executable, "-m", "limebridge", "rehearse", scenario, "--json", "--from",
-         SEEDS.get(name, "1"), "--patch", f"tests/bad_builds/{name}.py"],
-        cwd=ROOT, capture_output=True, text=True, timeout=120)
+        [
+            sys.executable,
+            "-m",
+            "limebridge",
+            "rehearse",
+            scenario,
+            "--json",
+            "--from",
+            SEEDS.get(name, "1"),
+            "--patch",
+            f"tests/bad_builds/{name}.py",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
     told = json.loads(done.stdout)["runs"][0]
     assert done.returncode == 1 and any(why in line for line in told["failed"]), told
 
 
-@pytest.mark.parametrize("name", ["three-sites", "growth", "site-lost", "half-stalls",
-                                  "half-stalls-busy", "crowd-fourfold"])
+@pytest.mark.parametrize(
+    "name",
+    ["three-sites", "growth", "site-lost", "half-stalls", "half-stalls-busy", "crowd-fourfold"],
+)
 def test_the_good_build_passes_what_the_bad_ones_fail(name: str) -> None:
     result = play(load(name))
     assert not result.failed and not result.broken
@@ -237,7 +294,8 @@
 
 
 def test_a_trouble_that_fails_fails_the_run(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def broken(self: Any, event: Any) -> None:
         raise OSError("it did not come back")
 
@@ -246,8 +304,7 @@
     assert any("slow at 1 s: it did not come back" in why for why in result.failed)
 
 
-def test_ctrl_c_in_virtual_runs_is_partial(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_ctrl_c_in_virtual_runs_is_partial(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     def stopped(self: Any, event: Any) -> None:
         raise KeyboardInterrupt
 
@@ -294,8 +351,13 @@
     loop.run_until_complete(play_it())
     loop.close()
     # One turn for the first two: a wake and two decisions; what fell due meanwhile waits for it.
-    assert seen == [("first", 0.0), ("second", 0.0), ("timer", 0.05), ("next", 0.05),
-                    ("later", 0.2)]
+    assert seen == [
+        ("first", 0.0),
+        ("second", 0.0),
+        ("timer", 0.05),
+        ("next", 0.05),
+        ("later", 0.2),
+    ]
     assert meter.used == pytest.approx(0.05 + 0.05 + 0.03) and meter.turns == 3
 
 
@@ -312,13 +374,24 @@
     scenario = made(tmp_path)
     report = tmp_path / "before.json"
     report.write_text(json.dumps({"runs": [plain(play(scenario, seed)) for seed in (1, 2)]}))
-    result = run(app, ["rehearse", str(tmp_path / "short.toml"), "--baseline", str(report),
-                       "--html", str(tmp_path / "r.html")])
+    result = run(
+        app,
+        [
+            "rehearse",
+            str(tmp_path / "short.toml"),
+            "--baseline",
+            str(report),
+            "--html",
+            str(tmp_path / "r.html"),
+        ],
+    )
     assert result.exit_code == 0 and "passed" in result.output
     assert "<svg" in (tmp_path / "r.html").read_text()
     report.write_text("{}")
-    assert run(app, ["rehearse", str(tmp_path / "short.toml"), "--baseline",
-                     str(report)]).exit_code == 2
+    assert (
+        run(app, ["rehearse", str(tmp_path / "short.toml"), "--baseline", str(report)]).exit_code
+        == 2
+    )
 
 
 # --- traces ---
@@ -326,9 +399,14 @@
     rows = [(0.5 + n / 50.0, "lookup", "acme" if n % 2 else "", f"k{n % 7}") for n in range(200)]
     lines = "at,class,tenant,key\n" + "".join(f"{a},{c},{t},{k}\n" for a, c, t, k in rows)
     (tmp_path / "load.csv").write_text(lines)
-    (tmp_path / "load.jsonl.zst").write_bytes(zstandard.compress("".join(
-        json.dumps({"at": a, "class": c, "tenant": t, "key": k}) + "\n"
-        for a, c, t, k in rows).encode()))
+    (tmp_path / "load.jsonl.zst").write_bytes(
+        zstandard.compress(
+            "".join(
+                json.dumps({"at": a, "class": c, "tenant": t, "key": k}) + "\n"
+                for a, c, t, k in rows
+            ).encode()
+        )
+    )
     told = []
     for name in ("load.csv", "load.jsonl.zst"):
         result = play(made(tmp_path, f'[run]\nseconds = 8.0\n[load]\ntrace = "{name}"\n'))
@@ -339,12 +417,20 @@
     assert [asked for asked, _ in fast.score.seconds][2:] == [0.0] * 6 and fast.score.asked == 200
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    ("", "has no requests"), ("at,class\n1.0,nobody\n", ":2: class"), ("at\n1.0\n", ":2: at"),
-    ("at,class\n2.0,lookup\n1.0,lookup\n", ":3: at"), ("at,class\nnan,lookup\n", ":2: at"),
-    ("at,class\n\x00\xff", "can't be read")])
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("", "has no requests"),
+        ("at,class\n1.0,nobody\n", ":2: class"),
+        ("at\n1.0\n", ":2: at"),
+        ("at,class\n2.0,lookup\n1.0,lookup\n", ":3: at"),
+        ("at,class\nnan,lookup\n", ":2: at"),
+        ("at,class\n\x00\xff", "can't be read"),
+    ],
+)
 def test_a_trace_that_cannot_be_used_is_told_by_its_line(
-        tmp_path: Path, text: str, said: str) -> None:
+    tmp_path: Path, text: str, said: str
+) -> None:
     (tmp_path / "load.csv").write_bytes(text.encode("latin-1"))
     with pytest.raises(ConfigError) as found:
         made(tmp_path, '[load]\ntrace = "load.csv"\n')
@@ -352,7 +438,8 @@
 
 
 def test_a_small_file_does_not_fill_the_memory(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(trace, "LARGEST", 10_000)
     (tmp_path / "load.jsonl.zst").write_bytes(zstandard.compress(b" " * 1_000_000))
     with pytest.raises(ConfigError, match="more than 10000 bytes"):
@@ -366,8 +453,20 @@
 def real(tmp_path: Path, *arguments: str) -> subprocess.CompletedProcess[str]:
     (tmp_path / "short.toml").write_text(REAL)
     return subprocess.run(
-        [sys.executable, "-m", "limebridge", "rehearse", str(tmp_path / "short.toml"), "--real",
-         *arguments], cwd=ROOT, capture_output=True, text=True, timeout=90)
+        [
+            sys.executable,
+            "-m",
+            "limebridge",
+            "rehearse",
+            str(tmp_path / "short.toml"),
+            "--real",
+            *arguments,
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=90,
+    )
 
 
 def test_the_installed_daemon_is_rehearsed_as_processes(tmp_path: Path) -> None:
@@ -380,21 +479,27 @@
     assert suite.get("tests") == "1" and suite.get("failures") == "0"
 
 
-@pytest.mark.parametrize(("command", "said"), [
-    ("false", "ended at its start"), ("no-such-program", "no-such-program"),
-    (f"{sys.executable} -c 'import sys; sys.stderr.write(\"x\" * 9_000_000)'", "p0 ended")])
-def test_a_daemon_that_does_not_start_is_one_line(
-        tmp_path: Path, command: str, said: str) -> None:
+@pytest.mark.parametrize(
+    ("command", "said"),
+    [
+        ("false", "ended at its start"),
+        ("no-such-program", "no-such-program"),
+        (f"{sys.executable} -c 'import sys; sys.stderr.write(\"x\" * 9_000_000)'", "p0 ended"),
+    ],
+)
+def test_a_daemon_that_does_not_start_is_one_line(tmp_path: Path, command: str, said: str) -> None:
     done = real(tmp_path, "--run", command)
     assert done.returncode == 2 and said in done.stderr and len(done.stderr.splitlines()) == 1
 
 
 def test_a_daemon_that_never_listens_is_given_up(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(children, "READY", 1.0)
     with pytest.raises(Unready, match="is not ready"):
-        engines.play_real(made(tmp_path, REAL),
-                          run=f"sh -c 'echo $$ > {tmp_path}/pid; exec sleep 60'")
+        engines.play_real(
+            made(tmp_path, REAL), run=f"sh -c 'echo $$ > {tmp_path}/pid; exec sleep 60'"
+        )
     pid = (tmp_path / "pid").read_text().strip()
     assert not Path(f"/proc/{pid}").exists()
 
@@ -406,9 +511,11 @@
         "from violetroute.proxy import Proxy\n"
         "take, number = Proxy.take, itertools.count()\n"
         "Proxy.take = lambda *what: os._exit(7) if next(number) == 20 else take(*what)\n"
-        "runpy.run_module('violetroute', run_name='__main__', alter_sys=True)\n")
-    result = engines.play_real(made(tmp_path, REAL.replace("3.0", "4.0")),
-                               run=f"{sys.executable} {tmp_path / 'd.py'}")
+        "runpy.run_module('violetroute', run_name='__main__', alter_sys=True)\n"
+    )
+    result = engines.play_real(
+        made(tmp_path, REAL.replace("3.0", "4.0")), run=f"{sys.executable} {tmp_path / 'd.py'}"
+    )
     assert result.void or any("p0 crashed" in why for why in result.failed)
     assert any("p0 crashed" in each.what for each in result.broken)
 
@@ -416,9 +523,11 @@
 def test_what_real_time_cannot_play_is_refused(tmp_path: Path) -> None:
     limited = REAL.replace("count = 2", "count = 2\ncores = 0.2")
     for text, arguments, said in (
-            (limited, ["--real"], "[proxies] cores"),
-            (REAL.replace("count = 2", "count = 25"), ["--real"], "24 at most"),
-            (REAL, ["--real", "--patch", "x.py"], "--patch"), (REAL, ["--run", "true"], "--run")):
+        (limited, ["--real"], "[proxies] cores"),
+        (REAL.replace("count = 2", "count = 25"), ["--real"], "24 at most"),
+        (REAL, ["--real", "--patch", "x.py"], "--patch"),
+        (REAL, ["--run", "true"], "--run"),
+    ):
         (tmp_path / "short.toml").write_text(text)
         result = CliRunner().invoke(app, ["rehearse", str(tmp_path / "short.toml"), *arguments])
         assert result.exit_code == 2 and said in result.output
@@ -431,13 +540,16 @@
     with pytest.raises(Unready, match="level"):
         engines.play_real(load(str(path)))
     path.write_text(text % "debug")
-    engines.play_real(load(str(path)), run=(
-        f"sh -c 'cat \"$2\" > {tmp_path}/seen; exec {sys.executable} -m violetroute \"$@\"' x"))
+    engines.play_real(
+        load(str(path)),
+        run=(f'sh -c \'cat "$2" > {tmp_path}/seen; exec {sys.executable} -m violetroute "$@"\' x'),
+    )
     assert tomllib.loads((tmp_path / "seen").read_text())["log"]["level"] == "debug"
 
 
 def test_a_kit_that_is_late_itself_judges_nothing(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(engines, "LATE", -1.0)
     result = engines.play_real(made(tmp_path, REAL.replace("3.0", "1.0")))
     assert result.void and "the kit itself" in result.failed[0] and "skipped" in xml([result])
@@ -449,13 +561,27 @@
         "import os, runpy, sys, pathlib\n"
         f"pathlib.Path({str(tmp_path)!r}, f'pid-{{os.getpid()}}').touch()\n"
         f"sys.argv = ['violetroute']; sys.path.insert(0, {str(ROOT)!r})\n"
-        "runpy.run_module('violetroute', run_name='__main__', alter_sys=True)\n")
+        "runpy.run_module('violetroute', run_name='__main__', alter_sys=True)\n"
+    )
     with subprocess.Popen(
-            [sys.executable, "-m", "limebridge", "rehearse", str(tmp_path / "short.toml"),
-             "--real", "--json", "--run", f"{sys.executable} {tmp_path / 'd.py'}"], cwd=ROOT,
-            stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
-            # A suite in the background of a script inherits SIGINT as ignored.
-            preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL) and None) as child:
+        [
+            sys.executable,
+            "-m",
+            "limebridge",
+            "rehearse",
+            str(tmp_path / "short.toml"),
+            "--real",
+            "--json",
+            "--run",
+            f"{sys.executable} {tmp_path / 'd.py'}",
+        ],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        # A suite in the background of a script inherits SIGINT as ignored.
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL) and None,
+    ) as child:
         deadline = time.monotonic() + 30.0
         while len(list(tmp_path.glob("pid-*"))) < 2 and time.monotonic() < deadline:
             time.sleep(0.05)
@@ -468,7 +594,9 @@
 
 
 def test_a_wrong_name_brings_a_near_one(tmp_path: Path) -> None:
-    for text, near in ((SHORT + "[nodes]\nwaitin = 3\n", "waiting"),
-                       (SHORT + '[[event]]\nat = 1.0\nkind = "stall"\n', "stalls")):
+    for text, near in (
+        (SHORT + "[nodes]\nwaitin = 3\n", "waiting"),
+        (SHORT + '[[event]]\nat = 1.0\nkind = "stall"\n', "stalls"),
+    ):
         with pytest.raises(ConfigError, match=f"did you mean {near}"):
             made(tmp_path, text)
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -12,15 +12,19 @@
 from violetroute.deadlines import SLACK, Deadlines
 
 WORD = st.one_of(
-    st.sampled_from([b"OBJ.GET", b"obj.set", b"PING", b"", b"\r\n", b"a\rb", b"c=x,d=5",
-                     b"v" * 4097]),
-    st.binary(max_size=12))
+    st.sampled_from(
+        [b"OBJ.GET", b"obj.set", b"PING", b"", b"\r\n", b"a\rb", b"c=x,d=5", b"v" * 4097]
+    ),
+    st.binary(max_size=12),
+)
 LENGTH = st.sampled_from([b"", b"0", b"00", b"-", b"+", b" ", b"1"])  # before a true length
 
 
 def written(words: list[bytes], odd: bytes) -> bytes:
-    items = [b"$%b%d\r\n%b\r\n" % (odd if place == 1 else b"", len(word), word)
-             for place, word in enumerate(words)]
+    items = [
+        b"$%b%d\r\n%b\r\n" % (odd if place == 1 else b"", len(word), word)
+        for place, word in enumerate(words)
+    ]
     return b"*%d\r\n" % len(words) + b"".join(items)
 
 
@@ -34,8 +38,10 @@
             decoder.feed(piece)
             while True:
                 if quick and not missing and (whole := decoder.command()) is not None:
-                    assert written(whole[:3], b"").partition(b"\r\n")[2] \
+                    assert (
+                        written(whole[:3], b"").partition(b"\r\n")[2]
                         == whole[-1].partition(b"\r\n")[2]
+                    )
                     found.append(whole[:-1])
                     continue
                 token = decoder.next()
@@ -62,13 +68,17 @@
 
 
 @settings(max_examples=400, deadline=None, derandomize=True)
-@given(st.lists(st.tuples(st.lists(WORD, min_size=1, max_size=6), LENGTH), max_size=4),
-       st.binary(max_size=3), st.lists(st.integers(0, 300), max_size=6))
+@given(
+    st.lists(st.tuples(st.lists(WORD, min_size=1, max_size=6), LENGTH), max_size=4),
+    st.binary(max_size=3),
+    st.lists(st.integers(0, 300), max_size=6),
+)
 @example([([b"OBJ.GET", b"k", b"i", b"c=x,d=5"], b"")], b"", [])
 @example([([b"OBJ.SET", b"k", b"i", b"c=x,d=5", b"v\r\nw"], b"")], b"*", [30])
 @example([([b"OBJ.GET", b"k", b"i", b"c=x,d=5"], b"0")], b"", [])
 def test_commands_taken_whole_are_what_the_tokens_tell(
-        sent: list[tuple[list[bytes], bytes]], tail: bytes, cuts: list[int]) -> None:
+    sent: list[tuple[list[bytes], bytes]], tail: bytes, cuts: list[int]
+) -> None:
     data = b"".join(written(words, odd) for words, odd in sent) + tail
     assert commands(data, cuts, quick=True) == commands(data, cuts, quick=False)
 
@@ -84,13 +94,22 @@
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
-@given(st.binary(max_size=20), st.sampled_from([b"hit", b"", b"a\rb"]),
-       st.sampled_from([None, b"inflight=1", b"\r\n"]), st.integers(0, 60))
+@given(
+    st.binary(max_size=20),
+    st.sampled_from([b"hit", b"", b"a\rb"]),
+    st.sampled_from([None, b"inflight=1", b"\r\n"]),
+    st.integers(0, 60),
+)
 @example(b"value", b"hit", None, 60)
 def test_replies_taken_whole_are_what_the_tokens_tell(
-        value: bytes, how: bytes, report: bytes | None, cut: int) -> None:
-    data = b"*3\r\n" + resp.bulk(value) + resp.bulk(how) \
+    value: bytes, how: bytes, report: bytes | None, cut: int
+) -> None:
+    data = (
+        b"*3\r\n"
+        + resp.bulk(value)
+        + resp.bulk(how)
         + (b"$-1\r\n" if report is None else resp.bulk(report))
+    )
     decoder = resp.Decoder()
     decoder.feed(data[:cut])
     served = decoder.reply()
@@ -108,7 +127,8 @@
     for given_head in (b"", b"*5\r\n" + b"".join(map(resp.bulk, args[:3]))):
         encoded = b"".join(resp.parse_command(args, given_head).encode(99.0))
         assert encoded == b"*5\r\n" + b"".join(
-            map(resp.bulk, [*args[:3], b"c=x,t=y,d=99,k=7", b"v"]))
+            map(resp.bulk, [*args[:3], b"c=x,t=y,d=99,k=7", b"v"])
+        )
 
 
 def test_lists_that_look_alike_are_judged_each() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -39,10 +39,22 @@
     RequestClass("zoned", 100, 400, Effect.KEYED, repeat_window=300, group=Group.ZONE),
     RequestClass("unsafe", 100, 400, Effect.UNSAFE),
 )
-SETTINGS = Settings(classes=CLASSES, max_attempts=3, zone="z0", can_cancel=True,
-                    warm_time=1000, cross_zone_price=0.05)
-NEVER = {Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS, Result.MOVED,
-         Result.ASKED}
+SETTINGS = Settings(
+    classes=CLASSES,
+    max_attempts=3,
+    zone="z0",
+    can_cancel=True,
+    warm_time=1000,
+    cross_zone_price=0.05,
+)
+NEVER = {
+    Result.FULL,
+    Result.NO_CONNECTION,
+    Result.NEVER_SENT,
+    Result.MISS,
+    Result.MOVED,
+    Result.ASKED,
+}
 
 
 class Checker:
@@ -107,14 +119,17 @@
             assert request.id not in self.open, "no final answer at the deadline"
         move = self.rng.random()
         if move < 0.5:
-            request = Request(number, self.rng.choice(CLASSES).name,
-                              self.now + self.rng.choice([50.0, 400.0]), self.rng.randrange(9),
-                              owner=self.rng.choice([None, *range(9)]))
+            request = Request(
+                number,
+                self.rng.choice(CLASSES).name,
+                self.now + self.rng.choice([50.0, 400.0]),
+                self.rng.randrange(9),
+                owner=self.rng.choice([None, *range(9)]),
+            )
             self.open[number], self.sends[number] = request, []
             self.apply(self.balancer.on_request(self.now, request))
         elif move < 0.85:
-            out = [(i, k) for i, ss in self.sends.items() for k, s in enumerate(ss)
-                   if s[2] is None]
+            out = [(i, k) for i, ss in self.sends.items() for k, s in enumerate(ss) if s[2] is None]
             if out:
                 self.end(*self.rng.choice(out), self.rng.choice(list(Result)))
         elif move < 0.9 and self.open:
@@ -129,16 +144,18 @@
         if result is Result.OK:
             self.open.pop(request_id, None)
         closed = request_id not in self.open
-        outcome = Outcome(request_id, attempt, result, closed, 20.0,
-                          to=self.rng.choice([None, *range(9)]))
+        outcome = Outcome(
+            request_id, attempt, result, closed, 20.0, to=self.rng.choice([None, *range(9)])
+        )
         self.apply(self.balancer.on_outcome(self.now, outcome))
         assert self.balancer.on_outcome(self.now, outcome) == [], "news twice does nothing"
 
     def change_list(self) -> None:
         cache_id = self.rng.randrange(8)
         state = self.rng.choice(list(CacheState))
-        member = Member(cache_id, state, zone=f"z{cache_id % 2}",
-                        started_at=self.rng.choice([0.0, self.now]))
+        member = Member(
+            cache_id, state, zone=f"z{cache_id % 2}", started_at=self.rng.choice([0.0, self.now])
+        )
         kind = self.rng.choice([ListKind.CHANGES, ListKind.FULL])
         if kind is ListKind.FULL:
             self.ready.clear()
@@ -156,8 +173,7 @@
         checker.step(number)
 
 
-def balancer_with(members: list[Member], now: float = 0.0, seed: int = 1,
-                  **more: Any) -> Balancer:
+def balancer_with(members: list[Member], now: float = 0.0, seed: int = 1, **more: Any) -> Balancer:
     given_settings = Settings(classes=CLASSES, max_attempts=3, warm_time=20_000.0, **more)
     balancer = Balancer(given_settings, seed, now)
     balancer.on_list(now, ListKind.FULL, members)
@@ -231,8 +247,7 @@
 def test_what_is_over_a_quota_is_refused_first() -> None:
     # A branch sent several times its usual traffic, and the others paid for it.
     tenants = (Tenant("a", 0.5, 45.0), Tenant("b", 0.5, 8.0))
-    balancer = balancer_with([Member(i) for i in range(10)], tenants=tenants,
-                             over_share_worth=0.1)
+    balancer = balancer_with([Member(i) for i in range(10)], tenants=tenants, over_share_worth=0.1)
     sends = 0
     admitted = {"a": 0, "b": 0}
     for number in range(1000):
@@ -276,7 +291,8 @@
         balancer, total, now = balancer_with(members, 30_000.0), 0, 40_000.0
         for number in range(1000):
             actions = balancer.on_request(
-                now, Request(number, "unsafe", now + 400, key=number * 7919))
+                now, Request(number, "unsafe", now + 400, key=number * 7919)
+            )
             total += any(isinstance(a, Send) and a.cache_id == 9 for a in actions)
             balancer.on_outcome(now, Outcome(number, 0, result, result is Result.OK, 10.0))
         return total
@@ -357,8 +373,9 @@
         sent += isinstance(actions[0], Send)
         while actions and isinstance(actions[0], Send):
             bad = rng.random() < 0.05
-            actions = balancer.on_outcome(now, Outcome(
-                number, attempt, result if bad else Result.OK, not bad, 10.0))
+            actions = balancer.on_outcome(
+                now, Outcome(number, attempt, result if bad else Result.OK, not bad, 10.0)
+            )
             attempt += 1
         balancer.on_timer(now, number)
     assert sent > 1_950
@@ -376,8 +393,9 @@
 def test_a_request_that_no_socket_was_left_for_is_refused() -> None:
     balancer = balancer_with([Member(i) for i in range(4)])
     balancer.on_request(1.0, Request(1, "unsafe", 400.0, key=3))
-    assert isinstance(balancer.on_outcome(
-        2.0, Outcome(1, 0, Result.NEVER_SENT, False, 1.0))[0], Refuse)
+    assert isinstance(
+        balancer.on_outcome(2.0, Outcome(1, 0, Result.NEVER_SENT, False, 1.0))[0], Refuse
+    )
 
 
 def test_discovery_that_moved_is_asked_at_once() -> None:
@@ -392,7 +410,7 @@
     for seed in range(200):
         balancer = balancer_with([Member(1)], seed=seed, must_subscribe=True, proxies=700)
         balancer.on_discovery_moved(0.0)
-        first, = balancer.on_list(2.0, ListKind.SILENT, ())
+        (first,) = balancer.on_list(2.0, ListKind.SILENT, ())
         assert isinstance(first, Timer)
         waits.append(first.delay / 1000.0)
     assert SILENCE + max(waits) + ANSWERED <= 6.0
@@ -407,12 +425,12 @@
     waits = []
     for seed in range(200):
         balancer = balancer_with([], seed=seed, must_subscribe=True, proxies=700)
-        started, = balancer.on_list(0.0, ListKind.CACHED, [Member(1)])
+        (started,) = balancer.on_list(0.0, ListKind.CACHED, [Member(1)])
         assert isinstance(started, Timer)
         waits.append(started.delay / 1000.0)
         for now in range(1, 8):
             assert balancer.on_timer(now * 1000.0, HOUSEKEEPING) == [Subscribe()]
-            timer, = balancer.on_list(now * 1000.0 + 1.0, kind, ())
+            (timer,) = balancer.on_list(now * 1000.0 + 1.0, kind, ())
             assert isinstance(timer, Timer)
             waits.append(timer.delay / 1000.0)
     assert CALL_TIMEOUT + max(waits) + ANSWERED <= 6.0
@@ -423,11 +441,11 @@
     # What it has counts as told, whether or not a watch is open: 0.5 s of grace and no more.
     for seed in range(50):
         balancer = balancer_with([], seed=seed, must_subscribe=True, proxies=700, pushed=True)
-        timer, = balancer.on_list(0.0, ListKind.CACHED, [Member(1)])
+        (timer,) = balancer.on_list(0.0, ListKind.CACHED, [Member(1)])
         for now in range(1, 8):
             assert isinstance(timer, Timer) and timer.delay <= 200.0
             balancer.on_timer(now * 1000.0, HOUSEKEEPING)
-            timer, = balancer.on_list(now * 1000.0 + 1.0, ListKind.FAILED, ())
+            (timer,) = balancer.on_list(now * 1000.0 + 1.0, ListKind.FAILED, ())
 
 
 def test_new_figures_of_tenants_hold_from_a_reload_on_and_keep_what_was_learned() -> None:
@@ -471,8 +489,9 @@
         balancer.on_outcome(now, Outcome(number, number % 4 == 3, Result.OK, True, 10.0))
 
 
-@pytest.mark.parametrize(("class_name", "kind"), [("read", Refuse), ("keyed", Refuse),
-                                                  ("zoned", Fail), ("unsafe", Fail)])
+@pytest.mark.parametrize(
+    ("class_name", "kind"), [("read", Refuse), ("keyed", Refuse), ("zoned", Fail), ("unsafe", Fail)]
+)
 def test_when_time_is_up_a_refusal_is_given_where_it_is_true(class_name: str, kind: Any) -> None:
     balancer = balancer_with([Member(i) for i in range(4)], max_backoff=500.0)
     balancer.on_request(1.0, Request(1, class_name, 400.0, key=3))
@@ -496,8 +515,13 @@
         if any(isinstance(action, Send) for action in actions):
             sent += 1
             lost = number % 4 == 0
-            due.append((now + (400.0 if lost else answer_after), number,
-                        Result.LATE if lost else Result.OK))
+            due.append(
+                (
+                    now + (400.0 if lost else answer_after),
+                    number,
+                    Result.LATE if lost else Result.OK,
+                )
+            )
             due.sort(key=lambda item: item[:2])
     return sent
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -42,9 +42,19 @@
     assert sorted(each.again for each in first)[20] > 0.9
 
 
-REAL = Plan(1, 3.0, 5, 120.0, 0.6, [
-    Fault(0.8, "split", 1, 0.8), Fault(1.0, "kill", 0, 0.2), Fault(1.4, "stop", 4, 1.0),
-    Fault(1.8, "storm", 0, 0.8)])
+REAL = Plan(
+    1,
+    3.0,
+    5,
+    120.0,
+    0.6,
+    [
+        Fault(0.8, "split", 1, 0.8),
+        Fault(1.0, "kill", 0, 0.2),
+        Fault(1.4, "stop", 4, 1.0),
+        Fault(1.8, "storm", 0, 0.8),
+    ],
+)
 
 
 def test_real_daemons_spend_no_more_than_the_budget_and_nearly_all_of_it() -> None:
@@ -55,18 +65,40 @@
 
 # Each with the property that it breaks in memory; the same plants are found whole in
 # tests/test_sharing_whole.py, where the shortest story is told.
-PLANTED = {"whole_at_once": "authority", "from_the_receipt": "authority",
-           "lender_goes_on": "the sum", "renewed_for_ever": "floor",
-           "no_way_back": "goes on"}
+PLANTED = {
+    "whole_at_once": "authority",
+    "from_the_receipt": "authority",
+    "lender_goes_on": "the sum",
+    "renewed_for_ever": "floor",
+    "no_way_back": "goes on",
+}
 
 
 @pytest.mark.parametrize("plant", PLANTED)
 def test_a_planted_fault_is_found_in_memory(plant: str) -> None:
     patch = ROOT / "tests" / "planted_sharing" / f"{plant}.py"
     told = subprocess.run(  # a plant stays in its process
-        [sys.executable, "-m", "limebridge", "faults", "sharing", "explore", "--seeds", "60",
-         "--jobs", "2", "--patch", str(patch), "--json"], capture_output=True, text=True, cwd=ROOT,
-        check=False, timeout=150)
+        [
+            sys.executable,
+            "-m",
+            "limebridge",
+            "faults",
+            "sharing",
+            "explore",
+            "--seeds",
+            "60",
+            "--jobs",
+            "2",
+            "--patch",
+            str(patch),
+            "--json",
+        ],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        check=False,
+        timeout=150,
+    )
     assert told.returncode == 1, told.stderr[-2000:]
     assert PLANTED[plant] in {rule for _, rule, _ in msgspec.json.decode(told.stdout)["broken"]}
 
@@ -108,7 +140,7 @@
             each.tick(now, [])
     for n in range(200):
         borrower.spend(2.05 + n / 200.0)
-    ask, = (a for a in borrower.tick(3.1, ["lender"]) if isinstance(a, Ask))
+    (ask,) = (a for a in borrower.tick(3.1, ["lender"]) if isinstance(a, Ask))
     amount = lender.asked(3.1, "borrower/1", ask.number, ask.amount)
     assert amount == 9_500  # all but the floor
     assert borrower.granted(3.1, "lender", ask.number, amount) is None
@@ -176,10 +208,20 @@
 
 
 @settings(max_examples=150, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from(["ask", "hear", "again", "back", "time", "crash"]),
-                          st.integers(0, 3), st.integers(0, 3), amounts), max_size=60))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["ask", "hear", "again", "back", "time", "crash"]),
+            st.integers(0, 3),
+            st.integers(0, 3),
+            amounts,
+        ),
+        max_size=60,
+    )
+)
 def test_whatever_happens_the_sum_of_four_lives_is_never_above(
-        steps: list[tuple[str, int, int, int]]) -> None:
+    steps: list[tuple[str, int, int, int]],
+) -> None:
     terms, rates = Terms(1.0, 0.05), (0.95, 1.05, 1.0, 1.02)
     now, lives = 10.0, [0] * 4
     loans = [Loans(10_000, terms, 10.0 * rate - 1.0) for rate in rates]
@@ -202,8 +244,11 @@
                 net.append(("lend", to, sender, life, number, lent))
             elif kind == "back":
                 loans[to].returned(clock[to], f"{sender}/{life}", number)
-            elif life == lives[to] and not loans[to].granted(
-                    clock[to], str(sender), number, much) and much:
+            elif (
+                life == lives[to]
+                and not loans[to].granted(clock[to], str(sender), number, much)
+                and much
+            ):
                 unwanted = loans[to].unwanted(str(sender), number)
                 if unwanted:
                     net.append(("back", to, sender, life, unwanted, 0))
@@ -219,8 +264,17 @@
 # --- datagrams ---
 def envelope(number: int = 1, name: str = "a", life: str = "l", **more: Any) -> Envelope:
     items = [wire.raw(wire.packed(item)) for item in more.pop("items", [Ping(1)])]
-    return Envelope(name, life, 1, number, more.pop("to", "b"), more.pop("to_life", ""),
-                    more.pop("heard", 0), 0, items)
+    return Envelope(
+        name,
+        life,
+        1,
+        number,
+        more.pop("to", "b"),
+        more.pop("to_life", ""),
+        more.pop("heard", 0),
+        0,
+        items,
+    )
 
 
 def test_a_datagram_is_opened_with_either_key_and_nothing_else() -> None:
@@ -229,7 +283,7 @@
     assert KEYS.open(data) == both.open(data) == envelope()
     assert KEYS.open(both.seal(envelope())) is None
     for place in range(len(data)):
-        assert KEYS.open(data[:place] + bytes([data[place] ^ 1]) + data[place + 1:]) is None
+        assert KEYS.open(data[:place] + bytes([data[place] ^ 1]) + data[place + 1 :]) is None
     assert KEYS.open(data[:-1]) is None and KEYS.open(b"") is None
     with pytest.raises(ValueError, match="16 to 64"):
         Keys([b"short"])
@@ -245,17 +299,31 @@
 
 def test_items_of_a_later_build_are_skipped_and_the_others_read() -> None:
     later = envelope(items=[Ping(4)])
-    later = msgspec.structs.replace(later, items=[
-        msgspec.Raw(msgspec.msgpack.encode(["zz", 1, "?"])), *later.items,
-        msgspec.Raw(msgspec.msgpack.encode(["p", 5, "a field that is new"]))])
+    later = msgspec.structs.replace(
+        later,
+        items=[
+            msgspec.Raw(msgspec.msgpack.encode(["zz", 1, "?"])),
+            *later.items,
+            msgspec.Raw(msgspec.msgpack.encode(["p", 5, "a field that is new"])),
+        ],
+    )
     opened = KEYS.open(KEYS.seal(later))
     assert opened is not None and wire.items(opened) == [Ping(4), Ping(5)]
 
 
 def test_numbers_refuse_what_came_before_and_know_how_old_an_answer_is() -> None:
     numbers = Numbers()
-    assert [numbers.is_new("a", "l", n) for n in (5, 3, 5, 3, 4, 70, 5, 7, 1)] == \
-        [True, True, False, False, True, True, False, True, False]
+    assert [numbers.is_new("a", "l", n) for n in (5, 3, 5, 3, 4, 70, 5, 7, 1)] == [
+        True,
+        True,
+        False,
+        False,
+        True,
+        True,
+        False,
+        True,
+        False,
+    ]
     assert numbers.is_new("a", "another life", 5)
     first = numbers.next("a", 10.0)
     assert numbers.age("a", first, 12.5) == 2.5
@@ -278,9 +346,17 @@
 
     def start(self, name: str, life: str, incarnation: int, place: str = "") -> Members:
         made = self.here[place or name] = Members(
-            name, life, incarnation, place or name, "", 1.0, ["p0", "p1"],
-            random.Random(f"{name}{life}"), self.now,
-            lambda who, state, was: self.told.append((self.now, name, who, state)))
+            name,
+            life,
+            incarnation,
+            place or name,
+            "",
+            1.0,
+            ["p0", "p1"],
+            random.Random(f"{name}{life}"),
+            self.now,
+            lambda who, state, was: self.told.append((self.now, name, who, state)),
+        )
         return made
 
     def put(self, sender: Members, out: Out) -> None:
@@ -291,8 +367,9 @@
             return
         for item in (*out.items, *sender.rumors()):
             there = self.here[to]
-            for answer in there.heard(self.now, sender.name, sender.life, sender.incarnation, item,
-                                      place):
+            for answer in there.heard(
+                self.now, sender.name, sender.life, sender.incarnation, item, place
+            ):
                 self.put(there, answer)
 
     def run(self, seconds: float) -> None:
@@ -398,8 +475,12 @@
 
 
 # --- judgements ---
-def heard(saws: dict[str, dict[int, tuple[float, float]]], zones: dict[str, str] | None = None,
-          nodes: int = 10, zone: str = "a") -> Hearsay:
+def heard(
+    saws: dict[str, dict[int, tuple[float, float]]],
+    zones: dict[str, str] | None = None,
+    nodes: int = 10,
+    zone: str = "a",
+) -> Hearsay:
     """By member and node: good and bad."""
     made = Hearsay(zone)
     for node in range(nodes):
@@ -429,8 +510,10 @@
 def test_one_in_ten_that_lie_move_nothing(witnesses: int) -> None:
     liars = max(1, witnesses // 10)
     said = {f"m{n}": sees() for n in range(witnesses - liars)}
-    said |= {f"liar{n}": {node: (0.0, 1e6) if node == 4 else (2.0, 0.0) for node in range(10)}
-             for n in range(liars)}
+    said |= {
+        f"liar{n}": {node: (0.0, 1e6) if node == 4 else (2.0, 0.0) for node in range(10)}
+        for n in range(liars)
+    }
     assert heard(said).judge(1.0) == []
     # Nor do they hide what the others see.
     said = {f"m{n}": sees(4) for n in range(witnesses - liars)}
@@ -476,7 +559,8 @@
 # --- counts ---
 @given(st.lists(st.lists(st.integers(0, 60), max_size=300), min_size=1, max_size=5))
 def test_a_merged_count_is_never_too_low_and_by_its_error_at_most_too_high(
-        streams: list[list[int]]) -> None:
+    streams: list[list[int]],
+) -> None:
     made = []
     for stream in streams:
         made.append(Summary(8))
@@ -523,8 +607,11 @@
 
 # --- settings ---
 BAD = {
-    'listen = "x"': "listen", 'proxies = 4': "listen", 'listen = "127.0.0.1:1"': "key_file",
-    'listen = "0.0.0.0:1"': "listen", 'listen = "127.0.0.1:1"\nseeds = ["y"]': "seeds",
+    'listen = "x"': "listen",
+    "proxies = 4": "listen",
+    'listen = "127.0.0.1:1"': "key_file",
+    'listen = "0.0.0.0:1"': "listen",
+    'listen = "127.0.0.1:1"\nseeds = ["y"]': "seeds",
     'listen = "127.0.0.1:1"\nways = {a = "z"}': "ways",
     'listen = "127.0.0.1:1"\nkey_file = "KEY"\nbudget = [{name = "B", per_s = 1.0}]': "budget",
     'listen = "127.0.0.1:1"\nkey_file = "KEY"\nbudget = [{name = "b", per_s = 0.0}]': "budget",
--- a/tests/test_sharing_daemon.py
+++ b/tests/test_sharing_daemon.py
@@ -32,11 +32,23 @@
 
     def operator(self, number: int, **more: Any) -> Path:
         path = self.folder / f"p{number}.toml"
-        path.write_text(tomli_w.dumps({"sharing": {
-            "listen": f"127.0.0.1:{self.ports[number]}", "key_file": str(self.folder / "key"),
-            "seeds": [f"127.0.0.1:{port}" for port in self.ports], "proxies": 2, "loan_s": 0.4,
-            "probe_s": 0.2, "socket": str(self.folder / f"{number}.sock"),
-            "budget": [{"name": "acme", "per_s": 40.0, "tenant": "acme"}], **more}}))
+        path.write_text(
+            tomli_w.dumps(
+                {
+                    "sharing": {
+                        "listen": f"127.0.0.1:{self.ports[number]}",
+                        "key_file": str(self.folder / "key"),
+                        "seeds": [f"127.0.0.1:{port}" for port in self.ports],
+                        "proxies": 2,
+                        "loan_s": 0.4,
+                        "probe_s": 0.2,
+                        "socket": str(self.folder / f"{number}.sock"),
+                        "budget": [{"name": "acme", "per_s": 40.0, "tenant": "acme"}],
+                        **more,
+                    }
+                }
+            )
+        )
         return path
 
     async def start(self) -> None:
@@ -45,8 +57,7 @@
         self.children = [Child(self.folder, f"p{n}", told=self.lines.append) for n in range(2)]
         for number, child in enumerate(self.children):
             raw = configuration(self.discovery.port, [self.node.entry("s-0")])
-            await child.start(raw | {"name": f"p{number}"}, free_ports(1)[0],
-                              self.operator(number))
+            await child.start(raw | {"name": f"p{number}"}, free_ports(1)[0], self.operator(number))
 
     async def stop(self) -> None:
         for child in self.children:
@@ -70,8 +81,9 @@
             await pair.start()
 
             async def sees() -> bool:
-                return [(m["name"], m["state"]) for m in (await pair.told(0, "members"))["members"]
-                        ] == [("p1", "alive")]
+                return [
+                    (m["name"], m["state"]) for m in (await pair.told(0, "members"))["members"]
+                ] == [("p1", "alive")]
 
             await pair.until(sees)
             reader, writer = await asyncio.open_connection("127.0.0.1", pair.children[0].port)
@@ -85,18 +97,22 @@
             refused = [answer for answer in got if answer.startswith(b"-BUSY ")]
             assert served + len(refused) == 400 and 60 <= served <= 140
             assert all(40 <= int(answer.split()[1]) <= 1500 for answer in refused)
-            budget, = (await pair.told(0, "budgets"))["budgets"]
+            (budget,) = (await pair.told(0, "budgets"))["budgets"]
             assert budget["let_in"] == served and budget["turned_away"] == len(refused)
             for what, shows in (("members", "p1"), ("beliefs", "node"), ("budgets", "acme")):
-                shown = await asyncio.to_thread(CliRunner().invoke, app, [
-                    "fleet", what, "--operator", str(tmp_path / "p0.toml")])
+                shown = await asyncio.to_thread(
+                    CliRunner().invoke,
+                    app,
+                    ["fleet", what, "--operator", str(tmp_path / "p0.toml")],
+                )
                 assert shown.exit_code == 0 and shows in shown.output, shown.output
             assert os.stat(tmp_path / "0.sock").st_mode & 0o077 == 0
 
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as flood:
                 for n in range(3000):
-                    flood.sendto(b"LBf\x01" + bytes([n % 256]) * (n % 1400),
-                                 ("127.0.0.1", pair.ports[0]))
+                    flood.sendto(
+                        b"LBf\x01" + bytes([n % 256]) * (n % 1400), ("127.0.0.1", pair.ports[0])
+                    )
             assert await sees()
 
             pair.operator(0, budget=[{"name": "acme", "per_s": 10.0, "tenant": "acme"}])
@@ -135,9 +151,12 @@
             taken.bind(("127.0.0.1", 0))
             pair.ports[0] = taken.getsockname()[1]
             process = await asyncio.create_subprocess_exec(
-                *Child(tmp_path, "p0")._command, "--operator", str(pair.operator(0)),
-                stderr=asyncio.subprocess.PIPE, env=os.environ | {"PROXY_CONFIG": str(
-                    _config(tmp_path))})
+                *Child(tmp_path, "p0")._command,
+                "--operator",
+                str(pair.operator(0)),
+                stderr=asyncio.subprocess.PIPE,
+                env=os.environ | {"PROXY_CONFIG": str(_config(tmp_path))},
+            )
             _, said = await process.communicate()
         assert process.returncode == 1
         assert b"[sharing]" in said and b"Traceback" not in said
--- a/tests/test_sharing_talk.py
+++ b/tests/test_sharing_talk.py
@@ -68,10 +68,15 @@
         self.kernel = Kernel(1, start=1000.0)
         self.loop = VirtualLoop(self.kernel)
         self.sent: list[Envelope] = []
-        net = SocketNetwork(self.loop, make=self.kernel.maker("p0"),
-                            clock=lambda: WALL + self.kernel.now)
-        table = SharingTable(listen="127.0.0.1:7000", proxies=2, loan_s=1.0, **{
-            "budget": (BudgetTable("b", 20.0),), **more})
+        net = SocketNetwork(
+            self.loop, make=self.kernel.maker("p0"), clock=lambda: WALL + self.kernel.now
+        )
+        table = SharingTable(
+            listen="127.0.0.1:7000",
+            proxies=2,
+            loan_s=1.0,
+            **{"budget": (BudgetTable("b", 20.0),), **more},
+        )
         self.proxy = Proxy()
         self.sharing = Sharing(table, KEYS, "p0", "a", 1000.0, net, self.proxy, life="l0")
         send = self.sharing._box.send
@@ -86,14 +91,32 @@
         self.number = 0
         self.hears(Rumor("p1", "l1", 1, "a", "127.0.0.1:7001"))
 
-    def hears(self, *items: Item, name: str = "p1", life: str = "l1", to: str = "p0",
-              to_life: str = "l0", heard: int = 0, at: float | None = None,
-              number: int = 0) -> bytes:
+    def hears(
+        self,
+        *items: Item,
+        name: str = "p1",
+        life: str = "l1",
+        to: str = "p0",
+        to_life: str = "l0",
+        heard: int = 0,
+        at: float | None = None,
+        number: int = 0,
+    ) -> bytes:
         self.number += 1
         wall = WALL + self.kernel.now if at is None else at
-        data = KEYS.seal(Envelope(name, life, 1, number or self.number, to, to_life, heard,
-                                  int(wall * 1000.0),
-                                  [wire.raw(wire.packed(item)) for item in items]))
+        data = KEYS.seal(
+            Envelope(
+                name,
+                life,
+                1,
+                number or self.number,
+                to,
+                to_life,
+                heard,
+                int(wall * 1000.0),
+                [wire.raw(wire.packed(item)) for item in items],
+            )
+        )
         self.sharing.datagram(data, ORIGIN)
         return data
 
@@ -101,8 +124,12 @@
         self.loop.run_until_complete(asyncio.sleep(seconds))
 
     def said(self, kind: type[Item]) -> list[Any]:
-        return [item for envelope in self.sent for item in wire.items(envelope)
-                if isinstance(item, kind)]
+        return [
+            item
+            for envelope in self.sent
+            for item in wire.items(envelope)
+            if isinstance(item, kind)
+        ]
 
     @property
     def loans(self) -> Any:
@@ -121,10 +148,13 @@
     assert one.loans.lent(one.kernel.now) == 0
 
 
-@pytest.mark.parametrize("wrong", [
-    {"to_life": "before"}, {"to": "p7"}, {"name": "p9", "life": "l9"}, {"life": "l1-before"}])
+@pytest.mark.parametrize(
+    "wrong",
+    [{"to_life": "before"}, {"to": "p7"}, {"name": "p9", "life": "l9"}, {"life": "l1-before"}],
+)
 def test_a_loan_is_believed_of_the_member_that_was_asked_by_the_life_that_asked(
-        wrong: dict[str, str]) -> None:
+    wrong: dict[str, str],
+) -> None:
     one = One()
     one.run(1.5)
     number = one.loans.ask(one.kernel.now, "p1")
@@ -188,7 +218,7 @@
     assert told() == ["sharing.spent"]
     one.run(6.0)
     assert told() == ["sharing.spent", "sharing.room"]
-    shown, = look(one.sharing, "budgets")["budgets"]
+    (shown,) = look(one.sharing, "budgets")["budgets"]
     assert shown["let_in"] + shown["turned_away"] == 600
 
 
@@ -261,8 +291,12 @@
 
 def test_sums_that_make_no_sense_are_left_out() -> None:
     strain = Strain()
-    for wrong in (Came(True, 1.0, 2.0, 1.0, 1.0, 0.0), Came(True, 1.0, 1.0, 1.0, 1.0, 2.0),
-                  Came(True, 0.0, 0.0, 0.0, 0.0, 0.0), Came(True, 2.0, 1.0, 1.0, 0.0, 0.0)):
+    for wrong in (
+        Came(True, 1.0, 2.0, 1.0, 1.0, 0.0),
+        Came(True, 1.0, 1.0, 1.0, 1.0, 2.0),
+        Came(True, 0.0, 0.0, 0.0, 0.0, 0.0),
+        Came(True, 2.0, 1.0, 1.0, 0.0, 0.0),
+    ):
         for member in "abc":
             strain.heard(1.0, member, wrong)
         assert strain.round(1.5, (), 1.0) == []
@@ -272,8 +306,11 @@
 
 # --- what reaches the module ---
 def module(caches: int) -> Balancer:
-    made = Balancer(Settings(classes=(RequestClass("lookup", 300.0, 600.0, Effect.PURE),),
-                             max_attempts=3), 1, 0.0)
+    made = Balancer(
+        Settings(classes=(RequestClass("lookup", 300.0, 600.0, Effect.PURE),), max_attempts=3),
+        1,
+        0.0,
+    )
     made.on_list(0.0, ListKind.FULL, [Member(number) for number in range(caches)])
     return made
 
@@ -281,8 +318,9 @@
 def sent(made: Balancer, now: float, count: int) -> set[int]:
     found = set()
     for number in range(count):
-        for action in made.on_request(now, Request(int(now) * 1000 + number, "lookup", now + 500.0,
-                                                   key=number * 7919)):
+        for action in made.on_request(
+            now, Request(int(now) * 1000 + number, "lookup", now + 500.0, key=number * 7919)
+        ):
             if isinstance(action, Send):
                 found.add(action.cache_id)
     return found
--- a/tests/test_sharing_whole.py
+++ b/tests/test_sharing_whole.py
@@ -34,8 +34,9 @@
 
 def returned_twice(patch: pytest.MonkeyPatch) -> None:
     """A return ends whatever stands, also what was lent after it."""
-    patch.setattr(Loans, "returned",
-                  lambda self, now, borrower, number: self._lent.pop(borrower, None))
+    patch.setattr(
+        Loans, "returned", lambda self, now, borrower, number: self._lent.pop(borrower, None)
+    )
 
 
 def whole_at_once(patch: pytest.MonkeyPatch) -> None:
@@ -55,12 +56,18 @@
 
 def last_loan_alone(patch: pytest.MonkeyPatch) -> None:
     """A smaller renewal frees the rest at once, though its answer may never come."""
-    patch.setattr(Loans, "lent", lambda self, now: sum(
-        loans[-1].amount for loans in self._lent.values() if now < loans[-1].until))
+    patch.setattr(
+        Loans,
+        "lent",
+        lambda self, now: sum(
+            loans[-1].amount for loans in self._lent.values() if now < loans[-1].until
+        ),
+    )
 
 
 def any_answer(patch: pytest.MonkeyPatch) -> None:
     """An answer to an ask that was given up counts for the one that is open."""
+
     def granted(self: Loans, now: float, lender: str, number: int, amount: int) -> bool:
         asked = self._asked.pop(lender, None)
         if asked is not None and amount:
@@ -77,21 +84,38 @@
 
 def kept_after_the_return(patch: pytest.MonkeyPatch) -> None:
     """A borrower gives back and goes on."""
-    patch.setattr(Loans, "give_back", lambda self, lender: max(
-        self._asked.get(lender, (0, 0.0))[0],
-        self._held[lender].number if lender in self._held else 0))
-
-
-PLANTS = [from_the_receipt, returned_twice, whole_at_once, no_drift, last_loan_alone, any_answer,
-          late_answer_returned, kept_after_the_return]
+    patch.setattr(
+        Loans,
+        "give_back",
+        lambda self, lender: max(
+            self._asked.get(lender, (0, 0.0))[0],
+            self._held[lender].number if lender in self._held else 0,
+        ),
+    )
+
+
+PLANTS = [
+    from_the_receipt,
+    returned_twice,
+    whole_at_once,
+    no_drift,
+    last_loan_alone,
+    any_answer,
+    late_answer_returned,
+    kept_after_the_return,
+]
 
 
 @pytest.mark.parametrize("plant", PLANTS)
 def test_a_planted_fault_is_found_with_its_shortest_story(
-        plant: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
     plant(monkeypatch)
     crashes = int(plant is whole_at_once)
-    found = check(World(Bounds(times=3, asks=2, backs=1, copies=1, crashes=crashes)),
-                  most=120_000, stop_at_first=True)
+    found = check(
+        World(Bounds(times=3, asks=2, backs=1, copies=1, crashes=crashes)),
+        most=120_000,
+        stop_at_first=True,
+    )
     assert "the sum" in found.stories, found
     assert len(found.stories["the sum"]) <= 9
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -37,10 +37,14 @@
         """The cache that a key's request goes to."""
         self.now += 50.0
         self._last += 1
-        send, = [a for a in self.balancer.on_request(self.now, Request(
-            self._last, "lookup", self.now + 600.0, key)) if isinstance(a, Send)]
-        self.balancer.on_outcome(self.now + 1.0, Outcome(
-            self._last, 0, Result.OK, True, 1.0, True))
+        (send,) = [
+            a
+            for a in self.balancer.on_request(
+                self.now, Request(self._last, "lookup", self.now + 600.0, key)
+            )
+            if isinstance(a, Send)
+        ]
+        self.balancer.on_outcome(self.now + 1.0, Outcome(self._last, 0, Result.OK, True, 1.0, True))
         self.now += 1.0
         return send.cache_id
 
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -37,8 +37,9 @@
 WALL = 1e12  # Unix ms at the loop's 0
 
 
-def entry(name: str, state: CacheState = READY, port: int = 0, started: float = 0.0,
-          hint: bool = False) -> Entry:
+def entry(
+    name: str, state: CacheState = READY, port: int = 0, started: float = 0.0, hint: bool = False
+) -> Entry:
     address = None if state is GONE else Address("10.0.0.1", port or 1000 + int(name[1:]))
     return Entry(name, state, address, "", "", 0, 1.0, started, hint=hint)
 
@@ -185,8 +186,10 @@
 
 def test_being_registered_anew_is_no_later_start() -> None:
     made, belief = Merge(("a", "b"), TABLE, 0.0), Belief(ConsulTable())
-    node = {f"n{number}": Instance(f"n{number}", Address("10.0.0.1", 1000 + number),
-                                   Health.PASSING) for number in range(4)}
+    node = {
+        f"n{number}": Instance(f"n{number}", Address("10.0.0.1", 1000 + number), Health.PASSING)
+        for number in range(4)
+    }
 
     def consul_says(at: float, seen: dict[str, Instance]) -> None:
         belief.take(at, WALL + at * 1000.0, seen)
@@ -204,8 +207,12 @@
 
 def test_who_starts_at_the_address_of_one_that_is_gone_stays() -> None:
     made = merge()
-    made.take(1.0, WALL, "a", Listing(2, False, (
-        entry("n1", GONE), entry("m1", port=1001, started=WALL - 60_000.0))))
+    made.take(
+        1.0,
+        WALL,
+        "a",
+        Listing(2, False, (entry("n1", GONE), entry("m1", port=1001, started=WALL - 60_000.0))),
+    )
     made.take(2.0, WALL, "b", Listing(2, False, (entry("n1", GONE),)))
     assert names(made) == {"n0", "n2", "n3", "m1"}
 
@@ -230,14 +237,18 @@
     assert names(made) == {"n0", "n1", "n2", "n3"}  # theirs were the first
 
 
-Step = st.tuples(st.sampled_from(("a", "b", "c")), st.sampled_from(("list", "lost", "tick")),
-                 st.lists(st.tuples(st.integers(0, 5), st.sampled_from((READY, DRAINING, GONE))),
-                          max_size=6), st.booleans())
+Step = st.tuples(
+    st.sampled_from(("a", "b", "c")),
+    st.sampled_from(("list", "lost", "tick")),
+    st.lists(st.tuples(st.integers(0, 5), st.sampled_from((READY, DRAINING, GONE))), max_size=6),
+    st.booleans(),
+)
 
 
 @given(st.lists(Step, max_size=40))
 def test_whatever_is_told_a_drain_holds_and_the_speaker_is_one_that_was_heard(
-        steps: list[Any]) -> None:
+    steps: list[Any],
+) -> None:
     made, now, heard = Merge(("a", "b", "c"), TABLE, 0.0), 0.0, set()
     drains: dict[str, set[str]] = {"a": set(), "b": set(), "c": set()}
     for source, what, told, is_whole in steps:
@@ -264,15 +275,21 @@
     belief, told = Belief(ConsulTable()), Differences()
 
     def seen(**healths: Health) -> list[Entry]:
-        belief.take(0.0, WALL, {name: Instance(name, Address("10.0.0.1", 1000 + int(name[1:])),
-                                               health) for name, health in healths.items()})
+        belief.take(
+            0.0,
+            WALL,
+            {
+                name: Instance(name, Address("10.0.0.1", 1000 + int(name[1:])), health)
+                for name, health in healths.items()
+            },
+        )
         return told.of(belief, 0.0)[1]
 
     good = {"n1": Health.PASSING, "n2": Health.PASSING}
     assert len(seen(n0=Health.PASSING, **good)) == 3
-    sick, = seen(n0=Health.CRITICAL, **good)
+    (sick,) = seen(n0=Health.CRITICAL, **good)
     assert sick.state is GONE and sick.hint
-    gone, = seen(**good)
+    (gone,) = seen(**good)
     assert gone.state is GONE and not gone.hint
     assert seen(**good) == []
 
@@ -281,15 +298,31 @@
 def test_the_catalogue_is_read_without_checks_and_with_the_drain_tag() -> None:
     table = ConsulTable(endpoint="catalog")
     assert Query(table).target() == "/v1/catalog/service/cache"
-    row = {"ID": "u", "Node": "m1", "Address": "10.0.0.9", "ServiceID": "c1",
-           "ServiceName": "cache", "ServiceAddress": "", "ServicePort": 7, "ServiceTags": [],
-           "ServiceMeta": {"zone": "paterno"}, "ServiceWeights": {"Passing": 2, "Warning": 1}}
-    found = Reader(table).read(json.dumps([
-        row, row | {"ServiceID": "c2", "ServiceTags": ["draining"]},
-        row | {"ServiceID": "c3", "ServicePort": 0}]).encode())
+    row = {
+        "ID": "u",
+        "Node": "m1",
+        "Address": "10.0.0.9",
+        "ServiceID": "c1",
+        "ServiceName": "cache",
+        "ServiceAddress": "",
+        "ServicePort": 7,
+        "ServiceTags": [],
+        "ServiceMeta": {"zone": "paterno"},
+        "ServiceWeights": {"Passing": 2, "Warning": 1},
+    }
+    found = Reader(table).read(
+        json.dumps(
+            [
+                row,
+                row | {"ServiceID": "c2", "ServiceTags": ["draining"]},
+                row | {"ServiceID": "c3", "ServicePort": 0},
+            ]
+        ).encode()
+    )
     assert found == {
         "c1": Instance("c1", Address("10.0.0.9", 7), Health.PASSING, "paterno", weight=2.0),
-        "c2": Instance("c2", Address("10.0.0.9", 7), Health.DRAINS, "paterno", weight=2.0)}
+        "c2": Instance("c2", Address("10.0.0.9", 7), Health.DRAINS, "paterno", weight=2.0),
+    }
 
 
 def test_an_agents_cache_is_asked_and_its_age_heeded_but_not_for_the_leaders_word() -> None:
@@ -312,8 +345,10 @@
         path = tmp_path / "nodes.json"
 
         def listed(*drains: int) -> list[dict[str, Any]]:
-            return [node.entry(f"s-{number}", "terminating" if number in drains else "in_service")
-                    for number, node in enumerate(nodes)]
+            return [
+                node.entry(f"s-{number}", "terminating" if number in drains else "in_service")
+                for number, node in enumerate(nodes)
+            ]
 
         def write(*drains: int) -> None:
             fresh = tmp_path / "fresh"
@@ -324,10 +359,17 @@
         async with Rig(*nodes) as rig:
             rig.discovery.lines.append({"generation": 5, "reset": True, "instances": listed()})
             operator = Operator(
-                consul=ConsulTable(agents=(f"127.0.0.1:{agent.port}",), least_interval_s=0.01,
-                                   wait_s=0.5),
-                membership=MembershipTable(sources=("consul", "platform", "file"), file=str(path),
-                                           file_every_s=0.02, patience_s=0.4, settle_s=0.05))
+                consul=ConsulTable(
+                    agents=(f"127.0.0.1:{agent.port}",), least_interval_s=0.01, wait_s=0.5
+                ),
+                membership=MembershipTable(
+                    sources=("consul", "platform", "file"),
+                    file=str(path),
+                    file_every_s=0.02,
+                    patience_s=0.4,
+                    settle_s=0.05,
+                ),
+            )
             answers: list[bytes] = []
 
             async def load() -> None:
@@ -336,8 +378,9 @@
 
             def used() -> set[str]:
                 known = set(rig.proxy.nodes)
-                return {name for name in ("s-0", "s-1", "s-2")
-                        if stable_hash(name.encode()) in known}
+                return {
+                    name for name in ("s-0", "s-1", "s-2") if stable_hash(name.encode()) in known
+                }
 
             def speaks() -> str | None:
                 return rig.proxy._watch._watch._spoke  # type: ignore[attr-defined]
@@ -378,8 +421,16 @@
         path = tmp_path / "nodes.json"
         path.write_text(json.dumps({"instances": [nodes[0].entry("f0")]}))
         async with Rig(*nodes) as rig:
-            rig.proxy.reload(replace(rig.config, operator=Operator(membership=MembershipTable(
-                sources=("file",), file=str(path), file_every_s=0.02))))
+            rig.proxy.reload(
+                replace(
+                    rig.config,
+                    operator=Operator(
+                        membership=MembershipTable(
+                            sources=("file",), file=str(path), file_every_s=0.02
+                        )
+                    ),
+                )
+            )
             # At a known address the node keeps the name that it had.
             await until(lambda: rig.proxy.nodes == [stable_hash(b"s-0")])
             watch = rig.proxy._watch._watch
@@ -399,8 +450,14 @@
         path = tmp_path / "nodes.json"
         os.mkfifo(path)
         async with Rig(await CacheNode(serves).start()) as rig:
-            rig.proxy.reload(replace(rig.config, operator=Operator(membership=MembershipTable(
-                sources=("file",), file=str(path)))))
+            rig.proxy.reload(
+                replace(
+                    rig.config,
+                    operator=Operator(
+                        membership=MembershipTable(sources=("file",), file=str(path))
+                    ),
+                )
+            )
             watch = rig.proxy._watch._watch
             await until(lambda: watch._timer is not None)  # type: ignore[attr-defined]
             await until(lambda: watch._timer is None)  # type: ignore[attr-defined]
@@ -410,10 +467,12 @@
 
 
 def test_wrong_sources_are_named() -> None:
-    for table, said in (({"sources": ["consul"]}, "agents names nobody"),
-                        ({"sources": ["file"]}, "file names none"),
-                        ({"sources": ["platform", "platform"]}, "twice"),
-                        ({"sources": ["etcd"]}, "Invalid enum value")):
+    for table, said in (
+        ({"sources": ["consul"]}, "agents names nobody"),
+        ({"sources": ["file"]}, "file names none"),
+        ({"sources": ["platform", "platform"]}, "twice"),
+        ({"sources": ["etcd"]}, "Invalid enum value"),
+    ):
         with pytest.raises(ConfigError, match=r"^f: \[membership\] sources: ") as raised:
             parse_operator({"membership": table}, "f")
         assert said in str(raised.value)
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -9,9 +9,14 @@
 BUFFER = 64 * 1024
 
 
-
-def read(standing: Standing, turn: int, now: float, count: int = 100, emptied: bool = True,
-         lost: float = 0.0) -> float:
+def read(
+    standing: Standing,
+    turn: int,
+    now: float,
+    count: int = 100,
+    emptied: bool = True,
+    lost: float = 0.0,
+) -> float:
     """What the command read then may have stood, in s."""
     standing.reads(turn, now, lost)
     age = standing.waited(now)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -64,15 +64,25 @@
         return [t if isinstance(t, str) else t[0] for t in self.told] == list(told)
 
 
-def connected(folder: Path, part: Callable[[TlsStream, Owner], Awaitable[None]],
-              serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
-              tls: ssl.SSLContext | None, files: TlsFiles, limit: float = 5.0) -> None:
+def connected(
+    folder: Path,
+    part: Callable[[TlsStream, Owner], Awaitable[None]],
+    serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+    tls: ssl.SSLContext | None,
+    files: TlsFiles,
+    limit: float = 5.0,
+) -> None:
     async def run() -> None:
         listening = await asyncio.start_server(serve, "127.0.0.1", 0, ssl=tls)
         port = listening.sockets[0].getsockname()[1]
         owner = Owner()
-        stream = TlsStream(SocketNetwork(asyncio.get_running_loop()), Address("127.0.0.1", port),
-                           owner, limit, TlsKeys(files))
+        stream = TlsStream(
+            SocketNetwork(asyncio.get_running_loop()),
+            Address("127.0.0.1", port),
+            owner,
+            limit,
+            TlsKeys(files),
+        )
         await part(stream, owner)
         stream.abort()
         await until(lambda: owner.told and owner.told[-1][0] == "lost")
@@ -138,8 +148,11 @@
 @pytest.mark.parametrize("wrong", ["authority", "name", "plain", "silent", "no certificate"])
 def test_a_peer_that_is_not_who_it_should_be_is_never_opened(tmp_path: Path, wrong: str) -> None:
     authority, other = trustme.CA(), trustme.CA()
-    context = {"authority": server(other), "name": server(authority, "10.0.0.1"),
-               "no certificate": server(authority, demands=other)}.get(wrong)
+    context = {
+        "authority": server(other),
+        "name": server(authority, "10.0.0.1"),
+        "no certificate": server(authority, demands=other),
+    }.get(wrong)
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if wrong == "plain":
@@ -156,8 +169,14 @@
             assert owner.told[-1][1]
         assert not owner.data
 
-    connected(tmp_path, part, serve, context, TlsFiles(ca_file(authority, tmp_path)),
-              limit=0.5 if wrong == "silent" else 5.0)
+    connected(
+        tmp_path,
+        part,
+        serve,
+        context,
+        TlsFiles(ca_file(authority, tmp_path)),
+        limit=0.5 if wrong == "silent" else 5.0,
+    )
 
 
 def test_a_stream_without_usable_files_is_lost_and_says_why(tmp_path: Path) -> None:
@@ -169,7 +188,8 @@
 
 
 def test_keys_are_read_anew_when_they_change_and_kept_when_they_break(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     said: list[str] = []
     monkeypatch.setattr("violetroute.transport.tls.tell", lambda name, **more: said.append(name))
     keys = TlsKeys(TlsFiles(ca_file(trustme.CA(), tmp_path)))
@@ -184,14 +204,21 @@
 
 
 # --- Consul over TLS ---
-def follow(folder: Path, part: Callable[[Rig, Consul, Catalogue], Awaitable[None]],
-           tls: ssl.SSLContext, **table: str) -> None:
+def follow(
+    folder: Path,
+    part: Callable[[Rig, Consul, Catalogue], Awaitable[None]],
+    tls: ssl.SSLContext,
+    **table: str,
+) -> None:
     async def run() -> None:
         catalogue, node = Catalogue(), await CacheNode(serves).start()
         agent = await Consul(catalogue).start(tls=tls)
         catalogue.register("c0", node.port, address="127.0.0.1")
-        operator = Operator(consul=ConsulTable(
-            agents=(f"127.0.0.1:{agent.port}",), least_interval_s=0.01, wait_s=0.5, **table))
+        operator = Operator(
+            consul=ConsulTable(
+                agents=(f"127.0.0.1:{agent.port}",), least_interval_s=0.01, wait_s=0.5, **table
+            )
+        )
         async with Rig(node, operator=operator) as rig:
             await part(rig, agent, catalogue)
         await agent.stop()
@@ -209,9 +236,14 @@
         catalogue.maintain("c0", True)
         await until(lambda: not rig.proxy.nodes)
 
-    follow(tmp_path, part, server(authority, "consul.example", demands=ours),
-           tls_ca_file=ca_file(authority, tmp_path), tls_cert_file=str(tmp_path / "mine.pem"),
-           tls_name="consul.example")
+    follow(
+        tmp_path,
+        part,
+        server(authority, "consul.example", demands=ours),
+        tls_ca_file=ca_file(authority, tmp_path),
+        tls_cert_file=str(tmp_path / "mine.pem"),
+        tls_name="consul.example",
+    )
 
 
 def test_an_authority_that_is_replaced_in_service_is_taken_on(tmp_path: Path) -> None:
@@ -236,12 +268,19 @@
     path = ca_file(authority, tmp_path)
     locked, mine = tmp_path / "locked.pem", authority.issue_cert("proxy.example")
     key = serialization.load_pem_private_key(mine.private_key_pem.bytes(), None)
-    locked.write_bytes(mine.cert_chain_pems[0].bytes() + key.private_bytes(
-        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8,
-        serialization.BestAvailableEncryption(b"word")))
-    for text in (f"tls_ca_file = '{tmp_path}/none.pem'",
-                 f"tls_ca_file = '{path}'\ntls_cert_file = '{path}'",
-                 f"tls_ca_file = '{path}'\ntls_cert_file = '{locked}'"):  # asks nobody for a word
+    locked.write_bytes(
+        mine.cert_chain_pems[0].bytes()
+        + key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.BestAvailableEncryption(b"word"),
+        )
+    )
+    for text in (
+        f"tls_ca_file = '{tmp_path}/none.pem'",
+        f"tls_ca_file = '{path}'\ntls_cert_file = '{path}'",
+        f"tls_ca_file = '{path}'\ntls_cert_file = '{locked}'",
+    ):  # asks nobody for a word
         with pytest.raises(ConfigError, match=r"\[consul\] tls files: .*pem") as raised:
             loaded(tmp_path, raw, f"[consul]\n{text}")
         assert "\n" not in str(raised.value)
--- a/tests/test_vary_blame.py
+++ b/tests/test_vary_blame.py
@@ -20,20 +20,34 @@
 
 # --- vary ---
 def test_a_key_is_named_as_a_person_would() -> None:
-    made = varied(load("site-lost"), {
-        "proxies.count": 1, "box.fast.slots": 3, "event.1.lasts": 4.0, "load.scale": 0.5,
-        "class.lookup.aim_ms": 200.0})
+    made = varied(
+        load("site-lost"),
+        {
+            "proxies.count": 1,
+            "box.fast.slots": 3,
+            "event.1.lasts": 4.0,
+            "load.scale": 0.5,
+            "class.lookup.aim_ms": 200.0,
+        },
+    )
     assert made.proxies.count == 1 and made.event[0].lasts == 4.0
     assert next(b.slots for b in made.box if b.name == "fast") == 3
     assert made.load.curve[0].rate == 200.0 and made.classes[0].aim_ms == 200.0
     assert load("site-lost").proxies.count == 6
 
 
-@pytest.mark.parametrize(("key", "value", "said"), [
-    ("proxies.cont", 1, "no 'cont'"), ("box.slow.slots", 1, "no 'slow'"),
-    ("event.2.lasts", 1.0, "no '2'"), ("proxies.count", 0, "count"),
-    ("class.lookup.aim_ms", 900.0, "above its deadline"), ("load.scale", -1, "load.scale"),
-    ("event.1.site", "z", "no site 'z'")])
+@pytest.mark.parametrize(
+    ("key", "value", "said"),
+    [
+        ("proxies.cont", 1, "no 'cont'"),
+        ("box.slow.slots", 1, "no 'slow'"),
+        ("event.2.lasts", 1.0, "no '2'"),
+        ("proxies.count", 0, "count"),
+        ("class.lookup.aim_ms", 900.0, "above its deadline"),
+        ("load.scale", -1, "load.scale"),
+        ("event.1.site", "z", "no site 'z'"),
+    ],
+)
 def test_what_there_is_not_is_one_line_that_names_it(key: str, value: object, said: str) -> None:
     with pytest.raises(ConfigError) as error:
         varied(load("site-lost"), {key: value})
@@ -42,8 +56,10 @@
 
 def test_the_operators_file_is_a_part_of_a_scenario(tmp_path: Path) -> None:
     path = tmp_path / "short.toml"
-    path.write_text('[run]\nseconds = 3.0\n[load]\ncurve = [{at = 0.0, rate = 40.0}]\n'
-                    '[operator.limits]\ndepth = 4\n')
+    path.write_text(
+        "[run]\nseconds = 3.0\n[load]\ncurve = [{at = 0.0, rate = 40.0}]\n"
+        "[operator.limits]\ndepth = 4\n"
+    )
     made = load(str(path))
     assert made.operator.limits.depth == 4
     other = varied(made, {"operator.limits.depth": 9, "operator.log.level": "error"})
@@ -59,7 +75,8 @@
     large = at_size(small)
     assert (large.size, large.proxies.count) == (46, 710)
     assert large.load.curve[0].rate / large.capacity == pytest.approx(
-        small.load.curve[0].rate / small.capacity)
+        small.load.curve[0].rate / small.capacity
+    )
     for site in ("catania-nord", "acireale", "paterno"):
         part = [sum(b.at.get(site, 0) for b in made.box) / made.size for made in (small, large)]
         assert abs(part[0] - part[1]) < 0.03
@@ -67,10 +84,11 @@
 
 def test_a_changed_run_at_the_keyboard(tmp_path: Path) -> None:
     path = tmp_path / "short.toml"
-    path.write_text('[run]\nseconds = 4.0\n[load]\ncurve = [{at = 0.0, rate = 40.0}]\n')
+    path.write_text("[run]\nseconds = 4.0\n[load]\ncurve = [{at = 0.0, rate = 40.0}]\n")
     runner = CliRunner()
-    told = runner.invoke(app, ["rehearse", str(path), "--set", "proxies.count=2",
-                               "--set", "load.scale=2", "--json"])
+    told = runner.invoke(
+        app, ["rehearse", str(path), "--set", "proxies.count=2", "--set", "load.scale=2", "--json"]
+    )
     whole = runner.invoke(app, ["rehearse", str(path), "--json"])
     asked = [json.loads(each.stdout)["runs"][0]["asked"] for each in (told, whole)]
     assert asked[0] > 1.5 * asked[1]
@@ -86,28 +104,39 @@
 SEEN = Seen({"a": [(10.3, "n1")]}, {}, [0.5] * 20)
 
 
-@pytest.mark.parametrize(("each", "seen", "what"), [
-    (asked("served", 10.4), SEEN, None),
-    (asked("refused"), Seen({}, {}, [0.5] * 20), blame.ROOM),
-    (asked("refused"), Seen({}, {}, [0.05] * 20), blame.FULL),
-    (asked("out of time"), Seen({}, {}, [0.5] * 20), blame.SILENT),
-    (asked("out of time"), Seen({"a": [(10.3, "n1")]}, {"n1": [(4.0, 12.0)]}, []), blame.KNOWN),
-    (asked("out of time"), Seen({"a": [(10.3, "n1")]}, {"n1": [(9.5, 12.0)]}, []), blame.NEWS),
-    (asked("out of time"), Seen({"a": [(10.3, "n1")]}, {"n1": [(4.0, 8.0)]}, []), blame.ONCE),
-    (asked("served", 11.0), SEEN, blame.ONCE),
-    (asked("served", 11.0), Seen({"a": [(10.3, "n1"), (10.4, "n2")]}, {}, []), blame.LATE),
-    (asked("refused"), SEEN, blame.NODE)])
+@pytest.mark.parametrize(
+    ("each", "seen", "what"),
+    [
+        (asked("served", 10.4), SEEN, None),
+        (asked("refused"), Seen({}, {}, [0.5] * 20), blame.ROOM),
+        (asked("refused"), Seen({}, {}, [0.05] * 20), blame.FULL),
+        (asked("out of time"), Seen({}, {}, [0.5] * 20), blame.SILENT),
+        (asked("out of time"), Seen({"a": [(10.3, "n1")]}, {"n1": [(4.0, 12.0)]}, []), blame.KNOWN),
+        (asked("out of time"), Seen({"a": [(10.3, "n1")]}, {"n1": [(9.5, 12.0)]}, []), blame.NEWS),
+        (asked("out of time"), Seen({"a": [(10.3, "n1")]}, {"n1": [(4.0, 8.0)]}, []), blame.ONCE),
+        (asked("served", 11.0), SEEN, blame.ONCE),
+        (asked("served", 11.0), Seen({"a": [(10.3, "n1"), (10.4, "n2")]}, {}, []), blame.LATE),
+        (asked("refused"), SEEN, blame.NODE),
+    ],
+)
 def test_what_became_of_a_first_try(each: Asked, seen: Seen, what: str | None) -> None:
     assert fate(each, seen) == what
 
 
 def test_a_second_names_what_cost_it_most() -> None:
-    found = [asked("refused"), asked("out of time"), asked("out of time"),
-             asked("served", 10.4), asked("refused", at=12.1)]
+    found = [
+        asked("refused"),
+        asked("out of time"),
+        asked("out of time"),
+        asked("served", 10.4),
+        asked("refused", at=12.1),
+    ]
     seen = Seen({}, {}, [0.5] * 20)
     told = costs(found, seen)
     assert [(c.second, c.lost, c.by) for c in told] == [
-        (10, 6.0, blame.SILENT), (12, 2.0, blame.ROOM)]
+        (10, 6.0, blame.SILENT),
+        (12, 2.0, blame.ROOM),
+    ]
     assert told[0].part == pytest.approx(2.0 / 3.0)
     assert totals(found, seen) == pytest.approx({blame.SILENT: 0.4, blame.ROOM: 0.4})
 
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -109,8 +109,9 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         answers = []
         for number in range(20):
-            writer.write(command(b"OBJ.GET", b"k%d" % number, b"id%d" % number,
-                                 b"c=lookup,t=x,d=5000"))
+            writer.write(
+                command(b"OBJ.GET", b"k%d" % number, b"id%d" % number, b"c=lookup,t=x,d=5000")
+            )
             answers.append(await read_answer(reader))
             await asyncio.sleep(0.5)
         writer.close()
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -39,8 +39,14 @@
     def __init__(self, config: Config, net: SocketNetwork, logs: Logs) -> None:
         self.config, self._logs = config, logs
         self.proxy = Proxy(config, net)
-        self.listener = Listener(self.proxy, config.client_sockets, config.value_room, net,
-                                 config.limits, _dialect(config))
+        self.listener = Listener(
+            self.proxy,
+            config.client_sockets,
+            config.value_room,
+            net,
+            config.limits,
+            _dialect(config),
+        )
         self.ledger = _ledger(config, net)
         if self.ledger is not None:
             self.proxy.parts.served.append(self.ledger.served)
@@ -66,8 +72,11 @@
         except ConfigError as error:
             tell("config.unusable", reason=str(error))
             return
-        fixed = [name for name in ("name", "listen", "sockets", "memory_mb")
-                 if getattr(config, name) != getattr(before, name)]
+        fixed = [
+            name
+            for name in ("name", "listen", "sockets", "memory_mb")
+            if getattr(config, name) != getattr(before, name)
+        ]
         fixed += restart_needed(before.operator, config.operator)
         if fixed:
             tell("config.restart_needed", keys=",".join(fixed))
@@ -82,8 +91,11 @@
         if self.sharing is not None and "sharing" not in fixed:
             self.sharing.configure(config.operator.sharing)
             self.sharing.max_backoff = config.settings.max_backoff
-        tell("config.reloaded", discovery=f"{config.discovery.host}:{config.discovery.port}",
-             operator=config.operator_path or "")
+        tell(
+            "config.reloaded",
+            discovery=f"{config.discovery.host}:{config.discovery.port}",
+            operator=config.operator_path or "",
+        )
 
 
 def _ledger(config: Config, net: SocketNetwork) -> Ledger | None:
@@ -108,8 +120,14 @@
         return None
     from .sharing.make import make_sharing
 
-    return make_sharing(config.operator.sharing, config.name, config.settings.zone,
-                        config.settings.max_backoff, net, proxy)
+    return make_sharing(
+        config.operator.sharing,
+        config.name,
+        config.settings.zone,
+        config.settings.max_backoff,
+        net,
+        proxy,
+    )
 
 
 def _dialect(config: Config) -> Dialect | None:
@@ -139,8 +157,9 @@
         self.pending = True
 
 
-async def serve(config: Config, logs: Logs, turns: Turns | None = None,
-                early: EarlySignal | None = None) -> int:
+async def serve(
+    config: Config, logs: Logs, turns: Turns | None = None, early: EarlySignal | None = None
+) -> int:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(report)
     ended = asyncio.Event()
@@ -159,8 +178,11 @@
     try:
         address = daemon.listener.start(config.listen)
     except OSError as error:
-        print(f"violetroute: cannot listen on {config.listen.host}:{config.listen.port}: "
-              f"{error.strerror}", file=sys.stderr)
+        print(
+            f"violetroute: cannot listen on {config.listen.host}:{config.listen.port}: "
+            f"{error.strerror}",
+            file=sys.stderr,
+        )
         return 1
     gc.freeze()  # what start-up made stays; collections need not walk it
     gc.set_threshold(GC_THRESHOLD, 20, 20)
@@ -190,8 +212,11 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="violetroute", description="The limebridge proxy.")
-    parser.add_argument("--operator", metavar="FILE",
-                        help="the operator's file (TOML); wins over LIMEBRIDGE_OPERATOR")
+    parser.add_argument(
+        "--operator",
+        metavar="FILE",
+        help="the operator's file (TOML); wins over LIMEBRIDGE_OPERATOR",
+    )
     options = parser.parse_args()
     early = EarlySignal()
     signal.signal(signal.SIGHUP, early.came)
--- a/violetroute/clients/assembly.py
+++ b/violetroute/clients/assembly.py
@@ -32,8 +32,9 @@
     def holds(self) -> bool:
         return self._charge > 0
 
-    def take(self, token: resp.Token, who: Hashable,
-             granted: Callable[[], None]) -> list[bytes | bytearray] | None:
+    def take(
+        self, token: resp.Token, who: Hashable, granted: Callable[[], None]
+    ) -> list[bytes | bytearray] | None:
         """The arguments once they are all there.  ProtocolError: it is no command.
 
         `granted` is told when the budget has room for what is awaited, and calls `grant`.
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -72,8 +72,9 @@
         self._decoder.feed(_shared[:count])
         self._pump()
         if self._standing.marked and self._stream is not None:
-            self._standing.has_read(count, self._loop.time(), count < READ_SIZE,
-                                    self._stream.receive_buffer())
+            self._standing.has_read(
+                count, self._loop.time(), count < READ_SIZE, self._stream.receive_buffer()
+            )
 
     def ended(self) -> None:
         """A client that closes has gone away; what was written to it may still reach it."""
@@ -259,8 +260,14 @@
     def write_now(self, answer: Answer, parts: tuple[bytes | bytearray, ...]) -> bool:
         """The usual case: its turn has come and the client takes what is written."""
         stream = self._stream
-        if stream is None or stream.unsent or self._flushing or stream.closing \
-                or not self._answers or self._answers[0] is not answer:
+        if (
+            stream is None
+            or stream.unsent
+            or self._flushing
+            or stream.closing
+            or not self._answers
+            or self._answers[0] is not answer
+        ):
             return False
         self._answers.popleft()
         self._put(*parts)
@@ -338,8 +345,12 @@
         still.  Harm: one system call more for each close.
         """
         stream = self._stream
-        return stream is not None and not stream.closing and not self.lingers_since \
+        return (
+            stream is not None
+            and not stream.closing
+            and not self.lingers_since
             and not stream.quiet()
+        )
 
     def give_way(self) -> bool:
         """Free the slot now, but never by throwing away what the client has yet to take."""
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -30,9 +30,15 @@
 class Listener:
     """Accepts while a slot is free, and finds who must give way when none is."""
 
-    def __init__(self, taker: Taker, slots: int, room: int,
-                 net: Network, limits: Limits = DEFAULTS,
-                 dialect: Dialect | None = None) -> None:
+    def __init__(
+        self,
+        taker: Taker,
+        slots: int,
+        room: int,
+        net: Network,
+        limits: Limits = DEFAULTS,
+        dialect: Dialect | None = None,
+    ) -> None:
         self.taker, self._net, self._slots = taker, net, slots
         self.loop, self.turns = net.loop, net.turns
         self.limits = limits  # may be replaced at any time, but for its shares of the slots
@@ -110,9 +116,13 @@
         out for as long as there is a crowd.
         """
         now = self.loop.time()
-        for state, patience in ((self._lingering, 0.1), (self._idle, self.limits.idle_s),
-                                (self._silent, CROWD_PATIENCE),
-                                (self._partial, self.limits.command_s), (self._idle, IDLE_LEAST)):
+        for state, patience in (
+            (self._lingering, 0.1),
+            (self._idle, self.limits.idle_s),
+            (self._silent, CROWD_PATIENCE),
+            (self._partial, self.limits.command_s),
+            (self._idle, IDLE_LEAST),
+        ):
             for connection in list(islice(state, GIVE_WAY_LOOKS)):
                 if now - connection.since < patience:
                     break
@@ -129,8 +139,7 @@
         waited = now - connection.since
         if connection.state is self._silent:
             return waited > self.limits.first_byte_s
-        return self._taken > self.limits.crowd_share * self._slots \
-            and waited > self.limits.idle_s
+        return self._taken > self.limits.crowd_share * self._slots and waited > self.limits.idle_s
 
     # --- states ---
     def _move(self, connection: ClientConnection, state: dict[ClientConnection, None]) -> None:
@@ -208,8 +217,9 @@
         there it is not seen).  Harm: a system call for each of these in each LEAVERS seconds.
         """
         # First, as the sweep does: a fault over one must not end the looks for the others.
-        self._leaving = self.loop.call_later(LEAVERS, self._look_for_leavers) \
-            if self._unread else None
+        self._leaving = (
+            self.loop.call_later(LEAVERS, self._look_for_leavers) if self._unread else None
+        )
         for connection in list(self._unread):
             if connection.left():
                 connection.ended()
--- a/violetroute/clients/standing.py
+++ b/violetroute/clients/standing.py
@@ -27,8 +27,7 @@
 class Standing:
     """Of one connection.  Times are the loop's, in s."""
 
-    __slots__ = ("_accepted", "_clears_at", "_moves_at", "_next", "_read", "_read_at",
-                 "_since")
+    __slots__ = ("_accepted", "_clears_at", "_moves_at", "_next", "_read", "_read_at", "_since")
 
     def __init__(self) -> None:
         self._accepted = -1  # the turn, until something was read
@@ -60,8 +59,9 @@
     def reads(self, turn: int, now: float, lost: float) -> None:
         """About to read; `lost`: seconds since a pause began that ended with this turn, else 0."""
         if self._since is not None and (
-                (self._clears_at is not None and now >= self._clears_at)
-                or turn > self._accepted + 1 >= 1):  # it has come since it was accepted
+            (self._clears_at is not None and now >= self._clears_at)
+            or turn > self._accepted + 1 >= 1
+        ):  # it has come since it was accepted
             self._since = None
         if lost and (self._since is None or now - lost < self._since):
             self._mark(now - lost)
--- a/violetroute/cluster/__init__.py
+++ b/violetroute/cluster/__init__.py
@@ -6,5 +6,14 @@
 from .table import ClusterTable
 from .topology import Topology, topology
 
-__all__ = ["SLOTS", "ClusterTable", "Dialect", "Redirect", "Session", "SlotMap", "Topology",
-           "key_slot", "topology"]
+__all__ = [
+    "SLOTS",
+    "ClusterTable",
+    "Dialect",
+    "Redirect",
+    "Session",
+    "SlotMap",
+    "Topology",
+    "key_slot",
+    "topology",
+]
--- a/violetroute/cluster/dialect.py
+++ b/violetroute/cluster/dialect.py
@@ -36,8 +36,15 @@
     b"quit": (-1, ("fast",), 0, 0, 0, b"Ends the connection."),
 }
 # Commands of several keys that clients know and nobody here takes: where keys begin, and the step.
-MANY_KEYS = {b"mget": 1, b"mset": 2, b"msetnx": 2, b"del": 1, b"unlink": 1, b"exists": 1,
-             b"touch": 1}
+MANY_KEYS = {
+    b"mget": 1,
+    b"mset": 2,
+    b"msetnx": 2,
+    b"del": 1,
+    b"unlink": 1,
+    b"exists": 1,
+    b"touch": 1,
+}
 CROSS_SLOT = "CROSSSLOT Keys in request don't hash to the same slot"
 
 
@@ -62,10 +69,17 @@
         self.topology = topology
         self._ids = itertools.count(1)
         self._by_name: dict[bytes, Callable[[Session, list[bytes]], object]] = {
-            b"ping": self._ping, b"echo": lambda session, args: args[0], b"hello": self._hello,
-            b"client": self._client, b"cluster": self._cluster, b"command": self._command,
-            b"select": self._select, b"info": self._info, b"reset": self._reset,
-            b"quit": self._quit}
+            b"ping": self._ping,
+            b"echo": lambda session, args: args[0],
+            b"hello": self._hello,
+            b"client": self._client,
+            b"cluster": self._cluster,
+            b"command": self._command,
+            b"select": self._select,
+            b"info": self._info,
+            b"reset": self._reset,
+            b"quit": self._quit,
+        }
 
     def session(self) -> Session:
         """Of a new connection."""
@@ -90,8 +104,10 @@
         known = COMMANDS.get(name)
         if known is None:
             self._cross_slot(name, args)
-            raise Refused(f"ERR unknown command '{_shown(name)}', with args beginning with: "
-                          + "".join(f"'{_shown(arg)}' " for arg in args[:4]))
+            raise Refused(
+                f"ERR unknown command '{_shown(name)}', with args beginning with: "
+                + "".join(f"'{_shown(arg)}' " for arg in args[:4])
+            )
         _arity(name, known[0], len(args) + 1)
         handler = self._by_name.get(name)
         return "OK" if handler is None else handler(session, args)
@@ -114,20 +130,32 @@
         if rest:
             wanted = rest.pop(0)
             if wanted not in (b"2", b"3"):
-                raise Refused("NOPROTO unsupported protocol version" if wanted.isdigit() else
-                              "ERR Protocol version is not an integer or out of range")
+                raise Refused(
+                    "NOPROTO unsupported protocol version"
+                    if wanted.isdigit()
+                    else "ERR Protocol version is not an integer or out of range"
+                )
             version = int(wanted)
         while rest:
             option = rest.pop(0).lower()
             if option == b"auth" and len(rest) >= 2:
-                raise Refused("ERR AUTH called without any password configured for the default "
-                              "user. Are you sure your configuration is correct?")
+                raise Refused(
+                    "ERR AUTH called without any password configured for the default "
+                    "user. Are you sure your configuration is correct?"
+                )
             if option != b"setname" or not rest:
                 raise Refused(f"ERR Syntax error in HELLO option '{_shown(option)}'")
             name = _name(rest.pop(0))
         session.version, session.name = version, name
-        return {b"server": b"redis", b"version": VERSION, b"proto": version, b"id": session.id,
-                b"mode": b"cluster", b"role": b"master", b"modules": []}
+        return {
+            b"server": b"redis",
+            b"version": VERSION,
+            b"proto": version,
+            b"id": session.id,
+            b"mode": b"cluster",
+            b"role": b"master",
+            b"modules": [],
+        }
 
     def _client(self, session: Session, args: list[bytes]) -> object:
         match [args[0].lower(), *args[1:]]:
@@ -142,8 +170,11 @@
                 return session.name
             case [b"no-evict" | b"no-touch", switch] if switch.lower() in (b"on", b"off"):
                 return "OK"
-        raise _subcommand(b"client", args, {b"setname": 3, b"setinfo": 4, b"id": 2,
-                                            b"getname": 2, b"no-evict": 3, b"no-touch": 3})
+        raise _subcommand(
+            b"client",
+            args,
+            {b"setname": 3, b"setinfo": 4, b"id": 2, b"getname": 2, b"no-evict": 3, b"no-touch": 3},
+        )
 
     @staticmethod
     def _select(session: Session, args: list[bytes]) -> object:
@@ -162,9 +193,11 @@
         return "OK"
 
     def _info(self, session: Session, args: list[bytes]) -> object:
-        return (b"# Server\r\nredis_version:%b\r\nredis_mode:cluster\r\n\r\n"
-                b"# Replication\r\nrole:master\r\nconnected_slaves:0\r\n\r\n"
-                b"# Cluster\r\ncluster_enabled:1\r\n" % VERSION)
+        return (
+            b"# Server\r\nredis_version:%b\r\nredis_mode:cluster\r\n\r\n"
+            b"# Replication\r\nrole:master\r\nconnected_slaves:0\r\n\r\n"
+            b"# Cluster\r\ncluster_enabled:1\r\n" % VERSION
+        )
 
     # --- the cluster ---
     def _cluster(self, session: Session, args: list[bytes]) -> object:
@@ -186,9 +219,20 @@
                 return key_slot(key)
             case [b"countkeysinslot", _]:
                 raise Refused("ERR a proxy holds no keys to count")
-        raise _subcommand(b"cluster", args, {b"slots": 2, b"shards": 2, b"nodes": 2, b"info": 2,
-                                             b"myid": 2, b"links": 2, b"keyslot": 3,
-                                             b"countkeysinslot": 3})
+        raise _subcommand(
+            b"cluster",
+            args,
+            {
+                b"slots": 2,
+                b"shards": 2,
+                b"nodes": 2,
+                b"info": 2,
+                b"myid": 2,
+                b"links": 2,
+                b"keyslot": 3,
+                b"countkeysinslot": 3,
+            },
+        )
 
     # --- commands ---
     def _command(self, session: Session, args: list[bytes]) -> object:
@@ -200,10 +244,11 @@
             case [b"info", *names]:
                 return [_told(name.lower()) for name in (names or COMMANDS)]
             case [b"docs", *names]:
-                return {name: {b"summary": COMMANDS[name][5], b"since": b"1.0.0",
-                               b"group": b"generic"}
-                        for name in (map(bytes.lower, names) if names else COMMANDS)
-                        if name in COMMANDS}
+                return {
+                    name: {b"summary": COMMANDS[name][5], b"since": b"1.0.0", b"group": b"generic"}
+                    for name in (map(bytes.lower, names) if names else COMMANDS)
+                    if name in COMMANDS
+                }
             case [b"getkeys", name, *rest]:
                 return _keys(name.lower(), rest)
         raise _subcommand(b"command", args, {b"count": 2, b"getkeys": -3})
@@ -237,10 +282,12 @@
 def _subcommand(command: bytes, args: list[bytes], known: dict[bytes, int]) -> Refused:
     name = args[0].lower()
     if name in known:
-        return Refused(f"ERR wrong number of arguments for '{_shown(command)}|{_shown(name)}' "
-                       "command")
-    return Refused(f"ERR unknown subcommand '{_shown(args[0])}'. "
-                   f"Try {command.decode().upper()} HELP.")
+        return Refused(
+            f"ERR wrong number of arguments for '{_shown(command)}|{_shown(name)}' command"
+        )
+    return Refused(
+        f"ERR unknown subcommand '{_shown(args[0])}'. Try {command.decode().upper()} HELP."
+    )
 
 
 def _name(name: bytes) -> bytes:
--- a/violetroute/cluster/slots.py
+++ b/violetroute/cluster/slots.py
@@ -24,13 +24,19 @@
 
 
 def parse_ranges(texts: Iterable[str]) -> tuple[tuple[int, int], ...]:
-    """"0-5460" or "7000", each end included, in rising order.  ValueError names the range."""
+    """ "0-5460" or "7000", each end included, in rising order.  ValueError names the range."""
     ranges = []
     for text in texts:
         first, dash, last = text.partition("-")
         last = last if dash else first
-        if not (first.isascii() and first.isdigit() and last.isascii() and last.isdigit()
-                and len(first) < 6 and len(last) < 6):
+        if not (
+            first.isascii()
+            and first.isdigit()
+            and last.isascii()
+            and last.isdigit()
+            and len(first) < 6
+            and len(last) < 6
+        ):
             raise ValueError(f"{text!r} is no range of slots")
         if not int(first) <= int(last) < SLOTS:
             raise ValueError(f"{text!r} does not lie within 0-{SLOTS - 1}")
--- a/violetroute/cluster/topology.py
+++ b/violetroute/cluster/topology.py
@@ -45,37 +45,55 @@
     def slots(self) -> list[object]:
         """CLUSTER SLOTS."""
         rows = sorted((first, last, part) for part in self.parts for first, last in part.ranges)
-        return [[first, last, [part.address.host.encode(), part.address.port, part.id.encode(), []]]
-                for first, last, part in rows]
+        return [
+            [first, last, [part.address.host.encode(), part.address.port, part.id.encode(), []]]
+            for first, last, part in rows
+        ]
 
     def shards(self) -> list[object]:
         """CLUSTER SHARDS."""
-        return [{b"slots": [slot for both in part.ranges for slot in both],
-                 b"nodes": [{b"id": part.id.encode(), b"port": part.address.port,
-                             b"ip": part.address.host.encode(),
-                             b"endpoint": part.address.host.encode(), b"role": b"master",
-                             b"replication-offset": 0, b"health": b"online"}]}
-                for part in self.parts]
+        return [
+            {
+                b"slots": [slot for both in part.ranges for slot in both],
+                b"nodes": [
+                    {
+                        b"id": part.id.encode(),
+                        b"port": part.address.port,
+                        b"ip": part.address.host.encode(),
+                        b"endpoint": part.address.host.encode(),
+                        b"role": b"master",
+                        b"replication-offset": 0,
+                        b"health": b"online",
+                    }
+                ],
+            }
+            for part in self.parts
+        ]
 
     def nodes(self) -> bytes:
         """CLUSTER NODES."""
         lines = []
         for place, part in enumerate(self.parts):
             flags = "myself,master" if place == self.me else "master"
-            ranges = " ".join(str(first) if first == last else f"{first}-{last}"
-                              for first, last in part.ranges)
-            lines.append(f"{part.id} {part.address.host}:{part.address.port}"
-                         f"@{part.address.port + BUS} {flags} - 0 0 {place + 1} connected "
-                         f"{ranges}\n")
+            ranges = " ".join(
+                str(first) if first == last else f"{first}-{last}" for first, last in part.ranges
+            )
+            lines.append(
+                f"{part.id} {part.address.host}:{part.address.port}"
+                f"@{part.address.port + BUS} {flags} - 0 0 {place + 1} connected "
+                f"{ranges}\n"
+            )
         return "".join(lines).encode()
 
     def info(self) -> bytes:
         """CLUSTER INFO."""
-        return (f"cluster_enabled:1\r\ncluster_state:ok\r\ncluster_slots_assigned:{SLOTS}\r\n"
-                f"cluster_slots_ok:{SLOTS}\r\ncluster_slots_pfail:0\r\ncluster_slots_fail:0\r\n"
-                f"cluster_known_nodes:{len(self.parts)}\r\ncluster_size:{len(self.parts)}\r\n"
-                f"cluster_current_epoch:{len(self.parts)}\r\n"
-                f"cluster_my_epoch:{self.me + 1}\r\n").encode()
+        return (
+            f"cluster_enabled:1\r\ncluster_state:ok\r\ncluster_slots_assigned:{SLOTS}\r\n"
+            f"cluster_slots_ok:{SLOTS}\r\ncluster_slots_pfail:0\r\ncluster_slots_fail:0\r\n"
+            f"cluster_known_nodes:{len(self.parts)}\r\ncluster_size:{len(self.parts)}\r\n"
+            f"cluster_current_epoch:{len(self.parts)}\r\n"
+            f"cluster_my_epoch:{self.me + 1}\r\n"
+        ).encode()
 
 
 def topology(table: ClusterTable, name: str, listen: Address) -> Topology | None:
@@ -96,8 +114,14 @@
     if name not in names:
         raise ValueError(f"proxies: this proxy, {name!r}, is not among them")
     try:
-        parts = tuple(Part(_id(proxy.name), _address(f"{proxy.name}: address", proxy.address),
-                           parse_ranges(proxy.slots)) for proxy in table.proxies)
+        parts = tuple(
+            Part(
+                _id(proxy.name),
+                _address(f"{proxy.name}: address", proxy.address),
+                parse_ranges(proxy.slots),
+            )
+            for proxy in table.proxies
+        )
         owner = owners((place, part.ranges) for place, part in enumerate(parts))
     except ValueError as error:
         raise ValueError(f"proxies: {error}") from None
--- a/violetroute/config/__init__.py
+++ b/violetroute/config/__init__.py
@@ -4,5 +4,14 @@
 from .operator import Limits, LogTable, Operator, restart_needed
 from .platform import Config, load, load_ours, parse
 
-__all__ = ["Config", "ConfigError", "Limits", "LogTable", "Operator", "load", "load_ours", "parse",
-           "restart_needed"]
+__all__ = [
+    "Config",
+    "ConfigError",
+    "Limits",
+    "LogTable",
+    "Operator",
+    "load",
+    "load_ours",
+    "parse",
+    "restart_needed",
+]
--- a/violetroute/config/operator.py
+++ b/violetroute/config/operator.py
@@ -77,8 +77,9 @@
     @property
     def platform_alone(self) -> bool:
         """Whether lists come from the platform's discovery and from nowhere else."""
-        return self.membership.sources == ("platform",) \
-            or not (self.membership.sources or self.consul.agents)
+        return self.membership.sources == ("platform",) or not (
+            self.membership.sources or self.consul.agents
+        )
 
 
 NEEDS_RESTART = ("client_share", "value_share", "idle_share")  # of [limits]
@@ -101,11 +102,14 @@
         except ValueError as error:
             raise ConfigError(f"{path}: [consul] agents: {error}") from None
     sources = operator.membership.sources
-    for wrong, text in ((len(set(sources)) != len(sources), "a source stands there twice"),
-                        ("consul" in sources and not operator.consul.agents,
-                         "consul: [consul] agents names nobody"),
-                        ("file" in sources and not operator.membership.file,
-                         "file: [membership] file names none")):
+    for wrong, text in (
+        (len(set(sources)) != len(sources), "a source stands there twice"),
+        (
+            "consul" in sources and not operator.consul.agents,
+            "consul: [consul] agents names nobody",
+        ),
+        ("file" in sources and not operator.membership.file, "file: [membership] file names none"),
+    ):
         if wrong:
             raise ConfigError(f"{path}: [membership] sources: {text}")
     _check_ledger(operator.ledger, path)
@@ -123,8 +127,10 @@
     from violetroute.ledger.periods import Periods  # zones are nothing to a proxy without it
 
     if find_spec("zstandard") is None:
-        raise ConfigError(f"{path}: [ledger] folder: needs the library zstandard, which is not "
-                          "there (pip install limebridge[ledger])")
+        raise ConfigError(
+            f"{path}: [ledger] folder: needs the library zstandard, which is not "
+            "there (pip install limebridge[ledger])"
+        )
     try:
         Periods(table.zone, table.period_min)
     except ValueError as error:
@@ -136,8 +142,12 @@
             parse_address(table.endpoint)
         except ValueError as error:
             raise ConfigError(f"{path}: [ledger] endpoint: {error}") from None
-        if not (table.path.startswith("/") and table.path.isascii() and table.path.isprintable()
-                and " " not in table.path):
+        if not (
+            table.path.startswith("/")
+            and table.path.isascii()
+            and table.path.isprintable()
+            and " " not in table.path
+        ):
             raise ConfigError(f"{path}: [ledger] path: {table.path!r} is no path")
 
 
@@ -151,25 +161,37 @@
         raise ConfigError(f"{path}: [fleet] folder: missing, and store is folder")
     if table.store == "consul" and not table.agents:
         raise ConfigError(f"{path}: [fleet] agents: missing, and store is consul")
-    for key, addresses in (("agents", table.agents),
-                           ("endpoint", (table.endpoint,) if table.endpoint else ())):
+    for key, addresses in (
+        ("agents", table.agents),
+        ("endpoint", (table.endpoint,) if table.endpoint else ()),
+    ):
         for address in addresses:
             try:
                 parse_address(address)
             except ValueError as error:
                 raise ConfigError(f"{path}: [fleet] {key}: {error}") from None
     for key, text in (("path", table.path), ("prefix", f"/{table.prefix}")):
-        if not (text.startswith("/") and text.isascii() and text.isprintable() and " " not in text
-                and not text.endswith("/")):
+        if not (
+            text.startswith("/")
+            and text.isascii()
+            and text.isprintable()
+            and " " not in text
+            and not text.endswith("/")
+        ):
             raise ConfigError(f"{path}: [fleet] {key}: {getattr(table, key)!r} is no path")
     for work in table.works:
         if work != "settlement" and not work.startswith("beat"):
-            raise ConfigError(f"{path}: [fleet] works: there is no work {work!r}; there are "
-                              "settlement and beat-NAME")
-    if "settlement" in table.works and not (ledger.folder and ledger.export == "files"
-                                            and "jsonl" in ledger.formats and ledger.closings):
-        raise ConfigError(f"{path}: [fleet] works: settlement needs [ledger] with export files "
-                          "as jsonl, and closings")
+            raise ConfigError(
+                f"{path}: [fleet] works: there is no work {work!r}; there are "
+                "settlement and beat-NAME"
+            )
+    if "settlement" in table.works and not (
+        ledger.folder and ledger.export == "files" and "jsonl" in ledger.formats and ledger.closings
+    ):
+        raise ConfigError(
+            f"{path}: [fleet] works: settlement needs [ledger] with export files "
+            "as jsonl, and closings"
+        )
 
 
 def _check_sharing(table: SharingTable, path: str) -> None:
@@ -178,8 +200,11 @@
         if table != SharingTable():
             raise ConfigError(f"{path}: [sharing] listen: missing, and other keys are set")
         return
-    for key, addresses in (("listen", (table.listen,)), ("seeds", table.seeds),
-                           ("ways", tuple(table.ways.values()))):
+    for key, addresses in (
+        ("listen", (table.listen,)),
+        ("seeds", table.seeds),
+        ("ways", tuple(table.ways.values())),
+    ):
         for address in addresses:
             try:
                 parsed = parse_address(address)
@@ -196,16 +221,27 @@
         raise ConfigError(f"{path}: [sharing] budget: a name stands there twice")
     for budget in table.budget:
         if budget.per_s * 1000.0 < table.proxies:
-            raise ConfigError(f"{path}: [sharing] budget: {budget.name}: too small to be divided "
-                              f"by {table.proxies} proxies")
+            raise ConfigError(
+                f"{path}: [sharing] budget: {budget.name}: too small to be divided "
+                f"by {table.proxies} proxies"
+            )
 
 
 def restart_needed(before: Operator, now: Operator) -> list[str]:
     """Keys that differ and are taken on at the next start only."""
-    keys = [f"limits.{key}" for key in NEEDS_RESTART
-            if getattr(before.limits, key) != getattr(now.limits, key)]
+    keys = [
+        f"limits.{key}"
+        for key in NEEDS_RESTART
+        if getattr(before.limits, key) != getattr(now.limits, key)
+    ]
     fleet = msgspec.structs.replace(now.fleet, works=before.fleet.works)
     sharing = msgspec.structs.replace(now.sharing, budget=before.sharing.budget)
-    return keys + [name for name, differs in (("ledger", before.ledger != now.ledger),
-                                              ("fleet", before.fleet != fleet),
-                                              ("sharing", before.sharing != sharing)) if differs]
+    return keys + [
+        name
+        for name, differs in (
+            ("ledger", before.ledger != now.ledger),
+            ("fleet", before.fleet != fleet),
+            ("sharing", before.sharing != sharing),
+        )
+        if differs
+    ]
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -35,11 +35,33 @@
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 # Keys that the platform documents and nothing here uses; any other unknown one is logged.
-UNUSED = frozenset({
-    "clientHabits", "feedback", "kindOfService", "layers", "me", "objectiveMix", "stage", "tickMs",
-    "valueBy", "weightKind", "zones", "cpuUsPerRequest", "cpuUsPerS", "maxStreams", "mostHeld",
-    "peerMessages", "probes", "answerSlackMs", "fallMs", "overloadFactor", "streaming",
-    "aimStretch", "cores"})
+UNUSED = frozenset(
+    {
+        "clientHabits",
+        "feedback",
+        "kindOfService",
+        "layers",
+        "me",
+        "objectiveMix",
+        "stage",
+        "tickMs",
+        "valueBy",
+        "weightKind",
+        "zones",
+        "cpuUsPerRequest",
+        "cpuUsPerS",
+        "maxStreams",
+        "mostHeld",
+        "peerMessages",
+        "probes",
+        "answerSlackMs",
+        "fallMs",
+        "overloadFactor",
+        "streaming",
+        "aimStretch",
+        "cores",
+    }
+)
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -182,10 +204,20 @@
         text, _, place = str(error).partition(" - at `$")
         key = place.strip("`.") or "the file"
         raise ConfigError(f"bad configuration in {path}: {key}: {text}") from error
-    except (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError,
-            RecursionError) as error:
-        text = f"{error.args[0]}: missing" if isinstance(error, KeyError) \
+    except (
+        OSError,
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
+        text = (
+            f"{error.args[0]}: missing"
+            if isinstance(error, KeyError)
             else " ".join(str(error).split())
+        )
         raise ConfigError(f"bad configuration in {path}: {text}") from error
 
     try:
@@ -201,8 +233,11 @@
         plan = load_plan(ours.placement.file) if ours.placement.file else None
     except ValueError as error:
         raise ConfigError(f"{operator}: [placement] file: {error}") from error
-    for name, files in (("consul", ours.consul.tls), ("ledger", ours.ledger.tls),
-                        ("fleet", ours.fleet.tls)):
+    for name, files in (
+        ("consul", ours.consul.tls),
+        ("ledger", ours.ledger.tls),
+        ("fleet", ours.fleet.tls),
+    ):
         try:
             if files.ca:
                 TlsKeys(files).context()
@@ -224,8 +259,9 @@
         raise ValueError(f"{key}: {error}") from None
 
 
-def _config(raw: dict[str, Any], env: Mapping[str, str], operator: Operator,
-            operator_path: str | None) -> Config:
+def _config(
+    raw: dict[str, Any], env: Mapping[str, str], operator: Operator, operator_path: str | None
+) -> Config:
     told = msgspec.convert(raw, _File)
     listen = env.get("PROXY_LISTEN") or told.listen
     # The file first: it can be replaced and read anew, the environment never changes.
@@ -238,8 +274,10 @@
     except ValueError:
         raise ValueError("seed: not a hexadecimal number") from None
     caps, rules = told.settings.caps, told.settings.guarantees
-    for key, names in (("classes", [c.name for c in told.settings.classes]),
-                       ("realms", [t.name for t in told.settings.realms or ()])):
+    for key, names in (
+        ("classes", [c.name for c in told.settings.classes]),
+        ("realms", [t.name for t in told.settings.realms or ()]),
+    ):
         if len(set(names)) != len(names):
             raise ValueError(f"settings.{key}: a name stands there twice")
     try:
@@ -252,14 +290,20 @@
         raise ValueError(f"limits.memory_mb: must be at least {PROCESS_MB}")
     return Config(
         name=env.get("PROXY_NAME") or told.name,
-        listen=_address("listen", listen), discovery=_address("discovery", discovery), seed=seed,
-        sockets=int(told.limits.sockets), memory_mb=float(told.limits.memory_mb),
-        known=known, settings=_settings(raw["settings"], operator),
+        listen=_address("listen", listen),
+        discovery=_address("discovery", discovery),
+        seed=seed,
+        sockets=int(told.limits.sockets),
+        memory_mb=float(told.limits.memory_mb),
+        known=known,
+        settings=_settings(raw["settings"], operator),
         connect_timeout=caps.connect_timeout_ms / 1000.0,
         idle_timeout=caps.conn_idle_ms / 1000.0,
         drain_grace=rules.stop_sending_within_ms / 1000.0,
-        operator=operator, operator_path=operator_path,
-        unknown=tuple(_unknown(raw, _File, "")))
+        operator=operator,
+        operator_path=operator_path,
+        unknown=tuple(_unknown(raw, _File, "")),
+    )
 
 
 def _settings(raw: dict[str, Any], operator: Operator) -> Settings:
--- a/violetroute/config/tables.py
+++ b/violetroute/config/tables.py
@@ -41,8 +41,7 @@
         raise ConfigError(f"{path}: {f'[{table}] ' if table else ''}{key}: {text}") from error
 
 
-def names(used: Iterable[str], there_are: Iterable[str], path: str, table: str,
-          kind: str) -> None:
+def names(used: Iterable[str], there_are: Iterable[str], path: str, table: str, kind: str) -> None:
     """ConfigError for a name that there is not, with the one that was likely meant."""
     known = list(there_are)
     for name in used:
@@ -58,8 +57,11 @@
     if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
         yield "", value, kind
         return
-    inner = [each for each in get_args(kind)
-             if isinstance(each, type) and issubclass(each, msgspec.Struct)]
+    inner = [
+        each
+        for each in get_args(kind)
+        if isinstance(each, type) and issubclass(each, msgspec.Struct)
+    ]
     if not inner:
         return
     if get_origin(kind) is dict and isinstance(value, dict):
@@ -79,8 +81,9 @@
             _known(each, inner, path, place + more)
 
 
-def _wrong(raw: Mapping[str, Any], struct: type[msgspec.Struct],
-           table: str) -> tuple[str, str, str] | None:
+def _wrong(
+    raw: Mapping[str, Any], struct: type[msgspec.Struct], table: str
+) -> tuple[str, str, str] | None:
     """Table, key and text of the first mistake."""
     for field in msgspec.structs.fields(struct):
         key = field.encode_name
--- a/violetroute/deadlines.py
+++ b/violetroute/deadlines.py
@@ -24,8 +24,9 @@
 class Deadlines:
     """Calls `expired` with each number whose time has come and that is still open."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, expired: Callable[[int], None],
-                 alive: Open) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, expired: Callable[[int], None], alive: Open
+    ) -> None:
         self._loop, self._expired, self._alive = loop, expired, alive
         self._heap: list[tuple[float, int]] = []
         self._timer: asyncio.TimerHandle | None = None
@@ -41,8 +42,10 @@
     @property
     def time_left(self) -> float:
         """Seconds by which all that are open now are over."""
-        return max((at for at, number in self._heap if number in self._alive),
-                   default=0.0) - self._loop.time()
+        return (
+            max((at for at, number in self._heap if number in self._alive), default=0.0)
+            - self._loop.time()
+        )
 
     def add(self, at: float, number: int) -> None:
         """`at` in seconds of the loop's clock; numbers are not used twice."""
