--- a/violetroute/fleet/folder.py
+++ b/violetroute/fleet/folder.py
@@ -162,8 +162,9 @@
         members, dead = self._members()
         here = {each.nonce for each in members}
         holders = {each.nonce for each in found.values()} - here - dead
-        return View(found, members, dead | {each for each in holders if self._has_ended(each)},
-                    unreadable)
+        return View(
+            found, members, dead | {each for each in holders if self._has_ended(each)}, unreadable
+        )
 
     def _versions(self) -> dict[str, int]:
         """The highest version of each work."""
@@ -216,12 +217,23 @@
         return Answer(True, made)
 
     def ask(self, ask: Ask) -> Answer:
-        return self._change(ask.work, lambda current: leases.taken(
-            ask.work, current, ask.over, ask.floor, self._me, self._wall()))
+        return self._change(
+            ask.work,
+            lambda current: leases.taken(
+                ask.work, current, ask.over, ask.floor, self._me, self._wall()
+            ),
+        )
 
     def renew(self, terms: Sequence[tuple[str, int]]) -> dict[str, Answer]:
-        return {work: self._change(work, lambda current, fence=fence: leases.renewed(  # type: ignore[misc]
-            current, fence, self._me)) for work, fence in terms}
+        return {
+            work: self._change(
+                work,
+                lambda current, fence=fence: leases.renewed(  # type: ignore[misc]
+                    current, fence, self._me
+                ),
+            )
+            for work, fence in terms
+        }
 
     def release(self, work: str, fence: int) -> Answer:
         return self._change(work, lambda current: leases.released(current, fence, self._me))
@@ -282,7 +294,7 @@
     except (msgspec.DecodeError, RecursionError):
         return "?"
     name = told.get("name") if isinstance(told, dict) else None
-    return name[:leases.NAME_MOST] if isinstance(name, str) else "?"
+    return name[: leases.NAME_MOST] if isinstance(name, str) else "?"
 
 
 class Threaded:
@@ -301,8 +313,10 @@
     def _submit(self, writer: Writer, job: Callable[[], T], told: Told[T]) -> None:
         def done(result: T | None, error: BaseException | None) -> None:
             if not self._closed:
-                told(result, "" if error is None else
-                     " ".join(str(error).split()) or type(error).__name__)
+                told(
+                    result,
+                    "" if error is None else " ".join(str(error).split()) or type(error).__name__,
+                )
 
         writer.submit(job, done)
 
--- a/violetroute/fleet/gather.py
+++ b/violetroute/fleet/gather.py
@@ -55,15 +55,21 @@
         raise ValueError(f"{head.batch[:100]!r} is no batch's key")
     if len(lines) != head.lines or sum(line.units for line in lines) != head.units:
         raise ValueError("its lines do not add up to what it says")
-    return Batch(head.batch, head.period, head.kind,
-                 tuple((line.tenant, line.cls, line.units) for line in lines), len(data))
+    return Batch(
+        head.batch,
+        head.period,
+        head.kind,
+        tuple((line.tenant, line.cls, line.units) for line in lines),
+        len(data),
+    )
 
 
 class Gatherer:
     """Reads what is new in the folder, and feeds a settlement with it on the loop."""
 
-    def __init__(self, folder: Path, settlement: Settlement, writer: Writer,
-                 wall: Callable[[], float]) -> None:
+    def __init__(
+        self, folder: Path, settlement: Settlement, writer: Writer, wall: Callable[[], float]
+    ) -> None:
         self._folder, self._settlement, self._writer = folder, settlement, writer
         self._wall = wall
         self._known: dict[str, str] = {}  # files that have been read: their batches' keys, or ""
@@ -97,8 +103,12 @@
     def close(self) -> None:
         self._writer.close(0.0)
 
-    def _read(self, known: dict[str, str], done: list[str], room: int,
-              ) -> tuple[list[tuple[str, Batch]], list[Through], dict[str, str], set[str]]:
+    def _read(
+        self,
+        known: dict[str, str],
+        done: list[str],
+        room: int,
+    ) -> tuple[list[tuple[str, Batch]], list[Through], dict[str, str], set[str]]:
         batches: list[tuple[str, Batch]] = []
         through: list[Through] = []
         wrong: dict[str, str] = {}
--- a/violetroute/fleet/keeper.py
+++ b/violetroute/fleet/keeper.py
@@ -63,15 +63,23 @@
 class Fleet:
     """One proxy's.  `works` makes each work that the table may name."""
 
-    def __init__(self, table: FleetTable, name: str, net: Network, store: Callable[[Me], Store],
-                 works: Callable[[str], Work], nonce: str = "") -> None:
+    def __init__(
+        self,
+        table: FleetTable,
+        name: str,
+        net: Network,
+        store: Callable[[Me], Store],
+        works: Callable[[str], Work],
+        nonce: str = "",
+    ) -> None:
         self.table, self._loop = table, net.loop
         self.me = Me(name[:NAME_MOST], nonce or secrets.token_hex(8))
         self._chance = random.Random(f"{name}/{self.me.nonce}")
         self._store = store(self.me)
         self._make = works
-        self._terms = Terms(table.term_s, table.drift, table.look_s * STEP_SHARE,
-                            self._store.vouches)
+        self._terms = Terms(
+            table.term_s, table.drift, table.look_s * STEP_SHARE, self._store.vouches
+        )
         self._owners: dict[str, Owner] = {}
         self._works: dict[str, Work] = {}
         self._timer: Any = None
@@ -110,7 +118,8 @@
         self.configure(())
         until = self._loop.time() + AT_THE_END
         while self._loop.time() < until and any(
-                owner.state != "waiting" for owner in self._owners.values()):
+            owner.state != "waiting" for owner in self._owners.values()
+        ):
             await asyncio.sleep(0.01)
         self.stop()
 
@@ -219,8 +228,11 @@
         if view is None or view.members is None or now - self._moved_at < self.table.move_s:
             return
         works = [work for work, owner in self._owners.items() if owner.wanted]
-        held = {work: lease.nonce for work, lease in view.leases.items()
-                if not lease.free and work in self._owners}
+        held = {
+            work: lease.nonce
+            for work, lease in view.leases.items()
+            if not lease.free and work in self._owners
+        }
         work = spread.move(works, self.me, view.members, held)
         if work is not None and self._owners[work].may(now):
             self._moved_at = now
@@ -258,8 +270,7 @@
                 self._go_on()
 
         def run(steps: Steps, told: Callable[[Result | None, str], None]) -> None:
-            self._store.run(steps,
-                            lambda result, why: None if self._closed else told(result, why))
+            self._store.run(steps, lambda result, why: None if self._closed else told(result, why))
 
         def hand_on() -> None:
             if owner.fence == fence:
@@ -320,8 +331,12 @@
                 elif answer.yes:
                     self._do(owner.renewed(now, each.number))
                     if owner.left_late:
-                        tell("fleet.renewed_late", work=each.work, fence=each.fence,
-                             left_s=round(owner.left_late, 2))
+                        tell(
+                            "fleet.renewed_late",
+                            work=each.work,
+                            fence=each.fence,
+                            left_s=round(owner.left_late, 2),
+                        )
                 else:
                     self._do(owner.lost(now, each.number, answer.lease))
             self._go_on()
--- a/violetroute/fleet/kv.py
+++ b/violetroute/fleet/kv.py
@@ -142,11 +142,15 @@
             yield from self._begin_session()
         session = self.session  # what comes back later may have made another
         key = self._lease_key(ask.work)
-        stands = {"Verb": "check-index", "Key": key, "Index": index} if index else \
-            {"Verb": "check-not-exists", "Key": key}
-        done = yield from self._transact(stands, {
-            "Verb": "lock", "Key": key, "Value": _b64(leases.encode(made)),
-            "Session": session})
+        stands = (
+            {"Verb": "check-index", "Key": key, "Index": index}
+            if index
+            else {"Verb": "check-not-exists", "Key": key}
+        )
+        done = yield from self._transact(
+            stands,
+            {"Verb": "lock", "Key": key, "Value": _b64(leases.encode(made)), "Session": session},
+        )
         if not done:  # another was first, or our session has gone: the next ask will see
             index, current = yield from self._read(ask.work)
         else:
@@ -154,9 +158,19 @@
         return Answer(done, made if done else current)
 
     def _begin_session(self) -> Generator[Asked, Answered, None]:
-        answered = yield Asked("PUT", "/v1/session/create", msgspec.json.encode({
-            "Name": f"limebridge {self._me.name}", "TTL": f"{round(self._term_s * 1000)}ms",
-            "LockDelay": "0s", "Behavior": "release", "NodeChecks": []}))
+        answered = yield Asked(
+            "PUT",
+            "/v1/session/create",
+            msgspec.json.encode(
+                {
+                    "Name": f"limebridge {self._me.name}",
+                    "TTL": f"{round(self._term_s * 1000)}ms",
+                    "LockDelay": "0s",
+                    "Behavior": "release",
+                    "NodeChecks": [],
+                }
+            ),
+        )
         if answered.status != 200:
             raise NoAnswer(f"no session: {answered.status} {_text(answered.body)}")
         try:
@@ -185,8 +199,9 @@
         """A lease that was taken under a session before this one has gone with that one."""
         session = self.session
         stands = bool(session) and (yield from self._renew_session())
-        return {work: Answer(stands and self._under.get(work) == session, None)
-                for work, _ in terms}
+        return {
+            work: Answer(stands and self._under.get(work) == session, None) for work, _ in terms
+        }
 
     def release(self, work: str, fence: int) -> Asking:
         index, current = yield from self._read(work)
@@ -196,14 +211,20 @@
         key = self._lease_key(work)
         done = yield from self._transact(
             {"Verb": "check-index", "Key": key, "Index": index},
-            {"Verb": "unlock", "Key": key, "Value": _b64(leases.encode(made)),
-             "Session": self.session})
+            {
+                "Verb": "unlock",
+                "Key": key,
+                "Value": _b64(leases.encode(made)),
+                "Session": self.session,
+            },
+        )
         return Answer(done, made if done else current)
 
     def _transact(self, *steps: dict[str, Any]) -> Generator[Asked, Answered, bool]:
         """Whether all of it was done: one by itself never is."""
-        answered = yield Asked("PUT", "/v1/txn",
-                              msgspec.json.encode([{"KV": step} for step in steps]))
+        answered = yield Asked(
+            "PUT", "/v1/txn", msgspec.json.encode([{"KV": step} for step in steps])
+        )
         if answered.status not in (200, 409):
             raise NoAnswer(f"answered {answered.status} {_text(answered.body)}")
         return answered.status == 200
@@ -244,7 +265,8 @@
                     key = self._position(log, position)[1]
                     answer = yield from self._transact(
                         {"Verb": "check-not-exists", "Key": key},
-                        {"Verb": "set", "Key": key, "Value": _b64(data)})
+                        {"Verb": "set", "Key": key, "Value": _b64(data)},
+                    )
 
 
 def _b64(data: bytes) -> str:
@@ -315,8 +337,9 @@
     def _run(self, asking: Asking, told: Callable[[Any, str], None]) -> None:
         self._net.loop.call_soon(self._go_on, asking, None, told)
 
-    def _go_on(self, asking: Asking, answered: Answered | None,
-               told: Callable[[Any, str], None]) -> None:
+    def _go_on(
+        self, asking: Asking, answered: Answered | None, told: Callable[[Any, str], None]
+    ) -> None:
         if self._closed:
             return
         try:
@@ -345,7 +368,16 @@
                 asking.close()
                 told(None, why)
 
-        call = Call(self._net, parse_address(table.agents[self._agent]), self._tls,
-                    table.call_s + ask.limit, ask.target, headers, ask.body, done, ask.method,
-                    ask.most)
+        call = Call(
+            self._net,
+            parse_address(table.agents[self._agent]),
+            self._tls,
+            table.call_s + ask.limit,
+            ask.target,
+            headers,
+            ask.body,
+            done,
+            ask.method,
+            ask.most,
+        )
         self._calls.add(call)
--- a/violetroute/fleet/lease.py
+++ b/violetroute/fleet/lease.py
@@ -104,8 +104,9 @@
     return msgspec.json.encode(lease)
 
 
-def taken(work: str, current: Lease | None, over: Stamp | None, floor: int, me: Me,
-          wall: float) -> Lease | None:
+def taken(
+    work: str, current: Lease | None, over: Stamp | None, floor: int, me: Me, wall: float
+) -> Lease | None:
     """The record of a new term, or None: it is another's.
 
     `over`: the state that the asker has watched stand still for a whole term, or whose process it
--- a/violetroute/fleet/log.py
+++ b/violetroute/fleet/log.py
@@ -124,8 +124,12 @@
         record = msgspec.json.decode(data, type=Record)
     except (msgspec.DecodeError, RecursionError):
         return None
-    if record.v != VERSION or record.log != log or not 0 < record.fence <= FENCE_MOST \
-            or not is_nonce(record.nonce):
+    if (
+        record.v != VERSION
+        or record.log != log
+        or not 0 < record.fence <= FENCE_MOST
+        or not is_nonce(record.nonce)
+    ):
         return None
     return record
 
@@ -160,8 +164,7 @@
     return Crowded()
 
 
-def append(log: FencedLog, fence: int, nonce: str, name: str,
-           decide: Callable[[], Any]) -> Steps:
+def append(log: FencedLog, fence: int, nonce: str, name: str, decide: Callable[[], Any]) -> Steps:
     """One entry at the end of the log, if its term's claim is still the last.
 
     `decide` is asked for it after everything has been read, and again after each read that found
--- a/violetroute/fleet/make.py
+++ b/violetroute/fleet/make.py
@@ -33,8 +33,11 @@
         return lambda me: ConsulStore(table, net, me)
 
     def folder(me: Me) -> Store:
-        return Threaded(FolderStore(Path(table.folder), me, net.wall), ThreadWriter(net.loop),
-                        ThreadWriter(net.loop))
+        return Threaded(
+            FolderStore(Path(table.folder), me, net.wall),
+            ThreadWriter(net.loop),
+            ThreadWriter(net.loop),
+        )
 
     return folder
 
@@ -47,10 +50,20 @@
         if name == "settlement":
             periods = Periods(ledger.zone, ledger.period_min)
             settlement = Settlement(periods.end, table.wait_s, table.expect_s)
-            gatherer = Gatherer(Path(ledger.export_folder), settlement, ThreadWriter(net.loop),
-                                net.wall)
-            return LogWork(name, net, settlement, SETTLE_EVERY, endpoint, table.path,
-                           table.call_s, gatherer, gatherer.close)
+            gatherer = Gatherer(
+                Path(ledger.export_folder), settlement, ThreadWriter(net.loop), net.wall
+            )
+            return LogWork(
+                name,
+                net,
+                settlement,
+                SETTLE_EVERY,
+                endpoint,
+                table.path,
+                table.call_s,
+                gatherer,
+                gatherer.close,
+            )
         return LogWork(name, net, Beat(), table.beat_s, endpoint, table.path, table.call_s)
 
     return made
--- a/violetroute/fleet/owner.py
+++ b/violetroute/fleet/owner.py
@@ -101,9 +101,30 @@
 class Owner:
     """`now`: seconds of this life's monotonic clock, in every call."""
 
-    __slots__ = ("_ask_at", "_asked_at", "_busy", "_chance", "_failures", "_gained_at", "_nonce",
-                 "_number", "_open_at", "_renew_at", "_seen", "_seen_at", "_stopped", "_terms",
-                 "fence", "floor", "left_late", "rank", "state", "until", "wanted", "work")
+    __slots__ = (
+        "_ask_at",
+        "_asked_at",
+        "_busy",
+        "_chance",
+        "_failures",
+        "_gained_at",
+        "_nonce",
+        "_number",
+        "_open_at",
+        "_renew_at",
+        "_seen",
+        "_seen_at",
+        "_stopped",
+        "_terms",
+        "fence",
+        "floor",
+        "left_late",
+        "rank",
+        "state",
+        "until",
+        "wanted",
+        "work",
+    )
 
     def __init__(self, work: str, nonce: str, terms: Terms, chance: Chance) -> None:
         self.work, self._nonce, self._terms, self._chance = work, nonce, terms, chance
@@ -166,15 +187,24 @@
         elif self.state == "owner":
             if not self._busy and now >= self._renew_at:
                 actions.append(Renew(self.work, self._call("renew", now), self.fence))
-        elif self.wanted and self._stopped and not self._busy and self._seen_at is not None \
-                and now >= self._when():
+        elif (
+            self.wanted
+            and self._stopped
+            and not self._busy
+            and self._seen_at is not None
+            and now >= self._when()
+        ):
             actions.append(Ask(self.work, self._call("ask", now), self.floor, self._seen))
         return actions
 
     def hurry(self, now: float) -> list[Action]:
         """A renewal is sent for another work: this one's may go with it, if it is half due."""
-        if self.state != "owner" or self._busy or now >= self.until \
-                or now < self._renew_at - self._terms.kept_s * RENEW_SHARE / 2.0:
+        if (
+            self.state != "owner"
+            or self._busy
+            or now >= self.until
+            or now < self._renew_at - self._terms.kept_s * RENEW_SHARE / 2.0
+        ):
             return []
         return [Renew(self.work, self._call("renew", now), self.fence)]
 
@@ -204,8 +234,12 @@
                 self._open_at = INFINITE if self._terms.vouches else now + self._terms.term_s
         if here is not None and not alive:
             self._open_at = min(self._open_at, now)
-        if self.state == "owner" and asked_at >= self._gained_at and not self._busy \
-                and (here is None or (here.fence, here.nonce) != (self.fence, self._nonce)):
+        if (
+            self.state == "owner"
+            and asked_at >= self._gained_at
+            and not self._busy
+            and (here is None or (here.fence, here.nonce) != (self.fence, self._nonce))
+        ):
             return self._over("lost", now)
         return []
 
@@ -269,8 +303,9 @@
         if number != self._number or not self._busy:
             return []
         self._busy = ""
-        wait = self._wait(min(BACKOFF_MOST, BACKOFF_FIRST * 2.0 ** min(self._failures, 10))
-                          * self._terms.term_s)
+        wait = self._wait(
+            min(BACKOFF_MOST, BACKOFF_FIRST * 2.0 ** min(self._failures, 10)) * self._terms.term_s
+        )
         self._failures += 1
         self._ask_at = now + wait
         self._renew_at = now + min(wait, self._terms.kept_s * RENEW_SHARE / 2.0)
@@ -296,8 +331,9 @@
         self._ask_at = now + self._wait(self._terms.term_s * BACKOFF_FIRST)
         return self._over("fenced", now)
 
-    def _over(self, why: Literal["lapsed", "lost", "fenced", "resigned"],
-              now: float) -> list[Action]:
+    def _over(
+        self, why: Literal["lapsed", "lost", "fenced", "resigned"], now: float
+    ) -> list[Action]:
         self.state = "resigning" if why == "resigned" else "waiting"
         self._renew_at = now
         return [Over(self.work, self.fence, why)]
--- a/violetroute/fleet/settlement.py
+++ b/violetroute/fleet/settlement.py
@@ -134,14 +134,16 @@
     def missing(self, period: int) -> list[str]:
         """Ledgers that are expected to close this period and have not."""
         end = self.end(period)
-        return sorted(each.ledger for each in self.through.values()
-                      if end - self.expect_s <= each.until < end)
+        return sorted(
+            each.ledger for each in self.through.values() if end - self.expect_s <= each.until < end
+        )
 
     def due(self, period: int) -> bool:
         if period in self.billed:
             return True
         return self.now >= self.end(period) + self.wait_s or (
-            self.now >= self.end(period) and not self.missing(period))
+            self.now >= self.end(period) and not self.missing(period)
+        )
 
     def decide(self) -> Any:
         """The next bill or correction, oldest period first; None when nothing is due."""
@@ -162,7 +164,14 @@
             keys.append(key)
             for tenant, cls, count in batch.lines:
                 units[tenant, cls] += count
-        return {"kind": "correction" if period in self.billed else "bill", "period": period,
-                "keys": keys, "missing": self.missing(period), "units": sum(units.values()),
-                "lines": [[tenant, cls, units[tenant, cls]] for tenant, cls in
-                          sorted(units, key=lambda of: (of[0] is None, of[0] or "", of[1]))]}
+        return {
+            "kind": "correction" if period in self.billed else "bill",
+            "period": period,
+            "keys": keys,
+            "missing": self.missing(period),
+            "units": sum(units.values()),
+            "lines": [
+                [tenant, cls, units[tenant, cls]]
+                for tenant, cls in sorted(units, key=lambda of: (of[0] is None, of[0] or "", of[1]))
+            ],
+        }
--- a/violetroute/fleet/spread.py
+++ b/violetroute/fleet/spread.py
@@ -31,8 +31,9 @@
     return -(-works // max(1, members))
 
 
-def ranks(works: Sequence[str], me: Me, members: Iterable[Me],
-          held: Mapping[str, str]) -> dict[str, int]:
+def ranks(
+    works: Sequence[str], me: Me, members: Iterable[Me], held: Mapping[str, str]
+) -> dict[str, int]:
     """This life's place in each work's order.  `held`: nonce of the owner, by work."""
     everyone = {*members, me}
     share = fair(len(works), len(everyone))
@@ -42,16 +43,20 @@
             counts[nonce] += 1
     found = {}
     for work in works:
-        full = [each for each in everyone
-                if counts[each.nonce] >= share and held.get(work) != each.nonce]
+        full = [
+            each
+            for each in everyone
+            if counts[each.nonce] >= share and held.get(work) != each.nonce
+        ]
         ahead = order(work, everyone)
         ahead.sort(key=lambda each: each in full)  # stable: the order within holds
         found[work] = min(RANK_MOST, ahead.index(me))
     return found
 
 
-def move(works: Sequence[str], me: Me, members: Iterable[Me],
-         held: Mapping[str, str]) -> str | None:
+def move(
+    works: Sequence[str], me: Me, members: Iterable[Me], held: Mapping[str, str]
+) -> str | None:
     """A work of ours that is better with another, or None.
 
     Only one who has more than its share hands on, and only while somebody has fewer than his: a
--- a/violetroute/fleet/work.py
+++ b/violetroute/fleet/work.py
@@ -66,10 +66,18 @@
     of the log is under way, and one timer.
     """
 
-    def __init__(self, name: str, net: Network, decider: Decider, every_s: float,
-                 endpoint: Address | None, path: str, limit_s: float,
-                 gather: Callable[[Callable[[str], None]], None] | None = None,
-                 closes: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        name: str,
+        net: Network,
+        decider: Decider,
+        every_s: float,
+        endpoint: Address | None,
+        path: str,
+        limit_s: float,
+        gather: Callable[[Callable[[str], None]], None] | None = None,
+        closes: Callable[[], None] = lambda: None,
+    ) -> None:
         self.name, self._net, self._loop = name, net, net.loop
         self._decider, self._every, self._gather = decider, every_s, gather
         self._closes = closes
@@ -182,8 +190,10 @@
     def _decide(self) -> None:
         term = self._term
         assert term is not None
-        self._run(append(self._log, term.fence, term.me.nonce, term.me.name,
-                         self._decider.decide), self._did)
+        self._run(
+            append(self._log, term.fence, term.me.nonce, term.me.name, self._decider.decide),
+            self._did,
+        )
 
     def _run(self, steps: Any, did: Callable[[Result], None]) -> None:
         term = self._term
@@ -264,22 +274,44 @@
             floor = _floor(answer) if status == 412 else 0
             if 200 <= status < 300:
                 self._well()
-                self._run(append(self._log, term.fence, term.me.nonce, term.me.name,
-                                 lambda: {"handed": position}
-                                 if position in self._outbox.waits else None), self._handed)
+                self._run(
+                    append(
+                        self._log,
+                        term.fence,
+                        term.me.nonce,
+                        term.me.name,
+                        lambda: {"handed": position} if position in self._outbox.waits else None,
+                    ),
+                    self._handed,
+                )
             elif term.fence <= floor < FENCE_MOST:
                 term.fenced(floor)
             else:
                 wait = self._wait(_retry_after(headers) if status in (429, 503) else 0.0)
-                tell("fleet.undelivered", work=self.name, reason=why or f"answered {status}",
-                     wait_s=round(wait, 1))
+                tell(
+                    "fleet.undelivered",
+                    work=self.name,
+                    reason=why or f"answered {status}",
+                    wait_s=round(wait, 1),
+                )
                 if not self._stands_still():
                     self._next(wait)
 
-        headers = {"Idempotency-Key": key_of(record, position), "Content-Type":
-                   "application/json", "Fence": f"{term.fence};{term.me.nonce}"}
-        self._call = Call(self._net, endpoint, None, self._limit, self._path, headers,
-                          msgspec.json.encode(record.body), done)
+        headers = {
+            "Idempotency-Key": key_of(record, position),
+            "Content-Type": "application/json",
+            "Fence": f"{term.fence};{term.me.nonce}",
+        }
+        self._call = Call(
+            self._net,
+            endpoint,
+            None,
+            self._limit,
+            self._path,
+            headers,
+            msgspec.json.encode(record.body),
+            done,
+        )
 
     def _handed(self, result: Result) -> None:
         self._next(0.0 if self._outbox.waits else self._every)
--- a/violetroute/ledger/book.py
+++ b/violetroute/ledger/book.py
@@ -90,8 +90,7 @@
         """Nothing to say, and nothing was missed up to here."""
         return [["alive", now]]
 
-    def counted(self, now: float,
-                units: Mapping[tuple[int, str | None, str], int]) -> list[Record]:
+    def counted(self, now: float, units: Mapping[tuple[int, str | None, str], int]) -> list[Record]:
         """What was served since the last time."""
         return [["count", now, [[*key, count] for key, count in units.items()]]] if units else []
 
@@ -108,17 +107,19 @@
                 kind = "period"
             if not due:
                 continue
-            lines = sorted(([tenant, cls, units] for (tenant, cls), units
-                            in self.counts[period].items()),
-                           key=lambda line: (line[0] is None, line[0] or "", line[1]))
+            lines = sorted(
+                ([tenant, cls, units] for (tenant, cls), units in self.counts[period].items()),
+                key=lambda line: (line[0] is None, line[0] or "", line[1]),
+            )
             for place in range(0, len(lines), LINES_MOST):
-                part = lines[place:place + LINES_MOST]
+                part = lines[place : place + LINES_MOST]
                 records.append(["batch", seq, kind, period, part, self._key(seq), ""])
                 seq += 1
         return records
 
-    def signed(self, mark: str, by: str,
-               lines: Iterable[tuple[int, str | None, str, int]]) -> list[Record]:
+    def signed(
+        self, mark: str, by: str, lines: Iterable[tuple[int, str | None, str, int]]
+    ) -> list[Record]:
         """Corrections (period, tenant, class, units that may be below 0) that an operator signed.
 
         `mark` names the signed file: one that is met again after a crash is taken once.
@@ -127,9 +128,18 @@
         for period, tenant, cls, units in lines:
             if units and f"{mark}/{period}" not in self.marks:
                 of.setdefault(period, []).append([tenant, cls, units])
-        return [["batch", self.next_seq + place, "correction", period, kept,
-                 self._key(self.next_seq + place), f"{by} {mark}/{period}"]
-                for place, (period, kept) in enumerate(sorted(of.items()))]
+        return [
+            [
+                "batch",
+                self.next_seq + place,
+                "correction",
+                period,
+                kept,
+                self._key(self.next_seq + place),
+                f"{by} {mark}/{period}",
+            ]
+            for place, (period, kept) in enumerate(sorted(of.items()))
+        ]
 
     def sends(self, seq: int) -> list[Record]:
         return [] if self.batches[seq].state == "sent" else [["sent", seq]]
@@ -193,8 +203,11 @@
 
     def units(self, period: int) -> int:
         """All units of a period that this book knows of, billed or not."""
-        return self.billed.get(period, 0) + sum(self.counts.get(period, {}).values()) + sum(
-            batch.units for batch in self.batches.values() if batch.period == period)
+        return (
+            self.billed.get(period, 0)
+            + sum(self.counts.get(period, {}).values())
+            + sum(batch.units for batch in self.batches.values() if batch.period == period)
+        )
 
     def _is_closed(self, period: int) -> bool:
         return period in self.closed or period < self.closed_before
@@ -225,8 +238,10 @@
                     if self.late_since is None and self._is_closed(period):
                         self.late_since = now
             case ["batch", seq, kind, period, lines, key, why]:
-                self._prepare(Batch(seq, kind, period, [(t, c, n) for t, c, n in lines], key,
-                                    why=why), from_counts=not why)
+                self._prepare(
+                    Batch(seq, kind, period, [(t, c, n) for t, c, n in lines], key, why=why),
+                    from_counts=not why,
+                )
             case ["sent", seq]:
                 self.batches[seq].state = "sent"
             case ["away", seq]:
@@ -273,18 +288,34 @@
 
     def checkpoint(self) -> Record:
         """All of it as one record: where a new file of the log begins."""
-        return ["state", {
-            "version": VERSION, "name": self.name, "incarnation": self.incarnation,
-            "nonce": self.nonce, "next_seq": self.next_seq, "last": self.last,
-            "counts": [[period, tenant, cls, units] for period, of in self.counts.items()
-                       for (tenant, cls), units in of.items()],
-            "closed": list(self.closed), "closed_before": self.closed_before,
-            "billed": [list(item) for item in self.billed.items()],
-            "batches": [[b.seq, b.kind, b.period, b.lines, b.key, b.state, b.why, b.away]
-                        for b in self.batches.values()],
-            "gaps": [list(gap) for gap in self.gaps], "late_since": self.late_since,
-            "seen_at": self.seen_at, "ended": self.ended,
-            "marks": list(self.marks)}]
+        return [
+            "state",
+            {
+                "version": VERSION,
+                "name": self.name,
+                "incarnation": self.incarnation,
+                "nonce": self.nonce,
+                "next_seq": self.next_seq,
+                "last": self.last,
+                "counts": [
+                    [period, tenant, cls, units]
+                    for period, of in self.counts.items()
+                    for (tenant, cls), units in of.items()
+                ],
+                "closed": list(self.closed),
+                "closed_before": self.closed_before,
+                "billed": [list(item) for item in self.billed.items()],
+                "batches": [
+                    [b.seq, b.kind, b.period, b.lines, b.key, b.state, b.why, b.away]
+                    for b in self.batches.values()
+                ],
+                "gaps": [list(gap) for gap in self.gaps],
+                "late_since": self.late_since,
+                "seen_at": self.seen_at,
+                "ended": self.ended,
+                "marks": list(self.marks),
+            },
+        ]
 
     def _restore(self, state: Mapping[str, Any]) -> None:
         if state["version"] > VERSION:
@@ -297,9 +328,10 @@
         self.closed = dict.fromkeys(state["closed"])
         self.closed_before = state["closed_before"]
         self.billed = {period: units for period, units in state["billed"]}
-        self.batches = {each[0]: Batch(each[0], each[1], each[2],
-                                       [(t, c, n) for t, c, n in each[3]], *each[4:])
-                        for each in state["batches"]}
+        self.batches = {
+            each[0]: Batch(each[0], each[1], each[2], [(t, c, n) for t, c, n in each[3]], *each[4:])
+            for each in state["batches"]
+        }
         self.gaps = [(since, until, why) for since, until, why in state["gaps"]]
         self.late_since, self.marks = state["late_since"], dict.fromkeys(state["marks"])
         self.seen_at, self.ended = state["seen_at"], state["ended"]
--- a/violetroute/ledger/export.py
+++ b/violetroute/ledger/export.py
@@ -40,17 +40,22 @@
 
 
 def described(batch: Batch) -> dict[str, Any]:
-    return {"batch": batch.key, "seq": batch.seq, "kind": batch.kind, "period": batch.period,
-            "begins": datetime.fromtimestamp(batch.period, UTC).isoformat(),
-            "lines": len(batch.lines), "units": batch.units,
-            **({"signed": batch.why} if batch.why and batch.state != "held" else {})}
+    return {
+        "batch": batch.key,
+        "seq": batch.seq,
+        "kind": batch.kind,
+        "period": batch.period,
+        "begins": datetime.fromtimestamp(batch.period, UTC).isoformat(),
+        "lines": len(batch.lines),
+        "units": batch.units,
+        **({"signed": batch.why} if batch.why and batch.state != "held" else {}),
+    }
 
 
 def json_lines(batch: Batch) -> bytes:
     """The same bytes for the same batch, whoever asks and however often."""
     rows: list[Any] = [described(batch)]
-    rows += [{"tenant": tenant, "class": cls, "units": units}
-             for tenant, cls, units in batch.lines]
+    rows += [{"tenant": tenant, "class": cls, "units": units} for tenant, cls, units in batch.lines]
     return b"".join(msgspec.json.encode(row) + b"\n" for row in rows)
 
 
@@ -61,8 +66,16 @@
     writer.writerow(("batch", "kind", "period", "tenant", "class", "units"))
     begins = datetime.fromtimestamp(batch.period, UTC).isoformat()
     for tenant, cls, units in batch.lines:
-        writer.writerow((_cell(batch.key), batch.kind, begins,
-                         "(others)" if tenant is None else _cell(tenant), _cell(cls), units))
+        writer.writerow(
+            (
+                _cell(batch.key),
+                batch.kind,
+                begins,
+                "(others)" if tenant is None else _cell(tenant),
+                _cell(cls),
+                units,
+            )
+        )
     return text.getvalue().encode("utf-8", "replace")
 
 
@@ -113,8 +126,9 @@
             return Said("again", "412 with no key", SLOW)
         if len(fork.periods) > PERIODS_MOST:
             return Said("again", "412 that tells too much", SLOW)
-        return Said("fork", "the endpoint knows a later batch", last=fork.last,
-                    periods=tuple(fork.periods))
+        return Said(
+            "fork", "the endpoint knows a later batch", last=fork.last, periods=tuple(fork.periods)
+        )
     if status == 422:
         return Said("held", "the endpoint has this key with other contents")
     if status == 409:
--- a/violetroute/ledger/files.py
+++ b/violetroute/ledger/files.py
@@ -76,11 +76,12 @@
                 self._let_go()
             there = (self._path / name).exists()
             descriptor = self._open[name] = os.open(
-                self._path / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o644)
+                self._path / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o644
+            )
             self._new = self._new or not there
         view = memoryview(data)
         while view:
-            view = view[os.write(descriptor, view):]
+            view = view[os.write(descriptor, view) :]
         self._unsynced[name] = None
 
     def sync(self) -> None:
--- a/violetroute/ledger/frames.py
+++ b/violetroute/ledger/frames.py
@@ -55,7 +55,7 @@
             found.wrong = "half a frame"
             break
         length, check = HEAD.unpack_from(data, place)
-        body = data[place + HEAD.size:place + HEAD.size + length]
+        body = data[place + HEAD.size : place + HEAD.size + length]
         if not 0 < length <= LONGEST or len(body) < length:
             found.wrong = "half a frame"
             break
--- a/violetroute/ledger/keeper.py
+++ b/violetroute/ledger/keeper.py
@@ -44,9 +44,15 @@
 class Ledger:
     """One proxy's.  `name` is the proxy's; its folder is made of it."""
 
-    def __init__(self, table: LedgerTable, name: str, net: Network,
-                 files: Callable[[], Files] | None = None, writer: Writer | None = None,
-                 nonce: str = "") -> None:
+    def __init__(
+        self,
+        table: LedgerTable,
+        name: str,
+        net: Network,
+        files: Callable[[], Files] | None = None,
+        writer: Writer | None = None,
+        nonce: str = "",
+    ) -> None:
         self.table, self._net, self._loop = table, net, net.loop
         self.name = name = folder_name(name)  # it stands in keys and headers too
         folder = Path(table.folder) / name
@@ -114,12 +120,22 @@
         else:
             self.state = "open"
             if found.wrong or found.aside:
-                tell("ledger.salvaged", file=found.file, records=found.records, torn=found.torn,
-                     why=found.wrong, aside=",".join(found.aside))
+                tell(
+                    "ledger.salvaged",
+                    file=found.file,
+                    records=found.records,
+                    torn=found.torn,
+                    why=found.wrong,
+                    aside=",".join(found.aside),
+                )
             for period, of in self._book.counts.items():
                 self._tally.knows(period, {name: None for name, _ in of if name is not None})
-            tell("ledger.open", incarnation=self._book.incarnation, batches=len(self._book.batches),
-                 gaps=len(self._book.gaps))
+            tell(
+                "ledger.open",
+                incarnation=self._book.incarnation,
+                batches=len(self._book.batches),
+                gaps=len(self._book.gaps),
+            )
         self._again()
 
     def _again(self) -> None:
@@ -310,8 +326,13 @@
     def _export(self) -> None:
         """The next batch, if it is time; nobody hears of one that is not on the disk."""
         batch = self._book.due
-        if batch is None or self._busy or self._post is not None or self.table.export == "off" \
-                or self._loop.time() < self._next_try:
+        if (
+            batch is None
+            or self._busy
+            or self._post is not None
+            or self.table.export == "off"
+            or self._loop.time() < self._next_try
+        ):
             return
         if batch.away is not None:
             self._bring(batch)
@@ -338,8 +359,11 @@
 
     def _send(self, batch: Batch) -> None:
         body = json_lines(batch)
-        headers = {"Idempotency-Key": key_of(batch), "Ledger-After": f'"{self._book.last}"',
-                   "Content-Type": "application/x-ndjson"}
+        headers = {
+            "Idempotency-Key": key_of(batch),
+            "Ledger-After": f'"{self._book.last}"',
+            "Content-Type": "application/x-ndjson",
+        }
         if self.table.compress:
             body = compress(body)
             headers["Content-Encoding"] = "zstd"
@@ -349,8 +373,16 @@
             self._post = None
             self._said(batch, said(status, told, answer) if status else Said("again", why))
 
-        self._post = Call(self._net, address, self._keys, self.table.timeout_s, self.table.path,
-                          headers, body, done)
+        self._post = Call(
+            self._net,
+            address,
+            self._keys,
+            self.table.timeout_s,
+            self.table.path,
+            headers,
+            body,
+            done,
+        )
 
     def _said(self, batch: Batch, answer: Said) -> None:
         if self.state == "closed" or batch.seq not in self._book.batches:
--- a/violetroute/ledger/periods.py
+++ b/violetroute/ledger/periods.py
@@ -47,8 +47,11 @@
         """What instants of one period share: offset, day and place within the day."""
         local = datetime.fromtimestamp(at, self._zone)
         offset = local.utcoffset() or timedelta()
-        return (int(offset.total_seconds()), local.toordinal(),
-                (local.hour * 60 + local.minute) // self.minutes)
+        return (
+            int(offset.total_seconds()),
+            local.toordinal(),
+            (local.hour * 60 + local.minute) // self.minutes,
+        )
 
     def _cut(self, at: int) -> tuple[int, int]:
         local = datetime.fromtimestamp(at, self._zone)
--- a/violetroute/ledger/store.py
+++ b/violetroute/ledger/store.py
@@ -55,9 +55,15 @@
         wrote it.  A file that is no log any more is kept under another name.
         """
         found = Found()
-        logs = sorted((name for name in self._files.names()
-                       if name.startswith("log-") and name[4:].isdecimal()),
-                      key=lambda name: int(name[4:]), reverse=True)
+        logs = sorted(
+            (
+                name
+                for name in self._files.names()
+                if name.startswith("log-") and name[4:].isdecimal()
+            ),
+            key=lambda name: int(name[4:]),
+            reverse=True,
+        )
         self._number = max((int(name[4:]) for name in logs), default=0)
         for name in logs:
             data = self._files.read(name)
@@ -89,8 +95,12 @@
             if old or name.endswith(".new"):
                 self._files.remove(name)
 
-    def commit(self, records: Iterable[Record], ids: Mapping[int, bytes | bytearray],
-               closed: Iterable[tuple[int, bytes]]) -> None:
+    def commit(
+        self,
+        records: Iterable[Record],
+        ids: Mapping[int, bytes | bytearray],
+        closed: Iterable[tuple[int, bytes]],
+    ) -> None:
         """Kept once this returns; `closed`: periods, and what is archived of them."""
         for period, data in closed:
             day = datetime.fromtimestamp(period, UTC).strftime("%Y%m%d")
@@ -116,8 +126,11 @@
 
     def signed(self) -> dict[str, bytes]:
         """Corrections that were put here to be taken on, by name."""
-        return {name: self._files.read(name) for name in self._files.names()
-                if name.startswith(SIGNED) and name.endswith(".json")}
+        return {
+            name: self._files.read(name)
+            for name in self._files.names()
+            if name.startswith(SIGNED) and name.endswith(".json")
+        }
 
     def forget(self, names: Iterable[str]) -> None:
         for name in names:
@@ -132,8 +145,9 @@
         last_day = datetime.fromtimestamp(max(0.0, before), UTC).strftime("%Y%m%d")
         for name in self._files.names():
             kind, _, of = name.partition("-")
-            if (kind == "closed" and of < last_day) \
-                    or (kind == "ids" and of.isdecimal() and int(of) < before):
+            if (kind == "closed" and of < last_day) or (
+                kind == "ids" and of.isdecimal() and int(of) < before
+            ):
                 self._files.remove(name)
 
 
@@ -160,5 +174,3 @@
         found.append(frame)
         place = len(data) - len(reader.unused_data)
     return found
-
-
--- a/violetroute/ledger/tally.py
+++ b/violetroute/ledger/tally.py
@@ -91,7 +91,7 @@
     if len(data) <= NAME_MOST:
         return tenant
     mark = blake2b(data, digest_size=8).hexdigest()
-    return data[:NAME_MOST - 17].decode("utf-8", "ignore") + "#" + mark
+    return data[: NAME_MOST - 17].decode("utf-8", "ignore") + "#" + mark
 
 
 def id_hash(id_: bytes) -> bytes:
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -39,26 +39,37 @@
 
 
 EVENTS = {
-    "admission.limited": Event(logging.WARNING, "more is asked than comes back in time, the rest"
-                               " is refused", ("of", "a_second")),
+    "admission.limited": Event(
+        logging.WARNING,
+        "more is asked than comes back in time, the rest is refused",
+        ("of", "a_second"),
+    ),
     "admission.open": Event(logging.INFO, "all that is asked is let in again"),
-    "config.reloaded": Event(logging.INFO, "the configuration was read again",
-                             ("discovery", "operator")),
-    "config.restart_needed": Event(logging.WARNING, "a restart is needed to change these",
-                                   ("keys",)),
-    "config.unknown_keys": Event(logging.WARNING, "the platform's file has keys not known here",
-                                 ("keys",)),
-    "config.unusable": Event(logging.ERROR, "not reloaded, the old configuration stays",
-                             ("reason",)),
-    "consul.doubted": Event(logging.WARNING, "many nodes vanished at once, asking the leader",
-                            ("count",)),
-    "consul.emptied": Event(logging.ERROR, "the catalogue is empty, the last list holds",
-                            ("count",)),
+    "config.reloaded": Event(
+        logging.INFO, "the configuration was read again", ("discovery", "operator")
+    ),
+    "config.restart_needed": Event(
+        logging.WARNING, "a restart is needed to change these", ("keys",)
+    ),
+    "config.unknown_keys": Event(
+        logging.WARNING, "the platform's file has keys not known here", ("keys",)
+    ),
+    "config.unusable": Event(
+        logging.ERROR, "not reloaded, the old configuration stays", ("reason",)
+    ),
+    "consul.doubted": Event(
+        logging.WARNING, "many nodes vanished at once, asking the leader", ("count",)
+    ),
+    "consul.emptied": Event(
+        logging.ERROR, "the catalogue is empty, the last list holds", ("count",)
+    ),
     "consul.entries_left_out": Event(logging.WARNING, "instances make no sense", ("count",)),
-    "consul.failed": Event(logging.WARNING, "no answer that counts, the last list holds",
-                           ("reason", "agent", "age_s")),
-    "consul.panic": Event(logging.WARNING, "too many critical at once, health is not believed",
-                          ("floor",)),
+    "consul.failed": Event(
+        logging.WARNING, "no answer that counts, the last list holds", ("reason", "agent", "age_s")
+    ),
+    "consul.panic": Event(
+        logging.WARNING, "too many critical at once, health is not believed", ("floor",)
+    ),
     "daemon.drained": Event(logging.INFO, "has drained", ("proxy",)),
     "daemon.drains": Event(logging.INFO, "drains", ("proxy",)),
     "daemon.fault": Event(logging.ERROR, "a fault of ours in a callback", ("what",)),
@@ -66,82 +77,115 @@
     "daemon.paused": Event(logging.INFO, "the process stood still", ("ms",)),
     "clients.accept_failed": Event(logging.WARNING, "cannot accept", ("reason",)),
     "clients.left_open": Event(logging.WARNING, "connections were open at the end", ("count",)),
-    "discovery.entries_left_out": Event(logging.WARNING, "entries of the list make no sense",
-                                        ("count",)),
+    "discovery.entries_left_out": Event(
+        logging.WARNING, "entries of the list make no sense", ("count",)
+    ),
     "discovery.watch_ended": Event(logging.INFO, "the watch ended", ("reason",)),
-    "fleet.fenced": Event(logging.WARNING, "an effect was refused, a later term has begun there",
-                          ("work", "fence")),
+    "fleet.fenced": Event(
+        logging.WARNING, "an effect was refused, a later term has begun there", ("work", "fence")
+    ),
     "fleet.gained": Event(logging.INFO, "owns this work from now on", ("work", "fence")),
     "fleet.handed_back": Event(logging.INFO, "has handed this work back", ("work", "fence")),
-    "fleet.lapsed": Event(logging.WARNING, "could not renew in time, stops this work",
-                          ("work", "fence")),
-    "fleet.lost": Event(logging.WARNING, "the store has another owner, stops this work",
-                        ("work", "fence")),
+    "fleet.lapsed": Event(
+        logging.WARNING, "could not renew in time, stops this work", ("work", "fence")
+    ),
+    "fleet.lost": Event(
+        logging.WARNING, "the store has another owner, stops this work", ("work", "fence")
+    ),
     "fleet.moved": Event(logging.INFO, "hands this work on, others have fewer", ("work",)),
-    "fleet.renewed_late": Event(logging.WARNING, "renewed with little time left",
-                                ("work", "fence", "left_s")),
+    "fleet.renewed_late": Event(
+        logging.WARNING, "renewed with little time left", ("work", "fence", "left_s")
+    ),
     "fleet.resigned": Event(logging.INFO, "stops this work to hand it back", ("work", "fence")),
     "fleet.stood_aside": Event(logging.INFO, "another has taken this work", ("work", "owner")),
     "fleet.store_back": Event(logging.INFO, "the store answers again"),
-    "fleet.store_failed": Event(logging.WARNING, "the store gives no answer that counts",
-                                ("reason",)),
-    "fleet.unreadable": Event(logging.ERROR, "a record can't be read, the work is left alone",
-                              ("work", "reason")),
-    "fleet.undelivered": Event(logging.WARNING, "an effect was not taken, tried again",
-                               ("work", "reason", "wait_s")),
-    "fleet.work_failed": Event(logging.WARNING, "this work can't go on, tried again",
-                               ("work", "reason")),
-    "sharing.alone_again": Event(logging.INFO, "the other process of this name is gone",
-                                 ("proxy",)),
-    "sharing.avoided": Event(logging.WARNING, "others meet trouble there, it is left alone",
-                             ("node",)),
+    "fleet.store_failed": Event(
+        logging.WARNING, "the store gives no answer that counts", ("reason",)
+    ),
+    "fleet.unreadable": Event(
+        logging.ERROR, "a record can't be read, the work is left alone", ("work", "reason")
+    ),
+    "fleet.undelivered": Event(
+        logging.WARNING, "an effect was not taken, tried again", ("work", "reason", "wait_s")
+    ),
+    "fleet.work_failed": Event(
+        logging.WARNING, "this work can't go on, tried again", ("work", "reason")
+    ),
+    "sharing.alone_again": Event(
+        logging.INFO, "the other process of this name is gone", ("proxy",)
+    ),
+    "sharing.avoided": Event(
+        logging.WARNING, "others meet trouble there, it is left alone", ("node",)
+    ),
     "sharing.gone": Event(logging.INFO, "a proxy is there no more", ("proxy", "how")),
     "sharing.joined": Event(logging.INFO, "a proxy is there", ("proxy",)),
-    "sharing.room": Event(logging.INFO, "nothing is turned away for this budget any more",
-                          ("budget",)),
-    "sharing.spent": Event(logging.WARNING, "requests beyond this budget are turned away",
-                           ("budget", "asked_s", "may_s")),
-    "sharing.too_many": Event(logging.ERROR, "more proxies than [sharing] proxies says",
-                              ("proxies", "heard")),
-    "sharing.twin": Event(logging.ERROR, "another process has this name, nothing of a budget is"
-                          " ours", ("proxy",)),
-    "membership.file_unusable": Event(logging.WARNING, "the file of nodes can't be read",
-                                         ("reason",)),
-    "membership.speaks": Event(logging.INFO, "the list comes from this source from now on",
-                               ("source", "nodes")),
-    "membership.unlike": Event(logging.WARNING, "another source may not follow, it lists others",
-                               ("source", "share")),
-    "ledger.folded": Event(logging.WARNING, "more tenants than have a place, counted together",
-                           ("units",)),
-    "ledger.fork": Event(logging.ERROR, "its disk is older than its bills, batches are held",
-                         ("last", "held")),
+    "sharing.room": Event(
+        logging.INFO, "nothing is turned away for this budget any more", ("budget",)
+    ),
+    "sharing.spent": Event(
+        logging.WARNING,
+        "requests beyond this budget are turned away",
+        ("budget", "asked_s", "may_s"),
+    ),
+    "sharing.too_many": Event(
+        logging.ERROR, "more proxies than [sharing] proxies says", ("proxies", "heard")
+    ),
+    "sharing.twin": Event(
+        logging.ERROR, "another process has this name, nothing of a budget is ours", ("proxy",)
+    ),
+    "membership.file_unusable": Event(
+        logging.WARNING, "the file of nodes can't be read", ("reason",)
+    ),
+    "membership.speaks": Event(
+        logging.INFO, "the list comes from this source from now on", ("source", "nodes")
+    ),
+    "membership.unlike": Event(
+        logging.WARNING, "another source may not follow, it lists others", ("source", "share")
+    ),
+    "ledger.folded": Event(
+        logging.WARNING, "more tenants than have a place, counted together", ("units",)
+    ),
+    "ledger.fork": Event(
+        logging.ERROR, "its disk is older than its bills, batches are held", ("last", "held")
+    ),
     "ledger.held": Event(logging.ERROR, "a batch is held for an operator", ("batch", "why")),
-    "ledger.locked": Event(logging.WARNING, "another process has the ledger, tried again",
-                           ("folder",)),
-    "ledger.not_exported": Event(logging.WARNING, "a batch was not taken, tried again",
-                                 ("batch", "why", "wait_s")),
+    "ledger.locked": Event(
+        logging.WARNING, "another process has the ledger, tried again", ("folder",)
+    ),
+    "ledger.not_exported": Event(
+        logging.WARNING, "a batch was not taken, tried again", ("batch", "why", "wait_s")
+    ),
     "ledger.open": Event(logging.INFO, "the ledger is open", ("incarnation", "batches", "gaps")),
-    "ledger.salvaged": Event(logging.ERROR, "its files do not add up, what can be read is kept",
-                             ("file", "records", "torn", "why", "aside")),
-    "ledger.unwritten": Event(logging.ERROR, "cannot be written, counted in memory meanwhile",
-                              ("reason",)),
+    "ledger.salvaged": Event(
+        logging.ERROR,
+        "its files do not add up, what can be read is kept",
+        ("file", "records", "torn", "why", "aside"),
+    ),
+    "ledger.unwritten": Event(
+        logging.ERROR, "cannot be written, counted in memory meanwhile", ("reason",)
+    ),
     "ledger.written_again": Event(logging.INFO, "is written again, nothing was missed"),
-    "nodes.doubted": Event(logging.WARNING, "these answer nothing while others do, asked by few",
-                           ("count", "nodes")),
+    "nodes.doubted": Event(
+        logging.WARNING, "these answer nothing while others do, asked by few", ("count", "nodes")
+    ),
     "nodes.trusted": Event(logging.INFO, "all nodes are asked like any other again"),
-    "placement.fits": Event(logging.INFO, "the plan holds again for the nodes that are listed",
-                            ("nodes",)),
-    "placement.late": Event(logging.WARNING, "a plan of an earlier owner is left alone",
-                            ("fence", "seen")),
+    "placement.fits": Event(
+        logging.INFO, "the plan holds again for the nodes that are listed", ("nodes",)
+    ),
+    "placement.late": Event(
+        logging.WARNING, "a plan of an earlier owner is left alone", ("fence", "seen")
+    ),
     "placement.reached": Event(logging.INFO, "the shares of the plan are in force", ("nodes",)),
-    "placement.refused": Event(logging.WARNING, "the plan is not for the nodes that are listed",
-                               ("reason",)),
+    "placement.refused": Event(
+        logging.WARNING, "the plan is not for the nodes that are listed", ("reason",)
+    ),
     "placement.stale": Event(logging.WARNING, "the plan is old", ("age_h",)),
     "placement.taken": Event(logging.INFO, "a plan was read", ("nodes", "age_h")),
     "placement.unkept": Event(logging.WARNING, "which plan was taken can't be kept", ("reason",)),
     "requests.fault": Event(logging.ERROR, "a fault of ours cost a request", ("what",)),
-    "tls.unusable": Event(logging.ERROR, "new TLS files can't be used, the old ones hold",
-                          ("reason",)),
+    "tls.unusable": Event(
+        logging.ERROR, "new TLS files can't be used, the old ones hold", ("reason",)
+    ),
     DROPPED: Event(logging.WARNING, "nobody read the log for a while", ("lines",)),
     FOREIGN: Event(logging.WARNING, "a library says", ("text",)),
 }
@@ -168,8 +212,13 @@
 class Logs(logging.Handler):
     """Formats, limits and writes.  `write` takes a line or says that it has no room."""
 
-    def __init__(self, write: Callable[[bytes], bool], clock: Callable[[], float],
-                 wall: Callable[[], float], table: LogTable) -> None:
+    def __init__(
+        self,
+        write: Callable[[bytes], bool],
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        table: LogTable,
+    ) -> None:
         super().__init__()
         self._write, self._clock, self._wall = write, clock, wall
         self._held: dict[str, _Held] = {}
@@ -214,12 +263,18 @@
     def _put(self, level: int, name: str, fields: dict[str, object]) -> bool:
         at = datetime.fromtimestamp(self._wall(), UTC).isoformat(timespec="milliseconds")
         at = at.replace("+00:00", "Z")
-        cut = {key: value[:FIELD_MOST] if isinstance(value, str) and key != "trace" else value
-               for key, value in fields.items()}
+        cut = {
+            key: value[:FIELD_MOST] if isinstance(value, str) and key != "trace" else value
+            for key, value in fields.items()
+        }
         says, word = EVENTS[name].says, logging.getLevelName(level)
         if self._table.format == "json":
-            return self._write(msgspec.json.encode(
-                {"at": at, "level": word.lower(), "event": name, "says": says, **cut}) + b"\n")
+            return self._write(
+                msgspec.json.encode(
+                    {"at": at, "level": word.lower(), "event": name, "says": says, **cut}
+                )
+                + b"\n"
+            )
         words = " ".join(f"{key}={_plain(value)}" for key, value in cut.items())
         return self._write(f"{at} {word} {name} {says}: {words}\n".encode())
 
--- a/violetroute/membership/__init__.py
+++ b/violetroute/membership/__init__.py
@@ -5,5 +5,15 @@
 from .source import Membership, order
 from .table import ConsulTable, MembershipTable
 
-__all__ = ["ConsulTable", "Entry", "Listing", "Membership", "MembershipTable", "Places",
-           "as_member", "order", "parse_listing", "stable_hash"]
+__all__ = [
+    "ConsulTable",
+    "Entry",
+    "Listing",
+    "Membership",
+    "MembershipTable",
+    "Places",
+    "as_member",
+    "order",
+    "parse_listing",
+    "stable_hash",
+]
--- a/violetroute/membership/belief.py
+++ b/violetroute/membership/belief.py
@@ -50,13 +50,15 @@
         self.doubted = 0  # that vanished in the last answer and are kept until it is confirmed
         self.emptied = False  # the last answer had none
 
-    def take(self, now: float, wall: float, seen: Mapping[str, Instance],
-             confirmed: bool = False) -> bool:
+    def take(
+        self, now: float, wall: float, seen: Mapping[str, Instance], confirmed: bool = False
+    ) -> bool:
         """One answer.  Whether it has to be confirmed: asked again, of the leader."""
         gone = [name for name in self._known if name not in seen]
         self.doubted, self.emptied = 0, bool(self._known) and not seen
-        if gone and (self.emptied or (len(gone) > self.table.floor * len(self._known)
-                                      and not confirmed)):
+        if gone and (
+            self.emptied or (len(gone) > self.table.floor * len(self._known) and not confirmed)
+        ):
             self.doubted = len(gone)
         else:
             for name in gone:
@@ -67,8 +69,11 @@
             if known is None or known.instance is not instance:
                 self._one(now, wall, name, instance)
         self._heard = True
-        here = [known for name, known in self._known.items()
-                if name in seen and known.instance.health is not Health.DRAINS]
+        here = [
+            known
+            for name, known in self._known.items()
+            if name in seen and known.instance.health is not Health.DRAINS
+        ]
         sick = sum(known.instance.health is Health.CRITICAL for known in here)
         self.panics = sick > self.table.floor * len(here)
         return bool(self.doubted) and not confirmed
@@ -132,8 +137,11 @@
 
     def entries(self, now: float) -> dict[str, Entry]:
         """What the proxy should be told, by name; who is not there has gone."""
-        return {name: _entry(name, known, state) for name, known in self._known.items()
-                if (state := self._state(known, now)) is not CacheState.GONE}
+        return {
+            name: _entry(name, known, state)
+            for name, known in self._known.items()
+            if (state := self._state(known, now)) is not CacheState.GONE
+        }
 
     def _state(self, known: _Known, now: float) -> CacheState:
         health = known.instance.health
@@ -148,11 +156,23 @@
 
 def _entry(name: str, known: _Known, state: CacheState) -> Entry:
     entry, instance = known.entry, known.instance
-    if entry is None or known.entry_of is not instance or entry.state is not state \
-            or entry.started_at != known.started_at:
-        entry = known.entry = Entry(name, state, instance.address, instance.zone, instance.kind,
-                                    instance.cell, instance.weight, known.started_at,
-                                    known.started_at != instance.started_at)
+    if (
+        entry is None
+        or known.entry_of is not instance
+        or entry.state is not state
+        or entry.started_at != known.started_at
+    ):
+        entry = known.entry = Entry(
+            name,
+            state,
+            instance.address,
+            instance.zone,
+            instance.kind,
+            instance.cell,
+            instance.weight,
+            known.started_at,
+            known.started_at != instance.started_at,
+        )
         known.entry_of = instance
     return entry
 
@@ -179,8 +199,11 @@
         told = []
         found = changes(before, entries)
         if again:
-            found += [entry for name, entry in entries.items()
-                      if entry.state is CacheState.DRAINING and before.get(name) == entry]
+            found += [
+                entry
+                for name, entry in entries.items()
+                if entry.state is CacheState.DRAINING and before.get(name) == entry
+            ]
         for entry in found:
             if entry.state is CacheState.GONE and belief.knows(entry.instance):
                 entry = self._hints[entry.instance] = replace(entry, hint=True)
@@ -196,10 +219,23 @@
 
 def changes(before: Mapping[str, Entry], after: Mapping[str, Entry]) -> list[Entry]:
     """What has to be told of the difference."""
-    told = [entry for name, entry in after.items()
-            if (was := before.get(name)) is not entry and was != entry]
+    told = [
+        entry
+        for name, entry in after.items()
+        if (was := before.get(name)) is not entry and was != entry
+    ]
     for name, entry in before.items():
         if name not in after:
-            told.append(Entry(name, CacheState.GONE, None, entry.zone, entry.kind, entry.cell,
-                              entry.weight, entry.started_at))
+            told.append(
+                Entry(
+                    name,
+                    CacheState.GONE,
+                    None,
+                    entry.zone,
+                    entry.kind,
+                    entry.cell,
+                    entry.weight,
+                    entry.started_at,
+                )
+            )
     return told
--- a/violetroute/membership/consul.py
+++ b/violetroute/membership/consul.py
@@ -35,8 +35,9 @@
     one body of `body_mb`, three timers (the ask's limit, the next ask, a return that is due).
     """
 
-    def __init__(self, follower: Follower, table: ConsulTable, net: Network,
-                 clock: Callable[[], float]) -> None:
+    def __init__(
+        self, follower: Follower, table: ConsulTable, net: Network, clock: Callable[[], float]
+    ) -> None:
         self._follower, self._table, self._net, self._loop = follower, table, net, net.loop
         self._clock = clock  # Unix ms as the proxy counts them: it never steps
         self._belief, self._reader = Belief(table), Reader(table)
@@ -94,13 +95,19 @@
             self._failed(f"token_file: {error.strerror}")
             return
         if self._call is None:
-            self._call = _Call(self, self._net, self._table.agents[self._agent],
-                               round(self._table.body_mb * 1024 * 1024), self._keys)
+            self._call = _Call(
+                self,
+                self._net,
+                self._table.agents[self._agent],
+                round(self._table.body_mb * 1024 * 1024),
+                self._keys,
+            )
         limit = CONFIRM_WITHIN if confirm else CALL_TIMEOUT + self._query.longest
         self._call.ask(self._query.target(confirm), token, limit, confirm)
 
-    def answered(self, status: int, headers: dict[str, str], body: bytearray,
-                 confirm: bool) -> None:
+    def answered(
+        self, status: int, headers: dict[str, str], body: bytearray, confirm: bool
+    ) -> None:
         """A whole answer."""
         refused = self._query.answered(status, headers)
         if refused is not None:
@@ -185,8 +192,9 @@
 class _Call:
     """One connection to an agent, with one ask at a time."""
 
-    def __init__(self, watch: ConsulWatch, net: Network, agent: str, most: int,
-                 keys: TlsKeys | None) -> None:
+    def __init__(
+        self, watch: ConsulWatch, net: Network, agent: str, most: int, keys: TlsKeys | None
+    ) -> None:
         self._watch, self._loop, self._agent, self._most = watch, net.loop, agent, most
         self._http = h11.Connection(h11.CLIENT)
         self._open = self._over = False
@@ -198,8 +206,11 @@
         self._limit: Any = None
         self._began = 0.0
         address = parse_address(agent)
-        self._stream: Stream = TlsStream(net, address, self, CALL_TIMEOUT, keys) \
-            if keys is not None else net.connect(address, self, CALL_TIMEOUT, first=True)
+        self._stream: Stream = (
+            TlsStream(net, address, self, CALL_TIMEOUT, keys)
+            if keys is not None
+            else net.connect(address, self, CALL_TIMEOUT, first=True)
+        )
 
     def ask(self, target: str, token: str, limit: float, confirm: bool) -> None:
         """Send one ask; its answer has to begin within `limit` s."""
@@ -208,8 +219,9 @@
         headers = [("Host", self._agent), ("Accept", "application/json")]
         if token:
             headers.append(("X-Consul-Token", token))
-        data = (self._http.send(h11.Request(method="GET", target=target, headers=headers)) or b"") \
-            + (self._http.send(h11.EndOfMessage()) or b"")
+        data = (
+            self._http.send(h11.Request(method="GET", target=target, headers=headers)) or b""
+        ) + (self._http.send(h11.EndOfMessage()) or b"")
         self._body, self._status, self._confirm = bytearray(), 0, confirm
         self._patience(limit)
         if self._open:
@@ -267,8 +279,9 @@
                 return False
             case h11.Response(status_code=status, headers=headers):
                 self._status, self._began = status, self._loop.time()
-                self._headers = {name.decode("ascii"): value.decode("latin-1")
-                                 for name, value in headers}
+                self._headers = {
+                    name.decode("ascii"): value.decode("latin-1") for name, value in headers
+                }
                 self._patience(BODY_PATIENCE)
             case h11.Data(data=data):
                 if len(self._body) + len(data) > self._most:
@@ -289,6 +302,9 @@
     def _done(self) -> None:
         self._limit.cancel()
         # Bytes behind an answer would be taken for the next one's.
-        self.kept = self._http.their_state is h11.DONE and self._http.our_state is h11.DONE \
+        self.kept = (
+            self._http.their_state is h11.DONE
+            and self._http.our_state is h11.DONE
             and not self._http.trailing_data[0]
+        )
         self._watch.answered(self._status, self._headers, self._body, self._confirm)
--- a/violetroute/membership/meaning.py
+++ b/violetroute/membership/meaning.py
@@ -87,9 +87,18 @@
     ServiceWeights: _Weights | None = None
 
     def element(self) -> _Element:
-        return _Element(_Node(self.Node, self.Address), _Service(
-            self.ServiceID, self.ServiceName, self.ServiceAddress, self.ServicePort,
-            self.ServiceTags, self.ServiceMeta, self.ServiceWeights))
+        return _Element(
+            _Node(self.Node, self.Address),
+            _Service(
+                self.ServiceID,
+                self.ServiceName,
+                self.ServiceAddress,
+                self.ServicePort,
+                self.ServiceTags,
+                self.ServiceMeta,
+                self.ServiceWeights,
+            ),
+        )
 
 
 _elements = msgspec.json.Decoder(list[msgspec.Raw])
@@ -132,8 +141,11 @@
     def _read(self, data: bytes) -> tuple[Instance, str] | None:
         """None for an entry that makes no sense: the others hold."""
         try:
-            element = _element.decode(data) if self._table.endpoint == "health" \
+            element = (
+                _element.decode(data)
+                if self._table.endpoint == "health"
                 else _row.decode(data).element()
+            )
             return self._instance(element), element.Node.Node
         except (ValueError, OverflowError):
             return None
@@ -158,8 +170,16 @@
         name = service.ID if service.Service != service.ID else element.Node.Node or service.ID
         if not name:
             raise ValueError("no id")
-        return Instance(name, address, health, meta.get(table.zone_meta, ""),
-                        meta.get(table.kind_meta, ""), cell, weight, started)
+        return Instance(
+            name,
+            address,
+            health,
+            meta.get(table.zone_meta, ""),
+            meta.get(table.kind_meta, ""),
+            cell,
+            weight,
+            started,
+        )
 
 
 def _health(element: _Element, drain_tag: str) -> Health:
@@ -167,8 +187,9 @@
     if drain_tag and drain_tag in (element.Service.Tags or ()):
         return Health.DRAINS
     for check in checks:
-        if check.Status == "critical" and (check.CheckID == NODE_MAINTENANCE or
-                                           check.CheckID.startswith(SERVICE_MAINTENANCE)):
+        if check.Status == "critical" and (
+            check.CheckID == NODE_MAINTENANCE or check.CheckID.startswith(SERVICE_MAINTENANCE)
+        ):
             return Health.DRAINS
     said = {check.Status for check in checks}
     if said - {"passing", "warning"}:
--- a/violetroute/membership/merge.py
+++ b/violetroute/membership/merge.py
@@ -151,8 +151,11 @@
                 continue
             if not view.there or not view.serving:
                 continue  # a list of nobody is nobody's
-            if place < rank and (speaking is None or not speaking.there
-                                 or now >= view.back_since + self._table.settle_s):
+            if place < rank and (
+                speaking is None
+                or not speaking.there
+                or now >= view.back_since + self._table.settle_s
+            ):
                 if speaking is None and not self._waited(now, place):
                     continue
                 self.speaker = name
@@ -191,8 +194,9 @@
         return told
 
 
-def _apply(plan: _Plan, told: dict[str, Entry], by_address: Mapping[object, str],
-           wall: float) -> None:
+def _apply(
+    plan: _Plan, told: dict[str, Entry], by_address: Mapping[object, str], wall: float
+) -> None:
     for name in {plan.entry.instance, by_address.get(plan.entry.address)}:
         entry = told.get(name) if name is not None else None
         # Another start than the one that was told of; one that is yet to come is a wrong clock.
@@ -204,8 +208,10 @@
             if entry.state is CacheState.READY:
                 told[entry.instance] = replace(entry, state=CacheState.DRAINING)
         # Who is gone may be told of after another one has started at its address.
-        elif entry.instance == plan.entry.instance \
-                or entry.started_at <= plan.entry.started_at + SAME_START:
+        elif (
+            entry.instance == plan.entry.instance
+            or entry.started_at <= plan.entry.started_at + SAME_START
+        ):
             del told[entry.instance]
 
 
@@ -217,5 +223,4 @@
     for entry in after:
         names.add(entry.instance)
         places.add(entry.address)
-    return sum(entry.instance in names or entry.address in places
-               for entry in before) / len(before)
+    return sum(entry.instance in names or entry.address in places for entry in before) / len(before)
--- a/violetroute/membership/native.py
+++ b/violetroute/membership/native.py
@@ -29,8 +29,11 @@
 
 # A string, in which braces mean nothing, or one that does.
 _BRACES = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')
-STATES = {"in_service": CacheState.READY, "terminating": CacheState.DRAINING,
-          "terminated": CacheState.GONE}
+STATES = {
+    "in_service": CacheState.READY,
+    "terminating": CacheState.DRAINING,
+    "terminated": CacheState.GONE,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,8 +70,9 @@
                 entries.append(_entry(item))
             except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
                 senseless += 1
-        listing = Listing(int(raw.get("generation", 0)), bool(raw.get("reset", False)),
-                          tuple(entries))
+        listing = Listing(
+            int(raw.get("generation", 0)), bool(raw.get("reset", False)), tuple(entries)
+        )
     except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"not a list of cache nodes: {error!r}") from error
     if senseless:
@@ -83,9 +87,15 @@
     if not (0.0 <= weight < math.inf and 0.0 <= started_at < math.inf):
         raise ValueError("weight or start is no number")
     return Entry(
-        str(raw["instanceId"]), state, None if gone else parse_address(raw["hostPort"]),
-        str(raw.get("zone", "")), str(raw.get("machineType", "")), int(raw.get("cell", 0)),
-        weight, started_at)
+        str(raw["instanceId"]),
+        state,
+        None if gone else parse_address(raw["hostPort"]),
+        str(raw.get("zone", "")),
+        str(raw.get("machineType", "")),
+        int(raw.get("cell", 0)),
+        weight,
+        started_at,
+    )
 
 
 def stable_hash(name: bytes) -> int:
@@ -96,8 +106,15 @@
 def as_member(entry: Entry, now: float) -> Member:
     """What the module is told of an entry; `now` as it knows it, in ms."""
     # A start that is yet to come would keep the node cold until then.
-    return Member(stable_hash(entry.instance.encode()), entry.state, entry.zone, entry.kind,
-                  entry.cell, entry.weight, min(entry.started_at, now))
+    return Member(
+        stable_hash(entry.instance.encode()),
+        entry.state,
+        entry.zone,
+        entry.kind,
+        entry.cell,
+        entry.weight,
+        min(entry.started_at, now),
+    )
 
 
 class Follower(Interface):
@@ -108,7 +125,6 @@
         """The watch has ended; `silent`: it stood, and nothing came any more."""
 
 
-
 class Broken(Exception):
     """The watch has ended, or can no longer be believed."""
 
@@ -199,10 +215,13 @@
     # --- stream ---
     def opened(self) -> None:
         request = h11.Request(
-            method="GET", target=f"/v1/servers?follow=1&since={self._since}",
-            headers=[("Host", f"{self._address.host}:{self._address.port}")])
-        self._stream.write((self._http.send(request) or b"")
-                           + (self._http.send(h11.EndOfMessage()) or b""))
+            method="GET",
+            target=f"/v1/servers?follow=1&since={self._since}",
+            headers=[("Host", f"{self._address.host}:{self._address.port}")],
+        )
+        self._stream.write(
+            (self._http.send(request) or b"") + (self._http.send(h11.EndOfMessage()) or b"")
+        )
 
     def buffer(self) -> memoryview:
         return _shared
--- a/violetroute/membership/places.py
+++ b/violetroute/membership/places.py
@@ -84,7 +84,8 @@
 def _follows(member: Member, other: Member, inferred: bool) -> bool:
     """Whether it is there: the later one; where that is not known, the one that drains."""
     drains = member.state is CacheState.DRAINING
-    if (inferred or member.started_at == other.started_at) \
-            and drains is not (other.state is CacheState.DRAINING):
+    if (inferred or member.started_at == other.started_at) and drains is not (
+        other.state is CacheState.DRAINING
+    ):
         return drains
     return member.started_at >= other.started_at
--- a/violetroute/membership/query.py
+++ b/violetroute/membership/query.py
@@ -44,8 +44,13 @@
         asks: list[tuple[str, str]] = []
         if self.index and not confirm:
             asks += [("index", str(self.index)), ("wait", f"{round(table.wait_s * 1000)}ms")]
-        for name, value in (("dc", table.datacenter), ("ns", table.namespace), ("tag", table.tag),
-                            ("filter", table.filter), ("near", table.near)):
+        for name, value in (
+            ("dc", table.datacenter),
+            ("ns", table.namespace),
+            ("tag", table.tag),
+            ("filter", table.filter),
+            ("near", table.near),
+        ):
             if value:
                 asks.append((name, value))
         flag = "consistent" if confirm else table.consistency
@@ -59,8 +64,10 @@
         """None: its body counts.  Header names in small letters."""
         table = self._table
         if status != 200:
-            return Refused(f"answered {status}", _retry(headers.get("retry-after", ""))
-                           if status in (429, 503) else 0.0)
+            return Refused(
+                f"answered {status}",
+                _retry(headers.get("retry-after", "")) if status in (429, 503) else 0.0,
+            )
         if headers.get("x-consul-knownleader", "true").lower() == "false":
             return Refused("no leader", plans=True)
         if headers.get("x-consul-results-filtered-by-acls", "").lower() == "true":
--- a/violetroute/membership/source.py
+++ b/violetroute/membership/source.py
@@ -55,16 +55,26 @@
             self._new_source = False
             at = {entry.address: name for name, entry in self._here.items()}
             taken = {entry.instance for entry in listing.entries}
-            self._called = {entry.instance: at[entry.address] for entry in listing.entries
-                            if entry.address in at and entry.instance not in self._here
-                            and at[entry.address] not in taken}
+            self._called = {
+                entry.instance: at[entry.address]
+                for entry in listing.entries
+                if entry.address in at
+                and entry.instance not in self._here
+                and at[entry.address] not in taken
+            }
         elif self._new_source:  # drains ahead of its first whole list, of nodes by any name
             at = {entry.address: name for name, entry in self._here.items()}
-            unknown = [entry.state is CacheState.DRAINING and entry.instance not in self._here
-                       for entry in listing.entries]
-            listing = replace(listing, entries=tuple(
-                replace(entry, instance=at.get(entry.address, entry.instance)) if new else entry
-                for entry, new in zip(listing.entries, unknown, strict=True)))
+            unknown = [
+                entry.state is CacheState.DRAINING and entry.instance not in self._here
+                for entry in listing.entries
+            ]
+            listing = replace(
+                listing,
+                entries=tuple(
+                    replace(entry, instance=at.get(entry.address, entry.instance)) if new else entry
+                    for entry, new in zip(listing.entries, unknown, strict=True)
+                ),
+            )
         told = []
         here = {} if listing.whole else self._here
         for entry in listing.entries:
@@ -82,8 +92,14 @@
 class Membership:
     """The source in use, or all of them as one.  `start` and `stop` as the module says."""
 
-    def __init__(self, follower: Follower, net: Network, discovery: Address,
-                 operator: Tables, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        follower: Follower,
+        net: Network,
+        discovery: Address,
+        operator: Tables,
+        clock: Callable[[], float],
+    ) -> None:
         self._follower, self._net, self._clock = follower, net, clock
         self._discovery, self._operator = discovery, operator
         self._roster = Roster()
@@ -93,9 +109,13 @@
         names = order(self._operator)
         if len(names) == 1:
             return self._one(names[0], self)
-        several = Sources(self, self._net.loop, self._clock,
-                          {name: partial(self._one, name) for name in names},
-                          self._operator.membership)
+        several = Sources(
+            self,
+            self._net.loop,
+            self._clock,
+            {name: partial(self._one, name) for name in names},
+            self._operator.membership,
+        )
         several.begin(self._roster.here, before if isinstance(before, Sources) else None)
         return several
 
@@ -119,9 +139,12 @@
         told: the module learns of the move instead.
         """
         before, now = order(self._operator), order(operator)
-        same = before == now and operator.membership == self._operator.membership \
-            and ("consul" not in now or operator.consul == self._operator.consul) \
+        same = (
+            before == now
+            and operator.membership == self._operator.membership
+            and ("consul" not in now or operator.consul == self._operator.consul)
             and ("platform" not in now or discovery == self._discovery)
+        )
         self._discovery, self._operator = discovery, operator
         if same:
             return False
@@ -159,5 +182,4 @@
 
 def order(operator: Tables) -> tuple[str, ...]:
     """The sources by precedence."""
-    return operator.membership.sources or (("consul",) if operator.consul.agents
-                                           else ("platform",))
+    return operator.membership.sources or (("consul",) if operator.consul.agents else ("platform",))
--- a/violetroute/membership/sources.py
+++ b/violetroute/membership/sources.py
@@ -48,9 +48,14 @@
     timer beside those of the sources.
     """
 
-    def __init__(self, follower: Speaker, loop: AbstractEventLoop, clock: Callable[[], float],
-                 make: Mapping[str, Callable[[Follower], Watching]],
-                 table: MembershipTable) -> None:
+    def __init__(
+        self,
+        follower: Speaker,
+        loop: AbstractEventLoop,
+        clock: Callable[[], float],
+        make: Mapping[str, Callable[[Follower], Watching]],
+        table: MembershipTable,
+    ) -> None:
         self._follower, self._loop, self._clock = follower, loop, clock
         self._merge = Merge(list(make), table, loop.time())
         self._watches = {name: made(_Voice(self, name)) for name, made in make.items()}
--- a/violetroute/placement/keeper.py
+++ b/violetroute/placement/keeper.py
@@ -32,8 +32,12 @@
     way; `close` ends it.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float],
-                 tell_sizes: Callable[[Mapping[int, float]], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], float],
+        tell_sizes: Callable[[Mapping[int, float]], None],
+    ) -> None:
         self._loop, self._clock, self._tell_sizes = loop, clock, tell_sizes
         self._plan: Plan | None = None
         self._table = PlacementTable()
--- a/violetroute/placement/plan.py
+++ b/violetroute/placement/plan.py
@@ -79,8 +79,9 @@
             raise ValueError(f"larger than {LARGEST} bytes")
         plan = msgspec.json.decode(data, type=Plan)
         if plan.limebridge_placement != VERSION:
-            raise ValueError(f"limebridge_placement: version {plan.limebridge_placement}, "
-                             f"not {VERSION}")
+            raise ValueError(
+                f"limebridge_placement: version {plan.limebridge_placement}, not {VERSION}"
+            )
         total = sum(plan.nodes.values())
         if not math.isclose(total, 1.0, abs_tol=CLOSE):
             raise ValueError(f"nodes: the shares add up to {total:g}, not to 1")
--- a/violetroute/placement/ramp.py
+++ b/violetroute/placement/ramp.py
@@ -57,5 +57,6 @@
         if share >= 1.0 - CLOSE:
             self.now = dict(self._wanted)
             return
-        self.now = {name: size + share * (self._wanted[name] - size)
-                    for name, size in self.now.items()}
+        self.now = {
+            name: size + share * (self._wanted[name] - size) for name, size in self.now.items()
+        }
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -68,8 +68,14 @@
         self._settings = config.settings
         self._beliefs = Beliefs(loop.time, self.places.name)
         self._classes = {c.name: c for c in config.settings.classes}
-        self._pool = Pool(self, net, config.upstream_sockets, config.connect_timeout,
-                          config.idle_timeout, config.limits)
+        self._pool = Pool(
+            self,
+            net,
+            config.upstream_sockets,
+            config.connect_timeout,
+            config.idle_timeout,
+            config.limits,
+        )
         self._slots = SlotMap()
         self._pool.follows = config.operator.cluster.follow
         self._watch = Membership(self, net, config.discovery, config.operator, self.clock)
@@ -88,9 +94,14 @@
 
     def states(self) -> list[str]:
         """Of each open request: how it stands, for whoever looks in from outside."""
-        return ["answered, attempts out" if request.answered else
-                f"{request.out} out, try {len(request.attempts)}" if request.out else "held"
-                for request in self._open.values()]
+        return [
+            "answered, attempts out"
+            if request.answered
+            else f"{request.out} out, try {len(request.attempts)}"
+            if request.out
+            else "held"
+            for request in self._open.values()
+        ]
 
     @property
     def nodes(self) -> list[int]:
@@ -127,8 +138,13 @@
         if cls is not None and command.wait > cls.deadline:
             command.wait = cls.deadline  # who says that it waits longer is not believed
         backoff = self._balancer.on_arrival(
-            self.clock(), command.class_name, stood, command.wait - unread,
-            self._turns.spent(now) * 1000.0, taken)
+            self.clock(),
+            command.class_name,
+            stood,
+            command.wait - unread,
+            self._turns.spent(now) * 1000.0,
+            taken,
+        )
         if backoff is None and self.parts.admits is not None:
             backoff = self.parts.admits(command.tenant, command.class_name)
         if backoff is None:
@@ -170,10 +186,19 @@
         key = stable_hash(command.key)
         for told in self.parts.taken:
             told(command.tenant, key)
-        self._tell(request, self._balancer.on_request, Request(
-            request.id, command.class_name, request.give_up_at, key,
-            command.value is not None, command.tenant,
-            self._slots.owner(command.key, self.places.at)))
+        self._tell(
+            request,
+            self._balancer.on_request,
+            Request(
+                request.id,
+                command.class_name,
+                request.give_up_at,
+                key,
+                command.value is not None,
+                command.tenant,
+                self._slots.owner(command.key, self.places.at),
+            ),
+        )
         self._forget(request)  # it may have been refused at once
 
     def gone(self, answer: Answer) -> None:
@@ -187,8 +212,12 @@
 
     # --- from cache nodes ---
     def attempt_ended(
-        self, attempt: Attempt, result: Result, value: bytes | bytearray | None = None,
-        hit: bool | None = None, report: dict[str, float] | None = None,
+        self,
+        attempt: Attempt,
+        result: Result,
+        value: bytes | bytearray | None = None,
+        hit: bool | None = None,
+        report: dict[str, float] | None = None,
         redirect: Redirect | None = None,
     ) -> None:
         """The one outcome of an attempt; what comes after it is nothing."""
@@ -210,9 +239,20 @@
         if redirect is not None:
             self._slots.learn(redirect)
             to = None if redirect.address is None else self.places.at(redirect.address)
-        self._tell(request, self._balancer.on_outcome, Outcome(
-            request.id, attempt.number, result, request.answered,
-            now - attempt.sent_at, hit, report, to))
+        self._tell(
+            request,
+            self._balancer.on_outcome,
+            Outcome(
+                request.id,
+                attempt.number,
+                result,
+                request.answered,
+                now - attempt.sent_at,
+                hit,
+                report,
+                to,
+            ),
+        )
         self._forget(request)
 
     # --- from discovery ---
@@ -258,7 +298,8 @@
         self._placement.listed(
             kind is not ListKind.CHANGES,
             ((stable_hash(e.instance.encode()), Like(e.instance, e.zone, e.kind)) for e in serving),
-            (e.instance for e in listing.entries if e.state is not CacheState.READY))
+            (e.instance for e in listing.entries if e.state is not CacheState.READY),
+        )
 
     def others(self, bad: list[int], outcomes: list[Judged]) -> None:
         """What other proxies met at the nodes."""
@@ -278,8 +319,9 @@
         self._pool.close()
 
     # --- telling and doing ---
-    def _tell(self, request: OpenRequest | None, event: Callable[..., list[Action]],
-              *args: object) -> None:
+    def _tell(
+        self, request: OpenRequest | None, event: Callable[..., list[Action]], *args: object
+    ) -> None:
         """Tell the module what happened and do what it says.
 
         A fault there, or in doing it, costs the request at hand and not the process.
@@ -322,8 +364,16 @@
 
     def _send(self, request: OpenRequest, action: Send) -> None:
         until = min(action.stop_at or request.give_up_at, request.give_up_at)
-        attempt = Attempt(request.id, len(request.attempts), action.cache_id, request.command,
-                          self._now, until, action.asking, action.deliver_by)
+        attempt = Attempt(
+            request.id,
+            len(request.attempts),
+            action.cache_id,
+            request.command,
+            self._now,
+            until,
+            action.asking,
+            action.deliver_by,
+        )
         request.attempts.append(attempt)
         request.out += 1
         if request.answered:
@@ -332,14 +382,18 @@
         if until < request.give_up_at:
             self._loop.call_later((until - self._now) / 1000.0, self._too_late, attempt)
         if 0.0 < action.deliver_by < until:
-            self._loop.call_later((action.deliver_by - self._now) / 1000.0, self._undelivered,
-                                  attempt)
+            self._loop.call_later(
+                (action.deliver_by - self._now) / 1000.0, self._undelivered, attempt
+            )
         self._pool.send(attempt)
 
     def may_send(self, attempt: Attempt) -> bool:
         request = self._open.get(attempt.request_id)
-        return request is not None and request.may_begin(attempt, self.clock()) \
+        return (
+            request is not None
+            and request.may_begin(attempt, self.clock())
             and not (self._turns.late(self._loop.time()) and request.answer.left())
+        )
 
     def _timer(self, label: int) -> None:
         request = self._open.get(label)
--- a/violetroute/requests.py
+++ b/violetroute/requests.py
@@ -24,8 +24,12 @@
 
     def may_begin(self, attempt: Attempt, now: float) -> bool:
         """Whether an attempt that has waited may still be sent; `now` as the module knows it."""
-        return not self.answered and not attempt.ended and now < attempt.wait_until \
+        return (
+            not self.answered
+            and not attempt.ended
+            and now < attempt.wait_until
             and not 0.0 < attempt.deliver_by <= now
+        )
 
 
 def time_for(wait: float, deadline: float) -> float:
--- a/violetroute/resp/__init__.py
+++ b/violetroute/resp/__init__.py
@@ -16,6 +16,19 @@
 from .replies import Reply, parse_report
 
 __all__ = [
-    "BULK_LIMIT", "CRLF", "Array", "Bulk", "Command", "CommandError", "Decoder", "Line", "Piece",
-    "ProtocolError", "Reply", "Token", "bulk", "parse_command", "parse_report",
+    "BULK_LIMIT",
+    "CRLF",
+    "Array",
+    "Bulk",
+    "Command",
+    "CommandError",
+    "Decoder",
+    "Line",
+    "Piece",
+    "ProtocolError",
+    "Reply",
+    "Token",
+    "bulk",
+    "parse_command",
+    "parse_report",
 ]
--- a/violetroute/resp/commands.py
+++ b/violetroute/resp/commands.py
@@ -56,8 +56,10 @@
     if len(args) != count:
         raise CommandError("wrong number of arguments")
     key, id_, listed = bytes(args[1]), bytes(args[2]), bytes(args[3])
-    if not (0 < len(key) <= WORD_LIMIT and 0 < len(id_) <= WORD_LIMIT) \
-            or len(listed) > FIELDS_LIMIT:
+    if (
+        not (0 < len(key) <= WORD_LIMIT and 0 < len(id_) <= WORD_LIMIT)
+        or len(listed) > FIELDS_LIMIT
+    ):
         raise CommandError("key, id or list is empty or too long")
     found = _D.search(listed)
     if found is None:
@@ -76,8 +78,18 @@
     if wait <= 0.0:
         raise CommandError("senseless wait")
     head = head or b"*%d\r\n%b" % (count, b"".join(map(bulk, (name, key, id_))))
-    return Command(key, id_, head, before, after, args[4] if count == 5 else None,
-                   known[0], known[1], wait, known[2])
+    return Command(
+        key,
+        id_,
+        head,
+        before,
+        after,
+        args[4] if count == 5 else None,
+        known[0],
+        known[1],
+        wait,
+        known[2],
+    )
 
 
 def _parse_list(listed: bytes) -> tuple[str, str, bool]:
--- a/violetroute/resp/framing.py
+++ b/violetroute/resp/framing.py
@@ -28,11 +28,14 @@
 _COMMAND = re.compile(
     rb"\*([45])\r\n\$(\d{1,2})\r\n([^\r\n]{1,32})\r\n"
     + rb"\$(\d{1,4})\r\n([^\r\n]{1,1024})\r\n" * 2
-    + rb"\$(\d{1,4})\r\n([^\r\n]{1,4096})\r\n")
+    + rb"\$(\d{1,4})\r\n([^\r\n]{1,4096})\r\n"
+)
 _VALUE = re.compile(rb"\$(\d{1,4})\r\n")
 _SERVED = re.compile(rb"\*3\r\n\$(\d{1,5})\r\n")
-_TAIL = re.compile(rb"\r\n\$(\d{1,2})\r\n([^\r\n]{1,32})\r\n"
-                   rb"(?:\$-1|\$(\d{1,4})\r\n([^\r\n]{1,4096}))\r\n")
+_TAIL = re.compile(
+    rb"\r\n\$(\d{1,2})\r\n([^\r\n]{1,32})\r\n"
+    rb"(?:\$-1|\$(\d{1,4})\r\n([^\r\n]{1,4096}))\r\n"
+)
 
 
 class ProtocolError(Exception):
@@ -149,8 +152,9 @@
         if tail is None:
             return None
         how_long, how, report_long, report = tail.groups()
-        if how_long != _DIGITS[len(how)] \
-                or (report is not None and report_long != _DIGITS[len(report)]):
+        if how_long != _DIGITS[len(how)] or (
+            report is not None and report_long != _DIGITS[len(report)]
+        ):
             return None
         value = bytes(memoryview(buffer)[start : start + length])
         self._advance(tail.end())
--- a/violetroute/sharing/budget.py
+++ b/violetroute/sharing/budget.py
@@ -56,8 +56,16 @@
 class Budget:
     """`per_s`: of the whole fleet, `proxies` of it at most.  `burst_s`: what a bucket holds."""
 
-    def __init__(self, name: str, per_s: float, proxies: int, terms: Terms, burst_s: float,
-                 now: float, chance: Chance) -> None:
+    def __init__(
+        self,
+        name: str,
+        per_s: float,
+        proxies: int,
+        terms: Terms,
+        burst_s: float,
+        now: float,
+        chance: Chance,
+    ) -> None:
         self.name, self._terms, self._chance, self.burst_s = name, terms, chance, burst_s
         self.loans = Loans(home_part(per_s, proxies), terms, now)
         self._level = 0.0  # thousandths of a request that may be spent at once
@@ -136,8 +144,11 @@
     def asked(self, now: float, borrower: str, number: int, amount: int) -> int:
         """What that life is lent."""
         self._fill(now)
-        self._askers = {life: (most, at) for life, (most, at) in self._askers.items()
-                        if now - at <= self._terms.loan_s}
+        self._askers = {
+            life: (most, at)
+            for life, (most, at) in self._askers.items()
+            if now - at <= self._terms.loan_s
+        }
         self._askers[borrower] = amount, now
         need = self._want(now)
         fair = evenly(self.loans.pot(now, need), [most for most, _ in self._askers.values()])
@@ -206,15 +217,21 @@
         return actions
 
     def _ask(self, now: float, lack: int, members: Sequence[str]) -> list[Ask | Back]:
-        known = [(spare, name) for name, (spare, at) in self._spares.items()
-                 if now - at <= SPARE_AGE and spare >= LEAST]
+        known = [
+            (spare, name)
+            for name, (spare, at) in self._spares.items()
+            if now - at <= SPARE_AGE and spare >= LEAST
+        ]
         self._spares = {name: self._spares[name] for _, name in known}
         known.sort(key=lambda at: (-at[0], at[1]))
         there = set(members)
         order = [name for _, name in known if name in there]
         # A fleet that all knows of one with something to spare must not ask it alone.
-        order += [members[int(self._chance.random() * len(members))] for _ in range(ASKS_AT_ONCE)] \
-            if members else []
+        order += (
+            [members[int(self._chance.random() * len(members))] for _ in range(ASKS_AT_ONCE)]
+            if members
+            else []
+        )
         actions: list[Ask | Back] = []
         held = {lender: amount for lender, amount, _ in self.loans.loans(now)}
         for name in dict.fromkeys(order):
--- a/violetroute/sharing/counts.py
+++ b/violetroute/sharing/counts.py
@@ -61,8 +61,10 @@
 
     def top(self) -> list[tuple[int, float, float]]:
         """Key, count, by how much it may be too high."""
-        return sorted(((key, c.count, c.error) for key, c in self.counters.items()),
-                      key=lambda at: (-at[1], at[0]))
+        return sorted(
+            ((key, c.count, c.error) for key, c in self.counters.items()),
+            key=lambda at: (-at[1], at[0]),
+        )
 
 
 def merge(summaries: Iterable[Summary], size: int = SIZE) -> Summary:
@@ -103,8 +105,12 @@
     def tells(self, now: float) -> Counted:
         self._fade(now)
         top = self.own.top()
-        return Counted(self.kind, [key for key, _, _ in top], [round(c, 1) for _, c, _ in top],
-                       [round(e, 1) for _, _, e in top])
+        return Counted(
+            self.kind,
+            [key for key, _, _ in top],
+            [round(c, 1) for _, c, _ in top],
+            [round(e, 1) for _, _, e in top],
+        )
 
     def heard(self, now: float, member: str, counted: Counted, age: float) -> None:
         """Another member's own."""
@@ -131,8 +137,9 @@
                 continue
             aged = Summary(self._size)
             left = 0.5 ** ((now - at) / WINDOW)
-            aged.counters = {key: Counter(c.count * left, c.error * left)
-                             for key, c in summary.counters.items()}
+            aged.counters = {
+                key: Counter(c.count * left, c.error * left) for key, c in summary.counters.items()
+            }
             every.append(aged)
         return merge(every, self._size)
 
--- a/violetroute/sharing/hearsay.py
+++ b/violetroute/sharing/hearsay.py
@@ -132,17 +132,22 @@
         """What of our own is told next: the worst first, the others in turn."""
         for node in self._nodes.values():
             node.own.fade(now)
-        known = [(number, node) for number, node in self._nodes.items()
-                 if node.own.weight >= WEIGHT_LEAST]
+        known = [
+            (number, node)
+            for number, node in self._nodes.items()
+            if node.own.weight >= WEIGHT_LEAST
+        ]
         troubled = [at for at in known if at[1].own.bad >= WEIGHT_LEAST]
         sound = [at for at in known if at[1].own.bad < WEIGHT_LEAST]
         troubled.sort(key=lambda at: -at[1].own.bad)
-        chosen = troubled[:most * 3 // 4]
+        chosen = troubled[: most * 3 // 4]
         for _ in range(min(len(sound), most - len(chosen))):
             self._next = (self._next + 1) % len(sound)
             chosen.append(sound[self._next])
-        return [Saw(number, node.started, round(node.own.good, 2), round(node.own.bad, 2))
-                for number, node in chosen]
+        return [
+            Saw(number, node.started, round(node.own.good, 2), round(node.own.bad, 2))
+            for number, node in chosen
+        ]
 
     # --- judging ---
     def judge(self, now: float) -> list[int]:
@@ -187,15 +192,19 @@
             for member, tally in node.said.items():
                 spoke[member] = spoke.get(member, 0) + 1
                 troubled[member] = troubled.get(member, 0) + (tally.share >= BAD_SHARE)
-        return {member for member, nodes in spoke.items()
-                if nodes >= CUT_LEAST and troubled[member] >= CUT_SHARE * nodes}
+        return {
+            member
+            for member, nodes in spoke.items()
+            if nodes >= CUT_LEAST and troubled[member] >= CUT_SHARE * nodes
+        }
 
     def _is_bad(self, node: _Node, cut: set[str]) -> bool:
         if node.own.weight >= OWN_ENOUGH:
             return False  # the module has seen it itself
         said = {member: tally for member, tally in node.said.items() if member not in cut}
-        near = {member: tally for member, tally in said.items()
-                if self._zones.get(member) == self._zone}
+        near = {
+            member: tally for member, tally in said.items() if self._zones.get(member) == self._zone
+        }
         votes = list((near if len(near) >= WITNESSES else said).values())
         if len(votes) < WITNESSES:
             return False
@@ -209,7 +218,14 @@
     # --- looking ---
     def beliefs(self, now: float) -> list[tuple[int, int, float, float, bool]]:
         """Node, witnesses, the share of trouble that they saw, our own, and the hint."""
-        return [(number, len(node.said),
-                 sum(t.bad for t in node.said.values())
-                 / max(1e-9, sum(t.weight for t in node.said.values())),
-                 node.own.share, node.bad) for number, node in self._nodes.items()]
+        return [
+            (
+                number,
+                len(node.said),
+                sum(t.bad for t in node.said.values())
+                / max(1e-9, sum(t.weight for t in node.said.values())),
+                node.own.share,
+                node.bad,
+            )
+            for number, node in self._nodes.items()
+        ]
--- a/violetroute/sharing/loans.py
+++ b/violetroute/sharing/loans.py
@@ -72,8 +72,17 @@
 class Loans:
     """One life's authority over one budget.  `now`: s of its monotonic clock, in every call."""
 
-    __slots__ = ("_asked", "_full_at", "_held", "_lent", "_number", "_seen", "_terms", "aside",
-                 "home")
+    __slots__ = (
+        "_asked",
+        "_full_at",
+        "_held",
+        "_lent",
+        "_number",
+        "_seen",
+        "_terms",
+        "aside",
+        "home",
+    )
 
     def __init__(self, home: int, terms: Terms, now: float) -> None:
         self.home, self._terms = home, terms
@@ -116,7 +125,8 @@
             return 0.0
         own = self.floor if since < self._full_at else self.home - lent
         return own * (now - since) + sum(
-            loan.amount * max(0.0, min(now, loan.until) - since) for loan in self._held.values())
+            loan.amount * max(0.0, min(now, loan.until) - since) for loan in self._held.values()
+        )
 
     @property
     def floor(self) -> int:
@@ -130,8 +140,10 @@
     # --- lending ---
     def lent(self, now: float) -> int:
         """Of each borrower the greatest loan that may still be believed in."""
-        return sum(max((loan.amount for loan in loans if now < loan.until), default=0)
-                   for loans in self._lent.values())
+        return sum(
+            max((loan.amount for loan in loans if now < loan.until), default=0)
+            for loans in self._lent.values()
+        )
 
     def pot(self, now: float, need: int) -> int:
         """What may be lent in all, if `need` is kept for own requests."""
@@ -160,16 +172,14 @@
         grant = min(amount, self.pot(now, need) - (self.lent(now) - mine))
         if grant < LEAST or sum(map(len, self._lent.values())) >= LENT_MOST:
             return 0
-        self._lent.setdefault(borrower, []).append(
-            Lent(number, grant, now + self._terms.loan_s))
+        self._lent.setdefault(borrower, []).append(Lent(number, grant, now + self._terms.loan_s))
         return grant
 
     def returned(self, now: float, borrower: str, number: int) -> None:
         """That life believes in no loan of an ask up to `number`, and never will."""
         self._note(borrower, max(number, self._seen.get(borrower, 0)))
         if borrower in self._lent:
-            self._lent[borrower] = [loan for loan in self._lent[borrower]
-                                    if loan.number > number]
+            self._lent[borrower] = [loan for loan in self._lent[borrower] if loan.number > number]
         self._prune(now)
 
     def _prune(self, now: float) -> None:
@@ -214,8 +224,10 @@
 
     def give_back(self, lender: str) -> int:
         """Spend no more of it; the number up to which nothing is believed: the lender is told."""
-        number = max(self._asked.pop(lender, (0, 0.0))[0],
-                     self._held[lender].number if lender in self._held else 0)
+        number = max(
+            self._asked.pop(lender, (0, 0.0))[0],
+            self._held[lender].number if lender in self._held else 0,
+        )
         self._held.pop(lender, None)
         return number
 
@@ -239,21 +251,31 @@
     def due(self, now: float) -> list[str]:
         """Lenders whose loans are half over, to be asked anew."""
         half = self._terms.kept_s / 2.0
-        return [lender for lender, loan in self._held.items()
-                if now >= loan.until - half and lender not in self._asked]
+        return [
+            lender
+            for lender, loan in self._held.items()
+            if now >= loan.until - half and lender not in self._asked
+        ]
 
     def loans(self, now: float) -> list[tuple[str, int, float]]:
         """Held: lender, amount, s that are left."""
-        return [(lender, loan.amount, loan.until - now) for lender, loan in self._held.items()
-                if now < loan.until]
+        return [
+            (lender, loan.amount, loan.until - now)
+            for lender, loan in self._held.items()
+            if now < loan.until
+        ]
 
     def debts(self, now: float) -> list[tuple[str, int, float]]:
         """Lent: borrower's life, amount, s until it is ours again."""
-        standing = {borrower: [loan for loan in loans if now < loan.until]
-                    for borrower, loans in self._lent.items()}
-        return [(borrower, max(loan.amount for loan in loans),
-                 max(loan.until for loan in loans) - now)
-                for borrower, loans in standing.items() if loans]
+        standing = {
+            borrower: [loan for loan in loans if now < loan.until]
+            for borrower, loans in self._lent.items()
+        }
+        return [
+            (borrower, max(loan.amount for loan in loans), max(loan.until for loan in loans) - now)
+            for borrower, loans in standing.items()
+            if loans
+        ]
 
     def is_open(self, lender: str) -> bool:
         return lender in self._asked
--- a/violetroute/sharing/make.py
+++ b/violetroute/sharing/make.py
@@ -23,8 +23,10 @@
 
     parts: Parts
 
-def make_sharing(table: SharingTable, name: str, zone: str, max_backoff: float, net: Network,
-                 proxy: Heard) -> Sharing:
+
+def make_sharing(
+    table: SharingTable, name: str, zone: str, max_backoff: float, net: Network, proxy: Heard
+) -> Sharing:
     """OSError where it cannot listen, OSError or ValueError where the key can't be read."""
     sharing = Sharing(table, read_keys(table.key_file), name, zone, max_backoff, net, proxy)
     attach(sharing, proxy)
--- a/violetroute/sharing/members.py
+++ b/violetroute/sharing/members.py
@@ -70,9 +70,19 @@
 class Members:
     """One life's view.  `now`: s of its clock, in every call."""
 
-    def __init__(self, name: str, life: str, incarnation: int, place: str, zone: str,
-                 period: float, seeds: Iterable[str], random: Random, now: float,
-                 changed: Callable[[str, str, str], None] = lambda name, state, was: None) -> None:
+    def __init__(
+        self,
+        name: str,
+        life: str,
+        incarnation: int,
+        place: str,
+        zone: str,
+        period: float,
+        seeds: Iterable[str],
+        random: Random,
+        now: float,
+        changed: Callable[[str, str, str], None] = lambda name, state, was: None,
+    ) -> None:
         self.name, self.life, self.incarnation = name, life, incarnation
         self._place, self._zone, self._period = place, zone, period
         self._seeds = [seed for seed in seeds if seed != place]
@@ -114,8 +124,14 @@
         return ("", "", "") if member is None else (member.life, member.place, member.zone)
 
     def own(self) -> Rumor:
-        return Rumor(self.name, self.life, self.incarnation, "l" if self.leaving else "a",
-                     self._place, self._zone)
+        return Rumor(
+            self.name,
+            self.life,
+            self.incarnation,
+            "l" if self.leaving else "a",
+            self._place,
+            self._zone,
+        )
 
     # --- time ---
     def tick(self, now: float) -> list[Out]:
@@ -150,8 +166,13 @@
     @property
     def next_at(self) -> float:
         """When `tick` may have something to do."""
-        due = [self._probe_at if self._probe is None else
-               min(self._probe.helped_at, self._probe.until), self._again_at, self._page_at]
+        due = [
+            self._probe_at
+            if self._probe is None
+            else min(self._probe.helped_at, self._probe.until),
+            self._again_at,
+            self._page_at,
+        ]
         due += [until for _, _, until, _ in self._relays.values()]
         return min(due)
 
@@ -173,8 +194,9 @@
                 return []
             member = self.members[self._order.pop()]
         self._number += 1
-        self._probe = _Probe(member.name, member.life, self._number,
-                             now + period * DIRECT_SHARE, now + period)
+        self._probe = _Probe(
+            member.name, member.life, self._number, now + period * DIRECT_SHARE, now + period
+        )
         # With its own word: who was thought dead and forgotten is a stranger that asks.
         return [Out(member.name, "", (Ping(self._number), self.own(), *self._buddy(member)))]
 
@@ -186,8 +208,10 @@
         others = [name for name in self.up() if name != probe.target]
         helpers = self._random.sample(others, min(HELPERS, len(others)))
         probe.helpers = len(helpers)
-        return [Out(probe.target, "", (Ping(probe.number),)),
-                *(Out(name, "", (Need(probe.number, probe.target),)) for name in helpers)]
+        return [
+            Out(probe.target, "", (Ping(probe.number),)),
+            *(Out(name, "", (Need(probe.number, probe.target),)) for name in helpers),
+        ]
 
     def _failed(self, probe: _Probe, now: float) -> None:
         self._probe = None
@@ -195,8 +219,18 @@
         self._unwell(1 if probe.helpers == 0 else probe.helpers - probe.nacks)
         member = self.members.get(probe.target)
         if member is not None and member.up and member.life == probe.life:
-            self._take(Rumor(member.name, member.life, member.incarnation, "s", member.place,
-                             member.zone, self.name), now)
+            self._take(
+                Rumor(
+                    member.name,
+                    member.life,
+                    member.incarnation,
+                    "s",
+                    member.place,
+                    member.zone,
+                    self.name,
+                ),
+                now,
+            )
 
     def _unwell(self, by: int) -> None:
         self.health = max(0, min(HEALTH_MOST, self.health + by))
@@ -210,10 +244,21 @@
 
     def _suspicions(self, now: float) -> None:
         for member in [self.members[name] for name in self._doubted]:
-            if member.state == "s" and \
-                    now - member.since >= self.suspicion(len(member.suspected_by) - 1):
-                self._take(Rumor(member.name, member.life, member.incarnation, "d", member.place,
-                                 member.zone, self.name), now)
+            if member.state == "s" and now - member.since >= self.suspicion(
+                len(member.suspected_by) - 1
+            ):
+                self._take(
+                    Rumor(
+                        member.name,
+                        member.life,
+                        member.incarnation,
+                        "d",
+                        member.place,
+                        member.zone,
+                        self.name,
+                    ),
+                    now,
+                )
             elif not member.up and now - member.since >= FORGET_S:
                 del self.members[member.name], self._doubted[member.name]
                 self._changed(member.name, "", member.state)
@@ -222,8 +267,7 @@
 
     def _again(self) -> list[Out]:
         """Those thought dead may be back, and seeds may know a part that we do not."""
-        dead = [member for name in self._doubted
-                if (member := self.members[name]).state == "d"]
+        dead = [member for name in self._doubted if (member := self.members[name]).state == "d"]
         out = []
         if dead:
             member = self._random.choice(dead)
@@ -233,13 +277,15 @@
         unknown = [seed for seed in self._seeds if seed not in known]
         if unknown:
             self._number += 1
-            out.append(Out("", self._random.choice(unknown), (Ping(self._number), self.own(),
-                                                                     Page())))
+            out.append(
+                Out("", self._random.choice(unknown), (Ping(self._number), self.own(), Page()))
+            )
         return out
 
     # --- what comes ---
-    def heard(self, now: float, name: str, life: str, incarnation: int, item: Item,
-              place: str = "") -> list[Out]:
+    def heard(
+        self, now: float, name: str, life: str, incarnation: int, item: Item, place: str = ""
+    ) -> list[Out]:
         """An item of one of ours.  `place`: where it came from, for answers to strangers."""
         if name == self.name:
             return self._namesake(now, life, incarnation, place)
@@ -284,15 +330,21 @@
             del self._relays[number]
             return [Out(relay[0], "", (Ack(relay[1]),))]
         probe = self._probe
-        if probe is not None and probe.number == number and \
-                (name != probe.target or life == probe.life):
+        if (
+            probe is not None
+            and probe.number == number
+            and (name != probe.target or life == probe.life)
+        ):
             self._probe = None
             self._unwell(-1)
         return []
 
     def _page(self, name: str, after: str) -> tuple[Item, ...]:
-        names = sorted(known for known, member in self.members.items()
-                       if known > after and member.up and known != name)
+        names = sorted(
+            known
+            for known, member in self.members.items()
+            if known > after and member.up and known != name
+        )
         here = names[:PAGE]
         items: list[Item] = [self.members[known].rumor() for known in here]
         last = here[-1] if len(names) > len(here) else ""
@@ -334,10 +386,17 @@
             if rumor.state == "a":
                 self._rumors.add(known.rumor())
                 return []
-        if rumor.state == "s" and known.state == "s" and rumor.incarnation == known.incarnation \
-                and rumor.life == known.life:
-            if rumor.by and rumor.by not in known.suspected_by \
-                    and len(known.suspected_by) <= CONFIRMED:
+        if (
+            rumor.state == "s"
+            and known.state == "s"
+            and rumor.incarnation == known.incarnation
+            and rumor.life == known.life
+        ):
+            if (
+                rumor.by
+                and rumor.by not in known.suspected_by
+                and len(known.suspected_by) <= CONFIRMED
+            ):
                 known.suspected_by |= {rumor.by}
                 self._rumors.add(rumor)
             return []
@@ -362,7 +421,8 @@
     def know(self, rumor: Rumor, now: float) -> Member:
         """Take one that is not known yet for alive, without sending it on."""
         known = self.members[rumor.name] = Member(
-            rumor.name, rumor.life, rumor.incarnation, "a", rumor.place, rumor.zone, now)
+            rumor.name, rumor.life, rumor.incarnation, "a", rumor.place, rumor.zone, now
+        )
         self._order.insert(int(self._random.random() * (len(self._order) + 1)), rumor.name)
         self._up = None
         return known
@@ -371,8 +431,9 @@
         if rumor.life != self.life:
             if rumor.state in ("a", "s"):
                 if rumor.incarnation > self.incarnation:
-                    self._stand_aside(Member(self.name, rumor.life, rumor.incarnation, "a",
-                                             rumor.place, "", now))
+                    self._stand_aside(
+                        Member(self.name, rumor.life, rumor.incarnation, "a", rumor.place, "", now)
+                    )
             elif self.twin is not None and rumor.life == self.twin.life:
                 self._alone_again(rumor.incarnation)
             elif self.twin is None and rumor.incarnation >= self.incarnation:
@@ -391,5 +452,7 @@
         """The process ends: some are told, who tell the others."""
         self.leaving = True
         names = self.up()
-        return [Out(name, "", (self.own(),))
-                for name in self._random.sample(names, min(2 * HELPERS, len(names)))]
+        return [
+            Out(name, "", (self.own(),))
+            for name in self._random.sample(names, min(2 * HELPERS, len(names)))
+        ]
--- a/violetroute/sharing/rounds.py
+++ b/violetroute/sharing/rounds.py
@@ -84,8 +84,9 @@
                     self.hearsay.gone(member.id)
 
     # --- the others' ---
-    def heard(self, now: float, member: str, zone: str, item: Saw | Came | Counted,
-              age: float) -> None:
+    def heard(
+        self, now: float, member: str, zone: str, item: Saw | Came | Counted, age: float
+    ) -> None:
         """Word of a member that is up, written `age` s ago at most."""
         if age > AGE_MOST:
             return
@@ -110,15 +111,22 @@
     def due(self, now: float) -> bool:
         return now >= self._at
 
-    def next(self, now: float, up: Sequence[str], judged: Iterable[Judged],
-             budgets: Mapping[str, Budget], silent: bool) -> Round:
+    def next(
+        self,
+        now: float,
+        up: Sequence[str],
+        judged: Iterable[Judged],
+        budgets: Mapping[str, Budget],
+        silent: bool,
+    ) -> Round:
         """`up`: the other members.  `judged`: what came of own requests since the last round.
         `silent`: it tells nothing, since another process has its name; it hears all the same.
         """
         self._at = now + TELL_S * (0.8 + 0.4 * self._chance.random())
         round_, worst = Round(), 0.0
-        round_.items += [Spare(name, spare) for name, budget in budgets.items()
-                         if (spare := budget.spare(now))]
+        round_.items += [
+            Spare(name, spare) for name, budget in budgets.items() if (spare := budget.spare(now))
+        ]
         if self.hearsay is not None:
             saw, came = self.hearsay.tells(now), self.strain.tells(judged)
             round_.items += (*came, *saw)
@@ -129,8 +137,9 @@
             round_.outcomes = self.strain.round(now, self.hearsay.cut(now), ROUND_AGE)
         if now >= self._count_at:
             self._count_at = now + COUNT_S
-            round_.items += [counts.tells(now) for counts in self.counts.values()
-                             if counts.own.counters]
+            round_.items += [
+                counts.tells(now) for counts in self.counts.values() if counts.own.counters
+            ]
         if round_.items and not silent:
             many = MANY if worst >= FRESH else FEW
             round_.to = self._chance.sample(up, min(many, len(up)))
--- a/violetroute/sharing/rumors.py
+++ b/violetroute/sharing/rumors.py
@@ -75,6 +75,7 @@
     if rumor.life != life and rumor.incarnation <= incarnation:
         return False  # of a life that is over here already
     if rumor.state == "s":
-        return rumor.incarnation > incarnation or \
-            (rumor.incarnation == incarnation and state == "a")
+        return rumor.incarnation > incarnation or (
+            rumor.incarnation == incarnation and state == "a"
+        )
     return rumor.incarnation >= incarnation and state in ("a", "s")
--- a/violetroute/sharing/strain.py
+++ b/violetroute/sharing/strain.py
@@ -40,13 +40,20 @@
             here = sums.setdefault(kept, [0.0] * 5)
             for place, value in enumerate((1.0, badness, took, aim, float(queued))):
                 here[place] += value
-        return [Came(kept, *(round(min(value, 1e6), 3) for value in here))
-                for kept, here in sums.items()]
+        return [
+            Came(kept, *(round(min(value, 1e6), 3) for value in here))
+            for kept, here in sums.items()
+        ]
 
     def heard(self, now: float, member: str, came: Came) -> None:
         """The latest of a member in a round counts."""
-        if came.bad <= came.count and came.queued <= came.count and came.aim > 0.0 \
-                and came.count >= 1.0 and len(self._heard) < MEMBERS_MOST:
+        if (
+            came.bad <= came.count
+            and came.queued <= came.count
+            and came.aim > 0.0
+            and came.count >= 1.0
+            and len(self._heard) < MEMBERS_MOST
+        ):
             self._heard[member, came.kept] = came, now
 
     def round(self, now: float, cut: Collection[str], age: float) -> list[Judged]:
@@ -57,15 +64,19 @@
         heard, self._heard = self._heard, {}
         found: list[Judged] = []
         for kept in (True, False):
-            said = [came for (member, which), (came, at) in heard.items()
-                    if which is kept and member not in cut and now - at <= age]
+            said = [
+                came
+                for (member, which), (came, at) in heard.items()
+                if which is kept and member not in cut and now - at <= age
+            ]
             if len(said) < LEAST:
                 continue
             most = WEIGHT_MOST * median(came.count for came in said)
             shares = [min(1.0, most / came.count) for came in said]
             count, bad, took, aim, queued = (
                 sum(share * getattr(came, name) for share, came in zip(shares, said, strict=True))
-                for name in ("count", "bad", "took", "aim", "queued"))
+                for name in ("count", "bad", "took", "aim", "queued")
+            )
             one = kept, bad / count, took / count, aim / count, queued > count / 2.0
             found += [one] * min(MOST, round(count / EACH))
         return found
--- a/violetroute/sharing/table.py
+++ b/violetroute/sharing/table.py
@@ -13,8 +13,9 @@
 Text = Annotated[str, msgspec.Meta(max_length=64)]
 
 
-class BudgetTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename={
-        "class_name": "class"}):
+class BudgetTable(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename={"class_name": "class"}
+):
     """`[[sharing.budget]]`: what the whole fleet may let in of these requests."""
 
     name: BudgetName
@@ -24,8 +25,7 @@
 
 
 class SharingTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """`[sharing]`: off while `listen` is empty.  `budget` changes with SIGHUP, the rest at a start.
-    """
+    """`[sharing]`: off while `listen` is empty.  `budget` changes with SIGHUP, the rest at a start."""
 
     listen: str = ""  # "ADDRESS:PORT" for datagrams, as the others reach it
     key_file: str = ""  # the fleet's key: a line; a second one is taken too, during a change
--- a/violetroute/sharing/talk.py
+++ b/violetroute/sharing/talk.py
@@ -51,8 +51,17 @@
 class Sharing:
     """One proxy's part in the fleet's talk."""
 
-    def __init__(self, table: SharingTable, keys: Keys, name: str, zone: str, max_backoff: float,
-                 net: Network, host: Host, life: str = "") -> None:
+    def __init__(
+        self,
+        table: SharingTable,
+        keys: Keys,
+        name: str,
+        zone: str,
+        max_backoff: float,
+        net: Network,
+        host: Host,
+        life: str = "",
+    ) -> None:
         self.table, self._keys, self.name, self._zone = table, keys, name[:64], zone
         self._net, self.loop, self.host = net, net.loop, host
         self.max_backoff = max_backoff
@@ -63,8 +72,18 @@
         self._ways = {who: parse_address(at) for who, at in table.ways.items()}
         self._box = net.mailbox(address, self, wire.DATAGRAM_MOST)
         place = f"{address.host}:{self._box.address.port}"
-        self.members = Members(self.name, self.life, int(net.wall() * 1000.0), place, zone,
-                               table.probe_s, table.seeds, self._random, now, self._changed)
+        self.members = Members(
+            self.name,
+            self.life,
+            int(net.wall() * 1000.0),
+            place,
+            zone,
+            table.probe_s,
+            table.seeds,
+            self._random,
+            now,
+            self._changed,
+        )
         self._terms = Terms(table.loan_s, table.drift)
         self.budgets: dict[str, Budget] = {}
         self._by_request: dict[tuple[str, str], list[Budget]] = {}
@@ -85,8 +104,9 @@
         for each in table.budget:
             budget = kept.pop(each.name, None)
             if budget is None:
-                budget = Budget(each.name, each.per_s, size, self._terms, table.burst_s, now,
-                                self._random)
+                budget = Budget(
+                    each.name, each.per_s, size, self._terms, table.burst_s, now, self._random
+                )
             else:
                 budget.resize(each.per_s, size, now)
             self.budgets[each.name] = budget
@@ -128,8 +148,10 @@
             if len(self._by_request) >= 10_000:
                 self._by_request.clear()  # tenants are made up by who asks
             budgets = self._by_request[place] = [
-                self.budgets[each.name] for each in self.table.budget
-                if each.tenant in ("", tenant) and each.class_name in ("", class_name)]
+                self.budgets[each.name]
+                for each in self.table.budget
+                if each.tenant in ("", tenant) and each.class_name in ("", class_name)
+            ]
         if not budgets:
             return None
         now, spent = self.loop.time(), list[Budget]()
@@ -156,8 +178,7 @@
 
     # --- time ---
     def _tick(self) -> None:
-        self._timer = self.loop.call_later(TICK * (0.9 + 0.2 * self._random.random()),
-                                            self._tick)
+        self._timer = self.loop.call_later(TICK * (0.9 + 0.2 * self._random.random()), self._tick)
         now = self.loop.time()
         for out in self.members.tick(now):
             self._put(out.to, out.place, *out.items)
@@ -176,8 +197,12 @@
 
     def _tell_turns(self, budget: Budget, now: float) -> None:
         if budget.shut:
-            tell("sharing.spent", budget=budget.name, asked_s=round(budget.demand(now), 1),
-                 may_s=round(budget.loans.authority(now) / 1000.0, 1))
+            tell(
+                "sharing.spent",
+                budget=budget.name,
+                asked_s=round(budget.demand(now), 1),
+                may_s=round(budget.loans.authority(now) / 1000.0, 1),
+            )
         else:
             tell("sharing.room", budget=budget.name)
 
@@ -259,10 +284,19 @@
         if not raw or not self._sending.take(now):
             return
         life = self.members.of(to)[0]
-        data = self._keys.seal(Envelope(
-            self.name, self.life, self.members.incarnation, self._numbers.next(to, now), to, life,
-            self._numbers.heard(to, life) if life else 0, int(self._net.wall() * 1000.0),
-            [wire.raw(each) for each in raw]))
+        data = self._keys.seal(
+            Envelope(
+                self.name,
+                self.life,
+                self.members.incarnation,
+                self._numbers.next(to, now),
+                to,
+                life,
+                self._numbers.heard(to, life) if life else 0,
+                int(self._net.wall() * 1000.0),
+                [wire.raw(each) for each in raw],
+            )
+        )
         self.sent += 1
         self.bytes_sent += len(data)
         self._box.send(data, address)
@@ -276,8 +310,11 @@
             self.refused += 1
             return
         name, life = envelope.name, envelope.life
-        if life == self.life or not self._may_take(name, now) \
-                or not self._numbers.is_new(name, life, envelope.number):
+        if (
+            life == self.life
+            or not self._may_take(name, now)
+            or not self._numbers.is_new(name, life, envelope.number)
+        ):
             self.refused += 1
             return
         self.received += 1
@@ -290,8 +327,11 @@
             elif isinstance(item, Lend | Spare | wire.Ask | wire.Back):
                 budget = self.budgets.get(item.budget)
                 # An answer counts for the life that asked, whoever has its name by now.
-                if budget is not None and self.members.is_up(name, life) \
-                        and (envelope.to_life == self.life or not isinstance(item, Lend)):
+                if (
+                    budget is not None
+                    and self.members.is_up(name, life)
+                    and (envelope.to_life == self.life or not isinstance(item, Lend))
+                ):
                     self._lend_or_borrow(now, name, life, item, budget)
             else:
                 for out in self.members.heard(now, name, life, envelope.incarnation, item, place):
@@ -316,8 +356,7 @@
         apart = self._net.wall() - envelope.at / 1000.0
         return max(0.0, apart) if abs(apart) <= AGE_MOST else math.inf
 
-    def _lend_or_borrow(self, now: float, name: str, life: str, item: Any,
-                        budget: Budget) -> None:
+    def _lend_or_borrow(self, now: float, name: str, life: str, item: Any, budget: Budget) -> None:
         match item:
             case Spare():
                 budget.told(now, name, item.amount)
--- a/violetroute/sharing/wire.py
+++ b/violetroute/sharing/wire.py
@@ -147,8 +147,22 @@
     errors: list[Small]
 
 
-Any_ = Ping | Ack | Nack | Need | Rumor | Page | Paged | Spare | Ask | Lend | Back | Saw | Came \
+Any_ = (
+    Ping
+    | Ack
+    | Nack
+    | Need
+    | Rumor
+    | Page
+    | Paged
+    | Spare
+    | Ask
+    | Lend
+    | Back
+    | Saw
+    | Came
     | Counted
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -184,8 +198,10 @@
     def __init__(self, keys: list[bytes]) -> None:
         if not keys or any(not KEY_LEAST <= len(key) <= KEY_MOST for key in keys):
             raise ValueError(f"a key has {KEY_LEAST} to {KEY_MOST} bytes")
-        self._keys = {hashlib.blake2b(key, digest_size=1, person=b"limebridge-key").digest(): key
-                      for key in reversed(keys)}
+        self._keys = {
+            hashlib.blake2b(key, digest_size=1, person=b"limebridge-key").digest(): key
+            for key in reversed(keys)
+        }
         self._first = hashlib.blake2b(keys[0], digest_size=1, person=b"limebridge-key").digest()
 
     def seal(self, envelope: Envelope) -> bytes:
@@ -270,8 +286,11 @@
             return True
         self._came.move_to_end((name, life))
         if number > known.highest:
-            known.came = ((known.came << (number - known.highest)) | 1) & (2**WINDOW - 1) \
-                if number - known.highest < WINDOW else 1
+            known.came = (
+                ((known.came << (number - known.highest)) | 1) & (2**WINDOW - 1)
+                if number - known.highest < WINDOW
+                else 1
+            )
             known.highest = number
             return True
         behind = known.highest - number
--- a/violetroute/transport/call.py
+++ b/violetroute/transport/call.py
@@ -36,23 +36,49 @@
 class Call:
     """Told `done` once, from the loop; never after `stop`."""
 
-    def __init__(self, net: Network, address: Address, keys: TlsKeys | None, limit: float,
-                 path: str, headers: Mapping[str, str], body: bytes, done: Done,
-                 method: str = "POST", most: int = BODY_MOST) -> None:
+    def __init__(
+        self,
+        net: Network,
+        address: Address,
+        keys: TlsKeys | None,
+        limit: float,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        done: Done,
+        method: str = "POST",
+        most: int = BODY_MOST,
+    ) -> None:
         self._done: Done | None = done
         self._most = most
         self._http = h11.Connection(h11.CLIENT)
-        request = h11.Request(method=method, target=path, headers=[
-            ("Host", f"{address.host}:{address.port}"), ("Content-Length", str(len(body))),
-            ("Connection", "close"), *headers.items()])
-        self._data = b"".join(part for part in (
-            self._http.send(request), self._http.send(h11.Data(data=body)),
-            self._http.send(h11.EndOfMessage())) if part)
+        request = h11.Request(
+            method=method,
+            target=path,
+            headers=[
+                ("Host", f"{address.host}:{address.port}"),
+                ("Content-Length", str(len(body))),
+                ("Connection", "close"),
+                *headers.items(),
+            ],
+        )
+        self._data = b"".join(
+            part
+            for part in (
+                self._http.send(request),
+                self._http.send(h11.Data(data=body)),
+                self._http.send(h11.EndOfMessage()),
+            )
+            if part
+        )
         self._status, self._headers = 0, dict[str, str]()
         self._body = bytearray()
         self._timer: Any = net.loop.call_later(limit, self._end, "no answer in time")
-        self._stream: Stream = TlsStream(net, address, self, limit, keys) \
-            if keys is not None else net.connect(address, self, limit)
+        self._stream: Stream = (
+            TlsStream(net, address, self, limit, keys)
+            if keys is not None
+            else net.connect(address, self, limit)
+        )
 
     def stop(self) -> None:
         """Nothing more is told; the endpoint may have taken it all the same."""
@@ -102,8 +128,9 @@
             match self._http.next_event():
                 case h11.Response(status_code=status, headers=headers):
                     self._status = status
-                    self._headers = {name.decode("ascii"): value.decode("latin-1")
-                                     for name, value in headers}
+                    self._headers = {
+                        name.decode("ascii"): value.decode("latin-1") for name, value in headers
+                    }
                 case h11.Data(data=data):
                     self._body += data
                     if len(self._body) > self._most:
--- a/violetroute/transport/datagrams.py
+++ b/violetroute/transport/datagrams.py
@@ -20,8 +20,14 @@
 class SocketMailbox:
     """One UDP socket."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, address: Address,
-                 ear: Ear, most: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        address: Address,
+        ear: Ear,
+        most: int,
+    ) -> None:
         self._loop, self._ear, self._most = loop, ear, most
         self._socket: socket.socket | None = sock
         sock.setblocking(False)
@@ -53,7 +59,8 @@
                     self._ear.datagram(data, Address(origin[0], origin[1]))
                 except Exception as error:  # one datagram's fault is not the others'
                     self._loop.call_exception_handler(
-                        {"message": "in taking a datagram", "exception": error})
+                        {"message": "in taking a datagram", "exception": error}
+                    )
 
     def close(self) -> None:
         if self._socket is not None:
--- a/violetroute/transport/disk.py
+++ b/violetroute/transport/disk.py
@@ -12,7 +12,7 @@
     try:
         view = memoryview(data)
         while view:
-            view = view[os.write(descriptor, view):]
+            view = view[os.write(descriptor, view) :]
         os.fsync(descriptor)
     finally:
         os.close(descriptor)
--- a/violetroute/transport/local.py
+++ b/violetroute/transport/local.py
@@ -38,8 +38,7 @@
         try:
             os.fchmod(sock.fileno(), 0o600)  # its file has it from the first instant (Linux)
             sock.bind(self._path)
-            self._server = await asyncio.start_unix_server(self._serve, sock=sock,
-                                                           limit=LINE_MOST)
+            self._server = await asyncio.start_unix_server(self._serve, sock=sock, limit=LINE_MOST)
         except OSError:
             sock.close()
             raise
--- a/violetroute/transport/seam.py
+++ b/violetroute/transport/seam.py
@@ -163,8 +163,9 @@
     def listen(self, address: Address, backlog: int, ready: Callable[[], None]) -> Door:
         """OSError when it cannot.  Not watched at first; port 0 means any free one."""
 
-    def connect(self, address: Address, handler: Handler, time_limit: float,
-                first: bool = False) -> Stream:
+    def connect(
+        self, address: Address, handler: Handler, time_limit: float, first: bool = False
+    ) -> Stream:
         """Begin to connect: `opened`, or `lost` once it failed or `time_limit` s have passed.
 
         Never raises: no descriptor is an end like another.  `first`: its events come ahead of
--- a/violetroute/transport/sockets.py
+++ b/violetroute/transport/sockets.py
@@ -25,8 +25,9 @@
 class SocketDoor:
     """A listening socket."""
 
-    def __init__(self, net: SocketNetwork, sock: socket.socket, host: str,
-                 ready: Callable[[], None]) -> None:
+    def __init__(
+        self, net: SocketNetwork, sock: socket.socket, host: str, ready: Callable[[], None]
+    ) -> None:
         self._net, self._ready = net, ready
         self._socket: socket.socket | None = sock
         self._watched = False
@@ -73,10 +74,14 @@
     `make` takes a family and a type as socket.socket does, and may raise OSError.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, turns: Turns | None = None,
-                 make: Callable[[int, int], socket.socket] | None = None,
-                 clock: Callable[[], float] = wall,
-                 undelivered: Callable[[socket.socket], int] | None = None) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        turns: Turns | None = None,
+        make: Callable[[int, int], socket.socket] | None = None,
+        clock: Callable[[], float] = wall,
+        undelivered: Callable[[socket.socket], int] | None = None,
+    ) -> None:
         self.loop = loop
         self.turns = turns or Turns()
         self._make, self._clock = make or socket.socket, clock
@@ -98,8 +103,9 @@
             sock.close()
             raise
 
-    def connect(self, address: Address, handler: Handler, time_limit: float,
-                first: bool = False) -> SocketStream:
+    def connect(
+        self, address: Address, handler: Handler, time_limit: float, first: bool = False
+    ) -> SocketStream:
         try:
             sock = self._make(_family(address), socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError as error:
--- a/violetroute/transport/stream.py
+++ b/violetroute/transport/stream.py
@@ -35,12 +35,27 @@
 class SocketStream:
     """One connection on a socket of its own."""
 
-    __slots__ = ("_broken", "_connecting", "_ends", "_first", "_handler", "_limit", "_loop",
-                 "_net", "_parts", "_reading", "_socket", "_within", "closing",
-                 "descriptor", "unsent")
-
-    def __init__(self, net: SocketNetwork, handler: Handler, sock: socket.socket | None,
-                 first: bool) -> None:
+    __slots__ = (
+        "_broken",
+        "_connecting",
+        "_ends",
+        "_first",
+        "_handler",
+        "_limit",
+        "_loop",
+        "_net",
+        "_parts",
+        "_reading",
+        "_socket",
+        "_within",
+        "closing",
+        "descriptor",
+        "unsent",
+    )
+
+    def __init__(
+        self, net: SocketNetwork, handler: Handler, sock: socket.socket | None, first: bool
+    ) -> None:
         self._net, self._loop = net, net.loop
         self._handler = handler
         self._socket = sock
@@ -158,8 +173,9 @@
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, within)
 
     def delivered(self) -> bool:
-        return self._socket is not None and not self.unsent \
-            and not self._net.undelivered(self._socket)
+        return (
+            self._socket is not None and not self.unsent and not self._net.undelivered(self._socket)
+        )
 
     # --- writing ---
     def write(self, data: Data) -> bool:
@@ -313,5 +329,6 @@
 
     def _fault(self, error: Exception) -> None:
         self._loop.call_exception_handler(
-            {"message": "fault in the handler of a stream", "exception": error})
+            {"message": "fault in the handler of a stream", "exception": error}
+        )
         self.abort()
--- a/violetroute/transport/tls.py
+++ b/violetroute/transport/tls.py
@@ -98,8 +98,9 @@
     `time_limit` seconds. What is written before goes out then, HELD_MOST bytes at most.
     """
 
-    def __init__(self, net: Network, address: Address, handler: Handler, time_limit: float,
-                 keys: TlsKeys) -> None:
+    def __init__(
+        self, net: Network, address: Address, handler: Handler, time_limit: float, keys: TlsKeys
+    ) -> None:
         self._handler, self._loop = handler, net.loop
         self._in, self._out = ssl.MemoryBIO(), ssl.MemoryBIO()
         self._up = self._told = self._ended = self._paused = False
@@ -110,7 +111,8 @@
         self._tls: ssl.SSLObject | None = None
         try:
             self._tls = keys.context().wrap_bio(
-                self._in, self._out, server_hostname=keys.files.name or address.host)
+                self._in, self._out, server_hostname=keys.files.name or address.host
+            )
         except (ValueError, OSError) as error:
             self._error = OSError(str(error))
         self._below: Stream = net.connect(address, self, time_limit, first=True)
--- a/violetroute/transport/turns.py
+++ b/violetroute/transport/turns.py
@@ -27,8 +27,11 @@
     first: while there is not enough for all, the first ones are those that get something.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic,
-                 cpu: Callable[[], float] = time.process_time) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        cpu: Callable[[], float] = time.process_time,
+    ) -> None:
         super().__init__()
         self._clock, self._cpu = clock, cpu
         self._cpu_at = clock(), cpu()  # the last reading, which costs a system call
@@ -62,8 +65,9 @@
                 ready.sort(key=lambda item: item[0].fd not in first)
         return ready
 
-    def _look_for_a_pause(self, began_at: float, asked_at: float, timeout: float | None,
-                          now: float) -> None:
+    def _look_for_a_pause(
+        self, began_at: float, asked_at: float, timeout: float | None, now: float
+    ) -> None:
         """What the turn before did not get of the CPU, or its poll slept beyond its time."""
         cpu = self._cpu()
         stolen = 0.0
--- a/violetroute/upstream/attempt.py
+++ b/violetroute/upstream/attempt.py
@@ -15,12 +15,30 @@
 class Attempt:
     """One try of one request at one node, from the module's Send to its one outcome."""
 
-    __slots__ = ("asking", "cache_id", "command", "connection", "deliver_by", "ended", "number",
-                 "request_id", "sent_at", "wait_until")
+    __slots__ = (
+        "asking",
+        "cache_id",
+        "command",
+        "connection",
+        "deliver_by",
+        "ended",
+        "number",
+        "request_id",
+        "sent_at",
+        "wait_until",
+    )
 
-    def __init__(self, request_id: int, number: int, cache_id: int, command: resp.Command,
-                 sent_at: float, wait_until: float, asking: bool = False,
-                 deliver_by: float = 0.0) -> None:
+    def __init__(
+        self,
+        request_id: int,
+        number: int,
+        cache_id: int,
+        command: resp.Command,
+        sent_at: float,
+        wait_until: float,
+        asking: bool = False,
+        deliver_by: float = 0.0,
+    ) -> None:
         self.request_id, self.number, self.cache_id = request_id, number, cache_id
         self.command = command
         self.sent_at, self.wait_until = sent_at, wait_until  # ms on the module's clock
@@ -43,7 +61,11 @@
         """
 
     def attempt_ended(
-        self, attempt: Attempt, result: Result, value: bytes | bytearray | None = None,
-        hit: bool | None = None, report: dict[str, float] | None = None,
+        self,
+        attempt: Attempt,
+        result: Result,
+        value: bytes | bytearray | None = None,
+        hit: bool | None = None,
+        report: dict[str, float] | None = None,
         redirect: Redirect | None = None,
     ) -> None: ...
--- a/violetroute/upstream/connection.py
+++ b/violetroute/upstream/connection.py
@@ -73,8 +73,7 @@
         # What answers ASKING is no beginning of the answer: that may take its time.
         begun = not (self._asking or (self._reply.untouched and self._decoder.idle))
         if self.attempt is not None and self._patience is None and begun:
-            self._patience = self._pool.loop.call_later(
-                self._pool.limits.reply_s, self._spoilt)
+            self._patience = self._pool.loop.call_later(self._pool.limits.reply_s, self._spoilt)
 
     def ended(self) -> None:
         """Nothing more will come; what is left of a command must not go there either."""
@@ -103,8 +102,9 @@
         # Found by exploration: a path was cut as the process stood, and healed before it went on;
         # a keyed command arrived long after its repeat had run. No timer of ours runs then.
         left = (attempt.deliver_by - now) / 1000.0
-        self.stream.deliver_within(max(left / 2.0, left - KERNEL_LATE, 0.001)
-                                   if attempt.deliver_by else 0.0)
+        self.stream.deliver_within(
+            max(left / 2.0, left - KERNEL_LATE, 0.001) if attempt.deliver_by else 0.0
+        )
         if attempt.asking:
             parts.insert(0, ASKING)
         if len(parts) == 1:
@@ -164,15 +164,21 @@
             self.close()
         if reply.line is None:
             how, load = (*reply.extras, None, None)[:2]
-            self._pool.sink.attempt_ended(attempt, Result.OK, reply.value,
-                                          HITS.get(how) if how else None, resp.parse_report(load))
+            self._pool.sink.attempt_ended(
+                attempt,
+                Result.OK,
+                reply.value,
+                HITS.get(how) if how else None,
+                resp.parse_report(load),
+            )
             return
         word, _, rest = reply.line.text.partition(b" ")
         if self._pool.follows:
             redirect = parse_redirect(reply.line.text, self.node.address)
             if redirect is not None:
                 self._pool.sink.attempt_ended(
-                    attempt, Result.ASKED if redirect.asks else Result.MOVED, redirect=redirect)
+                    attempt, Result.ASKED if redirect.asks else Result.MOVED, redirect=redirect
+                )
                 return
             if word in NOT_RUN:
                 word = b"BUSY"
--- a/violetroute/upstream/pool.py
+++ b/violetroute/upstream/pool.py
@@ -38,8 +38,15 @@
 class Pool:
     """All connections to cache nodes, bounded in total and for each node."""
 
-    def __init__(self, sink: Sink, net: Network, limit: int, connect_timeout: float,
-                 idle_timeout: float, limits: Limits = DEFAULTS) -> None:
+    def __init__(
+        self,
+        sink: Sink,
+        net: Network,
+        limit: int,
+        connect_timeout: float,
+        idle_timeout: float,
+        limits: Limits = DEFAULTS,
+    ) -> None:
         self.limits = limits  # may be replaced at any time
         self.follows = False  # redirections are understood; likewise
         self.sink, self._net, self.loop = sink, net, net.loop
@@ -113,8 +120,9 @@
         node.waiting[attempt] = connection
         node.open[connection] = None
         self._open[connection] = None
-        connection.stream = self._net.connect(node.address, connection, self._connect_timeout,
-                                              first=True)
+        connection.stream = self._net.connect(
+            node.address, connection, self._connect_timeout, first=True
+        )
 
     def give_up(self, attempt: Attempt) -> bool:
         """Nothing of it may come back; whether it can have run."""
@@ -130,8 +138,11 @@
     def delivered(self, attempt: Attempt) -> bool:
         """Whether its node has the whole command, as far as its kernel has said so."""
         connection = attempt.connection
-        return connection is not None and connection.stream is not None \
+        return (
+            connection is not None
+            and connection.stream is not None
             and connection.stream.delivered()
+        )
 
     def _fail(self, attempt: Attempt, result: Result) -> None:
         # Later, not from within the module's own action.
@@ -178,8 +189,9 @@
         new ones cost their handshake and break as well.
         """
         share, learned_at = self._lost[bisect_right(AGES, age)]
-        return age < self._idle_for \
-            and share * math.exp((learned_at - now) / AGE_FORGETS) < AGE_LOSS
+        return (
+            age < self._idle_for and share * math.exp((learned_at - now) / AGE_FORGETS) < AGE_LOSS
+        )
 
     def opened(self, connection: NodeConnection) -> None:
         if connection.retired:
