--- a/snowstall/attempts.py
+++ b/snowstall/attempts.py
@@ -12,9 +12,7 @@
 
 REDIRECTS = frozenset({Result.MOVED, Result.ASKED})
 RETRY_COST = {Result.NO_CONNECTION: 0.0, Result.RESET: BROKEN_COST, Result.SPOILT: BROKEN_COST}
-NEVER_RAN = (
-    frozenset({Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS}) | REDIRECTS
-)
+NEVER_RAN = REDIRECTS | {Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS}
 
 
 @dataclass(slots=True)
@@ -28,7 +26,6 @@
     attempts: list[Attempt] = field(default_factory=list)
     done: bool = False
     streaming: bool = False
-    held: bool = False
     paused: bool = False  # this process stood still while it was open
 
     @property
@@ -58,7 +55,6 @@
             return False
         if now > min(a.sent_at for a in ran) + cls.repeat_window - REPEAT_MARGIN:
             return False  # the caches may have forgotten the first arrival by then
-        return cls.group is Group.ALL or all(
-            a.cache.zone == cache.zone if cls.group is Group.ZONE else a.cache.cell == cache.cell
-            for a in ran
-        )
+        if cls.group is Group.ZONE:
+            return all(a.cache.zone == cache.zone for a in ran)
+        return cls.group is Group.ALL or all(a.cache.cell == cache.cell for a in ran)
--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -65,9 +65,6 @@
         if kind is not ListKind.CHANGES:
             for cache in [c for c in self._caches.values() if c.id not in listed]:
                 self._drop(cache)
-        self._placements.clear()
-        self._zone_placements.clear()
-        self._head_due = now
         if kind is not ListKind.CACHED and self._asking:
             self._asking, self._subscribed, self._ask_failures = False, True, 0
         if kind is ListKind.CACHED and self.settings.must_subscribe:
@@ -137,9 +134,8 @@
         # Two limits: an origin that can't keep up must not shut what needs nothing of it.
         kept = not request.write and (key in self.head or self._is_kept(key))
         gate = self.gate if kept else self.fetches
-        pending = Pending(
-            request, cls, now, key, gate, self._is_patient(cls, request.give_up_at - now)
-        )
+        patient = self._is_patient(cls, request.give_up_at - now)
+        pending = Pending(request, cls, now, key, gate, patient)
         self._pending[request.id] = pending
         self._budget = min(RETRY_CAP, self._budget + RETRY_EARN * self._open())
         if self.unproven:
@@ -151,14 +147,9 @@
             self._refresh_head(now)
             for cache in [c for c in self.unproven.values() if now - c.absent_until > FORGIVEN]:
                 del self.unproven[cache.id]  # too little traffic, or none that is harmless
-            self._silence = max(
-                (
-                    max(STALL, m.value + SILENCE * m.deviation)
-                    for m in self._times.values()
-                    if m.count >= FAIR_ANSWERS
-                ),
-                default=math.inf,
-            )
+            known = [m for m in self._times.values() if m.count >= FAIR_ANSWERS]
+            silences = (max(STALL, m.value + SILENCE * m.deviation) for m in known)
+            self._silence = max(silences, default=math.inf)
         actions: list[Action] = []
         if gate.admits(worth, now):
             self._start(pending, actions)
@@ -187,7 +178,7 @@
         if outcome.closed or outcome.result is Result.OK:
             self._finish(pending, actions)
         elif not pending.done and not pending.outstanding():
-            self._go_on(pending, outcome.result, actions, outcome.to)
+            self._go_on(pending, outcome, actions)
         self._forget(pending)
         return actions
 
@@ -234,13 +225,13 @@
         pending = self._pending.get(label)
         if pending is None or pending.done:
             return actions
-        if pending.held:
+        if label in self._held:
             self._end(pending, actions)
         elif pending.outstanding() == 1 and not pending.streaming and self._may_hedge():
             cache = self._another(pending, now)
             if cache is not None and len(pending.attempts) < self.settings.max_attempts:
                 self._budget -= 1.0
-                self._send(pending, cache, actions)
+                self._send(pending, cache, actions, asking=False)
         return actions
 
     def _ask_later(self, actions: list[Action], soon: bool = False) -> None:
@@ -255,21 +246,17 @@
         cache = self._owner(pending, pending.request.owner) or self._choose(pending, self._now)
         if cache is not None:
             self._held.pop(pending.request.id, None)
-            pending.held = False
-            self._send(pending, cache, actions)
+            self._send(pending, cache, actions, asking=False)
             self._plan_hedge(pending, actions)
         elif self._ready:  # none of them may take it now: waiting would mend nothing
             self._judge(pending, 1.0)
             self._end(pending, actions)
-        elif not pending.held:
-            pending.held = True
+        elif pending.request.id not in self._held:
             self._held[pending.request.id] = pending
             wait = HELD_SHARE * max(0.0, pending.request.give_up_at - self._now)
             actions.append(messages.Timer(wait, pending.request.id))
 
-    def _send(
-        self, pending: Pending, cache: Cache, actions: list[Action], asking: bool = False
-    ) -> None:
+    def _send(self, pending: Pending, cache: Cache, actions: list[Action], asking: bool) -> None:
         now = self._now
         attempt = Attempt(cache, now)
         pending.attempts.append(attempt)
@@ -282,12 +269,8 @@
 
     def _may_hedge(self) -> bool:
         """Second copies only where allowed and affordable, and never into an overload."""
-        return (
-            self.settings.second_copies
-            and self._budget >= 1.0
-            and self._open() >= 1.0
-            and self._errors < ERROR_LIMIT
-        )
+        affordable = self.settings.second_copies and self._budget >= 1.0
+        return affordable and self._errors < ERROR_LIMIT and self._open() >= 1.0
 
     def _open(self) -> float:  # the lesser: a further attempt's cache may have to fetch
         return min(self.gate.open, self.fetches.open)
@@ -302,31 +285,26 @@
         if sum(m.count for m in times) >= 10 and delay < HEDGE_LATEST * cls.aim:
             actions.append(messages.Timer(delay, pending.request.id))
 
-    def _go_on(
-        self, pending: Pending, result: Result, actions: list[Action], to: int | None = None
-    ) -> None:
+    def _go_on(self, pending: Pending, outcome: Outcome, actions: list[Action]) -> None:
         """No attempt is out and none was served: try again or give the final answer."""
-        now = self._now
+        now, result = self._now, outcome.result
         if pending.streaming or now >= pending.request.give_up_at or result is Result.NEVER_SENT:
             self._judge(pending, 1.0)  # never sent: no socket was left, another attempt finds none
             self._end(pending, actions, failed=pending.streaming)
             return
-        cache = None
+        cache, cost = None, RETRY_COST.get(result, 1.0)
+        of_origin = result is Result.ERROR and not pending.attempts[-1].own_error
         if len(pending.attempts) < self.settings.max_attempts:
             if result in REDIRECTS:  # no failure: nothing of the budget is used up
-                cache = self._owner(pending, to)
+                cache = self._owner(pending, outcome.to)
             elif result is Result.MISS and self._origins:
                 cache = self._least(self._origins, now)  # not a retry: the way of a miss
-            elif self._budget >= (cost := RETRY_COST.get(result, 1.0)) and (
-                result is not Result.ERROR
-                or pending.attempts[-1].own_error
-                or self._errors < ERROR_LIMIT
-            ):
+            elif self._budget >= cost and not (of_origin and self._errors >= ERROR_LIMIT):
                 cache = self._again(pending, result, now) or self._another(pending, now)
                 if cache is not None:
                     self._budget -= cost
         if cache is not None and pending.may_send(cache, now):
-            self._send(pending, cache, actions, result is Result.ASKED)
+            self._send(pending, cache, actions, asking=result is Result.ASKED)
         else:
             # Errors count in full: an origin asked too much recovers only when asked less.
             self._judge(pending, 1.0, result in (Result.FULL, Result.ERROR))
@@ -335,40 +313,28 @@
     def _again(self, pending: Pending, result: Result, now: float) -> Cache | None:
         """The same cache, which has the key, if a connection failed and it is well itself."""
         cache = pending.attempts[-1].cache
-        if (
-            result not in RETRY_COST
-            or not cache.listed
-            or now < cache.absent_until
-            or now - cache.served_at > LIFE_SIGN
-            or self._warmth(cache, now) < 1.0
-            or sum(a.cache is cache for a in pending.attempts) > 1
-        ):
+        well = cache.listed and now >= cache.absent_until and now - cache.served_at <= LIFE_SIGN
+        if result not in RETRY_COST or not well or self._warmth(cache, now) < 1.0:
             return None
-        return cache if pending.may_send(cache, now) else None
+        once = sum(a.cache is cache for a in pending.attempts) == 1
+        return cache if once and pending.may_send(cache, now) else None
 
     def _another(self, pending: Pending, now: float) -> Cache | None:
         """A warm cache not tried yet, in the key's order: cold ones get no retries."""
         tried = {a.cache.id for a in pending.attempts}
-        return next(
-            (
-                cache
-                for cache in self._placement(pending.key, 2 + SPARE_CANDIDATES)
-                if cache.id not in tried
-                and self._sound(cache, now)
-                and self._warmth(cache, now) >= 1.0
-                and pending.may_send(cache, now)
-            ),
-            None,
-        )
+        for cache in self._placement(pending.key, 2 + SPARE_CANDIDATES):
+            new = cache.id not in tried and self._sound(cache, now)
+            if new and self._warmth(cache, now) >= 1.0 and pending.may_send(cache, now):
+                return cache
+        return None
 
     def _end(self, pending: Pending, actions: list[Action], failed: bool = False) -> None:
         """The final answer when it was not served: a refusal where that is true."""
         if not failed and pending.may_refuse():
             wait = self._backoff(pending.gate)
             gives = pending.request.give_up_at - pending.arrived_at
-            pending.gate.sent_away(
-                pending.key, gives, self._now, wait * RETURN_SPREAD + RETURN_SLACK
-            )
+            back_within = wait * RETURN_SPREAD + RETURN_SLACK
+            pending.gate.sent_away(pending.key, gives, self._now, back_within)
             actions.append(messages.Refuse(pending.request.id, wait))
         else:
             actions.append(messages.Fail(pending.request.id))
@@ -387,11 +353,9 @@
         pending.done = True
         self._held.pop(pending.request.id, None)
         if self.settings.can_cancel and not pending.streaming:
-            actions += [
-                messages.Cancel(pending.request.id, number)
-                for number, attempt in enumerate(pending.attempts)
-                if attempt.out
-            ]
+            for number, attempt in enumerate(pending.attempts):
+                if attempt.out:
+                    actions.append(messages.Cancel(pending.request.id, number))
         self._forget(pending)
 
     def _forget(self, pending: Pending) -> None:
--- a/snowstall/fleet.py
+++ b/snowstall/caches.py
@@ -18,7 +18,7 @@
 SIZE_MOST = 8.0  # times an even share: a plan may give a cache no more of the keys
 
 
-class Fleet:
+class Caches:
     """The caches and the keys, as far as they are known; nothing is decided here."""
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
@@ -68,10 +68,13 @@
         return None
 
     def _join(self, fresh: list[Cache]) -> None:
-        """Give new caches their share of the keys."""
+        """Give new caches their share of the keys; orders that were remembered are void."""
         self._ready = sorted(self._ready + fresh, key=lambda c: c.id)
         self._ring.add(fresh)
         self._zone_ring.add([c for c in fresh if c.zone == self.settings.zone])
+        self._placements.clear()
+        self._zone_placements.clear()
+        self._head_due = self._now
 
     def _drop(self, cache: Cache) -> None:
         """Draining, gone or no longer listed: nothing new goes there from now on."""
@@ -89,16 +92,13 @@
     def _rebuild(self) -> None:
         """The rings anew; what is out goes on where it is."""
         self._ring, self._zone_ring = Ring(), Ring()
-        self._ring.add(self._ready)
-        self._zone_ring.add([c for c in self._ready if c.zone == self.settings.zone])
-        self._placements.clear()
-        self._zone_placements.clear()
-        self._head_due = self._now
+        ready, self._ready = self._ready, []
+        self._join(ready)
 
     def on_sizes(self, now: float, sizes: Mapping[int, float]) -> list[Action]:
-        """A plan worked out ahead: the share of the keys each cache is meant for, 1 being even.
+        """Set each cache's share of the keys from a plan; 1 is an even share.
 
-        Who is not named has what the list says; a cache of size 0 is asked as a last resort only.
+        A cache without a size keeps its listed weight; one of size 0 is asked as a last resort.
         """
         self._tick(now)
         require(all(0.0 <= size < math.inf for size in sizes.values()), "a size is no number")
--- a/snowstall/choice.py
+++ b/snowstall/choice.py
@@ -26,12 +26,9 @@
         Who owes answers and gives none while the others do is left alone before a request fails.
         Harm: a pause as long as a slow answer turns its keys to others for that time.
         """
-        return (
-            bool(cache.points)
-            and now >= cache.absent_until
-            and cache.id not in self.unproven
-            and now - cache.owing_since <= self._silence
-        )
+        if not cache.points or now < cache.absent_until or cache.id in self.unproven:
+            return False
+        return now - cache.owing_since <= self._silence
 
     def _admits(self, cache: Cache, key: int, now: float) -> bool:
         """Whether the key may go there: cold caches take keys in step with their ramp.
@@ -61,9 +58,8 @@
         if is_head and zonal:
             # Departure: crossings are priced, so each zone keeps its part of the d copies.
             count = max(2, math.ceil(count * self._zone_ring.size / self._ring.size))
-            order = self._in_order(
-                self._zone_placements, self._zone_ring, key, count + SPARE_CANDIDATES
-            )
+            placements, ring = self._zone_placements, self._zone_ring
+            order = self._in_order(placements, ring, key, count + SPARE_CANDIDATES)
         elif is_head and count >= self._ring.size:  # W-Choices
             order = self._ready
         else:
@@ -100,13 +96,8 @@
         if self._probes < 1.0 or pending.cls.effect is not Effect.PURE:
             return None
         for cache in self._placement(pending.key, 2):
-            if (
-                cache.id in self.unproven
-                and not cache.out
-                and now >= cache.absent_until
-                and cache.points
-                and self._warmth(cache, now) >= 1.0
-            ):
+            due = cache.id in self.unproven and now >= cache.absent_until and not cache.out
+            if due and cache.points and self._warmth(cache, now) >= 1.0:
                 self._probes -= 1.0
                 return cache
         return None
@@ -118,9 +109,8 @@
         """
         if first.kind == second.kind or self._sizes:  # a plan's sizes hold the speeds already
             return False
-        one, two = (
-            self._kinds[c.kind].value if c.kind in self._kinds else 1.0 for c in (first, second)
-        )
+        kinds = [self._kinds.get(cache.kind) for cache in (first, second)]
+        one, two = (kind.value if kind else 1.0 for kind in kinds)
         share: float = 1.0 / (1.0 + (one / max(two, 0.01)) ** SPEED_POWER)
         return fraction(mix(key, 3)) >= share
 
--- a/snowstall/gate.py
+++ b/snowstall/gate.py
@@ -52,11 +52,8 @@
     def configure(self, settings: Settings, now: float) -> None:
         """New figures; what was learned of the load stays."""
         self._settings = settings
-        self._quotas = {
-            t.name: t.quota_per_s / settings.proxies / 1000.0
-            for t in settings.tenants
-            if t.quota_per_s > 0
-        }
+        limited = [t for t in settings.tenants if t.quota_per_s > 0]
+        self._quotas = {t.name: t.quota_per_s / settings.proxies / 1000.0 for t in limited}
         self._buckets.clear()
         self._buckets.update({n: (r * 1000.0 * QUOTA_BURST, now) for n, r in self._quotas.items()})
 
@@ -74,9 +71,8 @@
         Who was sent away comes back, late by then: what an answer is still worth counts.  Known by
         key and the time it gives (ms): by the key alone first tries of hot keys were taken for it.
         """
-        worth = cls.worth * (
-            1.0 if self._within_quota(tenant, now) else self._settings.over_share_worth
-        )
+        share = 1.0 if self._within_quota(tenant, now) else self._settings.over_share_worth
+        worth = cls.worth * share
         for mark in self._returns.get(key, ()):
             if now <= mark[1] and abs(mark[0] - gives) <= SAME_TIME:
                 self._returns[key].remove(mark)
--- a/snowstall/learning.py
+++ b/snowstall/learning.py
@@ -5,7 +5,7 @@
 
 from .attempts import REDIRECTS, Pending
 from .cache import OTHERS_ERRORS, RATIO_CAP, Attempt, Cache, Mean
-from .fleet import Fleet
+from .caches import Caches
 from .gate import Gate
 from .messages import Judged, Outcome, RequestClass, Result, Settings
 
@@ -24,7 +24,7 @@
 OVERDUE_DEVIATIONS = 2.0  # an attempt that was given less than this was cut off, not late
 
 
-class Learning(Fleet):
+class Learning(Caches):
     """Who is at fault: what tells of the load goes to the gate, of a cache stays with it."""
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
@@ -87,27 +87,18 @@
         later, from a jam at the origin by a quick miss since, from chance by the time it is out.
         Harm: a cache that serves the newest first looks like this in an overload.
         """
-        return (
-            attempt.overtaken
-            and self._fetched > attempt.sent_at
-            and self._overdue(cls, self._now - attempt.sent_at - attempt.stood)
-        )
+        passed = attempt.overtaken and self._fetched > attempt.sent_at
+        return passed and self._overdue(cls, self._now - attempt.sent_at - attempt.stood)
 
     def _learn(self, pending: Pending, attempt: Attempt, outcome: Outcome) -> None:
         now, cache, result = self._now, attempt.cache, outcome.result
         self._learn_error(pending.cls, attempt, outcome)
         silent = now - cache.owing_since > self._silence
-        attempt.lost = (
-            self._lost(pending, attempt)
-            if result is Result.LATE
-            else result is Result.FULL and silent and self._alone(attempt)
-        )
-        late = (
-            result is Result.LATE
-            and not attempt.lost
-            and self._overdue(pending.cls, outcome.latency)
-        )
-        overloaded = (result is Result.FULL and not silent) or late
+        full, late = result is Result.FULL, result is Result.LATE
+        full_alone = full and silent and self._alone(attempt)
+        attempt.lost = self._lost(pending, attempt) if late else full_alone
+        late = late and not attempt.lost and self._overdue(pending.cls, outcome.latency)
+        overloaded = (full and not silent) or late
         self._overloads += ERROR_GAIN * (overloaded - self._overloads)
         if result is Result.OK:
             if not pending.done:
@@ -140,7 +131,7 @@
                 self._eject(cache, now)
         elif result in REDIRECTS:
             self._prove(cache)
-        elif late or attempt.lost or result is Result.FULL:
+        elif late or attempt.lost or full:
             cache.observe(RATIO_CAP if late else RATIO_CAP / 2, now)
             if attempt.lost and silent:
                 self._eject(cache, now)
@@ -165,12 +156,9 @@
 
     def _lost(self, pending: Pending, attempt: Attempt) -> bool:
         """Whether what became of it tells of its cache alone, and not of the load."""
-        silent = (
-            attempt.cache.owing_since <= attempt.sent_at
-            and self._alone(attempt)
-            and self._now - attempt.sent_at - attempt.stood > self._silence
-        )
-        return silent or self._swallowed(pending.cls, attempt)
+        out_for = self._now - attempt.sent_at - attempt.stood
+        silent = attempt.cache.owing_since <= attempt.sent_at and out_for > self._silence
+        return (silent and self._alone(attempt)) or self._swallowed(pending.cls, attempt)
 
     def _alone(self, attempt: Attempt) -> bool:
         """Whether other caches do well: they have answered since, and few are full or late."""
@@ -191,12 +179,8 @@
         hit = self._mean(cls, True)
         if outcome.latency <= hit.value + hit.deviation:
             cache.errors += ERROR_GAIN * (1.0 - cache.errors)
-            if (
-                cache.errors >= OWN_ERRORS
-                and cache.listed
-                and cache not in self._origins
-                and self._warmth(cache, self._now) >= 1.0
-            ):
+            fails = cache.errors >= OWN_ERRORS and cache.listed and cache not in self._origins
+            if fails and self._warmth(cache, self._now) >= 1.0:
                 # The middle one: of several at fault none may excuse the others.
                 middle = sorted(c.errors for c in self._ready)[len(self._ready) // 2]
                 attempt.own_error = middle < OTHERS_ERRORS
--- a/snowstall/ring.py
+++ b/snowstall/ring.py
@@ -1,10 +1,12 @@
 """The caches in each key's order: consistent hashing."""
 
-from bisect import bisect_left
+from bisect import bisect, bisect_left
 from collections.abc import Iterator
 
 from .cache import Cache
 
+INSERTED_MOST = 4  # caches: for more, one sort of all points takes less CPU
+
 
 class Ring:
     """Consistent hashing: a change of one cache moves only that cache's keys."""
@@ -15,21 +17,23 @@
         self.size = 0
 
     def add(self, caches: list[Cache]) -> None:
-        """Add them all with one sort: one by one, a large fleet takes a second of CPU."""
-        if not caches:
-            return
-        points = self._points + [point for cache in caches for point in cache.points]
-        owners = self._owners + [cache for cache in caches for _ in cache.points]
-        order = sorted(range(len(points)), key=points.__getitem__)
-        self._points = [points[place] for place in order]
-        self._owners = [owners[place] for place in order]
+        """Insert the points of few caches; for many, one sort takes less CPU than all inserts."""
+        if len(caches) <= INSERTED_MOST:
+            for point, owner in [(point, cache) for cache in caches for point in cache.points]:
+                place = bisect(self._points, point)  # behind equal points, as a stable sort does
+                self._points.insert(place, point)
+                self._owners.insert(place, owner)
+        else:
+            points = self._points + [point for cache in caches for point in cache.points]
+            owners = self._owners + [cache for cache in caches for _ in cache.points]
+            order = sorted(range(len(points)), key=points.__getitem__)
+            self._points = [points[place] for place in order]
+            self._owners = [owners[place] for place in order]
         self.size += sum(bool(cache.points) for cache in caches)
 
     def remove(self, cache: Cache) -> None:
         for point in cache.points:
-            place = bisect_left(self._points, point)
-            while self._owners[place] is not cache:
-                place += 1
+            place = self._owners.index(cache, bisect_left(self._points, point))
             del self._points[place], self._owners[place]
         self.size -= bool(cache.points)
 
