--- /dev/null
+++ b/limebridge/control/__init__.py
@@ -0,0 +1,1 @@
+"""`limebridge control`: control machines from the command line."""
--- /dev/null
+++ b/limebridge/control/command.py
@@ -0,0 +1,317 @@
+"""`limebridge control`: make a folder, serve, look, publish.
+
+Exit codes: 0 done; 1 no answer, or refused; 2 wrong arguments or file; 3 not certain: the
+publication may be in the log or not, or (with --wait) it is committed and not yet in force.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, NoReturn
+
+import msgspec
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from limebridge.terminal_text import printable
+from violetroute.distribution.configuration import (
+    LOCAL_KEYS,
+    TableRefusedError,
+    check_name,
+    parse_table,
+)
+from violetroute.distribution.messages import (
+    KEY_BYTES,
+    RECORDS_PER_BATCH,
+    Publish,
+    PublishStatus,
+    Record,
+    StatusReply,
+    StatusRequest,
+    Topic,
+)
+from violetroute.distribution.storage import StorageError, init_folder
+from violetroute.sharing.table import read_keys
+from violetroute.transport import parse_address
+
+from .asking import Machines, NoAnswerError, leaders_status, publish, wait_in_force
+from .status_json import status_object
+
+app = typer.Typer(no_args_is_help=True, help="Control machines: purges and configuration.")
+
+REFUSED, WRONG, UNCERTAIN = 1, 2, 3
+LOG_ID_BYTES = 8
+NAME_CHARACTERS = 64
+
+MachineOption = Annotated[
+    list[str],
+    typer.Option("--machine", metavar="HOST:PORT", help="A control machine; several may be given."),
+]
+KeyFile = Annotated[
+    Path, typer.Option("--key-file", metavar="FILE", help="The key file of the fleet.")
+]
+Seconds = Annotated[float, typer.Option("--seconds", min=0.1, max=3600.0, help="For all of it.")]
+Json = Annotated[bool, typer.Option("--json", help="One JSON line.")]
+
+
+@dataclass(frozen=True, slots=True)
+class _InForce:
+    """A publication's position, and the leader's status once it was in force."""
+
+    position: int
+    status: StatusReply
+
+
+@app.command()
+def init(
+    folder: Annotated[Path, typer.Argument(help="Of the control machine's log.")],
+    name: Annotated[str, typer.Option("--name", help="The control machine's name.")],
+    log: Annotated[str, typer.Option("--log", metavar="ID", help="Of the log that there is.")] = "",
+    new: Annotated[bool, typer.Option("--new", help="A new log; its identity is printed.")] = False,
+    replace: Annotated[
+        bool,
+        typer.Option(
+            "--replace",
+            help="The machine had this log and has lost it.  Needed then: without it the machine "
+            "would forget what it had promised, and acknowledged records could be lost.",
+        ),
+    ] = False,
+) -> None:
+    """Make the folder of a control machine: an empty log, or the replacement of a lost one."""
+    if new == bool(log) or (new and replace):
+        _end("--log ID, with --replace or without, or --new is wanted", WRONG)
+    if not (0 < len(name) <= NAME_CHARACTERS and len(log) <= NAME_CHARACTERS):
+        _end(f"--name and --log have 1 to {NAME_CHARACTERS} characters", WRONG)
+    identity = log or secrets.token_hex(LOG_ID_BYTES)
+    try:
+        init_folder(folder, name, identity, recovering=replace)
+    except (StorageError, OSError) as error:
+        _end(str(error), REFUSED)
+    print(identity)
+
+
+@app.command()
+def serve(file: Annotated[Path, typer.Argument(help="The control machine's file.")]) -> None:
+    """Run a control machine until SIGTERM: the same as `python -m violetroute.distribution`."""
+    from violetroute.distribution.__main__ import main
+
+    raise typer.Exit(main([str(file)]))
+
+
+@app.command()
+def status(machine: MachineOption, key_file: KeyFile, as_json: Json = False) -> None:
+    """What is committed and in force, who lags, since when.
+
+    The leader knows all of it: the machines are asked until one says that it leads; if none does,
+    the first answer is shown.
+    """
+    machines = _machines(machine, key_file)
+    try:
+        reply = asyncio.run(leaders_status(machines, StatusRequest()))
+    except NoAnswerError as error:
+        _end(str(error), REFUSED)
+    if as_json:
+        print(json.dumps(msgspec.to_builtins(status_object(reply))))  # all but ASCII is escaped
+    else:
+        _show(reply)
+
+
+@app.command(name="publish")
+def publish_file(
+    machine: MachineOption,
+    key_file: KeyFile,
+    file: Annotated[Path, typer.Argument(help="A file with one key a line.")],
+    wait: Annotated[bool, typer.Option("--wait", help="Until it is in force.")] = False,
+    seconds: Seconds = 10.0,
+) -> None:
+    """Purge the keys of a file, one a line, in publications of up to 2,048; prints positions."""
+    try:
+        keys = [line for line in file.read_text().splitlines() if line]
+    except (OSError, ValueError) as error:
+        _end(f"{file}: {error}", WRONG)
+    machines = _machines(machine, key_file)
+    for first in range(0, len(keys), RECORDS_PER_BATCH):
+        _publish(machines, keys[first : first + RECORDS_PER_BATCH], wait, seconds)
+
+
+@app.command()
+def purge(
+    key: Annotated[list[str], typer.Argument(help="Keys whose objects are void.")],
+    machine: MachineOption,
+    key_file: KeyFile,
+    wait: Annotated[bool, typer.Option("--wait", help="Until it is in force.")] = False,
+    seconds: Seconds = 10.0,
+) -> None:
+    """Purge keys at every proxy; prints the position once it is committed."""
+    if len(key) > RECORDS_PER_BATCH:
+        _end(f"at most {RECORDS_PER_BATCH} keys; `publish` takes a file", WRONG)
+    _publish(_machines(machine, key_file), key, wait, seconds)
+
+
+@app.command()
+def configure(
+    table: Annotated[str, typer.Argument(help=f"One of {', '.join(LOCAL_KEYS)}.")],
+    machine: MachineOption,
+    key_file: KeyFile,
+    file: Annotated[
+        Path | None, typer.Argument(help="The table's keys as TOML, without its header.")
+    ] = None,
+    remove: Annotated[
+        bool, typer.Option("--remove", help="Each proxy has the table of its own file again.")
+    ] = False,
+    wait: Annotated[bool, typer.Option("--wait", help="Until it is in force.")] = False,
+    seconds: Seconds = 10.0,
+) -> None:
+    """Publish a table of the operator's file; prints the position once it is committed.
+
+    With --wait each proxy that has refused it is named, and the exit code is 1 then.
+    """
+    if remove == (file is not None):
+        _end("a file or --remove is wanted", WRONG)
+    try:
+        check_name(table)
+        body = b"" if file is None else _table_body(table, file)
+    except TableRefusedError as error:
+        _end(str(error), WRONG)
+    record = Record(Topic.CONFIGURATION, table, body)
+    status = _publish_records(_machines(machine, key_file), (record,), wait, seconds)
+    if status is not None:
+        _end_if_refused(status)
+
+
+def _table_body(table: str, file: Path) -> bytes:
+    try:
+        body = file.read_bytes()
+    except OSError as error:
+        _end(f"{file}: {error.strerror}", WRONG)
+    if not body:
+        _end(f"{file}: is empty; --remove takes a published table back", WRONG)
+    parse_table(table, body)
+    return body
+
+
+def _end_if_refused(committed: _InForce) -> None:
+    reasons = [
+        f"{name}: {reason}"
+        for name, position, reason in committed.status.refused
+        if position == committed.position
+    ]
+    if reasons:
+        _end(f"position {committed.position} is refused by {'; '.join(reasons)}", REFUSED)
+
+
+def _publish(machines: Machines, keys: list[str], wait: bool, seconds: float) -> None:
+    if any(len(key) > KEY_BYTES for key in keys):
+        _end(f"a key has at most {KEY_BYTES} characters", WRONG)
+    _publish_records(machines, tuple(Record(Topic.PURGE, key) for key in keys), wait, seconds)
+
+
+def _publish_records(
+    machines: Machines, records: tuple[Record, ...], wait: bool, seconds: float
+) -> _InForce | None:
+    """Ends the command unless they are committed, and with `wait` in force."""
+    publication = Publish(secrets.token_hex(16), records)
+    try:
+        reply = asyncio.run(publish(machines, publication, seconds))
+    except NoAnswerError as error:
+        _end(f"not certain whether it is in the log: {error}", UNCERTAIN)
+    if reply.status != PublishStatus.COMMITTED:
+        code = UNCERTAIN if reply.status == PublishStatus.UNKNOWN else REFUSED
+        _end(f"not committed: {_status_name(reply.status)}", code)
+    print(reply.position, flush=True)
+    if not wait:
+        return None
+    status = asyncio.run(wait_in_force(machines, reply.position, seconds))
+    if status is None:
+        _end(f"position {reply.position} is committed, and not in force yet", UNCERTAIN)
+    return _InForce(reply.position, status)
+
+
+def _status_name(status: int) -> str:
+    try:
+        return PublishStatus(status).name
+    except ValueError:
+        return f"status {status}"
+
+
+def _machines(addresses: list[str], key_file: Path) -> Machines:
+    try:
+        keys = read_keys(str(key_file))
+    except (OSError, ValueError) as error:
+        _end(f"--key-file: {error}", WRONG)
+    try:
+        return Machines([parse_address(address) for address in addresses], keys, 3.0)
+    except ValueError as error:
+        _end(f"--machine: {error}", WRONG)
+
+
+def _show(reply: StatusReply) -> None:
+    console = Console(markup=False, emoji=False)  # names and reasons are shown as they are
+    role = "leads" if reply.leader == reply.replica else f"follows {reply.leader or 'nobody'}"
+    note = ", replaces a lost disk and has not recovered yet" if reply.recovering else ""
+    console.print(printable(f"{reply.replica} {role}, fence {reply.fence}, log {reply.log}{note}"))
+    console.print(f"log to {reply.last.position}, committed to {reply.commit}")
+    if reply.recovering:
+        _show_recovery(console, reply)
+    if reply.leader != reply.replica:
+        return
+    console.print(f"in force to {reply.in_force}, applied by every session to {reply.applied}")
+    console.print(f"{reply.sessions} proxies, {reply.stale} of them stale")
+    _print_table(
+        console,
+        ("replica", "position", "heard"),
+        [(name, str(position), f"{heard:.1f} s") for name, position, heard in reply.replicas],
+    )
+    _print_table(
+        console,
+        ("lags", "region", "position", "behind", "stale"),
+        [
+            (
+                proxy.name,
+                proxy.region,
+                str(proxy.position),
+                f"{proxy.behind_s:.1f} s",
+                "yes" if proxy.stale else "",
+            )
+            for proxy in reply.lagging
+        ],
+    )
+    _print_table(
+        console,
+        ("refused by", "position", "reason"),
+        [(name, str(position), reason) for name, position, reason in reply.refused],
+    )
+
+
+def _show_recovery(console: Console, reply: StatusReply) -> None:
+    """Whom the recovery of a lost disk waits for.
+
+    The reply has seconds since each other machine told its promise, negative where it has not.
+    """
+    told = [(name, since) for name, _, since in reply.replicas if name != reply.replica]
+    missing = [name for name, since in told if since < 0]
+    awaited = f"a promise of {', '.join(missing)}" if missing else "the leader's whole log"
+    console.print(printable(f"recovery waits for {awaited}"))
+    _print_table(
+        console,
+        ("replica", "promise told"),
+        [(name, "not yet" if since < 0 else f"{since:.1f} s ago") for name, since in told],
+    )
+
+
+def _print_table(console: Console, columns: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
+    if rows:
+        table = Table(*columns, box=None)
+        for row in rows:
+            table.add_row(*map(printable, row))
+        console.print(table)
+
+
+def _end(text: str, code: int) -> NoReturn:
+    typer.echo(f"limebridge: {printable(text)}", err=True)
+    raise typer.Exit(code)
--- /dev/null
+++ b/tests/planted_distribution/ack_before_the_log_is_copied.py
@@ -0,0 +1,15 @@
+"""A leader counts fetches as acknowledgements before it has copied the most recent log."""
+
+from violetroute.distribution.followers import Followers, _Follower
+from violetroute.distribution.messages import Fetch
+
+
+def plant() -> None:
+    own = Followers._acknowledged
+
+    def acknowledged(self: Followers, follower: _Follower, fetch: Fetch) -> None:
+        serving, self.serving = self.serving, True
+        own(self, follower, fetch)
+        self.serving = serving
+
+    Followers._acknowledged = acknowledged
--- /dev/null
+++ b/tests/planted_distribution/late_leader_believed.py
@@ -0,0 +1,15 @@
+"""A replica follows a leader whose fence is lower than the one that it has promised."""
+
+from violetroute.distribution.actions import Change, SetPromise
+from violetroute.distribution.replica import Replica
+
+
+def plant() -> None:
+    def promise(self: Replica, fence: int, leader: str) -> tuple[Change, ...]:
+        if (fence, leader) == (self.fence, self.leader):
+            return ()
+        self.fence, self.leader = fence, leader
+        return (SetPromise(fence, leader),)
+
+    Replica.may_promise = lambda self, fence, leader: True
+    Replica.promise = promise
--- /dev/null
+++ b/tests/planted_distribution/lost_disk_as_empty_log.py
@@ -0,0 +1,11 @@
+"""A replica whose disk was lost counts for a quorum at once, as if its log had been empty."""
+
+from violetroute.distribution.recovery import Recovery
+
+
+def plant() -> None:
+    def finish(self: Recovery) -> None:
+        if self._replica.recovering:
+            self._outbox.persist(self._replica.recovered())
+
+    Recovery._finish = finish
--- /dev/null
+++ b/tests/test_control_escapes.py
@@ -0,0 +1,103 @@
+"""What the control and fleet commands print of names from the network cannot steer a terminal."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from typer.testing import CliRunner
+
+from limebridge.cli import app
+from limebridge.control import command
+from limebridge.control.asking import NoAnswerError
+from limebridge.fleet import looking
+from limebridge.terminal_text import printable
+from violetroute.distribution.messages import Lagging, LogPoint, StatusReply
+
+# Title, clear screen, CSI as one character, line break, right-to-left override.
+STEERING = "\x1b]0;x\x07\x1b[2J\x9b1A\r\n\u202e"
+SHOWN = r"\x1b]0;x\x07\x1b[2J\x9b1A\r\n\u202e"
+
+
+def clean(output: str) -> bool:
+    """Whether nothing but text and the line breaks of our own is in it."""
+    return all(line.isprintable() for line in output.split("\n"))
+
+
+def test_escapes() -> None:
+    assert printable(STEERING) == SHOWN
+    assert printable("\ud800 [red] pröxy ü") == r"\ud800 [red] pröxy ü"
+
+
+def run(*arguments: str) -> str:
+    return CliRunner().invoke(app, list(arguments)).output
+
+
+@pytest.fixture
+def control(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Arguments of `control status`."""
+    monkeypatch.setenv("COLUMNS", "400")
+    key = tmp_path / "key"
+    key.write_text("k" * 32 + "\n")
+    return ["control", "status", "--machine", "127.0.0.1:1", "--key-file", str(key)]
+
+
+@pytest.mark.parametrize("recovering", [False, True])
+def test_control_status(
+    control: list[str], monkeypatch: pytest.MonkeyPatch, recovering: bool
+) -> None:
+    name = f"n{STEERING}"
+    reply = StatusReply(
+        replica=name,
+        leader=name,
+        fence=1,
+        log=name,
+        last=LogPoint(1, 1),
+        commit=1,
+        applied=1,
+        in_force=1,
+        sessions=1,
+        stale=0,
+        lagging=(Lagging(name, name, name, 1, 0.0, stale=True),),
+        refused=((name, 1, name),),
+        replicas=((name, 1, 0.0), (f"o{STEERING}", 1, -1.0)),
+        recovering=recovering,
+    )
+
+    async def answer(*_: object) -> StatusReply:
+        return reply
+
+    monkeypatch.setattr(command, "leaders_status", answer)
+    output = run(*control)
+    assert clean(output) and f"n{SHOWN}" in output
+    output = run(*control, "--json")
+    assert clean(output) and output.isascii() and json.loads(output)["replica"] == name
+
+
+def test_errors_of_control(control: list[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    async def answer(*_: object) -> StatusReply:
+        raise NoAnswerError(STEERING)
+
+    monkeypatch.setattr(command, "leaders_status", answer)
+    output = run(*control)
+    assert clean(output) and SHOWN in output
+
+
+def test_fleet_members(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    name = f"n[red]{STEERING}"
+    member = dict.fromkeys(("name", "state", "address", "zone", "life"), name)
+    told: dict[str, Any] = {
+        "name": name,
+        "members": [member | {"since_s": 1, "heard_s": None}],
+        "health": 0,
+        "twin": False,
+        "sent": 0,
+        "received": 0,
+        "refused": 0,
+    }
+    monkeypatch.setattr(looking, "_told", lambda *_: told)
+    monkeypatch.setenv("COLUMNS", "400")
+    output = run("fleet", "members", "--operator", str(tmp_path / "operator.toml"))
+    assert clean(output) and output.count(f"n[red]{SHOWN}") == 6
--- /dev/null
+++ b/tests/test_distribution_daemon.py
@@ -0,0 +1,883 @@
+"""Real control processes and real daemons: purges in force, machines that are killed or lost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import resource
+import secrets
+import shutil
+import signal
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+import tomli_w
+from typer.testing import CliRunner
+
+from limebridge.child import Child
+from limebridge.cli import app
+from limebridge.control import asking
+from limebridge.control import process as control_process
+from limebridge.control.asking import Machines, NoAnswerError
+from limebridge.control.process import ControlMachines, UnreadyError
+from limebridge.fleet.looking import ask as look_in
+from limebridge.ports import free_ports
+from limebridge.standins.configuration import configuration, environment
+from limebridge.standins.discovery import Discovery
+from violetroute import __main__ as proxy_main
+from violetroute.distribution import __main__ as control_main
+from violetroute.distribution.descriptors import (
+    COMMAND_CONNECTIONS,
+    PROXY_CONNECTIONS_MIN,
+    RESERVED_DESCRIPTORS,
+    connection_bounds,
+)
+from violetroute.distribution.http_client import CLIENTS_PER_ADDRESS, HttpClient
+from violetroute.distribution.http_server import CONNECTIONS
+from violetroute.distribution.messages import (
+    Publish,
+    Published,
+    PublishStatus,
+    Record,
+    StatusReply,
+    StatusRequest,
+    Topic,
+)
+from violetroute.distribution.routes import decode_reply, encode
+from violetroute.distribution.service import DistributionService, PurgeCounter
+from violetroute.distribution.table import DistributionTable
+from violetroute.sharing.table import read_keys
+from violetroute.transport import Address, parse_address
+from violetroute.transport.sockets import SocketNetwork
+
+AT_THE_START = 1  # voids of a proxy: it does not know what it missed before
+PATIENCE = 60.0  # s; a bound on waiting, far above what any step needs
+ROOT = Path(__file__).parent.parent
+
+
+class Stage:
+    """Control machines, and daemons that follow them."""
+
+    def __init__(self, folder: Path, machines: int = 3, daemons: int = 2) -> None:
+        self.folder = folder
+        self.lines: list[str] = []
+        self.controls = ControlMachines(folder, free_ports(machines), told=self.lines.append)
+        self.controls.write()
+        self.daemons = [
+            Child(folder, f"p{number}", told=self.lines.append) for number in range(daemons)
+        ]
+        self.machines = Machines(
+            [parse_address(address) for address in self.controls.addresses],
+            read_keys(str(self.controls.key_file)),
+            2.0,
+        )
+
+    async def __aenter__(self) -> Stage:
+        self.discovery = await Discovery().start()
+        try:
+            await self.controls.start()
+            async with asyncio.TaskGroup() as starts:
+                for number, daemon in enumerate(self.daemons):
+                    raw = configuration(self.discovery.port, []) | {"name": f"p{number}"}
+                    start = daemon.start(raw, free_ports(1)[0], self.operator(number))
+                    starts.create_task(start)
+            await until(self.all_fresh)
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for daemon in self.daemons:
+            await daemon.kill()
+        await self.controls.stop()
+        await self.discovery.stop()
+
+    def operator(self, number: int, **more: Any) -> Path:
+        path = self.folder / f"p{number}.toml"
+        table = {
+            "controls": self.controls.addresses,
+            "key_file": str(self.controls.key_file),
+            "socket": str(self.folder / f"p{number}.sock"),
+        }
+        path.write_text(tomli_w.dumps({"distribution": table | more}))
+        return path
+
+    async def publish(self, *keys: str) -> int:
+        """The position, once it is committed."""
+        records = tuple(Record(Topic.PURGE, key) for key in keys)
+        publication = Publish(secrets.token_hex(8), records)
+        reply = await asking.publish(self.machines, publication, PATIENCE)
+        assert reply.status == PublishStatus.COMMITTED
+        return reply.position
+
+    async def in_force(self, position: int) -> StatusReply:
+        status = await asking.wait_in_force(self.machines, position, PATIENCE)
+        assert status is not None
+        return status
+
+    async def leader(self) -> int:
+        """The number of the machine that leads, once one does."""
+        found: list[int] = []
+
+        async def leads() -> bool:
+            for number, address in enumerate(self.machines.addresses):
+                try:
+                    status = await asking.ask(self.machines, address, StatusRequest(0))
+                except NoAnswerError:
+                    continue
+                if status.leader == status.replica:
+                    found.append(number)
+                    return True
+            return False
+
+        await until(leads)
+        return found[0]
+
+    async def status(self, number: int) -> StatusReply:
+        reply: StatusReply = await asking.ask(
+            self.machines, self.machines.addresses[number], StatusRequest()
+        )
+        return reply
+
+    async def daemon(self, number: int) -> dict[str, Any]:
+        return await asyncio.to_thread(
+            look_in, str(self.folder / f"p{number}.sock"), "distribution"
+        )
+
+    async def all_fresh(self) -> bool:
+        """Whether each daemon has its first answer: a snapshot, for which it voids all."""
+        told = [await self.daemon(number) for number in range(len(self.daemons))]
+        return all(each["fresh"] for each in told)
+
+    async def purged(self, count: int) -> bool:
+        return [(await self.daemon(n))["purges"] for n in range(len(self.daemons))] == [
+            count
+        ] * len(self.daemons)
+
+    def said(self, event: str) -> list[str]:
+        return [line for line in self.lines if f" {event} " in line]
+
+
+async def until(true: Callable[[], Awaitable[object]]) -> None:
+    async with asyncio.timeout(PATIENCE):
+        while not await true():
+            await asyncio.sleep(0.05)
+
+
+def test_a_purge_is_in_force_at_every_daemon(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path) as stage:
+            position = await stage.publish("one", "two")
+            await stage.in_force(position)
+            assert await stage.purged(2)
+            await until(lambda: sessions(stage, 2))
+            for number in range(5):
+                position = await stage.publish(f"more {number}")
+            status = await stage.in_force(position)
+            assert await stage.purged(7)
+            assert status.replica == status.leader and status.in_force >= position
+            assert status.stale == 0 and not status.refused and len(status.replicas) == 3
+            told = await stage.daemon(0)
+            assert told["position"] >= position and told["voids"] == AT_THE_START
+            assert told["bytes_in"] > 0 and told["bytes_out"] > 0
+            assert not stage.said("daemon.fault") and not stage.said("control.fault")
+
+    asyncio.run(play())
+
+
+async def sessions(stage: Stage, count: int) -> bool:
+    return (await stage.status(await stage.leader())).sessions == count
+
+
+def test_a_leader_that_is_killed_is_replaced_and_comes_back(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path) as stage:
+            first = await stage.publish("before")
+            leader = await stage.leader()
+            await stage.controls.processes[leader].kill()
+            second = await stage.publish("after")
+            assert second > first and await stage.leader() != leader
+            await stage.in_force(second)
+            assert await stage.purged(2)
+            await stage.controls.processes[leader].start()
+
+            async def caught_up() -> bool:
+                status = await stage.status(leader)
+                return status.commit >= second and not status.recovering
+
+            await until(caught_up)
+            last = await stage.publish("again")
+            await stage.in_force(last)
+            assert await stage.purged(3)
+            told = [await stage.daemon(number) for number in (0, 1)]
+            assert [each["voids"] for each in told] == [AT_THE_START, AT_THE_START]
+
+    asyncio.run(play())
+
+
+def test_a_leader_that_was_stopped_wakes_behind_a_newer_one(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, daemons=1) as stage:
+            first = await stage.publish("before")
+            leader = await stage.leader()
+            process = stage.controls.processes[leader]
+            os.kill(process.pid, signal.SIGSTOP)
+            second = await stage.publish("meanwhile")
+            assert second > first
+            os.kill(process.pid, signal.SIGCONT)
+            position = second
+            for number in range(5):  # whoever is asked, the order is one
+                position = await stage.publish(f"after {number}")
+            await stage.in_force(position)
+            assert await stage.purged(7)
+
+            async def follows() -> bool:
+                status = await stage.status(leader)
+                return status.commit >= position and process.running
+
+            await until(follows)
+            assert not stage.said("control.fault")
+
+    asyncio.run(play())
+
+
+def test_what_is_no_message_is_refused_and_harms_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, machines=1, daemons=0) as stage:
+            net = SocketNetwork(asyncio.get_running_loop())
+            for path, body in (
+                ("/nothing", b""),
+                ("/poll", b""),
+                ("/poll", b"\xc1"),
+                ("/poll", b"\x90"),
+                ("/publish", b"\x92\xa1x" + b"\x91" * 5000),
+                ("/fetch", b"\xdd\xff\xff\xff\xff"),
+                ("/report", bytes(100_000)),
+            ):
+                told: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+                client = HttpClient(net, stage.machines.addresses[0], stage.machines.keys)
+                client.request(path, body, 10.0, lambda _, why, told=told: told.set_result(why))
+                assert await told == "status 400", path
+                client.close()
+            await stage.publish("after")
+
+    asyncio.run(play())
+
+
+def test_sigterm_hands_the_lease_back(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, daemons=0) as stage:
+            await stage.publish("before")
+            leader = await stage.leader()
+            assert await stage.controls.processes[leader].term() == 0
+            assert stage.said("fleet.handed_back") and stage.said("control.ended")
+            await stage.publish("after")
+            assert await stage.leader() != leader
+
+    asyncio.run(play())
+
+
+@pytest.mark.long
+def test_without_a_majority_nothing_is_committed_and_daemons_know_that_they_are_stale(
+    tmp_path: Path,
+) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, daemons=1) as stage:
+            position = await stage.publish("before")
+
+            async def fresh() -> bool:
+                told = await stage.daemon(0)
+                return bool(told["fresh"]) and told["position"] >= position
+
+            await until(fresh)
+            leader = await stage.leader()
+            others = [number for number in range(3) if number != leader]
+            for number in others:
+                await stage.controls.processes[number].kill()
+
+            async def stale() -> bool:
+                return (
+                    bool(stage.said("distribution.stale")) and not (await stage.daemon(0))["fresh"]
+                )
+
+            await until(stale)
+            with pytest.raises(NoAnswerError):
+                await asking.publish(
+                    stage.machines, Publish("x", (Record(Topic.PURGE, "lost"),)), 0.5
+                )
+            for number in others:
+                await stage.controls.processes[number].start()
+            position = await stage.publish("after")
+            await stage.in_force(position)
+            await until(fresh)
+            assert (await stage.daemon(0))["position"] >= position
+
+    asyncio.run(play())
+
+
+@pytest.mark.long
+def test_a_lost_folder_is_refused_and_its_replacement_recovers(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, daemons=1) as stage:
+            await stage.publish("before")
+            leader = await stage.leader()
+            lost = next(number for number in range(3) if number != leader)
+            process = stage.controls.processes[lost]
+            await process.kill()
+            shutil.rmtree(stage.controls.data_folder(lost))
+            for _ in range(2):  # a start makes nothing that a second one would take for a log
+                with pytest.raises(UnreadyError, match="limebridge control init"):
+                    await process.start()
+                assert await process.wait() == 1
+            second = await stage.publish("meanwhile")
+            folder = str(stage.controls.data_folder(lost))
+            arguments = ["control", "init", folder, "--name", f"c{lost}", "--log", "log"]
+            made = await asyncio.to_thread(CliRunner().invoke, app, [*arguments, "--replace"])
+            assert made.exit_code == 0, made.output
+            again = await asyncio.to_thread(CliRunner().invoke, app, [*arguments, "--replace"])
+            assert again.exit_code == 1 and "there is a log already" in again.output
+            await process.start()
+
+            async def recovered() -> bool:
+                status = await stage.status(lost)
+                return not status.recovering and status.commit >= second
+
+            async def said_so() -> bool:  # the line may come after the status
+                return bool(stage.said("control.recovered"))
+
+            await until(recovered)
+            await until(said_so)
+            await stage.controls.processes[leader].kill()  # it counts for a majority again
+            last = await stage.publish("after")
+            await stage.in_force(last)
+            assert await stage.purged(3)
+
+    asyncio.run(play())
+
+
+def test_a_disk_that_fails_ends_the_process_and_loses_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, machines=1, daemons=0) as stage:
+            process = stage.controls.processes[0]
+            position = await stage.publish("k" * 100)
+            limit = (4096, resource.RLIM_INFINITY)
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limit)
+
+            async def fill() -> None:
+                nonlocal position
+                while process.running:
+                    reply = await asking.publish(
+                        stage.machines,
+                        Publish(secrets.token_hex(8), (Record(Topic.PURGE, "k" * 900),)),
+                        0.1,
+                    )
+                    if reply.status == PublishStatus.COMMITTED:
+                        position = reply.position
+
+            with pytest.raises(NoAnswerError):
+                await asyncio.wait_for(fill(), PATIENCE)
+            assert await asyncio.wait_for(process.wait(), PATIENCE) == 1
+            assert stage.said("control.ends")
+            await process.start()
+            await stage.leader()
+            assert (await stage.status(0)).last.position >= position
+            await stage.publish("after")
+
+    asyncio.run(play())
+
+
+def test_the_command_line_publishes_and_looks(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, machines=1, daemons=0) as stage:
+            address = ["--machine", stage.controls.addresses[0]]
+            dead = ["--machine", f"127.0.0.1:{free_ports(1)[0]}"]
+            key = ["--key-file", str(stage.controls.key_file)]
+
+            async def limebridge(*arguments: str) -> Any:
+                return await asyncio.to_thread(CliRunner().invoke, app, ["control", *arguments])
+
+            done = await limebridge("purge", "a", "b", *dead, *address, *key, "--wait")
+            assert done.exit_code == 0 and int(done.output) >= 1, done.output
+            keys = tmp_path / "keys"
+            keys.write_text("".join(f"key {number}\n" for number in range(3000)))
+            done = await limebridge("publish", str(keys), *address, *key)
+            first, second = map(int, done.output.split())
+            assert done.exit_code == 0 and second > first
+            shown = await limebridge("status", *address, *key)
+            assert shown.exit_code == 0 and "c0 leads" in shown.output
+            shown = await limebridge("status", *address, *key, "--json")
+            assert json.loads(shown.output)["commit"] >= second
+            (tmp_path / "other").write_text("some other key of the fleet\n")
+            for code, words, arguments in (
+                (1, "403", ["status", *address, "--key-file", str(tmp_path / "other")]),
+                (2, "--key-file", ["status", *address, "--key-file", str(tmp_path / "none")]),
+                (2, "--machine", ["status", "--machine", "here", *key]),
+                (2, "at most", ["purge", "x" * 1025, *address, *key]),
+                (2, "wanted", ["init", str(tmp_path / "new"), "--name", "c9"]),
+                (3, "not certain", ["purge", "x", *dead, *key, "--seconds", "0.1"]),
+            ):
+                refused = await limebridge(*arguments)
+                assert refused.exit_code == code and words in refused.output, refused.output
+                assert refused.output.count("\n") == 1
+
+    asyncio.run(play())
+
+
+def test_other_controls_are_taken_on_with_sighup(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, machines=2, daemons=1) as stage:
+            position = await stage.publish("one")
+
+            async def applied() -> bool:
+                return bool((await stage.daemon(0))["position"] >= position)
+
+            await until(applied)
+            address = stage.controls.addresses[0]
+            stage.operator(0, controls=[address])
+            os.kill(stage.daemons[0].pid, signal.SIGHUP)
+
+            async def asks_the_one() -> bool:
+                return (await stage.daemon(0))["asks"] in ("", address) and bool(
+                    stage.said("config.reloaded")
+                )
+
+            await until(asks_the_one)
+            position = await stage.publish("two")
+            await until(applied)
+            told = await stage.daemon(0)
+            assert (told["purges"], told["voids"]) == (2, AT_THE_START)
+
+    asyncio.run(play())
+
+
+def test_a_table_that_is_removed_holds_until_the_restart_and_each_reload_says_so(
+    tmp_path: Path,
+) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, machines=1, daemons=1) as stage:
+            for reloads in range(1, 4):
+                (tmp_path / "p0.toml").write_text("")
+                os.kill(stage.daemons[0].pid, signal.SIGHUP)
+
+                async def taken(count: int = reloads) -> bool:
+                    return len(stage.said("config.reloaded")) == count
+
+                await until(taken)
+                (*_, needed) = stage.said("config.restart_needed")
+                assert len(stage.said("config.restart_needed")) == reloads
+                assert needed.endswith("keys=distribution")
+                position = await stage.publish(f"key {reloads}")
+                await stage.in_force(position)
+                assert await stage.purged(reloads)
+            assert not stage.said("daemon.fault")
+            stage.operator(0)  # the table is back: nothing waits for a restart any more
+            os.kill(stage.daemons[0].pid, signal.SIGHUP)
+
+            async def back() -> bool:
+                return len(stage.said("config.reloaded")) == 4
+
+            await until(back)
+            assert len(stage.said("config.restart_needed")) == 3
+
+    asyncio.run(play())
+
+
+async def hang_up(stage: Stage, table: dict[str, Any] | None) -> None:
+    """The only control machine's file is this, or is no TOML, and it gets SIGHUP."""
+    process = stage.controls.processes[0]
+    process.file.write_text("name = " if table is None else tomli_w.dumps(table))
+    os.kill(process.pid, signal.SIGHUP)
+
+
+def test_sighup_changes_the_log_of_a_control_machine_and_does_not_end_it(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, machines=1, daemons=0) as stage:
+            table = stage.controls.table(0)
+
+            async def said(event: str, *words: str) -> None:
+                async def there() -> bool:
+                    return any(
+                        f"{event} " in line or f'"{event}"' in line
+                        for line in stage.lines
+                        if all(word in line for word in words)
+                    )
+
+                await until(there)
+
+            await hang_up(stage, table | {"log": {"format": "json"}, "region": "south"})
+            await said("config.restart_needed", "keys=region")
+            await said("control.reloaded", '"file":')
+            await hang_up(stage, None)
+            await said("config.unusable", "c0.toml")
+            await hang_up(stage, table | {"log": {"level": "loud"}})
+            await said("config.unusable", "[log] level")
+            await hang_up(stage, table)
+            await said("control.reloaded", " file=")
+            await stage.publish("after")
+            assert not stage.said("control.fault")
+            assert await stage.controls.processes[0].term() == 0
+
+    asyncio.run(play())
+
+
+def test_an_early_sighup_does_not_end_a_control_machine(tmp_path: Path) -> None:
+    """The signal comes as soon as the handler can stand, long before the loop does."""
+    table = control_table(tmp_path)
+    path = tmp_path / "c0.toml"
+    path.write_text(tomli_w.dumps(table))
+    program = (
+        "import os, signal, sys; import violetroute.distribution.__main__ as m; "
+        "load = m.load_control_file; "
+        "m.load_control_file = lambda p: (os.kill(os.getpid(), signal.SIGHUP), load(p))[1]; "
+        "m.Reloader.reload = lambda self: (print('reloaded', flush=True),"
+        " os.kill(os.getpid(), signal.SIGTERM)); "
+        "sys.exit(m.main([sys.argv[1]]))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program, str(path)],
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE,
+    )
+    assert done.returncode == 0 and "reloaded" in done.stdout, done.stderr
+
+
+# --- descriptors ---
+@contextmanager
+def soft_limit_of_children(descriptors: int) -> Iterator[None]:
+    """Control processes that are started within may have so many descriptors."""
+    before = control_process.COMMAND
+    shell = ("/bin/sh", "-c", f'ulimit -S -n {descriptors}; exec "$@"', "sh")
+    control_process.COMMAND = (*shell, *before)
+    try:
+        yield
+    finally:
+        control_process.COMMAND = before
+
+
+async def crowd(address: Address, count: int) -> None:
+    """Holds so many connections that say nothing, and replaces those that the server ends."""
+
+    async def hold() -> None:
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(address.host, address.port)
+                await reader.read()
+                writer.close()
+            except OSError:
+                pass
+            await asyncio.sleep(0.05)
+
+    await asyncio.gather(*(hold() for _ in range(count)))
+
+
+SEGMENT_FILLERS = 12  # publications of 800 KB: together more than a segment of the log
+
+
+def filler() -> Publish:
+    """A publication of 800 KB of a topic that nobody knows."""
+    body = bytes(16 * 1024)
+    return Publish(secrets.token_hex(8), tuple(Record(200, "x", body) for _ in range(50)))
+
+
+def test_a_crowd_of_connections_stops_neither_the_lease_nor_the_log(tmp_path: Path) -> None:
+    async def play() -> None:
+        with soft_limit_of_children(200):
+            stage = Stage(tmp_path, machines=1, daemons=0)
+            await stage.__aenter__()
+        address, keys = stage.machines.addresses[0], stage.machines.keys
+        client = HttpClient(SocketNetwork(asyncio.get_running_loop()), address, keys)
+
+        async def published() -> Published:
+            told: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
+            publication = filler()
+            client.request(
+                "/publish", encode(publication), PATIENCE, lambda b, _: told.set_result(b)
+            )
+            reply: Published | None = decode_reply(publication, await told)
+            assert reply is not None and reply.status == PublishStatus.COMMITTED
+            return reply
+
+        try:
+            await stage.publish("before")
+            first = await published()
+            crowding = asyncio.create_task(crowd(address, 300))
+            await asyncio.sleep(4.0)  # longer than a term of the lease
+            for _ in range(SEGMENT_FILLERS):
+                last = await published()
+            crowding.cancel()
+            assert last.fence == first.fence and stage.controls.processes[0].running
+            assert len(list(stage.controls.data_folder(0).glob("segment-*"))) > 1
+            for event in ("fleet.store_failed", "fleet.lapsed", "control.term_ended"):
+                assert not stage.said(event), event
+            assert any(
+                "too many connections" in line for line in stage.said("distribution.refused")
+            )
+        finally:
+            client.close()
+            await stage.__aexit__()
+
+    asyncio.run(play())
+
+
+def test_more_proxies_than_there_is_room_for_leave_room_for_others(tmp_path: Path) -> None:
+    async def play() -> None:
+        with soft_limit_of_children(200):
+            stage = Stage(tmp_path, machines=1, daemons=0)
+            await stage.__aenter__()
+        net = SocketNetwork(asyncio.get_running_loop())
+        table = DistributionTable(controls=(stage.controls.addresses[0],))
+        services = [
+            DistributionService(table, stage.machines.keys, f"p{n}", "", net, PurgeCounter())
+            for n in range(160)
+        ]
+        try:
+
+            async def refused() -> bool:
+                return any(
+                    "too many proxies" in line for line in stage.said("distribution.refused")
+                )
+
+            await until(refused)
+            for number in range(5):
+                await stage.publish(f"key {number}")
+            traffic = await asyncio.to_thread(look_in, str(tmp_path / "c0.sock"), "traffic")
+            assert traffic["polls"] <= traffic["polls_max"] < traffic["connections_max"] < 200
+        finally:
+            for service in services:
+                service.close()
+            await stage.__aexit__()
+
+    asyncio.run(play())
+
+
+def test_too_few_descriptors_are_one_line_and_exit_code_1(tmp_path: Path) -> None:
+    path = tmp_path / "c0.toml"
+    path.write_text(tomli_w.dumps(control_table(tmp_path)))
+    done = subprocess.run(
+        ["/bin/sh", "-c", 'ulimit -S -n 100; exec "$@"', "sh", *control_process.COMMAND, str(path)],
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE,
+    )
+    assert done.returncode == 1 and not done.stdout
+    assert done.stderr.count("\n") == 1 and "need at least 112" in done.stderr
+
+
+@pytest.mark.parametrize("machines", [1, 3, 15])
+def test_connections_leave_descriptors_for_everything_else(machines: int) -> None:
+    peers = CLIENTS_PER_ADDRESS * (machines - 1)
+    for descriptors in (1024, 4096, 2**20):
+        bounds = connection_bounds(descriptors, machines)
+        assert bounds.connections <= min(CONNECTIONS, descriptors - peers - RESERVED_DESCRIPTORS)
+        assert PROXY_CONNECTIONS_MIN <= bounds.proxies < bounds.connections - peers
+    needed = RESERVED_DESCRIPTORS + 2 * peers + COMMAND_CONNECTIONS + PROXY_CONNECTIONS_MIN
+    assert connection_bounds(needed, machines).proxies == PROXY_CONNECTIONS_MIN
+    with pytest.raises(ValueError, match=f"need at least {needed}"):
+        connection_bounds(needed - 1, machines)
+
+
+# --- wrong files ---
+def control_table(folder: Path) -> dict[str, Any]:
+    machines = ControlMachines(folder, free_ports(1))
+    machines.write()
+    return machines.table(0)
+
+
+WRONG: dict[str, tuple[Callable[[dict[str, Any]], object], str]] = {
+    "no name": (lambda t: t.pop("name"), "name: missing"),
+    "another name": (lambda t: t.update(name="c9"), "name: 'c9' is none of the names"),
+    "an unknown key": (lambda t: t.update(folde=""), "did you mean folder?"),
+    "no address": (lambda t: t.update(listen="here"), "listen: not an address"),
+    "no machine": (lambda t: t.update(machine=[]), "machine:"),
+    "a machine twice": (lambda t: t.update(machine=t["machine"] * 2), "machine: a name"),
+    "no key": (lambda t: t.update(key_file="/none"), "key_file:"),
+    "no lease": (lambda t: t.update(fleet={}), "[fleet] store: off"),
+    "a wrong lease": (lambda t: t.update(fleet={"store": "folder"}), "[fleet] folder: missing"),
+    "other works": (lambda t: t["fleet"].update(works=["beat-x"]), "[fleet] works:"),
+    "stale at once": (
+        lambda t: t.update(timings={"stale_after_s": 0.0}),
+        "[timings] stale_after_s",
+    ),
+    "a long hold": (lambda t: t.update(timings={"hold_s": 5.0}), "[timings] hold_s:"),
+    "an unknown timing": (lambda t: t.update(timings={"batchs": 1.0}), "did you mean batch_s?"),
+}
+
+
+class Accepted(Exception):
+    """A file that should have been refused came as far as serving."""
+
+
+@pytest.fixture
+def in_one_process(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """For `main` in this process: none serves; what it changes of the process is put back."""
+
+    async def serve(*_: object) -> int:
+        raise Accepted
+
+    monkeypatch.setattr(control_main, "serve", serve)
+    monkeypatch.setattr(proxy_main, "serve", serve)
+    hangup, log_handlers = signal.getsignal(signal.SIGHUP), logging.getLogger().handlers[:]
+    yield
+    signal.signal(signal.SIGHUP, hangup)
+    logging.getLogger().handlers[:] = log_handlers
+
+
+def wrong_control_file(folder: Path, name: str) -> Path:
+    """The control machine's file of this case."""
+    table = control_table(folder)
+    spoil, _ = WRONG[name]
+    spoil(table)
+    path = folder / "wrong.toml"
+    path.write_text(tomli_w.dumps(table))
+    return path
+
+
+@pytest.mark.usefixtures("in_one_process")
+@pytest.mark.parametrize("name", WRONG)
+def test_a_wrong_control_file_is_one_line_and_exit_code_2(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str], name: str
+) -> None:
+    path = wrong_control_file(tmp_path, name)
+    code = control_main.main([str(path)])
+    out, err = capfd.readouterr()
+    assert code == 2 and not out
+    assert err.count("\n") == 1 and WRONG[name][1] in err and str(path) in err
+
+
+@pytest.mark.usefixtures("in_one_process")
+def test_a_right_control_file_comes_as_far_as_serving(tmp_path: Path) -> None:
+    path = tmp_path / "right.toml"
+    path.write_text(tomli_w.dumps(control_table(tmp_path)))
+    with pytest.raises(Accepted):
+        control_main.main([str(path)])
+
+
+def test_a_control_process_with_a_wrong_file_ends(tmp_path: Path) -> None:
+    name = "no name"
+    path = wrong_control_file(tmp_path, name)
+    done = subprocess.run(
+        [sys.executable, "-m", "violetroute.distribution", str(path)],
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE,
+    )
+    assert done.returncode == 2 and not done.stdout
+    assert done.stderr.count("\n") == 1
+    assert WRONG[name][1] in done.stderr and str(path) in done.stderr
+
+
+def test_an_address_that_is_taken_is_one_line_and_exit_code_1(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, machines=1, daemons=0) as stage:
+            table = stage.controls.table(0) | {"folder": str(tmp_path / "second")}
+            path = tmp_path / "second.toml"
+            path.write_text(tomli_w.dumps(table))
+            made = await asyncio.to_thread(
+                CliRunner().invoke,
+                app,
+                ["control", "init", table["folder"], "--name", "c0", "--new"],
+            )
+            assert made.exit_code == 0
+            for folder, words in (
+                (table["folder"], "Address already in use"),
+                (str(stage.controls.data_folder(0)), "another process has it"),
+            ):
+                path.write_text(tomli_w.dumps(table | {"folder": folder}))
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "violetroute.distribution",
+                    str(path),
+                    stderr=asyncio.subprocess.PIPE,
+                )
+                _, said = await asyncio.wait_for(process.communicate(), PATIENCE)
+                assert process.returncode == 1
+                assert words in said.decode() and said.count(b"\n") == 1
+
+    asyncio.run(play())
+
+
+def operators_file(folder: Path, table: dict[str, Any]) -> tuple[Path, Path]:
+    """An operator's file with this `[distribution]`, and a platform's file."""
+    operator, platform = folder / "operator.toml", folder / "config.json"
+    operator.write_text(tomli_w.dumps({"distribution": table}))
+    platform.write_text(json.dumps(configuration(free_ports(1)[0], [])))
+    return operator, platform
+
+
+def set_arguments(monkeypatch: pytest.MonkeyPatch, operator: Path, platform: Path) -> None:
+    """The daemon's command line and environment name these files."""
+    monkeypatch.setenv("PROXY_CONFIG", str(platform))
+    monkeypatch.delenv("LIMEBRIDGE_OPERATOR", raising=False)
+    monkeypatch.setattr(sys, "argv", ["violetroute", "--operator", str(operator)])
+
+
+@pytest.mark.usefixtures("in_one_process")
+@pytest.mark.parametrize(
+    ("table", "words"),
+    [
+        ({"region": "x"}, "controls: missing, and other keys are set"),
+        ({"controls": ["here"]}, "controls: not an address"),
+        ({"controls": ["127.0.0.1:1 a b"]}, "controls:"),
+        ({"controls": ["127.0.0.1:1"]}, "key_file:"),
+        ({"controls": ["127.0.0.1:1", "127.0.0.1:1 x"]}, "controls: an address stands there twice"),
+        ({"stale_after_s": 0.1}, "stale_after_s:"),
+        ({"control": []}, "did you mean controls?"),
+    ],
+)
+def test_a_wrong_operators_file_is_one_line_and_exit_code_2(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capfd: pytest.CaptureFixture[str],
+    table: dict[str, Any],
+    words: str,
+) -> None:
+    operator, platform = operators_file(tmp_path, table)
+    set_arguments(monkeypatch, operator, platform)
+    code = proxy_main.main()
+    err = capfd.readouterr().err
+    assert code == 2 and err.count("\n") == 1
+    assert "[distribution]" in err and words in err
+
+
+@pytest.mark.usefixtures("in_one_process")
+def test_a_right_operators_file_comes_as_far_as_serving(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    operator, platform = operators_file(tmp_path, {})
+    set_arguments(monkeypatch, operator, platform)
+    with pytest.raises(Accepted):
+        proxy_main.main()
+
+
+def test_a_daemon_with_a_wrong_operators_file_ends(tmp_path: Path) -> None:
+    operator, platform = operators_file(tmp_path, {"control": []})
+    done = subprocess.run(
+        [sys.executable, "-m", "violetroute", "--operator", str(operator)],
+        capture_output=True,
+        text=True,
+        env=environment(platform),
+        timeout=PATIENCE,
+    )
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
+    assert "[distribution]" in done.stderr and "did you mean controls?" in done.stderr
+
+
+def test_nothing_of_it_is_imported_where_it_is_off() -> None:
+    program = (
+        "import sys, violetroute.__main__; "
+        "print(*sorted(m for m in sys.modules if m.startswith('violetroute.distribution')))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, cwd=ROOT, check=True
+    )
+    assert done.stdout.split() == ["violetroute.distribution", "violetroute.distribution.table"]
--- /dev/null
+++ b/tests/test_distribution_hard_cases_real.py
@@ -0,0 +1,122 @@
+"""Hard cases of issue 48 on real processes: two of one name, and one refusal among a hundred."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+from distribution_next_build import SESSIONS, copy_of_this_build, replace_text
+from rig import until
+from test_distribution_daemon import Stage
+
+from limebridge.control import asking
+from limebridge.faults.distribution import rig
+from limebridge.faults.distribution.judge import Rule
+from limebridge.faults.distribution.mixed_builds import Builds
+from limebridge.faults.distribution.plan import Fault, Plan
+from violetroute.distribution.configuration_change import ConfigurationChange
+from violetroute.distribution.messages import Publish, Published, Record, Topic
+from violetroute.distribution.service import DistributionService, PurgeCounter
+from violetroute.distribution.table import DistributionTable
+from violetroute.sharing.wire import Keys
+from violetroute.transport.sockets import SocketNetwork
+
+PROXIES = 100
+REFUSES = 42
+REASON = "[log] level: this machine has none"
+
+TWIN = Plan(
+    seed=1,
+    seconds=5.0,
+    proxies=2,
+    stale_after_s=3.0,
+    publications_per_s=10.0,
+    fault=[Fault(0.3, "twin_proxy", 0, 4.5), Fault(1.5, "cut_proxy", 0, 3.0)],
+)
+
+
+def test_two_processes_of_one_name_are_two() -> None:
+    outcome = rig.play(TWIN)
+    assert outcome.broken == [], outcome.story[-4000:]
+
+
+def test_control_machines_that_take_two_processes_of_one_name_for_one_are_found(
+    tmp_path: Path,
+) -> None:
+    """The one that is cut off believes itself fresh, and the other one acknowledges."""
+    build = copy_of_this_build(tmp_path)
+    replace_text(
+        build / SESSIONS,
+        {
+            "key = poll.name, poll.incarnation\n": 'key = poll.name, "one"\n',
+            "Session(poll.name, poll.incarnation, ": 'Session(poll.name, "one", ',
+        },
+    )
+    outcome = rig.play(TWIN, builds=Builds(build, build))
+    assert Rule.IN_FORCE in {broken.rule for broken in outcome.broken}, outcome.story[-4000:]
+
+
+def test_a_snapshot_with_configuration_of_before_is_found(tmp_path: Path) -> None:
+    build = copy_of_this_build(tmp_path)
+    replace_text(
+        build / "violetroute/distribution/committed_configuration.py",
+        {"            self._records = None\n": ""},  # what was made once is never made anew
+    )
+    restarts = [Fault(at, "kill_proxy", 0, 0.2) for at in (1.0, 2.5)]
+    plan = msgspec.structs.replace(TWIN, seconds=3.5, publications_per_s=20.0, fault=restarts)
+    outcome = rig.play(plan, builds=Builds(build, build))
+    assert {broken.rule for broken in outcome.broken} == {Rule.ORDER}, outcome.story[-4000:]
+    assert all("from a snapshot at" in broken.text for broken in outcome.broken)
+
+
+class Refusing(PurgeCounter):
+    """Takes configuration on, or refuses it as a daemon does whose own file cannot bear it."""
+
+    __slots__ = ("refuses", "tables")
+
+    def __init__(self, refuses: bool) -> None:
+        super().__init__()
+        self.refuses = refuses
+        self.tables: dict[str, bytes] = {}
+
+    def configure(self, change: ConfigurationChange) -> tuple[str, ...]:
+        super().configure(change)
+        if self.refuses and change.records:
+            return (REASON,)
+        self.tables.update((record.key, record.body) for record in change.records)
+        return ()
+
+
+def test_one_refusal_among_a_hundred_is_named_and_holds_nothing_up(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Stage(tmp_path, machines=1, daemons=0) as stage:
+            net = SocketNetwork(asyncio.get_running_loop())
+            keys = Keys([stage.controls.key_file.read_text().strip().encode()])
+            table = DistributionTable(tuple(stage.controls.addresses), configuration=True)
+            receivers = [Refusing(number == REFUSES) for number in range(PROXIES)]
+            services = [
+                DistributionService(table, keys, f"p{number}", "", net, receiver)
+                for number, receiver in enumerate(receivers)
+            ]
+            try:
+                await until(lambda: all(service.status().fresh for service in services))
+                position = await configure(stage, b'level = "warning"')
+                status = await stage.in_force(position)
+                assert status.sessions == PROXIES and status.stale == 0
+                assert status.refused == ((f"p{REFUSES}", position, REASON),)
+                bodies = [receiver.tables.get("log") for receiver in receivers]
+                assert bodies.count(b'level = "warning"') == PROXIES - 1
+                assert bodies[REFUSES] is None  # the old one stays
+            finally:
+                for service in services:
+                    service.close()
+
+    asyncio.run(play())
+
+
+async def configure(stage: Stage, body: bytes) -> int:
+    """The position, once it is committed."""
+    publish = Publish("configuration", (Record(Topic.CONFIGURATION, "log", body),))
+    reply: Published = await asking.publish(stage.machines, publish, 30.0)
+    return reply.position
--- /dev/null
+++ b/tests/test_distribution_walk.py
@@ -0,0 +1,28 @@
+"""Stories of the state space that random walks are too rare to reach, with and without a fault."""
+
+from __future__ import annotations
+
+import runpy
+from pathlib import Path
+
+import pytest
+
+from limebridge.faults.distribution import walk
+from limebridge.faults.distribution.judge import Rule
+from violetroute.distribution.followers import Followers
+
+TESTS = Path(__file__).parent
+STORY = "ack_before_the_log_is_copied"
+
+
+def test_a_fetch_counts_once_the_leader_has_the_most_recent_log(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Else one machine of three commits alone, and the next leader commits another batch there."""
+    story = (TESTS / "plans_distribution" / f"{STORY}.story").read_text().splitlines()
+    assert walk.replay(story) == ""
+    monkeypatch.setattr(Followers, "_acknowledged", Followers._acknowledged)  # undone at the end
+    runpy.run_path(str(TESTS / "planted_distribution" / f"{STORY}.py"))["plant"]()
+    found = walk.Walk(0, tuple(story), walk.replay(story))
+    assert found.rule == Rule.DURABLE
+    assert walk.shrink(found).story == found.story  # nothing of it can be left out
--- /dev/null
+++ b/violetroute/distribution/__main__.py
@@ -0,0 +1,130 @@
+"""`python -m violetroute.distribution FILE`: one control machine.  Start-up, signals, exit.
+
+Prints one JSON line once it serves.  SIGHUP reads the file anew and takes on its `[log]`.
+
+Exit codes: 0 after SIGTERM or SIGINT; 1 where it cannot serve or its disk fails; 2 for a file that
+cannot be meant.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+from violetroute import logs
+from violetroute.config import ConfigError, LogTable
+from violetroute.logs import Logs
+from violetroute.transport.lines import LineWriter
+from violetroute.transport.sockets import SocketNetwork, monotonic, wall
+
+from .control import Control, door_of
+from .control_file import ControlFile, load_control_file, restart_needed
+from .storage import StorageError
+
+
+def report(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """The loop's exception handler: one stray error ends its own connection alone."""
+    logs.event("control.fault", what=str(context.get("message")), error=context.get("exception"))
+
+
+class Reloader:
+    """SIGHUP: takes on what the file says now of `[log]`, and says what waits for a restart.
+
+    A file that cannot be used changes nothing.  A signal that comes before the process serves is
+    acted on once it does.
+    """
+
+    def __init__(self, path: str, file: ControlFile, log_handler: Logs) -> None:
+        self._path, self._running, self._log_handler = path, file, log_handler
+
+    def reload(self) -> None:
+        """Read the file anew."""
+        try:
+            file = load_control_file(self._path)
+        except ConfigError as error:
+            logs.event("config.unusable", reason=str(error))
+            return
+        keys = restart_needed(self._running, file)
+        if keys:
+            logs.event("config.restart_needed", keys=",".join(keys))
+        self._log_handler.configure(file.log)
+        logs.event("control.reloaded", file=self._path)
+
+
+class EarlySignal:
+    """Remembers a SIGHUP that comes before the loop runs; its default action ends the process."""
+
+    def __init__(self) -> None:
+        self.pending = False
+
+    def came(self, number: int, frame: object) -> None:
+        """The handler."""
+        self.pending = True
+
+
+async def serve(file: ControlFile, reloader: Reloader, early: EarlySignal) -> int:
+    """Until a signal or a failure; the exit code."""
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(report)
+    ended: asyncio.Future[int] = loop.create_future()
+
+    def end(code: int) -> None:
+        if not ended.done():
+            ended.set_result(code)
+
+    def failed(reason: str) -> None:
+        logs.event("control.ends", reason=reason)
+        end(1)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, end, 0)
+    try:
+        control = Control(file, SocketNetwork(loop), failed)
+        door = door_of(file, control)
+        if door is not None:
+            await door.open()
+    except (OSError, ValueError, StorageError) as error:
+        print(f"violetroute.distribution: {error}", file=sys.stderr)
+        return 1
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    if early.pending:
+        loop.call_soon(reloader.reload)
+    address = f"{control.address.host}:{control.address.port}"
+    logs.event("control.serves", address=address, machine=file.name)
+    print(json.dumps({"control": address}), flush=True)
+    code = await ended
+    if door is not None:
+        door.close()
+    await control.close()
+    logs.event("control.ended", machine=file.name)
+    await asyncio.sleep(0)  # lets the loop tell what was closed last
+    return code
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """The exit code.  `arguments`: in place of those of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="violetroute.distribution", description="A control machine of limebridge."
+    )
+    parser.add_argument("file", metavar="FILE", help="the control machine's file (TOML)")
+    options = parser.parse_args(arguments)
+    early = EarlySignal()
+    signal.signal(signal.SIGHUP, early.came)
+    log_handler = Logs(LineWriter(sys.stderr.fileno()).write, monotonic, wall, LogTable())
+    log_handler.install()
+    try:
+        file = load_control_file(options.file)
+    except ConfigError as error:
+        print(f"violetroute.distribution: {error}", file=sys.stderr)
+        return 2
+    log_handler.configure(file.log)
+    return asyncio.run(serve(file, Reloader(options.file, file, log_handler), early))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/violetroute/distribution/http_client.py
@@ -0,0 +1,287 @@
+"""The client's side: kept HTTP/1.1 connections that carry one request at a time.
+
+Promises of `HttpClient.request`:
+
+- `told` is called exactly once, from the loop, never from within `request`; never after `close`.
+- An answer counts only if it is whole, has status 200 and is signed for this very request.
+- Without an answer within `timeout_s` the connection is closed: a late answer cannot be taken for
+  that of a later request.
+
+"No answer" means nothing: the server may have taken the request and acted on it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+
+from violetroute.sharing.wire import Keys
+from violetroute.transport import Address, Network, Stream
+
+from .messages import MESSAGE_BYTES
+from .signing import HEADER, HEADER_NAME, RequestSignature, answer_is_genuine, sign_request
+from .traffic import HEADER_BYTES, READ_BUFFER, Traffic
+
+IDLE_S = 30.0  # after which a kept connection is not used again; less than the server's bound
+CLIENTS_PER_ADDRESS = 8  # of a pool
+OK = 200
+
+Told = Callable[[bytes | None, str], None]  # the answer's body, or why there is none
+
+
+class BusyError(Exception):
+    """A request is under way on this connection, or on all that a pool may have."""
+
+
+class HttpClient:
+    """Requests to one address, one at a time, over a connection that is kept between them."""
+
+    __slots__ = (
+        "_address",
+        "_closed",
+        "_connection",
+        "_idle_since",
+        "_keys",
+        "_net",
+        "_timer",
+        "_told",
+        "traffic",
+    )
+
+    def __init__(
+        self, net: Network, address: Address, keys: Keys, traffic: Traffic | None = None
+    ) -> None:
+        self._net, self._address, self._keys = net, address, keys
+        self.traffic = traffic if traffic is not None else Traffic()
+        self._connection: _Connection | None = None
+        self._told: Told | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._idle_since = 0.0
+        self._closed = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is under way."""
+        return self._told is not None
+
+    def request(self, path: str, body: bytes, timeout_s: float, told: Told) -> None:
+        """POST `body` to `path`.  BusyError while another request is under way."""
+        if self._told is not None or self._closed:
+            raise BusyError
+        self._told = told
+        self.traffic.requests += 1
+        loop = self._net.loop
+        self._timer = loop.call_later(timeout_s, self._failed, "no answer in time")
+        connection = self._connection
+        if connection is None or loop.time() - self._idle_since > IDLE_S:
+            self._disconnect()
+            connection = self._connection = _Connection(self, self._net, self._address, timeout_s)
+        connection.send(path, body, sign_request(self._keys, path, body))
+
+    def close(self) -> None:
+        """Nothing more is told; the server may have taken what was under way all the same."""
+        self._closed = True
+        self._finish()
+        self._disconnect()
+
+    # --- from the connection ---
+    def _answered(self, body: bytes, keep: bool) -> None:
+        told = self._finish()
+        self._idle_since = self._net.loop.time()
+        if not keep:
+            self._disconnect()
+        if told is not None:
+            told(body, "")
+
+    def _failed(self, reason: str) -> None:
+        told = self._finish()
+        self._disconnect()
+        if told is not None:
+            self.traffic.failures += 1
+            told(None, reason)
+
+    def _finish(self) -> Told | None:
+        told, self._told = self._told, None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        return told
+
+    def _disconnect(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.drop()
+
+
+class _Connection:
+    """One connection of a client.  After `drop` it tells its client nothing."""
+
+    __slots__ = (
+        "_body",
+        "_client",
+        "_http",
+        "_mac",
+        "_opened",
+        "_pending",
+        "_signature",
+        "_status",
+        "_stream",
+    )
+
+    def __init__(
+        self, client: HttpClient, net: Network, address: Address, timeout_s: float
+    ) -> None:
+        self._client: HttpClient | None = client
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_BYTES)
+        self._pending = b""  # a request that waits for the connection
+        self._opened = False
+        self._signature: RequestSignature | None = None  # of the request under way
+        self._status, self._mac = 0, b""
+        self._body = bytearray()
+        self._stream: Stream = net.connect(address, self, timeout_s)
+
+    def send(self, path: str, body: bytes, signature: RequestSignature) -> None:
+        self._signature = signature
+        self._status, self._mac = 0, b""
+        self._body.clear()
+        request = h11.Request(
+            method="POST",
+            target=path,
+            headers=[
+                ("Host", ""),  # RFC 9112, 3.2: empty where there is no authority to name
+                ("Content-Length", str(len(body))),
+                (HEADER, signature.header()),
+            ],
+        )
+        parts = (
+            self._http.send(request),
+            self._http.send(h11.Data(data=body)),
+            self._http.send(h11.EndOfMessage()),
+        )
+        data = b"".join(part for part in parts if part)
+        if self._opened:
+            self._write(data)
+        else:
+            self._pending = data
+
+    def drop(self) -> None:
+        self._client = None
+        self._stream.abort()
+
+    def _write(self, data: bytes) -> None:
+        assert self._client is not None
+        self._client.traffic.bytes_out += len(data)
+        self._stream.write(data)
+
+    def _fail(self, reason: str) -> None:
+        if self._client is not None:
+            self._client._failed(reason)
+
+    # --- stream ---
+    def opened(self) -> None:
+        self._opened = True
+        if self._client is not None and self._pending:
+            data, self._pending = self._pending, b""
+            self._write(data)
+
+    def buffer(self) -> memoryview:
+        return READ_BUFFER
+
+    def received(self, count: int) -> None:
+        if self._client is None:
+            return
+        self._client.traffic.bytes_in += count
+        if self._signature is None:
+            self._fail("the server sent what was not asked for")
+            return
+        self._parse(bytes(READ_BUFFER[:count]))
+
+    def ended(self) -> None:
+        if self._signature is not None:
+            self._parse(b"")
+        self._fail("the server closed the connection")
+
+    def drained(self) -> None:
+        pass
+
+    def lost(self, error: OSError | None) -> None:
+        self._fail(str(error or "the connection is gone"))
+
+    # --- the answer ---
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            while self._client is not None and self._next_event():
+                pass
+        except (h11.RemoteProtocolError, ValueError) as error:
+            self._fail(f"no answer that can be read: {error}")
+
+    def _next_event(self) -> bool:
+        """Whether to go on.  ValueError for an answer that is too long."""
+        event = self._http.next_event()
+        match event:
+            case h11.Response(status_code=status, headers=headers):
+                self._status = status
+                self._mac = dict(headers).get(HEADER_NAME, b"")
+            case h11.Data(data=data):
+                if len(self._body) + len(data) > MESSAGE_BYTES:
+                    raise ValueError("it is too long")
+                self._body += data
+            case h11.EndOfMessage():
+                self._complete()
+                return False
+            case h11.InformationalResponse():
+                pass
+            case _:
+                return False
+        return True
+
+    def _complete(self) -> None:
+        client, signature = self._client, self._signature
+        assert client is not None and signature is not None
+        self._signature = None
+        body = bytes(self._body)
+        self._body.clear()
+        if self._status != OK:
+            self._fail(f"status {self._status}")
+        elif not answer_is_genuine(client._keys, signature, self._mac, body):
+            self._fail("the answer is not signed by our key for this request")
+        else:
+            keep = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+            keep = keep and not self._http.trailing_data[0]
+            if keep:
+                self._http.start_next_cycle()
+            client._answered(body, keep)
+
+
+class HttpPool:
+    """Kept connections to several addresses; requests to one address at a time go over several."""
+
+    __slots__ = ("_clients", "_keys", "_net", "traffic")
+
+    def __init__(self, net: Network, keys: Keys, traffic: Traffic | None = None) -> None:
+        self._net, self._keys = net, keys
+        self.traffic = traffic if traffic is not None else Traffic()
+        self._clients: dict[Address, list[HttpClient]] = {}
+
+    def request(
+        self, address: Address, path: str, body: bytes, timeout_s: float, told: Told
+    ) -> None:
+        """As `HttpClient.request`.  BusyError when CLIENTS_PER_ADDRESS requests are under way."""
+        clients = self._clients.setdefault(address, [])
+        client = next((each for each in clients if not each.busy), None)
+        if client is None:
+            if len(clients) >= CLIENTS_PER_ADDRESS:
+                raise BusyError
+            client = HttpClient(self._net, address, self._keys, self.traffic)
+            clients.append(client)
+        client.request(path, body, timeout_s, told)
+
+    def close(self) -> None:
+        """Nothing more is told."""
+        for clients in self._clients.values():
+            for client in clients:
+                client.close()
+        self._clients.clear()
--- /dev/null
+++ b/violetroute/distribution/make.py
@@ -0,0 +1,84 @@
+"""Makes the proxy's side from the operator's table, and lets it tell the proxy's parts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from violetroute.parts import Parts
+from violetroute.sharing.table import read_keys
+from violetroute.transport import Network
+from violetroute.transport.local import LocalDoor
+
+from .configuration import PublishedConfiguration, TakeOn
+from .configuration_change import ConfigurationChange
+from .service import DistributionService, PurgeCounter
+from .status import ServiceStatus
+from .table import DistributionTable
+
+
+class PartsReceiver(PurgeCounter):
+    """Hands what comes to the proxy's parts, and counts it."""
+
+    __slots__ = ("_configuration", "_parts")
+
+    def __init__(self, parts: Parts, configuration: PublishedConfiguration | None = None) -> None:
+        super().__init__()
+        self._parts = parts
+        self._configuration = configuration
+
+    def purge(self, key: str) -> None:
+        """The first fault of a part is raised once all parts have been told."""
+        super().purge(key)
+        _tell_all(self._parts.purged, key)
+
+    def void_all(self, reason: str) -> None:
+        """As `purge`."""
+        super().void_all(reason)
+        _tell_all(self._parts.voided, reason)
+
+    def configure(self, change: ConfigurationChange) -> tuple[str, ...]:
+        """Taken on by the same checks as the operator's file."""
+        reasons = super().configure(change)
+        return reasons if self._configuration is None else self._configuration.change(change)
+
+
+def _tell_all(parts: Sequence[Callable[[str], None]], text: str) -> None:
+    fault: Exception | None = None
+    for part in parts:
+        try:
+            part(text)
+        except Exception as error:  # of one part: the others are told
+            fault = fault or error
+    if fault is not None:
+        raise fault
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyDistribution:
+    """The service, and what it has published of the operator's file."""
+
+    service: DistributionService
+    configuration: PublishedConfiguration
+
+
+def make_distribution(
+    table: DistributionTable, name: str, net: Network, parts: Parts, take_on: TakeOn
+) -> ProxyDistribution:
+    """OSError or ValueError where the key file cannot be read."""
+    keys = read_keys(table.key_file)
+    configuration = PublishedConfiguration(take_on)
+    receiver = PartsReceiver(parts, configuration)
+    service = DistributionService(table, keys, name, table.region, net, receiver)
+    return ProxyDistribution(service, configuration)
+
+
+def door_of(table: DistributionTable, service: DistributionService) -> LocalDoor | None:
+    """Where it can be looked in at from this machine, if the table names a place."""
+
+    def answer(what: str) -> ServiceStatus:
+        if what != "distribution":
+            raise KeyError(what)
+        return service.status()
+
+    return LocalDoor(table.socket, answer) if table.socket else None
