--- /dev/null
+++ b/limebridge/scale/command.py
@@ -0,0 +1,148 @@
+"""`limebridge scale`: what the system costs at its target size."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
+from rich.table import Table
+
+from violetroute.config import ConfigError
+
+from .capacity_command import capacity
+from .results import Cost, Slopes, save
+from .return_command import region_return
+from .run_command import run
+
+if TYPE_CHECKING:
+    from . import slopes as measuring
+
+scale_app = typer.Typer(no_args_is_help=True, help="Costs at the target size: measured slopes.")
+
+MOST_JOBS = 4
+TABLE_WIDTH = 130  # characters, also where the output is no terminal
+INTERRUPTED = 130  # exit status after Ctrl-C, as a shell has it
+
+
+scale_app.command()(capacity)
+scale_app.command(name="return")(region_return)
+
+
+@scale_app.callback()
+def _main() -> None:
+    """Costs at the target size."""
+
+
+@scale_app.command()
+def slopes(
+    path: Annotated[
+        Path, typer.Option("--json", metavar="FILE", help="Where the measured slopes are written.")
+    ],
+    quick: Annotated[
+        bool, typer.Option("--quick", help="Small sizes: says nothing about the target.")
+    ] = False,
+    only: Annotated[
+        str, typer.Option(metavar="NAME", help="One subject or one cost, as list or list.bytes.")
+    ] = "",
+    skip_largest: Annotated[
+        bool, typer.Option("--skip-largest", help="Leave the largest size of each subject out.")
+    ] = False,
+    jobs: Annotated[int, typer.Option(min=1, max=MOST_JOBS, help="Measurements at a time.")] = 1,
+    time_limit: Annotated[
+        float | None,
+        typer.Option(min=0.1, max=3600.0, help="Seconds for one measurement; else the subject's."),
+    ] = None,
+) -> None:
+    """Measure each cost at several sizes, each in a fresh process, and fit a line to it.
+
+    Exit status 1 when a measurement failed, 2 when the arguments can't be used, 130 after Ctrl-C.
+    """
+    from . import slopes as measuring  # numpy and scipy take half a second
+
+    options = measuring.Options(
+        quick=quick, only=only, skip_largest=skip_largest, jobs=jobs, time_limit=time_limit
+    )
+    try:
+        _check_writable(path)
+        result = asyncio.run(_measure(options))
+    except ConfigError as error:
+        typer.echo(f"limebridge: {error}", err=True)
+        raise typer.Exit(2) from None
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        typer.echo("limebridge: ended early; nothing was written", err=True)
+        raise typer.Exit(INTERRUPTED) from None
+    save(result.slopes, path)
+    _show(result.slopes)
+    raise typer.Exit(1 if result.failed else 0)
+
+
+def _check_writable(path: Path) -> None:
+    """ConfigError when the file can't be written: better known before the minutes of measuring."""
+    folder = path.parent
+    while not folder.exists():
+        folder = folder.parent
+    if path.is_dir() or not folder.is_dir() or not os.access(folder, os.W_OK):
+        raise ConfigError(f"--json {path}: can't be written")
+
+
+async def _measure(options: measuring.Options) -> measuring.Result:
+    """With a progress bar; SIGTERM ends it as Ctrl-C does."""
+    from . import slopes as measuring
+
+    total = len(measuring.planned_jobs(options))
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    columns = (
+        TextColumn("{task.description}"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeElapsedColumn(),
+    )
+    with Progress(*columns, console=Console(stderr=True)) as progress:
+        bar = progress.add_task("measuring", total=total)
+
+        def measured(what: str) -> None:
+            progress.update(bar, advance=1, description=what)
+
+        return await measuring.run(options, measured)
+
+
+def _show(found: Slopes) -> None:
+    """A table of all costs, and what has no figure."""
+    names = ("cost", "unit", "per", "constant", "slope", "95% interval", "residual", "form")
+    table = Table(*names, box=None)
+    for cost in found.costs:
+        table.add_row(
+            cost.name,
+            cost.unit,
+            cost.per,
+            f"{cost.constant:.4g}",
+            f"{cost.slope:.4g}",
+            f"{cost.slope_low:.4g} to {cost.slope_high:.4g}",
+            f"{cost.residual:.1%}",
+            _form(cost),
+        )
+    console = Console()
+    console.width = max(console.width, TABLE_WIDTH)
+    console.print(table)
+    for line in found.left_out:
+        console.print(f"left out: {line}", markup=False)
+
+
+def _form(cost: Cost) -> str:
+    if cost.straight:
+        return "straight"
+    return "curve" if cost.exponent is None else f"curve, size^{cost.exponent:.2f}"
+
+
+scale_app.command()(run)
+
+# Further subcommands register themselves on `scale_app`:
+# `capacity` (tables of docs/CAPACITY.md): from . import capacity_command
--- /dev/null
+++ b/limebridge/scale/control_client.py
@@ -0,0 +1,100 @@
+"""Requests to the control machines of a run, from outside the fleet, over the product's client."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TypeVar
+
+from violetroute.distribution.http_client import BusyError, HttpPool
+from violetroute.distribution.messages import (
+    Publish,
+    Published,
+    PublishStatus,
+    Record,
+    StatusReply,
+    StatusRequest,
+)
+from violetroute.distribution.routes import decode_reply, encode, path_of
+from violetroute.sharing.wire import Keys
+from violetroute.transport import Address
+from violetroute.transport.sockets import SocketNetwork
+
+TIMEOUT_S = 3.0
+PUBLISH_TRIES = 40
+RETRY_S = 0.1
+MS = 1000.0
+
+Reply = TypeVar("Reply")
+
+
+class ControlClient:
+    """Knows the control machines by name, and follows their word about who leads."""
+
+    def __init__(self, addresses: dict[str, Address], keys: Keys) -> None:
+        self._addresses = addresses
+        self._names = list(addresses)
+        self._keys = keys
+        self._net = SocketNetwork(asyncio.get_running_loop())
+        self._pools = [HttpPool(self._net, keys)]
+        self.leader = self._names[0]  # who is asked
+
+    def close(self) -> None:
+        """Nothing more is told."""
+        for pool in self._pools:
+            pool.close()
+
+    async def publish(self, number: int, record: Record) -> Published | None:
+        """Publish one record; tried again while its fate is not known.  None: given up."""
+        request = Publish(f"record-{number}", (record,))
+        for _ in range(PUBLISH_TRIES):
+            asked = self.leader
+            reply = await self._request(asked, request, Published)
+            if reply is None or reply.status == PublishStatus.NOT_LEADER:
+                self._follow(asked, "" if reply is None else reply.leader)
+            elif reply.status != PublishStatus.OVERLOADED:
+                return reply
+            wait_s = RETRY_S if reply is None else max(RETRY_S, reply.retry_ms / MS)
+            await asyncio.sleep(wait_s)
+        return None
+
+    async def status(self) -> StatusReply | None:
+        """What the machine that is taken for the leader says."""
+        asked = self.leader
+        reply = await self._request(asked, StatusRequest(0), StatusReply)
+        if reply is None or reply.leader != asked:
+            self._follow(asked, "" if reply is None else reply.leader)
+        return reply
+
+    def _follow(self, asked: str, leader: str) -> None:
+        """Ask who was named, or the next one where nobody was."""
+        if self.leader != asked:
+            return  # another request has learnt better meanwhile
+        if leader in self._addresses and leader != asked:
+            self.leader = leader
+        elif leader != asked:
+            self.leader = self._names[(self._names.index(asked) + 1) % len(self._names)]
+
+    async def _request(
+        self, name: str, request: Publish | StatusRequest, kind: type[Reply]
+    ) -> Reply | None:
+        """None without a reply that counts."""
+        answer: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
+
+        def told(body: bytes | None, reason: str) -> None:
+            if not answer.done():
+                answer.set_result(body)
+
+        self._send(self._addresses[name], path_of(request), encode(request), told)
+        reply = decode_reply(request, await answer)
+        return reply if isinstance(reply, kind) else None
+
+    def _send(self, address: Address, path: str, body: bytes, told: object) -> None:
+        """Over a connection that is free; a pool has few, so there are several pools."""
+        for pool in self._pools:
+            try:
+                pool.request(address, path, body, TIMEOUT_S, told)  # type: ignore[arg-type]
+                return
+            except BusyError:
+                continue
+        self._pools.append(HttpPool(self._net, self._keys))
+        self._send(address, path, body, told)
--- /dev/null
+++ b/limebridge/scale/growth.py
@@ -0,0 +1,150 @@
+"""How the needs grow with the fleet: runs at several sizes against the page's predictions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from violetroute.distribution.messages import Topic
+
+from .capacity import Need, compute
+from .capacity_page import number
+from .capacity_rows import ROWS
+from .delay_names import EVERYWHERE, IN_FORCE, delay_name
+from .results import Slopes
+from .run_report import Percentiles, RoleUse, RunReport
+from .run_sample import FOLLOWER, HOLLOW, LEADER
+from .target import Target
+
+NOTHING = "not measured"
+
+
+class SeveralSizesError(ValueError):
+    """Runs that don't show growth; one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class GrowthRow:
+    """One figure of a run, and the row of the page that predicts it, if there is one."""
+
+    what: str
+    unit: str
+    measured: Callable[[RunReport], float | None]
+    predicted_by: str = ""  # identity of a capacity row
+
+
+def growth_table(reports: Sequence[RunReport], target: Target, slopes: Slopes) -> str:
+    """The table, a column a run, by size.  SeveralSizesError when two have the same size."""
+    ordered = sorted(reports, key=lambda report: report.plan.proxies)
+    sizes = [report.plan.proxies for report in ordered]
+    if len(set(sizes)) < len(sizes):
+        raise SeveralSizesError(f"two runs of the same size: {sizes}")
+    needs = [_needs(report, target, slopes) for report in ordered]
+    heads = " | ".join(f"{size:,} proxies" for size in sizes)
+    lines = [f"| measured (predicted, ratio) | {heads} |", "| --- |" + " --- |" * len(sizes)]
+    for row in GROWTH_ROWS:
+        cells = (_cell(row, *pair) for pair in zip(ordered, needs, strict=True))
+        lines.append(f"| {row.what}, {row.unit} | {' | '.join(cells)} |")
+    return "\n".join(lines) + "\n"
+
+
+def _needs(report: RunReport, target: Target, slopes: Slopes) -> dict[str, Need]:
+    """The page's rows at the size of this run."""
+    plan = report.plan
+    of_run = msgspec.structs.replace(
+        target,
+        proxies=plan.proxies,
+        control_machines=plan.controls,
+        purges_per_s=plan.purges,
+    )
+    return {need.row.identity: need for need in compute(ROWS, of_run, slopes)}
+
+
+def _cell(row: GrowthRow, report: RunReport, needs: dict[str, Need]) -> str:
+    measured = row.measured(report)
+    if measured is None:
+        return NOTHING
+    need = needs.get(row.predicted_by)
+    if need is None or need.need is None:
+        return number(measured)
+    return f"{number(measured)} ({number(need.need)}, {measured / need.need:.2f})"
+
+
+def _of_role(role: str, figure: Callable[[RoleUse], float]) -> Callable[[RunReport], float | None]:
+    def measured(report: RunReport) -> float | None:
+        for use in report.roles:
+            if use.role == role:
+                return figure(use)
+        return None
+
+    return measured
+
+
+def _of_delay(
+    name: str, figure: Callable[[Percentiles], float]
+) -> Callable[[RunReport], float | None]:
+    def measured(report: RunReport) -> float | None:
+        delay = report.delays.get(name)
+        return figure(delay) if delay is not None and delay.count else None
+
+    return measured
+
+
+def _both_ways(use: RoleUse) -> float:
+    return use.bytes_in.mean + use.bytes_out.mean
+
+
+PURGE_EVERYWHERE = delay_name(Topic.PURGE, EVERYWHERE)
+PURGE_IN_FORCE = delay_name(Topic.PURGE, IN_FORCE)
+
+GROWTH_ROWS = (
+    GrowthRow("a proxy, both ways", "bytes/s", _of_role(HOLLOW, _both_ways), "proxy-bytes"),
+    GrowthRow(
+        "of these distribution",
+        "bytes/s",
+        _of_role(HOLLOW, lambda use: use.distribution_bytes),
+        "proxy-purges",
+    ),
+    GrowthRow(
+        "of these membership, reports and counts",
+        "bytes/s",
+        _of_role(HOLLOW, lambda use: use.gossip_bytes),
+    ),
+    GrowthRow("with headers", "bytes/s", _of_role(HOLLOW, lambda use: use.wire_bytes.mean)),
+    GrowthRow("a proxy", "of a core", _of_role(HOLLOW, lambda use: use.cpu_share), "proxy-cpu"),
+    GrowthRow(
+        "a control machine that follows",
+        "of a core",
+        _of_role(FOLLOWER, lambda use: use.cpu_share),
+        "control-cpu",
+    ),
+    GrowthRow(
+        "a control machine that leads",
+        "of a core",
+        _of_role(LEADER, lambda use: use.cpu_share),
+        "control-cpu",
+    ),
+    GrowthRow(
+        "out of a control machine",
+        "bytes/s",
+        _of_role(FOLLOWER, lambda use: use.bytes_out.mean),
+        "control-bytes",
+    ),
+    GrowthRow(
+        "a control machine",
+        "MB",
+        _of_role(FOLLOWER, lambda use: use.memory_mb),
+        "control-memory",
+    ),
+    GrowthRow(
+        "purges applied everywhere, p50", "s", _of_delay(PURGE_EVERYWHERE, lambda delay: delay.p50)
+    ),
+    GrowthRow(
+        "purges applied everywhere, most",
+        "s",
+        _of_delay(PURGE_EVERYWHERE, lambda delay: delay.largest),
+    ),
+    GrowthRow("purges in force, most", "s", _of_delay(PURGE_IN_FORCE, lambda delay: delay.largest)),
+)
--- /dev/null
+++ b/limebridge/scale/hollow.py
@@ -0,0 +1,191 @@
+"""A hollow proxy: the control protocols of a proxy with no clients and no request path.
+
+It runs the daemon's own `Sharing` and `DistributionService` on the daemon's own `SocketNetwork`.
+Hundreds share a process and an event loop. So that judgements and counts have something to tell,
+a hollow proxy pretends a few requests a second; `Sharing` sees their outcomes as it does a real
+proxy's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import deque
+from collections.abc import Sequence
+
+from snowstall import CacheState, Judged, Member, Result
+from violetroute.distribution.service import DistributionService
+from violetroute.distribution.table import DistributionTable
+from violetroute.membership import Places
+from violetroute.sharing.members import Members
+from violetroute.sharing.service import Sharing
+from violetroute.sharing.table import SharingTable
+from violetroute.sharing.wire import Keys, Rumor
+from violetroute.transport.sockets import SocketNetwork
+
+from . import page_walks
+from .applied import AppliedTimes
+from .held_loop import HeldLoop
+from .run_plan import Place
+from .traffic import CountedSocket, Shape
+
+MAX_BACKOFF_MS = 1500.0
+PRETEND_EVERY_S = 0.5  # between two batches of pretended requests
+KEYS = 100_000  # different keys of the pretended requests
+
+
+class StartClock:
+    """The wall clock, which stands at the run's start until it is released.
+
+    A member's incarnation is the wall clock's time of its start. As long as the clock stands, all
+    hollow proxies of all processes know each other's incarnation without an exchange.
+    """
+
+    def __init__(self, start_s: float) -> None:
+        self._start_s: float | None = start_s
+
+    def release(self) -> None:
+        """Tell the true time from now on."""
+        self._start_s = None
+
+    def __call__(self) -> float:
+        return time.time() if self._start_s is None else self._start_s
+
+
+class GossipSetup:
+    """What all gossip of a process has in common."""
+
+    def __init__(
+        self,
+        port: int,
+        keys: Keys,
+        members: int,
+        nodes: int,
+        clock: StartClock,
+        probe_s: float,
+        requests: float,
+        failed_share: float,
+    ) -> None:
+        self.port, self.keys, self.members, self.clock = port, keys, members, clock
+        self.probe_s = probe_s
+        self.requests, self.failed_share = requests, failed_share  # pretended, a second
+        self.nodes = [
+            Member(number, CacheState.READY, started_at=1.0) for number in range(1, nodes + 1)
+        ]
+
+
+def life_of(place: Place, restarts: int = 0) -> str:
+    """The nonce of a hollow proxy's process."""
+    return f"hollow{place.number}" + (f"/{restarts}" if restarts else "")
+
+
+def rumor_of(place: Place, port: int, incarnation: int) -> Rumor:
+    """What a hollow proxy says of itself at its start."""
+    address = f"{place.host}:{port}"
+    return Rumor(place.name, life_of(place), incarnation, "a", address, place.zone)
+
+
+class HollowProxy:
+    """One proxy's control protocols.  Also what `Sharing` asks of a proxy (`service.Host`)."""
+
+    def __init__(self, place: Place, loop: HeldLoop, counters: memoryview, shape: Shape) -> None:
+        self.place = place
+        self.places, self.judged = Places(), deque[Judged]()
+        self.net_maker = CountedSocket.maker(counters, shape)
+        self.loop = loop
+        self.net = SocketNetwork(loop, make=self.net_maker)
+        self.sharing: Sharing | None = None
+        self.distribution: DistributionService | None = None
+        self.applied = AppliedTimes()
+        self._random = random.Random(f"hollow/{place.number}")
+        self._pretend_timer: asyncio.TimerHandle | None = None
+        self._restarts = 0
+
+    # --- gossip ---
+    def start_gossip(
+        self, setup: GossipSetup, fleet: Sequence[Rumor], seeds: tuple[str, ...] = ()
+    ) -> None:
+        """Join a fleet.  OSError.
+
+        With `fleet` it knows itself already, as one that has run for long; `seeds` are asked else.
+        """
+        place = self.place
+        table = SharingTable(
+            listen=f"{place.host}:{setup.port}",
+            proxies=setup.members,
+            seeds=seeds,
+            probe_s=setup.probe_s,
+        )
+        self.net = SocketNetwork(self.loop, make=self.net_maker, clock=setup.clock)
+        self.sharing = Sharing(
+            table,
+            setup.keys,
+            place.name,
+            place.zone,
+            MAX_BACKOFF_MS,
+            self.net,
+            self,
+            life=life_of(place, self._restarts),
+        )
+        if fleet:
+            self._know(self.sharing.members, fleet)
+            page_walks.at_rest(self.sharing.members, self.loop.time(), self._random)
+        self.sharing.listed(setup.nodes)
+        if setup.requests > 0.0:
+            self._pretend(setup.requests, setup.failed_share, len(setup.nodes))
+
+    def _know(self, members: Members, fleet: Sequence[Rumor]) -> None:
+        now = self.loop.time()
+        for rumor in fleet:
+            if rumor.name != self.place.name:
+                members.know(rumor, now)
+
+    def _pretend(self, requests: float, failed_share: float, nodes: int) -> None:
+        """Outcomes of a few requests, a batch each PRETEND_EVERY_S."""
+        wait = PRETEND_EVERY_S * self._random.uniform(0.8, 1.2)
+        self._pretend_timer = self.loop.call_later(
+            wait, self._pretend, requests, failed_share, nodes
+        )
+        sharing = self.sharing
+        if sharing is None:
+            return
+        for _ in range(round(requests * PRETEND_EVERY_S)):
+            sharing.asked("", self._random.randrange(KEYS))
+            if nodes:
+                failed = self._random.random() < failed_share
+                result = Result.LATE if failed else Result.OK
+                sharing.met(self._random.randrange(1, nodes + 1), result)
+
+    def others(self, bad: list[int], outcomes: list[Judged]) -> None:
+        """What others met: a proxy would pass it to its balancer."""
+
+    # --- distribution ---
+    def start_distribution(self, table: DistributionTable, keys: Keys) -> None:
+        """Begin to poll a control machine."""
+        place = self.place
+        self.distribution = DistributionService(
+            table, keys, place.name, table.region, self.net, self.applied
+        )
+        self.applied.follow(self.distribution, table.stale_after_s)
+
+    # --- its process ---
+    def restart(self) -> None:
+        """End, and forget all that it knew.  Its parts are started anew."""
+        self.close()
+        self._pretend_timer = self.sharing = self.distribution = None
+        self._restarts += 1
+        self.applied.restarted()
+
+    def look(self) -> None:
+        """Note how old the proxy takes its knowledge for."""
+        self.applied.look(self.loop.behind_s)
+
+    def close(self) -> None:
+        """End as a daemon does that is told to: some members hear that it leaves."""
+        if self._pretend_timer is not None:
+            self._pretend_timer.cancel()
+        if self.sharing is not None:
+            self.sharing.close()
+        if self.distribution is not None:
+            self.distribution.close()
--- /dev/null
+++ b/limebridge/scale/in_force_check.py
@@ -0,0 +1,138 @@
+"""The delays of publications, and the leader's reports against what the proxies applied."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterable, Sequence
+
+import numpy as np
+from numpy.typing import NDArray
+
+from .applied import NEVER, STALE_LOOK_S, Applied
+from .delay_names import AT_A_PROXY, COMMITTED, EVERYWHERE, IN_FORCE, TOPIC_NAMES, delay_name
+from .run_load import Look, Publication
+from .run_report import EarlyReport, InForceCheck, Percentiles, delay_percentiles
+
+EXAMPLES = 5  # of early reports that are told
+PAIRS_MOST = 5_000_000  # of proxy and record, of which the delay's percentiles are taken
+
+
+class PublicationDelays:
+    """What came of the committed records.  Times are CLOCK_MONOTONIC of one machine."""
+
+    def __init__(
+        self,
+        publications: Sequence[Publication],
+        looks: Sequence[Look],
+        proxies: Sequence[Applied],
+    ) -> None:
+        self._committed = [each for each in publications if each.committed]
+        self._proxies = proxies
+        self._positions = sorted({each.position for each in self._committed})
+        self._times = matrix(proxies, self._positions)
+        self._column = {position: index for index, position in enumerate(self._positions)}
+        self._reported_at = reported_times(looks, self._positions)
+
+    def delays(self) -> dict[str, Percentiles]:
+        """By name, in seconds.  What never happened is counted in `check`, not here."""
+        everywhere = self._applied_everywhere()
+        delays = dict[str, Percentiles]()
+        for topic in TOPIC_NAMES:
+            some = [each for each in self._committed if each.topic == topic]
+            if not some:
+                continue
+            committed = (each.answered_at - each.published_at for each in some)
+            delays[delay_name(topic, COMMITTED)] = delay_percentiles(committed)
+            delays[delay_name(topic, AT_A_PROXY)] = self._at_a_proxy(some)
+            delays[delay_name(topic, EVERYWHERE)] = self._delays(some, everywhere)
+            delays[delay_name(topic, IN_FORCE)] = self._delays(some, self._reported_at)
+        return delays
+
+    def _applied_everywhere(self) -> list[float]:
+        if not len(self._times):
+            return [NEVER] * len(self._positions)
+        return [float(at) for at in self._times.max(axis=0)]
+
+    def _delays(self, some: Sequence[Publication], times: Sequence[float]) -> Percentiles:
+        done = ((each, times[self._column[each.position]]) for each in some)
+        return delay_percentiles(at - each.published_at for each, at in done if at < NEVER)
+
+    def _at_a_proxy(self, publications: Sequence[Publication]) -> Percentiles:
+        """Over pairs of proxy and record; of every so many records where there are very many."""
+        step = 1 + len(publications) * len(self._proxies) // PAIRS_MOST
+        some = publications[::step]
+        columns = [self._column[each.position] for each in some]
+        published = np.asarray([each.published_at for each in some])
+        delays = (self._times[:, columns] - published).ravel()
+        return array_percentiles(delays[np.isfinite(delays)])
+
+    def check(self) -> InForceCheck:
+        """Whether anything was reported as in force too early."""
+        reported = ((column, at) for column, at in enumerate(self._reported_at) if at < NEVER)
+        too_early = [
+            early for column, at in reported if (early := self._early(column, at)) is not None
+        ]
+        everywhere = self._applied_everywhere()
+        return InForceCheck(
+            positions=len(self._positions),
+            never_reported=sum(at == NEVER for at in self._reported_at),
+            never_applied=sum(at == NEVER for at in everywhere),
+            early=len(too_early),
+            worst_early_s=max((each.seconds or 0.0 for each in too_early), default=0.0),
+            examples=tuple(too_early[:EXAMPLES]),
+        )
+
+    def _early(self, column: int, reported_at: float) -> EarlyReport | None:
+        """The last proxy to apply a position that was reported before, if it was not stale."""
+        late = np.flatnonzero(self._times[:, column] > reported_at)
+        rows = [int(row) for row in late if not was_stale(self._proxies[int(row)], reported_at)]
+        if not rows:
+            return None
+        last = max(rows, key=lambda row: float(self._times[row, column]))
+        applied_at = float(self._times[last, column])
+        seconds = None if applied_at == NEVER else applied_at - reported_at
+        proxy = self._proxies[last].name
+        return EarlyReport(self._positions[column], proxy, len(rows), seconds)
+
+
+def reported_times(looks: Sequence[Look], positions: Sequence[int]) -> list[float]:
+    """When each position was first reported as in force; infinite where it was not."""
+    highest, reported = 0, list[int]()
+    for look in looks:
+        highest = max(highest, look.in_force)
+        reported.append(highest)
+    indexes = (bisect_left(reported, position) for position in positions)
+    return [looks[index].at if index < len(looks) else NEVER for index in indexes]
+
+
+def was_stale(proxy: Applied, at: float) -> bool:
+    """Whether a proxy took itself for stale then, to the accuracy of the looks at it."""
+    return any(start - STALE_LOOK_S <= at <= end + STALE_LOOK_S for start, end in proxy.stale)
+
+
+def array_percentiles(values: NDArray[np.float64]) -> Percentiles:
+    """Exact, by nearest rank."""
+    if not len(values):
+        return Percentiles(0, 0.0, 0.0, 0.0, 0.0)
+    p50, p99 = np.percentile(values, [50.0, 99.0], method="inverted_cdf")
+    return Percentiles(
+        len(values), float(values.mean()), float(p50), float(p99), float(values.max())
+    )
+
+
+def times_of(applied: Applied, positions: NDArray[np.int64]) -> NDArray[np.float64]:
+    """When a proxy had applied each of the positions; infinite where it has not."""
+    times = np.frombuffer(applied.times, dtype=np.float64)
+    found = np.full(len(positions), np.inf)
+    if len(times):
+        index = np.maximum(positions - applied.first, 0)
+        known = index < len(times)
+        found[known] = times[index[known]]
+    return found
+
+
+def matrix(proxies: Iterable[Applied], positions: Sequence[int]) -> NDArray[np.float64]:
+    """One row a proxy, one column a position."""
+    wanted = np.asarray(positions, dtype=np.int64)
+    rows = [times_of(applied, wanted) for applied in proxies]
+    return np.vstack(rows) if rows else np.empty((0, len(wanted)))
--- /dev/null
+++ b/limebridge/scale/instrumented.py
@@ -0,0 +1,96 @@
+"""Runs a daemon's module as it is, with counted and shaped sockets.
+
+    python -m limebridge.scale.instrumented FILE MODULE [ARGUMENT...]
+
+FILE is an `InstrumentFile` as JSON. MODULE (`violetroute`, `violetroute.distribution`) is run as
+`python -m MODULE ARGUMENT...` would, except that `SocketNetwork` makes `CountedSocket`s. The
+process also ends itself with SIGTERM when its standard input ends, so that it cannot outlive the
+run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import runpy
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from violetroute.distribution.table import DistributionTable
+from violetroute.transport import sockets
+
+from .applied import StampFile
+from .links import LinkTable
+from .traffic import CountedSocket, Counters, Shape
+
+
+class InstrumentFile(msgspec.Struct, frozen=True):
+    """What an instrumented process is told."""
+
+    counters: str  # the file for its counters, which it makes
+    links: str
+    regions: int
+    region: int
+    seed: int
+    counted_ports: tuple[int, ...] | None  # connections to others are not counted; None: all are
+    stamps: str = ""  # the file for the times at which a proxy applies positions
+
+
+def install(file: InstrumentFile) -> None:
+    """Let every `SocketNetwork` of this process count and shape."""
+    links = LinkTable(Path(file.links), file.regions)
+    counters = Counters(Path(file.counters), 1, create=True).block(0)
+    shape = Shape(links, file.region, f"{file.seed}/{file.counters}")
+    ports = None if file.counted_ports is None else frozenset(file.counted_ports)
+    make = CountedSocket.maker(counters, shape, ports)
+    original: Callable[..., None] = sockets.SocketNetwork.__init__
+
+    def initialize(self: sockets.SocketNetwork, *arguments: Any, **options: Any) -> None:
+        original(self, *arguments, **({"make": make} | options))
+
+    setattr(sockets.SocketNetwork, "__init__", initialize)  # noqa: B010
+
+
+def install_stamps(path: Path) -> None:
+    """Let the `DistributionService` of this process write down when it applies what."""
+    from violetroute.distribution import service  # nothing of it in a daemon without control
+
+    original: Callable[..., None] = service.DistributionService.__init__
+
+    def initialize(self: service.DistributionService, *arguments: Any, **options: Any) -> None:
+        original(self, *arguments, **options)
+        table: DistributionTable = arguments[0]
+        stamps = StampFile(self.receiver, self, path, table.stale_after_s)
+        self.receiver = stamps
+        stamps.look(asyncio.get_running_loop())
+
+    setattr(service.DistributionService, "__init__", initialize)  # noqa: B010
+
+
+def end_with_input() -> None:
+    """SIGTERM to this process when its standard input ends.  Run in a thread."""
+    while os.read(sys.stdin.fileno(), 4096):
+        pass
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
+def main() -> None:
+    """The process."""
+    file = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=InstrumentFile)
+    install(file)
+    if file.stamps:
+        install_stamps(Path(file.stamps))
+    threading.Thread(target=end_with_input, daemon=True).start()
+    module = sys.argv[2]
+    sys.argv = [module, *sys.argv[3:]]
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/limebridge/scale/measure_connections.py
@@ -0,0 +1,235 @@
+"""Connections of one proxy to its cache nodes at the target's rate of requests.
+
+The proxy and its pool are the daemon's own; nodes and discovery are stand-ins on a virtual network.
+Memory is measured with real sockets: so many connections are opened by the daemon's own pool.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import socket
+from functools import partial
+from typing import Any
+
+from limebridge.standins.configuration import configuration
+from limebridge.standins.discovery import Discovery
+from limebridge.standins.nodes import CacheNode
+from limebridge.standins.wire import reply
+from limebridge.virtual import Kernel, VirtualLoop
+from limebridge.virtual.session import quiet
+from snowstall import Result
+from violetroute import resp
+from violetroute.clients import Answer
+from violetroute.config import parse
+from violetroute.proxy import Proxy
+from violetroute.transport import Address
+from violetroute.transport.sockets import SocketNetwork
+from violetroute.upstream import Attempt, Pool
+
+from .cost_definition import define_cost
+from .measure_module import KEY_EXPONENT, KEYS
+from .process_facts import allow_descriptors, resident_bytes
+from .registry import MeasurementError, Subject, Values
+from .sample_list import proxy_on
+from .target import load_target
+from .virtual_members import LOG_LEVEL
+
+SERVICE_S = 0.02  # s that a node takes for an answer
+WARM_UP_S, MEASURED_S = 10.0, 20.0  # s of virtual time; connections idle for 3 s are closed
+SAMPLE_S = 0.5  # s between two counts of open connections
+SOCKETS = 16_384  # that the proxy may use: its own bound must not be what is measured
+SERVED_LEAST = 0.99  # of the requests: where more fail, the figures say nothing
+CONNECTIONS_IN_ALL = 3000  # opened to learn the memory of one
+OPEN_WITHIN_S = 20.0
+SPARE_DESCRIPTORS = 64
+IDLE_TIMEOUT_S = 600.0  # nothing is closed while memory is measured
+
+
+def measure(size: int) -> Values:
+    """All costs of connections to `size` nodes."""
+    # First, while this process has no freed memory to use again.
+    memory = asyncio.run(_memory_per_connection(size))
+    run = ProxyUnderLoad(size)
+    with quiet(LOG_LEVEL):
+        run.loop.run_until_complete(run.play())
+    average_open = sum(run.open_samples) / len(run.open_samples)
+    return {
+        "connections.open": average_open,
+        "connections.opened_per_s": run.opened / MEASURED_S,
+        "connections.waited_share": len(run.waited) / run.requests,
+        "connections.memory_mb": memory * average_open / 1e6,
+    }
+
+
+class DiscardedAnswer(Answer):
+    """The answer to a request that no client connection waits for."""
+
+    def __init__(self) -> None:
+        self.charge, self.done, self.request = 0, False, None
+        self.served = False
+
+    def left(self) -> bool:
+        return False
+
+    def finish(self, *parts: bytes | bytearray) -> None:
+        self.done, self.request = True, None
+        self.served = parts[0].startswith(b"$")
+
+
+class ProxyUnderLoad:
+    """The daemon's proxy before stand-in nodes, asked at the target's rate."""
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._kernel = Kernel(1)
+        self.loop = VirtualLoop(self._kernel)
+        self.requests = self.opened = 0
+        self.waited: set[int] = set()  # requests that waited for a connection
+        self.open_samples: list[int] = []
+        self._measuring = False
+        self._numbers = itertools.count(1)
+        self._random = random.Random(1)
+        weights = (1.0 / rank**KEY_EXPONENT for rank in range(1, KEYS + 1))
+        self._weights = list(itertools.accumulate(weights))
+
+    async def play(self) -> None:
+        """Start all, warm up, measure, end all.  MeasurementError when requests fail."""
+        nodes = [await CacheNode(_answer).start() for _ in range(self._size)]
+        discovery = await Discovery().start()
+        known = [node.entry(f"cache-{number:05d}") for number, node in enumerate(nodes)]
+        discovery.tell(*known, reset=True)
+        config = parse(configuration(discovery.port, known, sockets=SOCKETS))
+        proxy = proxy_on(self._kernel, self.loop, config)
+        self._watch_pool(proxy)
+        await self._ask(proxy, WARM_UP_S)
+        self._measuring = True
+        answers = await self._ask(proxy, MEASURED_S)
+        self._measuring = False
+        await asyncio.sleep(1.0)
+        proxy.close()
+        await discovery.stop()
+        for node in nodes:
+            await node.stop()
+        served = sum(answer.served for answer in answers)
+        if served < SERVED_LEAST * len(answers):
+            raise MeasurementError(f"{served} of {len(answers)} requests were served")
+
+    def _watch_pool(self, proxy: Proxy) -> None:
+        """Count the attempts for which the pool opens a connection."""
+        pool, send = proxy._pool, proxy._pool.send
+
+        def counted(attempt: Attempt) -> None:
+            send(attempt)
+            node = pool._nodes.get(attempt.cache_id)
+            if self._measuring and node is not None and attempt in node.waiting:
+                self.opened += 1
+                self.waited.add(attempt.request_id)
+
+        pool.send = counted  # type: ignore[method-assign]
+
+    async def _ask(self, proxy: Proxy, seconds: float) -> list[DiscardedAnswer]:
+        """Requests at random moments for so long, and the answers to them."""
+        loop, answers = self.loop, list[DiscardedAnswer]()
+        rate = load_target().requests_per_proxy
+        until, sample_at = loop.time() + seconds, loop.time()
+        at = loop.time()
+        while (at := at + self._random.expovariate(rate)) < until:
+            await asyncio.sleep(max(0.0, at - loop.time()))
+            answers.append(self._request(proxy))
+            if loop.time() >= sample_at:
+                sample_at += SAMPLE_S
+                if self._measuring:
+                    self.open_samples.append(len(proxy._pool._open))
+        return answers
+
+    def _request(self, proxy: Proxy) -> DiscardedAnswer:
+        (key,) = self._random.choices(range(KEYS), cum_weights=self._weights)
+        answer = DiscardedAnswer()
+        proxy.take(_command(next(self._numbers), key), answer)
+        self.requests += self._measuring
+        return answer
+
+
+def _command(number: int, key: int) -> resp.Command:
+    words = [b"OBJ.GET", b"key-%d" % key, b"request-%d" % number, b"c=lookup,t=x,d=5000"]
+    return resp.parse_command(words)
+
+
+async def _answer(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(SERVICE_S)
+    writer.write(reply(b"value of " + words[1]))
+
+
+class IdleSink:
+    """Lets connections be opened and sends nothing on them."""
+
+    def __init__(self) -> None:
+        self.ended = 0
+
+    def clock(self) -> float:
+        return 0.0
+
+    def may_send(self, attempt: Attempt) -> bool:
+        return False
+
+    def attempt_ended(self, attempt: Attempt, result: Result, *details: Any, **more: Any) -> None:
+        self.ended += 1
+
+
+async def _memory_per_connection(nodes: int) -> float:
+    """Resident bytes of one open connection in the process that opened it.
+
+    Nobody accepts at the other end: the kernel completes the handshakes.
+    """
+    allow_descriptors(CONNECTIONS_IN_ALL + nodes + SPARE_DESCRIPTORS)
+    listeners = [_listener() for _ in range(nodes)]
+    sink = IdleSink()
+    pool = Pool(
+        sink,
+        SocketNetwork(asyncio.get_running_loop()),
+        2 * CONNECTIONS_IN_ALL,
+        OPEN_WITHIN_S,
+        IDLE_TIMEOUT_S,
+    )
+    for number, listener in enumerate(listeners):
+        pool.place(number, Address(*listener.getsockname()))
+    before = resident_bytes()
+    for number in range(CONNECTIONS_IN_ALL):
+        pool.send(Attempt(number, 0, number % nodes, _command(number, 1), 0.0, 0.0))
+    async with asyncio.timeout(OPEN_WITHIN_S):
+        while sink.ended < CONNECTIONS_IN_ALL:
+            await asyncio.sleep(0.05)
+    opened = sum(connection.up for connection in pool._open)
+    memory = resident_bytes() - before
+    pool.close()
+    for listener in listeners:
+        listener.close()
+    if opened < CONNECTIONS_IN_ALL:
+        raise MeasurementError(f"{opened} of {CONNECTIONS_IN_ALL} connections were opened")
+    return memory / CONNECTIONS_IN_ALL
+
+
+def _listener() -> socket.socket:
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen(CONNECTIONS_IN_ALL)
+    return sock
+
+
+_cost = partial(define_cost, "connections", "violetroute/upstream/pool.py")
+
+SUBJECT = Subject(
+    name="connections",
+    per="node",
+    costs=(
+        _cost("open", "connections", "Connections that one proxy has open to all its nodes."),
+        _cost("opened_per_s", "1/s", "Connections that one proxy opens."),
+        _cost("waited_share", "of requests", "Requests that waited for a connection to be opened."),
+        _cost("memory_mb", "MB", "Resident memory of the open connections in the proxy."),
+    ),
+    sizes=(46, 200, 600, 1200, 2400),
+    quick_sizes=(10, 20, 30, 46, 60),
+    measure=measure,
+)
--- /dev/null
+++ b/limebridge/scale/measure_gossip.py
@@ -0,0 +1,113 @@
+"""Costs of the gossip membership by the number of members, at rest and when one dies.
+
+All members run in one process on a virtual clock, so CPU time includes the network in memory:
+it is an upper bound. Bytes are those of the datagrams, without the headers of UDP and IP.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+
+from limebridge.virtual.session import quiet
+from violetroute.sharing.table import SharingTable
+
+from .cost_definition import define_cost
+from .process_facts import cpu_seconds, resident_bytes
+from .registry import MeasurementError, Subject, Values
+from .virtual_members import DEAD, LOG_LEVEL, VirtualMembers
+
+SETTLE_S, REST_S = 5.0, 30.0  # s of virtual time
+DEATH_STEP_S, DEATH_MOST_S = 1.0, 120.0
+DATAGRAM_EVERY_S = 0.02  # s between two datagrams when memory is measured
+MEMBERS_IN_ALL = 10_000  # of all copies together, so that small fleets show in memory
+MOST_COPIES = 20
+
+
+def measure(size: int) -> Values:
+    """All costs of the membership of `size` members."""
+    memory = _memory_of_one(size)
+    fleet = settled_fleet(size, SharingTable().probe_s)
+    datagrams, sent_bytes = total_sent(fleet)
+    seconds = cpu_seconds(lambda: fleet.run(REST_S))
+    datagrams_later, sent_bytes_later = total_sent(fleet)
+    member_seconds = REST_S * size
+    return {
+        "gossip.bytes_per_s": (sent_bytes_later - sent_bytes) / member_seconds,
+        "gossip.datagrams_per_s": (datagrams_later - datagrams) / member_seconds,
+        "gossip.cpu_share": seconds / member_seconds,
+        "gossip.memory_bytes": memory,
+        "gossip.death_known_s": death_known_s(fleet),
+    }
+
+
+def settled_fleet(size: int, probe_s: float) -> VirtualMembers:
+    """Members that have known each other for a while."""
+    fleet = VirtualMembers(size, probe_s)
+    fleet.add_all()
+    fleet.run(SETTLE_S)
+    return fleet
+
+
+def total_sent(fleet: VirtualMembers) -> tuple[int, int]:
+    """Datagrams and bytes that all members have sent so far."""
+    return (
+        sum(member.sent for member in fleet.members),
+        sum(member.bytes_sent for member in fleet.members),
+    )
+
+
+def _memory_of_one(size: int) -> float:
+    """Bytes that one member holds once it has heard each of the others."""
+    copies = min(MOST_COPIES, max(1, MEMBERS_IN_ALL // size))
+    with quiet(LOG_LEVEL):
+        _heard_all(VirtualMembers(size), 2)  # warms up
+        fleets = [VirtualMembers(size) for _ in range(copies)]
+        before = resident_bytes()
+        for fleet in fleets:
+            _heard_all(fleet, size)
+        return (resident_bytes() - before) / copies
+
+
+def _heard_all(fleet: VirtualMembers, size: int) -> None:
+    member = fleet.add()
+    for number in range(1, size):
+        fleet.kernel.now += DATAGRAM_EVERY_S
+        fleet.introduce(member, number)
+    if member.members.size != size:
+        raise MeasurementError(f"{member.members.size} of {size} members are known")
+
+
+def death_known_s(fleet: VirtualMembers) -> float:
+    """Seconds from a member's silent end until all others hold it for dead."""
+    victim = fleet.members[-1]
+    fleet.kill(victim)
+    killed_at = fleet.kernel.now
+    fleet.changes.clear()
+    others = len(fleet.members) - 1
+    while fleet.kernel.now - killed_at < DEATH_MOST_S:
+        fleet.run(DEATH_STEP_S)
+        known = [
+            each.at for each in fleet.changes if (each.name, each.state) == (victim.name, DEAD)
+        ]
+        if len(known) >= others:
+            return max(known) - killed_at
+    raise MeasurementError(f"{len(known)} of {others} knew of a death after {DEATH_MOST_S:g} s")
+
+
+_cost = partial(define_cost, "gossip", "violetroute/sharing/members.py")
+
+SUBJECT = Subject(
+    name="gossip",
+    per="member",
+    costs=(
+        _cost("bytes_per_s", "bytes/s", "Bytes that a member sends at rest."),
+        _cost("datagrams_per_s", "1/s", "Datagrams that a member sends at rest."),
+        _cost("cpu_share", "cores", "Share of a core that a member takes at rest, at most."),
+        _cost("memory_bytes", "bytes", "Resident memory of one member that knows all others."),
+        _cost("death_known_s", "s", "From a member's silent end until the last other knows."),
+    ),
+    sizes=(170, 350, 710, 1300, 2600),
+    quick_sizes=(10, 20, 30, 45, 60),
+    measure=measure,
+    time_limit=900.0,
+)
--- /dev/null
+++ b/limebridge/scale/measure_list.py
@@ -0,0 +1,95 @@
+"""Costs of the list of cache nodes in a proxy: bytes, parsing, applying, one change, memory."""
+
+from __future__ import annotations
+
+import json
+from functools import partial
+
+from limebridge.virtual.session import quiet
+from violetroute.membership import Listing, parse_listing
+from violetroute.membership.native import Lists
+
+from .cost_definition import define_cost
+from .process_facts import cpu_seconds, least_cpu_seconds, resident_bytes
+from .registry import Subject, Values
+from .sample_list import DRAINING, READY, ProxyOnVirtualNetwork, changed_node, whole_list
+
+PARSE_ROUNDS = 15
+CHANGE_ROUNDS, CHANGES_PER_ROUND = 5, 8
+NODES_IN_ALL = 9600  # of all copies of the proxy together, so that small lists show in memory
+LEAST_COPIES, MOST_COPIES = 3, 40
+LOG_LEVEL = 50  # nothing of the daemon's log
+WARM_UP_NODES = 10
+
+
+def measure(size: int) -> Values:
+    """All costs of the list with `size` nodes."""
+    line = whole_list(size)
+    with quiet(LOG_LEVEL):
+        _apply(ProxyOnVirtualNetwork(), _parse(whole_list(WARM_UP_NODES)))
+        copies = min(MOST_COPIES, max(LEAST_COPIES, NODES_IN_ALL // size))
+        proxies = [ProxyOnVirtualNetwork() for _ in range(copies)]
+        before = resident_bytes()
+        apply_seconds = [_apply(proxy, _parse(line)) for proxy in proxies]
+        memory = (resident_bytes() - before) / copies
+        drain_seconds, join_seconds = _changes(proxies[0], size)
+    return {
+        "list.bytes": len(line),
+        "list.parse_ms": least_cpu_seconds(lambda: _parse(line), PARSE_ROUNDS) * 1e3,
+        "list.apply_ms": min(apply_seconds) * 1e3,
+        "list.change_ms": drain_seconds * 1e3,
+        "list.join_ms": join_seconds * 1e3,
+        "list.memory_mb": memory / 1e6,
+    }
+
+
+def _parse(line: bytes) -> Listing:
+    """What a watch does with a line of discovery's answer."""
+    text = Lists().line(line)
+    assert text is not None
+    return parse_listing(json.loads(text))
+
+
+def _apply(target: ProxyOnVirtualNetwork, listing: Listing) -> float:
+    """CPU seconds until the proxy has taken the list."""
+    return cpu_seconds(lambda: target.proxy.list_changed(listing))
+
+
+def _changes(target: ProxyOnVirtualNetwork, size: int) -> tuple[float, float]:
+    """CPU seconds of one node that drains, and of one that comes back."""
+    drains, joins = [], []
+    for number in range(CHANGE_ROUNDS):
+        first = number * CHANGES_PER_ROUND
+        nodes = [node % size for node in range(first, first + CHANGES_PER_ROUND)]
+        drains.append(_change(target, nodes, DRAINING))
+        joins.append(_change(target, nodes, READY))
+    return min(drains), min(joins)
+
+
+def _change(target: ProxyOnVirtualNetwork, nodes: list[int], lifecycle: str) -> float:
+    """Mean CPU seconds of these nodes' changes, told one by one."""
+    seconds = 0.0
+    for node in nodes:
+        target.advance(1.0)
+        seconds += _apply(target, changed_node(node, lifecycle))
+    return seconds / len(nodes)
+
+
+_cost = partial(define_cost, "list", "violetroute/membership/native.py")
+
+SUBJECT = Subject(
+    name="list",
+    per="node",
+    costs=(
+        _cost("bytes", "bytes", "The whole list as discovery sends it in one line."),
+        _cost("parse_ms", "ms", "CPU time from the line's bytes to typed entries."),
+        _cost("apply_ms", "ms", "CPU time of a proxy that takes its first whole list."),
+        _cost("change_ms", "ms", "CPU time of a proxy that is told of one node that drains."),
+        _cost("join_ms", "ms", "CPU time of a proxy that is told of one node that comes back."),
+        _cost("memory_mb", "MB", "Resident memory that the list takes in a proxy."),
+    ),
+    sizes=(46, 200, 600, 1200, 2400),
+    quick_sizes=(20, 46, 80, 140, 200),
+    measure=measure,
+    runs=3,
+)
--- /dev/null
+++ b/limebridge/scale/region_return.py
@@ -0,0 +1,212 @@
+"""A region that was cut off for long and returns with all of its proxies at once, on virtual time.
+
+One control machine's sessions and log and the proxies' subscribers are the program's own; the
+leader answers every report at once, and links have a fixed delay.  What is measured: until when all
+have caught up, how fast a proxy and the control machine are sent batches, and whether anything was
+lost or applied out of order.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+import msgspec
+
+from violetroute.distribution.actions import Stored
+from violetroute.distribution.control_choice import Control, SubscriberSettings
+from violetroute.distribution.messages import Batch, PollReply, Record, ReportReply, Topic
+from violetroute.distribution.replica import Replica
+from violetroute.distribution.session import SessionSettings
+from violetroute.distribution.sessions import Answered, Sessions
+from violetroute.distribution.subscriber import Apply, Ask, Subscriber, VoidAll
+
+BATCH_S = 0.1
+DELAY_S = 0.04  # of a link between the region and its control machine, one way
+STEP_S = 0.02  # between two looks of the control machine at its timers
+BEFORE_S = 5.0  # s of normal service before the cut
+KEY_BYTES = 48
+FENCE = 1
+ADDRESS = "control:1"
+
+
+class ReturnReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What came of one return.  Rates are the largest of any second, of batches."""
+
+    proxies: int
+    away_s: float
+    purges_missed: int  # of each proxy
+    voided: int  # proxies that voided everything in place of applying what they missed
+    applied_late: int  # proxies that applied all of it, one by one
+    caught_up_s: float  # from the return until the last one was fresh
+    caught_up_first_s: float
+    proxy_bytes_per_s: float
+    machine_bytes_per_s: float
+    live_bytes_per_s: float  # a proxy's mean before the cut, to compare with
+    lost: int  # batches that a proxy neither applied nor voided
+    out_of_order: int
+
+
+@dataclass(slots=True)
+class _Proxy:
+    """One proxy, and what was seen of it."""
+
+    subscriber: Subscriber
+    applied: int = 0  # the last position, or the one that a void stands for
+    voids: int = 0
+    out_of_order: int = 0
+    fresh_at: float = math.inf  # since the return
+    bytes_by_second: dict[int, int] = field(default_factory=lambda: defaultdict(int))
+
+
+class RegionReturn:
+    """One run; deterministic by its seed."""
+
+    def __init__(self, proxies: int, away_s: float, purges_per_s: float, seed: int) -> None:
+        self._random = Random(seed)
+        self._away_s = away_s
+        self._records = max(1, round(purges_per_s * BATCH_S))
+        self._now = 0.0
+        self._order = count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._replica = Replica(Stored(log="log"))
+        self._replica.promise(FENCE, "leader")
+        self._sessions = Sessions(SessionSettings(), "m", "i", self._replica, self._random, 0.0)
+        self._sessions.set_ready(0.0, True)
+        self._polls: dict[int, tuple[_Proxy, float]] = {}  # by ticket: who, and when it was sent
+        self._tickets = count()
+        self._cut = False
+        self._machine_bytes: dict[int, int] = defaultdict(int)
+        self._proxies = [self._proxy(number) for number in range(proxies)]
+
+    def play(self) -> ReturnReport:
+        """Serve, cut, publish on, heal, and run until everybody is fresh again."""
+        for proxy in self._proxies:
+            self._at(self._random.random(), lambda proxy=proxy: self._ask(proxy))  # type: ignore[misc]
+        self._publish()
+        self._look()
+        self._run(BEFORE_S)
+        live = self._mean_rate()
+        before = self._replica.commit
+        self._cut = True
+        self._run(BEFORE_S + self._away_s)
+        missed = (self._replica.commit - before) * self._records
+        self._cut = False
+        returned = self._now
+        for proxy in self._proxies:
+            proxy.fresh_at, proxy.voids = math.inf, 0
+            proxy.bytes_by_second.clear()
+            self._ask(proxy)
+        self._machine_bytes.clear()
+        deadline = returned + 600.0
+        while self._now < deadline and any(each.fresh_at == math.inf for each in self._proxies):
+            self._run(self._now + 1.0)
+        return self._report(returned, missed, live)
+
+    # --- time ---
+    def _at(self, seconds: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self._now + seconds, next(self._order), event))
+
+    def _run(self, until: float) -> None:
+        while self._events and self._events[0][0] <= until:
+            self._now, _, event = heapq.heappop(self._events)
+            event()
+        self._now = until
+
+    # --- the control machine ---
+    def _publish(self) -> None:
+        position = self._replica.last.position + 1
+        records = tuple(
+            Record(Topic.PURGE, f"{position}/{number}".ljust(KEY_BYTES - 4, "k"))
+            for number in range(self._records)
+        )
+        self._replica.append((Batch(position, FENCE, int(self._now * 1000), records),))
+        self._replica.commit_to(position)
+        self._answer(self._sessions.advanced(self._now))
+        self._at(BATCH_S, self._publish)
+
+    def _look(self) -> None:
+        self._answer(self._sessions.tick(self._now))
+        report = self._sessions.report_due(self._now, FENCE)
+        if report is not None:
+            reply = ReportReply(True, FENCE, self._replica.commit, 0.0)
+            self._answer(self._sessions.reported(self._now, report, reply))
+        self._at(STEP_S, self._look)
+
+    def _answer(self, answers: list[Answered]) -> None:
+        for answered in answers:
+            proxy, sent_at = self._polls.pop(answered.ticket)
+            if self._cut:
+                continue  # the answer is lost, and the proxy asks again when its link is back
+            size = sum(len(memoryview(raw)) for raw in answered.reply.batches)
+            self._machine_bytes[int(self._now)] += size
+            reply = answered.reply
+            self._at(DELAY_S, lambda p=proxy, s=sent_at, r=reply: self._take(p, s, r))  # type: ignore[misc]
+
+    # --- the proxies ---
+    def _proxy(self, number: int) -> _Proxy:
+        settings = SubscriberSettings(f"p{number}", "r", (Control(ADDRESS, "r"),))
+        return _Proxy(Subscriber(settings, "i", self._random, 0.0))
+
+    def _ask(self, proxy: _Proxy) -> None:
+        if self._cut:
+            return
+        ask = proxy.subscriber.next(self._now)
+        if not isinstance(ask, Ask):
+            self._at(ask.until - self._now, lambda: self._ask(proxy))
+            return
+        sent_at = self._now
+
+        def arrive() -> None:
+            ticket = next(self._tickets)
+            self._polls[ticket] = proxy, sent_at
+            self._answer(self._sessions.polled(self._now, ticket, ask.poll))
+
+        self._at(DELAY_S, arrive)
+
+    def _take(self, proxy: _Proxy, sent_at: float, reply: PollReply) -> None:
+        if self._cut:
+            return
+        size = sum(len(memoryview(raw)) for raw in reply.batches)
+        proxy.bytes_by_second[int(self._now)] += size
+        for effect in proxy.subscriber.replied(self._now, sent_at, ADDRESS, reply):
+            match effect:
+                case Apply(batch):
+                    proxy.out_of_order += batch.position != proxy.applied + 1
+                    proxy.applied = batch.position
+                case VoidAll():
+                    proxy.voids += 1
+                    proxy.applied = proxy.subscriber.position
+        if proxy.fresh_at == math.inf and proxy.subscriber.fresh(self._now):
+            proxy.fresh_at = self._now
+        self._ask(proxy)
+
+    # --- the report ---
+    def _mean_rate(self) -> float:
+        """Bytes a second of a proxy, leaving out the first two seconds, in which all start."""
+        seconds = range(2, int(self._now))
+        total = sum(proxy.bytes_by_second[second] for proxy in self._proxies for second in seconds)
+        return total / max(1, len(seconds)) / len(self._proxies)
+
+    def _report(self, returned: float, missed: int, live: float) -> ReturnReport:
+        fresh = [proxy.fresh_at - returned for proxy in self._proxies]
+        rates = [max(proxy.bytes_by_second.values(), default=0) for proxy in self._proxies]
+        return ReturnReport(
+            proxies=len(self._proxies),
+            away_s=self._away_s,
+            purges_missed=missed,
+            voided=sum(proxy.voids > 0 for proxy in self._proxies),
+            applied_late=sum(proxy.voids == 0 for proxy in self._proxies),
+            caught_up_s=max(fresh),
+            caught_up_first_s=min(fresh),
+            proxy_bytes_per_s=float(max(rates)),
+            machine_bytes_per_s=float(max(self._machine_bytes.values(), default=0)),
+            live_bytes_per_s=live,
+            lost=sum(each.subscriber.position - each.applied for each in self._proxies),
+            out_of_order=sum(proxy.out_of_order for proxy in self._proxies),
+        )
--- /dev/null
+++ b/limebridge/scale/run.py
@@ -0,0 +1,255 @@
+"""A scale run: start all, warm up, measure for a while, report by role."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import datetime
+import os
+import subprocess
+import tempfile
+import time
+from collections.abc import AsyncIterator, Callable, Sequence
+from pathlib import Path
+
+import msgspec
+
+from violetroute.sharing.table import read_keys
+
+from .control_client import ControlClient
+from .hollow_host import HostSeen
+from .in_force_check import PublicationDelays
+from .membership_looks import over_time
+from .process_facts import machine
+from .run_fleet import Fleet
+from .run_load import Load
+from .run_plan import RunPlan
+from .run_report import Percentiles, RunReport, bounds, calibrate, delay_percentiles, percentiles
+from .run_sample import HOLLOW, REAL, Roles, Sample, take_sample
+from .target import load_target
+from .time_dilation import REAL_TIME
+
+LATE_S = 0.25  # of an event loop, beyond which delays are the machine's
+STEP_S = 0.5  # between two updates of the progress bar
+SESSIONS_S = 40.0  # for all proxies to have a session with a control machine
+SETTLE_S = 15.0  # for the last purge to be in force
+FAULT_AT = 1.0 / 3.0  # share of the measured time: of a kill and of restarts
+PUBLISHER_REGION = 0
+LATENESS = "event loop of a host, lateness"
+
+Progress = Callable[[str, float], None]  # what is done, and which share of it
+
+
+class Measured(msgspec.Struct, frozen=True, kw_only=True):
+    """What one run has seen."""
+
+    before: Sample
+    after: Sample
+    seen: list[HostSeen]
+    leader: str = ""
+    publications: PublicationDelays | None = None
+    answers: dict[str, int] = {}
+
+
+class ScaleRun:
+    """One run.  `play` leaves no process and no file behind."""
+
+    def __init__(self, plan: RunPlan, progress: Progress) -> None:
+        self.plan, self._progress = plan, progress
+        self.notes: list[str] = []
+        self._killed: set[str] = set()
+
+    async def play(self) -> RunReport:
+        """The whole run.  ProcessError when a process does not start or last."""
+        load_average = os.getloadavg()[0]
+        with tempfile.TemporaryDirectory(prefix="scale-") as name:
+            fleet = Fleet(self.plan, Path(name), lambda what: self._progress(f"start {what}", 0.0))
+            try:
+                await fleet.start()
+                measured = await self._measure(fleet)
+                return self._report(fleet, measured, load_average)
+            finally:
+                self._progress("ending all processes", 1.0)
+                await fleet.close()
+
+    async def _measure(self, fleet: Fleet) -> Measured:
+        if not self.plan.distribution:
+            return await self._measure_gossip(fleet)
+        async with self._client(fleet) as client:
+            load = Load(self.plan, client)
+            try:
+                return await self._measure_load(fleet, client, load)
+            finally:
+                await load.close()
+
+    async def _measure_gossip(self, fleet: Fleet) -> Measured:
+        await self._wait("warming up", self.plan.warm_seconds, fleet)
+        await fleet.hosts_seen("warm")
+        before = take_sample(fleet)
+        await self._wait("measuring", self.plan.seconds, fleet)
+        after = take_sample(fleet)
+        return Measured(before=before, after=after, seen=await fleet.hosts_seen("measured"))
+
+    async def _measure_load(self, fleet: Fleet, client: ControlClient, load: Load) -> Measured:
+        self._progress("waiting for all sessions", 0.0)
+        if not await load.until_ready(self.plan.members, SESSIONS_S):
+            seen = load.looks[-1].sessions if load.looks else 0
+            self.notes.append(f"after {SESSIONS_S:g} s {seen} of {self.plan.members} sessions")
+        await self._wait("warming up", self.plan.warm_seconds, fleet)
+        await fleet.hosts_seen("warm")
+        before, leader = take_sample(fleet), client.leader
+        faults = asyncio.create_task(self._inject_faults(fleet, client))
+        try:
+            await asyncio.gather(load.publish(), self._wait("measuring", self.plan.seconds, fleet))
+        finally:
+            await self._end_of(faults)
+        after = take_sample(fleet)
+        self._progress("waiting until all is in force", 1.0)
+        await load.settle(SETTLE_S)
+        seen_at_end = await fleet.hosts_seen("measured")
+        applied = [each for host in seen_at_end for each in host.applied]
+        applied += fleet.real_applied()
+        return Measured(
+            before=before,
+            after=after,
+            seen=seen_at_end,
+            leader=leader,
+            publications=PublicationDelays(load.publications, load.looks, applied),
+            answers=load.answers(),
+        )
+
+    @contextlib.asynccontextmanager
+    async def _client(self, fleet: Fleet) -> AsyncIterator[ControlClient]:
+        addresses = fleet.machines.addresses_from(PUBLISHER_REGION)
+        client = ControlClient(addresses, read_keys(str(fleet.key_file)))
+        try:
+            yield client
+        finally:
+            client.close()
+
+    async def _inject_faults(self, fleet: Fleet, client: ControlClient) -> None:
+        await asyncio.sleep(FAULT_AT * self.plan.seconds)
+        if self.plan.kill_control:
+            self._killed.add(client.leader)
+            fleet.control(client.leader).process.kill()
+            self.notes.append(f"{client.leader} led and was killed {FAULT_AT:.0%} into the time")
+        if self.plan.restart_within_s > 0.0:
+            await fleet.restart_hollow(self.plan.restart_within_s)
+            self.notes.append(
+                f"all hollow proxies restarted over {self.plan.restart_within_s:g} s,"
+                f" {FAULT_AT:.0%} into the time"
+            )
+
+    async def _end_of(self, faults: asyncio.Task[None]) -> None:
+        """No fault comes any more; one that could not be injected fails the run.
+
+        A cancellation of the run that comes meanwhile is not taken for that of the faults.
+        """
+        faults.cancel()
+        await asyncio.wait({faults})
+        if not faults.cancelled():
+            faults.result()
+
+    async def _wait(self, what: str, seconds: float, fleet: Fleet) -> None:
+        began = time.monotonic()
+        while (passed := time.monotonic() - began) < seconds:
+            self._progress(what, passed / seconds)
+            await asyncio.sleep(min(STEP_S, seconds - passed))
+            for process in fleet.group.processes:
+                if process.ended and process.name not in self._killed:
+                    raise process.error(f"ended during the run ({process.exit_code})")
+
+    # --- the report ---
+    def _report(self, fleet: Fleet, measured: Measured, load_average: float) -> RunReport:
+        before, after = measured.before, measured.after
+        seconds = after.at - before.at
+        roles = Roles(fleet, before, after, measured.leader).all()
+        by_name = {role.role: role for role in roles}
+        hollow, real = by_name.get(HOLLOW), by_name.get(REAL)
+        delays = {LATENESS: loop_lag(measured.seen)}
+        publications = measured.publications
+        if publications is not None:
+            delays |= publications.delays()
+        busy_s = after.machine_cpu_s - before.machine_cpu_s
+        return RunReport(
+            commit=commit(),
+            taken_at=datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds"),
+            machine=machine(load_average),
+            plan=self.plan,
+            measured_s=seconds,
+            roles=tuple(roles),
+            delays=delays,
+            bounds=bounds(load_target(), hollow, delays),
+            calibration=None if hollow is None or real is None else calibrate(hollow, real),
+            in_force=None if publications is None else publications.check(),
+            purges=measured.answers,
+            machine_cpu_share=busy_s / (seconds * self.plan.slowdown) / (os.cpu_count() or 1),
+            membership=over_time(
+                (look for host in measured.seen for look in host.membership), before.at
+            ),
+            notes=(
+                *self.notes,
+                *slowdown_notes(self.plan),
+                *overload_notes(delays[LATENESS]),
+                *membership_notes(measured.seen, self.plan),
+            ),
+        )
+
+
+def loop_lag(seen: Sequence[HostSeen]) -> Percentiles:
+    """How late the event loops of the hosts were."""
+    return delay_percentiles(lag for host in seen for lag in host.loop_lag)
+
+
+def slowdown_notes(plan: RunPlan) -> list[str]:
+    """How slowly time passed."""
+    if plan.slowdown == REAL_TIME:
+        return []
+    return [
+        f"time passed {plan.slowdown:g} times more slowly for all processes: every second here, of"
+        " a rate, a share or a delay, is one of theirs"
+    ]
+
+
+def overload_notes(lateness: Percentiles) -> list[str]:
+    """Whether the hosts had enough CPU time for the delays to mean anything."""
+    if lateness.p99 <= LATE_S:
+        return []
+    return [
+        f"the hosts of hollow proxies had too little CPU time (event loops late by"
+        f" {lateness.p99:.2f} s at p99): delays and rates are those of this machine"
+    ]
+
+
+def membership_notes(seen: Sequence[HostSeen], plan: RunPlan) -> list[str]:
+    """How many members the hollow proxies know, where they gossip."""
+    sizes = percentiles([float(size) for host in seen for size in host.members_up])
+    if not sizes.count:
+        return ["no gossip in this run"]
+    fewest = min(size for host in seen for size in host.members_up)
+    notes = [
+        f"members that a hollow proxy knows at the end: mean {sizes.mean:.1f}, fewest {fewest},"
+        f" most {sizes.largest:.0f}, of {plan.members}"
+    ]
+    if current := [size for host in seen for size in host.members_current]:
+        notes.append(
+            "hollow proxies that one knows as their present process: mean"
+            f" {sum(current) / len(current):.1f}, fewest {min(current)}, of {plan.proxies}"
+        )
+    return notes
+
+
+def commit() -> str:
+    """The commit that is checked out here, with "+" for changes; "" outside a repository."""
+    folder = Path(__file__).parent
+    try:
+        described = subprocess.run(
+            ["git", "describe", "--always", "--dirty=+"],
+            cwd=folder,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+    except (OSError, subprocess.CalledProcessError):
+        return ""
+    return described.stdout.strip()
--- /dev/null
+++ b/limebridge/scale/run_fleet.py
@@ -0,0 +1,294 @@
+"""The processes of a scale run: relays, control machines, hosts of hollow proxies, real daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import tomli_w
+
+from limebridge.ports import free_ports
+from limebridge.standins.configuration import configuration, environment
+from limebridge.standins.discovery import Discovery
+from limebridge.standins.nodes import CacheNode
+from violetroute.distribution.table import DistributionTable
+
+from .applied import Applied, read_stamps
+from .hollow_host import HostFile, HostReady, HostSeen, Order, Report, Restart
+from .instrumented import InstrumentFile
+from .links import LinkTable
+from .relay import RelayFile, RelayPorts, Route
+from .run_controls import SERVES, Controls, control_name
+from .run_plan import REGIONS_PER_RELAY, SEEDS, Place, RunPlan
+from .run_process import ProcessGroup, RunProcess
+from .time_dilation import dilated_command
+from .traffic import Counters, Traffic
+
+KEY = "a key of this scale run\n"
+LISTENS = "daemon.listens"  # the event of a daemon that is ready
+STARTS_AT_ONCE = 4  # daemons
+
+Progress = Callable[[str], None]
+
+
+class CountedProcess:
+    """A process with one block of counters: a real daemon or a control machine."""
+
+    def __init__(self, process: RunProcess, region: int, counters: Path) -> None:
+        self.process, self.region, self._path = process, region, counters
+        self._counters: Counters | None = None
+
+    def applied(self) -> Applied:
+        """When it applied what."""
+        return read_stamps(self.process.name, self._path.with_suffix(".stamps"))
+
+    def traffic(self) -> Traffic:
+        """Its counters now; they stay readable after its end."""
+        if self._counters is None:
+            self._counters = Counters(self._path, 1)
+        return self._counters.read()[0]
+
+
+class Fleet:
+    """All processes of one run, in a folder of its own."""
+
+    def __init__(self, plan: RunPlan, folder: Path, progress: Progress) -> None:
+        self.plan, self.folder, self._progress = plan, folder, progress
+        self.group = ProcessGroup()
+        self.links = LinkTable.create(folder / "links", plan.regions, plan.seed, plan.loss)
+        self.key_file = folder / "key"
+        self.key_file.write_text(KEY)
+        self.relays: list[RunProcess] = []
+        self.hosts: list[RunProcess] = []
+        self.empty_bytes: list[int] = []  # of each host before its first hollow proxy
+        self.real: list[CountedProcess] = []
+        self.bare: CountedProcess | None = None  # a daemon without control, to compare with
+        self.controls: list[CountedProcess] = []
+        self.machines = Controls(plan, folder, self.key_file)
+        self.start_s = time.time()
+        self.gossip_port = 0
+        self._stand_ins: list[Discovery | CacheNode] = []  # that were started
+
+    # --- start ---
+    async def start(self) -> None:
+        """All roles, one after the other.  ProcessError."""
+        plan = self.plan
+        self.gossip_port = free_ports(1)[0] if plan.gossip else 0
+        self._progress("relays")
+        await self._start_relays()
+        if plan.distribution:
+            self._progress("control machines")
+            await self._start_controls()
+        self._progress("hollow proxies")
+        await self._start_hosts()
+        self._progress("real daemons")
+        await self._start_real()
+
+    async def close(self) -> None:
+        """End everything."""
+        try:
+            await self.group.close()
+        finally:
+            for stand_in in self._stand_ins:
+                await stand_in.stop()
+
+    async def _start_relays(self) -> None:
+        plan = self.plan
+        for number in range(plan.relay_count):
+            first = number * REGIONS_PER_RELAY
+            regions = range(first, min(first + REGIONS_PER_RELAY, plan.regions))
+            pairs = self.machines.pairs(regions)
+            routes = tuple(
+                Route(region, plan.control_region(control), self.machines.ports[control])
+                for region, control in pairs
+            )
+            links = str(self.folder / "links")
+            file = RelayFile(links, plan.regions, plan.seed, routes)
+            process = await self._start_module("relay", f"relay-{number}", file)
+            ports = await process.answer(RelayPorts)
+            self.machines.relay_ports |= dict(zip(pairs, ports.ports, strict=True))
+            self.relays.append(process)
+
+    async def _start_module(self, module: str, name: str, file: msgspec.Struct) -> RunProcess:
+        path = self.folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(file))
+        process = self.group.add(name)
+        name_of_module = f"limebridge.scale.{module}"
+        await process.start(dilated_command(self.plan.slowdown, name_of_module, str(path)))
+        return process
+
+    async def _start_controls(self) -> None:
+        for number in range(self.plan.controls):
+            file = await self.machines.write_file(number)
+            name, region = control_name(number), self.plan.control_region(number)
+            counted = self.counted(name, region, None)
+            command = self.instrumented(name, "violetroute.distribution", str(file))
+            await counted.process.start(command, SERVES)
+            self.controls.append(counted)
+
+    async def _start_hosts(self) -> None:
+        plan, places = self.plan, tuple(self.plan.hollow_places())
+        size = math.ceil(len(places) / plan.host_count)
+        parts = [places[first : first + size] for first in range(0, len(places), size)]
+        for number, part in enumerate(parts):
+            file = self._host_file(number, part, places)
+            self.hosts.append(await self._start_module("hollow_host", f"host-{number}", file))
+        for process in self.hosts:
+            self.empty_bytes.append((await process.answer(HostReady)).empty_bytes)
+        for process in self.hosts:
+            await process.send("run")
+
+    def _host_file(
+        self, number: int, part: tuple[Place, ...], places: tuple[Place, ...]
+    ) -> HostFile:
+        plan = self.plan
+        return HostFile(
+            places=part,
+            fleet=places,
+            counters=str(self.folder / f"host-{number}.counters"),
+            links=str(self.folder / "links"),
+            regions=plan.regions,
+            seed=plan.seed,
+            members=plan.members,
+            nodes=plan.nodes,
+            gossip_port=self.gossip_port,
+            key_file=str(self.key_file),
+            start_s=self.start_s,
+            probe_s=plan.probe_s,
+            requests=plan.requests,
+            failed_share=plan.failed_share,
+            distribution=self._distribution_tables(),
+        )
+
+    def _distribution_tables(self) -> tuple[DistributionTable, ...]:
+        """Of each region; none where distribution is off."""
+        regions = range(self.plan.regions) if self.plan.distribution else range(0)
+        return tuple(self.machines.table(region) for region in regions)
+
+    async def _start_real(self) -> None:
+        if not self.plan.real:
+            return
+        self._discovery = await Discovery().start()
+        self._stand_ins.append(self._discovery)
+        self._node = await CacheNode().start()
+        self._stand_ins.append(self._node)
+        gate = asyncio.Semaphore(STARTS_AT_ONCE)
+
+        async def start(place: Place, control: bool) -> CountedProcess:
+            async with gate:
+                return await self._start_daemon(place, control)
+
+        places = self.plan.real_places()
+        self.real = list(await asyncio.gather(*(start(place, True) for place in places)))
+        self.bare = await start(msgspec.structs.replace(places[0], name="bare"), False)
+
+    async def _start_daemon(self, place: Place, control: bool) -> CountedProcess:
+        raw = configuration(self._discovery.port, [self._node.entry("s-0")])
+        path = self.folder / f"{place.name}.platform.json"
+        path.write_text(json.dumps(raw | {"name": place.name}))
+        operator = self.folder / f"{place.name}.toml"
+        operator.write_text(tomli_w.dumps(self._operator_tables(place) if control else {}))
+        ports = self.machines.ports_of(place.region)
+        counted = self.counted(place.name, place.region, ports, stamps=control)
+        command = self.instrumented(place.name, "violetroute", "--operator", str(operator))
+        await counted.process.start(command, LISTENS, environment(path))
+        return counted
+
+    def _operator_tables(self, place: Place) -> dict[str, Any]:
+        tables: dict[str, Any] = {"log": {"format": "json"}}
+        if self.gossip_port:
+            tables["sharing"] = {
+                "listen": f"{place.host}:{self.gossip_port}",
+                "key_file": str(self.key_file),
+                "seeds": self._seeds(place.region),
+                "proxies": self.plan.members,
+                "probe_s": self.plan.probe_s,
+                "socket": str(self.folder / f"{place.name}.sharing"),
+            }
+        if self.plan.distribution:
+            table = self.machines.table(place.region)
+            tables["distribution"] = msgspec.to_builtins(table)
+        return tables
+
+    def _seeds(self, region: int) -> list[str]:
+        near = [place for place in self.plan.hollow_places() if place.region == region]
+        return [f"{place.host}:{self.gossip_port}" for place in near[:SEEDS]]
+
+    # --- instrumented processes ---
+    def counted(
+        self,
+        name: str,
+        region: int,
+        counted_ports: tuple[int, ...] | None,
+        stamps: bool = False,
+    ) -> CountedProcess:
+        """A process that will be started by `instrumented`."""
+        counters = self.folder / f"{name}.counters"
+        file = InstrumentFile(
+            str(counters),
+            str(self.folder / "links"),
+            self.plan.regions,
+            region,
+            self.plan.seed,
+            counted_ports,
+            str(counters.with_suffix(".stamps")) if stamps and self.plan.distribution else "",
+        )
+        (self.folder / f"{name}.instrument.json").write_bytes(msgspec.json.encode(file))
+        return CountedProcess(self.group.add(name), region, counters)
+
+    def instrumented(self, name: str, module: str, *arguments: str) -> tuple[str, ...]:
+        """The command that runs a daemon's module with counted sockets."""
+        file = str(self.folder / f"{name}.instrument.json")
+        instrumented = "limebridge.scale.instrumented"
+        return dilated_command(self.plan.slowdown, instrumented, file, module, *arguments)
+
+    # --- looking ---
+    def counted_processes(self) -> list[CountedProcess]:
+        """All daemons and control machines."""
+        bare = [] if self.bare is None else [self.bare]
+        return [*self.real, *bare, *self.controls]
+
+    def real_applied(self) -> list[Applied]:
+        """When each real daemon applied what."""
+        return [counted.applied() for counted in self.real]
+
+    def control(self, name: str) -> CountedProcess:
+        """A control machine by its name.  KeyError."""
+        for counted in self.controls:
+            if counted.process.name == name:
+                return counted
+        raise KeyError(name)
+
+    def hollow_traffic(self) -> list[Traffic]:
+        """The counters of each hollow proxy, host by host."""
+        blocks = list[Traffic]()
+        for number in range(len(self.hosts)):
+            path = self.folder / f"host-{number}.counters"
+            count = os.path.getsize(path) // (len(Traffic.__struct_fields__) * 8)
+            blocks += Counters(path, count).read()
+        return blocks
+
+    async def hosts_seen(self, name: str) -> list[HostSeen]:
+        """What each host has seen since it was last asked.  ProcessError."""
+        paths = [self.folder / f"host-{n}.{name}" for n in range(len(self.hosts))]
+        asked = (
+            _order(process, Report(str(path)))
+            for process, path in zip(self.hosts, paths, strict=True)
+        )
+        await asyncio.gather(*asked)
+        return [msgspec.msgpack.decode(path.read_bytes(), type=HostSeen) for path in paths]
+
+    async def restart_hollow(self, within_s: float) -> None:
+        """Every hollow proxy ends and starts anew within this time.  ProcessError."""
+        await asyncio.gather(*(_order(process, Restart(within_s)) for process in self.hosts))
+
+
+async def _order(process: RunProcess, order: Order) -> None:
+    await process.ask(msgspec.json.encode(order).decode(), str)
--- /dev/null
+++ b/limebridge/scale/run_plan.py
@@ -0,0 +1,188 @@
+"""What a scale run is asked for, checked before anything starts, and where its members live."""
+
+from __future__ import annotations
+
+import math
+import os
+import resource
+
+import msgspec
+
+from violetroute.distribution.control_file import Timings
+from violetroute.sharing.table import SharingTable
+
+from .links import loopback_host
+
+PROCESSES_MOST = 300
+MEMBERS_MOST = 4000  # of one fleet: the bound of `[sharing] proxies`
+CONTROLS_MOST = 16
+REGIONS_MOST = 64
+SEEDS = 4  # proxies of its region that a proxy which has just started is told of
+HOLLOW_PER_HOST = 330  # of one process; the soft limit of descriptors may ask for fewer
+REGIONS_PER_RELAY = 3
+DESCRIPTORS_PER_HOLLOW = 4  # a socket for datagrams, one or two streams, one to spare
+DESCRIPTORS_OF_HOST = 64
+BURST_SHARE = 0.1  # of the measured time is the burst
+MB = 1_000_000
+
+# Memory, measured with `limebridge scale run` itself, rounded up.
+HOST_MB = 55.0  # a process that hosts hollow proxies, before the first of them
+HOLLOW_MB = 0.10  # a hollow proxy with its distribution, without members and nodes
+MEMBER_BYTES = 350.0  # one member in the table of one hollow proxy
+NODE_BYTES = 700.0  # one cache node in the judgements of one hollow proxy
+REAL_MB = 45.0  # a real daemon
+CONTROL_MB = 80.0  # a control process
+RELAY_MB = 60.0  # a relay, or this program
+
+
+class PlanError(Exception):
+    """A run that would be senseless or too large for this machine; one line."""
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Where a proxy lives."""
+
+    name: str
+    number: int  # of all proxies, hollow ones first
+    region: int
+    zone: str
+    host: str  # its loopback address, from which its region can be read
+
+
+class RunPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The arguments of `limebridge scale run`."""
+
+    proxies: int = 2600  # hollow ones
+    sites: int = 170
+    regions: int = 10
+    nodes: int = 1200
+    real: int = 8
+    controls: int = 8
+    seconds: float = 60.0  # that are measured
+    warm_seconds: float = 10.0  # between the last start and the measurement
+    purges: float = 71.0  # a second
+    changes: float = 0.0  # of configuration, a second
+    burst: float = 1.0  # times `purges`, for BURST_SHARE of the time in the middle
+    loss: float = 0.0  # share of datagrams and TCP segments that the links lose
+    kill_control: bool = False  # the leader is killed after a third of the time
+    restart_within_s: float = 0.0  # all hollow proxies restart over it, from a third of the time on
+    gossip: bool = True
+    probe_s: float = SharingTable().probe_s  # between two members that a proxy asks
+    requests: float = 8.0  # a second that each hollow proxy pretends, for judgements and counts
+    failed_share: float = 0.0  # of the pretended requests, so that there is something bad to tell
+    hosts: int = 0  # processes that host hollow proxies; 0: as few as it takes
+    seed: int = 1
+    slowdown: float = 1.0  # times more slowly than real time passes for all processes
+    distribution: bool = True
+    batch_s: float = Timings().batch_s  # of the control machines, as in their file
+    spread_s: float = Timings().spread_s
+    stale_after_s: float = Timings().stale_after_s
+
+    @property
+    def host_count(self) -> int:
+        """Processes that host hollow proxies."""
+        return self.hosts or math.ceil(self.proxies / HOLLOW_PER_HOST)
+
+    @property
+    def relay_count(self) -> int:
+        """Processes that relay TCP between regions."""
+        return math.ceil(self.regions / REGIONS_PER_RELAY)
+
+    @property
+    def process_count(self) -> int:
+        """All processes of the run: with a daemon without control for comparison, and this one."""
+        bare = 1 if self.real else 0
+        return self.host_count + self.relay_count + self.real + bare + self.controls + 1
+
+    @property
+    def members(self) -> int:
+        """Proxies of the fleet, hollow and real."""
+        return self.proxies + self.real
+
+    @property
+    def memory_mb(self) -> float:
+        """Estimate of what all processes hold."""
+        tables = self.nodes * NODE_BYTES + (self.members * MEMBER_BYTES if self.gossip else 0.0)
+        hollow = self.proxies * (HOLLOW_MB + tables / MB)
+        others = self.host_count * HOST_MB + (self.relay_count + 1) * RELAY_MB
+        return hollow + others + (self.real + 1) * REAL_MB + self.controls * CONTROL_MB
+
+    def hollow_places(self) -> list[Place]:
+        """All hollow proxies: sites in turn, each site in one region."""
+        return [self._place(number, f"h{number}") for number in range(self.proxies)]
+
+    def real_places(self) -> list[Place]:
+        """The real daemons, spread over the regions."""
+        return [self._place(self.proxies + number, f"p{number}") for number in range(self.real)]
+
+    def _place(self, number: int, name: str) -> Place:
+        region = number % self.sites % self.regions
+        return Place(name, number, region, f"r{region}", loopback_host(region, number))
+
+    def control_region(self, number: int) -> int:
+        """The region of a control machine."""
+        return number % self.regions
+
+
+def check(plan: RunPlan, memory_mb: float | None = None) -> None:
+    """PlanError when the run is senseless or this machine is too small for it."""
+    _check_arguments(plan)
+    if plan.process_count > PROCESSES_MOST:
+        raise PlanError(
+            f"{plan.process_count} processes are needed, {PROCESSES_MOST} are the most"
+            " (fewer --real, --controls or --hosts)"
+        )
+    memory = total_memory_mb() if memory_mb is None else memory_mb
+    if plan.memory_mb > memory / 2.0:
+        raise PlanError(
+            f"about {plan.memory_mb:.0f} MB are needed, half of this machine's memory is"
+            f" {memory / 2.0:.0f} MB (fewer --proxies)"
+        )
+    _check_descriptors(plan)
+
+
+def _check_arguments(plan: RunPlan) -> None:
+    bounds = (
+        ("--proxies", plan.proxies, 1, MEMBERS_MOST - plan.real),
+        ("--sites", plan.sites, 1, plan.proxies),
+        ("--regions", plan.regions, 1, min(REGIONS_MOST, plan.sites)),
+        ("--nodes", plan.nodes, 0, 10_000),
+        ("--real", plan.real, 0, PROCESSES_MOST),
+        ("--controls", plan.controls, 1, CONTROLS_MOST),
+        ("--seconds", plan.seconds, 1.0, 3600.0),
+        ("--warm", plan.warm_seconds, 0.0, 600.0),
+        ("--purges", plan.purges, 0.1, 1000.0),
+        ("--changes", plan.changes, 0.0, 100.0),
+        ("--burst", plan.burst, 1.0, 100.0),
+        ("--loss", plan.loss, 0.0, 0.5),
+        ("--restart-within", plan.restart_within_s, 0.0, plan.seconds / 2.0),
+        ("--requests", plan.requests, 0.0, 1000.0),
+        ("--failed", plan.failed_share, 0.0, 1.0),
+        ("--probe", plan.probe_s, 0.05, 60.0),  # as `[sharing] probe_s`
+        ("--hosts", plan.hosts, 0, plan.proxies),
+        ("--slowdown", plan.slowdown, 1.0, 20.0),
+        ("--batch", plan.batch_s, 0.0, 60.0),
+        ("--spread", plan.spread_s, 0.0, 60.0),
+        ("--stale-after", plan.stale_after_s, 1.0, 3600.0),
+    )
+    for name, value, least, most in bounds:
+        if not least <= value <= most:
+            raise PlanError(f"{name}: {value:g} is not between {least:g} and {most:g}")
+    if plan.kill_control and plan.controls < 3:
+        raise PlanError("--kill-control: needs three control machines, so that two are left")
+
+
+def _check_descriptors(plan: RunPlan) -> None:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    per_host = math.ceil(plan.proxies / plan.host_count)
+    needed = per_host * DESCRIPTORS_PER_HOLLOW + DESCRIPTORS_OF_HOST
+    if soft != resource.RLIM_INFINITY and needed > soft:
+        raise PlanError(
+            f"--hosts: {plan.host_count} processes would have {needed} descriptors each,"
+            f" the limit is {soft}"
+        )
+
+
+def total_memory_mb() -> float:
+    """Memory of this machine."""
+    return os.sysconf("SC_PHYS_PAGES") * resource.getpagesize() / MB
--- /dev/null
+++ b/limebridge/scale/run_report.py
@@ -0,0 +1,259 @@
+"""The records of a scale run: use by role, delays, bounds met or missed.  JSON by msgspec."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from pathlib import Path
+
+import msgspec
+from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
+
+from violetroute.distribution.messages import Topic
+
+from .delay_names import EVERYWHERE, IN_FORCE, delay_name
+from .membership_looks import MembershipAt
+from .results import Machine
+from .run_plan import RunPlan
+from .target import Target
+from .traffic import Traffic
+
+MICROSECONDS = 1_000_000
+LONGEST_S = 3600  # of a delay that is told apart
+DIGITS = 3  # significant digits of a percentile
+HUNDRED_PERCENT = 100.0
+
+
+class Percentiles(msgspec.Struct, frozen=True):
+    """How a figure is spread over members or events.  All zero where `count` is."""
+
+    count: int
+    mean: float
+    p50: float
+    p99: float
+    largest: float
+
+
+class RoleUse(msgspec.Struct, frozen=True, kw_only=True):
+    """What one role used in the measured time.  Rates are a second, of one member."""
+
+    role: str
+    members: int
+    processes: int
+    bytes_in: Percentiles  # payload
+    bytes_out: Percentiles
+    wire_bytes: Percentiles  # both ways, with estimated headers
+    messages_in: Percentiles
+    messages_out: Percentiles
+    gossip_bytes: float  # payload of datagrams, both ways, mean
+    distribution_bytes: float  # payload of streams, both ways, mean
+    cpu_share: float  # of one core, a member: CPU time of the processes by their members
+    memory_mb: float  # a member
+    note: str = ""
+
+
+class Bound(msgspec.Struct, frozen=True, kw_only=True):
+    """A bound of the target and what was measured."""
+
+    name: str
+    unit: str
+    limit: float
+    measured: float | None  # None: not measured in this run
+    note: str = ""
+
+    @property
+    def met(self) -> bool | None:
+        """None where nothing was measured."""
+        return None if self.measured is None else self.measured <= self.limit
+
+
+class Calibration(msgspec.Struct, frozen=True, kw_only=True):
+    """A hollow proxy against a real daemon, as ratios: 1.0 is equal."""
+
+    messages_out: float
+    messages_in: float
+    bytes_out: float
+    bytes_in: float
+
+
+class EarlyReport(msgspec.Struct, frozen=True):
+    """A position that was reported as in force before all proxies had applied it or were stale."""
+
+    position: int
+    proxy: str  # the last one to apply it
+    proxies: int  # how many were late
+    seconds: float | None  # by which the last one was late; None: never applied
+
+
+class InForceCheck(msgspec.Struct, frozen=True, kw_only=True):
+    """The leader's reports against what the proxies applied."""
+
+    positions: int  # that were reported as in force and published in the measured time
+    never_reported: int  # committed, and not reported as in force until the end
+    never_applied: int  # committed, and not applied by every proxy until the end
+    early: int  # reported as in force before each proxy had applied it or was stale
+    worst_early_s: float  # of those that applied it later
+    examples: tuple[EarlyReport, ...] = ()
+
+
+class RunReport(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole run."""
+
+    version: int = 1
+    commit: str
+    taken_at: str  # ISO 8601, UTC
+    machine: Machine
+    plan: RunPlan
+    measured_s: float
+    roles: tuple[RoleUse, ...]
+    delays: dict[str, Percentiles]  # s
+    bounds: tuple[Bound, ...]
+    calibration: Calibration | None
+    in_force: InForceCheck | None
+    purges: dict[str, int]  # how publications were answered
+    machine_cpu_share: float  # of all cores, over the measured time
+    membership: tuple[MembershipAt, ...] = ()  # empty without gossip
+    notes: tuple[str, ...]  # what was left out, and what has to be known to read the figures
+
+
+def percentiles(values: Sequence[float]) -> Percentiles:
+    """Of figures that are all known, exact: nearest rank."""
+    if not values:
+        return Percentiles(0, 0.0, 0.0, 0.0, 0.0)
+    ordered = sorted(values)
+    return Percentiles(
+        len(ordered),
+        sum(ordered) / len(ordered),
+        nearest_rank(ordered, 50.0),
+        nearest_rank(ordered, 99.0),
+        ordered[-1],
+    )
+
+
+def nearest_rank(ordered: Sequence[float], percent: float) -> float:
+    """The least value that at least so many percent of the sorted values do not exceed."""
+    rank = -(-percent * len(ordered) // HUNDRED_PERCENT)
+    return ordered[max(1, int(rank)) - 1]
+
+
+def delay_percentiles(delays_s: Iterable[float]) -> Percentiles:
+    """Of delays in seconds, to three digits, by a histogram of bounded size."""
+    histogram = HdrHistogram(1, LONGEST_S * MICROSECONDS, DIGITS)
+    count, total, largest = 0, 0.0, 0.0
+    for delay in delays_s:
+        histogram.record_value(max(1, round(delay * MICROSECONDS)))
+        count, total, largest = count + 1, total + delay, max(largest, delay)
+    if not count:
+        return Percentiles(0, 0.0, 0.0, 0.0, 0.0)
+    return Percentiles(
+        count,
+        total / count,
+        histogram.get_value_at_percentile(50.0) / MICROSECONDS,
+        histogram.get_value_at_percentile(99.0) / MICROSECONDS,
+        largest,
+    )
+
+
+def role_use(
+    role: str,
+    traffic: Sequence[Traffic],
+    seconds: float,
+    processes: int,
+    cpu_s: float,
+    memory_bytes: float,
+    note: str = "",
+) -> RoleUse:
+    """`traffic` of each member, CPU time and memory of all processes of the role together."""
+    members = max(1, len(traffic))
+
+    def rate(figures: Iterable[int]) -> Percentiles:
+        return percentiles([figure / seconds for figure in figures])
+
+    return RoleUse(
+        role=role,
+        members=len(traffic),
+        processes=processes,
+        bytes_in=rate(block.bytes_in for block in traffic),
+        bytes_out=rate(block.bytes_out for block in traffic),
+        wire_bytes=rate(block.wire_bytes for block in traffic),
+        messages_in=rate(block.messages_in for block in traffic),
+        messages_out=rate(block.messages_out for block in traffic),
+        gossip_bytes=rate(block.udp_bytes_in + block.udp_bytes_out for block in traffic).mean,
+        distribution_bytes=rate(block.tcp_bytes_in + block.tcp_bytes_out for block in traffic).mean,
+        cpu_share=cpu_s / seconds / members,
+        memory_mb=memory_bytes / members / 1e6,
+        note=note,
+    )
+
+
+def calibrate(hollow: RoleUse, real: RoleUse) -> Calibration | None:
+    """Ratios of the medians.  None where one of them has no traffic."""
+    pairs = [
+        (getattr(hollow, name).p50, getattr(real, name).p50)
+        for name in ("messages_out", "messages_in", "bytes_out", "bytes_in")
+    ]
+    if any(right <= 0.0 for _, right in pairs):
+        return None
+    ratios = [left / right for left, right in pairs]
+    return Calibration(
+        messages_out=ratios[0], messages_in=ratios[1], bytes_out=ratios[2], bytes_in=ratios[3]
+    )
+
+
+def delay_bound(
+    delays: Mapping[str, Percentiles], topic: Topic, what: str, limit_s: float, note: str = ""
+) -> Bound:
+    """The slowest of a delay against its bound."""
+    name = delay_name(topic, what)
+    delay = delays.get(name)
+    measured = delay.largest if delay is not None and delay.count else None
+    return Bound(name=f"{name}, slowest", unit="s", limit=limit_s, measured=measured, note=note)
+
+
+def bounds(
+    target: Target, hollow: RoleUse | None, delays: Mapping[str, Percentiles]
+) -> tuple[Bound, ...]:
+    """The target's bounds on control against a run's figures."""
+    purge_s, change_s, seen = target.purge_within_s, target.config_within_s, "as a status shows it"
+    return (
+        delay_bound(delays, Topic.PURGE, EVERYWHERE, purge_s),
+        delay_bound(delays, Topic.PURGE, IN_FORCE, purge_s, seen),
+        delay_bound(delays, Topic.CONFIGURATION, EVERYWHERE, change_s),
+        delay_bound(delays, Topic.CONFIGURATION, IN_FORCE, change_s, seen),
+        Bound(
+            name="bytes a second of a proxy, payload both ways, mean",
+            unit="bytes/s",
+            limit=target.control_bytes_per_s,
+            measured=None if hollow is None else hollow.bytes_in.mean + hollow.bytes_out.mean,
+        ),
+        Bound(
+            name="bytes a second of a proxy, with headers, both ways, mean",
+            unit="bytes/s",
+            limit=target.control_bytes_per_s,
+            measured=None if hollow is None else hollow.wire_bytes.mean,
+        ),
+        Bound(
+            name="CPU of a proxy's control",
+            unit="cores",
+            limit=target.control_cpu_share,
+            measured=None if hollow is None else hollow.cpu_share,
+            note="hollow, with the host's overhead",
+        ),
+        Bound(
+            name="memory of a proxy's control",
+            unit="MB",
+            limit=target.control_memory_mb,
+            measured=None if hollow is None else hollow.memory_mb,
+        ),
+    )
+
+
+def save(report: RunReport, path: Path) -> None:
+    """Write a report, readable and stable under `git diff`."""
+    text = msgspec.json.format(msgspec.json.encode(report), indent=1)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(text + b"\n")
+
+
+def read(path: Path) -> RunReport:
+    """A report.  OSError, msgspec.ValidationError."""
+    return msgspec.json.decode(path.read_bytes(), type=RunReport)
--- /dev/null
+++ b/limebridge/scale/sample_list.py
@@ -0,0 +1,64 @@
+"""Made-up cache nodes as discovery names them, and a proxy on a virtual network to tell them to."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from limebridge.standins.configuration import configuration
+from limebridge.virtual import Kernel, VirtualLoop
+from limebridge.virtual.net import network
+from limebridge.virtual.process import VirtualTurns
+from violetroute.config import Config, parse
+from violetroute.membership import Listing, parse_listing
+from violetroute.proxy import Proxy
+
+ZONES = 28
+DISCOVERY_PORT = 9
+WALL_CLOCK = 1.7e9  # Unix s at the virtual clock's 0
+STARTED_AT_MS = 1_690_000_000_000  # long ago: every node is warm
+READY, DRAINING = "in_service", "terminating"
+
+
+def instance(number: int, lifecycle: str = READY) -> dict[str, Any]:
+    """One node in discovery's form."""
+    return {
+        "instanceId": f"cache-{number:05d}",
+        "hostPort": f"10.{number // 62_500}.{number // 250 % 250}.{1 + number % 250}:6379",
+        "zone": f"zone-{number % ZONES:02d}",
+        "machineType": "cache-large",
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": STARTED_AT_MS,
+    }
+
+
+def whole_list(count: int) -> bytes:
+    """One line of discovery's watch with so many nodes."""
+    instances = [instance(number) for number in range(count)]
+    return json.dumps({"generation": 1, "reset": True, "instances": instances}).encode()
+
+
+def changed_node(number: int, lifecycle: str) -> Listing:
+    """A list of changes that names one node."""
+    instances = [instance(number, lifecycle)]
+    return parse_listing({"generation": 2, "reset": False, "instances": instances})
+
+
+def proxy_on(kernel: Kernel, loop: VirtualLoop, config: Config) -> Proxy:
+    """The daemon's proxy on a network in memory."""
+    net = network(kernel, "proxy", loop, lambda: WALL_CLOCK + kernel.now, VirtualTurns(loop))
+    return Proxy(config, net)
+
+
+class ProxyOnVirtualNetwork:
+    """The daemon's proxy, told of lists directly; its loop does not run."""
+
+    def __init__(self) -> None:
+        self.kernel = Kernel(1)
+        loop = VirtualLoop(self.kernel)
+        self.proxy = proxy_on(self.kernel, loop, parse(configuration(DISCOVERY_PORT, [])))
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock; what is due by then is not done."""
+        self.kernel.now += seconds
--- /dev/null
+++ b/limebridge/scale/slopes.py
@@ -0,0 +1,194 @@
+"""Runs the measurements in fresh processes and fits each cost (`limebridge scale slopes`)."""
+
+from __future__ import annotations
+
+import asyncio
+import shlex
+from collections.abc import Callable, Iterable, Sequence
+from datetime import UTC, datetime
+from statistics import median
+
+import msgspec
+
+from limebridge.experiments.builds import head
+from violetroute.config import ConfigError
+
+from .child import run_child
+from .fit import FitError, fit
+from .measure import Failed, Measured
+from .process_facts import load_average, machine
+from .quoted import QUOTED
+from .registry import CostDefinition, Subject, subjects
+from .results import Cost, Point, Slopes
+
+
+class Job(msgspec.Struct, frozen=True):
+    """One measurement to be made."""
+
+    subject: Subject
+    size: int
+
+
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """What is measured, and how."""
+
+    quick: bool = False  # small sizes
+    only: str = ""  # a subject or a cost; "" is all
+    skip_largest: bool = False  # leave the largest size of each subject out
+    jobs: int = 1  # processes at a time
+    time_limit: float | None = None  # s for one measurement, in place of the subject's own
+
+
+class Result(msgspec.Struct, frozen=True):
+    """The whole file, and how many measurements failed."""
+
+    slopes: Slopes
+    failed: int
+
+
+# The values of all runs by the cost's name and the size.
+RunValues = dict[str, dict[int, list[float]]]
+Progress = Callable[[str], None]  # told of each measurement that has ended
+
+
+def chosen_subjects(only: str) -> list[Subject]:
+    """The subjects to measure.  ConfigError when `only` names none."""
+    every = subjects()
+    if not only:
+        return list(every.values())
+    found = [
+        subject
+        for subject in every.values()
+        if only == subject.name or any(only == cost.name for cost in subject.costs)
+    ]
+    if not found:
+        raise ConfigError(f"--only {only}: no such subject; there are {', '.join(every)}")
+    return found
+
+
+def planned_jobs(options: Options) -> list[Job]:
+    """All measurements by subject; runs of one size are apart, as a busy minute would hit all."""
+    return [
+        Job(subject, size)
+        for subject in chosen_subjects(options.only)
+        for _ in range(1 if options.quick else subject.runs)
+        for size in _sizes(subject, options)
+    ]
+
+
+def _sizes(subject: Subject, options: Options) -> Sequence[int]:
+    sizes = subject.quick_sizes if options.quick else subject.sizes
+    return sizes[:-1] if options.skip_largest else sizes
+
+
+async def run(options: Options, progress: Progress) -> Result:
+    """Measure and fit all.  Called off, it ends its children before it returns."""
+    began, load_before = datetime.now(UTC), load_average()
+    jobs = planned_jobs(options)
+    answers = await _measure_all(jobs, options, progress)
+    failures = [
+        f"{job.subject.name} at {job.size}: {answer.reason}"
+        for job, answer in zip(jobs, answers, strict=True)
+        if isinstance(answer, Failed)
+    ]
+    costs, unfitted = _fit_all(options, _values(jobs, answers))
+    slopes = Slopes(
+        commit=head(),
+        machine=machine(load_before),
+        quick=options.quick,
+        taken_at=began.isoformat(timespec="seconds"),
+        costs=tuple(costs),
+        quoted=QUOTED,
+        left_out=(*_skipped(options), *failures, *unfitted),
+    )
+    return Result(slopes, len(failures))
+
+
+def _fit_all(options: Options, values: RunValues) -> tuple[list[Cost], list[str]]:
+    """The costs that have a line, and a line of text for each that has none."""
+    costs: list[Cost] = []
+    unfitted: list[str] = []
+    for subject in chosen_subjects(options.only):
+        for definition in subject.costs:
+            if options.only not in ("", subject.name, definition.name):
+                continue
+            points = combined(definition, values.get(definition.name, {}))
+            try:
+                costs.append(fitted(definition, subject, points, options))
+            except FitError as error:
+                unfitted.append(f"{definition.name}: {error}")
+    return costs, unfitted
+
+
+async def _measure_all(
+    jobs: Sequence[Job], options: Options, progress: Progress
+) -> list[Measured | Failed]:
+    """The answers in the order of the jobs."""
+    free = asyncio.Semaphore(options.jobs)
+
+    async def one(job: Job) -> Measured | Failed:
+        async with free:
+            limit = options.time_limit or job.subject.time_limit
+            answer = await run_child(job.subject.name, job.size, limit)
+        progress(f"{job.subject.name} at {job.size}")
+        return answer
+
+    async with asyncio.TaskGroup() as group:
+        tasks = [group.create_task(one(job)) for job in jobs]
+    return [task.result() for task in tasks]
+
+
+def _skipped(options: Options) -> list[str]:
+    if not options.skip_largest:
+        return []
+    return [
+        f"{subject.name} at {(subject.quick_sizes if options.quick else subject.sizes)[-1]}:"
+        " --skip-largest"
+        for subject in chosen_subjects(options.only)
+    ]
+
+
+def _values(jobs: Iterable[Job], answers: Iterable[Measured | Failed]) -> RunValues:
+    found: RunValues = {}
+    for job, answer in zip(jobs, answers, strict=True):
+        if isinstance(answer, Measured):
+            for name, value in answer.values.items():
+                found.setdefault(name, {}).setdefault(job.size, []).append(value)
+    return found
+
+
+def combined(definition: CostDefinition, runs: dict[int, list[float]]) -> list[Point]:
+    """One point for each size."""
+    choose = min if definition.least else median
+    return [(float(size), choose(values)) for size, values in sorted(runs.items())]
+
+
+def fitted(
+    definition: CostDefinition, subject: Subject, points: Sequence[Point], options: Options
+) -> Cost:
+    """A measured cost with its line.  FitError when there are too few points."""
+    line = fit(points)
+    return Cost(
+        name=definition.name,
+        unit=definition.unit,
+        per=subject.per,
+        what=definition.what,
+        mechanism=definition.mechanism,
+        points=tuple(points),
+        constant=line.constant,
+        slope=line.slope,
+        slope_low=line.slope_low,
+        slope_high=line.slope_high,
+        residual=line.residual,
+        straight=line.straight,
+        exponent=line.exponent,
+        run=command_line(subject.name, options),
+    )
+
+
+def command_line(subject: str, options: Options) -> str:
+    """The command that measures this subject so."""
+    words = ["limebridge", "scale", "slopes", "--only", subject]
+    words += ["--quick"] if options.quick else []
+    words += ["--skip-largest"] if options.skip_largest else []
+    return shlex.join(words)
--- /dev/null
+++ b/limebridge/scale/small_run.py
@@ -0,0 +1,44 @@
+"""Small scale runs from which costs of the distribution are measured: one control machine."""
+
+from __future__ import annotations
+
+import asyncio
+
+from .registry import MeasurementError
+from .run import ScaleRun
+from .run_plan import RunPlan, check
+from .run_report import RoleUse, RunReport
+
+SECONDS = 15.0
+WARM_SECONDS = 4.0
+
+
+def play(proxies: int, purges_per_s: float) -> RunReport:
+    """One control machine, so many hollow proxies of one region, no gossip and no delays."""
+    plan = RunPlan(
+        proxies=proxies,
+        sites=1,
+        regions=1,
+        nodes=0,
+        real=0,
+        controls=1,
+        seconds=SECONDS,
+        warm_seconds=WARM_SECONDS,
+        purges=purges_per_s,
+        requests=0.0,
+        gossip=False,
+    )
+    check(plan)
+    report = asyncio.run(ScaleRun(plan, lambda what, share: None).play())
+    verdict = report.in_force
+    if verdict is not None and (verdict.early or verdict.never_applied):
+        raise MeasurementError("a purge was not applied everywhere when it was in force")
+    return report
+
+
+def role_of(report: RunReport, name: str) -> RoleUse:
+    """That role's use.  MeasurementError when the run had none."""
+    for role in report.roles:
+        if role.role == name:
+            return role
+    raise MeasurementError(f"the run had no {name}")
--- /dev/null
+++ b/tests/test_scale_capacity.py
@@ -0,0 +1,208 @@
+"""The tables of docs/CAPACITY.md: from the slopes, and seen to differ when somebody edits them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import pytest
+from typer.testing import CliRunner
+
+from limebridge.cli import app
+from limebridge.scale.capacity import Figures, MissingFigureError, Role, Row, compute
+from limebridge.scale.capacity_command import GROWTH_RUNS
+from limebridge.scale.capacity_page import number, problems, tables, written
+from limebridge.scale.growth import SeveralSizesError, growth_table
+from limebridge.scale.results import Cost, Machine, Slopes, combined, save
+from limebridge.scale.run_report import RunReport
+from limebridge.scale.run_report import read as read_run
+from limebridge.scale.target import load_target
+
+ROOT = Path(__file__).parent.parent
+TARGET = load_target()
+
+
+def cost(name: str, constant: float, slope: float, *, straight: bool = True) -> Cost:
+    return Cost(
+        name=name,
+        unit="bytes/s",
+        per="member",
+        what="made up",
+        mechanism="violetroute/sharing/members.py",
+        points=tuple((size, constant + slope * size) for size in (100.0, 1000.0)),
+        constant=constant,
+        slope=slope,
+        slope_low=slope,
+        slope_high=slope,
+        residual=0.01 if straight else 0.5,
+        straight=straight,
+        run="limebridge scale slopes",
+    )
+
+
+def slopes_of(*costs: Cost) -> Slopes:
+    machine = Machine("made up", 8, 24_000, "3.11", 0.0, 0.0)
+    return Slopes(commit="0", machine=machine, quick=False, taken_at="", costs=costs, quoted=())
+
+
+def row(identity: str, name: str, budget: float | None = None) -> Row:
+    return Row(
+        identity,
+        Role.PROXY,
+        "made up",
+        "bytes/s",
+        lambda figures: figures.at(name, figures.target.proxies),
+        "violetroute/sharing",
+        None if budget is None else lambda figures: budget,
+    )
+
+
+PAGE = "Words.\n" + "".join(
+    f"\n<!-- table: {name} -->\n<!-- end of table -->\n"
+    for name in (*map(str, Role), "measured costs")
+)
+
+
+def test_a_need_is_its_line_at_the_target_and_a_ratio_to_its_budget() -> None:
+    [need] = compute([row("a", "x", 1000.0)], TARGET, slopes_of(cost("x", 100.0, 0.5)))
+    assert need.need == 100.0 + 0.5 * TARGET.proxies and need.sources == ("x",)
+    assert need.ratio == need.need / 1000.0 and need.over
+
+
+def test_what_is_not_measured_has_no_figure_and_says_why() -> None:
+    curve = cost("curve", 0.0, 1.0, straight=False)
+    needs = compute([row("a", "x", 1.0), row("b", "curve")], TARGET, slopes_of(curve))
+    assert [need.need for need in needs] == [None, None]
+    assert needs[0].missing == "x is not measured" and not needs[0].over
+    assert "curve" in needs[1].missing and "2600" in needs[1].missing
+    with pytest.raises(MissingFigureError):
+        Figures(TARGET, slopes_of()).quoted("x")
+
+
+def test_a_page_agrees_until_a_figure_or_the_slopes_are_edited() -> None:
+    slopes = slopes_of(cost("x", 100.0, 0.5))
+    needs = compute([row("a", "x", 5000.0)], TARGET, slopes)
+    page = written(PAGE, tables(needs, slopes))
+    assert problems(page, needs, tables(needs, slopes)) == []
+    assert written(page, tables(needs, slopes)) == page
+    edited = page.replace("1,400 bytes/s", "1,300 bytes/s")
+    assert edited != page
+    [wrong] = problems(edited, needs, tables(needs, slopes))
+    assert "table proxy" in wrong and "1,300" in wrong and "1,400" in wrong
+    others = slopes_of(cost("x", 200.0, 0.5))
+    other_needs = compute([row("a", "x", 5000.0)], TARGET, others)
+    assert problems(page, other_needs, tables(other_needs, others))
+    made = tables(needs, slopes)
+    assert problems(page.replace("<!-- table: discovery -->", ""), needs, made) == [
+        "no table: discovery"
+    ]
+
+
+def test_a_passed_budget_is_named_in_the_prose_and_only_that() -> None:
+    slopes = slopes_of(cost("x", 100.0, 0.5))
+    needs = compute([row("a", "x", 1000.0), row("b", "x", 9000.0)], TARGET, slopes)
+    made = tables(needs, slopes)
+    page = written(PAGE, made)
+    assert "**1.40**" in page
+    assert problems(page, needs, made) == ["over budget and no line says so: a"]
+    assert problems(page + "\n- Over budget: a, since it is made up.\n", needs, made) == []
+    assert problems(page + "\n- Over budget: a\n- Over budget: b\n", needs, made) == [
+        "a line says over budget, and it is not: b"
+    ]
+
+
+def test_numbers_have_three_digits() -> None:
+    shown = [number(value) for value in (0.0, 0.00123456, 1.0, 9.999, 123.4, 1234567.0)]
+    assert shown == ["0", "0.00123", "1.00", "10.0", "123", "1,230,000"]
+
+
+def test_the_command_writes_and_checks(tmp_path: Path) -> None:
+    file, page = tmp_path / "slopes.json", tmp_path / "CAPACITY.md"
+    save(slopes_of(cost("gossip.bytes_per_s", 100.0, 0.5)), file)
+    page.write_text(PAGE)
+    run = ["scale", "capacity", str(file), "--page", str(page)]
+    assert CliRunner().invoke(app, run).exit_code == 0
+    assert "2,800 bytes/s" in page.read_text()
+    assert CliRunner().invoke(app, [*run, "--check"]).exit_code == 0
+    page.write_text(page.read_text().replace("2,800", "2,900"))
+    assert CliRunner().invoke(app, [*run, "--check"]).exit_code == 1
+    file.write_text("{}")
+    refused = CliRunner().invoke(app, run)
+    assert refused.exit_code == 2 and refused.stderr.count("\n") == 1
+
+
+def test_the_committed_page_agrees_with_the_committed_slopes() -> None:
+    refused = CliRunner().invoke(
+        app,
+        [
+            "scale",
+            "capacity",
+            *map(str, sorted((ROOT / "docs" / "capacity").glob("slopes*.json"))),
+            *(word for path in GROWTH_RUNS for word in ("--run", str(ROOT / path))),
+            "--page",
+            str(ROOT / "docs" / "CAPACITY.md"),
+            "--check",
+        ],
+    )
+    assert refused.exit_code == 0, refused.stderr
+
+
+def test_of_a_cost_in_two_files_the_later_one_counts() -> None:
+    first, second = (
+        slopes_of(cost("x", 1.0, 2.0), cost("y", 1.0, 1.0)),
+        slopes_of(cost("x", 5.0, 0.0)),
+    )
+    both = combined([first, second])
+    assert both.cost("x").constant == 5.0 and both.cost("y").constant == 1.0
+
+
+def test_a_slopes_file_is_read_back(tmp_path: Path) -> None:
+    slopes = slopes_of(cost("x", 1.0, 2.0))
+    save(slopes, tmp_path / "a.json")
+    assert msgspec.json.decode((tmp_path / "a.json").read_bytes(), type=Slopes) == slopes
+
+
+def run_of(proxies: int, wire_bytes: float) -> RunReport:
+    """A committed run, as if it had had so many proxies that spent so much."""
+    report = read_run(ROOT / "docs" / "capacity" / "run-2600-all.json")
+    replace = msgspec.structs.replace
+    roles = tuple(
+        replace(role, wire_bytes=replace(role.wire_bytes, mean=wire_bytes)) for role in report.roles
+    )
+    return replace(report, plan=replace(report.plan, proxies=proxies), roles=roles)
+
+
+def test_growth_sets_each_run_against_the_prediction_for_its_size() -> None:
+    costs = (
+        cost("distribution.proxy_bytes_per_s", 100.0, 10.0),
+        cost("control.cpu_share", 0.0, 0.01),
+    )
+    table = growth_table([run_of(800, 5000.0), run_of(200, 4000.0)], TARGET, slopes_of(*costs))
+    heads, _, *lines = table.splitlines()
+    assert heads.endswith("| 200 proxies | 800 proxies |")
+    by_name = {line.split("|")[1].strip(): line for line in lines}
+    assert by_name["with headers, bytes/s"].endswith("| 4,000 | 5,000 |")
+    # 71 purges a second, whatever the number of proxies; a control machine has its share of them.
+    assert by_name["of these distribution, bytes/s"].count("(810, 5.54)") == 2
+    follows = by_name["a control machine that follows, of a core"]
+    assert "(0.250, 2.01)" in follows and "(1.00, 0.50)" in follows
+    # Without a measured slope there is no prediction, and none is made up.
+    assert "(" not in by_name["a control machine, MB"]
+
+
+def test_growth_over_one_size_is_refused() -> None:
+    with pytest.raises(SeveralSizesError, match="two runs of the same size"):
+        growth_table([run_of(200, 1.0), run_of(200, 2.0)], TARGET, slopes_of())
+
+
+def test_an_edited_table_of_growth_is_found(tmp_path: Path) -> None:
+    file, page = tmp_path / "slopes.json", tmp_path / "CAPACITY.md"
+    save(slopes_of(cost("distribution.proxy_bytes_per_s", 100.0, 10.0)), file)
+    page.write_text(PAGE + "\n<!-- table: growth -->\n<!-- end of table -->\n")
+    run = ["scale", "capacity", str(file), "--page", str(page)]
+    run += ["--run", str(ROOT / "docs" / "capacity" / "run-2600-all.json")]
+    assert CliRunner().invoke(app, run).exit_code == 0
+    assert CliRunner().invoke(app, [*run, "--check"]).exit_code == 0
+    page.write_text(page.read_text().replace("7,150", "6,150"))
+    edited = CliRunner().invoke(app, [*run, "--check"])
+    assert edited.exit_code == 1 and "7,150" in edited.stderr
--- /dev/null
+++ b/tests/test_scale_dilation.py
@@ -0,0 +1,88 @@
+"""Time dilation of scale runs: clocks and waits of a process are slowed alike."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from limebridge.scale.run import ScaleRun
+from limebridge.scale.run_plan import PlanError, RunPlan, check
+from limebridge.scale.time_dilation import REAL_TIME, dilated, dilated_command
+
+FACTOR = 4.0
+WAIT_S = 0.1  # slowed
+
+
+def test_a_wait_of_the_loop_takes_as_many_times_longer() -> None:
+    real = time.monotonic
+    began = real()
+    with dilated(FACTOR):
+        slowed_began, wall_began = time.monotonic(), time.time()
+        asyncio.run(asyncio.sleep(WAIT_S))
+        slowed, wall = time.monotonic() - slowed_began, time.time() - wall_began
+    passed = real() - began
+    assert time.monotonic is real  # as before
+    assert passed >= FACTOR * WAIT_S
+    assert WAIT_S <= slowed <= passed / FACTOR
+    assert WAIT_S * 0.9 <= wall <= passed / FACTOR + 0.01
+
+
+def test_all_processes_agree_on_the_time(tmp_path: Path) -> None:
+    module = tmp_path / "tells_the_time.py"
+    module.write_text("import sys, time; print(time.monotonic(), time.time(), sys.argv[1:])")
+    with dilated(FACTOR):
+        before, wall_before = time.monotonic(), time.time()
+        told = subprocess.run(
+            dilated_command(FACTOR, "tells_the_time", "a", "b"),
+            capture_output=True,
+            text=True,
+            check=True,
+            env={"PYTHONPATH": f"{tmp_path}:{Path(__file__).parent.parent}"},
+        ).stdout.split(" ", 2)
+        after, wall_after = time.monotonic(), time.time()
+    assert before <= float(told[0]) <= after
+    assert wall_before <= float(told[1]) <= wall_after
+    assert told[2].strip() == "['a', 'b']"
+
+
+def test_without_a_factor_nothing_is_changed() -> None:
+    real = time.monotonic
+    with dilated(REAL_TIME):
+        assert time.monotonic is real
+    assert dilated_command(REAL_TIME, "m", "x") == (sys.executable, "-m", "m", "x")
+
+
+def test_a_slowed_run_measures_the_same_rates_as_the_processes_see() -> None:
+    plan = RunPlan(
+        proxies=8,
+        sites=4,
+        regions=2,
+        nodes=5,
+        real=1,
+        controls=3,
+        seconds=2.0,
+        warm_seconds=0.5,
+        purges=40.0,
+        hosts=1,
+        slowdown=2.0,
+    )
+    began = time.monotonic()
+    with dilated(plan.slowdown):
+        report = asyncio.run(ScaleRun(plan, lambda what, share: None).play())
+    assert time.monotonic() - began >= plan.slowdown * (plan.seconds + plan.warm_seconds)
+    assert 1.9 < report.measured_s < 4.0  # of theirs
+    assert any("2 times more slowly" in note for note in report.notes)
+    assert report.calibration is not None and 0.5 < report.calibration.bytes_in < 2.0
+    assert report.in_force is not None and report.in_force.early == 0
+    assert report.in_force.never_applied == report.in_force.never_reported == 0
+
+
+@pytest.mark.parametrize("slowdown", [0.5, 50.0, float("nan")])
+def test_a_senseless_factor_is_refused(slowdown: float) -> None:
+    with pytest.raises(PlanError, match="--slowdown"):
+        check(RunPlan(slowdown=slowdown))
