Capacity page: state, messages, processor time and memory of each role; the log's memory

The page had needs in no such order, no messages a second, no state, nothing of nodes and discovery beside bytes, and read none of the figures quoted from earlier runs. An hour's log at a control machine was in no row: its run lasts a minute. Change: each row has a kind, and a test wants a row of each kind for each role; where another program bears the cost the row says so. New costs: polls of a proxy and at a control machine, memory of the log by batches kept. The quoted figures stand on the page, each with its run; memory of a proxy counts the code of membership and ownership too.

--- a/limebridge/scale/capacity.py
+++ b/limebridge/scale/capacity.py
@@ -25,6 +25,15 @@
     DATABASE = "customer's database"
 
 
+class Kind(StrEnum):
+    """What a need consists of."""
+
+    STATE = "state"
+    MESSAGES = "messages"
+    PROCESSOR_TIME = "processor time"
+    MEMORY = "memory"
+
+
 class MissingFigureError(Exception):
     """A row can't be computed; one line that says why."""
 
@@ -68,6 +77,7 @@
 
     identity: str
     role: Role
+    kind: Kind
     what: str
     unit: str
     need: Formula
--- a/limebridge/scale/capacity_page.py
+++ b/limebridge/scale/capacity_page.py
@@ -14,26 +14,35 @@
 import re
 from collections.abc import Mapping, Sequence
 
-from .capacity import Need, Role
-from .results import Cost, Slopes
+from .capacity import Kind, Need, Role
+from .results import Cost, Quoted, Slopes
 
 TABLE = re.compile(r"(<!-- table: ([a-z' ]+) -->\n).*?(<!-- end of table -->)", re.DOTALL)
 OVER_BUDGET = re.compile(r"^- Over budget: ([a-z0-9-]+)", re.MULTILINE)
 COSTS_TABLE = "measured costs"
+QUOTED_TABLE = "figures of earlier runs"
 NEEDS_HEAD = (
-    "| need | at the target | budget | need / budget | from | mechanism |\n"
-    "| --- | --- | --- | --- | --- | --- |\n"
+    "| kind | need | at the target | budget | need / budget | from | mechanism |\n"
+    "| --- | --- | --- | --- | --- | --- | --- |\n"
 )
+QUOTED_HEAD = "| figure | value | run |\n| --- | --- | --- |\n"
 COSTS_HEAD = "| cost | line | largest residual | sizes | of |\n| --- | --- | --- | --- | --- |\n"
 
 
 def tables(needs: Sequence[Need], slopes: Slopes) -> dict[str, str]:
-    """Each table's text by its name: one a role, and the measured costs themselves."""
+    """Each table's text by its name: one a role, the measured costs, and quoted figures."""
     made = {
-        str(role): NEEDS_HEAD + "".join(_need_line(need) for need in needs if need.row.role is role)
+        str(role): NEEDS_HEAD
+        + "".join(
+            _need_line(need)
+            for kind in Kind
+            for need in needs
+            if need.row.role is role and need.row.kind is kind
+        )
         for role in Role
     }
     made[COSTS_TABLE] = COSTS_HEAD + "".join(_cost_line(cost) for cost in slopes.costs)
+    made[QUOTED_TABLE] = QUOTED_HEAD + "".join(_quoted_line(each) for each in slopes.quoted)
     return made
 
 
@@ -93,10 +102,22 @@
     if need.over:
         ratio = f"**{ratio}**"
     sources = ", ".join(need.sources) or "target"
-    cells = (f"{row.identity}: {row.what}", figure, budget, ratio, sources, row.mechanism)
+    cells = (
+        str(row.kind),
+        f"{row.identity}: {row.what}",
+        figure,
+        budget,
+        ratio,
+        sources,
+        row.mechanism,
+    )
     return f"| {' | '.join(cells)} |\n"
 
 
+def _quoted_line(quoted: Quoted) -> str:
+    return f"| {quoted.name} | {number(quoted.value)} {quoted.unit} | {quoted.source} |\n"
+
+
 def _cost_line(cost: Cost) -> str:
     if cost.straight:
         line = (
--- /dev/null
+++ b/limebridge/scale/capacity_rows_proxy.py
@@ -0,0 +1,286 @@
+"""The rows of docs/CAPACITY.md for a proxy."""
+
+from __future__ import annotations
+
+from violetroute.distribution.messages import BODY_BYTES
+
+from .capacity import Figures, Kind, Role, Row
+from .target import SECONDS_PER_DAY
+
+BAD_NODES_OF_A_REGION = 120  # of 1,200 nodes in ten regions; a size that judgements are measured at
+MEGABYTE = 1e6
+BOTH_WAYS = 2.0
+
+
+def _gossip_bytes(figures: Figures) -> float:
+    """What is measured is sent; on average as much is received."""
+    return BOTH_WAYS * figures.at("gossip.bytes_per_s", figures.target.proxies)
+
+
+def _report_bytes(figures: Figures) -> float:
+    """Node health, load and heavy hitters, while a whole region's nodes are bad."""
+    cost = f"sharing.bytes_per_s_{BAD_NODES_OF_A_REGION}"
+    return BOTH_WAYS * figures.at(cost, figures.target.proxies)
+
+
+def _configuration_bytes(figures: Figures) -> float:
+    """Every change a record of the largest size: an upper bound."""
+    return figures.target.config_changes_per_s * BODY_BYTES
+
+
+def _purge_bytes(figures: Figures) -> float:
+    return figures.at("distribution.proxy_bytes_per_s", figures.target.purges_per_s)
+
+
+def _list_changes_per_s(figures: Figures) -> float:
+    """A machine that fails or is restarted leaves the list and comes back."""
+    target = figures.target
+    share = target.nodes / (target.nodes + target.proxies)
+    machines = target.machines_fail_per_day + target.machines_restart_per_day
+    return 2.0 * machines * share / SECONDS_PER_DAY
+
+
+def _list_bytes(figures: Figures) -> float:
+    """Where each change sends the whole list, as a blocking query does."""
+    return _list_changes_per_s(figures) * figures.at("list.bytes", figures.target.nodes)
+
+
+def _proxy_bytes(figures: Figures) -> float:
+    return (
+        _gossip_bytes(figures)
+        + _report_bytes(figures)
+        + _purge_bytes(figures)
+        + _configuration_bytes(figures)
+        + _list_bytes(figures)
+    )
+
+
+def _list_cpu(figures: Figures) -> float:
+    milliseconds = sum(
+        figures.at(cost, figures.target.nodes) for cost in ("list.parse_ms", "list.change_ms")
+    )
+    return _list_changes_per_s(figures) * milliseconds / 1000.0
+
+
+def _proxy_cpu(figures: Figures) -> float:
+    return (
+        figures.at("gossip.cpu_share", figures.target.proxies)
+        + figures.at("distribution.proxy_cpu_share", figures.target.purges_per_s)
+        + _list_cpu(figures)
+    )
+
+
+def _datagrams(figures: Figures) -> float:
+    return BOTH_WAYS * figures.at("gossip.datagrams_per_s", figures.target.proxies)
+
+
+def _polls(figures: Figures) -> float:
+    return figures.at("distribution.proxy_polls_per_s", figures.target.purges_per_s)
+
+
+def _proxy_memory(figures: Figures) -> float:
+    """With the code of membership and of ownership, as one daemon had them on and off."""
+    return (
+        figures.quoted("sharing.memory_mb")
+        + figures.quoted("ownership.memory_mb")
+        + figures.at("gossip.memory_bytes", figures.target.proxies) / MEGABYTE
+        + figures.at("distribution.proxy_memory_mb", figures.target.purges_per_s)
+        + figures.at("judgements.memory_mb", figures.target.proxies)
+        + figures.at("list.memory_mb", figures.target.nodes)
+    )
+
+
+PROXY_ROWS = (
+    Row(
+        "proxy-gossip",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "membership of all proxies, sent and received",
+        "bytes/s",
+        _gossip_bytes,
+        "violetroute/sharing/members.py",
+    ),
+    Row(
+        "proxy-reports",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "reports of node health, load and heavy hitters while a region's nodes are bad",
+        "bytes/s",
+        _report_bytes,
+        "violetroute/sharing/report_budget.py",
+    ),
+    Row(
+        "proxy-purges",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "purges, with polls and acknowledgements",
+        "bytes/s",
+        _purge_bytes,
+        "violetroute/distribution",
+    ),
+    Row(
+        "proxy-configuration",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "changes of configuration, each of 16 KiB at most",
+        "bytes/s",
+        _configuration_bytes,
+        "violetroute/distribution/configuration.py",
+    ),
+    Row(
+        "proxy-lists",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "whole node lists on an ordinary day",
+        "bytes/s",
+        _list_bytes,
+        "violetroute/membership",
+    ),
+    Row(
+        "proxy-bytes",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "all of these",
+        "bytes/s",
+        _proxy_bytes,
+        "the five above",
+        lambda figures: figures.target.control_bytes_per_s,
+    ),
+    Row(
+        "proxy-cpu",
+        Role.PROXY,
+        Kind.PROCESSOR_TIME,
+        "membership, purges and lists",
+        "of a core",
+        _proxy_cpu,
+        "the same",
+        lambda figures: figures.target.control_cpu_share,
+    ),
+    Row(
+        "proxy-memory",
+        Role.PROXY,
+        Kind.MEMORY,
+        "members, node health at its worst, purges, list, state of the nodes, and the code",
+        "MB",
+        _proxy_memory,
+        "the same",
+        lambda figures: figures.target.control_memory_mb,
+    ),
+    Row(
+        "proxy-first-list",
+        Role.PROXY,
+        Kind.PROCESSOR_TIME,
+        "the loop stands while the first list is applied",
+        "ms",
+        lambda figures: figures.at("list.apply_ms", figures.target.nodes),
+        "snowstall/balance.py",
+    ),
+    Row(
+        "proxy-request",
+        Role.PROXY,
+        Kind.PROCESSOR_TIME,
+        "the module's time for a request",
+        "us",
+        lambda figures: figures.at("module.request_us", figures.target.nodes),
+        "snowstall/balance.py",
+    ),
+    Row(
+        "proxy-connections",
+        Role.PROXY,
+        Kind.STATE,
+        "open connections to nodes",
+        "connections",
+        lambda figures: figures.at("connections.open", figures.target.nodes),
+        "violetroute/upstream/pool.py",
+    ),
+    Row(
+        "proxy-opens",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "connections opened",
+        "/s",
+        lambda figures: figures.at("connections.opened_per_s", figures.target.nodes),
+        "violetroute/upstream/pool.py",
+    ),
+    Row(
+        "proxy-waits",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "requests that wait for a connection to open",
+        "of all",
+        lambda figures: figures.at("connections.waited_share", figures.target.nodes),
+        "none: every proxy uses every node",
+    ),
+    Row(
+        "proxy-members",
+        Role.PROXY,
+        Kind.STATE,
+        "members that it knows, each with address, process and state",
+        "members",
+        lambda figures: figures.target.proxies,
+        "violetroute/sharing/members.py",
+    ),
+    Row(
+        "proxy-nodes",
+        Role.PROXY,
+        Kind.STATE,
+        "nodes that it knows, each with speed, limit and health",
+        "nodes",
+        lambda figures: figures.target.nodes,
+        "snowstall/caches.py",
+    ),
+    Row(
+        "proxy-position",
+        Role.PROXY,
+        Kind.STATE,
+        "position in the log; purges are applied and not kept",
+        "position",
+        lambda figures: 1.0,
+        "violetroute/distribution/subscriber.py",
+    ),
+    Row(
+        "proxy-datagrams",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "datagrams of membership, sent and received",
+        "/s",
+        _datagrams,
+        "violetroute/sharing/members.py",
+    ),
+    Row(
+        "proxy-polls",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "polls of a control machine, each of which acknowledges",
+        "/s",
+        _polls,
+        "violetroute/distribution/service.py",
+    ),
+    Row(
+        "proxy-store",
+        Role.PROXY,
+        Kind.MESSAGES,
+        "calls at the store of leases, ten jobs in the fleet, at rest",
+        "/s",
+        lambda figures: figures.quoted("ownership.calls_per_s_per_proxy"),
+        "violetroute/fleet/election.py",
+    ),
+    Row(
+        "proxy-request-extras",
+        Role.PROXY,
+        Kind.PROCESSOR_TIME,
+        "budgets and the ledger, for a request",
+        "us",
+        lambda figures: figures.quoted("budgets.request_us") + figures.quoted("ledger.request_us"),
+        "violetroute/sharing/budget.py, violetroute/ledger",
+    ),
+    Row(
+        "proxy-ledger-memory",
+        Role.PROXY,
+        Kind.MEMORY,
+        "the ledger, beside control",
+        "MB",
+        lambda figures: figures.quoted("ledger.memory_mb"),
+        "violetroute/ledger",
+    ),
+)
--- a/limebridge/scale/measure_control.py
+++ b/limebridge/scale/measure_control.py
@@ -19,6 +19,7 @@
         "control.bytes_out_per_s": machine.bytes_out.mean,
         "control.bytes_in_per_s": machine.bytes_in.mean,
         "control.memory_mb": machine.memory_mb,
+        "control.messages_in_per_s": machine.messages_in.mean,
     }
 
 
@@ -32,6 +33,7 @@
         _cost("bytes_out_per_s", "bytes/s", "Payload out: answers to polls, with HTTP headers."),
         _cost("bytes_in_per_s", "bytes/s", "Payload in: polls, with HTTP headers."),
         _cost("memory_mb", "MB", "Resident memory of the control process."),
+        _cost("messages_in_per_s", "1/s", "Requests that it answers: polls of its proxies."),
     ),
     sizes=(50, 150, 325, 500, 650),
     quick_sizes=(5, 10, 20, 30, 40),
--- a/limebridge/scale/measure_distribution.py
+++ b/limebridge/scale/measure_distribution.py
@@ -20,6 +20,7 @@
         "distribution.proxy_wire_bytes_per_s": hollow.wire_bytes.mean,
         "distribution.proxy_cpu_share": hollow.cpu_share,
         "distribution.proxy_memory_mb": hollow.memory_mb,
+        "distribution.proxy_polls_per_s": hollow.messages_out.mean,
     }
 
 
@@ -35,6 +36,9 @@
             "proxy_cpu_share", "of a core", "CPU time of the hollow proxy's part of its process."
         ),
         _cost("proxy_memory_mb", "MB", "Memory of the hollow proxy, without its process."),
+        _cost(
+            "proxy_polls_per_s", "1/s", "Polls that a proxy sends, each with an acknowledgement."
+        ),
     ),
     sizes=(10, 35, 71, 142, 284),
     quick_sizes=(5, 10, 20, 30, 40),
--- a/limebridge/scale/registry.py
+++ b/limebridge/scale/registry.py
@@ -21,6 +21,7 @@
     "measure_slow_probe",
     "measure_distribution",
     "measure_control",
+    "measure_control_log",
 )
 DEFAULT_TIME_LIMIT = 240.0  # s
 
--- a/tests/test_scale_capacity.py
+++ b/tests/test_scale_capacity.py
@@ -9,10 +9,20 @@
 from typer.testing import CliRunner
 
 from limebridge.cli import app
-from limebridge.scale.capacity import Figures, MissingFigureError, Role, Row, compute
+from limebridge.scale.capacity import Figures, Kind, MissingFigureError, Role, Row, compute
 from limebridge.scale.capacity_command import GROWTH_RUNS
-from limebridge.scale.capacity_page import number, problems, tables, written
+from limebridge.scale.capacity_page import (
+    COSTS_TABLE,
+    QUOTED_TABLE,
+    number,
+    problems,
+    tables,
+    written,
+)
+from limebridge.scale.capacity_rows import ROWS
+from limebridge.scale.capacity_rows_others import NOT_OURS
 from limebridge.scale.growth import SeveralSizesError, growth_table
+from limebridge.scale.quoted import QUOTED
 from limebridge.scale.results import Cost, Machine, Slopes, combined, save
 from limebridge.scale.run_report import RunReport
 from limebridge.scale.run_report import read as read_run
@@ -49,6 +59,7 @@
     return Row(
         identity,
         Role.PROXY,
+        Kind.MESSAGES,
         "made up",
         "bytes/s",
         lambda figures: figures.at(name, figures.target.proxies),
@@ -59,7 +70,7 @@
 
 PAGE = "Words.\n" + "".join(
     f"\n<!-- table: {name} -->\n<!-- end of table -->\n"
-    for name in (*map(str, Role), "measured costs")
+    for name in (*map(str, Role), COSTS_TABLE, QUOTED_TABLE)
 )
 
 
@@ -111,6 +122,34 @@
     ]
 
 
+def test_each_role_has_a_row_of_each_kind() -> None:
+    there = {(row.role, row.kind) for row in ROWS}
+    assert there == {(role, kind) for role in Role for kind in Kind}
+    assert len({row.identity for row in ROWS}) == len(ROWS)
+
+
+def test_a_need_of_another_program_has_no_figure_and_says_so() -> None:
+    [need] = compute([row for row in ROWS if row.identity == "node-memory"], TARGET, slopes_of())
+    assert need.need is None and need.missing == NOT_OURS
+    assert NOT_OURS in tables([need], slopes_of())[str(Role.NODE)]
+
+
+def test_a_role_s_table_has_its_kinds_in_order() -> None:
+    slopes = slopes_of(cost("x", 100.0, 0.5))
+    made_up = row("b", "x")
+    state = Row("a", Role.PROXY, Kind.STATE, "made up", "", lambda figures: 1.0, "made up")
+    table = tables(compute([made_up, state], TARGET, slopes), slopes)[str(Role.PROXY)]
+    assert [line.split(" | ")[0] for line in table.splitlines()[2:]] == ["| state", "| messages"]
+
+
+def test_each_quoted_figure_stands_on_the_page_with_its_run() -> None:
+    made = tables([], msgspec.structs.replace(slopes_of(), quoted=QUOTED))[QUOTED_TABLE]
+    lines = made.splitlines()[2:]
+    assert len(lines) == len(QUOTED)
+    for figure, line in zip(QUOTED, lines, strict=True):
+        assert line.startswith(f"| {figure.name} | ") and line.endswith(f" | {figure.source} |")
+
+
 def test_numbers_have_three_digits() -> None:
     shown = [number(value) for value in (0.0, 0.00123456, 1.0, 9.999, 123.4, 1234567.0)]
     assert shown == ["0", "0.00123", "1.00", "10.0", "123", "1,230,000"]
