--- a/limebridge/virtual/kernel.py
+++ b/limebridge/virtual/kernel.py
@@ -8,7 +8,8 @@
 urgent data, SO_RCVLOWAT, limits of a datagram's size, time in system calls or in
 the program: a turn of the loop takes no time.
 
-`tests/test_conformance.py` runs one script here and on real loopback sockets and compares.
+`tests/limebridge/virtual/test_conformance.py` runs one script here and on real loopback sockets
+and compares.
 
 Sources: tcp(7), socket(7), connect(2), and what Linux was seen to do where they are silent.
 """
--- a/tests/test_request_cost.py
+++ b/tests/benchmarks/test_request_cost.py
@@ -8,11 +8,12 @@
 
 import pytest
 
-ROOT = Path(__file__).resolve().parent.parent
+from tests.support.paths import ROOT
+
 sys.path.insert(0, str(ROOT / "benchmarks"))
 
-import request_counts  # noqa: E402
-from request_load import Played  # noqa: E402
+import request_counts
+from request_load import Played
 
 LOAD, REQUESTS = "target", 24
 ITERATIONS = 30  # of a loop that does nothing
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,7 @@
 
 from hypothesis import settings
 
-pytest_plugins = ["tests.known_red", "tests.long_first"]
+pytest_plugins = ["tests.support.known_red", "tests.support.long_first"]
 
 settings.register_profile("same", derandomize=True, deadline=None)
 settings.load_profile("same")
--- a/tests/test_control_status.py
+++ b/tests/limebridge/control/test_control_status.py
@@ -5,7 +5,6 @@
 import json
 import re
 from collections.abc import Callable
-from pathlib import Path
 
 import msgspec
 import pytest
@@ -15,6 +14,7 @@
 from limebridge.control import command
 from limebridge.control.asking import Machines
 from limebridge.control.status_json import LaggingProxy, Refusal, Replica, StatusObject
+from tests.support.paths import ROOT
 from violetroute.distribution.messages import Lagging, LogPoint, StatusReply, StatusRequest
 from violetroute.distribution.status import ControlStatus, ServiceStatus
 
@@ -171,7 +171,7 @@
 
 @pytest.mark.parametrize("record", [StatusObject, ServiceStatus, ControlStatus])
 def test_the_operators_page_has_every_key_that_is_shown(record: type[msgspec.Struct]) -> None:
-    page = Path(__file__).parent.parent / "docs" / "operators" / "distribution.md"
+    page = ROOT / "docs" / "operators" / "distribution.md"
     rows = [line for line in page.read_text().splitlines() if line.startswith("| ")]
     named = set(re.findall(r"`([a-z_]+)`", "\n".join(rows)))
     assert fields_of(record) <= named
--- a/tests/test_experiments.py
+++ b/tests/limebridge/experiments/test_experiments.py
@@ -25,9 +25,9 @@
 from limebridge.experiments.plan import Experiment, key, points, read
 from limebridge.experiments.store import VERSION, Run, Store, StoreError
 from limebridge.rehearsal.scenario import load
+from tests.support.paths import ROOT
 from violetroute.config import ConfigError
 
-ROOT = Path(__file__).parent.parent
 MORNING = "[run]\nseconds = 2.0\n[load]\ncurve = [{at = 0.0, rate = 40.0}]\n"
 FILE = """question = "how much more can be asked"
 scenario = "{folder}/mini.toml"
--- a/tests/test_distribution_faults.py
+++ b/tests/limebridge/faults/distribution/test_distribution_faults.py
@@ -14,8 +14,8 @@
 from limebridge.faults.distribution.plan import Fault, Plan
 from limebridge.faults.distribution.state_space import Bounds, World
 from limebridge.faults.state_space import check
+from tests.support.paths import ROOT
 
-ROOT = Path(__file__).parent.parent
 PLANS = ROOT / "tests" / "plans_distribution"
 SEEDS = range(30)
 WALKS = range(40)
@@ -41,7 +41,7 @@
 import runpy, sys
 from pathlib import Path
 runpy.run_path(sys.argv[1])["plant"]()
-from tests.test_distribution_faults import find
+from tests.limebridge.faults.distribution.test_distribution_faults import find
 print(find(Path(sys.argv[2])))
 """
 
--- a/tests/test_distribution_hard_cases_real.py
+++ b/tests/limebridge/faults/distribution/test_distribution_hard_cases_real.py
@@ -6,15 +6,15 @@
 from pathlib import Path
 
 import msgspec
-from distribution_next_build import SESSIONS, copy_of_this_build, replace_text
-from rig import until
-from test_distribution_daemon import Stage
 
 from limebridge.control import asking
 from limebridge.faults.distribution import rig
 from limebridge.faults.distribution.judge import Rule
 from limebridge.faults.distribution.mixed_builds import Builds
 from limebridge.faults.distribution.plan import Fault, Plan
+from tests.support.distribution_next_build import SESSIONS, copy_of_this_build, replace_text
+from tests.support.rig import until
+from tests.violetroute.distribution.test_distribution_daemon import Stage
 from violetroute.distribution.configuration_change import ConfigurationChange
 from violetroute.distribution.messages import Publish, Published, Record, Topic
 from violetroute.distribution.service import DistributionService, PurgeCounter
--- a/tests/test_distribution_mixed_builds.py
+++ b/tests/limebridge/faults/distribution/test_distribution_mixed_builds.py
@@ -11,12 +11,6 @@
 
 import msgspec
 import pytest
-from distribution_next_build import (
-    build_with_another_disk,
-    build_with_other_messages,
-    copy_of_this_build,
-    next_build,
-)
 from typer.testing import CliRunner
 
 from limebridge.cli import app
@@ -25,6 +19,12 @@
 from limebridge.faults.distribution.judge import Content, Judge, Rule
 from limebridge.faults.distribution.mixed_builds import Builds, check_source
 from limebridge.faults.distribution.plan import Fault, Plan
+from tests.support.distribution_next_build import (
+    build_with_another_disk,
+    build_with_other_messages,
+    copy_of_this_build,
+    next_build,
+)
 
 PLAN = Plan(seed=1, seconds=1.0, proxies=2, stale_after_s=2.0, publications_per_s=20.0)
 SMALL = msgspec.structs.replace(PLAN, machines=1, proxies=1)
--- a/tests/test_distribution_real_faults.py
+++ b/tests/limebridge/faults/distribution/test_distribution_real_faults.py
@@ -6,10 +6,9 @@
 from pathlib import Path
 from typing import Any, cast
 
-from rig import until
-
 from limebridge.faults.distribution.plan import Fault
 from limebridge.faults.distribution.real_faults import RealFaults
+from tests.support.rig import until
 
 
 class SlowToEnd:
--- a/tests/test_distribution_walk.py
+++ b/tests/limebridge/faults/distribution/test_distribution_walk.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import runpy
-from pathlib import Path
 
 import pytest
 
 from limebridge.faults.distribution import walk
 from limebridge.faults.distribution.judge import Rule
+from tests.support.paths import TESTS
 from violetroute.distribution.followers import Followers
 
-TESTS = Path(__file__).parent
 STORY = "ack_before_the_log_is_copied"
 
 
--- a/tests/test_faults.py
+++ b/tests/limebridge/faults/test_faults.py
@@ -22,11 +22,10 @@
 from limebridge.faults.runner import play
 from limebridge.standins.effects import Effect
 from tests.support import bounded, crossing
+from tests.support.paths import ROOT
 from violetroute.config import ConfigError
 from violetroute.fleet.log import Record, decode, encode
 
-ROOT = Path(__file__).parent.parent
-
 # Each is one real rig: what it was kept for stands with it.
 REAL = {
     "stopped between check and write, killed, handed back": Plan(
--- a/tests/test_faults_interrupted.py
+++ b/tests/limebridge/faults/test_faults_interrupted.py
@@ -15,7 +15,8 @@
 
 import pytest
 
-ROOT = Path(__file__).parent.parent
+from tests.support.paths import ROOT
+
 MARK = "LIMEBRIDGE_FAULT_TEST"  # in the environment of all processes of one run
 STARTED_S = 60.0  # until the processes of a run are there, on a busy machine
 ENDED_S = 40.0  # until all are gone
--- a/tests/test_rehearsal.py
+++ b/tests/limebridge/rehearsal/test_rehearsal.py
@@ -31,9 +31,9 @@
 from limebridge.virtual import Kernel, VirtualLoop
 from limebridge.virtual.costs import Costs, Meter, ProcessLoop
 from tests.support import bounded
+from tests.support.paths import ROOT
 from violetroute.config import ConfigError
 
-ROOT = Path(__file__).parent.parent
 SHORT = "[run]\nseconds = 8.0\n[load]\ncurve = [{at = 0.0, rate = 60.0}]\n"
 
 
--- a/tests/test_scale_capacity.py
+++ b/tests/limebridge/scale/test_scale_capacity.py
@@ -27,8 +27,8 @@
 from limebridge.scale.run_report import RunReport
 from limebridge.scale.run_report import read as read_run
 from limebridge.scale.target import load_target
+from tests.support.paths import ROOT
 
-ROOT = Path(__file__).parent.parent
 TARGET = load_target()
 
 
--- a/tests/test_scale_dilation.py
+++ b/tests/limebridge/scale/test_scale_dilation.py
@@ -13,6 +13,7 @@
 from limebridge.scale.run import ScaleRun
 from limebridge.scale.run_plan import PlanError, RunPlan, check
 from limebridge.scale.time_dilation import REAL_TIME, dilated, dilated_command
+from tests.support.paths import ROOT
 
 FACTOR = 4.0
 WAIT_S = 0.1  # slowed
@@ -42,7 +43,7 @@
             capture_output=True,
             text=True,
             check=True,
-            env={"PYTHONPATH": f"{tmp_path}:{Path(__file__).parent.parent}"},
+            env={"PYTHONPATH": f"{tmp_path}:{ROOT}"},
         ).stdout.split(" ", 2)
         after, wall_after = time.monotonic(), time.time()
     assert before <= float(told[0]) <= after
--- a/tests/test_scale_slopes.py
+++ b/tests/limebridge/scale/test_scale_slopes.py
@@ -32,6 +32,7 @@
     save,
 )
 from limebridge.scale.target import TARGET_FILE, load_target
+from tests.support.paths import ROOT
 from violetroute.config import ConfigError
 
 
@@ -135,7 +136,7 @@
 
 
 def test_what_is_quoted_names_its_run() -> None:
-    roadmap = (Path(__file__).parent.parent / "docs" / "ROADMAP.md").read_text()
+    roadmap = (ROOT / "docs" / "ROADMAP.md").read_text()
     titles = [line[3:] for line in roadmap.splitlines() if line.startswith("## ")]
     assert len({quoted.name for quoted in QUOTED}) == len(QUOTED)
     for quoted in QUOTED:
--- a/tests/test_cli.py
+++ b/tests/limebridge/test_cli.py
@@ -4,15 +4,14 @@
 
 import subprocess
 import sys
-from pathlib import Path
 
 import pytest
 from typer.testing import CliRunner
 
 from limebridge.cli import COMMANDS, app
 from limebridge.lazy_command import LazyCommand
+from tests.support.paths import ROOT
 
-ROOT = Path(__file__).parent.parent
 HEAVY = ("numpy", "scipy", "matplotlib", "highspy", "textual", "jinja2", "duckdb")
 LOADED = f"""
 import runpy, sys
--- a/tests/test_demo.py
+++ b/tests/limebridge/test_demo.py
@@ -8,18 +8,16 @@
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from pathlib import Path
 from typing import Any
 
 import consul
 import redis
-from rig import get, read_answer, soon
 from typer.testing import CliRunner
 
 from limebridge.cli import app
 from limebridge.standins.database import CustomerDatabase
-
-ROOT = Path(__file__).parent.parent
+from tests.support.paths import ROOT
+from tests.support.rig import get, read_answer, soon
 
 
 @asynccontextmanager
--- a/tests/test_quiet.py
+++ b/tests/limebridge/test_quiet.py
@@ -4,9 +4,9 @@
 
 import subprocess
 import sys
-from pathlib import Path
 
-ROOT = Path(__file__).parent.parent
+from tests.support.paths import ROOT
+
 # In a process of its own: the first run in a process decides for all later ones.
 PROGRAM = """
 from limebridge.placement.solver import solve
--- a/tests/test_explore.py
+++ b/tests/limebridge/virtual/test_explore.py
@@ -29,8 +29,8 @@
 from limebridge.virtual.runner import play
 from limebridge.virtual.timeline import picture, tell
 from limebridge.virtual.world import Outcome
+from tests.support.paths import ROOT, TESTS
 
-TESTS = Path(__file__).parent
 NOT_FOUND = {"keyed_late", "undelivered_ignored"}  # by what was tried; docs/ROADMAP.md
 PLANS = sorted((TESTS / "plans").glob("*.json"))
 
@@ -38,7 +38,7 @@
 def replay(*arguments: str, hashes: str = "random") -> tuple[int, dict[str, object]]:
     done = subprocess.run(
         [sys.executable, "-m", "limebridge", "replay", "--json", *arguments],
-        cwd=TESTS.parent,
+        cwd=ROOT,
         env=os.environ | {"PYTHONHASHSEED": hashes},
         capture_output=True,
         text=True,
@@ -132,7 +132,7 @@
             "--patch",
             patch,
         ],
-        cwd=TESTS.parent,
+        cwd=ROOT,
         capture_output=True,
         text=True,
         timeout=60,
--- a/tests/test_deploy_build.py
+++ b/tests/repository/test_deploy_build.py
@@ -10,7 +10,8 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).parent.parent
+from tests.support.paths import ROOT
+
 PACKAGES = ("snowstall", "violetroute")
 
 
--- a/tests/test_layout.py
+++ b/tests/repository/test_layout.py
@@ -16,7 +16,8 @@
 import grimp
 import pytest
 
-ROOT = Path(__file__).parent.parent
+from tests.support.paths import ROOT
+
 PACKAGES = ("snowstall", "violetroute", "limebridge")
 KIT_LIBRARIES = (
     "duckdb",
--- a/tests/test_readme.py
+++ b/tests/repository/test_readme.py
@@ -1,11 +1,12 @@
 """The README's example runs as printed."""
 
 import re
-from pathlib import Path
+
+from tests.support.paths import ROOT
 
 
 def test_example_runs(capsys) -> None:  # type: ignore[no-untyped-def]
-    text = (Path(__file__).parent.parent / "README.md").read_text()
+    text = (ROOT / "README.md").read_text()
     code = re.search(r"```python\n(.*?)```", text, re.S)
     assert code
     exec(code.group(1), {})
--- a/tests/distribution_checks.py
+++ b/tests/support/distribution_checks.py
@@ -9,7 +9,7 @@
 from violetroute.distribution.replica import Replica
 
 if TYPE_CHECKING:
-    from distribution_cluster import Cluster
+    from tests.support.distribution_cluster import Cluster
 
 
 @dataclass(frozen=True)
--- a/tests/distribution_cluster.py
+++ b/tests/support/distribution_cluster.py
@@ -11,8 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from distribution_checks import Broken, Committed, check_all
-
+from tests.support.distribution_checks import Broken, Committed, check_all
 from violetroute.distribution.actions import (
     Action,
     Answer,
--- a/tests/distribution_schedules.py
+++ b/tests/support/distribution_schedules.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass
 
-from distribution_cluster import TIME_STEP_S, Cluster
+from tests.support.distribution_cluster import TIME_STEP_S, Cluster
 
 
 @dataclass(frozen=True)
--- a/tests/test_long_first.py
+++ b/tests/support/test_long_first.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.long_first import dealt
+from tests.support.long_first import dealt
 
 
 @dataclass(frozen=True)
--- a/tests/test_clients.py
+++ b/tests/violetroute/clients/test_clients.py
@@ -10,7 +10,9 @@
 
 import msgspec
 import pytest
-from rig import (
+
+from tests.support import stall_free_loop
+from tests.support.rig import (
     Behaviour,
     CacheNode,
     Rig,
@@ -24,8 +26,6 @@
     soon,
     until,
 )
-
-from tests.support import stall_free_loop
 from violetroute.clients.listener import ACCEPT_PAUSE, IDLE_LEAST
 
 
--- a/tests/test_crossings.py
+++ b/tests/violetroute/clients/test_crossings.py
@@ -14,8 +14,8 @@
 import pytest
 
 from limebridge.standins.configuration import SETTINGS
-from tests.rig import CacheNode, Rig, until
-from tests.scene import NO_CANCEL, Scene, get, put, read_answer, scene
+from tests.support.rig import CacheNode, Rig, until
+from tests.support.scene import NO_CANCEL, Scene, get, put, read_answer, scene
 from tests.support.send_times import SendTimes
 from violetroute.clients.connection import ClientConnection
 from violetroute.upstream import Attempt
--- a/tests/test_cluster.py
+++ b/tests/violetroute/cluster/test_cluster.py
@@ -15,9 +15,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from redis.crc import key_slot as redis_slot
-from rig import CacheNode, Rig, get, put, serves, soon
 
 from limebridge.standins.configuration import configuration
+from tests.support.rig import CacheNode, Rig, get, put, serves, soon
 from violetroute.cluster import SLOTS, ClusterTable, Dialect, Topology, key_slot, topology
 from violetroute.cluster.encode import encode
 from violetroute.cluster.table import ClusterProxy
--- a/tests/test_redirects.py
+++ b/tests/violetroute/cluster/test_redirects.py
@@ -11,7 +11,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from rig import Rig, get, put, serves, until
 
 from limebridge.standins.cluster import SlotCluster
 from snowstall import (
@@ -28,6 +27,7 @@
     Settings,
 )
 from tests.support import stall_free_loop
+from tests.support.rig import Rig, get, put, serves, until
 from violetroute.cluster import ClusterTable, SlotMap, key_slot
 from violetroute.cluster.redirects import Redirect, parse_redirect
 from violetroute.config import Operator
--- a/tests/test_configuration.py
+++ b/tests/violetroute/config/test_configuration.py
@@ -10,16 +10,15 @@
 
 import msgspec
 import pytest
-from rig import SETTINGS, configuration
 from typer.testing import CliRunner
 
 from limebridge.cli import app
+from tests.support.paths import ROOT
+from tests.support.rig import SETTINGS, configuration
 from violetroute.config import Config, ConfigError, Operator, load, restart_needed, until_restart
 from violetroute.config.operator import load_operator, parse_operator
 from violetroute.config.tables import LARGEST
 
-ROOT = Path(__file__).parent.parent
-
 
 def loaded(tmp_path: Path, raw: Any, operator: str | None = None, **env: str) -> Config:
     path = tmp_path / "config.json"
@@ -221,7 +220,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.delenv("PROXY_CONFIG", raising=False)
-    shipped = Path(__file__).parent.parent / "deploy" / "operator.toml"
+    shipped = ROOT / "deploy" / "operator.toml"
     result = CliRunner().invoke(app, ["check", "--operator", str(shipped), "--json"])
     assert result.exit_code == 0 and json.loads(result.stdout)["ledger"] == "off"
     path = tmp_path / "op.toml"
--- a/tests/test_distribution_builds.py
+++ b/tests/violetroute/distribution/test_distribution_builds.py
@@ -7,9 +7,9 @@
 
 import msgspec
 import pytest
-from rig import until
-from test_distribution_service import Scripted, following, ok, purges
 
+from tests.support.rig import until
+from tests.violetroute.distribution.test_distribution_service import Scripted, following, ok, purges
 from violetroute.distribution import messages
 from violetroute.distribution.messages import (
     Batch,
--- a/tests/test_distribution_configuration.py
+++ b/tests/violetroute/distribution/test_distribution_configuration.py
@@ -20,8 +20,8 @@
 from limebridge.cli import app
 from limebridge.ports import free_ports
 from limebridge.standins.configuration import configuration
-from tests.test_distribution_daemon import Stage, until
-from tests.test_distribution_service import KEYS, LOG, Scripted, lines, ok
+from tests.violetroute.distribution.test_distribution_daemon import Stage, until
+from tests.violetroute.distribution.test_distribution_service import KEYS, LOG, Scripted, lines, ok
 from violetroute.config import ConfigError, LogTable, Operator
 from violetroute.config.operator import load_operator, parse_operator
 from violetroute.distribution.configuration import (
--- a/tests/test_distribution_daemon.py
+++ b/tests/violetroute/distribution/test_distribution_daemon.py
@@ -31,6 +31,7 @@
 from limebridge.ports import free_ports
 from limebridge.standins.configuration import configuration, environment
 from limebridge.standins.discovery import Discovery
+from tests.support.paths import ROOT
 from violetroute import __main__ as proxy_main
 from violetroute.distribution import __main__ as control_main
 from violetroute.distribution.descriptors import (
@@ -59,7 +60,6 @@
 
 AT_THE_START = 1  # voids of a proxy: it does not know what it missed before
 PATIENCE = 60.0  # s; a bound on waiting, far above what any step needs
-ROOT = Path(__file__).parent.parent
 
 
 class Stage:
--- a/tests/test_distribution_freshness.py
+++ b/tests/violetroute/distribution/test_distribution_freshness.py
@@ -14,7 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.session_world import MACHINES, PROXIES, Fault, Plan, World
+from tests.support.session_world import MACHINES, PROXIES, Fault, Plan, World
 
 LASTS = 10.0
 SLOW, FAST = 0.95, 1.05  # clocks at the allowed drift
--- a/tests/test_distribution_http.py
+++ b/tests/violetroute/distribution/test_distribution_http.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 import pytest
-from rig import soon, until
 
+from tests.support.rig import soon, until
 from violetroute.distribution import http_client, http_server, signing
 from violetroute.distribution.control_choice import SubscriberSettings
 from violetroute.distribution.http_client import BusyError, HttpClient, HttpPool
--- a/tests/test_distribution_log.py
+++ b/tests/violetroute/distribution/test_distribution_log.py
@@ -8,8 +8,8 @@
 
 import msgspec
 import pytest
-from distribution_cluster import Cluster, purge
 
+from tests.support.distribution_cluster import Cluster, purge
 from violetroute.distribution.actions import Answer, HandOn, MachineSettings, Persist, Send, Stored
 from violetroute.distribution.machine import Machine
 from violetroute.distribution.messages import (
--- a/tests/test_distribution_log_faults.py
+++ b/tests/violetroute/distribution/test_distribution_log_faults.py
@@ -11,9 +11,9 @@
 from math import inf
 
 import pytest
-from distribution_checks import Broken
-from distribution_cluster import Cluster
 
+from tests.support.distribution_checks import Broken
+from tests.support.distribution_cluster import Cluster
 from violetroute.distribution import followers as followers_module
 from violetroute.distribution import replica as replica_module
 from violetroute.distribution.followers import Followers
--- a/tests/test_distribution_recovery.py
+++ b/tests/violetroute/distribution/test_distribution_recovery.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from distribution_cluster import Cluster
-
+from tests.support.distribution_cluster import Cluster
 from violetroute.distribution.actions import MachineSettings, Notice
 from violetroute.distribution.messages import StatusReply, StatusRequest
 
--- a/tests/test_distribution_schedules.py
+++ b/tests/violetroute/distribution/test_distribution_schedules.py
@@ -8,11 +8,11 @@
 import random
 
 import pytest
-from distribution_cluster import Cluster
-from distribution_schedules import EVENTS, Event, apply_event
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from tests.support.distribution_cluster import Cluster
+from tests.support.distribution_schedules import EVENTS, Event, apply_event
 from violetroute.distribution.messages import Published, PublishStatus
 
 
--- a/tests/test_distribution_service.py
+++ b/tests/violetroute/distribution/test_distribution_service.py
@@ -10,8 +10,8 @@
 
 import msgspec
 import pytest
-from rig import until
 
+from tests.support.rig import until
 from violetroute.distribution import service as service_module
 from violetroute.distribution.control_choice import SubscriberSettings
 from violetroute.distribution.http_client import HttpClient
--- a/tests/test_distribution_storage.py
+++ b/tests/violetroute/distribution/test_distribution_storage.py
@@ -11,8 +11,8 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from rig import until
 
+from tests.support.rig import until
 from violetroute.distribution import storage as storage_module
 from violetroute.distribution.actions import (
     AppendBatches,
--- a/tests/test_distribution_unauthenticated.py
+++ b/tests/violetroute/distribution/test_distribution_unauthenticated.py
@@ -7,9 +7,18 @@
 import logging
 
 import pytest
-from rig import soon, until
-from test_distribution_http import asked, client_of, connected, head, refusals, rest, run, served
 
+from tests.support.rig import soon, until
+from tests.violetroute.distribution.test_distribution_http import (
+    asked,
+    client_of,
+    connected,
+    head,
+    refusals,
+    rest,
+    run,
+    served,
+)
 from violetroute.distribution.http_server import PROGRESS_BYTES, HttpServer
 
 PLACES = 8
--- a/tests/test_fleet_guards.py
+++ b/tests/violetroute/fleet/test_fleet_guards.py
@@ -10,11 +10,22 @@
 
 import msgspec
 import pytest
-from test_fleet import A, B, asked, batch, consul_store, lease, owner, put_all, settlement, store
 
 from limebridge.standins.consul import Consul
 from limebridge.virtual.kernel import Kernel
 from limebridge.virtual.loop import VirtualLoop
+from tests.violetroute.fleet.test_fleet import (
+    A,
+    B,
+    asked,
+    batch,
+    consul_store,
+    lease,
+    owner,
+    put_all,
+    settlement,
+    store,
+)
 from violetroute.fleet import folder as folders
 from violetroute.fleet import job
 from violetroute.fleet import lease as leases
--- a/tests/test_ledger_daemon.py
+++ b/tests/violetroute/ledger/test_ledger_daemon.py
@@ -12,10 +12,10 @@
 import msgspec
 import pytest
 import trustme
-from rig import CacheNode, Rig, get, serves, until
 
 from limebridge.ledger.kills import play
 from limebridge.standins.billing import Billing
+from tests.support.rig import CacheNode, Rig, get, serves, until
 from violetroute.ledger import LedgerTable
 from violetroute.ledger.files import Folder, folder_name
 from violetroute.ledger.keeper import Ledger
--- a/tests/test_consul.py
+++ b/tests/violetroute/membership/test_consul.py
@@ -15,11 +15,11 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from rig import CacheNode, Rig, get, serves, soon, until
 
 from limebridge.standins.consul import Catalogue, Consul
 from snowstall import CacheState
 from tests.support import stall_free_loop
+from tests.support.rig import CacheNode, Rig, get, serves, soon, until
 from violetroute.config import ConfigError, Operator
 from violetroute.config.operator import parse_operator
 from violetroute.membership import ConsulTable, Entry, Listing, stable_hash
--- a/tests/test_consul_morning.py
+++ b/tests/violetroute/membership/test_consul_morning.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import pytest
-from rig import Rig, until
 
 from limebridge.rules import Judge, Terms
 from limebridge.standins.clients import Crowd
@@ -16,6 +15,7 @@
 from limebridge.standins.database import CustomerDatabase
 from limebridge.standins.fleet import Effects, FleetNode
 from tests.support import stall_free_loop
+from tests.support.rig import Rig, until
 from tests.support.send_times import SendTimes
 from violetroute.config import Operator
 from violetroute.membership import ConsulTable
--- a/tests/test_crossings_lists.py
+++ b/tests/violetroute/membership/test_crossings_lists.py
@@ -10,8 +10,8 @@
 import pytest
 
 from limebridge.standins.configuration import SETTINGS
-from tests.rig import CacheNode, Rig, until
-from tests.scene import Scene, get, read_answer, scene
+from tests.support.rig import CacheNode, Rig, until
+from tests.support.scene import Scene, get, read_answer, scene
 from violetroute.membership.native import CONNECT, LINE_LIMIT, SILENCE, Broken, Lists
 
 TOLD = 6.0  # s after discovery had it and could be reached, a change counts as told
--- a/tests/test_sources.py
+++ b/tests/violetroute/membership/test_sources.py
@@ -12,10 +12,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from rig import CacheNode, Rig, get, serves, until
 
 from limebridge.standins.consul import Catalogue, Consul
 from snowstall import CacheState, Member
+from tests.support.rig import CacheNode, Rig, get, serves, until
 from violetroute.config import ConfigError, Operator
 from violetroute.config.operator import parse_operator
 from violetroute.membership import (
--- a/tests/test_placement.py
+++ b/tests/violetroute/placement/test_placement.py
@@ -15,10 +15,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from rig import CacheNode, Rig, configuration, get, serves
 
 from limebridge.virtual.kernel import Kernel
 from limebridge.virtual.loop import VirtualLoop
+from tests.support.rig import CacheNode, Rig, configuration, get, serves
 from violetroute.config import ConfigError, load
 from violetroute.config.operator import parse_operator
 from violetroute.membership.native import stable_hash
--- a/tests/test_sharing.py
+++ b/tests/violetroute/sharing/test_sharing.py
@@ -17,6 +17,7 @@
 from limebridge.faults.sharing.judge import Admission, Seen
 from limebridge.faults.sharing.plan import Fault, Plan
 from tests.support import bounded
+from tests.support.paths import ROOT
 from violetroute.config import ConfigError
 from violetroute.config.operator import load_operator
 from violetroute.sharing import wire
@@ -40,7 +41,6 @@
     Rumor,
 )
 
-ROOT = Path(__file__).parent.parent
 KEYS = Keys([b"the fleet's secret key"])
 
 
@@ -76,7 +76,7 @@
 
 
 # Each with the property that it breaks in memory; the same plants are found whole in
-# tests/test_sharing_whole.py, where the shortest story is told.
+# tests/limebridge/faults/test_sharing_whole.py, where the shortest story is told.
 PLANTED = {
     "whole_at_once": "authority",
     "from_the_receipt": "authority",
--- a/tests/test_sharing_late.py
+++ b/tests/violetroute/sharing/test_sharing_late.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.test_sharing_talk import One
+from tests.violetroute.sharing.test_sharing_talk import One
 from violetroute.sharing.members import HEALTH_MOST, Members, Out
 from violetroute.sharing.probe import LATE_SHARE, POSTPONED_SHARE, TICK_S, is_late, suspicion_time
 from violetroute.sharing.wire import Ack, Nack, Need, Ping, Rumor
--- a/tests/test_crossings_process.py
+++ b/tests/violetroute/test_crossings_process.py
@@ -11,10 +11,10 @@
 import pytest
 
 from limebridge.standins.configuration import SETTINGS, configuration
-from tests.rig import CacheNode, Discovery, until
-from tests.scene import Scene, get, read_answer, scene
-from tests.test_crossings_lists import TOLD, away
-from tests.test_program import Program, launch
+from tests.support.rig import CacheNode, Discovery, until
+from tests.support.scene import Scene, get, read_answer, scene
+from tests.violetroute.membership.test_crossings_lists import TOLD, away
+from tests.violetroute.test_program import Program, launch
 from violetroute import __main__ as program
 from violetroute.config import LogTable, parse
 from violetroute.logs import Logs
--- a/tests/test_logs.py
+++ b/tests/violetroute/test_logs.py
@@ -16,16 +16,15 @@
 from pathlib import Path
 
 import pytest
-from rig import CacheNode, Discovery, configuration, get, read_answer, soon, until
 
 from limebridge.standins.configuration import environment
+from tests.support.paths import ROOT
+from tests.support.rig import CacheNode, Discovery, configuration, get, read_answer, soon, until
 from violetroute import logs
 from violetroute.config import LogTable
 from violetroute.logs import DROPPED, EVENTS, FOREIGN, Logs
 from violetroute.transport.lines import LINE_MOST, LineWriter
 
-ROOT = Path(__file__).parent.parent
-
 
 class Written:
     """Where lines go, and the clock by which they are limited."""
--- a/tests/test_own_load.py
+++ b/tests/violetroute/test_own_load.py
@@ -10,9 +10,6 @@
 from pathlib import Path
 from typing import Any
 
-from rig import CacheNode, Discovery, Rig, get, put, read_answer, serves, soon, until
-from test_program import program
-
 from limebridge.standins.wire import command
 from snowstall import (
     Balancer,
@@ -29,6 +26,8 @@
 )
 from snowstall.balance import OWN_EACH, OWN_TURN, OWN_WORTHY
 from snowstall.gate import OWN_INTERVAL, OWN_TARGET
+from tests.support.rig import CacheNode, Discovery, Rig, get, put, read_answer, serves, soon, until
+from tests.violetroute.test_program import program
 from violetroute.clients.connection import ClientConnection
 from violetroute.transport.loop_lag import Turns, TurnSelector
 
--- a/tests/test_program.py
+++ b/tests/violetroute/test_program.py
@@ -12,11 +12,19 @@
 from typing import Any
 
 import pytest
-from rig import CacheNode, Discovery, configuration, get, read_answer, reply, soon, until
 
 from limebridge.standins.configuration import environment
-
-ROOT = Path(__file__).parent.parent
+from tests.support.paths import ROOT
+from tests.support.rig import (
+    CacheNode,
+    Discovery,
+    configuration,
+    get,
+    read_answer,
+    reply,
+    soon,
+    until,
+)
 
 
 class Program:
--- a/tests/test_tls.py
+++ b/tests/violetroute/transport/test_tls.py
@@ -11,10 +11,10 @@
 import pytest
 import trustme
 from cryptography.hazmat.primitives import serialization
-from rig import CacheNode, Rig, configuration, serves, soon, until
-from test_configuration import loaded
 
 from limebridge.standins.consul import Catalogue, Consul
+from tests.support.rig import CacheNode, Rig, configuration, serves, soon, until
+from tests.violetroute.config.test_configuration import loaded
 from violetroute.config import ConfigError, Operator
 from violetroute.membership import ConsulTable
 from violetroute.transport import Address
--- a/tests/test_transport.py
+++ b/tests/violetroute/transport/test_transport.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 import pytest
-from rig import until
 
+from tests.support.rig import until
 from violetroute.transport import Address, Stream
 from violetroute.transport.sockets import SocketNetwork
 
--- a/tests/test_crossings_nodes.py
+++ b/tests/violetroute/upstream/test_crossings_nodes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from snowstall import Result
-from tests.test_pool import World
+from tests.violetroute.upstream.test_pool import World
 from violetroute.upstream.pool import QUIET
 
 
--- a/tests/test_nodes.py
+++ b/tests/violetroute/upstream/test_nodes.py
@@ -8,10 +8,22 @@
 from typing import Any
 
 import pytest
-from rig import SETTINGS, CacheNode, Rig, bulk, get, put, read_answer, reply, serves, soon, until
 
 from snowstall import Result
 from tests.support import stall_free_loop
+from tests.support.rig import (
+    SETTINGS,
+    CacheNode,
+    Rig,
+    bulk,
+    get,
+    put,
+    read_answer,
+    reply,
+    serves,
+    soon,
+    until,
+)
 from violetroute.upstream import Pool
 from violetroute.upstream.pool import QUIET
 
