The last three places that probe a port by binding to 0 take it from free_ports

Found by looking where else the mistake stands: test_program, test_crossings_process and the ledger's kill rig still had it. Change: limebridge.ports.free_ports, as everywhere else. The race itself was not forced again (test_ports has it).

--- a/limebridge/ledger/kills.py
+++ b/limebridge/ledger/kills.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from limebridge.ports import free_ports
 from limebridge.standins.billing import Billing
 from limebridge.standins.configuration import configuration, environment
 from limebridge.standins.discovery import Discovery
@@ -94,9 +95,7 @@
         await self.discovery.start()
         self.nodes = [await CacheNode(self.serves).start() for _ in range(2)]
         for name in PROXIES:
-            probe = await CacheNode().start()  # for a port that is free
-            self.ports[name] = probe.port
-            await probe.stop()
+            self.ports[name] = free_ports(1)[0]
             known = [node.entry(f"s-{n}") for n, node in enumerate(self.nodes)]
             raw = configuration(self.discovery.port, known, listen=self.ports[name])
             (self.folder / f"{name}.json").write_text(json.dumps(raw | {"name": name}))
--- a/tests/violetroute/test_crossings_process.py
+++ b/tests/violetroute/test_crossings_process.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from limebridge.ports import free_ports
 from limebridge.standins.configuration import SETTINGS, configuration
 from tests.support.rig import CacheNode, Discovery, until
 from tests.support.scene import Scene, get, read_answer, scene
@@ -30,9 +31,7 @@
     async def play() -> None:
         before, after = await Discovery().start(), await Discovery().start()
         node = await CacheNode().start()
-        probe = await CacheNode().start()
-        await probe.stop()
-        raw = configuration(before.port, [node.entry("s-0")], listen=probe.port)
+        raw = configuration(before.port, [node.entry("s-0")], listen=free_ports(1)[0])
         path = tmp_path / "config.json"
         os.mkfifo(path)
         one = Program(await launch(path), path, raw)
--- a/tests/violetroute/test_program.py
+++ b/tests/violetroute/test_program.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from limebridge.ports import free_ports
 from limebridge.standins.configuration import environment
 from tests.support.paths import ROOT
 from tests.support.rig import (
@@ -79,9 +80,7 @@
     module: str = "violetroute",
     **settings: Any,
 ) -> AsyncIterator[Program]:
-    probe = await CacheNode().start()  # for a port that is free
-    await probe.stop()
-    raw = configuration(discovery.port, [node.entry("s-0")], listen=probe.port, **settings)
+    raw = configuration(discovery.port, [node.entry("s-0")], listen=free_ports(1)[0], **settings)
     path = tmp_path / "config.json"
     path.write_text(json.dumps(raw))
     # The environment names discovery as at the start, as it does in service.
