Fault rigs: long functions split by job, summaries as typed records

Change: each function does one job. The summaries of the commands are msgspec records with the same keys. Behaviour as before: the state of a model is keyed by the same values, random draws keep their order.

--- a/limebridge/faults/budgets.py
+++ b/limebridge/faults/budgets.py
@@ -151,53 +151,46 @@
         self.loans[place] = Loans(HOME, TERMS, self.clock(place))
 
     def _hear(self, message: Message) -> None:
-        net = [each for each in self.net if each is not message]
-        if self.left["copies"]:
-            again = replace(message, copies=message.copies + 1)
-            if message.copies == 0:
-                net.append(again)
-        if message.copies:
-            self.left["copies"] -= 1
-        self.net = tuple(net)
+        self._take_from_net(message)
         place = int(message.to[1])
-        now, loans = self.clock(place), self.loans[place]
         match message.kind:
             case "ask":
-                amount = loans.asked(now, message.borrower, message.number, message.amount, 0)
-                self._send(
-                    Message(
-                        "lend",
-                        self.name(place),
-                        message.borrower.partition("/")[0],
-                        message.number,
-                        amount,
-                        message.borrower,
-                    )
-                )
+                self._hear_ask(place, message)
             case "lend":
-                if message.borrower != self.name(place):
-                    return
-                lender = message.sender.partition("/")[0]
-                if (
-                    not loans.granted(now, lender, message.number, message.amount)
-                    and message.amount
-                    and self.left["backs"]
-                ):
-                    number = loans.unwanted(lender, message.number)
-                    if number:
-                        self.left["backs"] -= 1
-                        self._send(
-                            Message(
-                                "back",
-                                message.borrower,
-                                lender,
-                                number,
-                                0,
-                                message.borrower,
-                            )
-                        )
+                self._hear_lend(place, message)
             case "back":
-                loans.returned(now, message.borrower, message.number)
+                now = self.clock(place)
+                self.loans[place].returned(now, message.borrower, message.number)
+
+    def _take_from_net(self, message: Message) -> None:
+        """Deliver a message; while copies are left, it may come once more."""
+        net = [each for each in self.net if each is not message]
+        if self.left["copies"] and message.copies == 0:
+            net.append(replace(message, copies=1))
+        if message.copies:
+            self.left["copies"] -= 1
+        self.net = tuple(net)
+
+    def _hear_ask(self, place: int, message: Message) -> None:
+        now, borrower = self.clock(place), message.borrower
+        amount = self.loans[place].asked(now, borrower, message.number, message.amount, 0)
+        sender, to = self.name(place), borrower.partition("/")[0]
+        self._send(Message("lend", sender, to, message.number, amount, borrower))
+
+    def _hear_lend(self, place: int, message: Message) -> None:
+        """Take the loan; what comes too late to be used is given back."""
+        if message.borrower != self.name(place):
+            return
+        now, loans = self.clock(place), self.loans[place]
+        lender = message.sender.partition("/")[0]
+        granted = loans.granted(now, lender, message.number, message.amount)
+        if granted or not message.amount or not self.left["backs"]:
+            return
+        number = loans.unwanted(lender, message.number)
+        if number:
+            self.left["backs"] -= 1
+            borrower = message.borrower
+            self._send(Message("back", borrower, lender, number, 0, borrower))
 
     def _send(self, message: Message) -> None:
         self.net = tuple(sorted((*self.net, message), key=repr))
--- a/limebridge/faults/command.py
+++ b/limebridge/faults/command.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import json
-import runpy
 import time
 from collections.abc import Callable
-from hashlib import blake2b
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -21,22 +18,25 @@
 from . import memory as virtual
 from . import plan as plans
 from .distribution.command import app as distribution
+from .exploring import explore_seeds, print_shrunk
 from .history import tell
 from .interruption import interruptible
 from .model import Bounds, World
 from .options import (
     SHOWN,
     FirstSeed,
+    Patch,
     PatchFile,
     PlanCount,
     patch_path,
     print_summary,
     seed_progress,
+    summary_values,
 )
 from .runner import play
 from .sharing.command import app as sharing
 from .state_space import check
-from .summary import first_violations, quantiles, summary_of_run
+from .summary import ExploreTotals, RunSummary, summary_of_run
 
 app = typer.Typer(no_args_is_help=True, help="Several processes, and what breaks between them.")
 app.add_typer(sharing, name="sharing")
@@ -65,26 +65,39 @@
 ) -> None:
     """Play plans drawn from seeds on real processes.  Exit status 1 when something broke."""
     chosen = [plans.draw(seed, _store(store), settles) for seed in range(first, first + seeds)]
-    began, played = time.monotonic(), list[explore.PlayedPlan]()
-    with seed_progress("playing", seeds, as_json) as progress:
-        for outcome in explore.play_plans(chosen, jobs, patch_path(patch)):
-            played.append(outcome)
-            progress.update(len(played), sum(bool(each.broken) for each in played))
+    began = time.monotonic()
+    played = _play_all(chosen, jobs, patch_path(patch), as_json)
     seconds = time.monotonic() - began
     broken = sorted((each for each in played if each.broken), key=lambda each: each.plan.seed)
     for outcome in broken[:SHOWN]:
         _report_shrunk(outcome, store, keep, patch_path(patch))
     summary = summary_of_run(played, broken, seconds)
     if as_json:
-        print(json.dumps(summary))
+        print_summary(summary, as_json)
     else:
-        table = Table("what", "value", show_header=False, box=None)
-        for key, value in summary.items():
-            table.add_row(key, str(value))
-        Console().print(table)
+        _print_table(summary)
     raise typer.Exit(1 if broken else 0)
 
 
+def _play_all(
+    chosen: list[plans.Plan], jobs: int, patch: str, as_json: bool
+) -> list[explore.PlayedPlan]:
+    """The outcomes, in the order in which they ended."""
+    played: list[explore.PlayedPlan] = []
+    with seed_progress("playing", len(chosen), as_json) as progress:
+        for outcome in explore.play_plans(chosen, jobs, patch):
+            played.append(outcome)
+            progress.update(len(played), sum(bool(each.broken) for each in played))
+    return played
+
+
+def _print_table(summary: RunSummary) -> None:
+    table = Table("what", "value", show_header=False, box=None)
+    for key, value in summary_values(summary).items():
+        table.add_row(key, str(value))
+    Console().print(table)
+
+
 def _store(name: str) -> Literal["folder", "consul"] | None:
     """The value of --store; None leaves it to the seeds.  Exit status 2 for any other name."""
     match name:
@@ -137,20 +150,25 @@
         typer.echo(f"limebridge: {error}", err=True)
         raise typer.Exit(2) from None
     if in_memory:
-        if patch is not None:
-            runpy.run_path(patch_path(patch))["plant"]()
-        for seed in range(plan.seed, plan.seed + tries):
-            told = virtual.play(msgspec.structs.replace(plan, seed=seed, settles=False), tells=True)
-            if told.broken:
-                break
-        print(f"seed {told.plan.seed}\n{told.story}")
-        raise typer.Exit(1 if told.broken else 0)
+        raise typer.Exit(_replay_in_memory(plan, tries, patch))
     outcome = play(plan, patch_path(patch))
     print(tell(outcome.history, outcome.broken))
     print(f"{outcome.effects} effects, {outcome.seconds:.1f} s, {len(outcome.broken)} broken")
     raise typer.Exit(1 if outcome.broken else 0)
 
 
+def _replay_in_memory(plan: plans.Plan, tries: int, patch: Path | None) -> int:
+    """Play a plan under some seeds, until one breaks something; the exit status."""
+    if patch is not None:
+        Patch(patch_path(patch))()
+    for seed in range(plan.seed, plan.seed + tries):
+        outcome = virtual.play(msgspec.structs.replace(plan, seed=seed, settles=False), tells=True)
+        if outcome.broken:
+            break
+    print(f"seed {outcome.plan.seed}\n{outcome.story}")
+    return 1 if outcome.broken else 0
+
+
 @app.command("list")
 def list_(
     seed: Annotated[int | None, typer.Argument(help="The plan of this seed.")] = None,
@@ -189,34 +207,10 @@
     first: int, seeds: int, jobs: int, prepare: Callable[[], None] | None, as_json: bool
 ) -> int:
     """`limebridge explore --fleet`: the same plans in memory; the exit status."""
-    began, played, effects = time.monotonic(), 0, 0
-    bad: list[virtual.Outcome] = []
-    gaps: list[float] = []
-    digest = blake2b(digest_size=8)
-    with seed_progress("exploring", seeds, as_json) as progress:
-        for outcomes in virtual.explore(first, seeds, jobs, 0, prepare):
-            for each in outcomes:
-                played, effects = played + 1, effects + each.effects
-                gaps += each.gaps
-                digest.update(each.digest.encode())
-                bad += [each] if each.broken else []
-            progress.update(played, len(bad))
+    began, totals = time.monotonic(), ExploreTotals()
+    explore_seeds(virtual.explore(first, seeds, jobs, 0, prepare), seeds, as_json, totals.add)
     if prepare is not None:
         prepare()
-    for each in bad[:SHOWN]:
-        small = virtual.shrink(each)
-        typer.echo(
-            f"seed {each.plan.seed}, made small:\n{plans.dump(small.plan)}{small.story}", err=True
-        )
-    summary = {
-        "first": first,
-        "seeds": played,
-        "seconds": round(time.monotonic() - began, 1),
-        "effects": effects,
-        "changes_of_owner": len(gaps),
-        "without_owner_s": quantiles(gaps),
-        "broken": first_violations(bad),
-        "digest": digest.hexdigest(),
-    }
-    print_summary(summary, as_json)
-    return 1 if bad else 0
+    print_shrunk(totals.broken, virtual.shrink, plans.dump)
+    print_summary(totals.summary(first, time.monotonic() - began), as_json)
+    return 1 if totals.broken else 0
--- a/limebridge/faults/history.py
+++ b/limebridge/faults/history.py
@@ -8,9 +8,8 @@
 
 import json
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
-from typing import Any
 
 from limebridge.standins.effects import Effect
 from violetroute.fleet.job import key_of
@@ -150,34 +149,46 @@
     found = []
     taken = {effect.key for effect in history.effects}
     for name, log in history.logs.items():
-        entries: list[tuple[str, Any]] = []
-        handed: set[int] = set()
-
-        def took(
-            position: int,
-            record: Record,
-            entries: list[tuple[str, Any]] = entries,
-            handed: set[int] = handed,
-        ) -> None:
-            if isinstance(record.body, dict) and "handed" in record.body:
-                handed.add(record.body["handed"])
-            else:
-                entries.append((key_of(record, position).strip('"'), record.body))
-
-        reader = FencedLog(name, took)
+        found += [f"{name}: {lost}" for lost in _lost(_LogEntries.of(name, log), taken)]
+    return found
+
+
+@dataclass
+class _LogEntries:
+    """The entries of a log that count."""
+
+    keys: list[str] = field(default_factory=list)  # in the log's order
+    beats: list[int] = field(default_factory=list)
+    handed: set[int] = field(default_factory=set)  # positions that the log says are handed over
+
+    @classmethod
+    def of(cls, name: str, log: Iterable[bytes]) -> _LogEntries:
+        entries = cls()
+        reader = FencedLog(name, entries.add)
         for data in log:
             reader.take(data)
-        missing = [key for key, _ in entries if key not in taken]
-        if missing and missing != [entries[-1][0]]:
-            found.append(f"{name}: {len(missing)} entries never came, first {missing[0]}")
-        if handed and any(
-            key not in taken for key, _ in entries if int(key.rpartition("/")[2]) in handed
-        ):
-            found.append(f"{name}: said to be handed over and was not")
-        beats = [body["beat"] for _, body in entries if isinstance(body, dict) and "beat" in body]
-        if beats != list(range(1, len(beats) + 1)):
-            found.append(f"{name}: beats do not count on by ones")
-    return found
+        return entries
+
+    def add(self, position: int, record: Record) -> None:
+        body = record.body if isinstance(record.body, dict) else {}
+        if "handed" in body:
+            self.handed.add(body["handed"])
+            return
+        self.keys.append(key_of(record, position).strip('"'))
+        if "beat" in body:
+            self.beats.append(body["beat"])
+
+
+def _lost(entries: _LogEntries, taken: set[str]) -> Iterator[str]:
+    """What is wrong with the entries of a log of which the endpoint took these keys."""
+    missing = [key for key in entries.keys if key not in taken]
+    if missing and missing != entries.keys[-1:]:
+        yield f"{len(missing)} entries never came, first {missing[0]}"
+    handed = entries.handed
+    if handed and any(int(key.rpartition("/")[2]) in handed for key in missing):
+        yield "said to be handed over and was not"
+    if entries.beats != list(range(1, len(entries.beats) + 1)):
+        yield "beats do not count on by ones"
 
 
 EFFECTS_TOLD = 40  # the last ones, in the story of a run
--- a/limebridge/faults/memory.py
+++ b/limebridge/faults/memory.py
@@ -37,6 +37,7 @@
 
 from . import history as histories
 from . import many
+from .endpoint import endpoint_fails
 from .history import History
 from .plan import FORGETS, Fault, Plan, draw, without
 from .process import BEAT, EventHandler, Process
@@ -151,26 +152,13 @@
     async def _fault(self, fault: Fault, process: Process) -> None:
         match fault.kind:
             case "kill" | "term":
-                if process.busy:
-                    return
-                process.busy = True
-                if fault.kind == "kill":
-                    process.kill()
-                else:
-                    await process.term()
-                await asyncio.sleep(fault.seconds)
-                process.start()
-                process.busy = False
+                await self._restart(fault, process)
             case "stop":
                 process.stop(fault.seconds)
             case "core":
                 process.stop(min(0.3, fault.seconds))
             case "hup":
-                if process.fleet is not None and not process.busy:
-                    process.fleet.configure(())
-                    await asyncio.sleep(fault.seconds)
-                    if process.fleet is not None and not process.busy:
-                        process.fleet.configure(self.works)
+                await self._reload(fault, process)
             case "no_files" | "no_room":
                 process.failing_until = self.kernel.now + fault.seconds
             case "twin":
@@ -183,6 +171,27 @@
             case _:
                 await self._shared(fault)
 
+    async def _restart(self, fault: Fault, process: Process) -> None:
+        """End the process, and start it again after a while."""
+        if process.busy:
+            return
+        process.busy = True
+        if fault.kind == "kill":
+            process.kill()
+        else:
+            await process.term()
+        await asyncio.sleep(fault.seconds)
+        process.start()
+        process.busy = False
+
+    async def _reload(self, fault: Fault, process: Process) -> None:
+        """Take all jobs from the process's file, and put them back after a while."""
+        if process.fleet is not None and not process.busy:
+            process.fleet.configure(())
+            await asyncio.sleep(fault.seconds)
+            if process.fleet is not None and not process.busy:
+                process.fleet.configure(self.works)
+
     async def _way(self, fault: Fault, process: Process) -> None:
         ports = [process.port, *([process.consul_port] if self.plan.store == "consul" else [])]
         port = self.rng.choice(ports)
@@ -196,12 +205,7 @@
     async def _shared(self, fault: Fault) -> None:
         match fault.kind:
             case "endpoint":
-                troubles = ("lost before", "lost after", "500 after", "twice")
-                self.effects.trouble = lambda: (
-                    self.rng.choice(troubles) if self.rng.random() < 0.5 else ""
-                )
-                await asyncio.sleep(fault.seconds)
-                self.effects.trouble = lambda: ""
+                await endpoint_fails(self.effects, self.rng, fault.seconds)
             case "gone":
                 if self.folder.exists():
                     os.rename(self.folder, self._root / f"gone-{self.kernel.now}")
--- a/limebridge/faults/model.py
+++ b/limebridge/faults/model.py
@@ -97,29 +97,32 @@
                 yield "kill", place
             if incarnation.stopped:
                 yield "cont", place
-                continue
-            if incarnation.answer is not None:
-                yield "answer", place
-            elif incarnation.call is not None:
-                yield "call", place
-            if incarnation.call is not None and left["lost"]:
-                yield "lose", place
-            if incarnation.reading is not None:
-                yield "hear", place
             else:
-                yield "look", place
-                if left["stale"]:
-                    yield "read", place
-            if incarnation.put is not None:
-                yield "put", place
-            elif left["effects"] and self._may(place):
-                yield "effect", place
-                if left["halves"]:
-                    yield "begin", place
-            if left["stops"] and (
-                incarnation.put is not None or incarnation.owner.state == "owner"
-            ):
-                yield "stop", place
+                yield from self._steps_of(place, incarnation)
+
+    def _steps_of(self, place: int, incarnation: Incarnation) -> Iterator[tuple[str, int]]:
+        """What may happen next in a process that is not stopped, but that it is killed."""
+        left = self.left
+        if incarnation.answer is not None:
+            yield "answer", place
+        elif incarnation.call is not None:
+            yield "call", place
+        if incarnation.call is not None and left["lost"]:
+            yield "lose", place
+        if incarnation.reading is not None:
+            yield "hear", place
+        else:
+            yield "look", place
+            if left["stale"]:
+                yield "read", place
+        if incarnation.put is not None:
+            yield "put", place
+        elif left["effects"] and self._may(place):
+            yield "effect", place
+            if left["halves"]:
+                yield "begin", place
+        if left["stops"] and (incarnation.put is not None or incarnation.owner.state == "owner"):
+            yield "stop", place
 
     def _may(self, place: int) -> bool:
         return self.incarnations[place].owner.may(self.clock(place)) > 0
--- a/limebridge/faults/model_incarnation.py
+++ b/limebridge/faults/model_incarnation.py
@@ -58,6 +58,21 @@
         `now`: its clock, `end`: of the log, `beat`: of the lease.  Times, positions and beats are
         relative to these.
         """
+        return (
+            self._owner_key(now, beat),
+            self._call_key(beat),
+            self._answer_key(beat),
+            self._reading_key(beat),
+            None if self.put is None else (end - self.put.position, self.put.data),
+            self.claimed,
+            self.stopped,
+            self.me.nonce,
+            end - self.log.next,
+            self.log.seal.fence,
+            self.log.seal.nonce,
+        )
+
+    def _owner_key(self, now: float, beat: int) -> Any:
         owner = self.owner
         return (
             owner.state,
@@ -73,16 +88,6 @@
                 for at in (owner.until, owner._open_at, owner._ask_at, owner._renew_at)
             ),
             round(now - owner._asked_at, 6) if owner._busy else 0,
-            self._call_key(beat),
-            self._answer_key(beat),
-            self._reading_key(beat),
-            None if self.put is None else (end - self.put.position, self.put.data),
-            self.claimed,
-            self.stopped,
-            self.me.nonce,
-            end - self.log.next,
-            self.log.seal.fence,
-            self.log.seal.nonce,
         )
 
     def _call_key(self, beat: int) -> Any:
--- a/limebridge/faults/options.py
+++ b/limebridge/faults/options.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Annotated, Any
 
+import msgspec
 import typer
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn
@@ -72,10 +73,17 @@
         yield SeedProgress(progress, what, total)
 
 
-def print_summary(summary: Mapping[str, Any], as_json: bool) -> None:
+def print_summary(summary: msgspec.Struct | Mapping[str, Any], as_json: bool) -> None:
     """One JSON object, or a line for each key."""
+    values = summary_values(summary) if isinstance(summary, msgspec.Struct) else summary
     if as_json:
-        print(json.dumps(summary))
+        print(json.dumps(values))
         return
-    for key, value in summary.items():
+    for key, value in values.items():
         print(f"{key}: {value}")
+
+
+def summary_values(summary: msgspec.Struct) -> dict[str, Any]:
+    """The values of a summary as JSON has them, by key."""
+    values: dict[str, Any] = json.loads(msgspec.json.encode(summary))
+    return values
--- a/limebridge/faults/process.py
+++ b/limebridge/faults/process.py
@@ -221,8 +221,25 @@
         self.clock = ProcessClock(world.loop, self.rate)
         self.owner = f"{self.name}/{world.started}"
         net = network(world.kernel, self.owner, self.clock, lambda: START + world.kernel.now)
-        plan = world.plan
-        table = FleetTable(
+        table = self._table()
+        self.folder_store: FolderStore | None = None
+
+        def store(me: Me) -> Store:
+            if table.store == "consul":
+                return ConsulStore(table, net, me)
+            self.folder_store = FolderStore(world.folder, me, net.wall)
+            return self._stepped(self.folder_store)
+
+        def work(name: str) -> Work:
+            endpoint = parse_address(table.endpoint) if self.port else None
+            return LogWork(name, net, Beat(), world.beat, endpoint, table.path, table.call_s)
+
+        self.fleet = Fleet(table, self.name, net, store, work, nonce=f"n{world.started}")
+
+    def _table(self) -> FleetTable:
+        """The [fleet] table of its operator's file."""
+        world, plan = self.world, self.world.plan
+        return FleetTable(
             store=plan.store,
             folder=str(world.folder),
             agents=(f"127.0.0.1:{self.consul_port}",),
@@ -235,26 +252,17 @@
             beat_s=world.beat,
             endpoint=f"127.0.0.1:{self.port}",
         )
-        rng = random.Random(f"{plan.seed}/{self.owner}")
-        self.folder_store: FolderStore | None = None
 
-        def store(me: Me) -> Store:
-            if plan.store == "consul":
-                return ConsulStore(table, net, me)
-            self.folder_store = FolderStore(world.folder, me, net.wall)
-            return SteppedStore(
-                self.folder_store,
-                self.clock,
-                rng,
-                lambda: world.kernel.now < self.failing_until,
-                world.call,
-            )
-
-        def work(name: str) -> Work:
-            endpoint = parse_address(table.endpoint) if self.port else None
-            return LogWork(name, net, Beat(), world.beat, endpoint, table.path, table.call_s)
-
-        self.fleet = Fleet(table, self.name, net, store, work, nonce=f"n{world.started}")
+    def _stepped(self, folder_store: FolderStore) -> SteppedStore:
+        """The store with waits between its steps; it fails while a fault says so."""
+        world = self.world
+        return SteppedStore(
+            folder_store,
+            self.clock,
+            random.Random(f"{world.plan.seed}/{self.owner}"),
+            lambda: world.kernel.now < self.failing_until,
+            world.call,
+        )
 
     def kill(self) -> None:
         """Nothing of it runs any more; the kernel resets its connections and frees its lock."""
--- a/limebridge/faults/relay.py
+++ b/limebridge/faults/relay.py
@@ -141,13 +141,18 @@
             passed += len(data)
             if kept is not None and len(kept) + len(data) <= AGAIN_MOST:
                 kept += data
-            if way.drip:
-                for place in range(len(data)):
-                    writer.write(data[place : place + 1])
-                    await asyncio.sleep(way.drip)
-            else:
-                writer.write(data)
-            await writer.drain()
+            await _write(writer, data, way.drip)
+
+
+async def _write(writer: asyncio.StreamWriter, data: bytes, drip: float) -> None:
+    """Write all at once, or a byte every `drip` seconds."""
+    if drip:
+        for place in range(len(data)):
+            writer.write(data[place : place + 1])
+            await asyncio.sleep(drip)
+    else:
+        writer.write(data)
+    await writer.drain()
 
 
 class Datagrams(asyncio.DatagramProtocol):
--- a/limebridge/faults/rig.py
+++ b/limebridge/faults/rig.py
@@ -26,6 +26,7 @@
 
 from . import history as histories
 from .daemon import BEAT, Daemon
+from .endpoint import endpoint_fails
 from .history import History, OwnerGap
 from .interruption import finish
 from .launch import daemon_command
@@ -98,6 +99,10 @@
         finally:
             await finish(self._end_all())
         self.read_logs()
+        return self._judge(self.now - began)
+
+    def _judge(self, seconds: float) -> Outcome:
+        """What came of the plan, which took so many seconds."""
         history = self.history
         if self.effects.conflicts:
             self.complain("once", f"{self.effects.conflicts} keys came with another body")
@@ -106,7 +111,7 @@
             self.plan,
             history,
             self.broken,
-            self.now - began,
+            seconds,
             len(history.effects),
             histories.without_owner(history),
         )
@@ -186,12 +191,7 @@
     async def _shared(self, fault: Fault) -> None:
         match fault.kind:
             case "endpoint":
-                troubles = ("lost before", "lost after", "500 after", "twice")
-                self.effects.trouble = lambda: (
-                    self.rng.choice(troubles) if self.rng.random() < 0.5 else ""
-                )
-                await asyncio.sleep(fault.seconds)
-                self.effects.trouble = lambda: ""
+                await endpoint_fails(self.effects, self.rng, fault.seconds)
             case "gone":
                 with contextlib.suppress(FileNotFoundError):
                     os.rename(self.shared, self.folder / f"gone-{self.rng.random()}")
--- a/limebridge/faults/sharing/command.py
+++ b/limebridge/faults/sharing/command.py
@@ -4,13 +4,13 @@
 
 import time
 from functools import partial
-from hashlib import blake2b
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from limebridge.faults.budgets import Bounds, World
+from limebridge.faults.exploring import explore_seeds, print_shrunk
 from limebridge.faults.interruption import interruptible
 from limebridge.faults.options import (
     SHOWN,
@@ -32,6 +32,7 @@
 
 from . import judge, many, memory, rig
 from . import plan as plans
+from .summary import ExploreTotals, summary_of_run
 
 app = typer.Typer(no_args_is_help=True, help="Budgets that proxies share, under faults.")
 
@@ -46,39 +47,21 @@
     as_json: Json = False,
 ) -> None:
     """Play plans drawn from seeds on real processes.  Exit status 1 when something broke."""
-    began, told = time.monotonic(), list[many.PlayedPlan]()
+    began, played = time.monotonic(), list[many.PlayedPlan]()
     chosen = [plans.draw(seed) for seed in range(first, first + seeds)]
     play = partial(many.play_plan, patch=patch_path(patch))
     with seed_progress("playing", seeds, as_json) as progress:
         for outcome in play_each(play, chosen, jobs):
-            told.append(outcome)
-            bad = sum(bool(each.broken) for each in told)
-            progress.update(len(told), bad)
-    broken = sorted((each for each in told if each.broken), key=lambda each: each.plan.seed)
+            played.append(outcome)
+            progress.update(len(played), sum(bool(each.broken) for each in played))
+    broken = sorted((each for each in played if each.broken), key=lambda each: each.plan.seed)
     for each in broken[:SHOWN]:
         typer.echo(
             f"limebridge faults sharing replay {each.plan.seed}\n"
             f"{plans.dump(each.plan)}{each.story}",
             err=True,
         )
-    again = sorted(each.again for each in told)
-    seconds = time.monotonic() - began
-    print_summary(
-        {
-            "plans": len(told),
-            "seconds": round(seconds, 1),
-            "plans_a_minute": round(60.0 * len(told) / seconds, 1),
-            "asked": sum(each.asked for each in told),
-            "let_in": sum(each.spent for each in told),
-            "spent_in_the_end": {
-                "least": round(again[0], 3),
-                "middle": round(again[len(again) // 2], 3),
-            },
-            "rig_late_s": round(max(each.late for each in told), 3),
-            "broken": [[each.plan.seed, *each.broken[0]] for each in broken],
-        },
-        as_json,
-    )
+    print_summary(summary_of_run(played, broken, time.monotonic() - began), as_json)
     raise typer.Exit(1 if broken else 0)
 
 
@@ -92,43 +75,14 @@
     as_json: Json = False,
 ) -> None:
     """Play plans in memory, exact from their seeds.  Exit status 1 when something broke."""
-    began, spent, played = time.monotonic(), 0, 0
+    began, totals = time.monotonic(), ExploreTotals()
     prepare = planted(patch)
-    bad: list[memory.Outcome] = []
-    again: list[float] = []
-    digest = blake2b(digest_size=8)
-    with seed_progress("exploring", seeds, as_json) as progress:
-        for outcomes in memory.explore(first, seeds, jobs, prepare):
-            for each in outcomes:
-                played, spent = played + 1, spent + each.spent
-                again.append(each.again)
-                digest.update(each.digest.encode())
-                bad += [each] if each.broken else []
-            progress.update(played, len(bad))
+    explore_seeds(memory.explore(first, seeds, jobs, prepare), seeds, as_json, totals.add)
     if prepare is not None:
         prepare()
-    for each in bad[:SHOWN]:
-        small = memory.shrink(each)
-        typer.echo(
-            f"seed {each.plan.seed}, made small:\n{plans.dump(small.plan)}{small.story}", err=True
-        )
-    again.sort()
-    print_summary(
-        {
-            "first": first,
-            "seeds": played,
-            "seconds": round(time.monotonic() - began, 1),
-            "let_in": spent,
-            "spent_in_the_end": {
-                "least": round(again[0], 3),
-                "middle": round(again[len(again) // 2], 3),
-            },
-            "broken": [[each.plan.seed, *each.broken[0]] for each in bad],
-            "digest": digest.hexdigest(),
-        },
-        as_json,
-    )
-    raise typer.Exit(1 if bad else 0)
+    print_shrunk(totals.broken, memory.shrink, plans.dump)
+    print_summary(totals.summary(first, time.monotonic() - began), as_json)
+    raise typer.Exit(1 if totals.broken else 0)
 
 
 @app.command()
--- a/limebridge/faults/sharing/memory.py
+++ b/limebridge/faults/sharing/memory.py
@@ -229,7 +229,7 @@
             )
 
     async def _fault(self, fault: Fault) -> None:
-        plan, who = self.plan, fault.who % self.plan.daemons
+        who = fault.who % self.plan.daemons
         match fault.kind:
             case "kill" | "term":
                 await self._restart([self.processes[who]], fault.kind == "kill", fault.seconds)
@@ -242,10 +242,7 @@
                 twin.start()
                 self.twins.append(twin)
             case "cut" | "deaf" | "mute" | "split":
-                ways = cut_ways(fault, plan.daemons)
-                self.cut.update(ways)
-                await asyncio.sleep(fault.seconds)
-                self.cut.subtract(ways)
+                await self._cut(fault)
             case "loss":
                 self.loss = 0.3
                 await asyncio.sleep(fault.seconds)
@@ -255,12 +252,19 @@
                 await asyncio.sleep(fault.seconds)
                 self.storm = 0.0
             case "crowd":
-                before, self.rates = self.rates, [plan.per_s] * plan.daemons
+                before, self.rates = self.rates, [self.plan.per_s] * self.plan.daemons
                 await asyncio.sleep(fault.seconds)
                 self.rates = before
             case "moves":  # the load goes to other proxies, which nothing announces
                 self.rates = self.rates[1:] + self.rates[:1]
 
+    async def _cut(self, fault: Fault) -> None:
+        """Datagrams of some ways are lost for a while."""
+        ways = cut_ways(fault, self.plan.daemons)
+        self.cut.update(ways)
+        await asyncio.sleep(fault.seconds)
+        self.cut.subtract(ways)
+
     async def _restart(self, processes: Sequence[Process], hard: bool, seconds: float) -> None:
         """End processes, all at once, and start them after a while."""
         for process in processes:
--- a/limebridge/faults/sharing/rig.py
+++ b/limebridge/faults/sharing/rig.py
@@ -65,6 +65,8 @@
         self.refused = 0
         self.ends = False
         self.faults: list[asyncio.Task[None]] = []
+        self.daemons: list[Daemon] = []
+        self.clients: list[Client] = []
         self.twins: list[Child] = []
         self.cut: Counter[Way] = Counter()  # how many faults cut it
         self.rng = random.Random(f"rig/{plan.seed}")
@@ -82,6 +84,28 @@
         self.seen.notes.append(Note(self.now, text))
 
     async def play(self) -> Outcome:
+        await self._open()
+        tasks: list[asyncio.Task[None]] = []
+        try:
+            await self._start_daemons()
+            tasks += [asyncio.create_task(client.run()) for client in self.clients]
+            tasks.append(asyncio.create_task(self._lateness()))
+            await self._schedule()
+            await self._heal()
+            await asyncio.sleep(HEAL + 3.0 * self.plan.loan_s)
+            end = self.now
+            self.ends = True
+            await asyncio.gather(*tasks)
+            await asyncio.gather(*(daemon.ends(hard=False) for daemon in self.daemons))
+        except Unready as error:
+            self.complain("starts", str(error))
+            end = self.now
+        finally:
+            await finish(self._end_all(tasks))
+        return self._judge(end)
+
+    async def _open(self) -> None:
+        """Start the relays and stand-ins that the daemons need."""
         plan = self.plan
         self.key = self.folder / "key"
         self.key.write_text(f"a key of the rig {plan.seed}\n")
@@ -98,31 +122,16 @@
         self.discovery = await Discovery().start()
         self.node = await CacheNode(self._serves).start()
         self.known = [self.node.entry("s-0")]
-        tasks: list[asyncio.Task[None]] = []
-        try:
-            self.seen.began = self.now
-            # All of them come to an end before one's failure is told: none may start afterwards.
-            for failed in await asyncio.gather(
-                *(daemon.start() for daemon in self.daemons), return_exceptions=True
-            ):
-                if isinstance(failed, BaseException):
-                    raise failed
-            self.seen.began = self.now
-            tasks = [asyncio.create_task(client.run()) for client in self.clients]
-            tasks.append(asyncio.create_task(self._lateness()))
-            await self._schedule()
-            await self._heal()
-            await asyncio.sleep(HEAL + 3.0 * plan.loan_s)
-            end = self.now
-            self.ends = True
-            await asyncio.gather(*tasks)
-            await asyncio.gather(*(daemon.ends(hard=False) for daemon in self.daemons))
-        except Unready as error:
-            self.complain("starts", str(error))
-            end = self.now
-        finally:
-            await finish(self._end_all(tasks))
-        return self._judge(end)
+
+    async def _start_daemons(self) -> None:
+        self.seen.began = self.now
+        # All of them come to an end before one's failure is told: none may start afterwards.
+        for failed in await asyncio.gather(
+            *(daemon.start() for daemon in self.daemons), return_exceptions=True
+        ):
+            if isinstance(failed, BaseException):
+                raise failed
+        self.seen.began = self.now
 
     async def _end_all(self, tasks: list[asyncio.Task[None]]) -> None:
         """No fault goes on, so that none starts a daemon; all daemons and stand-ins end."""
--- a/limebridge/faults/state_space.py
+++ b/limebridge/faults/state_space.py
@@ -39,6 +39,10 @@
         """The rule that is broken when no more faults come, or ""."""
 
 
+_Path = tuple[Any, ...]  # a linked list: the path before and the last event; () at the start
+_Reached = tuple[World, _Path]
+
+
 @dataclass
 class CheckResult:
     """What a check has found."""
@@ -69,40 +73,57 @@
 
     `most`: states after which it ends.  `heal_every`: `heals` is checked from every so many states.
     """
-    found = CheckResult()
-    seen = {hash(start.key())}
-    front: list[tuple[World, tuple[Any, ...]]] = [(start, ())]
+    search = _Search(start, heal_every)
+    found = search.found
+    front: list[_Reached] = [(start, ())]
     while front:
         found.depth += 1
-        after: list[tuple[World, tuple[Any, ...]]] = []
+        after: list[_Reached] = []
         for world, path in front:
-            for event in world.events():
-                made = world.before(event)
-                made.step(*event)
-                found.steps += 1
-                story = (path, event)
-                if made.broken:
-                    found.stories.setdefault(made.broken, _steps_of(story))
-                    continue
-                mark = hash(made.key())
-                if mark in seen:
-                    continue
-                seen.add(mark)
-                after.append((made, story))
-                if len(seen) % heal_every == 0:
-                    found.healed += 1
-                    if rule := made.heals():
-                        found.stories.setdefault(rule, _steps_of(story))
-            if len(seen) >= most or (stop_at_first and found.stories):
-                found.states = len(seen)
+            search.follow(world, path, after)
+            if found.states >= most or (stop_at_first and found.stories):
                 return found
         front = after
-    found.states, found.complete = len(seen), True
+    found.complete = True
     return found
 
 
-def _steps_of(story: Any) -> list[str]:
-    """The names of a path's events, in order; a path is a linked list from its end."""
+class _Search:
+    """The states that were seen, and what was found in them."""
+
+    def __init__(self, start: World, heal_every: int) -> None:
+        self.found = CheckResult(states=1)
+        self._seen = {hash(start.key())}
+        self._heal_every = heal_every
+
+    def follow(self, world: World, path: _Path, after: list[_Reached]) -> None:
+        """Play each event that may come next; states not seen before are added to `after`."""
+        found, seen = self.found, self._seen
+        for event in world.events():
+            made = world.before(event)
+            made.step(*event)
+            found.steps += 1
+            story = (path, event)
+            if made.broken:
+                found.stories.setdefault(made.broken, _steps_of(story))
+                continue
+            mark = hash(made.key())
+            if mark in seen:
+                continue
+            seen.add(mark)
+            after.append((made, story))
+            if len(seen) % self._heal_every == 0:
+                self._heal(made, story)
+        found.states = len(seen)
+
+    def _heal(self, world: World, story: _Path) -> None:
+        self.found.healed += 1
+        if rule := world.heals():
+            self.found.stories.setdefault(rule, _steps_of(story))
+
+
+def _steps_of(story: _Path) -> list[str]:
+    """The names of a path's events, in order."""
     steps: list[str] = []
     while story:
         story, (what, *more) = story
--- a/limebridge/faults/summary.py
+++ b/limebridge/faults/summary.py
@@ -1,15 +1,49 @@
-"""What the commands of `limebridge faults` say of many plans, as values of one JSON object."""
+"""What the commands of `limebridge faults` say of many plans: the objects that --json prints."""
 
 from __future__ import annotations
 
 from collections import Counter
 from collections.abc import Sequence
-from typing import Any
+from dataclasses import dataclass, field
+from functools import partial
+from hashlib import blake2b
+
+import msgspec
 
 from .explore import GAP_AT_END, PlayedPlan
+from .many import Found
 from .memory import Outcome
 
 PARTS = (0.5, 0.9, 0.99, 1.0)  # of all gaps, for the quantiles
+DIGEST_BYTES = 8
+
+FirstViolation = tuple[int, str, str]  # a seed, and the rule and text of what broke first
+
+
+class RunSummary(msgspec.Struct):
+    """Plans on real processes."""
+
+    plans: int
+    seconds: float
+    plans_a_minute: float
+    effects: int
+    faults: dict[str, int]  # how often each kind came
+    changes_of_owner: int
+    without_owner_s: dict[str, float]  # quantiles of the gaps
+    broken: list[FirstViolation]
+
+
+class ExploreSummary(msgspec.Struct):
+    """Plans in memory; `digest` is of all that the endpoint took."""
+
+    first: int
+    seeds: int
+    seconds: float
+    effects: int
+    changes_of_owner: int
+    without_owner_s: dict[str, float]
+    broken: list[FirstViolation]
+    digest: str
 
 
 def quantiles(values: Sequence[float]) -> dict[str, float]:
@@ -21,24 +55,56 @@
     }
 
 
-def first_violations(broken: Sequence[PlayedPlan | Outcome]) -> list[list[Any]]:
+def first_violations(broken: Sequence[Found]) -> list[FirstViolation]:
     """Seed, rule and text of each plan that broke something."""
-    return [[outcome.plan.seed, *outcome.broken[0]] for outcome in broken]
+    return [(outcome.plan.seed, *outcome.broken[0]) for outcome in broken]
 
 
 def summary_of_run(
     played: Sequence[PlayedPlan], broken: Sequence[PlayedPlan], seconds: float
-) -> dict[str, Any]:
-    """Plans on real processes.  Gaps after the healing are none of a fault and do not count."""
+) -> RunSummary:
+    """Gaps after the healing are none of a fault and do not count."""
     gaps = [gap.seconds for plan in played for gap in plan.gaps if gap.cause != GAP_AT_END]
-    kinds = Counter(fault.kind for outcome in played for fault in outcome.plan.fault)
-    return {
-        "plans": len(played),
-        "seconds": round(seconds, 1),
-        "plans_a_minute": round(60.0 * len(played) / seconds, 1),
-        "effects": sum(outcome.effects for outcome in played),
-        "faults": dict(kinds.most_common()),
-        "changes_of_owner": len(gaps),
-        "without_owner_s": quantiles(gaps),
-        "broken": first_violations(broken),
-    }
+    kinds: Counter[str] = Counter(fault.kind for outcome in played for fault in outcome.plan.fault)
+    return RunSummary(
+        plans=len(played),
+        seconds=round(seconds, 1),
+        plans_a_minute=round(60.0 * len(played) / seconds, 1),
+        effects=sum(outcome.effects for outcome in played),
+        faults=dict(kinds.most_common()),
+        changes_of_owner=len(gaps),
+        without_owner_s=quantiles(gaps),
+        broken=first_violations(broken),
+    )
+
+
+@dataclass
+class ExploreTotals:
+    """What is added up of the outcomes of an exploration."""
+
+    seeds: int = 0
+    effects: int = 0
+    gaps: list[float] = field(default_factory=list)
+    broken: list[Outcome] = field(default_factory=list)
+    digest: blake2b = field(default_factory=partial(blake2b, digest_size=DIGEST_BYTES))
+
+    def add(self, outcome: Outcome) -> None:
+        self.seeds += 1
+        self.effects += outcome.effects
+        self.gaps += outcome.gaps
+        self.digest.update(outcome.digest.encode())
+        if outcome.broken:
+            self.broken.append(outcome)
+
+    def summary(self, first: int, seconds: float) -> ExploreSummary:
+        """`first`: the first seed."""
+        return ExploreSummary(
+            first=first,
+            seeds=self.seeds,
+            seconds=round(seconds, 1),
+            effects=self.effects,
+            changes_of_owner=len(self.gaps),
+            without_owner_s=quantiles(self.gaps),
+            broken=first_violations(self.broken),
+            digest=self.digest.hexdigest(),
+        )
