Stand-ins and rigs: typed entries of the node list and tables of the operator's file

Need: an entry of the platform's list, a line of its watch and the tables that the rigs write for their daemons were dict[str, Any] from the stand-ins to the simulated world.

Change: `standins/node_list.py` has NodeEntry, ListChange and Lifecycle as typed dicts, which is what the wire has; stand-ins, simulated world, rehearsals and a benchmark use them. The rigs build the daemon's own tables (Operator, FleetTable, SharingTable, LedgerTable) in place of maps, and `standins/operator_file.py` writes them. `configuration(known=...)` takes any mapping, since limebridge/scale still builds its entries as plain maps.

--- a/benchmarks/mixed.py
+++ b/benchmarks/mixed.py
@@ -10,7 +10,6 @@
 import logging
 from collections import Counter
 from dataclasses import dataclass, replace
-from typing import Any
 
 import harness  # noqa: F401  (puts the checkout on the path)
 
@@ -22,6 +21,7 @@
 from limebridge.standins.database import CustomerDatabase
 from limebridge.standins.discovery import Discovery
 from limebridge.standins.fleet import Effects, FleetNode
+from limebridge.standins.node_list import Lifecycle, NodeEntry
 from limebridge.virtual.kernel import Kernel
 from limebridge.virtual.loop import VirtualLoop
 from limebridge.virtual.net import network
@@ -133,7 +133,7 @@
             nodes.append(node)
     discovery = await Discovery().start()
 
-    def entry(node: FleetNode, lifecycle: str = "in_service") -> dict[str, Any]:
+    def entry(node: FleetNode, lifecycle: Lifecycle = "in_service") -> NodeEntry:
         site, _, kind = node.name.rpartition("-")
         return node.entry(node.name, lifecycle, zone=site, machineType=kind)
 
--- a/limebridge/faults/billed.py
+++ b/limebridge/faults/billed.py
@@ -13,7 +13,7 @@
 import time
 from collections import Counter
 from pathlib import Path
-from typing import Any
+from typing import Final
 
 from limebridge.ledger.reconcile import Exported, Line, corrections, read_served, reconcile
 from limebridge.standins.nodes import CacheNode
@@ -22,6 +22,7 @@
 from violetroute.ledger.files import Folder
 from violetroute.ledger.periods import Periods
 from violetroute.ledger.store import SIGNED
+from violetroute.ledger.table import LedgerTable
 
 from .daemon import Daemon
 from .launch import daemon_command
@@ -30,7 +31,7 @@
 
 SPEED = 240.0  # times
 START = 1_700_000_100.0  # Unix s at which the fast clock begins
-MINUTES = 5
+MINUTES: Final = 5  # of a period
 RATE = 25.0  # requests a second to each daemon
 CLOCK = """
 import time
@@ -57,21 +58,19 @@
         self.clients: list[asyncio.Task[None]] = []
         self.periods = Periods("UTC", MINUTES)
 
-    def more_tables(self, daemon: Daemon) -> dict[str, Any]:
-        return {
-            "ledger": {
-                "folder": str(self.ledgers),
-                "period_min": MINUTES,
-                "grace_s": 30.0,
-                "flush_s": 0.05,
-                "ids": True,
-                "retry_s": 0.05,
-                "retry_most_s": 0.5,
-                "export": "files",
-                "export_folder": str(self.out),
-                "closings": True,
-            }
-        }
+    def ledger_table(self) -> LedgerTable:
+        return LedgerTable(
+            folder=str(self.ledgers),
+            period_min=MINUTES,
+            grace_s=30.0,
+            flush_s=0.05,
+            ids=True,
+            retry_s=0.05,
+            retry_most_s=0.5,
+            export="files",
+            export_folder=str(self.out),
+            closings=True,
+        )
 
     async def open(self) -> None:
         await super().open()
--- a/limebridge/faults/daemon.py
+++ b/limebridge/faults/daemon.py
@@ -8,21 +8,25 @@
 import resource
 import signal
 from pathlib import Path
-from typing import Any, Protocol
-
-import tomli_w
+from typing import Protocol
 
 from limebridge.child import Child, ChildState, Unready
 from limebridge.ports import free_ports
 from limebridge.standins.configuration import configuration
 from limebridge.standins.discovery import Discovery
 from limebridge.standins.effects import Effects
+from limebridge.standins.node_list import NodeEntry
+from limebridge.standins.operator_file import operator_file
+from violetroute.config.operator import LogTable, Operator
+from violetroute.fleet.table import FleetTable
+from violetroute.ledger.table import LedgerTable
 
 from .history import History, LoggedEvent, parse
 from .plan import Fault, Plan
 from .relay import Relay
 
 BEAT = 0.05  # s between two effects of a work
+LOG = LogTable(format="json", per_second=1000.0)
 NO_FILES = 8  # descriptors, of a process that has more open: nothing new can be opened
 
 
@@ -38,7 +42,7 @@
     effects: Effects
     consul_port: int  # 0: the store is a folder
     discovery: Discovery
-    known: list[dict[str, Any]]  # the nodes that a configuration names
+    known: list[NodeEntry]  # the nodes that a configuration names
 
     @property
     def now(self) -> float:
@@ -47,8 +51,8 @@
     def complain(self, rule: str, text: str) -> None:
         """Record a violation."""
 
-    def more_tables(self, daemon: Daemon) -> dict[str, Any]:
-        """Tables of the operator's file beside [log] and [fleet]."""
+    def ledger_table(self) -> LedgerTable:
+        """[ledger] of each daemon's file."""
 
 
 class Daemon:
@@ -70,30 +74,28 @@
             self.ways.append(await Relay(rig.consul_port, f"{seed}/c").start())
 
     def operator(self) -> Path:
-        plan = self.rig.plan
-        fleet: dict[str, Any] = {
-            "store": plan.store,
-            "works": self.works,
-            "term_s": plan.term_s,
-            "look_s": 0.1,
-            "call_s": 0.4,
-            "beat_s": BEAT,
-            "move_s": 1.0,
-            "endpoint": f"127.0.0.1:{self.ways[0].port}",
-        }
-        if plan.store == "folder":
-            fleet["folder"] = str(self.rig.shared)
-        else:
-            fleet["agents"] = [f"127.0.0.1:{self.ways[1].port}"]
+        """Write its operator's file; the file's path."""
+        operator = Operator(log=LOG, fleet=self._fleet_table(), ledger=self.rig.ledger_table())
         path = self.rig.folder / f"{self.name}.toml"
-        path.write_text(
-            tomli_w.dumps(
-                {"log": {"format": "json", "per_second": 1000.0}, "fleet": fleet}
-                | self.rig.more_tables(self)
-            )
-        )
+        path.write_text(operator_file(operator))
         return path
 
+    def _fleet_table(self) -> FleetTable:
+        plan = self.rig.plan
+        in_folder = plan.store == "folder"
+        return FleetTable(
+            store=plan.store,
+            folder=str(self.rig.shared) if in_folder else "",
+            agents=() if in_folder else (f"127.0.0.1:{self.ways[1].port}",),
+            works=tuple(self.works),
+            term_s=plan.term_s,
+            look_s=0.1,
+            call_s=0.4,
+            beat_s=BEAT,
+            move_s=1.0,
+            endpoint=f"127.0.0.1:{self.ways[0].port}",
+        )
+
     async def start(self) -> None:
         self.child = await self._start(self.name)
 
--- a/limebridge/faults/rig.py
+++ b/limebridge/faults/rig.py
@@ -23,6 +23,7 @@
 from limebridge.standins.discovery import Discovery
 from limebridge.standins.effects import Effects
 from limebridge.standins.nodes import CacheNode
+from violetroute.ledger.table import LedgerTable
 
 from . import history as histories
 from .daemon import BEAT, Daemon
@@ -75,9 +76,9 @@
         """Record a violation."""
         self.broken.append(Violation(rule, text))
 
-    def more_tables(self, daemon: Daemon) -> dict[str, Any]:
-        """Tables of the operator's file beside [log] and [fleet]."""
-        return {}
+    def ledger_table(self) -> LedgerTable:
+        """[ledger] of each daemon's file."""
+        return LedgerTable()
 
     # --- one run ---
     async def play(self) -> Outcome:
--- a/limebridge/faults/sharing/daemon.py
+++ b/limebridge/faults/sharing/daemon.py
@@ -7,19 +7,23 @@
 import os
 import signal
 from pathlib import Path
-from typing import Any, Protocol
-
-import tomli_w
+from typing import Protocol
 
 from limebridge.child import Child, ChildState
 from limebridge.faults.relay import Datagrams
 from limebridge.ports import free_ports
 from limebridge.standins.configuration import configuration
 from limebridge.standins.discovery import Discovery
+from limebridge.standins.node_list import NodeEntry
+from limebridge.standins.operator_file import operator_file
+from violetroute.config.operator import LogTable, Operator
+from violetroute.sharing.table import BudgetTable, SharingTable
 
 from . import judge
 from .plan import Plan, Way
 
+LOG = LogTable(format="json", per_second=1000.0)
+
 
 class RigServices(Protocol):
     """What a daemon needs of the rig that it belongs to."""
@@ -30,7 +34,7 @@
     command: tuple[str, ...]  # that starts a daemon
     relays: dict[Way, Datagrams]
     discovery: Discovery
-    known: list[dict[str, Any]]  # the nodes that a configuration names
+    known: list[NodeEntry]  # the nodes that a configuration names
 
     def complain(self, rule: str, text: str) -> None:
         """Record a violation."""
@@ -57,27 +61,21 @@
             for (here, other), relay in rig.relays.items()
             if here == self.number
         }
-        path = rig.folder / f"{tag}.toml"
-        path.write_text(
-            tomli_w.dumps(
-                {
-                    "log": {"format": "json", "per_second": 1000.0},
-                    "sharing": {
-                        "listen": f"127.0.0.1:{port}",
-                        "key_file": str(rig.key),
-                        "probe_s": 0.2,
-                        "seeds": [ways[name] for name in ("p0", "p1") if name in ways],
-                        "ways": ways,
-                        "proxies": rig.plan.daemons,
-                        "loan_s": rig.plan.loan_s,
-                        "drift": judge.DRIFT,
-                        "burst_s": judge.BURST_S,
-                        "socket": str(rig.folder / f"{tag}.sock"),
-                        "budget": [{"name": "all", "per_s": rig.plan.per_s}],
-                    },
-                }
-            )
+        sharing = SharingTable(
+            listen=f"127.0.0.1:{port}",
+            key_file=str(rig.key),
+            probe_s=0.2,
+            seeds=tuple(ways[name] for name in ("p0", "p1") if name in ways),
+            ways=ways,
+            proxies=rig.plan.daemons,
+            loan_s=rig.plan.loan_s,
+            drift=judge.DRIFT,
+            burst_s=judge.BURST_S,
+            socket=str(rig.folder / f"{tag}.sock"),
+            budget=(BudgetTable(name="all", per_s=rig.plan.per_s),),
         )
+        path = rig.folder / f"{tag}.toml"
+        path.write_text(operator_file(Operator(log=LOG, sharing=sharing)))
         return path
 
     async def start(self, tag: str = "", port: int = 0) -> Child:
--- a/limebridge/rehearsal/engine.py
+++ b/limebridge/rehearsal/engine.py
@@ -18,6 +18,7 @@
 from limebridge.standins.database import CustomerDatabase
 from limebridge.standins.discovery import Discovery
 from limebridge.standins.fleet import Effects, FleetNode
+from limebridge.standins.node_list import Lifecycle, ListChange, NodeEntry
 from limebridge.virtual import Kernel, VirtualLoop
 from limebridge.virtual.costs import measured
 from limebridge.virtual.process import Process
@@ -99,7 +100,7 @@
     def started(self, at: float, node: str, capacity: float) -> None:
         self.fleet.started(at, node, capacity)
 
-    def _line(self, owner: str, port: int, value: dict[str, Any], burst: bool) -> None:
+    def _line(self, owner: str, port: int, value: ListChange, burst: bool) -> None:
         for entry in value["instances"]:
             self.judges[owner].heard(
                 self.kernel.now,
@@ -267,7 +268,7 @@
         ears = Ears(self.kernel, self._owners, self._line, lambda *what: None)
         ears.follow(self.discovery.port)
 
-    def _list(self, *entries: dict[str, Any], reset: bool = False) -> None:
+    def _list(self, *entries: NodeEntry, reset: bool = False) -> None:
         self.discovery.tell(*entries, reset=reset)
 
     async def _daemon(self, owner: str, raw: dict[str, Any]) -> tuple[Any, int]:
@@ -341,7 +342,7 @@
             return 0.0
         return self.scenario.network.between_ms / 1000.0
 
-    def _entry(self, node: FleetNode, lifecycle: str = "in_service") -> dict[str, Any]:
+    def _entry(self, node: FleetNode, lifecycle: Lifecycle = "in_service") -> NodeEntry:
         born = 0.0 if node.born is None else (node.born + self.wall) * 1000.0
         return node.entry(
             node.name,
--- a/limebridge/rehearsal/real.py
+++ b/limebridge/rehearsal/real.py
@@ -17,11 +17,10 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
-import tomli_w
-
 from limebridge.child import INSTALLED, Child, Unready
 from limebridge.ports import free_ports
+from limebridge.standins.node_list import NodeEntry
+from limebridge.standins.operator_file import operator_file
 from violetroute.config import Operator
 
 from .engine import Morning
@@ -89,7 +88,7 @@
     def _hear(self) -> None:
         pass
 
-    def _list(self, *entries: dict[str, Any], reset: bool = False) -> None:
+    def _list(self, *entries: NodeEntry, reset: bool = False) -> None:
         super()._list(*entries, reset=reset)
         for judge in self.judges.values():
             for entry in entries:
@@ -108,7 +107,7 @@
         operator = None
         if self.scenario.operator != Operator():
             operator = self._folder / f"{owner}.toml"
-            operator.write_text(tomli_w.dumps(msgspec.to_builtins(self.scenario.operator)))
+            operator.write_text(operator_file(self.scenario.operator))
         return daemon, await daemon.start(raw, free_ports(1)[0], operator)
 
     async def _restart(self, process: Any, port: int) -> None:
--- a/limebridge/rehearsal/troubles.py
+++ b/limebridge/rehearsal/troubles.py
@@ -12,6 +12,7 @@
 from limebridge.standins.database import CustomerDatabase
 from limebridge.standins.discovery import Discovery
 from limebridge.standins.fleet import FleetNode
+from limebridge.standins.node_list import Lifecycle, NodeEntry
 from limebridge.virtual.session import during, refused, stalled
 
 from .crowd import Front
@@ -40,10 +41,10 @@
     def random(self, purpose: str) -> Random:
         raise NotImplementedError
 
-    def _entry(self, node: FleetNode, lifecycle: str = "in_service") -> dict[str, Any]:
+    def _entry(self, node: FleetNode, lifecycle: Lifecycle = "in_service") -> NodeEntry:
         raise NotImplementedError
 
-    def _list(self, *entries: dict[str, Any], reset: bool = False) -> None:
+    def _list(self, *entries: NodeEntry, reset: bool = False) -> None:
         raise NotImplementedError
 
     async def _node(
--- a/limebridge/standins/configuration.py
+++ b/limebridge/standins/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -49,13 +50,16 @@
 
 def configuration(
     discovery: int,
-    known: list[dict[str, Any]],
+    known: Sequence[Mapping[str, object]],
     sockets: int = 256,
     memory_mb: int = 64,
     listen: int = 0,
     **settings: Any,
 ) -> dict[str, Any]:
-    """Discovery and the proxy by their loopback ports; `settings` replace those above."""
+    """Discovery and the proxy by their loopback ports; `settings` replace those above.
+
+    `known`: entries of the platform's list, see `node_list`.
+    """
     return {
         "name": "n0",
         "listen": f"127.0.0.1:{listen}",
--- a/limebridge/standins/discovery.py
+++ b/limebridge/standins/discovery.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import json
-from typing import Any
+
+from .node_list import ListChange, NodeEntry
 
 
 class Discovery:
     """Answers watches with what `tell` gives it; `refuse` makes it fail."""
 
     def __init__(self) -> None:
-        self.lines: list[dict[str, Any]] = []
+        self.lines: list[ListChange] = []
         self.asked: list[str] = []
         self.refuse = False
         self.open: dict[asyncio.StreamWriter, None] = {}
@@ -48,7 +49,7 @@
     def send(self, writer: asyncio.StreamWriter, text: bytes) -> None:
         writer.write(b"%x\r\n%b\n\r\n" % (len(text) + 1, text))
 
-    def tell(self, *entries: dict[str, Any], reset: bool = False) -> None:
+    def tell(self, *entries: NodeEntry, reset: bool = False) -> None:
         self.lines.append(
             {"generation": 100 + len(self.lines), "reset": reset, "instances": list(entries)}
         )
--- a/limebridge/standins/nodes.py
+++ b/limebridge/standins/nodes.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any, Self
+from typing import Self, Unpack
 
+from .node_list import Lifecycle, NodeEntry, NodeFields
 from .wire import read_words, reply
 
 # Given the command's words (name, key, id, list, value) and where to answer.
@@ -58,8 +59,10 @@
             writer.transport.abort()
         await asyncio.sleep(0)
 
-    def entry(self, name: str, lifecycle: str = "in_service", **more: Any) -> dict[str, Any]:
-        """This node in discovery's form."""
+    def entry(
+        self, name: str, lifecycle: Lifecycle = "in_service", **fields: Unpack[NodeFields]
+    ) -> NodeEntry:
+        """This node in discovery's form; `fields` replace what it says otherwise."""
         return {
             "instanceId": name,
             "hostPort": f"127.0.0.1:{self.port}",
@@ -68,5 +71,5 @@
             "lifecycle": lifecycle,
             "weight": 1.0,
             "startedAtMs": 0,
-            **more,
+            **fields,
         }
--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -16,6 +16,7 @@
 
 from limebridge.standins.consul import Catalogue, Consul
 from limebridge.standins.fleet import FleetNode
+from limebridge.standins.node_list import Lifecycle, NodeEntry
 from violetroute.config import Operator
 from violetroute.membership import ConsulTable, MembershipTable
 from violetroute.placement import PlacementTable
@@ -95,7 +96,7 @@
             checks={f"service:{node.name}": "passing"},
         )
 
-    def _tell(self, node: FleetNode, lifecycle: str) -> None:
+    def _tell(self, node: FleetNode, lifecycle: Lifecycle) -> None:
         super()._tell(node, lifecycle)
         if lifecycle == "in_service":
             self._register(node)
@@ -105,7 +106,7 @@
         else:
             self.catalogue.deregister(node.name)
 
-    def _replaced(self, old: dict[str, Any], node: FleetNode) -> None:
+    def _replaced(self, old: NodeEntry, node: FleetNode) -> None:
         super()._replaced(old, node)
         self.catalogue.services.pop(old["instanceId"], None)
         self._register(node)
--- a/limebridge/virtual/received.py
+++ b/limebridge/virtual/received.py
@@ -12,10 +12,11 @@
 
 import json
 from collections.abc import Callable, Container
-from typing import Any
 
 import h11
 
+from limebridge.standins.node_list import ListChange
+
 from .kernel import Kernel
 from .sockets import VirtualSocket
 
@@ -35,7 +36,7 @@
         self,
         kernel: Kernel,
         owners: Container[str],
-        line: Callable[[str, int, dict[str, Any], bool], None],
+        line: Callable[[str, int, ListChange, bool], None],
         answer: Callable[[str, int, str, dict[str, str], bytes], None],
     ) -> None:
         self._kernel, self._owners, self._line, self._answer = kernel, owners, line, answer
@@ -73,7 +74,7 @@
 
 
 class _Line:
-    def __init__(self, value: dict[str, Any], burst: bool) -> None:
+    def __init__(self, value: ListChange, burst: bool) -> None:
         self.value, self.burst = value, burst
 
 
--- a/limebridge/virtual/troubles.py
+++ b/limebridge/virtual/troubles.py
@@ -5,13 +5,13 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
 
 import msgspec
 
 from limebridge.rules import Judge
 from limebridge.standins.discovery import Discovery
 from limebridge.standins.fleet import FleetNode
+from limebridge.standins.node_list import Lifecycle, NodeEntry
 from violetroute.config import Config
 from violetroute.membership import parse_listing
 
@@ -53,16 +53,16 @@
     _ending: bool
     _wall_off: float
 
-    def _entry(self, node: FleetNode, lifecycle: str = "in_service") -> dict[str, Any]:
+    def _entry(self, node: FleetNode, lifecycle: Lifecycle = "in_service") -> NodeEntry:
         raise NotImplementedError
 
     def _nothing(self, left: dict[str, int]) -> None:
         raise NotImplementedError
 
-    def _replaced(self, old: dict[str, Any], node: FleetNode) -> None:
+    def _replaced(self, old: NodeEntry, node: FleetNode) -> None:
         self.discovery.tell(old, self._entry(node))
 
-    def _tell(self, node: FleetNode, lifecycle: str) -> None:
+    def _tell(self, node: FleetNode, lifecycle: Lifecycle) -> None:
         if lifecycle == "in_service":
             self.draining.pop(node.name, None)
         else:
--- a/limebridge/virtual/world.py
+++ b/limebridge/virtual/world.py
@@ -15,6 +15,7 @@
 from limebridge.standins.database import CustomerDatabase
 from limebridge.standins.discovery import Discovery
 from limebridge.standins.fleet import Effects, FleetNode
+from limebridge.standins.node_list import Lifecycle, ListChange, NodeEntry
 from limebridge.standins.wire import command
 from violetroute.config import Config, Operator, parse
 
@@ -230,7 +231,7 @@
             self.discovery.open or self.discovery.refuse or link.blocked_to or link.blocked_back
         )
 
-    def _entry(self, node: FleetNode, lifecycle: str = "in_service") -> dict[str, Any]:
+    def _entry(self, node: FleetNode, lifecycle: Lifecycle = "in_service") -> NodeEntry:
         born = self._born(node)
         return node.entry(node.name, lifecycle, startedAtMs=born)
 
@@ -292,7 +293,7 @@
     async def _end_sources(self) -> None:
         """What `_sources` has started."""
 
-    def _line(self, owner: str, port: int, value: dict[str, Any], burst: bool) -> None:
+    def _line(self, owner: str, port: int, value: ListChange, burst: bool) -> None:
         """A line of a watch has reached the process."""
         before, listed = self._listed, {} if value["reset"] else dict(self._listed)
         for entry in value["instances"]:
