Sharing: heavy hitters, fan-out and ages of reports under their standard names

Change: counts.py is heavy_hitters.py with HeavyHitters (report, merge_report, forget_member, of_fleet); LoadReports has reports_to_send, merge_report, end_round, as NodeHealth has; constants of gossip.py and load_reports.py name what they bound and its unit. Behaviour as before; no field of a message or answer is renamed. The tests follow the names alone.

--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -38,7 +38,7 @@
 from limebridge.virtual.loop import VirtualLoop
 from snowstall import CacheState, Member, Result
 from violetroute.sharing import wire
-from violetroute.sharing.counts import Summary, merge
+from violetroute.sharing.heavy_hitters import Summary, merge
 from violetroute.sharing.service import Sharing
 from violetroute.sharing.table import BudgetTable, SharingTable
 from violetroute.transport import Address
--- a/tests/violetroute/sharing/test_sharing.py
+++ b/tests/violetroute/sharing/test_sharing.py
@@ -22,8 +22,8 @@
 from violetroute.config.operator import load_operator
 from violetroute.sharing import wire
 from violetroute.sharing.budget import Ask, Budget, evenly, home_part
-from violetroute.sharing.counts import Counts, Summary, merge
 from violetroute.sharing.factory import safely
+from violetroute.sharing.heavy_hitters import HeavyHitters, Summary, merge
 from violetroute.sharing.loans import ASKS_MOST, LENT_MOST, SEEN_MOST, Loans, Terms
 from violetroute.sharing.members import MEMBERS_MOST, Members, Out
 from violetroute.sharing.node_health import NodeHealth
@@ -590,15 +590,15 @@
 
 
 def test_a_member_that_left_or_is_silent_counts_no_more() -> None:
-    counts = Counts("key", 0.0)
-    counts.add(0.0, 7)
-    counts.heard(0.0, "m", Counted("key", [9], [50.0], [0.0]), 0.0)
-    counts.heard(0.0, "n", Counted("key", [8], [40.0], [0.0]), 0.0)
-    counts.heard(0.0, "o", Counted("key", [8, 9], [40.0], [0.0]), 0.0)  # makes no sense
-    assert [key for key, _, _ in counts.fleet(0.0).top()] == [9, 8, 7]
-    counts.left("n")
-    assert [key for key, _, _ in counts.fleet(0.0).top()] == [9, 7]
-    assert [key for key, _, _ in counts.fleet(11.0).top()] == [7]
+    hitters = HeavyHitters("key", 0.0)
+    hitters.add(0.0, 7)
+    hitters.merge_report(0.0, "m", Counted("key", [9], [50.0], [0.0]), 0.0)
+    hitters.merge_report(0.0, "n", Counted("key", [8], [40.0], [0.0]), 0.0)
+    hitters.merge_report(0.0, "o", Counted("key", [8, 9], [40.0], [0.0]), 0.0)  # makes no sense
+    assert [key for key, _, _ in hitters.of_fleet(0.0).top()] == [9, 8, 7]
+    hitters.forget_member("n")
+    assert [key for key, _, _ in hitters.of_fleet(0.0).top()] == [9, 7]
+    assert [key for key, _, _ in hitters.of_fleet(11.0).top()] == [7]
 
 
 # --- what it must not do ---
--- a/tests/violetroute/sharing/test_sharing_reports.py
+++ b/tests/violetroute/sharing/test_sharing_reports.py
@@ -10,7 +10,7 @@
 from limebridge.scale.measure_judgements import _bytes_per_second
 from snowstall import CacheState, Judged, Member, Result
 from violetroute.sharing.budget import Budget
-from violetroute.sharing.gossip import MANY, Report, Rounds
+from violetroute.sharing.gossip import TROUBLE_FANOUT, Report, Rounds
 from violetroute.sharing.loans import Terms
 from violetroute.sharing.node_health import EXPIRED_MOST, TALLIES_LEAST, TALLIES_MOST, NodeHealth
 from violetroute.sharing.report_budget import ByteBucket, ReportBudget, default_rate
@@ -79,7 +79,7 @@
     assert [item.node for item in health.items if isinstance(item, HealthReport) and item.bad] == [
         7
     ]
-    assert len(health.to) >= MANY // 2
+    assert len(health.to) >= TROUBLE_FANOUT // 2
 
 
 @pytest.mark.parametrize("urgent", [True, False])
--- a/tests/violetroute/sharing/test_sharing_talk.py
+++ b/tests/violetroute/sharing/test_sharing_talk.py
@@ -26,9 +26,9 @@
 )
 from violetroute.membership import Places
 from violetroute.sharing import service, wire
-from violetroute.sharing.gossip import FEW, MANY, ROUND_AGE, Rounds
+from violetroute.sharing.gossip import CALM_FANOUT, OUTCOME_AGE_MOST_S, TROUBLE_FANOUT, Rounds
 from violetroute.sharing.introspection import look
-from violetroute.sharing.load_reports import MOST, LoadReports
+from violetroute.sharing.load_reports import OUTCOMES_MOST, LoadReports
 from violetroute.sharing.service import Sharing
 from violetroute.sharing.table import BudgetTable, SharingTable
 from violetroute.sharing.wire import (
@@ -238,16 +238,16 @@
 def test_a_round_is_the_mean_of_three_members_at_least() -> None:
     reports = LoadReports()
     for member in "ab":
-        reports.heard(1.0, member, load_report(1.0))
-    assert reports.round(1.5, (), 1.0) == []
+        reports.merge_report(1.0, member, load_report(1.0))
+    assert reports.end_round(1.5, (), 1.0) == []
     for member, bad in (("a", 1.0), ("b", 0.0), ("c", 0.5)):
-        reports.heard(1.0, member, load_report(bad))
-    found = reports.round(1.5, (), 1.0)
+        reports.merge_report(1.0, member, load_report(bad))
+    found = reports.end_round(1.5, (), 1.0)
     assert found == [(True, 0.5, 100.0, 300.0, False)] * 3
-    assert reports.round(1.5, (), 1.0) == []  # of that round only
+    assert reports.end_round(1.5, (), 1.0) == []  # of that round only
     for member in "abcd":
-        reports.heard(1.0, member, load_report(1.0))
-    assert reports.round(1.5, {"a", "b"}, 1.0) == []  # who is cut off speaks of itself
+        reports.merge_report(1.0, member, load_report(1.0))
+    assert reports.end_round(1.5, {"a", "b"}, 1.0) == []  # who is cut off speaks of itself
 
 
 @pytest.mark.parametrize("members", [10, 40])
@@ -255,16 +255,20 @@
     reports = LoadReports()
     for number in range(members):
         lies = number < members // 10
-        reports.heard(1.0, f"m{number}", load_report(1.0 if lies else 0.0, 1e6 if lies else 4.0))
-    found = reports.round(1.5, (), 1.0)
-    assert 0 < len(found) <= MOST and all(badness <= 0.2 / 1.1 + 1e-9 for _, badness, *_ in found)
+        reports.merge_report(
+            1.0, f"m{number}", load_report(1.0 if lies else 0.0, 1e6 if lies else 4.0)
+        )
+    found = reports.end_round(1.5, (), 1.0)
+    assert 0 < len(found) <= OUTCOMES_MOST and all(
+        badness <= 0.2 / 1.1 + 1e-9 for _, badness, *_ in found
+    )
 
 
 def test_what_was_heard_before_a_stop_of_this_process_is_of_another_hour() -> None:
     reports = LoadReports()
     for member in "abcd":
-        reports.heard(1.0, member, load_report(1.0))
-    assert reports.round(21.0, (), 1.0) == []
+        reports.merge_report(1.0, member, load_report(1.0))
+    assert reports.end_round(21.0, (), 1.0) == []
 
 
 def test_a_round_tells_few_in_calm_many_of_trouble_and_nothing_beside_a_twin() -> None:
@@ -274,14 +278,14 @@
     rounds.met(1.0, 5, Result.OK)
     rounds.met(1.0, 5, Result.FULL)  # tells of the load, not of the node
     calm = rounds.next(1.0, up, [], {}, False)
-    assert len(calm.to) == FEW and HealthReport(5, 1, 1.0, 0.0) in calm.items
+    assert len(calm.to) == CALM_FANOUT and HealthReport(5, 1, 1.0, 0.0) in calm.items
     rounds.met(1.5, 5, Result.LATE)
     assert not rounds.due(1.3) and rounds.due(1.7)
-    assert len(rounds.next(1.7, up, [], {}, False).to) == MANY
+    assert len(rounds.next(1.7, up, [], {}, False).to) == TROUBLE_FANOUT
     assert rounds.next(2.4, up, [], {}, True).to == []
     for member in ("m1", "m2", "m3"):
         rounds.heard(3.0, member, "a", HealthReport(5, 1, 0.0, 3.0), 0.0)
-        too_old = ROUND_AGE + 0.1
+        too_old = OUTCOME_AGE_MOST_S + 0.1
         rounds.heard(3.0, member, "a", load_report(1.0), too_old)
     first, second = (rounds.next(at, up, [], {}, False) for at in (3.1, 3.7))
     assert (first.bad, first.new, second.bad, second.new) == ([5], [5], [5], [])
@@ -329,9 +333,11 @@
         LoadReport(True, 2.0, 1.0, 1.0, 0.0, 0.0),
     ):
         for member in "abc":
-            reports.heard(1.0, member, wrong)
-        assert reports.round(1.5, (), 1.0) == []
-    told = LoadReports.tells([(True, 1.0, 50.0, 300.0, True), (True, 0.0, 30.0, 300.0, False)])
+            reports.merge_report(1.0, member, wrong)
+        assert reports.end_round(1.5, (), 1.0) == []
+    told = LoadReports.reports_to_send(
+        [(True, 1.0, 50.0, 300.0, True), (True, 0.0, 30.0, 300.0, False)]
+    )
     assert told == [LoadReport(True, 2.0, 1.0, 80.0, 600.0, 1.0)]
 
 
--- a/violetroute/sharing/gossip.py
+++ b/violetroute/sharing/gossip.py
@@ -1,12 +1,12 @@
 """What a proxy tells of itself unasked, to how many, and what it makes of the others'.  Pure.
 
-A round each TELL_S: what its requests met, what came of them, what it has to spare, what is asked
-for most.  In calm it goes to FEW members by chance; while trouble is fresh to MANY, since of a
-large fleet three must have met a node before anybody believes it.  So what a member sends does not
-grow with the fleet, and what is heard is a sample of it.
+A round each ROUND_S: what its requests met, what came of them, what it has to spare, what is asked
+for most.  In calm it goes to CALM_FANOUT members by chance; while trouble is fresh to
+TROUBLE_FANOUT, since of a large fleet three must have met a node before anybody believes it.  So
+what a member sends does not grow with the fleet, and what is heard is a sample of it.
 
-What is heard is of an age: beyond AGE_MOST it is left alone, what came of requests beyond
-ROUND_AGE, also where it has stood here meanwhile because this process was stopped.
+What is heard is of an age: beyond REPORT_AGE_MOST_S it is left alone, what came of requests beyond
+OUTCOME_AGE_MOST_S, also where it has stood here meanwhile because this process was stopped.
 """
 
 from __future__ import annotations
@@ -18,23 +18,25 @@
 from snowstall import CacheState, Judged, Member, Result
 
 from .budget import Budget
-from .counts import Counts, hash_of
+from .heavy_hitters import HeavyHitters, hash_of
 from .load_reports import LoadReports
 from .node_health import NodeHealth
 from .report_budget import ByteBucket, ReportBudget
 from .wire import Counted, HealthReport, Item, LoadReport, Spare
 
-TELL_S = 0.5  # s between two rounds
-FEW, MANY = 2, 16  # members that a round tells
-FRESH = 0.5  # bad outcomes from which it tells many
-AGE_MOST = 5.0  # s
-ROUND_AGE = 1.0  # s
-COUNT_S = 1.0  # s between two tellings of counts, at least
-SAMPLED = 0.25  # of the requests: a full summary costs as much as all else here
-BAD = frozenset({Result.LATE, Result.RESET, Result.NO_CONNECTION})  # what tells of the node
+ROUND_S = 0.5  # s between two rounds
+CALM_FANOUT, TROUBLE_FANOUT = 2, 16  # members that a round tells
+URGENT_BADNESS = 0.5  # bad outcomes from which it tells many
+REPORT_AGE_MOST_S = 5.0  # s
+OUTCOME_AGE_MOST_S = 1.0  # s
+HITTERS_S = 1.0  # s between two tellings of counts, at least
+SAMPLED_SHARE = 0.25  # of the requests: a full summary costs as much as all else here
+BAD_RESULTS = frozenset({Result.LATE, Result.RESET, Result.NO_CONNECTION})  # by the node
 
 
-class Chance(Protocol):
+class RandomSource(Protocol):
+    """random.Random, or a test's."""
+
     def random(self) -> float: ...
     def sample(self, of: Sequence[str], k: int) -> list[str]: ...
 
@@ -72,29 +74,29 @@
         zone: str,
         judge: bool,
         now: float,
-        chance: Chance,
+        chance: RandomSource,
         budget: ReportBudget | None = None,
     ) -> None:
         self._chance, self._budget = chance, budget
         self.node_health = NodeHealth(zone) if judge else None
         self.load_reports = LoadReports()
-        self.counts = {kind: Counts(kind, now) for kind in ("tenant", "key")}
-        self._at = now + TELL_S * chance.random()  # those started together do not tell together
+        self.heavy_hitters = {kind: HeavyHitters(kind, now) for kind in ("tenant", "key")}
+        self._at = now + ROUND_S * chance.random()  # those started together do not tell together
         self._count_at = now
         self._bad: list[int] = []
 
     # --- its own ---
     def met(self, now: float, node: int, result: Result) -> None:
         """How an attempt ended at a node."""
-        if self.node_health is not None and (result is Result.OK or result in BAD):
+        if self.node_health is not None and (result is Result.OK or result in BAD_RESULTS):
             self.node_health.record_outcome(now, node, result is not Result.OK)
 
     def asked(self, now: float, tenant: str, key: int) -> None:
         """A request was let in."""
-        if self._chance.random() < SAMPLED:
-            self.counts["key"].add(now, key & (2**63 - 1), 1.0 / SAMPLED)
+        if self._chance.random() < SAMPLED_SHARE:
+            self.heavy_hitters["key"].add(now, key & (2**63 - 1), 1.0 / SAMPLED_SHARE)
         if tenant:
-            self.counts["tenant"].add(now, hash_of(tenant))
+            self.heavy_hitters["tenant"].add(now, hash_of(tenant))
 
     def listed(self, members: Iterable[Member]) -> None:
         """Nodes that serve, and those that do not any more."""
@@ -115,22 +117,22 @@
         age: float,
     ) -> None:
         """Word of a member that is up, written `age` s ago at most."""
-        if age > AGE_MOST:
+        if age > REPORT_AGE_MOST_S:
             return
         if isinstance(item, Counted):
-            if item.kind in self.counts:
-                self.counts[item.kind].heard(now, member, item, age)
+            if item.kind in self.heavy_hitters:
+                self.heavy_hitters[item.kind].merge_report(now, member, item, age)
         elif self.node_health is None:
             return
         elif isinstance(item, HealthReport):
             self.node_health.merge_report(now, member, zone, item, age)
-        elif age <= ROUND_AGE:
-            self.load_reports.heard(now, member, item)
+        elif age <= OUTCOME_AGE_MOST_S:
+            self.load_reports.merge_report(now, member, item)
 
     def left(self, member: str) -> None:
         """Its word goes with it."""
-        for counts in self.counts.values():
-            counts.left(member)
+        for hitters in self.heavy_hitters.values():
+            hitters.forget_member(member)
         if self.node_health is not None:
             self.node_health.left(member)
 
@@ -149,7 +151,7 @@
         """`up`: the other members.  `judged`: what came of own requests since the last round.
         `silent`: it tells nothing, since another process has its name; it hears all the same.
         """
-        self._at = now + TELL_S * (0.8 + 0.4 * self._chance.random())
+        self._at = now + ROUND_S * (0.8 + 0.4 * self._chance.random())
         round_, worst = Round(), 0.0
         load: list[Item] = [
             Spare(name, spare) for name, budget in budgets.items() if (spare := budget.spare(now))
@@ -157,23 +159,29 @@
         health: list[HealthReport] = []
         if self.node_health is not None:
             health = self.node_health.reports_to_send(now)
-            own_load = self.load_reports.tells(judged)
+            own_load = self.load_reports.reports_to_send(judged)
             load += own_load
             worst = max((*(s.bad for s in health), *(s.bad for s in own_load)), default=0.0)
-            round_.bad = self.node_health.judge(now)
-            round_.new = [node for node in round_.bad if node not in self._bad]
-            round_.ended = [node for node in self._bad if node not in round_.bad]
-            self._bad = round_.bad
-            round_.outcomes = self.load_reports.round(now, self.node_health.cut(now), ROUND_AGE)
+            self._judge(round_, now, self.node_health)
         hitters: list[Item] = []
         if now >= self._count_at:
-            hitters += [counts.tells(now) for counts in self.counts.values() if counts.own.counters]
+            kinds = self.heavy_hitters.values()
+            hitters += [kind.report(now) for kind in kinds if kind.own.counters]
         if (load or health or hitters) and not silent:
-            many = MANY if worst >= FRESH else FEW
+            many = TROUBLE_FANOUT if worst >= URGENT_BADNESS else CALM_FANOUT
             to = self._chance.sample(up, min(many, len(up)))
             self._report(round_, now, to, load, health, hitters)
         return round_
 
+    def _judge(self, round_: Round, now: float, node_health: NodeHealth) -> None:
+        """What this proxy takes from the others' reports in this round."""
+        round_.bad = node_health.judge(now)
+        round_.new = [node for node in round_.bad if node not in self._bad]
+        round_.ended = [node for node in self._bad if node not in round_.bad]
+        self._bad = round_.bad
+        cut_off = node_health.cut(now)
+        round_.outcomes = self.load_reports.end_round(now, cut_off, OUTCOME_AGE_MOST_S)
+
     def _report(
         self,
         round_: Round,
@@ -185,13 +193,13 @@
     ) -> None:
         """Give each kind of report to as many of these members as its budget allows."""
         budget = self._budget
-        urgent = [report for report in health if report.bad >= FRESH]
+        urgent = [report for report in health if report.bad >= URGENT_BADNESS]
         if budget is None:
             round_.reports = [Report(load, to), Report([*health], to), Report(hitters, to)]
         else:
             budget.refill(now)
             if urgent and budget.health.affords(now, budget.size(health), True) < len(to):
-                sound = [report for report in health if report.bad < FRESH]
+                sound = [report for report in health if report.bad < URGENT_BADNESS]
                 health = urgent + sound[: len(urgent)]
             round_.reports = [
                 self._within(budget, budget.load, now, to, load, True),
@@ -201,7 +209,7 @@
         if self.node_health is not None and round_.reports[1].to:
             self.node_health.told(health)
         if round_.reports[2].to:
-            self._count_at = now + COUNT_S
+            self._count_at = now + HITTERS_S
         round_.to = max((report.to for report in round_.reports), key=len)
 
     @staticmethod
--- a/violetroute/sharing/counts.py
+++ b/violetroute/sharing/heavy_hitters.py
@@ -5,8 +5,8 @@
 least count as its possible error; the k greatest stay.  A count is never too low, and too high by
 at most its error; over the fleet the error is at most the sum of requests over k.
 
-What is told is what one member saw itself, fading over WINDOW; a member that has left, or was not
-heard of for STALE, counts no more.  Keys go as keyed hashes: a datagram names no customer.
+What is told is what one member saw itself, halved every HALF_LIFE_S; a member that has left, or was
+not heard of for STALE_S, counts no more.  Keys go as keyed hashes: a datagram names no customer.
 """
 
 from __future__ import annotations
@@ -18,8 +18,8 @@
 from .wire import Counted
 
 SIZE = 32  # counters of one summary, and so of one datagram
-WINDOW = 10.0  # s over which a count fades
-STALE = 10.0  # s without a word after which a member's counts are left out
+HALF_LIFE_S = 10.0  # after which half of a count is left
+STALE_S = 10.0  # without a report, after which a member's counts are left out
 MEMBERS_MOST = 1024
 
 
@@ -86,7 +86,7 @@
     return merged
 
 
-class Counts:
+class HeavyHitters:
     """One kind of key: ours, and what others told.  `now`: s."""
 
     def __init__(self, kind: str, now: float, size: int = SIZE) -> None:
@@ -98,11 +98,12 @@
         self.own.add(key, weight)
 
     def _fade(self, now: float) -> None:
-        if now - self._at >= WINDOW / 50.0:
-            self.own.fade(0.5 ** ((now - self._at) / WINDOW))
+        if now - self._at >= HALF_LIFE_S / 50.0:
+            self.own.fade(0.5 ** ((now - self._at) / HALF_LIFE_S))
             self._at = now
 
-    def tells(self, now: float) -> Counted:
+    def report(self, now: float) -> Counted:
+        """What this member saw itself, for the others."""
         self._fade(now)
         top = self.own.top()
         return Counted(
@@ -112,31 +113,32 @@
             [round(e, 1) for _, _, e in top],
         )
 
-    def heard(self, now: float, member: str, counted: Counted, age: float) -> None:
-        """Another member's own."""
+    def merge_report(self, now: float, member: str, counted: Counted, age: float) -> None:
+        """Take another member's report, written `age` s ago, in place of its last one."""
         if member not in self._others and len(self._others) >= MEMBERS_MOST:
             return
         if not len(counted.keys) == len(counted.counts) == len(counted.errors) <= self._size:
             return
-        left = 0.5 ** (age / WINDOW)
+        left = 0.5 ** (age / HALF_LIFE_S)
         summary = Summary(self._size)
         for key, count, error in zip(counted.keys, counted.counts, counted.errors, strict=True):
             summary.counters[key] = Counter(count * left, min(error, count) * left)
         self._others[member] = summary, now - age
 
-    def left(self, member: str) -> None:
+    def forget_member(self, member: str) -> None:
+        """It has left: its counts go with it."""
         self._others.pop(member, None)
 
-    def fleet(self, now: float) -> Summary:
+    def of_fleet(self, now: float) -> Summary:
         """Of all that were heard of lately, and of this one."""
         self._fade(now)
         every = [self.own]
         for member, (summary, at) in list(self._others.items()):
-            if now - at > STALE:
+            if now - at > STALE_S:
                 del self._others[member]
                 continue
             aged = Summary(self._size)
-            left = 0.5 ** ((now - at) / WINDOW)
+            left = 0.5 ** ((now - at) / HALF_LIFE_S)
             aged.counters = {
                 key: Counter(c.count * left, c.error * left) for key, c in summary.counters.items()
             }
--- a/violetroute/sharing/load_reports.py
+++ b/violetroute/sharing/load_reports.py
@@ -2,9 +2,9 @@
 
 Each member tells now and then what came of its own requests since it told last: how many, how many
 of them to nothing, what they took, by whether a cache likely had the key.  No member counts for
-more than WEIGHT_MOST times the median one, and those that are taken for cut off are left out.
-So what one in ten says wrongly moves the mean badness by 0.1 * WEIGHT_MOST / (0.9 + 0.1 *
-WEIGHT_MOST) at most, 0.18: less than the limit's rest at a quarter and what is shed beyond it.
+more than MEMBER_WEIGHT_MOST times the median one, and those that are taken for cut off are left
+out.  So what one in ten says wrongly moves the mean badness by 0.1 * W / (0.9 + 0.1 * W) at most,
+with W = MEMBER_WEIGHT_MOST 0.18: less than the limit's rest at a quarter and what is shed beyond.
 
 What comes out are a few outcomes that are the mean of what was heard in a round; the module takes
 them as it takes its own, beside its own, and its limit stays one of its own requests.
@@ -19,10 +19,10 @@
 
 from .wire import LoadReport
 
-WEIGHT_MOST = 2.0  # times the median member's count
-LEAST = 3  # members that have to be heard in a round
-EACH = 4.0  # outcomes heard that make one of those that the module takes
-MOST = 8  # that it takes in a round: its own must not drown
+MEMBER_WEIGHT_MOST = 2.0  # times the median member's count
+MEMBERS_LEAST = 3  # members that have to be heard in a round
+REPORTED_PER_OUTCOME = 4.0  # outcomes heard that make one of those that the module takes
+OUTCOMES_MOST = 8  # that it takes in a round: its own must not drown
 MEMBERS_MOST = 256  # heard in one round
 
 
@@ -33,7 +33,7 @@
         self._heard: dict[tuple[str, bool], tuple[LoadReport, float]] = {}
 
     @staticmethod
-    def tells(judged: Iterable[Judged]) -> list[LoadReport]:
+    def reports_to_send(judged: Iterable[Judged]) -> list[LoadReport]:
         """Sums of what was judged since the last time."""
         sums: dict[bool, list[float]] = {}
         for kept, badness, took, aim, queued in judged:
@@ -45,7 +45,7 @@
             for kept, here in sums.items()
         ]
 
-    def heard(self, now: float, member: str, report: LoadReport) -> None:
+    def merge_report(self, now: float, member: str, report: LoadReport) -> None:
         """The latest of a member in a round counts."""
         if (
             report.bad <= report.count
@@ -56,7 +56,7 @@
         ):
             self._heard[member, report.kept] = report, now
 
-    def round(self, now: float, cut: Collection[str], age: float) -> list[Judged]:
+    def end_round(self, now: float, cut: Collection[str], age: float) -> list[Judged]:
         """What the module takes of this round; the next begins.
 
         What was heard before a stop of this process, more than `age` s ago, is of another hour.
@@ -69,9 +69,9 @@
                 for (member, which), (report, at) in heard.items()
                 if which is kept and member not in cut and now - at <= age
             ]
-            if len(said) < LEAST:
+            if len(said) < MEMBERS_LEAST:
                 continue
-            most = WEIGHT_MOST * median(report.count for report in said)
+            most = MEMBER_WEIGHT_MOST * median(report.count for report in said)
             shares = [min(1.0, most / report.count) for report in said]
             count, bad, took, aim, queued = (
                 sum(
@@ -81,5 +81,5 @@
                 for name in ("count", "bad", "took", "aim", "queued")
             )
             one = kept, bad / count, took / count, aim / count, queued > count / 2.0
-            found += [one] * min(MOST, round(count / EACH))
+            found += [one] * min(OUTCOMES_MOST, round(count / REPORTED_PER_OUTCOME))
         return found
--- a/violetroute/sharing/service.py
+++ b/violetroute/sharing/service.py
@@ -25,7 +25,7 @@
 
 from . import wire
 from .budget import Ask, Back, Budget
-from .gossip import AGE_MOST, Rounds
+from .gossip import REPORT_AGE_MOST_S, Rounds
 from .loans import Terms
 from .members import Members
 from .probe import TICK_S
@@ -373,7 +373,7 @@
             if age is not None:
                 return age
         apart = self._net.wall() - envelope.at / 1000.0
-        return max(0.0, apart) if abs(apart) <= AGE_MOST else math.inf
+        return max(0.0, apart) if abs(apart) <= REPORT_AGE_MOST_S else math.inf
 
     def _lend_or_borrow(self, now: float, name: str, life: str, item: Any, budget: Budget) -> None:
         match item:
