Fleet ownership: standard names for incarnations, terms and candidates

Need: `Me`, `Gained`, `Over`, `want`, `hurry`, `Answer.yes` and a "life" had to be explained; posting an entry was one function of 49 lines.

Change: IncarnationId, TermBegan, TermEnded, set_candidate, renew_early, Owner.resign, accepted; "life" reads incarnation or process in violetroute/fleet. `_post` is split into the post, its answer, the record of what was handed over and the wait after a failure. Names in logs, settings, records and messages stay. Term.hand_on stays, since violetroute/distribution uses it.

--- a/limebridge/faults/model.py
+++ b/limebridge/faults/model.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from violetroute.fleet import lease as leases
-from violetroute.fleet.election import Ask, Gained, Over, Owner, Release, Renew, Terms
-from violetroute.fleet.lease import Lease, Me
+from violetroute.fleet.election import Ask, Owner, Release, Renew, TermBegan, TermEnded, Terms
+from violetroute.fleet.lease import IncarnationId, Lease
 from violetroute.fleet.log import Fenced, FencedLog, Read, append, claim, decode
 
 from .model_incarnation import Incarnation, Reading, StoreAnswer, lease_key
@@ -71,9 +71,9 @@
 
     def _start_incarnation(self) -> Incarnation:
         self.began += 1
-        me = Me(f"p{self.began}", f"n{self.began}")
+        me = IncarnationId(f"p{self.began}", f"n{self.began}")
         owner = Owner("w", me.nonce, TERMS, EVEN)
-        owner.want(True, 0)
+        owner.set_candidate(True, 0)
         return Incarnation(owner, me, FencedLog("w", _ignore))
 
     def clock(self, place: int) -> float:
@@ -263,9 +263,9 @@
         incarnation = self.incarnations[place]
         for action in actions:
             match action:
-                case Gained():
+                case TermBegan():
                     pass
-                case Over():
+                case TermEnded():
                     if incarnation.put is None:
                         incarnation.owner.stopped()
                 case _:
--- a/limebridge/faults/model_incarnation.py
+++ b/limebridge/faults/model_incarnation.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from violetroute.fleet.election import Ask, Owner, Release, Renew
-from violetroute.fleet.lease import Lease, Me, Seal
+from violetroute.fleet.lease import IncarnationId, Lease, Seal
 from violetroute.fleet.log import FencedLog, Put
 
 FIELDS = Owner.__slots__
@@ -32,7 +32,7 @@
     """A process from a start to its end."""
 
     owner: Owner
-    me: Me
+    me: IncarnationId
     log: FencedLog
     call: Ask | Renew | Release | None = None  # to the store, not answered yet
     answer: StoreAnswer | None = None  # on its way back
--- a/limebridge/faults/process.py
+++ b/limebridge/faults/process.py
@@ -14,7 +14,7 @@
 from violetroute.fleet.folder import FolderStore
 from violetroute.fleet.job import Beat, LogWork
 from violetroute.fleet.kv import ConsulStore
-from violetroute.fleet.lease import Me
+from violetroute.fleet.lease import IncarnationId
 from violetroute.fleet.log import Put, Read, Result, Steps
 from violetroute.fleet.runner import Fleet, Work
 from violetroute.fleet.store import Store, Told
@@ -224,7 +224,7 @@
         table = self._table()
         self.folder_store: FolderStore | None = None
 
-        def store(me: Me) -> Store:
+        def store(me: IncarnationId) -> Store:
             if table.store == "consul":
                 return ConsulStore(table, net, me)
             self.folder_store = FolderStore(world.folder, me, net.wall)
--- a/limebridge/fleet/reading.py
+++ b/limebridge/fleet/reading.py
@@ -10,13 +10,13 @@
 
 from violetroute.fleet.folder import FolderStore
 from violetroute.fleet.kv import ConsulStore
-from violetroute.fleet.lease import Me
+from violetroute.fleet.lease import IncarnationId
 from violetroute.fleet.log import Done, FencedLog, Record, Steps, read
 from violetroute.fleet.store import View
 from violetroute.fleet.table import FleetTable
 from violetroute.transport.sockets import SocketNetwork, wall
 
-NOBODY = Me("limebridge fleet", "looks-only")
+NOBODY = IncarnationId("limebridge fleet", "looks-only")
 
 
 class Unread(Exception):
--- a/tests/violetroute/fleet/test_fleet.py
+++ b/tests/violetroute/fleet/test_fleet.py
@@ -16,11 +16,11 @@
 from violetroute.config.operator import parse_operator, restart_needed
 from violetroute.fleet import lease as leases
 from violetroute.fleet.assignment import RANK_MOST, fair, lottery, move, order, ranks
-from violetroute.fleet.election import Ask, Gained, Over, Owner, Release, Renew, Terms
+from violetroute.fleet.election import Ask, Owner, Release, Renew, TermBegan, TermEnded, Terms
 from violetroute.fleet.folder import FolderStore
 from violetroute.fleet.job import Beat, LogWork
 from violetroute.fleet.kv import ConsulStore
-from violetroute.fleet.lease import Lease, Me, Seal, Stamp, Unreadable
+from violetroute.fleet.lease import IncarnationId, Lease, Seal, Stamp, Unreadable
 from violetroute.fleet.ledger_files import Gatherer, parse
 from violetroute.fleet.log import Crowded, Done, Fenced, FencedLog, Put, append, claim
 from violetroute.fleet.runner import Fleet
@@ -29,7 +29,7 @@
 from violetroute.transport import Address
 from violetroute.transport.sockets import SocketNetwork
 
-A, B = Me("a", "na"), Me("b", "nb")
+A, B = IncarnationId("a", "na"), IncarnationId("b", "nb")
 TERMS = Terms(10.0, 0.05, 0.1)
 
 
@@ -38,13 +38,13 @@
         return 0.0
 
 
-def owner(me: Me = A, terms: Terms = TERMS) -> Owner:
+def owner(me: IncarnationId = A, terms: Terms = TERMS) -> Owner:
     made = Owner("w", me.nonce, terms, Even())
-    made.want(True)
+    made.set_candidate(True)
     return made
 
 
-def lease(fence: int = 1, me: Me = A, beat: int = 0, free: bool = False) -> Lease:
+def lease(fence: int = 1, me: IncarnationId = A, beat: int = 0, free: bool = False) -> Lease:
     return Lease(1, "w", fence, me.name, me.nonce, beat, free)
 
 
@@ -94,11 +94,11 @@
     one.look(0.0, 0.0, None, True)
     (ask,) = one.tick(0.0)
     assert isinstance(ask, Ask)
-    assert one.granted(5.0, ask.number, 1) == [Gained("w", 1)]
+    assert one.granted(5.0, ask.number, 1) == [TermBegan("w", 1)]
     assert one.may(9.0) == 1 and one.may(9.0, need=0.1) == 0
     assert one.until == pytest.approx(10.0 * 0.95 / 1.05)
     assert one.until / 0.95 <= 10.0 / 1.05 + 1e-9  # its slow clock, another's fast one
-    assert one.tick(9.1) == [Over("w", 1, "lapsed")] and one.may(9.1) == 0
+    assert one.tick(9.1) == [TermEnded("w", 1, "lapsed")] and one.may(9.1) == 0
 
 
 def test_another_waits_for_a_whole_term_of_standing_still_unless_the_process_has_ended() -> None:
@@ -108,7 +108,7 @@
     two.look(9.9, 9.9, lease(beat=1), True)
     assert two.tick(19.8) == []
     assert isinstance(two.tick(19.9)[0], Ask)
-    three = owner(Me("c", "nc"))
+    three = owner(IncarnationId("c", "nc"))
     three.look(0.0, 0.0, lease(), False)
     assert isinstance(three.tick(0.0)[0], Ask)
 
@@ -139,7 +139,7 @@
     (ask,) = one.tick(0.0)
     assert isinstance(ask, Ask)
     one.granted(0.0, ask.number, 1)
-    assert one.fenced(0.1, 40) == [Over("w", 1, "fenced")]
+    assert one.fenced(0.1, 40) == [TermEnded("w", 1, "fenced")]
     one.fenced(0.1, 2**60)
     one.stopped()
     (ask,) = one.tick(2.0)
@@ -152,13 +152,13 @@
     (ask,) = one.tick(0.0)
     assert isinstance(ask, Ask)
     one.granted(0.0, ask.number, 1)
-    one.want(False)
-    assert one.tick(0.1) == [Over("w", 1, "resigned")] and one.next_at == one.until
+    one.set_candidate(False)
+    assert one.tick(0.1) == [TermEnded("w", 1, "resigned")] and one.next_at == one.until
     one.stopped()
     (release,) = one.tick(0.1)
     assert isinstance(release, Release)
     one.released(0.2, release.number)
-    one.want(True)
+    one.set_candidate(True)
     assert one.tick(5.0) == [] and isinstance(one.tick(10.3)[0], Ask)
 
 
@@ -179,7 +179,7 @@
 
 # --- spread ---
 def test_who_leaves_moves_only_its_own_works() -> None:
-    members = [Me(f"p{n}", f"n{n}") for n in range(8)]
+    members = [IncarnationId(f"p{n}", f"n{n}") for n in range(8)]
     works = [f"w{n}" for n in range(200)]
     firsts = {work: order(work, members)[0] for work in works}
     for work, first in firsts.items():
@@ -190,7 +190,7 @@
 
 
 def test_who_has_its_share_comes_after_the_others_and_hands_on_what_is_too_much() -> None:
-    works, members = ["u", "v", "w"], [A, B, Me("c", "nc")]
+    works, members = ["u", "v", "w"], [A, B, IncarnationId("c", "nc")]
     assert fair(3, 3) == 1
     found = ranks(works, A, members, {"u": "na", "v": "na"})
     assert found["w"] == 2
@@ -201,7 +201,7 @@
 
 def test_of_any_fleet_few_ask_first() -> None:
     for size in (8, 710, 5000):
-        drawn = [lottery(["w"], Me(f"p{n}", f"n{n}"), {})["w"] for n in range(size)]
+        drawn = [lottery(["w"], IncarnationId(f"p{n}", f"n{n}"), {})["w"] for n in range(size)]
         first = min(drawn)
         assert drawn.count(first) <= max(8, size // 100)
         assert max(drawn) <= RANK_MOST
@@ -264,7 +264,7 @@
 
 
 # --- the folder ---
-def store(path: Path, me: Me = A) -> FolderStore:
+def store(path: Path, me: IncarnationId = A) -> FolderStore:
     made = FolderStore(path, me, lambda: 5.0)
     made.open()
     return made
@@ -273,15 +273,15 @@
 def test_a_folder_keeps_leases_and_says_whose_process_has_ended(tmp_path: Path) -> None:
     a, b = store(tmp_path), store(tmp_path, B)
     answer = a.ask(Ask("w", 1, 0, None))
-    assert answer.yes and answer.lease is not None and answer.lease.fence == 1
-    assert not b.ask(Ask("w", 1, 0, None)).yes
-    assert a.renew([("w", 1)])["w"].yes
+    assert answer.accepted and answer.lease is not None and answer.lease.fence == 1
+    assert not b.ask(Ask("w", 1, 0, None)).accepted
+    assert a.renew([("w", 1)])["w"].accepted
     seen = b.look()
     assert seen.leases["w"].beat == 1 and seen.dead == frozenset() and seen.members == {A, B}
     a._let_go()  # as the kernel does when its process ends
     assert b.look().dead == {"na"}
-    assert b.ask(Ask("w", 2, 0, leases.stamp(seen.leases["w"]))).yes
-    assert not a.renew([("w", 1)])["w"].yes
+    assert b.ask(Ask("w", 2, 0, leases.stamp(seen.leases["w"]))).accepted
+    assert not a.renew([("w", 1)])["w"].accepted
     assert len(list((tmp_path / "lease").glob("w@*"))) <= 2
 
 
@@ -292,9 +292,9 @@
     seen = b.look().leases["w"]
     b.ask(Ask("w", 1, 0, leases.stamp(seen)))
     for _ in range(4):
-        assert b.renew([("w", 2)])["w"].yes
+        assert b.renew([("w", 2)])["w"].accepted
     a._current = lambda work: stale  # type: ignore[method-assign]  # stopped since it has read
-    assert not a._change("w", lambda current: leases.renewed(current, 1, A)).yes
+    assert not a._change("w", lambda current: leases.renewed(current, 1, A)).accepted
     assert b.look().leases["w"].nonce == "nb"
 
 
@@ -340,7 +340,7 @@
 
 
 # --- Consul ---
-async def consul_store(consul: Consul, me: Me, term_s: float = 0.5) -> ConsulStore:
+async def consul_store(consul: Consul, me: IncarnationId, term_s: float = 0.5) -> ConsulStore:
     table = FleetTable(store="consul", agents=(f"127.0.0.1:{consul.port}",), term_s=term_s)
     return ConsulStore(table, SocketNetwork(asyncio.get_running_loop()), me)
 
@@ -357,21 +357,21 @@
         consul = await Consul().start()
         a, b = await consul_store(consul, A), await consul_store(consul, B)
         answer, _ = await asked(lambda told: a.ask(Ask("w", 1, 6, None), told))
-        assert answer.yes and answer.lease.fence == 7
+        assert answer.accepted and answer.lease.fence == 7
         answer, _ = await asked(lambda told: b.ask(Ask("w", 1, 0, None), told))
-        assert not answer.yes and answer.lease.nonce == "na"
+        assert not answer.accepted and answer.lease.nonce == "na"
         answer, _ = await asked(lambda told: a.renew([("w", 7)], told))
-        assert answer["w"].yes
+        assert answer["w"].accepted
         view, _ = await asked(b.look)
         assert not view.leases["w"].free and view.members is None
         view, _ = await asked(b.look)  # waits for news: nobody renews, so the session ends
         assert view.leases["w"].free and view.leases["w"].fence == 7
         answer, _ = await asked(lambda told: b.ask(Ask("w", 2, 0, None), told))
-        assert answer.yes and answer.lease.fence == 8
+        assert answer.accepted and answer.lease.fence == 8
         answer, _ = await asked(lambda told: a.renew([("w", 7)], told))
-        assert not answer["w"].yes
+        assert not answer["w"].accepted
         answer, _ = await asked(lambda told: b.release("w", 8, told))
-        assert answer.yes
+        assert answer.accepted
         a.close()
         b.close()
         await consul.stop()
@@ -391,7 +391,7 @@
         await asked(lambda told: a.ask(Ask("u", 1, 0, None), told))  # makes another session
         assert a.keys.session not in ("", first)
         answer, _ = await asked(lambda told: a.renew([("v", 1), ("u", 1)], told))
-        assert not answer["v"].yes and answer["u"].yes
+        assert not answer["v"].accepted and answer["u"].accepted
         a.close()
         await consul.stop()
 
@@ -407,15 +407,15 @@
         assert answer is None and why
         consul.loses_answers = False
         answer, _ = await asked(lambda told: a.ask(Ask("w", 2, 0, None), told))
-        assert answer.yes
+        assert answer.accepted
         log = FencedLog("w", lambda position, record: None)
         result, _ = await asked(lambda told: a.run(claim(log, 3, "na", "a"), told))
         assert result == Done(0)
         consul.kv.forget()
         answer, _ = await asked(lambda told: a.renew([("w", answer.lease.fence)], told))
-        assert not answer["w"].yes
+        assert not answer["w"].accepted
         answer, _ = await asked(lambda told: a.ask(Ask("w", 3, 3, None), told))
-        assert answer.yes and answer.lease.fence == 4  # above what was heard of
+        assert answer.accepted and answer.lease.fence == 4  # above what was heard of
         a.close()
         await consul.stop()
 
--- a/tests/violetroute/fleet/test_fleet_guards.py
+++ b/tests/violetroute/fleet/test_fleet_guards.py
@@ -33,7 +33,7 @@
 from violetroute.fleet.election import Ask
 from violetroute.fleet.folder import FolderStore, Threaded
 from violetroute.fleet.job import Beat, LogWork
-from violetroute.fleet.lease import Lease, Me, Unreadable
+from violetroute.fleet.lease import IncarnationId, Lease, Unreadable
 from violetroute.fleet.ledger_files import BATCHES_MOST, Gatherer
 from violetroute.fleet.log import FencedLog, Record, append, claim
 from violetroute.fleet.runner import Fleet
@@ -82,11 +82,11 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(folders, "MEMBERS_MOST", 3)
-    a, b = store(tmp_path, Me("a", "zz-a")), store(tmp_path, Me("b", "zz-b"))
+    a, b = store(tmp_path, IncarnationId("a", "zz-a")), store(tmp_path, IncarnationId("b", "zz-b"))
     a.ask(Ask("w", 1, 0, None))
     for number in range(5):
         (tmp_path / "alive" / f"Not A Mark {number}").write_bytes(b"x")
-    held = [store(tmp_path, Me("c", f"c{number}")) for number in range(5)]
+    held = [store(tmp_path, IncarnationId("c", f"c{number}")) for number in range(5)]
     assert "zz-a" not in b.look().dead  # it stands behind those that are read, and lives
     a._let_go()
     assert "zz-a" in b.look().dead
@@ -99,7 +99,7 @@
     for name in (".gone.7", ".na.7"):
         (tmp_path / "lease" / name).write_bytes(b"half")
     for number in range(20):
-        store(tmp_path, Me("c", f"c{number}"))._let_go()
+        store(tmp_path, IncarnationId("c", f"c{number}"))._let_go()
     b.look()
     assert sorted(os.listdir(tmp_path / "alive")) == ["na", "nb"]
     assert os.listdir(tmp_path / "lease") == [".na.7"]  # its process lives
@@ -161,7 +161,7 @@
     loop = asyncio.get_running_loop()
     net = SocketNetwork(loop)
 
-    def made(me: Me) -> Threaded:
+    def made(me: IncarnationId) -> Threaded:
         logs = Hangs(loop) if hangs else ThreadWriter(loop)
         return Threaded(FolderStore(path, me, net.wall), ThreadWriter(loop), logs)
 
--- a/violetroute/fleet/assignment.py
+++ b/violetroute/fleet/assignment.py
@@ -1,10 +1,10 @@
 """Who should own which work.  Pure.
 
-Nobody assigns: each life reckons for itself, from the same names, the order in which those that are
-ready for a work should ask (rendezvous hashing: whose leaving moves only its own works).  A life
+Nobody assigns: each process reckons for itself, from the same names, the order in which those that
+are ready for a work should ask (rendezvous hashing: whose leaving moves only its own works).  One
 that has its fair share already stands behind those that have not.  Orders may differ for a moment
-between lives that have seen different members; the lease decides, the order only keeps them from
-asking all at once.
+between processes that have seen different members; the lease decides, the order only keeps them
+from asking all at once.
 """
 
 from __future__ import annotations
@@ -12,12 +12,12 @@
 from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
 
-from .lease import Me
+from .lease import IncarnationId
 
 RANK_MOST = 8  # beyond it all ask at the same place: waits stay bounded however many wait
 
 
-def order(work: str, members: Iterable[Me]) -> list[Me]:
+def order(work: str, members: Iterable[IncarnationId]) -> list[IncarnationId]:
     """The candidates for a work, best first, by rendezvous hashing (Thaler, Ravishankar 1998).
 
     Members of one name are in the order of their nonces.
@@ -35,7 +35,10 @@
 
 
 def ranks(
-    works: Sequence[str], me: Me, members: Iterable[Me], held: Mapping[str, str]
+    works: Sequence[str],
+    me: IncarnationId,
+    members: Iterable[IncarnationId],
+    held: Mapping[str, str],
 ) -> dict[str, int]:
     """The rank of `me` for each work: 0 asks first.  `held`: nonce of the owner, by work."""
     everyone = {*members, me}
@@ -58,7 +61,10 @@
 
 
 def move(
-    works: Sequence[str], me: Me, members: Iterable[Me], held: Mapping[str, str]
+    works: Sequence[str],
+    me: IncarnationId,
+    members: Iterable[IncarnationId],
+    held: Mapping[str, str],
 ) -> str | None:
     """A work of `me` that another member should own, or None.
 
@@ -74,7 +80,7 @@
     return max(mine, key=lambda work: order(work, everyone).index(me))
 
 
-def lottery(works: Sequence[str], me: Me, held: Mapping[str, str]) -> dict[str, int]:
+def lottery(works: Sequence[str], me: IncarnationId, held: Mapping[str, str]) -> dict[str, int]:
     """Ranks while the number of candidates is unknown: each has twice as many as the one before.
 
     Half of any fleet stands at the last place, a quarter before it, and so on: whatever its size,
--- a/violetroute/fleet/election.py
+++ b/violetroute/fleet/election.py
@@ -1,4 +1,4 @@
-"""What one life knows of one work: whether it owns it, until when, and what to ask next.  Pure.
+"""What one incarnation knows of one work: whether it owns it, until when, what to ask next.  Pure.
 
 Time.  A term is reckoned from before the asking was sent, by the asker's monotonic clock, and ends
 there `kept_s` later; nobody else takes a lease before its record has stood unchanged before his own
@@ -84,7 +84,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Gained:
+class TermBegan:
     """The work may begin under this fence."""
 
     work: str
@@ -92,7 +92,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Over:
+class TermEnded:
     """Nothing more may be begun under this fence."""
 
     work: str
@@ -100,7 +100,7 @@
     why: Literal["lapsed", "lost", "fenced", "resigned"]
 
 
-Action = Ask | Renew | Release | Gained | Over
+Action = Ask | Renew | Release | TermBegan | TermEnded
 
 
 class Owner:
@@ -172,7 +172,7 @@
         return self._when()
 
     # --- from whoever decides who should work ---
-    def want(self, on: bool, rank: int = 0) -> None:
+    def set_candidate(self, on: bool, rank: int = 0) -> None:
         """Set whether this process is a candidate, and its rank (0 asks first)."""
         self.wanted, self.rank = on, rank
 
@@ -207,8 +207,8 @@
             actions.append(Ask(self.work, self._call("ask", now), self.floor, self._seen))
         return actions
 
-    def hurry(self, now: float) -> list[Action]:
-        """A renewal is sent for another work: this one's may go with it, if it is half due."""
+    def renew_early(self, now: float) -> list[Action]:
+        """A renewal is sent for another work: this one's goes with it, if it is half due."""
         if (
             self.state != "owner"
             or self._busy
@@ -218,7 +218,7 @@
             return []
         return [Renew(self.work, self._call("renew", now), self.fence)]
 
-    def hand_on(self, now: float) -> list[Action]:
+    def resign(self, now: float) -> list[Action]:
         """Give it up though it is wanted: another should have it."""
         return self._over("resigned", now) if self.state == "owner" else []
 
@@ -275,7 +275,7 @@
             return []
         self.state, self._gained_at, self._stopped = "owner", now, False
         self._renew_at = self._asked_at + self._wait(self._terms.kept_s * RENEW_SHARE)
-        return [Gained(self.work, fence)]
+        return [TermBegan(self.work, fence)]
 
     def denied(self, now: float, number: int, lease: Lease | None) -> list[Action]:
         """Another process holds the lease, or its record changed since the last read."""
@@ -337,8 +337,9 @@
     def fenced(self, now: float, floor: int) -> list[Action]:
         """An effect was refused; `floor` is the highest fence that its place has met.
 
-        The next term begins above it, if the store still has this life for its owner.  A floor
-        beyond all sense is heard and not followed, or one broken place would use up the fences.
+        The next term begins above it, if the store still has this incarnation for its owner.  A
+        floor beyond all sense is heard and not followed, or one broken place would use up the
+        fences.
         """
         if floor < FENCE_MOST:
             self.floor = max(self.floor, floor)
@@ -352,7 +353,7 @@
     ) -> list[Action]:
         self.state = "resigning" if why == "resigned" else "waiting"
         self._renew_at = now
-        return [Over(self.work, self.fence, why)]
+        return [TermEnded(self.work, self.fence, why)]
 
     def _wait(self, seconds: float) -> float:
         """With jitter towards earlier: a bound stays one."""
--- a/violetroute/fleet/folder.py
+++ b/violetroute/fleet/folder.py
@@ -1,12 +1,12 @@
 """Leases and logs in a folder that the processes of one machine share.  Blocks, but for `Threaded`.
 
-    alive/NONCE                 a life: its names, and an OFD lock that the kernel ends with it
+    alive/NONCE                 an incarnation: its name, and an OFD lock that ends with its process
     lease/WORK@000000000042     one version of a work's record, put there by `link` for good
     log/NAME/000000000/000000000017   one position of a log, the same way
 
 `link` fails where there is a name already, and puts a whole file or none: it is the one step in
 which a check and its effect are the same.  Nothing here waits for a lock, since a process that is
-stopped within one would stop all; the lock of a life says only that its process has ended.
+stopped within one would stop all; the lock of an incarnation says only that its process has ended.
 
 A version that was tidied away could be put again by one who was stopped for long.  So who has put
 one looks whether a higher one stands beside it, and only then believes it; and what the late one
@@ -32,28 +32,28 @@
 
 from . import lease as leases
 from .election import Ask
-from .lease import Lease, Me, Unreadable
+from .lease import IncarnationId, Lease, Unreadable
 from .log import ENTRY_MOST, PAGE, Put, Read, Result, Steps
 from .store import Answer, Told, View
 
 T = TypeVar("T")
 FLOCK = struct.Struct("hhqqi4x")  # l_type, l_whence, l_start, l_len, l_pid
 VERSIONED = re.compile(r"^([a-z][a-z0-9-]{0,63})@(\d{12})$")
-MEMBERS_MOST = 1024  # lives that one look reads
+MEMBERS_MOST = 1024  # incarnations that one look reads
 TRIES = 8  # looks at a folder that others tidy meanwhile
 SHELF = 1000  # positions of a log in one folder
 
 
 class FolderStore:
-    """One life's view of the folder.  OSError from any call; Unreadable where it says so."""
+    """One incarnation's view of the folder.  OSError from any call; Unreadable where it says so."""
 
-    def __init__(self, path: Path, me: Me, wall: Callable[[], float]) -> None:
+    def __init__(self, path: Path, me: IncarnationId, wall: Callable[[], float]) -> None:
         self._path, self._me, self._wall = path, me, wall
         self._lock = -1
         self._temporary = 0
         self._shelves: set[Path] = set()  # folders that we know to be there
 
-    # --- this life ---
+    # --- this incarnation ---
     def open(self) -> None:
         """Show that we live.  Again whenever the mark has gone with its folder."""
         for name in ("alive", "lease", "log"):
@@ -87,9 +87,9 @@
             os.close(self._lock)
             self._lock = -1
 
-    def _members(self) -> tuple[frozenset[Me], frozenset[str]]:
-        """Lives that run, and lives that have ended."""
-        there: list[Me] = []
+    def _members(self) -> tuple[frozenset[IncarnationId], frozenset[str]]:
+        """Incarnations that run, and those that have ended."""
+        there: list[IncarnationId] = []
         dead: list[str] = []
         names = [name for name in os.listdir(self._path / "alive") if leases.is_nonce(name)]
         for name in sorted(names)[:MEMBERS_MOST]:
@@ -99,7 +99,7 @@
             with contextlib.suppress(OSError):  # gone since, or no file
                 runs, told = self._runs(self._path / "alive" / name)
                 if runs:
-                    there.append(Me(told, name))
+                    there.append(IncarnationId(told, name))
                 else:
                     dead.append(name)
         return frozenset(there), frozenset(dead)
@@ -149,7 +149,7 @@
         return view
 
     def view(self) -> View:
-        """As `look`, for who is no life of the fleet."""
+        """As `look`, for who is no incarnation of the fleet."""
         found: dict[str, Lease] = {}
         unreadable: dict[str, str] = {}
         for work, number in self._versions().items():
--- a/violetroute/fleet/job.py
+++ b/violetroute/fleet/job.py
@@ -14,6 +14,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Protocol
 
 import msgspec
@@ -266,39 +267,9 @@
 
     # --- handing over ---
     def _post(self, term: Term, endpoint: Address) -> None:
+        """Post the first entry that waits."""
         position, record = next(iter(self._outbox.waits.items()))
         self._busy = True
-
-        def done(status: int, headers: dict[str, str], answer: bytes, why: str) -> None:
-            self._call, self._busy = None, False
-            if self._over():
-                return
-            floor = _floor(answer) if status == 412 else 0
-            if 200 <= status < 300:
-                self._well()
-                self._run(
-                    append(
-                        self._log,
-                        term.fence,
-                        term.me.nonce,
-                        term.me.name,
-                        lambda: {"handed": position} if position in self._outbox.waits else None,
-                    ),
-                    self._handed,
-                )
-            elif term.fence <= floor < FENCE_MOST:
-                term.fenced(floor)
-            else:
-                wait = self._wait(_retry_after(headers) if status in (429, 503) else 0.0)
-                logs.event(
-                    "fleet.undelivered",
-                    work=self.name,
-                    reason=why or f"answered {status}",
-                    wait_s=round(wait, 1),
-                )
-                if not self._stands_still():
-                    self._next(wait)
-
         headers = {
             "Idempotency-Key": key_of(record, position),
             "Content-Type": "application/json",
@@ -312,8 +283,54 @@
             self._path,
             headers,
             msgspec.json.encode(record.body),
-            done,
+            partial(self._posted, term, position),
+        )
+
+    def _posted(
+        self,
+        term: Term,
+        position: int,
+        status: int,
+        headers: dict[str, str],
+        answer: bytes,
+        why: str,
+    ) -> None:
+        """The endpoint has answered, or `why` says why it has not."""
+        self._call, self._busy = None, False
+        if self._over():
+            return
+        floor = _floor(answer) if status == 412 else 0
+        if 200 <= status < 300:
+            self._well()
+            self._record_handed(term, position)
+        elif term.fence <= floor < FENCE_MOST:
+            term.fenced(floor)
+        else:
+            self._undelivered(status, headers, why)
+
+    def _record_handed(self, term: Term, position: int) -> None:
+        """Write to the log that this entry was taken, unless it says so already."""
+        self._run(
+            append(
+                self._log,
+                term.fence,
+                term.me.nonce,
+                term.me.name,
+                lambda: {"handed": position} if position in self._outbox.waits else None,
+            ),
+            self._handed,
+        )
+
+    def _undelivered(self, status: int, headers: dict[str, str], why: str) -> None:
+        wait = self._wait(_retry_after(headers) if status in (429, 503) else 0.0)
+        logs.event(
+            "fleet.undelivered",
+            work=self.name,
+            reason=why or f"answered {status}",
+            wait_s=round(wait, 1),
         )
+        if not self._stands_still():
+            self._next(wait)
 
     def _handed(self, result: Result) -> None:
         self._next(0.0 if self._outbox.waits else self._every)
--- a/violetroute/fleet/kv.py
+++ b/violetroute/fleet/kv.py
@@ -3,9 +3,9 @@
     PREFIX/lease/WORK                  the record, locked by its owner's session
     PREFIX/log/NAME/SHELF/POSITION     one position of a log, made only where there is none
 
-One session is a life's, made when it first asks for a work; renewing it renews all its leases in
-one call.  Who only waits has no session: it has one blocking query, so a fleet at rest costs one
-call a proxy and WAIT s.
+One session is an incarnation's, made when it first asks for a work; renewing it renews all its
+leases in one call.  Who only waits has no session: it has one blocking query, so a fleet at rest
+costs one call a proxy and WAIT s.
 
 What of Consul is weak, and what meets it: a session may live on for twice its TTL (others wait
 longer; its owner has stopped by then); it may be lost with a leader (the owner is told at its next
@@ -33,7 +33,7 @@
 
 from . import lease as leases
 from .election import Ask
-from .lease import Lease, Me, Unreadable
+from .lease import IncarnationId, Lease, Unreadable
 from .log import PAGE, Put, Read, Result, Steps
 from .store import Answer, Told, View
 from .table import FleetTable
@@ -88,9 +88,9 @@
 
 
 class Keys:
-    """What is asked, and what answers mean.  Pure; `session` is this life's, "" for none."""
+    """What is asked, and what answers mean.  Pure; `session` is this incarnation's, "" for none."""
 
-    def __init__(self, table: FleetTable, me: Me) -> None:
+    def __init__(self, table: FleetTable, me: IncarnationId) -> None:
         self._prefix = quote(table.prefix, safe="/-._~")
         self._me, self._term_s = me, table.term_s
         self.session = ""
@@ -305,7 +305,7 @@
 
     vouches = True
 
-    def __init__(self, table: FleetTable, net: Network, me: Me) -> None:
+    def __init__(self, table: FleetTable, net: Network, me: IncarnationId) -> None:
         self._table, self._net = table, net
         self.keys = Keys(table, me)
         self._tls = TlsKeys(table.tls) if table.tls.ca else None
--- a/violetroute/fleet/lease.py
+++ b/violetroute/fleet/lease.py
@@ -1,16 +1,16 @@
 """Leases as a store keeps them, and what a store may do with one.  Pure.
 
-A lease belongs to one *life* of a process (its nonce, new with every start), not to a name: two
-proxies that were given one name are two lives, and a restarted one does not inherit what it can't
-remember.  Each term has a **fence**, a number that only rises; a fence and a nonce together are one
-owner's, and whoever takes an effect compares them (`Seal`).
+A lease belongs to one *incarnation* of a process (its nonce, new with every start), not to a name:
+two proxies that were given one name are two incarnations, and a restarted one does not inherit what
+it can't remember.  Each term has a **fence**, a number that only rises; a fence and a nonce
+together are one owner's, and whoever takes an effect compares them (`Seal`).
 
 What rises is taken from two places: the store's last record, and the highest fence that the asker
 has heard of from anywhere (`floor`): the effect itself tells it to who comes with too low a one.
 So a store that has forgotten everything can hand out a fence that was there before, to another
-life; its effects are refused, the refusal names the higher fence, and the next term begins above
-it. Weighed and rejected: the wall clock (steps back), a random number (has no order), the store's
-own index (begins at 1 again with the store).
+incarnation; its effects are refused, the refusal names the higher fence, and the next term begins
+above it.  Weighed and rejected: the wall clock (steps back), a random number (has no order), the
+store's own index (begins at 1 again with the store).
 """
 
 from __future__ import annotations
@@ -55,8 +55,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Me:
-    """One life of one proxy."""
+class IncarnationId:
+    """One incarnation of one proxy."""
 
     name: str
     nonce: str
@@ -105,7 +105,7 @@
 
 
 def taken(
-    work: str, current: Lease | None, over: Stamp | None, floor: int, me: Me, wall: float
+    work: str, current: Lease | None, over: Stamp | None, floor: int, me: IncarnationId, wall: float
 ) -> Lease | None:
     """The record of a new term, or None: it is another's.
 
@@ -122,14 +122,14 @@
     return Lease(VERSION, work, fence, me.name, me.nonce, since=wall)
 
 
-def renewed(current: Lease | None, fence: int, me: Me) -> Lease | None:
-    """The same term with a new beat, or None: it is this life's no more."""
+def renewed(current: Lease | None, fence: int, me: IncarnationId) -> Lease | None:
+    """The same term with a new beat, or None: it is this incarnation's no more."""
     if current is None or current.free or (current.fence, current.nonce) != (fence, me.nonce):
         return None
     return msgspec.structs.replace(current, beat=current.beat + 1)
 
 
-def released(current: Lease | None, fence: int, me: Me) -> Lease | None:
+def released(current: Lease | None, fence: int, me: IncarnationId) -> Lease | None:
     """Handed back, with its fence kept; None: there is nothing of ours to hand back."""
     kept = renewed(current, fence, me)
     return None if kept is None else msgspec.structs.replace(kept, free=True)
--- a/violetroute/fleet/make.py
+++ b/violetroute/fleet/make.py
@@ -12,7 +12,7 @@
 
 from .folder import FolderStore, Threaded
 from .job import Beat, LogWork
-from .lease import Me
+from .lease import IncarnationId
 from .ledger_files import Gatherer
 from .runner import Fleet, Work
 from .settlement import Settlement
@@ -26,13 +26,13 @@
     return Fleet(table, name, net, store_of(table, net), works_of(table, ledger, net))
 
 
-def store_of(table: FleetTable, net: Network) -> Callable[[Me], Store]:
+def store_of(table: FleetTable, net: Network) -> Callable[[IncarnationId], Store]:
     if table.store == "consul":
         from .kv import ConsulStore
 
         return lambda me: ConsulStore(table, net, me)
 
-    def folder(me: Me) -> Store:
+    def folder(me: IncarnationId) -> Store:
         return Threaded(
             FolderStore(Path(table.folder), me, net.wall),
             ThreadWriter(net.loop),
--- a/violetroute/fleet/runner.py
+++ b/violetroute/fleet/runner.py
@@ -22,8 +22,8 @@
 from violetroute.transport import Network
 
 from . import assignment
-from .election import Action, Ask, Gained, Over, Owner, Release, Renew, Terms
-from .lease import NAME_MOST, Lease, Me
+from .election import Action, Ask, Owner, Release, Renew, TermBegan, TermEnded, Terms
+from .lease import NAME_MOST, IncarnationId, Lease
 from .log import Result, Steps
 from .store import Answer, Store, View
 from .table import FleetTable
@@ -39,7 +39,7 @@
 
     work: str
     fence: int
-    me: Me
+    me: IncarnationId
     may: Callable[[], bool]  # whether an effect may be begun now
     fenced: Callable[[int], None]  # an effect was refused: the highest fence of its place
     run: Callable[[Steps, Callable[[Result | None, str], None]], None]  # at the store
@@ -68,12 +68,12 @@
         table: FleetTable,
         name: str,
         net: Network,
-        store: Callable[[Me], Store],
+        store: Callable[[IncarnationId], Store],
         works: Callable[[str], Work],
         nonce: str = "",
     ) -> None:
         self.table, self._loop = table, net.loop
-        self.me = Me(name[:NAME_MOST], nonce or secrets.token_hex(8))
+        self.me = IncarnationId(name[:NAME_MOST], nonce or secrets.token_hex(8))
         self._chance = random.Random(f"{name}/{self.me.nonce}")
         self._store = store(self.me)
         self._make = works
@@ -103,7 +103,7 @@
                 self._owners[work] = Owner(work, self.me.nonce, self._terms, self._chance)
                 self._works[work] = self._make(work)
         for work, owner in self._owners.items():
-            owner.want(work in wanted, owner.rank)
+            owner.set_candidate(work in wanted, owner.rank)
         self._rank()
         self._go_on()
 
@@ -163,7 +163,7 @@
             actions += owner.tick(now)
         if any(isinstance(action, Renew) for action in actions):
             for owner in self._owners.values():  # the others' are sent with them
-                actions += owner.hurry(now)
+                actions += owner.renew_early(now)
         self._do(actions)
         if not self._looking and not self._closing and now >= self._look_at:
             self._look()
@@ -221,7 +221,7 @@
         else:
             found = assignment.ranks(works, self.me, view.members, held)
         for work, rank in found.items():
-            self._owners[work].want(True, rank)
+            self._owners[work].set_candidate(True, rank)
 
     def _balance(self, now: float) -> None:
         view = self._view
@@ -237,16 +237,16 @@
         if work is not None and self._owners[work].may(now):
             self._moved_at = now
             logs.event("fleet.moved", work=work)
-            self._do(self._owners[work].hand_on(now))
+            self._do(self._owners[work].resign(now))
 
     # --- doing ---
     def _do(self, actions: list[Action]) -> None:
         renewals: list[Renew] = []
         for action in actions:
             match action:
-                case Gained(work, fence):
+                case TermBegan(work, fence):
                     self._begin(work, fence)
-                case Over(work, fence, why):
+                case TermEnded(work, fence, why):
                     self._end(work, fence, why)
                 case Ask():
                     self._ask(action)
@@ -274,7 +274,7 @@
 
         def hand_on() -> None:
             if owner.fence == fence:
-                self._do(owner.hand_on(self._loop.time()))
+                self._do(owner.resign(self._loop.time()))
                 self._go_on()
 
         part.begin(Term(work, fence, self.me, may, fenced, run, hand_on, self.table.term_s))
@@ -306,7 +306,7 @@
             if answer is None:
                 self._trouble(why)
                 self._do(owner.failed(now, ask.number))
-            elif answer.yes and answer.lease is not None:
+            elif answer.accepted and answer.lease is not None:
                 self._do(owner.granted(now, ask.number, answer.lease.fence))
             else:
                 logs.event("fleet.stood_aside", work=ask.work, owner=_holder(answer.lease))
@@ -328,7 +328,7 @@
                 answer = None if answers is None else answers.get(each.work)
                 if answer is None:
                     self._do(owner.failed(now, each.number))
-                elif answer.yes:
+                elif answer.accepted:
                     self._do(owner.renewed(now, each.number))
                     if owner.left_late:
                         logs.event(
@@ -353,7 +353,7 @@
             if answer is None:
                 self._trouble(why)
                 self._do(owner.failed(now, number))
-            elif answer.yes:
+            elif answer.accepted:
                 logs.event("fleet.handed_back", work=work, fence=fence)
                 self._do(owner.released(now, number))
             else:
--- a/violetroute/fleet/store.py
+++ b/violetroute/fleet/store.py
@@ -13,7 +13,7 @@
 from typing import Protocol, TypeVar
 
 from .election import Ask
-from .lease import Lease, Me
+from .lease import IncarnationId, Lease
 from .log import Result, Steps
 
 T = TypeVar("T")
@@ -22,19 +22,22 @@
 
 @dataclass(frozen=True, slots=True)
 class View:
-    """What stands in the store.  `members` is None where it keeps none."""
+    """What stands in the store.
+
+    `members`: incarnations that may be ready for works, ours among them; None where it keeps none.
+    """
 
     leases: Mapping[str, Lease]
-    members: frozenset[Me] | None = None  # lives that may be ready for works, ours among them
+    members: frozenset[IncarnationId] | None = None
     dead: frozenset[str] = frozenset()  # nonces whose processes have ended for certain
     unreadable: Mapping[str, str] = field(default_factory=dict)  # works, and why
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """`yes`: as it was asked.  `lease`: what stands there now."""
+    """`accepted`: as it was asked.  `lease`: what stands there now."""
 
-    yes: bool
+    accepted: bool
     lease: Lease | None
 
 
@@ -54,4 +57,4 @@
         """Steps of a log, until their end."""
 
     def close(self) -> None:
-        """Nothing is told any more; this life's marks are taken away as far as that goes."""
+        """Nothing is told any more; this incarnation's marks are taken away as far as that goes."""
