Kit: one served log, one HTTP endpoint, one base of explorations in place of copies

Change: standins/served_log.py, standins/endpoint.py, and ExploreTotals and play_all in faults/exploring.py; the former copies use them. Left as they are, since only the shape is the same: the h11 loops of consul.py and native.py, the request classes of demo and simulated client (other figures), Fault and Plan of the two rigs (other fields), the three answers in fleet/runner.py.

--- a/limebridge/faults/billed.py
+++ b/limebridge/faults/billed.py
@@ -17,7 +17,8 @@
 
 from limebridge.ledger.reconcile import Exported, Line, corrections, read_served, reconcile
 from limebridge.standins.nodes import CacheNode
-from limebridge.standins.wire import command, read_answer, reply
+from limebridge.standins.served_log import ServedLog
+from limebridge.standins.wire import command, read_answer
 from violetroute.fleet.settlement import KEYS_MOST
 from violetroute.ledger.files import Folder
 from violetroute.ledger.periods import Periods
@@ -52,7 +53,7 @@
         self.command = daemon_command(patch, prelude=clock)
         self.works = [*self.works, "settlement"]
         self.out, self.ledgers = folder / "out", folder / "ledgers"
-        self.rows: list[str] = []
+        self.served = ServedLog(self.wall)
         self.asked = 0
         self.ends = False
         self.clients: list[asyncio.Task[None]] = []
@@ -75,28 +76,12 @@
     async def open(self) -> None:
         await super().open()
         await self.node.stop()
-        self.node = await CacheNode(self._serves).start()
+        self.node = await CacheNode(self.served.serve).start()
         self.known = [self.node.entry("s-0")]
 
     def wall(self) -> float:
         return START + (time.monotonic() - self.began_at) * SPEED
 
-    async def _serves(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
-        fields = dict(item.split("=") for item in words[3].decode().split(","))
-        id_ = words[2].decode()
-        self.rows.append(
-            json.dumps(
-                {
-                    "proxy": id_.partition("-")[0],
-                    "tenant": fields["t"],
-                    "class": fields["c"],
-                    "at": self.wall(),
-                    "id": id_,
-                }
-            )
-        )
-        writer.write(reply(b"value"))
-
     async def schedule(self) -> None:
         self.clients = [asyncio.create_task(self._client(daemon)) for daemon in self.daemons]
         await super().schedule()
@@ -136,7 +121,7 @@
         """Close the month: sign what reconciling finds; then bills have to say what was served."""
         self.ends = True
         await asyncio.gather(*self.clients)
-        served, unreadable = read_served(self.rows, self.periods, "nodes")
+        served, unreadable = read_served(self.served.rows, self.periods, "nodes")
         if unreadable:
             self.complain("bills", unreadable[0])
         await self.until(self._all_out, "bills", lambda: "ledgers do not close")
@@ -193,8 +178,8 @@
     def _all_out(self) -> bool:
         """Every ledger has closed what its clients made."""
         last = self.periods.of(self.wall()) - 1
-        if self.rows:
-            last = self.periods.end(self.periods.of(json.loads(self.rows[-1])["at"]))
+        if self.served.rows:
+            last = self.periods.end(self.periods.of(json.loads(self.served.rows[-1])["at"]))
         closed = {}
         for path in self.out.glob("*.through"):
             told = json.loads(path.read_bytes())
--- a/limebridge/faults/command.py
+++ b/limebridge/faults/command.py
@@ -18,7 +18,7 @@
 from . import memory as virtual
 from . import plan as plans
 from .distribution.command import app as distribution
-from .exploring import explore_seeds, print_shrunk
+from .exploring import explore_seeds, play_all, print_shrunk
 from .history import tell
 from .interruption import interruptible
 from .model import Bounds, World
@@ -30,13 +30,12 @@
     PlanCount,
     patch_path,
     print_summary,
-    seed_progress,
     summary_values,
 )
 from .runner import play
 from .sharing.command import app as sharing
 from .state_space import check
-from .summary import ExploreTotals, RunSummary, summary_of_run
+from .summary import FleetTotals, RunSummary, summary_of_run
 
 app = typer.Typer(no_args_is_help=True, help="Several processes, and what breaks between them.")
 app.add_typer(sharing, name="sharing")
@@ -66,7 +65,7 @@
     """Play plans drawn from seeds on real processes.  Exit status 1 when something broke."""
     chosen = [plans.draw(seed, _store(store), settles) for seed in range(first, first + seeds)]
     began = time.monotonic()
-    played = _play_all(chosen, jobs, patch_path(patch), as_json)
+    played = play_all(explore.play_plans(chosen, jobs, patch_path(patch)), seeds, as_json)
     seconds = time.monotonic() - began
     broken = sorted((each for each in played if each.broken), key=lambda each: each.plan.seed)
     for outcome in broken[:SHOWN]:
@@ -79,18 +78,6 @@
     raise typer.Exit(1 if broken else 0)
 
 
-def _play_all(
-    chosen: list[plans.Plan], jobs: int, patch: str, as_json: bool
-) -> list[explore.PlayedPlan]:
-    """The outcomes, in the order in which they ended."""
-    played: list[explore.PlayedPlan] = []
-    with seed_progress("playing", len(chosen), as_json) as progress:
-        for outcome in explore.play_plans(chosen, jobs, patch):
-            played.append(outcome)
-            progress.update(len(played), sum(bool(each.broken) for each in played))
-    return played
-
-
 def _print_table(summary: RunSummary) -> None:
     table = Table("what", "value", show_header=False, box=None)
     for key, value in summary_values(summary).items():
@@ -207,7 +194,7 @@
     first: int, seeds: int, jobs: int, prepare: Callable[[], None] | None, as_json: bool
 ) -> int:
     """`limebridge explore --fleet`: the same plans in memory; the exit status."""
-    began, totals = time.monotonic(), ExploreTotals()
+    began, totals = time.monotonic(), FleetTotals()
     explore_seeds(virtual.explore(first, seeds, jobs, 0, prepare), seeds, as_json, totals.add)
     if prepare is not None:
         prepare()
--- a/limebridge/faults/exploring.py
+++ b/limebridge/faults/exploring.py
@@ -1,9 +1,10 @@
-"""Explorations in memory as a command shows them: their progress, and what broke made small."""
+"""Many plans as a command shows them: their progress, and what broke made small."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any, Protocol, TypeVar
+from hashlib import blake2b
+from typing import Any, Generic, Protocol, TypeVar
 
 import typer
 
@@ -18,8 +19,48 @@
     def story(self) -> str: ...
 
 
+class FoundWithDigest(Found, Protocol):
+    """What is kept of a run that is exact from its seed."""
+
+    @property
+    def digest(self) -> str: ...
+
+
 F = TypeVar("F", bound=Found)
 S = TypeVar("S", bound=FoundWithStory)
+D = TypeVar("D", bound=FoundWithDigest)
+DIGEST_BYTES = 8
+
+
+class ExploreTotals(Generic[D]):
+    """What is added up of the outcomes of an exploration."""
+
+    def __init__(self) -> None:
+        self.seeds = 0
+        self.broken: list[D] = []
+        self._digest = blake2b(digest_size=DIGEST_BYTES)
+
+    def add(self, outcome: D) -> None:
+        """Take the next outcome in the order of the seeds."""
+        self.seeds += 1
+        self._digest.update(outcome.digest.encode())
+        if outcome.broken:
+            self.broken.append(outcome)
+
+    @property
+    def digest(self) -> str:
+        """Of all outcomes."""
+        return self._digest.hexdigest()
+
+
+def play_all(outcomes: Iterable[F], total: int, as_json: bool) -> list[F]:
+    """The outcomes of plans on real processes, in the order in which they end."""
+    played: list[F] = []
+    with seed_progress("playing", total, as_json) as progress:
+        for outcome in outcomes:
+            played.append(outcome)
+            progress.update(len(played), sum(bool(each.broken) for each in played))
+    return played
 
 
 def explore_seeds(
--- a/limebridge/faults/sharing/command.py
+++ b/limebridge/faults/sharing/command.py
@@ -10,7 +10,7 @@
 import typer
 
 from limebridge.faults.budgets import Bounds, World
-from limebridge.faults.exploring import explore_seeds, print_shrunk
+from limebridge.faults.exploring import explore_seeds, play_all, print_shrunk
 from limebridge.faults.interruption import interruptible
 from limebridge.faults.options import (
     SHOWN,
@@ -24,7 +24,6 @@
     patch_path,
     planted,
     print_summary,
-    seed_progress,
 )
 from limebridge.faults.pool import play_each
 from limebridge.faults.state_space import check
@@ -32,7 +31,7 @@
 
 from . import judge, many, memory, rig
 from . import plan as plans
-from .summary import ExploreTotals, summary_of_run
+from .summary import SharingTotals, summary_of_run
 
 app = typer.Typer(no_args_is_help=True, help="Budgets that proxies share, under faults.")
 
@@ -47,13 +46,10 @@
     as_json: Json = False,
 ) -> None:
     """Play plans drawn from seeds on real processes.  Exit status 1 when something broke."""
-    began, played = time.monotonic(), list[many.PlayedPlan]()
+    began = time.monotonic()
     chosen = [plans.draw(seed) for seed in range(first, first + seeds)]
     play = partial(many.play_plan, patch=patch_path(patch))
-    with seed_progress("playing", seeds, as_json) as progress:
-        for outcome in play_each(play, chosen, jobs):
-            played.append(outcome)
-            progress.update(len(played), sum(bool(each.broken) for each in played))
+    played = play_all(play_each(play, chosen, jobs), seeds, as_json)
     broken = sorted((each for each in played if each.broken), key=lambda each: each.plan.seed)
     for each in broken[:SHOWN]:
         typer.echo(
@@ -75,7 +71,7 @@
     as_json: Json = False,
 ) -> None:
     """Play plans in memory, exact from their seeds.  Exit status 1 when something broke."""
-    began, totals = time.monotonic(), ExploreTotals()
+    began, totals = time.monotonic(), SharingTotals()
     prepare = planted(patch)
     explore_seeds(memory.explore(first, seeds, jobs, prepare), seeds, as_json, totals.add)
     if prepare is not None:
--- a/limebridge/faults/sharing/summary.py
+++ b/limebridge/faults/sharing/summary.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
-from functools import partial
-from hashlib import blake2b
 
 import msgspec
 
-from limebridge.faults.summary import DIGEST_BYTES, FirstViolation, first_violations
+from limebridge.faults.exploring import ExploreTotals
+from limebridge.faults.summary import FirstViolation, first_violations
 
 from .many import PlayedPlan
 from .memory import Outcome
@@ -69,23 +67,18 @@
     )
 
 
-@dataclass
-class ExploreTotals:
-    """What is added up of the outcomes of an exploration."""
+class SharingTotals(ExploreTotals[Outcome]):
+    """What is added up of the outcomes of `faults sharing explore`."""
 
-    seeds: int = 0
-    admitted: int = 0
-    shares: list[float] = field(default_factory=list)  # of the budget, spent in the end
-    broken: list[Outcome] = field(default_factory=list)
-    digest: blake2b = field(default_factory=partial(blake2b, digest_size=DIGEST_BYTES))
+    def __init__(self) -> None:
+        super().__init__()
+        self.admitted = 0
+        self.shares: list[float] = []  # of the budget, spent in the end
 
     def add(self, outcome: Outcome) -> None:
-        self.seeds += 1
+        super().add(outcome)
         self.admitted += outcome.spent
         self.shares.append(outcome.again)
-        self.digest.update(outcome.digest.encode())
-        if outcome.broken:
-            self.broken.append(outcome)
 
     def summary(self, first: int, seconds: float) -> ExploreSummary:
         """`first`: the first seed."""
@@ -96,5 +89,5 @@
             let_in=self.admitted,
             spent_in_the_end=spread(self.shares),
             broken=first_violations(self.broken),
-            digest=self.digest.hexdigest(),
+            digest=self.digest,
         )
--- a/limebridge/faults/summary.py
+++ b/limebridge/faults/summary.py
@@ -4,18 +4,15 @@
 
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass, field
-from functools import partial
-from hashlib import blake2b
 
 import msgspec
 
 from .explore import GAP_AT_END, PlayedPlan
+from .exploring import ExploreTotals
 from .many import Found
 from .memory import Outcome
 
 PARTS = (0.5, 0.9, 0.99, 1.0)  # of all gaps, for the quantiles
-DIGEST_BYTES = 8
 
 FirstViolation = tuple[int, str, str]  # a seed, and the rule and text of what broke first
 
@@ -78,23 +75,18 @@
     )
 
 
-@dataclass
-class ExploreTotals:
-    """What is added up of the outcomes of an exploration."""
+class FleetTotals(ExploreTotals[Outcome]):
+    """What is added up of the outcomes of `explore --fleet`."""
 
-    seeds: int = 0
-    effects: int = 0
-    gaps: list[float] = field(default_factory=list)
-    broken: list[Outcome] = field(default_factory=list)
-    digest: blake2b = field(default_factory=partial(blake2b, digest_size=DIGEST_BYTES))
+    def __init__(self) -> None:
+        super().__init__()
+        self.effects = 0
+        self.gaps: list[float] = []
 
     def add(self, outcome: Outcome) -> None:
-        self.seeds += 1
+        super().add(outcome)
         self.effects += outcome.effects
         self.gaps += outcome.gaps
-        self.digest.update(outcome.digest.encode())
-        if outcome.broken:
-            self.broken.append(outcome)
 
     def summary(self, first: int, seconds: float) -> ExploreSummary:
         """`first`: the first seed."""
@@ -106,5 +98,5 @@
             changes_of_owner=len(self.gaps),
             without_owner_s=quantiles(self.gaps),
             broken=first_violations(self.broken),
-            digest=self.digest.hexdigest(),
+            digest=self.digest,
         )
--- a/limebridge/ledger/kills.py
+++ b/limebridge/ledger/kills.py
@@ -24,7 +24,8 @@
 from limebridge.standins.configuration import configuration, environment
 from limebridge.standins.discovery import Discovery
 from limebridge.standins.nodes import CacheNode
-from limebridge.standins.wire import command, read_answer, reply
+from limebridge.standins.served_log import ServedLog
+from limebridge.standins.wire import command, read_answer
 from violetroute.ledger.files import Folder
 from violetroute.ledger.periods import Periods
 from violetroute.ledger.store import SIGNED
@@ -63,7 +64,7 @@
     def __init__(self, folder: Path, seed: int) -> None:
         self.folder, self.rng = folder, random.Random(seed)
         self.began = time.monotonic()
-        self.rows: list[str] = []
+        self.served = ServedLog(self.wall)
         self.ports: dict[str, int] = {}
         self.running: dict[str, asyncio.subprocess.Process] = {}
         self.billing, self.discovery = Billing(), Discovery()
@@ -73,27 +74,11 @@
     def wall(self) -> float:
         return START + (time.monotonic() - self.began) * SPEED
 
-    async def serves(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
-        fields = dict(item.split("=") for item in words[3].decode().split(","))
-        id_ = words[2].decode()
-        self.rows.append(
-            json.dumps(
-                {
-                    "proxy": id_.partition("-")[0],
-                    "tenant": fields["t"],
-                    "class": fields["c"],
-                    "at": self.wall(),
-                    "id": id_,
-                }
-            )
-        )
-        writer.write(reply(b"value"))
-
     async def open(self) -> None:
         await self.billing.start()
         self.billing.trouble = lambda: self.rng.choice(TROUBLES) if self.rng.random() < 0.4 else ""
         await self.discovery.start()
-        self.nodes = [await CacheNode(self.serves).start() for _ in range(2)]
+        self.nodes = [await CacheNode(self.served.serve).start() for _ in range(2)]
         for name in PROXIES:
             self.ports[name] = free_ports(1)[0]
             known = [node.entry(f"s-{n}") for n, node in enumerate(self.nodes)]
@@ -211,7 +196,7 @@
         await asyncio.gather(*clients)
         field_.billing.trouble = lambda: ""
         periods = Periods("UTC", 5)
-        report.served, _ = read_served(field_.rows, periods, "nodes")
+        report.served, _ = read_served(field_.served.rows, periods, "nodes")
         report.before = await field_.settled(report.served)
         report.doubled = report.before.long
         for name in PROXIES:
--- a/limebridge/standins/billing.py
+++ b/limebridge/standins/billing.py
@@ -8,37 +8,27 @@
 
 import asyncio
 import json
-import ssl
 from collections import Counter
-from collections.abc import Callable
 
 import zstandard
 
+from .endpoint import Endpoint
 from .wire import read_request
 
 Unit = tuple[int, str | None, str]  # period, tenant, class
 
 
-class Billing:
+class Billing(Endpoint):
     """`billed` has units by ledger and line; what comes twice under one key counts once."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.taken: dict[str, bytes] = {}  # by key
         self.last: dict[str, str] = {}  # by ledger
         self.order: dict[str, list[tuple[str, int]]] = {}  # keys and periods, by ledger
         self.billed: Counter[tuple[str, int, str | None, str]] = Counter()
         self.posts = 0
         self.targets: list[str] = []
-        self.trouble: Callable[[], str] = lambda: ""
-
-    async def start(self, port: int = 0, tls: ssl.SSLContext | None = None) -> Billing:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port, ssl=tls)
-        self.port: int = self._server.sockets[0].getsockname()[1]
-        return self
-
-    async def stop(self) -> None:
-        self._server.close()
-        await asyncio.sleep(0)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
--- a/limebridge/standins/effects.py
+++ b/limebridge/standins/effects.py
@@ -7,10 +7,10 @@
 
 import asyncio
 import json
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
+from .endpoint import Endpoint
 from .wire import read_request
 
 
@@ -25,24 +25,15 @@
     body: Any
 
 
-class Effects:
+class Effects(Endpoint):
     """`taken` in their order; what comes twice under one key and body counts once."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.taken: list[Effect] = []
         self.high: dict[str, tuple[int, str]] = {}  # fence and whose, by work
         self.bodies: dict[str, bytes] = {}  # by key
         self.conflicts = 0  # of one key with two bodies
-        self.trouble: Callable[[], str] = lambda: ""
-
-    async def start(self, port: int = 0) -> Effects:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.port: int = self._server.sockets[0].getsockname()[1]
-        return self
-
-    async def stop(self) -> None:
-        self._server.close()
-        await asyncio.sleep(0)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
--- /dev/null
+++ b/limebridge/standins/endpoint.py
@@ -0,0 +1,28 @@
+"""An HTTP endpoint on a loopback port that answers one request a connection."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import Callable
+from typing import Self
+
+
+class Endpoint:
+    """A subclass says how it serves.  `trouble` is asked for each request: a name, or ""."""
+
+    def __init__(self) -> None:
+        self.trouble: Callable[[], str] = lambda: ""
+        self.port = 0
+
+    async def start(self, port: int = 0, tls: ssl.SSLContext | None = None) -> Self:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port, ssl=tls)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self) -> None:
+        self._server.close()
+        await asyncio.sleep(0)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
