--- a/violetroute/distribution/http_server.py
+++ b/violetroute/distribution/http_server.py
@@ -5,8 +5,9 @@
 told that the ticket was abandoned, exactly once, and an answer to it does nothing.
 
 Bounds: connections; a request's head, body and the time it may take; the bytes of all long bodies
-that are not whole yet; idle time; the time in which an answer has to be taken.  A peer that sends
-more while its request is under way is disconnected: we never keep what we are not ready for.
+that are not whole yet, and of all bodies on unauthenticated connections; idle time; the time to
+take an answer.  A peer that sends more while its request is under way is disconnected: we never
+keep what we are not ready for.
 
 A connection is *unauthenticated* until a genuine request has come on it.  When all places are
 taken, the oldest unauthenticated connection makes way for a new one, so that a host without a key
@@ -34,6 +35,7 @@
     sign_answer,
 )
 from .traffic import HEADER_BYTES, READ_BUFFER, Pacer, Traffic
+from .unauthenticated import UnauthenticatedConnections
 
 CONNECTIONS = 4096
 BACKLOG = 1024
@@ -50,6 +52,7 @@
 NEVER = float("inf")
 NOT_UNDERSTOOD = "a request that is not understood"
 TOO_MANY = "too many connections"
+TOO_LONG = "too many long requests of unauthenticated connections"
 
 
 class RequestHandler(Protocol):
@@ -79,7 +82,7 @@
         self.long_bodies = 0  # bytes, of those that are not whole yet
         self._connections_max = connections
         self._connections: set[_Connection] = set()
-        self._unauthenticated: dict[_Connection, None] = {}  # the oldest first
+        self.unauthenticated = UnauthenticatedConnections[_Connection]()
         self._tickets: dict[int, _Connection] = {}
         self._last_ticket = 0
         self._refusals = Pacer(_log_refusal)
@@ -130,19 +133,15 @@
         self.traffic.failures += 1
         self._refusals.happened(self.net.loop.time(), reason)
 
-    def authenticated(self, connection: _Connection) -> None:
-        """A genuine request came on it."""
-        self._unauthenticated.pop(connection, None)
-
-    def progressed(self, connection: _Connection) -> None:
-        """More of a long request came on it."""
-        if connection in self._unauthenticated:
-            del self._unauthenticated[connection]
-            self._unauthenticated[connection] = None
+    def body_grew(self, connection: _Connection, count: int) -> None:
+        """So many more bytes of a body came on it.  It may be closed for that, or others."""
+        for first in self.unauthenticated.add_to_body(connection, count):
+            self.refused(TOO_LONG)
+            self._evict(first)
 
     def gone(self, connection: _Connection) -> None:
         self._connections.discard(connection)
-        self._unauthenticated.pop(connection, None)
+        self.unauthenticated.remove(connection)
 
     # --- the door and the clock ---
     @property
@@ -152,7 +151,7 @@
         So a new connection is not evicted before the loop has read what came with it: whoever sends
         its request at once is heard, however many others connect.
         """
-        authenticated = len(self._connections) - len(self._unauthenticated)
+        authenticated = len(self._connections) - len(self.unauthenticated)
         places = self._connections_max - authenticated
         return max(1, min(ACCEPTED_PER_TURN, places // 2))
 
@@ -177,14 +176,17 @@
         """Give it a place, if need be that of the oldest unauthenticated connection."""
         if len(self._connections) >= self._connections_max:
             self.refused(TOO_MANY)
-            if not self._unauthenticated:
+            oldest = self.unauthenticated.oldest()
+            if oldest is None:
                 connection.abort()
                 return
-            oldest = next(iter(self._unauthenticated))
-            self.gone(oldest)
-            oldest.abort()
+            self._evict(oldest)
         self._connections.add(connection)
-        self._unauthenticated[connection] = None
+        self.unauthenticated.add(connection)
+
+    def _evict(self, connection: _Connection) -> None:
+        self.gone(connection)
+        connection.abort()
 
     def _accept_again(self) -> None:
         if not self._closed:
@@ -331,17 +333,18 @@
     def _take_body(self, data: bytes | bytearray) -> bool:
         length = len(self._body) + len(data)
         if length // PROGRESS_BYTES > len(self._body) // PROGRESS_BYTES:
-            self._server.progressed(self)
+            self._server.unauthenticated.renew(self)
         counted = max(0, len(self._body) - SHORT_BODY_BYTES)
         self._server.long_bodies += max(0, length - SHORT_BODY_BYTES) - counted
         self._body += data
+        self._server.body_grew(self, len(data))
+        if self._stream is None or self._stream.closing:
+            return False  # that was too much
         if length > MESSAGE_BYTES:
             self.refuse(413, "a request that is no HTTP or too long")
-            return False
-        if length > SHORT_BODY_BYTES and self._server.long_bodies > LONG_BODIES_BYTES:
+        elif length > SHORT_BODY_BYTES and self._server.long_bodies > LONG_BODIES_BYTES:
             self.refuse(503, "too many long requests at one time")
-            return False
-        return True
+        return not self._stream.closing
 
     def _complete(self) -> bool:
         body = bytes(self._body)
@@ -350,7 +353,7 @@
         if not request_is_genuine(self._server.keys, self._signature, self._path, body):
             self.refuse(403, "a request without our signature")
             return False
-        self._server.authenticated(self)
+        self._server.unauthenticated.remove(self)
         self._server.traffic.requests += 1
         self._ticket = self._server.new_ticket(self)
         self.deadline = NEVER
@@ -385,6 +388,7 @@
 
     def _forget_body(self) -> None:
         self._server.long_bodies -= max(0, len(self._body) - SHORT_BODY_BYTES)
+        self._server.unauthenticated.end_body(self)
         self._body.clear()
 
     def _now(self) -> float:
