--- a/tests/test_distribution_unauthenticated_bodies.py
+++ b/tests/violetroute/distribution/test_distribution_unauthenticated_bodies.py
@@ -6,8 +6,9 @@
 import logging
 
 import pytest
-from rig import until
-from test_distribution_http import (
+
+from tests.support.rig import until
+from tests.violetroute.distribution.test_distribution_http import (
     asked,
     client_of,
     connected,
@@ -17,7 +18,6 @@
     run,
     served,
 )
-
 from violetroute.distribution.http_server import SHORT_BODY_BYTES, TOO_LONG, HttpServer
 from violetroute.distribution.messages import MESSAGE_BYTES
 from violetroute.distribution.unauthenticated import (
