Loans between proxies: a record of what is lent, and calls that say what they do

Need: `loans()` and `debts()` returned bare tuples; `pot`, `overdue` (which drops asks), `due`, `unwanted`, `is_open` and `waits_until` had to be looked up in loans.py to read budget.py.

Change: borrowed() and lent_out() of StandingLoan, lendable, drop_overdue, due_for_renewal, number_to_refuse, awaits_answer, home_whole_at; constants of budget.py carry their unit. The planted faults and tests that replace a method follow its new name. Behaviour and wire as before.

--- a/limebridge/faults/budgets.py
+++ b/limebridge/faults/budgets.py
@@ -107,14 +107,14 @@
             for other in places:
                 if other == place:
                     continue
-                if left["asks"] and not self.loans[place].is_open(f"p{other}"):
+                if left["asks"] and not self.loans[place].awaits_answer(f"p{other}"):
                     for amount in AMOUNTS:
                         yield ("ask", place, other, amount)
-                if left["asks"] and self.loans[place].is_open(f"p{other}"):
+                if left["asks"] and self.loans[place].awaits_answer(f"p{other}"):
                     yield ("give up", place, other)
                 if left["backs"] and (
                     f"p{other}" in self.loans[place].lenders()
-                    or self.loans[place].is_open(f"p{other}")
+                    or self.loans[place].awaits_answer(f"p{other}")
                 ):
                     yield ("back", place, other)
 
@@ -136,7 +136,7 @@
 
     def _give_up(self, place: int, other: int) -> None:
         """Stop waiting for an answer."""
-        self.loans[place].overdue(self.clock(place), 0.0)
+        self.loans[place].drop_overdue(self.clock(place), 0.0)
 
     def _back(self, place: int, other: int) -> None:
         self.left["backs"] -= 1
@@ -186,7 +186,7 @@
         granted = loans.granted(now, lender, message.number, message.amount)
         if granted or not message.amount or not self.left["backs"]:
             return
-        number = loans.unwanted(lender, message.number)
+        number = loans.number_to_refuse(lender, message.number)
         if number:
             self.left["backs"] -= 1
             borrower = message.borrower
--- a/limebridge/faults/sharing/memory.py
+++ b/limebridge/faults/sharing/memory.py
@@ -215,7 +215,7 @@
             process.needs = math.inf
             return
         loans, clock = sharing.budgets["all"].loans, process.clock.time()
-        if 1000.0 * self.rates[process.number] < 1.5 * loans.home or clock < loans.waits_until:
+        if 1000.0 * self.rates[process.number] < 1.5 * loans.home or clock < loans.home_whole_at:
             process.needs = math.inf
             return
         process.needs = min(process.needs, now)
--- a/tests/limebridge/faults/test_sharing_whole.py
+++ b/tests/limebridge/faults/test_sharing_whole.py
@@ -79,7 +79,7 @@
 
 def late_answer_returned(patch: pytest.MonkeyPatch) -> None:
     """What came too late is given back, though an older loan of that lender stands."""
-    patch.setattr(Loans, "unwanted", lambda self, lender, number: number)
+    patch.setattr(Loans, "number_to_refuse", lambda self, lender, number: number)
 
 
 def kept_after_the_return(patch: pytest.MonkeyPatch) -> None:
--- a/tests/planted_sharing/renewed_for_ever.py
+++ b/tests/planted_sharing/renewed_for_ever.py
@@ -4,7 +4,7 @@
 
 
 def plant() -> None:
-    def pot(self: Loans, now: float, need: int) -> int:
+    def lendable(self: Loans, now: float, need: int) -> int:
         return 0 if self.aside or now < self._full_at else self.home - self.floor
 
-    Loans.pot = pot
+    Loans.lendable = lendable
--- a/tests/violetroute/sharing/test_sharing.py
+++ b/tests/violetroute/sharing/test_sharing.py
@@ -238,7 +238,7 @@
     net: list[tuple[str, int, int, int, int, int]] = []  # kind, from, to, life, number, amount
     for what, here, there, amount in steps:
         clock = [now * rate for rate in rates]
-        if what == "ask" and here != there and not loans[here].is_open(str(there)):
+        if what == "ask" and here != there and not loans[here].awaits_answer(str(there)):
             number = loans[here].ask(clock[here], str(there))
             net.append(("ask", here, there, lives[here], number, amount))
         elif what == "back" and here != there:
@@ -259,7 +259,7 @@
                 and not loans[to].granted(clock[to], str(sender), number, much)
                 and much
             ):
-                unwanted = loans[to].unwanted(str(sender), number)
+                unwanted = loans[to].number_to_refuse(str(sender), number)
                 if unwanted:
                     net.append(("back", to, sender, life, unwanted, 0))
         elif what == "time":
--- a/violetroute/sharing/budget.py
+++ b/violetroute/sharing/budget.py
@@ -28,10 +28,10 @@
 HEADROOM = 1.3  # times its demand that a proxy wants to have, and keeps when it lends
 SURPLUS = 2.0  # times: a borrower beyond that gives back
 ASKS_AT_ONCE = 8  # asks that one tick sends
-ASK_WAIT = 0.4  # s for an answer
-WAIT_MOST = 1.0  # s between two rounds of asking while nobody has any
+ANSWER_WAIT_S = 0.4  # s for an answer
+ASK_WAIT_MOST_S = 1.0  # s between two rounds of asking while nobody has any
 OPEN_S = 5.0  # s without a request turned away after which a budget counts as open
-SPARE_AGE = 5.0  # s for which another's word of what it has to spare is believed
+SPARE_AGE_MOST_S = 5.0  # s for which another's word of what it has to spare is believed
 
 
 class Chance(Protocol):
@@ -73,7 +73,7 @@
         self._demand, self._demand_at = 0.0, now  # requests, decayed over DEMAND_S
         self._spares: dict[str, tuple[int, float]] = {}
         self._askers: dict[str, tuple[int, float]] = {}  # by life: what it asks for, and when
-        self._ask_at, self._wait = now, ASK_WAIT / 4.0
+        self._ask_at, self._wait = now, ANSWER_WAIT_S / 4.0
         self.let_in = self.turned_away = 0
         self.shut = False  # requests are turned away, as it was told last
         self._turned_at = -math.inf
@@ -151,7 +151,7 @@
         }
         self._askers[borrower] = amount, now
         need = self._want(now)
-        fair = evenly(self.loans.pot(now, need), [most for most, _ in self._askers.values()])
+        fair = evenly(self.loans.lendable(now, need), [most for most, _ in self._askers.values()])
         return self.loans.asked(now, borrower, number, min(amount, fair), need)
 
     def returned(self, now: float, borrower: str, number: int) -> None:
@@ -177,16 +177,16 @@
         if self.loans.granted(now, lender, number, amount):
             self._spares.pop(lender, None)  # this was it
             if self.loans.held(now) > before:
-                self._wait = ASK_WAIT / 4.0
+                self._wait = ANSWER_WAIT_S / 4.0
             return None
-        number = self.loans.unwanted(lender, number) if amount > 0 else 0
+        number = self.loans.number_to_refuse(lender, number) if amount > 0 else 0
         return Back(lender, number) if number else None
 
     def tick(self, now: float, members: Sequence[str]) -> list[Ask | Back]:
         """What is to be sent now.  `members`: those that are up, without this one."""
         self._fill(now)
         loans = self.loans
-        loans.overdue(now, ASK_WAIT)
+        loans.drop_overdue(now, ANSWER_WAIT_S)
         actions: list[Ask | Back] = []
         if loans.aside:
             return actions
@@ -194,7 +194,7 @@
         lack = self._want(now) - max(loans.authority(now), loans.home)
         actions += self._renew(now)
         if lack < 0:
-            self._wait = ASK_WAIT / 4.0
+            self._wait = ANSWER_WAIT_S / 4.0
             actions += self._give_back(now)
         elif lack >= LEAST and now >= self._ask_at:
             actions += self._ask(now, lack, members)
@@ -202,10 +202,10 @@
 
     def _renew(self, now: float) -> list[Ask | Back]:
         """Loans that are half over: asked for anew while there is a use for them."""
-        due = self.loans.due(now)
+        due = self.loans.due_for_renewal(now)
         if not due:
             return []
-        amounts = {lender: amount for lender, amount, _ in self.loans.loans(now)}
+        amounts = {loan.member: loan.amount for loan in self.loans.borrowed(now)}
         room = self._want(now) - (self.loans.authority(now) - sum(amounts.values()))
         actions: list[Ask | Back] = []
         for lender in due:
@@ -220,7 +220,7 @@
         known = [
             (spare, name)
             for name, (spare, at) in self._spares.items()
-            if now - at <= SPARE_AGE and spare >= LEAST
+            if now - at <= SPARE_AGE_MOST_S and spare >= LEAST
         ]
         self._spares = {name: self._spares[name] for _, name in known}
         known.sort(key=lambda at: (-at[0], at[1]))
@@ -233,11 +233,11 @@
             else []
         )
         actions: list[Ask | Back] = []
-        held = {lender: amount for lender, amount, _ in self.loans.loans(now)}
+        held = {loan.member: loan.amount for loan in self.loans.borrowed(now)}
         for name in dict.fromkeys(order):
             if len(actions) >= ASKS_AT_ONCE or lack < LEAST:
                 break
-            if self.loans.is_open(name):
+            if self.loans.awaits_answer(name):
                 continue
             # What stands is asked for again with it: the answer takes its place.
             number = self.loans.ask(now, name)
@@ -245,7 +245,7 @@
                 amount = lack + held.get(name, 0)
                 actions.append(Ask(name, number, amount))
                 lack -= self._spares.get(name, (0, 0.0))[0]
-        self._wait = min(WAIT_MOST, self._wait * 1.5)
+        self._wait = min(ASK_WAIT_MOST_S, self._wait * 1.5)
         self._ask_at = now + self._wait * (0.75 + 0.5 * self._chance.random())
         return actions
 
@@ -253,7 +253,7 @@
         """Loans that are not needed, the least first, while enough is left."""
         actions: list[Ask | Back] = []
         surplus = self.loans.authority(now) - self._want(now, SURPLUS)
-        for lender, amount, _ in sorted(self.loans.loans(now), key=lambda loan: loan[1]):
+        for lender, amount, _ in sorted(self.loans.borrowed(now), key=lambda loan: loan.amount):
             if amount > surplus:
                 break
             surplus -= amount
--- a/violetroute/sharing/introspection.py
+++ b/violetroute/sharing/introspection.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from .budget import UNIT, Budget
+from .loans import StandingLoan
 from .service import Sharing
 
 STATES = {"a": "alive", "s": "suspected", "d": "dead", "l": "left"}
@@ -83,9 +84,11 @@
         "may_spend": loans.authority(now) / UNIT,
         "let_in": budget.let_in,
         "turned_away": budget.turned_away,
-        "whole_in_s": round(max(0.0, loans.waits_until - now), 2),
-        "borrowed": [
-            [who, amount / UNIT, round(left, 2)] for who, amount, left in loans.loans(now)
-        ],
-        "lent": [[who, amount / UNIT, round(left, 2)] for who, amount, left in loans.debts(now)],
+        "whole_in_s": round(max(0.0, loans.home_whole_at - now), 2),
+        "borrowed": [_shown(loan) for loan in loans.borrowed(now)],
+        "lent": [_shown(loan) for loan in loans.lent_out(now)],
     }
+
+
+def _shown(loan: StandingLoan) -> list[Any]:
+    return [loan.member, loan.amount / UNIT, round(loan.left_s, 2)]
--- a/violetroute/sharing/loans.py
+++ b/violetroute/sharing/loans.py
@@ -29,6 +29,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 LENT_MOST = 1024  # loans that stand, of one life: beyond it nothing is lent
 SEEN_MOST = 4096  # borrowers whose last ask is remembered
@@ -69,6 +70,14 @@
     until: float
 
 
+class StandingLoan(NamedTuple):
+    """A loan that has not ended, as it is shown."""
+
+    member: str  # the lender, or the borrower's life
+    amount: int
+    left_s: float  # until it ends
+
+
 class Loans:
     """One life's authority over one budget.  `now`: s of its monotonic clock, in every call."""
 
@@ -133,7 +142,7 @@
         return int(self.home * self._terms.floor)
 
     @property
-    def waits_until(self) -> float:
+    def home_whole_at(self) -> float:
         """From when on the home part is whole."""
         return self._full_at
 
@@ -145,7 +154,7 @@
             for loans in self._lent.values()
         )
 
-    def pot(self, now: float, need: int) -> int:
+    def lendable(self, now: float, need: int) -> int:
         """What may be lent in all, if `need` is kept for own requests."""
         if self.aside or now < self._full_at:
             return 0
@@ -153,7 +162,7 @@
 
     def spare(self, now: float, need: int) -> int:
         """What of it is not lent."""
-        return max(0, self.pot(now, need) - self.lent(now))
+        return max(0, self.lendable(now, need) - self.lent(now))
 
     def asked(self, now: float, borrower: str, number: int, amount: int, need: int) -> int:
         """A borrower's life asks for so much at most; what it is lent, 0 being nothing.
@@ -169,7 +178,7 @@
             return max((loan.amount for loan in loans if loan.number == number), default=0)
         self._note(borrower, number)
         mine = max((loan.amount for loan in loans), default=0)
-        grant = min(amount, self.pot(now, need) - (self.lent(now) - mine))
+        grant = min(amount, self.lendable(now, need) - (self.lent(now) - mine))
         if grant < LEAST or sum(map(len, self._lent.values())) >= LENT_MOST:
             return 0
         self._lent.setdefault(borrower, []).append(Lent(number, grant, now + self._terms.loan_s))
@@ -231,7 +240,7 @@
         self._held.pop(lender, None)
         return number
 
-    def unwanted(self, lender: str, number: int) -> int:
+    def number_to_refuse(self, lender: str, number: int) -> int:
         """What may be told back of an answer that came too late to count; 0: nothing may.
 
         An older loan of that lender may still stand here, and it would take that for ended.
@@ -239,7 +248,7 @@
         open_ask = self._asked.get(lender, (0, 0.0))[0]
         return 0 if lender in self._held or 0 < open_ask <= number else number
 
-    def overdue(self, now: float, wait: float) -> list[str]:
+    def drop_overdue(self, now: float, wait: float) -> list[str]:
         """Asks that `wait` s have brought no answer for are given up."""
         late = [lender for lender, (_, at) in self._asked.items() if now - at >= wait]
         for lender in late:
@@ -248,7 +257,7 @@
             del self._held[lender]
         return late
 
-    def due(self, now: float) -> list[str]:
+    def due_for_renewal(self, now: float) -> list[str]:
         """Lenders whose loans are half over, to be asked anew."""
         half = self._terms.kept_s / 2.0
         return [
@@ -257,27 +266,32 @@
             if now >= loan.until - half and lender not in self._asked
         ]
 
-    def loans(self, now: float) -> list[tuple[str, int, float]]:
-        """Held: lender, amount, s that are left."""
+    def borrowed(self, now: float) -> list[StandingLoan]:
+        """Held, by lender."""
         return [
-            (lender, loan.amount, loan.until - now)
+            StandingLoan(lender, loan.amount, loan.until - now)
             for lender, loan in self._held.items()
             if now < loan.until
         ]
 
-    def debts(self, now: float) -> list[tuple[str, int, float]]:
-        """Lent: borrower's life, amount, s until it is ours again."""
+    def lent_out(self, now: float) -> list[StandingLoan]:
+        """Lent, by the borrower's life."""
         standing = {
             borrower: [loan for loan in loans if now < loan.until]
             for borrower, loans in self._lent.items()
         }
         return [
-            (borrower, max(loan.amount for loan in loans), max(loan.until for loan in loans) - now)
+            StandingLoan(
+                borrower,
+                max(loan.amount for loan in loans),
+                max(loan.until for loan in loans) - now,
+            )
             for borrower, loans in standing.items()
             if loans
         ]
 
-    def is_open(self, lender: str) -> bool:
+    def awaits_answer(self, lender: str) -> bool:
+        """Whether an ask of that lender is open."""
         return lender in self._asked
 
     # --- names and sizes ---
