A proxy that shuts down ends its session; in force does not wait for it

`Poll.ends_session`, at the end and with a default: the last poll of a process, after its drain. `Subscriber.end` makes the process stale for good before the poll is sent, so what it says holds however late or often it comes. The control machine drops the session, answers with nothing and names the end in its next report; it remembers 1,024 ended pairs, so that polls that were sent before make no session again. The daemon waits 0.5 s at most. A killed proxy stays under the bound of time.

--- a/limebridge/faults/distribution/faults.py
+++ b/limebridge/faults/distribution/faults.py
@@ -43,7 +43,7 @@
         match fault.kind:
             case "kill" | "lose_disk" | "pause" | "pause_reset":
                 self._machine(fault, control)
-            case "kill_proxy" | "pause_proxy":
+            case "kill_proxy" | "end_proxy" | "pause_proxy":
                 self._proxy(fault, proxy)
             case "twin_proxy":
                 self._later(fault, world.start_twin(proxy))
@@ -95,6 +95,10 @@
         if fault.kind == "kill_proxy":
             proxy.kill()
             self._later(fault, proxy.start)
+        elif fault.kind == "end_proxy":
+            proxy.deliver(proxy.leave)
+            life = proxy.life
+            self._later(fault, lambda: proxy.replace(life))
         else:
             proxy.pause()
             self._later(fault, proxy.resume)
--- a/limebridge/faults/distribution/plan.py
+++ b/limebridge/faults/distribution/plan.py
@@ -24,6 +24,7 @@
     "lose_disk",  # the disk is lost; the operator replaces the machine
     # to a proxy
     "kill_proxy",
+    "end_proxy",  # it ends its session, lingers, and is followed by a new process
     "pause_proxy",
     "twin_proxy",  # a second process of the same name
     # to links: of one machine with all others, of one proxy, between two parts, of all
@@ -52,6 +53,7 @@
     "lose_disk",
     "lose_disk",
     "kill_proxy",
+    "end_proxy",
     "pause_proxy",
     "pause_proxy",
     "twin_proxy",
@@ -145,7 +147,17 @@
         faults=(3, 8),
     ),
     Theme(
-        ("kill_proxy", "kill_proxy", "cut_proxy", "pause_proxy", "kill", "cut", "lose_disk"),
+        (
+            "kill_proxy",
+            "kill_proxy",
+            "end_proxy",
+            "end_proxy",
+            "cut_proxy",
+            "pause_proxy",
+            "kill",
+            "cut",
+            "lose_disk",
+        ),
         keep_s=0.3,
         faults=(3, 6),
     ),
--- a/limebridge/faults/distribution/proxy.py
+++ b/limebridge/faults/distribution/proxy.py
@@ -46,6 +46,7 @@
         self.world, self.settings = world, settings
         self.subscriber: Subscriber | None = None
         self._polling: Polling | None = None
+        self._asks = ""  # the machine that was asked last
 
     @property
     def incarnation(self) -> str:
@@ -69,6 +70,20 @@
         if self._polling is not None and self._polling.exchange is not None:
             self.world.network.abandon(self._polling.exchange)
 
+    def leave(self) -> None:
+        """It ends its session where it asks now, and lingers; its poll may still be answered."""
+        if self.subscriber is None:
+            return
+        poll = self.subscriber.end()
+        address = self._asks or self.settings.controls[0].address
+        self.world.network.request(self.name, address, poll, lambda reply: None)
+
+    def replace(self, life: int) -> None:
+        """The process of this life is gone, and a new one starts, unless that was done already."""
+        if self.up and self.life == life:
+            self.kill()
+            self.start()
+
     def fresh(self) -> bool:
         """Whether it believes itself fresh, by its own clock, at this instant."""
         return self.subscriber is not None and self.subscriber.fresh(self.now)
@@ -92,6 +107,7 @@
 
     def _send(self, ask: Ask) -> None:
         polling = self._polling = Polling(ask.address, self.now)
+        self._asks = ask.address
         life = self.life
 
         def on_reply(reply: Message | None) -> None:
--- a/limebridge/faults/distribution/real_faults.py
+++ b/limebridge/faults/distribution/real_faults.py
@@ -63,8 +63,8 @@
             case "pause":
                 process = self._rig.machines.processes[number]
                 await self._paused(lambda sent: send(process, sent), fault.seconds)
-            case "kill_proxy":
-                await self._kill_proxy(proxy, fault)
+            case "kill_proxy" | "end_proxy":
+                await self._restart_proxy(proxy, fault)
             case "pause_proxy":
                 await self._paused(proxy.signal, fault.seconds)
             case "twin_proxy":
@@ -148,11 +148,11 @@
         if status != 0:
             self._rig.judge.complain(Rule.CRASH, f"limebridge control init ended with {status}")
 
-    async def _kill_proxy(self, proxy: RealProxy, fault: Fault) -> None:
+    async def _restart_proxy(self, proxy: RealProxy, fault: Fault) -> None:
         if proxy.name in self._down or not proxy.running:
             return
         with self.taken_down(proxy.name):
-            await proxy.kill()
+            await (proxy.kill() if fault.kind == "kill_proxy" else proxy.term())
             await self._wait(fault.seconds)
             await proxy.start()
 
--- a/limebridge/faults/distribution/real_plan.py
+++ b/limebridge/faults/distribution/real_plan.py
@@ -15,6 +15,7 @@
     "pause",
     "lose_disk",
     "kill_proxy",
+    "end_proxy",
     "pause_proxy",
     "cut",
     "cut_out",
--- a/limebridge/faults/distribution/recording.py
+++ b/limebridge/faults/distribution/recording.py
@@ -124,8 +124,10 @@
     await door.open()
     _print(Recorded(service.incarnation))
     await ended
-    door.close()
+    if hasattr(service, "leave"):  # an earlier build beside this kit has none
+        await service.leave()
     service.close()
+    door.close()
 
 
 def main() -> None:
--- a/limebridge/scale/hollow.py
+++ b/limebridge/scale/hollow.py
@@ -97,6 +97,7 @@
         self.net = SocketNetwork(loop, make=self.net_maker)
         self.sharing: Sharing | None = None
         self.distribution: DistributionService | None = None
+        self._leaving: asyncio.Task[None] | None = None  # of the process before this one
         self.applied = AppliedTimes()
         self._random = random.Random(f"hollow/{place.number}")
         self._pretend_timer: asyncio.TimerHandle | None = None
@@ -170,9 +171,14 @@
         self.applied.follow(self.distribution, table.stale_after_s)
 
     # --- its process ---
-    def restart(self) -> None:
-        """End, and forget all that it knew.  Its parts are started anew."""
-        self.close()
+    def restart(self, killed: bool) -> None:
+        """End, as on SIGTERM or `killed`, and forget all that it knew.  Its parts start anew.
+
+        Membership hears of the end either way: a member that is killed is measured elsewhere.
+        """
+        if self.distribution is not None and not killed:
+            self._leaving = self.loop.create_task(self.distribution.leave())
+        self.close()  # once more, where it leaves: that changes nothing
         self._pretend_timer = self.sharing = self.distribution = None
         self._restarts += 1
         self.applied.restarted()
--- a/limebridge/scale/hollow_host.py
+++ b/limebridge/scale/hollow_host.py
@@ -78,9 +78,10 @@
 
 
 class Restart(msgspec.Struct, frozen=True, tag=True):
-    """Restart every proxy, spread evenly over this time."""
+    """Restart every proxy, spread evenly over this time; `killed`: none tells of its end."""
 
     within_s: float
+    killed: bool = False
 
 
 Order = Report | Restart
@@ -145,15 +146,15 @@
         if self._gossip is not None:
             self._gossip.clock.release()
 
-    def restart(self, within_s: float) -> None:
+    def restart(self, within_s: float, killed: bool) -> None:
         """Restart all proxies over this time."""
         self._restarts += 1
         for number, proxy in enumerate(self.proxies):
             wait_s = within_s * number / len(self.proxies)
-            self._loop.call_later(wait_s, self._restart_one, proxy)
+            self._loop.call_later(wait_s, self._restart_one, proxy, killed)
 
-    def _restart_one(self, proxy: HollowProxy) -> None:
-        proxy.restart()
+    def _restart_one(self, proxy: HollowProxy, killed: bool) -> None:
+        proxy.restart(killed)
         if self._gossip is not None:
             proxy.start_gossip(self._gossip, (), self._seeds(proxy.place))
         if self._file.distribution:
@@ -241,8 +242,8 @@
         case Report(path):
             Path(path).write_bytes(msgspec.msgpack.encode(hollow_host.seen()))
             return "reported"
-        case Restart(within_s):
-            hollow_host.restart(within_s)
+        case Restart(within_s, killed):
+            hollow_host.restart(within_s, killed)
             return "restarting"
 
 
--- a/limebridge/scale/run.py
+++ b/limebridge/scale/run.py
@@ -134,10 +134,12 @@
             fleet.control(client.leader).process.kill()
             self.notes.append(f"{client.leader} led and was killed {FAULT_AT:.0%} into the time")
         if self.plan.restart_within_s > 0.0:
-            await fleet.restart_hollow(self.plan.restart_within_s)
+            killed = self.plan.restart_killed
+            await fleet.restart_hollow(self.plan.restart_within_s, killed)
             self.notes.append(
                 f"all hollow proxies restarted over {self.plan.restart_within_s:g} s,"
-                f" {FAULT_AT:.0%} into the time"
+                f" {FAULT_AT:.0%} into the time, "
+                + ("killed" if killed else "each ending its session first")
             )
 
     async def _end_of(self, faults: asyncio.Task[None]) -> None:
--- a/limebridge/scale/run_command.py
+++ b/limebridge/scale/run_command.py
@@ -47,6 +47,9 @@
     restart_within: Annotated[
         float, typer.Option(help="Seconds in which all hollow proxies restart; 0: none does.")
     ] = 0.0,
+    restart_killed: Annotated[
+        bool, typer.Option("--restart-killed", help="They are killed, and tell no control machine.")
+    ] = False,
     gossip: Annotated[bool, typer.Option(help="Membership, judgements and counts too.")] = True,
     probe: Annotated[
         float, typer.Option(help="Seconds between two members that a proxy asks.")
@@ -90,6 +93,7 @@
         loss=loss,
         kill_control=kill_control,
         restart_within_s=restart_within,
+        restart_killed=restart_killed,
         gossip=gossip,
         probe_s=probe,
         requests=requests,
--- a/limebridge/scale/run_fleet.py
+++ b/limebridge/scale/run_fleet.py
@@ -285,9 +285,10 @@
         await asyncio.gather(*asked)
         return [msgspec.msgpack.decode(path.read_bytes(), type=HostSeen) for path in paths]
 
-    async def restart_hollow(self, within_s: float) -> None:
-        """Every hollow proxy ends and starts anew within this time.  ProcessError."""
-        await asyncio.gather(*(_order(process, Restart(within_s)) for process in self.hosts))
+    async def restart_hollow(self, within_s: float, killed: bool) -> None:
+        """Every hollow proxy ends, `killed` or in order, and starts anew in time.  ProcessError."""
+        order = Restart(within_s, killed)
+        await asyncio.gather(*(_order(process, order) for process in self.hosts))
 
 
 async def _order(process: RunProcess, order: Order) -> None:
--- a/limebridge/scale/run_plan.py
+++ b/limebridge/scale/run_plan.py
@@ -66,6 +66,7 @@
     loss: float = 0.0  # share of datagrams and TCP segments that the links lose
     kill_control: bool = False  # the leader is killed after a third of the time
     restart_within_s: float = 0.0  # all hollow proxies restart over it, from a third of the time on
+    restart_killed: bool = False  # the restarting ones are killed and tell nobody of their end
     gossip: bool = True
     probe_s: float = SharingTable().probe_s  # between two members that a proxy asks
     requests: float = 8.0  # a second that each hollow proxy pretends, for judgements and counts
--- a/tests/support/session_world.py
+++ b/tests/support/session_world.py
@@ -51,6 +51,7 @@
 
     `kind`: stop or restart of process `target` (m0 to m2, p0 to p11, leader1, leader2), or a cut of
     the machine `target`: reports, fetches or polls, or reports_back and polls_back for replies.
+    "end": the proxy `target` ends its session, lingers so long and is followed by a new process.
     """
 
     at: float
@@ -219,6 +220,7 @@
         super().__init__(world, rate)
         region = f"r{world.random.randrange(4)}"
         self.settings = SubscriberSettings(name, region, CONTROLS)
+        self.asks = MACHINES[0]
         self.incarnation = 0
         self.start()
 
@@ -229,6 +231,14 @@
             self.settings, f"i{self.incarnation}", self.world.random, self.now
         )
 
+    def end_session(self) -> None:
+        """Where it asked last; the answer to its poll before may still come."""
+        poll = self.subscriber.end()
+        machine = self.world.machines[self.asks]
+        if not self.world.cut("polls", self.asks):
+            action = partial(machine.polled, poll, lambda reply: None)
+            self.world.message(machine, action, copies=True)
+
     def tick(self) -> None:
         self.subscriber.tick(self.now)
         if self.asked is not None:
@@ -239,6 +249,7 @@
 
     def send(self, ask: Ask) -> None:
         self.asked, sent_at, machine = ask, self.now, self.world.machines[ask.address]
+        self.asks = ask.address
 
         def finish(reply: PollReply | None) -> None:
             if self.asked is ask:
@@ -364,6 +375,12 @@
 
     def _fault(self, fault: Fault) -> None:
         until = self.time + fault.lasts
+        if fault.kind == "end":
+            proxy = self._process(fault.target)
+            assert isinstance(proxy, Proxy)
+            proxy.end_session()
+            self.later(fault.lasts, proxy, proxy.start)
+            return
         if fault.kind not in ("stop", "restart"):
             self._cuts[fault.kind, fault.target] = until
             return
--- a/violetroute/__main__.py
+++ b/violetroute/__main__.py
@@ -258,8 +258,8 @@
     daemon.proxy.close()
     if daemon.sharing is not None:
         daemon.sharing.close()
-    if daemon.distribution is not None:
-        daemon.distribution.close()
+    if daemon.distribution is not None:  # fresh until here: it has followed during the drain
+        await daemon.distribution.leave()
     for each in (door, distribution_door):
         if each is not None:
             each.close()
--- a/violetroute/distribution/control.py
+++ b/violetroute/distribution/control.py
@@ -125,7 +125,7 @@
         except UnreadableError:
             self._server.refuse(ticket, BAD_REQUEST)
             return
-        if isinstance(message, Poll):
+        if isinstance(message, Poll) and not message.ends_session:
             if len(self._polls) >= self._bounds.proxies:
                 self._server.refuse(ticket, UNAVAILABLE, "too many proxies")
                 return
--- a/violetroute/distribution/messages.py
+++ b/violetroute/distribution/messages.py
@@ -212,6 +212,9 @@
     """A proxy asks for what comes after `position`; so everything up to it is applied there.
 
     Held by the control machine until there is news or the hold time is over.
+
+    `ends_session`: the last poll of a process that shuts down.  It will never again believe itself
+    fresh, so its session is dropped; answered at once, with nothing.
     """
 
     name: Name
@@ -220,6 +223,7 @@
     log: Annotated[str, msgspec.Meta(max_length=64)]  # the log's identity; "" before the first
     position: Number
     refused: Annotated[tuple[tuple[Number, Reason], ...], msgspec.Meta(max_length=16)] = ()
+    ends_session: bool = False
 
 
 class PollStatus(IntEnum):
--- a/violetroute/distribution/service.py
+++ b/violetroute/distribution/service.py
@@ -10,7 +10,7 @@
 import asyncio
 import secrets
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Protocol
 
@@ -24,6 +24,7 @@
 from .http_client import HttpClient
 from .messages import Batch, Record, Topic
 from .routes import decode_reply, encode, path_of
+from .session_end import end_sessions
 from .status import ServiceStatus
 from .subscriber import (
     Apply,
@@ -146,6 +147,16 @@
         """SIGHUP: other control machines."""
         self.subscriber.configure(_controls(table))
 
+    def leave(self) -> Coroutine[None, None, None]:
+        """As `close`, at once; awaited, the control machines are told that it is never fresh again.
+
+        For a process that shuts down, once it serves nobody any more.  Done when they have
+        answered, after END_TIMEOUT_S at the latest: they find out by themselves later.
+        """
+        addresses = tuple(self._clients)
+        self.close()
+        return end_sessions(self._net, self._keys, addresses, self.subscriber.end(), self.traffic)
+
     def close(self) -> None:
         """Nothing is asked or applied any more."""
         self._closed = True
--- /dev/null
+++ b/violetroute/distribution/session_end.py
@@ -0,0 +1,42 @@
+"""A proxy's last requests: they end its sessions at the control machines that it asked lately."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from violetroute.sharing.wire import Keys
+from violetroute.transport import Network, parse_address
+
+from .http_client import HttpClient
+from .messages import Poll
+from .routes import encode, path_of
+from .traffic import Traffic
+
+END_TIMEOUT_S = 0.5  # a machine that does not answer drops the session by itself
+
+
+async def end_sessions(
+    net: Network, keys: Keys, addresses: Iterable[str], poll: Poll, traffic: Traffic
+) -> None:
+    """Send the poll to each address, over connections of its own; what is answered says nothing.
+
+    Returns when all have answered or failed, after END_TIMEOUT_S at the latest.
+    """
+    clients = [HttpClient(net, parse_address(each), keys, traffic) for each in addresses]
+    try:
+        await asyncio.gather(*(_request(net, client, poll) for client in clients))
+    finally:
+        for client in clients:
+            client.close()
+
+
+async def _request(net: Network, client: HttpClient, poll: Poll) -> None:
+    told: asyncio.Future[None] = net.loop.create_future()
+
+    def finish(body: bytes | None, reason: str) -> None:
+        if not told.done():  # the caller may have been cancelled
+            told.set_result(None)
+
+    client.request(path_of(poll), encode(poll), END_TIMEOUT_S, finish)
+    await told
--- a/violetroute/distribution/sessions.py
+++ b/violetroute/distribution/sessions.py
@@ -10,6 +10,10 @@
 leader had committed then: a batch that was reported as in force while the leader did not know the
 session is in that answer or in an earlier one (docs/design/distribution.md, "In force").
 
+A process that shuts down ends its session by its last poll.  What it says (never fresh again) holds
+for good, so a copy or a late arrival of that poll does no harm; polls of the process that were sent
+before and arrive later get no session any more.
+
 Cost: each poll pushes at most two timers and a few entries of the queue of those that wait for a
 commit, O(log sessions); an advance of the commit touches only sessions that it lets be answered.
 The encoded batches of one commit are shared by all sessions at the same position.
@@ -35,6 +39,7 @@
 from .session import HeldPoll, Session, SessionKey, SessionSettings
 
 WAITING_SLACK = 64  # entries of ended polls that the queue may keep beyond as many as are held
+ENDED_MOST = 1024  # processes that have ended their session and are still remembered
 HOLD_JITTER = 0.1  # a poll is held between 90% and 100% of the hold time
 MS = 1000.0
 
@@ -65,6 +70,7 @@
         self._reporter = Reporter(settings, machine, incarnation, now)
         self._ready = False
         self._sessions: dict[SessionKey, Session] = {}  # least recently active first
+        self._ended: dict[SessionKey, None] = {}  # by their processes; the oldest first
         self._tickets: dict[int, Session] = {}
         self._order = count()
         self._timers: list[tuple[float, int, Session, HeldPoll]] = []
@@ -95,6 +101,8 @@
 
     def polled(self, now: float, ticket: int, poll: Poll) -> list[Answered]:
         """A poll came.  An older one of the same session is answered at once, with nothing."""
+        if poll.ends_session:
+            return [*self._end(poll), Answered(ticket, self._empty(PollStatus.NOT_READY))]
         session = self._session_of(now, poll)
         if session is None:
             return [Answered(ticket, self._empty(PollStatus.NOT_READY))]
@@ -168,12 +176,26 @@
                 answers += self._answer_if_due(now, session)
         return answers
 
+    def _end(self, poll: Poll) -> list[Answered]:
+        """The process has ended its session, here if it has one."""
+        key = poll.name, poll.incarnation
+        self._ended[key] = None
+        if len(self._ended) > ENDED_MOST:
+            del self._ended[next(iter(self._ended))]
+        session = self._sessions.pop(key, None)
+        if session is None:
+            return []
+        self._reporter.ended(session)
+        if session.held is None:
+            return []
+        return [self._finish(session, self._empty(PollStatus.NOT_READY))]
+
     def _session_of(self, now: float, poll: Poll) -> Session | None:
         """The poll's session, created if there is room; the most recently active one now."""
         key = poll.name, poll.incarnation
         session = self._sessions.pop(key, None)
         if session is None:
-            if len(self._sessions) >= self._settings.sessions_most:
+            if key in self._ended or len(self._sessions) >= self._settings.sessions_most:
                 return None
             session = Session(poll.name, poll.incarnation, poll.region, now)
             self._reporter.changed(session)
--- a/violetroute/distribution/subscriber.py
+++ b/violetroute/distribution/subscriber.py
@@ -12,6 +12,10 @@
 clocks stands here: the leader's bound, `stale_after_s * (1 + drift) / (1 - drift)`, has both the
 proxy's clock (and those that measured the age) as slow as allowed and its own as fast.
 
+End.  `end` makes the process stale for good before it tells anybody: answers that are still on
+their way are ignored.  So what the control machines are told holds from then on, however late or
+often it reaches them.
+
 Bounds: one poll at a time, `REFUSALS_MOST` refusals, `BATCHES_PER_REPLY` batches an answer.
 """
 
@@ -108,6 +112,7 @@
         self._position = 0
         self._fence = 0
         self._as_of: float | None = None
+        self._ended = False
         self._said_fresh = False
         self._said_stale = False
         self._refusals: deque[tuple[int, str]] = deque(maxlen=REFUSALS_MOST)
@@ -139,7 +144,7 @@
     @property
     def next_at(self) -> float:
         """When `tick` has something to say, if no answer comes before."""
-        if self._said_stale:
+        if self._said_stale or self._ended:
             return math.inf
         return self._known_since() + self._settings.stale_after_s + TICK_LATE_S
 
@@ -149,18 +154,32 @@
 
     def next(self, now: float) -> Ask | Wait:
         """Whom to ask, or how long to wait.  Not to be called while a poll is out."""
+        if self._ended:
+            return Wait(math.inf)
         if now < self._choice.retry_at:
             return Wait(self._choice.retry_at)
         address, timeout_s = self._choice.target(now)
-        poll = Poll(
+        return Ask(address, self._poll(), timeout_s)
+
+    def end(self) -> Poll:
+        """The process shuts down: it is never fresh again, and nothing is applied any more.
+
+        Returns the poll that tells so.  To be sent to each machine that may know the process.
+        """
+        self._ended = True
+        self._as_of = None
+        return self._poll()
+
+    def _poll(self) -> Poll:
+        return Poll(
             self._settings.name,
             self._incarnation,
             self._settings.region,
             self._log,
             self._position,
             tuple(self._refusals),
+            ends_session=self._ended,
         )
-        return Ask(address, poll, timeout_s)
 
     def replied(
         self, now: float, sent_at: float, address: str, reply: PollReply | None
@@ -171,6 +190,8 @@
         so the effects must be executed even if one of them fails (see `refuse`).
         """
         effects: list[Effect] = []
+        if self._ended:
+            return effects
         useful = reply is not None and self._take(now, sent_at, reply, effects)
         if not self._choice.knows(address):
             pass  # of a machine that was taken out meanwhile: nothing to learn about the others
@@ -190,7 +211,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Say that the proxy became stale, once.  Due at `next_at`."""
-        if self.fresh(now) or self._said_stale:
+        if self.fresh(now) or self._said_stale or self._ended:
             return []
         behind_s = now - self._known_since()
         if behind_s <= self._settings.stale_after_s:
