A new leader's doubt counts from the last contact that its promises tell

Each promise tells how long ago its sender last had an answer of a leader, an age of an own term, or began (`Promise.contact_ms`, at the end and with a default; an older build tells nothing and counts as of its promise). The doubt lasts for the bound from the latest of these over the majority. The check of every order, the walks and the schedules carry the ages that leaders tell over changes of leaders (rule `age`). The planted faults and the hard case that replace `InForce.committed` have its new argument; what they do is unchanged.

--- a/limebridge/faults/distribution/judge.py
+++ b/limebridge/faults/distribution/judge.py
@@ -26,6 +26,7 @@
     ORDER = "order"  # one content a position; each applied once, in order, without a gap
     IN_FORCE = "in force"  # nobody is fresh without what was reported as in force
     BOUND = "bound"  # nobody is fresh for longer than the bound without what is committed
+    AGE = "age"  # no earlier leader tells a younger age than a later one allows for
     PROGRESS = "progress"  # after the healing all goes on
     BOUNDED = "bounded"  # nothing grows without a bound
     CRASH = "crash"  # no event ends a process with an error
--- a/limebridge/faults/distribution/nodes.py
+++ b/limebridge/faults/distribution/nodes.py
@@ -196,6 +196,16 @@
             return 0
         return self.machine._status(now, StatusRequest()).in_force
 
+    def leads(self, now: float) -> tuple[int, float | None]:
+        """The fence of its term, and the `as_of` from which the ages that it tells count."""
+        leadership = self.machine._leadership
+        return (0, None) if leadership is None else (leadership.fence, leadership.as_of(now))
+
+    @property
+    def contact_at(self) -> float:
+        """Where it leads: no age of an earlier leader counts from a later time, as it takes it."""
+        return self.machine.earlier_contact_at
+
     def key(self, now: float) -> Any:
         """All that what follows depends on."""
         waiting = tuple(sorted(pack(packet) for packet in self.waiting.values()))
--- a/limebridge/faults/distribution/state_space.py
+++ b/limebridge/faults/distribution/state_space.py
@@ -8,7 +8,8 @@
 
 Held against it after every step: **durable** and **order**: one content stands at each committed
 position, for ever; **in force**: the proxy has applied what a leader reports as in force, or
-believes itself stale.
+believes itself stale; **age**: no earlier leader tells an age that counts from after the time that
+a later one takes for the last such time.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 STEP_S = 0.25  # of an event "time"
 SETTLE_AT_MOST = 2000  # deliveries until a world without faults is quiet
 SETTLE_STEPS = 4  # events "time" before the first fault
+ROUNDING_S = 1e-6
 HEAL_STEPS = 40  # events "time" after which all has to have gone on
 
 
@@ -62,6 +64,7 @@
     fence: int = 0
     published: int = 0
     committed: dict[int, bytes] = field(default_factory=dict)
+    told: dict[int, float] = field(default_factory=dict)  # by fence, the youngest `as_of` so far
     broken: str = ""
 
     def __post_init__(self) -> None:
@@ -120,6 +123,7 @@
         made = World.__new__(World)
         made.__dict__.update(self.__dict__)
         made.left, made.committed = self.left.copy(), self.committed.copy()
+        made.told = self.told.copy()
         touched = self._touched(event)
         made.nodes = {
             name: node.copy() if touched is None or name in touched else node
@@ -269,6 +273,20 @@
         in_force = max(node.in_force(self.now) for node in self.nodes.values())
         if self.proxy.fresh(self.now) and self.proxy.position < in_force:
             return Rule.IN_FORCE.value
+        return self._look_at_ages()
+
+    def _look_at_ages(self) -> str:
+        for node in self.nodes.values():
+            fence, as_of = node.leads(self.now)
+            if as_of is not None:
+                self.told[fence] = max(as_of, self.told.get(fence, as_of))
+        for node in self.nodes.values():
+            fence, as_of = node.leads(self.now)
+            if as_of is None:
+                continue
+            earlier = max((at for other, at in self.told.items() if other < fence), default=0.0)
+            if earlier > node.contact_at + ROUNDING_S:
+                return Rule.AGE.value
         return ""
 
     def heals(self) -> str:
@@ -306,6 +324,7 @@
             tuple(self.left.values()),
             tuple(pack(packet) for packet in self.packets),
             tuple(node.key(self.now) for node in self.nodes.values()),
+            tuple((fence, round(at - self.now, 6)) for fence, at in sorted(self.told.items())),
             self.proxy.key(self.now),
         )
 
--- a/tests/limebridge/faults/distribution/test_distribution_hard_cases.py
+++ b/tests/limebridge/faults/distribution/test_distribution_hard_cases.py
@@ -38,8 +38,8 @@
     """A new leader does not wait for machines that have not reported to it."""
     committed = InForce.committed
 
-    def without_doubt(self: InForce, now: float, position: int) -> None:
-        committed(self, now, position)
+    def without_doubt(self: InForce, now: float, position: int, contact_at: float) -> None:
+        committed(self, now, position, contact_at)
         for machine in self._machines.values():
             machine.doubt_until = now
 
--- a/tests/support/distribution_checks.py
+++ b/tests/support/distribution_checks.py
@@ -12,6 +12,9 @@
     from tests.support.distribution_cluster import Cluster
 
 
+ROUNDING_S = 1e-6
+
+
 @dataclass(frozen=True)
 class Committed:
     """A batch that some leader has committed; `fence`: of the first who did."""
@@ -36,6 +39,7 @@
 def check_all(cluster: Cluster) -> None:
     """Broken names the rule that does not hold."""
     check_as_of(cluster)
+    check_ages(cluster)
     state = state_of(cluster)
     if state == cluster.checked:
         return
@@ -119,6 +123,23 @@
                 raise Broken(f"{known.batch} has vanished from the leader's log")
 
 
+def check_ages(cluster: Cluster) -> None:
+    """No earlier leader tells an age that counts from after what a later one allows for."""
+    opened: dict[int, float] = {}
+    for machine in cluster.machines():
+        leadership = machine._leadership
+        as_of = None if leadership is None else leadership.as_of(cluster.now)
+        if leadership is None or as_of is None:
+            continue
+        told = cluster.told.get(leadership.fence, as_of)
+        cluster.told[leadership.fence] = max(as_of, told)
+        opened[leadership.fence] = machine.earlier_contact_at
+    for fence, contact_at in opened.items():
+        for earlier, told in cluster.told.items():
+            if earlier < fence and told > contact_at + ROUNDING_S:
+                raise Broken(f"{earlier} tells {told}, leader {fence} allows for {contact_at}")
+
+
 def check_as_of(cluster: Cluster) -> None:
     """What was committed by a leader's `as_of`, by whomever, is committed there."""
     for machine in cluster.machines():
--- a/tests/support/distribution_cluster.py
+++ b/tests/support/distribution_cluster.py
@@ -111,6 +111,7 @@
         self.fenced: list[tuple[str, int]] = []
         self.checked: object = None  # the state that was checked last
         self.committed: dict[int, Committed] = {}
+        self.told: dict[int, float] = {}  # by fence, the youngest `as_of` of its leader so far
         for name in self.names:
             self.start(name)
 
--- a/tests/support/session_world.py
+++ b/tests/support/session_world.py
@@ -16,6 +16,7 @@
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
+from math import inf
 from random import Random
 
 import msgspec
@@ -111,7 +112,8 @@
         self.world.batches.append(Batch(len(self.world.batches) + 1, self.fence, 0))
         self.commit = len(self.world.batches)
         self._committed_at[self.commit] = self.world.time
-        self.in_force.committed(self.now, self.commit)
+        contact_at = self.clock(self.world.plan.change_at) if self.fence > 1 else inf
+        self.in_force.committed(self.now, self.commit, contact_at)
 
     def look(self) -> None:
         """Learn that a majority still followed a little while ago."""
--- a/violetroute/distribution/in_force.py
+++ b/violetroute/distribution/in_force.py
@@ -11,7 +11,8 @@
 
 What a machine may have answered without a session that is known here is its *doubt*.  It lasts
 
-- `drop_after_s` from the first commit of the term (sessions that only an earlier leader knew),
+- `drop_after_s` from the last time from which an age of an earlier leader can count (sessions that
+  only such a leader knew; `leader_contact.py`),
 - or until a full report comes of an incarnation of the machine that has been running for
   `drop_after_s` (an earlier incarnation's sessions are known to nobody).
 
@@ -167,16 +168,17 @@
         found.extend(self._behind(state, now) for state in behind)
         return tuple(found)
 
-    def committed(self, now: float, position: int) -> None:
+    def committed(self, now: float, position: int, contact_at: float = math.inf) -> None:
         """The leader has committed everything up to `position`.
 
         The first call is for the first batch of the term.  It stands for all positions before,
-        which earlier leaders may have committed earlier.
+        which earlier leaders may have committed earlier.  Its `contact_at`: no age of an earlier
+        leader counts from a later time; none does from after the first commit.
         """
         if self._first_commit_at is None:
             self._first_commit_at = now
             for machine in self._machines.values():
-                machine.doubt_until = now + self._settings.drop_after_s
+                machine.doubt_until = min(now, contact_at) + self._settings.drop_after_s
         if position <= self._commit:
             return
         self._commit = position
--- a/violetroute/distribution/leadership.py
+++ b/violetroute/distribution/leadership.py
@@ -151,6 +151,11 @@
         """Everything that was committed then, by any leader, is committed here.  None: unknown."""
         return self._followers.as_of(now)
 
+    @property
+    def contacts(self) -> tuple[float, ...]:
+        """Last contacts with leaders of the others whose promises this term has."""
+        return self._preparation.contacts
+
     def positions(self, now: float) -> tuple[tuple[str, int, float], ...]:
         """Name, durable position and seconds since it was heard of each other replica."""
         return self._followers.positions(now)
--- a/violetroute/distribution/machine.py
+++ b/violetroute/distribution/machine.py
@@ -21,6 +21,7 @@
 from .actions import Action, Fenced, HandOn, MachineSettings, Reply, Stored
 from .following import Following
 from .in_force import InForce, InForceSettings
+from .leader_contact import LeaderContact, latest_contact
 from .leadership import Leadership
 from .messages import (
     Fetch,
@@ -65,6 +66,7 @@
         self._sessions = Sessions(
             settings.sessions(), settings.name, self.incarnation, self.replica, random, now
         )
+        self._contact = LeaderContact(now)
         self._leadership: Leadership | None = None
         self._in_force: InForce | None = None
         self._reports: dict[int, Report] = {}  # the one on its way, by its ticket
@@ -82,6 +84,12 @@
         """The leader that this machine follows, or itself; empty if it knows none."""
         return self._settings.name if self.leading else self._following.leader
 
+    @property
+    def earlier_contact_at(self) -> float:
+        """While its term is open: no age of an earlier leader counts from a later time."""
+        others = () if self._leadership is None else self._leadership.contacts
+        return latest_contact(self._contact.at, others)
+
     @property
     def next_at(self) -> float:
         """When `tick` is wanted; it may be in the past, or infinite."""
@@ -130,8 +138,10 @@
             self._heard_of_leader(now, reply.fence, reply.leader)
         if self._following.owns(ticket):
             fetched = self._following.replied(now, reply)
-            if fetched is not None and self._recovery is not None:
-                self._recovery.fetched(fetched)
+            if fetched is not None:
+                self._contact.answered(now)
+                if self._recovery is not None:
+                    self._recovery.fetched(fetched)
         elif self._recovery is not None and self._recovery.owns(ticket):
             self._recovery.replied(now, ticket, isinstance(reply, FetchReply))
         elif self._leadership is not None and self._leadership.owns(ticket):
@@ -183,6 +193,7 @@
     def _end_term(self, now: float) -> None:
         if self._leadership is None:
             return
+        self._contact.led(self._leadership.as_of(now))
         self._leadership.end(self.replica.fence)
         self._outbox.notice("term_ended", fence=self._leadership.fence)
         self._leadership = None
@@ -218,6 +229,7 @@
             self.replica.last,
             self.replica.commit,
             self.replica.recovering,
+            self._contact.elapsed_ms(now),
         )
         self._outbox.answer_when_durable(ticket, promise)
 
@@ -317,7 +329,7 @@
     def _tell_in_force(self, now: float) -> None:
         """A copy of another log commits batches too, before the term's own first batch is."""
         if self._in_force is not None and self._leadership is not None and self._leadership.open:
-            self._in_force.committed(now, self.replica.commit)
+            self._in_force.committed(now, self.replica.commit, self.earlier_contact_at)
 
     def _send_report(self, now: float) -> None:
         report = self._sessions.report_due(now, self.replica.fence)
@@ -382,6 +394,7 @@
             self.replica.key(),
             self._outbox.key(),
             self._following.key(now),
+            round(self._contact.at - now, 6),
             None if self._recovery is None else self._recovery.key(),
             None if self._leadership is None else self._leadership.key(now),
         )
--- a/violetroute/distribution/messages.py
+++ b/violetroute/distribution/messages.py
@@ -106,6 +106,9 @@
 
     `recovering`: this replica lost its disk and does not know what it had promised or
     acknowledged; it is not counted for a quorum.
+
+    `contact_ms`: how long ago the replica had its last contact with a leader (`leader_contact.py`),
+    when it wrote this; negative: not told.
     """
 
     granted: bool
@@ -113,6 +116,7 @@
     last: LogPoint
     commit: Number
     recovering: bool = False
+    contact_ms: Age = -1.0
 
 
 class Fetch(Message, frozen=True):
--- a/violetroute/distribution/preparation.py
+++ b/violetroute/distribution/preparation.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from .actions import MachineSettings, Reply
+from .leader_contact import contact_of
 from .messages import Fetch, FetchReply, FetchStatus, LogPoint, Prepare, Promise
 from .outbox import Outbox
 from .replica import LogConflict, Replica
@@ -35,7 +36,9 @@
 
     __slots__ = (
         "_asked",
+        "_contacts",
         "_copy",
+        "_drift",
         "_fence",
         "_followers",
         "_name",
@@ -45,6 +48,7 @@
         "_replica",
         "_retries",
         "_timeout_s",
+        "contacts",
         "fenced_by",
         "ready",
     )
@@ -68,6 +72,9 @@
         self._retries = {name: Backoff(settings.retry_s, random, now) for name in others}
         self._asked: dict[int, str] = {}
         self._promises: dict[str, Promise] = {}
+        self._drift = settings.drift
+        self._contacts: dict[str, float] = {}  # of those that promised, as in `contact_of`
+        self.contacts: tuple[float, ...] = ()  # of the majority, once it is ready
         self._followers: set[str] = set()
         self._copy: _Copy | None = None
         self.ready = False  # the log has everything that was committed before this term
@@ -112,6 +119,7 @@
         own = self._replica.last
         if counted.get(source, LogPoint()) <= own:
             self.ready = True
+            self.contacts = tuple(self._contacts[name] for name in counted)
             return
         fetch = Fetch(self._name, self._fence, own, self._replica.commit, copying=True)
         ticket = self._outbox.send(source, fetch, self._timeout_s)
@@ -136,6 +144,7 @@
             self.fenced_by = max(reply.fence, self._fence)
         else:
             self._promises[name] = reply
+            self._contacts[name] = contact_of(reply, now, self._drift)
 
     def _copied(self, now: float, copy: _Copy, reply: Reply | None) -> None:
         if isinstance(reply, FetchReply) and self._is_progress(copy, reply):
@@ -163,6 +172,11 @@
             for name, retry in sorted(self._retries.items())
         )
         copy = None if self._copy is None else (self._copy.source, self._copy.fetch)
-        promises = tuple(sorted(self._promises.items()))
+        promises = tuple(
+            (name, promise, round(self._contacts[name] - now, 6))
+            for name, promise in sorted(self._promises.items())
+        )
+        contacts = tuple(round(at - now, 6) for at in self.contacts)
         followers = tuple(sorted(self._followers))
-        return (self.ready, followers, due, tuple(sorted(self._asked.values())), promises, copy)
+        asked = tuple(sorted(self._asked.values()))
+        return (self.ready, followers, due, asked, promises, contacts, copy)
