--- a/tests/limebridge/faults/distribution/test_distribution_hard_cases_real.py
+++ b/tests/limebridge/faults/distribution/test_distribution_hard_cases_real.py
@@ -49,7 +49,7 @@
     replace_text(
         build / SESSIONS,
         {
-            "key = poll.name, poll.incarnation\n": 'key = poll.name, "one"\n',
+            "return poll.name, poll.incarnation\n": 'return poll.name, "one"\n',
             "Session(poll.name, poll.incarnation, ": 'Session(poll.name, "one", ',
         },
     )
--- a/violetroute/distribution/sessions.py
+++ b/violetroute/distribution/sessions.py
@@ -178,7 +178,7 @@
 
     def _end(self, poll: Poll) -> list[Answered]:
         """The process has ended its session, here if it has one."""
-        key = poll.name, poll.incarnation
+        key = _key_of(poll)
         self._ended[key] = None
         if len(self._ended) > ENDED_MOST:
             del self._ended[next(iter(self._ended))]
@@ -192,7 +192,7 @@
 
     def _session_of(self, now: float, poll: Poll) -> Session | None:
         """The poll's session, created if there is room; the most recently active one now."""
-        key = poll.name, poll.incarnation
+        key = _key_of(poll)
         session = self._sessions.pop(key, None)
         if session is None:
             if key in self._ended or len(self._sessions) >= self._settings.sessions_most:
@@ -321,3 +321,8 @@
                 return
             del self._sessions[session.key]
             self._reporter.ended(session)
+
+
+def _key_of(poll: Poll) -> SessionKey:
+    """The session's, whether there is one or not."""
+    return poll.name, poll.incarnation
