--- a/violetroute/sharing/gossip.py
+++ b/violetroute/sharing/gossip.py
@@ -31,7 +31,8 @@
 OUTCOME_AGE_MOST_S = 1.0  # s
 HITTERS_S = 1.0  # s between two tellings of counts, at least
 SAMPLED_SHARE = 0.25  # of the requests: a full summary costs as much as all else here
-BAD_RESULTS = frozenset({Result.LATE, Result.RESET, Result.NO_CONNECTION})  # by the node
+# What tells of the node; other results tell of the load or of the client.
+BAD_RESULTS = frozenset({Result.LATE, Result.RESET, Result.NO_CONNECTION})
 
 
 class RandomSource(Protocol):
