Consul's stand-in: typed health entries, the blocking query is a function

Need: what the catalogue lists was list[dict[str, Any]] from the stand-in to the simulated world.

Change: standins/consul_catalogue.py has HealthEntry and its parts as typed dicts, FrozenAnswer for a replica that hears nothing; `_answer` leaves the wait and the catalogue's form to functions.

--- a/limebridge/standins/consul.py
+++ b/limebridge/standins/consul.py
@@ -19,6 +19,7 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
+from .consul_catalogue import FrozenAnswer, HealthEntry, MachineFields
 from .kv import KeyValues, duration
 
 WAIT = 300.0  # s of a blocking query that does not say for how long
@@ -91,7 +92,7 @@
             self.services[id_].checks.pop(name, None)
         self.change()
 
-    def listed(self, service: str, tag: str = "", passing: bool = False) -> list[dict[str, Any]]:
+    def listed(self, service: str, tag: str = "", passing: bool = False) -> list[HealthEntry]:
         return [
             self._element(each)
             for each in self.services.values()
@@ -100,8 +101,13 @@
             and not (passing and set(each.checks.values()) - {"passing"})
         ]
 
-    def _element(self, each: Registered) -> dict[str, Any]:
-        node = {"Node": each.machine, "Address": "127.0.0.1", "Datacenter": "dc1", "Meta": {}}
+    def _element(self, each: Registered) -> HealthEntry:
+        node: MachineFields = {
+            "Node": each.machine,
+            "Address": "127.0.0.1",
+            "Datacenter": "dc1",
+            "Meta": {},
+        }
         return {
             "Node": node,
             "Service": {
@@ -143,7 +149,7 @@
         self.headers: dict[str, str] = {}  # more of them, or others
         self.cut = 0  # bytes after which an answer breaks off; 0: whole
         self.drip = 0.0  # s between the bytes of an answer
-        self.frozen: tuple[int, list[dict[str, Any]]] | None = None  # a replica that hears nothing
+        self.frozen: FrozenAnswer | None = None  # a replica that hears nothing
         self.told: Callable[[str, bytes], None] = lambda target, body: None  # whole good answers
         self.open: dict[asyncio.StreamWriter, None] = {}
         self.kv = KeyValues(self.catalogue, self._random)
@@ -190,7 +196,7 @@
 
     def freeze(self, service: str = "cache") -> None:
         """From now on this agent answers with what there is now."""
-        self.frozen = self.catalogue.index, self.catalogue.listed(service)
+        self.frozen = FrozenAnswer(self.catalogue.index, self.catalogue.listed(service))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.open[writer] = None
@@ -261,7 +267,7 @@
 
     def _framed(self, status: int, body: bytes, index: int | None) -> bytes:
         if index is None:
-            index = self.frozen[0] if self.frozen else self.catalogue.index
+            index = self.frozen.index if self.frozen else self.catalogue.index
         headers = {
             "Content-Type": "application/json",
             "X-Consul-Index": str(index),
@@ -292,24 +298,14 @@
         match path:
             case ["v1", "health" | "catalog" as kind, "service", name]:
                 if "index" in asks and "consistent" not in asks:
-                    seconds = duration(asks.get("wait", "")) or WAIT
-                    seconds += self._random.uniform(0.0, seconds / 16)
-                    if self.frozen is not None:
-                        await asyncio.sleep(seconds)
-                    else:
-                        await self.catalogue.after(int(asks["index"]), seconds)
+                    await self._block(asks)
                 listed = (
-                    self.frozen[1]
+                    self.frozen.entries
                     if self.frozen and "consistent" not in asks
                     else self.catalogue.listed(name, asks.get("tag", ""), "passing" in asks)
                 )
-                if kind == "catalog":
-                    listed = [
-                        each["Node"]
-                        | {f"Service{key}": value for key, value in each["Service"].items()}
-                        for each in listed
-                    ]
-                return 200, json.dumps(listed).encode()
+                said = listed if kind == "health" else [_as_catalogue(each) for each in listed]
+                return 200, json.dumps(said).encode()
             case ["v1", "catalog", "services"]:
                 tags: dict[str, list[str]] = {}
                 for each in self.catalogue.services.values():
@@ -321,6 +317,15 @@
                 return 200, b'{"Config": {"Datacenter": "dc1", "NodeName": "machine-1"}}'
         return 404, b"no such thing"
 
+    async def _block(self, asks: dict[str, str]) -> None:
+        """Wait, as a blocking query does, for the index to pass the one that is named."""
+        seconds = duration(asks.get("wait", "")) or WAIT
+        seconds += self._random.uniform(0.0, seconds / 16)
+        if self.frozen is not None:
+            await asyncio.sleep(seconds)
+        else:
+            await self.catalogue.after(int(asks["index"]), seconds)
+
     def _put(self, path: list[str], asks: dict[str, str], body: Any) -> tuple[int, bytes]:
         catalogue = self.catalogue
         match path:
@@ -358,3 +363,9 @@
             case _:
                 return 404, b"unknown service"
         return 200, b""
+
+
+def _as_catalogue(entry: HealthEntry) -> dict[str, object]:
+    """The entry as /v1/catalog/service/NAME has it."""
+    service = {f"Service{key}": value for key, value in entry["Service"].items()}
+    return entry["Node"] | service
--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from limebridge.standins.consul import Catalogue, Consul
+from limebridge.standins.consul_catalogue import FrozenAnswer, HealthEntry
 from limebridge.standins.fleet import FleetNode
 from limebridge.standins.node_list import Lifecycle, NodeEntry
 from violetroute.config import Operator
@@ -210,7 +211,7 @@
 
     async def _consul_lags(self, fault: Fault, node: FleetNode) -> None:
         """The agents hear nothing of the servers for a while and answer all the same."""
-        frozen = self.catalogue.index, self.catalogue.listed("cache")
+        frozen = FrozenAnswer(self.catalogue.index, self.catalogue.listed("cache"))
         await self._agents(fault, frozen=frozen)
 
     async def _consul_index(self, fault: Fault, node: FleetNode) -> None:
@@ -291,8 +292,8 @@
     return {name: share / total for name, share in raw.items()}
 
 
-def _drains(element: dict[str, Any]) -> bool:
-    return any("_maintenance" in check["CheckID"] for check in element["Checks"])
+def _drains(entry: HealthEntry) -> bool:
+    return any("_maintenance" in check["CheckID"] for check in entry["Checks"])
 
 
 def replace_agents(agents: list[Consul]) -> ConsulTable:
