Membership by anti-entropy with digests in place of walks through pages

Need: a member learned the whole list by a chain of pages that ended with the first lost datagram, with a peer that ended, or with one that knew few; the next chain came minutes later.

Change: `sharing/anti_entropy.py` compares lists by the digest of the whole, then of buckets of names, and exchanges what differs in both directions (push-pull). Answers are stateless and name their question; questions that are not answered are asked again of another member with backoff and jitter; bytes a second are bounded (`pace.py`). A member that is known to be dead is not taken up again, the other side is told. Members learned this way are not sent on as rumors, and these datagrams carry none. Older builds skip the items; where nobody answers them, pages are asked for as before, and pages are answered as before. `member_list.py` takes what was kept about members out of `members.py`. `limebridge/scale/page_walks.py` is gone with its test, which played the waits between two walks; in its place a fleet that was just made is tested to compare as often as one at rest, and to send no lists. `_again` of the members takes the time, and one test with it.

--- a/limebridge/scale/hollow.py
+++ b/limebridge/scale/hollow.py
@@ -24,7 +24,6 @@
 from violetroute.sharing.wire import Keys, Rumor
 from violetroute.transport.sockets import SocketNetwork
 
-from . import page_walks
 from .applied import AppliedTimes
 from .held_loop import HeldLoop
 from .run_plan import Place
@@ -131,7 +130,6 @@
         )
         if fleet:
             self._know(self.sharing.members, fleet)
-            page_walks.at_rest(self.sharing.members, self.loop.time(), self._random)
         self.sharing.listed(setup.nodes)
         if setup.requests > 0.0:
             self._pretend(setup.requests, setup.failed_share, len(setup.nodes))
--- a/limebridge/scale/virtual_members.py
+++ b/limebridge/scale/virtual_members.py
@@ -21,8 +21,6 @@
 from violetroute.transport import Address
 from violetroute.transport.sockets import SocketNetwork
 
-from . import page_walks
-
 START = 1000.0  # s of the virtual clock
 WALL_CLOCK = 1.7e9  # Unix s at the virtual clock's 0
 FIRST_PORT = 20_000
@@ -93,12 +91,10 @@
         for _ in range(self.fleet_size):
             self.add()
         own = [member.members.own() for member in self.members]
-        chance = random.Random("page walks")
         for member in self.members:
             for rumor in own:
                 if rumor.name != member.name:
                     member.members.know(rumor, self.kernel.now)
-            page_walks.at_rest(member.members, self.kernel.now, chance)
 
     def rumor(self, number: int) -> wire.Rumor:
         """What a member that is only played would say of itself."""
--- a/tests/limebridge/scale/test_scale_membership.py
+++ b/tests/limebridge/scale/test_scale_membership.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
+from random import Random
 
 import msgspec
 
@@ -11,13 +13,17 @@
 from limebridge.scale.hollow import GossipSetup, HollowProxy, StartClock
 from limebridge.scale.links import LinkTable
 from limebridge.scale.membership_looks import MembershipAt, MembershipLook, look, over_time
-from limebridge.scale.page_walks import longest_wait_s, wait_at_rest_s
 from limebridge.scale.run import ScaleRun
 from limebridge.scale.run_fleet import Fleet
 from limebridge.scale.run_plan import RunPlan
 from limebridge.scale.traffic import Counters, Shape
-from violetroute.sharing.wire import Keys
+from limebridge.scale.virtual_members import VirtualMembers
+from violetroute.sharing.anti_entropy import CHECK_S
+from violetroute.sharing.members import Members
+from violetroute.sharing.outgoing import Out
+from violetroute.sharing.wire import Digests, Keys
 
+Compared = Callable[[float, str, Digests], list[Out]]
 SMALL = RunPlan(
     proxies=10, sites=4, regions=2, nodes=5, real=1, controls=3, seconds=4.0, warm_seconds=0.5
 )
@@ -79,15 +85,34 @@
         loop.close()
 
 
-def test_a_fleet_at_rest_walks_through_pages_as_often_as_one_that_has_run_for_long() -> None:
-    """The waits are drawn so that a next one never makes walks rarer or more frequent."""
-    size, draws = 2600, 100_000
-    longest = longest_wait_s(size)
-    waits = [wait_at_rest_s(size, (number + 0.5) / draws) for number in range(draws)]
-    window = longest / 20.0
-    # A renewal process with uniform times between 0 and `longest` has 2 / longest events a second.
-    expected = window * 2.0 / longest
-    share = sum(wait < window for wait in waits) / draws
-    assert 0.95 * expected < share < expected
-    assert max(waits) <= longest and min(waits) >= 0.0
-    assert abs(sum(waits) / draws - longest / 3.0) < 0.001 * longest
+def test_a_fleet_that_was_just_made_compares_its_lists_as_often_as_at_rest() -> None:
+    """The first check must be neither sooner nor later than those of a fleet that ran for long."""
+    count = 2000
+    members = [
+        Members(f"p{number}", "x", 1, "at", "", 1.0, (), Random(number), 0.0)
+        for number in range(count)
+    ]
+    waits = [member._anti_entropy.check_at for member in members]
+    # Waits between CHECK_S / 2 and 1.5 CHECK_S: a renewal process of 1 / CHECK_S events a second.
+    share = sum(wait < CHECK_S / 2.0 for wait in waits) / count
+    assert 0.46 < share < 0.54
+    assert min(waits) >= 0.0 and max(waits) <= CHECK_S
+
+
+def test_a_fleet_at_rest_sends_no_lists() -> None:
+    fleet = VirtualMembers(20)
+    fleet.add_all()
+    checks = [0]
+    for member in fleet.members:
+        compared = member.members._anti_entropy._compared
+
+        def counted(
+            now: float, name: str, item: Digests, compared: Compared = compared
+        ) -> list[Out]:
+            checks[0] += 1
+            assert not item.digests
+            return compared(now, name, item)
+
+        member.members._anti_entropy._compared = counted  # type: ignore[method-assign]
+    fleet.run(60.0)
+    assert 0.8 < checks[0] / (20 * 60.0 / CHECK_S) < 1.2
--- /dev/null
+++ b/tests/violetroute/sharing/test_sharing_anti_entropy.py
@@ -0,0 +1,127 @@
+"""Anti-entropy of the member list: what is lost is asked for again, within a bound of time."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from tests.support.members_net import Net, OldMembers
+from violetroute.sharing.anti_entropy import (
+    CHECK_S,
+)
+from violetroute.sharing.wire import (
+    BucketMembers,
+    BucketRequest,
+    Compare,
+    Digests,
+    Rumor,
+    packed,
+)
+
+FLEET = 300
+JOIN_S = 15.0  # s in which a newcomer to FLEET members knows all, with loss
+RETURN_S = 20.0  # s after the last restart of all until all know all
+
+
+# --- what it is for ---
+@pytest.mark.parametrize("loss", [0.0, 0.01, 0.05])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_newcomer_knows_all_in_a_bounded_time_whatever_is_lost(loss: float, seed: int) -> None:
+    net = Net(loss, seed)
+    net.settled(FLEET)
+    net.idle = set(net.here)  # they only answer: no rumor of theirs helps
+    net.start("new")
+    assert net.until_knows("new", FLEET + 1, JOIN_S) < JOIN_S
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_a_fleet_restarted_within_10_s_knows_all_by_their_present_process(seed: int) -> None:
+    net, draw = Net(0.01, seed), random.Random(seed)
+    net.settled(120)
+    names = draw.sample(sorted(net.here), len(net.here))
+    for name in names:
+        net.run(10.0 / len(names))
+        net.start(name, "y")
+    net.run(RETURN_S)
+    assert net.whole()
+
+
+def test_equal_lists_cost_two_small_items_each_check() -> None:
+    net = Net()
+    net.settled(40)
+    net.run(60.0)
+    questions = [item for _, _, item in net.items if isinstance(item, Compare)]
+    answers = [item for _, _, item in net.items if isinstance(item, Digests)]
+    assert len(questions) + len(answers) == len(net.items)
+    assert all(not item.digests for item in answers)
+    assert 40 * 60.0 / CHECK_S / 2 < len(questions) < 40 * 60.0 / CHECK_S * 1.5
+    assert max(len(packed(item)) for _, _, item in net.items) <= 24
+
+
+def test_one_difference_costs_one_bucket_and_the_members_that_differ() -> None:
+    net = Net()
+    net.settled(FLEET)
+    net.idle = set(net.here) - {"p0"}
+    other = Rumor("q", "x", 5, "a", "q")
+    for name in net.idle:
+        net.here[name].know(other, net.now)
+    net.run(3.0 * CHECK_S)
+    assert net.here["p0"].is_up("q", "x")
+    answers = [item for _, _, item in net.items if isinstance(item, BucketMembers)]
+    assert [[entry.name for entry in item.members] for item in answers] == [["q"]]
+    assert net.got["p0"] + net.sent["p0"] < 600
+
+
+def test_a_difference_is_mended_on_both_sides_of_one_exchange() -> None:
+    net = Net()
+    net.settled(2)
+    net.idle = {"p1"}
+    for number in range(20):
+        side = net.here[f"p{number % 2}"]
+        side.know(Rumor(f"q{number}", "x", 5, "a", f"q{number}"), net.now)
+    net.run(2.0 * CHECK_S)
+    assert net.here["p0"].size == net.here["p1"].size == 22
+
+
+def test_a_newcomer_asks_several_and_others_do_not_ask_it() -> None:
+    net = Net()
+    net.settled(FLEET)
+    net.start("new")
+    net.run(JOIN_S)
+    asked = {to for sender, to, item in net.items if isinstance(item, BucketRequest)}
+    assert len(asked - {"new"}) > 5
+    early = [to for _, to, item in net.items if isinstance(item, BucketRequest) and to == "new"]
+    assert not early
+
+
+def test_members_that_disagree_on_a_death_end_agreed_and_nobody_comes_back() -> None:
+    net = Net()
+    net.settled(10)
+    del net.here["p9"]
+    gone = Rumor("p9", "x", 1, "d", by="p0")
+    for name in ("p0", "p1", "p2", "p3"):
+        net.here[name].heard(net.now, "p8", "x", 1, gone)
+        net.here[name]._rumors.drop("p9")
+    for _ in range(50):
+        net.run(1.0)
+        assert not any(net.here[f"p{number}"].is_up("p9", "x") for number in range(4))
+    assert all(each.size == 9 for each in net.here.values())
+    assert len({each._list.digests.whole for each in net.here.values()}) == 1
+
+
+# --- builds before this one ---
+def test_a_new_member_among_older_ones_alone_learns_the_list() -> None:
+    net = Net()
+    net.settled(100, OldMembers)
+    net.idle = set(net.here)
+    net.start("new")
+    assert net.until_knows("new", 101, 30.0) < 30.0
+
+
+def test_an_older_member_among_new_ones_learns_the_list_by_pages() -> None:
+    net = Net()
+    net.settled(100)
+    net.idle = set(net.here)
+    net.start("new", kind=OldMembers)
+    assert net.until_knows("new", 101, 30.0) < 30.0
--- /dev/null
+++ b/tests/violetroute/sharing/test_sharing_anti_entropy_messages.py
@@ -0,0 +1,316 @@
+"""One member of the gossip, driven by hand: every message in any order."""
+
+from __future__ import annotations
+
+import random
+from itertools import pairwise
+
+import pytest
+
+from tests.support.one_member import compared, entries, hears, member, of_kind
+from violetroute.sharing.anti_entropy import (
+    ANSWER_S,
+    CHECK_MOST_S,
+    CHECK_S,
+    CHECK_SOON_S,
+    OLD_AFTER,
+    PAUSE_S,
+    TRIES,
+    WINDOW,
+    Question,
+)
+from violetroute.sharing.digest import member_hash, pack_short
+from violetroute.sharing.members import Members
+from violetroute.sharing.outgoing import Out
+from violetroute.sharing.wire import (
+    HELD_MOST,
+    SHORT,
+    BucketMembers,
+    BucketRequest,
+    Compare,
+    Digests,
+    MemberEntry,
+    Page,
+    Rumor,
+)
+
+
+def test_an_answer_of_digests_counts_once_and_only_for_its_question() -> None:
+    one = member("p0")
+    one._anti_entropy.check_at = 1.0
+    (compare,) = of_kind(one.tick(1.0), Compare)
+    assert isinstance(compare, Compare)
+    answer = Digests(compare.number, 2, 99, pack_short([1]))
+    assert not hears(one, 1.0, Digests(compare.number - 1, 2, 99, pack_short([1])))
+    assert len(of_kind(hears(one, 1.0, answer), BucketRequest)) == 1
+    assert not hears(one, 1.0, answer, answer)
+    late = member("p0")
+    late._anti_entropy.check_at = 1.0
+    (compare,) = of_kind(late.tick(1.0), Compare)
+    assert isinstance(compare, Compare)
+    late.tick(1.1 + ANSWER_S)
+    assert not hears(late, 1.2 + ANSWER_S, Digests(compare.number, 2, 99, pack_short([1])))
+
+
+@pytest.mark.parametrize(
+    "digests", [b"", b"\x01", pack_short(range(3)), pack_short(range(5)) + b"xx"]
+)
+def test_digests_that_make_no_sense_start_nothing(digests: bytes) -> None:
+    one = member("p0")
+    one._anti_entropy.check_at = 1.0
+    (compare,) = of_kind(one.tick(1.0), Compare)
+    assert isinstance(compare, Compare)
+    assert not hears(one, 1.0, Digests(compare.number, 2, 99, digests))
+    assert one._anti_entropy._exchange is None
+
+
+def test_a_bucket_that_makes_no_sense_is_not_answered() -> None:
+    one = member("p0", "p1")
+    assert hears(one, 1.0, BucketRequest(1, 4, 3))
+    assert not hears(one, 1.0, BucketRequest(1, 3, 1))
+    assert not hears(one, 1.0, BucketRequest(1, 4, 4))
+    hashes = pack_short(member_hash(name, "x", 1) for name in ("me", "p0", "p1"))
+    (answer,) = of_kind(hears(one, 1.0, BucketRequest(1, 1, 0, hashes + b"odd")), BucketMembers)
+    assert answer == BucketMembers(1, 1, 0, [], b"")
+
+
+def test_a_large_list_is_not_divided_into_few_buckets() -> None:
+    one = member(*(f"p{number}" for number in range(600)))  # 64 buckets
+    assert not hears(one, 1.0, BucketRequest(1, 4, 0))
+    assert hears(one, 1.0, BucketRequest(1, 8, 0))
+    for buckets, asks in ((4, False), (8, True)):
+        one._anti_entropy.check_at = 1.0
+        (compare,) = of_kind(one.tick(1.0), Compare)
+        assert isinstance(compare, Compare)
+        digests = Digests(compare.number, 601, 99, pack_short(range(1, buckets + 1)))
+        assert bool(hears(one, 1.0, digests)) == asks
+
+
+def test_a_bucket_answer_that_comes_twice_or_is_of_another_question_asks_for_nothing() -> None:
+    one = member("p0")
+    (request,) = compared(one, 1.0)
+    wanted = pack_short([member_hash("me", "x", 1)])
+    answer = BucketMembers(request.number, 1, 0, entries("p1"), wanted)
+    # From before a restart, or of another bucket count: facts, and nothing follows.
+    for other in (
+        BucketMembers(request.number - 1, 1, 0, entries("p2"), wanted),
+        BucketMembers(request.number, 2, 0, entries("p3"), wanted),
+        BucketMembers(request.number, 2, 1, entries("p4"), wanted),
+    ):
+        assert not hears(one, 1.0, other)
+    assert {"p2", "p3", "p4"} <= set(one.up())
+    assert one._anti_entropy._exchange is not None
+    (pushed,) = of_kind(hears(one, 1.0, answer), BucketMembers)
+    assert isinstance(pushed, BucketMembers)
+    assert [entry.name for entry in pushed.members] == ["me"] and pushed.number == 0
+    assert one._anti_entropy._exchange is None
+    assert not hears(one, 1.0, answer, answer)
+
+
+def test_a_question_without_an_answer_is_asked_again_with_a_backoff_and_not_for_ever() -> None:
+    one = member("p0", "p1", "p2")
+    peers, times, now = list[str](), list[float](), 1.0
+    compared(one, now)
+    while one._anti_entropy._exchange is not None and now < 60.0:
+        now += 0.1
+        for out in one.tick(now):
+            if isinstance(out.items[0], BucketRequest):
+                peers.append(out.to)
+                times.append(now)
+    assert len(peers) == TRIES - 1 and len(set(peers)) > 1
+    waits = [later - earlier for earlier, later in pairwise([1.0, *times])]
+    assert waits[0] >= ANSWER_S + 0.1
+    assert waits[-1] >= ANSWER_S + 0.5 * 2 ** (TRIES - 2) * PAUSE_S
+
+
+def test_an_answer_ends_the_backoff_and_no_other_question_waits_for_it() -> None:
+    one = member("p0", "p1", "p2")
+    requests = compared(one, 1.0, buckets=8)
+    one.tick(1.1 + ANSWER_S)
+    assert one._anti_entropy._pause > PAUSE_S
+    first = requests[0]
+    one._anti_entropy._exchange.open[first.number] = Question(first.index)  # type: ignore[union-attr]
+    hears(one, 1.2 + ANSWER_S, BucketMembers(first.number, 8, first.index, []))
+    assert one._anti_entropy._pause == PAUSE_S
+
+
+def test_the_next_comparison_comes_soon_after_news_and_as_usual_after_equal_lists() -> None:
+    for news in (True, False):
+        one, now = member("p0"), 1.0
+        for _ in range(6):  # nothing new: the time between two has doubled
+            (request,) = compared(one, now)
+            hears(one, now, BucketMembers(request.number, 1, 0, []))
+            now = one._anti_entropy.check_at
+        if news:
+            (request,) = compared(one, now)
+            hears(one, now, BucketMembers(request.number, 1, 0, entries("p1")))
+            assert one._anti_entropy.check_at - now <= 1.5 * CHECK_SOON_S
+        else:
+            one._anti_entropy.check_at = now
+            (compare,) = of_kind(one.tick(now), Compare)
+            assert isinstance(compare, Compare)
+            hears(one, now, Digests(compare.number, 2, one._list.digests.whole))
+            assert CHECK_SOON_S < one._anti_entropy.check_at - now <= 1.5 * CHECK_S
+        (request,) = compared(one, now)
+        hears(one, now, BucketMembers(request.number, 1, 0, []))
+        assert one._anti_entropy.check_at - now <= 1.5 * CHECK_S
+
+
+def test_members_do_not_compare_in_step() -> None:
+    made = [
+        Members("me", "x", 1, "me", "", 1.0, (), random.Random(seed), 0.0) for seed in range(20)
+    ]
+    waits = [each._anti_entropy._jitter() for each in made]
+    assert min(waits) < 0.75 and max(waits) > 1.25 and min(waits) >= 0.5 and max(waits) <= 1.5
+
+
+def test_no_more_questions_are_open_than_the_window() -> None:
+    one = member("p0", *(f"q{number}" for number in range(200)))
+    asked = compared(one, 1.0, count=250, buckets=16)
+    assert len(asked) == WINDOW
+    first = asked[0]
+    more = hears(one, 1.0, BucketMembers(first.number, 16, first.index, []))
+    assert len(of_kind(more, BucketRequest)) == 1
+
+
+def asked_peers(one: Members, count: int) -> list[str]:
+    """Whom it asks for buckets after p0 has told of a list of so many, of which all differ."""
+    one._anti_entropy.check_at = 1.0
+    (compare,) = of_kind(one.tick(1.0), Compare)
+    assert isinstance(compare, Compare)
+    out = hears(one, 1.0, Digests(compare.number, count, 99, pack_short(range(1, 17))))
+    peers = list[str]()
+    while out:
+        peers.append(out[0].to)
+        (request, *_) = of_kind(out[:1], BucketRequest)
+        assert isinstance(request, BucketRequest)
+        answer = BucketMembers(request.number, 16, request.index, [])
+        out = out[1:] + hears(one, 1.0, answer)
+    return peers
+
+
+def test_a_newcomer_asks_several_members_and_is_not_asked_itself() -> None:
+    names = [f"p{number}" for number in range(20)]
+    assert len(set(asked_peers(member(*names), 200))) > 4
+    assert set(asked_peers(member(*names), 21)) == {"p0"}
+    assert asked_peers(member(*names), 3) == []
+
+
+def test_questions_come_in_a_random_order_and_are_bounded_in_bytes() -> None:
+    one = member("p0", *(f"q{number}" for number in range(200)))
+    asked = compared(one, 1.0, count=250, buckets=64)
+    assert [request.index for request in asked] != [0, 1, 2, 3]
+    one = member("p0", *(f"q{number}" for number in range(254)))
+    assert max(len(one._list.digests.members(2, index)) for index in (0, 1)) * SHORT > HELD_MOST
+    asked = compared(one, 1.0, count=256, buckets=2)
+    assert max(len(request.held) for request in asked) == HELD_MOST
+
+
+def test_digests_of_a_stranger_are_asked_about_at_a_member() -> None:
+    one = member("p1")
+    one._list.seeds._members["seed"] = 0
+    one._again_at = 1.0
+    (out,) = [out for out in one.tick(1.0) if out.place == "seed"]
+    (compare,) = of_kind([out], Compare)
+    assert isinstance(compare, Compare)
+    answer = Digests(compare.number, 2, 99, pack_short([1]))
+    outs = one.heard(1.0, "p9", "x", 1, answer, "seed")
+    assert [out.to for out in outs] == ["p1"]
+
+
+def test_a_seed_is_greeted_with_a_comparison_unless_one_is_open() -> None:
+    one = member("p0")
+    one._anti_entropy.check_at = 1e9
+    assert len(one._anti_entropy.greeting(1.0)) == 1
+    assert one._anti_entropy.greeting(1.0) == ()
+    one.tick(1.1 + ANSWER_S)  # no answer: nothing is known of a member that may be there
+    assert one._anti_entropy._unanswered == 0
+    compared(one, 3.0)
+    assert one._anti_entropy.greeting(3.0) == ()
+
+
+# --- who is over ---
+def test_one_that_is_dead_here_stays_so_and_the_other_side_is_told() -> None:
+    for state, told in (("d", "s"), ("l", "l")):
+        one = member("p0", "p1")
+        hears(one, 1.0, Rumor("p1", "x", 1, state, "p1", by="p0"))
+        compared(one, 1.0)
+        (out,) = hears(one, 1.0, BucketMembers(7, 1, 0, entries("p1")))
+        assert out == Out("p0", "", (Rumor("p1", "x", 1, told, "p1", by="me"),))
+        assert not one.is_up("p1", "x")
+        hears(one, 1.0, BucketMembers(7, 1, 0, entries("p1", incarnation=2)))
+        assert one.is_up("p1", "x")
+
+
+def test_comparisons_that_bring_nothing_become_rare() -> None:
+    one = member("p0")
+    checks, now = list[float](), 0.0
+    while now < 600.0:
+        now += 0.1
+        for compare in of_kind(one.tick(now), Compare):
+            assert isinstance(compare, Compare)
+            checks.append(now)
+            answer = Digests(compare.number, 2, 99, pack_short([5]))
+            for request in of_kind(hears(one, now, answer), BucketRequest):
+                assert isinstance(request, BucketRequest)
+                hears(one, now, BucketMembers(request.number, 1, 0, []))
+    assert len(checks) < 18
+    waits = [later - earlier for earlier, later in pairwise(checks)]
+    assert max(waits) <= 1.5 * CHECK_MOST_S + 0.2
+
+
+def test_what_is_learned_here_is_not_sent_on_as_rumors() -> None:
+    one = member("p0")
+    hears(one, 1.0, BucketMembers(7, 1, 0, entries("p1", "p2")))
+    assert {"p1", "p2"} <= set(one.up()) and not one.rumors()
+    hears(one, 1.0, Rumor("p3", "x", 1, "a", "p3"))
+    assert [rumor.name for rumor in one.rumors()] == ["p3"]
+
+
+def test_a_member_that_leaves_or_stands_aside_is_compared_as_others_list_it() -> None:
+    one = member("p0")
+    both = one._list.digests.whole
+    assert both == member_hash("me", "x", 1) ^ member_hash("p0", "x", 1)
+    hears(one, 1.0, Rumor("me", "y", 5, "a", "elsewhere"))
+    assert one.twin is not None
+    assert one._list.digests.whole == member_hash("me", "y", 5) ^ member_hash("p0", "x", 1)
+    (answer,) = of_kind(hears(one, 1.0, BucketRequest(1, 1, 0)), BucketMembers)
+    assert isinstance(answer, BucketMembers)
+    assert MemberEntry("me", "y", 5, "elsewhere") in answer.members
+    hears(one, 1.0, Rumor("me", "y", 5, "d"))
+    assert one._list.digests.whole == member_hash("me", "x", 6) ^ member_hash("p0", "x", 1)
+    hears(one, 1.0, Rumor("me", "x", 6, "s", by="p0"))
+    assert one._list.digests.whole == member_hash("me", "x", 7) ^ member_hash("p0", "x", 1)
+    one.leave()
+    assert one._list.digests.whole == member_hash("p0", "x", 1)
+
+
+def test_no_page_is_asked_for_while_peers_answer_and_the_comparison_goes_on_where_none_does() -> (
+    None
+):
+    one = member("p0")
+    asked, now = list[tuple[float, int]](), 0.0
+    while now < 200.0:
+        now += 0.1
+        asked += [(now, len(out.items)) for out in one.tick(now)]
+    assert [items for _, items in asked[: OLD_AFTER + 1]] == [1] * OLD_AFTER + [2]
+    waits = [later[0] - earlier[0] for earlier, later in pairwise(asked)]
+    assert max(waits) <= ANSWER_S + 1.5 * CHECK_S + 0.2
+    one._anti_entropy._page_at = 0.0
+    one._anti_entropy.check_at = now
+    (compare,) = of_kind(one.tick(now), Compare)
+    assert isinstance(compare, Compare)
+    whole = one._list.digests.whole
+    hears(one, now, Digests(compare.number, 2, whole))
+    one._anti_entropy.check_at, one._anti_entropy._page_at = now, 0.0
+    (out,) = one.tick(now)
+    assert len(out.items) == 1
+
+
+def test_pages_of_a_large_list_are_asked_for_rarely() -> None:
+    one = member(*(f"p{number}" for number in range(1000)))
+    pages, now = 0, 0.0
+    while now < 600.0:
+        now += 0.5
+        pages += len(of_kind(one.tick(now), Page))
+    assert 2 <= pages <= 14
--- a/tests/violetroute/sharing/test_sharing_cost.py
+++ b/tests/violetroute/sharing/test_sharing_cost.py
@@ -26,7 +26,7 @@
     made = Members("me", "l", 1, "here", "", 1.0, seeds, random.Random(1), 0.0)
     for number in range(count):
         made.know(Rumor(f"p{number}", "l", 1, "a", f"at{number}"), 0.0)
-    made._probe_at = made._again_at = made._page_at = 1e9
+    made._probe_at = made._again_at = made._anti_entropy.check_at = 1e9
     return made
 
 
@@ -86,7 +86,7 @@
     for count in (SMALL, LARGE):
         members = fleet(count, ("at7", "seed"))
         members.heard(0.05, "x", "l", 1, Rumor("p3", "l", 1, "d", by="x"))
-        costs.append(operations(members._again))
+        costs.append(operations(lambda members=members: members._again(0.1)))  # type: ignore[misc]
     assert costs[1] <= costs[0] * 1.1
 
 
--- /dev/null
+++ b/tests/violetroute/sharing/test_sharing_digest.py
@@ -0,0 +1,190 @@
+"""Digests of the member list: always those of a list that is built anew, at both ends the same."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+
+from limebridge.scale.virtual_members import VirtualMembers
+from tests.support.work import operations
+from violetroute.sharing import wire
+from violetroute.sharing.digest import (
+    MemberDigests,
+    bucket_count,
+    differing,
+    is_bucket_count,
+    member_hash,
+    pack_short,
+    unpack_short,
+)
+from violetroute.sharing.members import MEMBERS_MOST, Members
+from violetroute.sharing.pace import Pace
+from violetroute.sharing.wire import (
+    BUCKET_DIGESTS_MOST,
+    BUCKETS_MOST,
+    ITEMS_MOST,
+    SHORT,
+    BucketMembers,
+    BucketRequest,
+    Compare,
+    Digests,
+    Envelope,
+    Item,
+    Keys,
+    Rumor,
+    packed,
+    raw,
+)
+
+
+def rebuilt(members: Members) -> MemberDigests:
+    """The digests of what is believed now."""
+    made = MemberDigests()
+    made.put(members.name, members.life, members.incarnation)
+    for member in members.members.values():
+        if member.up:
+            made.put(member.name, member.life, member.incarnation)
+    return made
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_digests_are_those_of_a_new_list_after_any_changes(seed: int) -> None:
+    draw = random.Random(seed)
+    members = Members("me", "l", 1, "127.0.0.1:1", "z", 1.0, (), random.Random(seed), 0.0)
+    incarnations = dict[str, int]()
+    now = 0.0
+    for step in range(300):
+        now += draw.random()
+        name = f"p{draw.randrange(40):02}" if step % 10 else "me"
+        incarnation = incarnations[name] = incarnations.get(name, 0) + draw.randrange(2)
+        rumor = Rumor(name, "l", incarnation, draw.choice("aaasdl"), "127.0.0.1:2", "z", "p99")
+        members.heard(now, "stranger", "x", 1, rumor, "127.0.0.1:3")
+        if draw.random() < 0.1:
+            now += 70.0  # the dead are forgotten
+            members.tick(now)
+        digests, anew = members._list.digests, rebuilt(members)
+        assert (digests.whole, digests.count) == (anew.whole, anew.count)
+        for buckets in (1, 4, BUCKETS_MOST):
+            assert digests.of_buckets(buckets) == anew.of_buckets(buckets)
+            index = draw.randrange(buckets)
+            assert digests.members(buckets, index) == anew.members(buckets, index)
+
+
+def test_a_name_is_in_the_same_bucket_whatever_else_is_known() -> None:
+    small, large = MemberDigests(), MemberDigests()
+    small.put("p7", "x", 1)
+    for number in range(500):
+        large.put(f"p{number}", "x", 1)
+    for buckets in (1, 2, 8, 64, BUCKETS_MOST):
+        where = [small.members(buckets, index) for index in range(buckets)]
+        (index,) = [index for index, names in enumerate(where) if names]
+        assert "p7" in large.members(buckets, index).values()
+        large.put("p7", "y", 2)
+        assert differing(small.of_buckets(buckets), large.of_buckets(buckets)).count(index) == 1
+        large.put("p7", "x", 1)
+    held = [len(large.members(BUCKETS_MOST, index)) for index in range(BUCKETS_MOST)]
+    assert sum(held) == 500 and max(held) < 20
+
+
+def test_a_digest_tells_name_life_and_incarnation_apart() -> None:
+    hashes = {member_hash(*each) for each in (("a", "b", 1), ("ab", "", 1), ("a", "b", 11))}
+    assert len(hashes | {member_hash("a", "c", 1), member_hash("c", "b", 1)}) == 5
+    assert all(0 <= each < 2**63 for each in hashes)
+
+
+def test_bucket_counts_are_powers_of_two_that_grow_with_the_list() -> None:
+    counts = [bucket_count(members) for members in range(MEMBERS_MOST + 1)]
+    assert counts == sorted(counts) and counts[0] == 1 and counts[-1] == BUCKETS_MOST
+    assert all(is_bucket_count(count) for count in set(counts))
+    assert [n for n in range(-1, 300) if is_bucket_count(n)] == [1, 2, 4, 8, 16, 32, 64, 128]
+    assert BUCKETS_MOST * SHORT == BUCKET_DIGESTS_MOST
+
+
+def test_short_hashes_are_read_back() -> None:
+    values = [0, 1, 2**32 - 1, 2**32 + 5]
+    assert unpack_short(pack_short(values) + b"odd") == [0, 1, 2**32 - 1, 5]
+
+
+def test_a_change_costs_the_same_in_a_large_list() -> None:
+    costs = []
+    for size in (100, 2600):
+        digests = MemberDigests()
+        for number in range(size):
+            digests.put(f"p{number}", "x", 1)
+        costs.append(operations(lambda digests=digests: digests.put("p5", "y", 2)))  # type: ignore[misc]
+    assert costs[1] <= costs[0] * 1.1
+
+
+def test_a_pace_is_overdrawn_by_one_use_at_most() -> None:
+    pace = Pace(100.0, 2.0, 0.0)
+    assert pace.allows(0.0)
+    pace.spend(0.0, 700.0)
+    assert not pace.allows(4.9) and pace.allows(5.1)
+    pace.spend(1000.0, 199.0)
+    assert pace.allows(1000.0)  # no more than the burst was saved up
+    pace.spend(1000.0, 2.0)
+    assert not pace.allows(1000.0)
+
+
+# --- in datagrams ---
+BAD = [
+    ["d", -1, 1, 1],
+    ["d", 1, 1, 2**63],
+    ["D", 1, 1, 1, bytes(BUCKET_DIGESTS_MOST + 1)],
+    ["e", 1, 0, 0, b""],
+    ["e", 1, 129, 0, b""],
+    ["e", 1, 4, 128, b""],
+    ["e", 1, 4, 0, bytes(513)],
+    ["E", 1, 4, 0, [["", "x", 1]], b""],
+    ["E", 1, 4, 0, [["p", "x"]], b""],
+    ["E", 1, 4, 0, 7],
+]
+GOOD: list[Item] = [
+    Compare(1, 2, 2**63 - 1),
+    Digests(1, 2, 3, b"four"),
+    BucketRequest(1, 128, 127, b"four"),
+    BucketMembers(1, 1, 0, [wire.MemberEntry("p", "x", 1, "at", "z")], b"four"),
+]
+
+
+def test_items_are_read_back_and_those_that_make_no_sense_are_skipped() -> None:
+    data = [raw(wire._pack.encode(each)) for each in BAD]
+    data += [raw(packed(each)) for each in GOOD]
+    assert len(data) <= ITEMS_MOST
+    assert wire.items(Envelope("a", "x", 1, 1, "b", "", 0, 0, data)) == GOOD
+
+
+def test_a_later_builds_fields_are_skipped() -> None:
+    later = [[*msgspec.msgpack.decode(packed(each)), "a later field"] for each in GOOD]
+    data = [raw(wire._pack.encode(each)) for each in later]
+    assert wire.items(Envelope("a", "x", 1, 1, "b", "", 0, 0, data)) == GOOD
+
+
+def test_datagrams_of_anti_entropy_carry_no_rumors_and_fit() -> None:
+    fleet = VirtualMembers(400)
+    fleet.add_all()
+    one = fleet.members[0]
+    for number in range(20):
+        one.members._rumors.add(fleet.rumor(number + 1))
+    sent = list[bytes]()
+    one._box.send = lambda data, address: sent.append(data)  # type: ignore[method-assign]
+    one._put(fleet.members[1].name, "", Compare(1, 2, 3))
+    one._flush(fleet.kernel.now)
+    for out in one.members.heard(
+        fleet.kernel.now, fleet.members[1].name, fleet.members[1].life, 1, BucketRequest(1, 8, 0)
+    ):
+        one._put(out.to, out.place, *out.items)
+    one._flush(fleet.kernel.now)
+    one._put(fleet.members[1].name, "", wire.Ping(1), Compare(1, 2, 3))
+    one._flush(fleet.kernel.now)
+    keys: Keys = one._keys
+    kinds = [
+        {type(item) for item in wire.items(envelope)}
+        for data in sent
+        if (envelope := keys.open(data)) is not None
+    ]
+    assert len(kinds) == len(sent) and all(len(data) <= wire.DATAGRAM_MOST for data in sent)
+    assert kinds[0] == {Compare} and kinds[-1] == {wire.Ping, Compare, Rumor}
+    assert kinds[1:-1] and all(kind == {BucketMembers} for kind in kinds[1:-1])
--- a/violetroute/sharing/members.py
+++ b/violetroute/sharing/members.py
@@ -25,16 +25,26 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from functools import partial
 from random import Random
 
-from .doubted import Doubted
+from .anti_entropy import AntiEntropy
+from .member_list import MemberList
+from .outgoing import Out
 from .probe import POSTPONED_SHARE, Probe, is_late, suspicion_time
 from .relays import Relay, Relays
 from .rumors import CONFIRMED, Member, Rumors, overrides
-from .seeds import Seeds
-from .up_names import UpNames
-from .wire import Ack, Item, Nack, Need, Page, Paged, Ping, Rumor
+from .wire import (
+    ANTI_ENTROPY,
+    Ack,
+    Item,
+    Nack,
+    Need,
+    Page,
+    Paged,
+    Ping,
+    Rumor,
+)
 
 MEMBERS_MOST = 4096
 HELPERS = 3  # that are asked to ask
@@ -43,20 +53,9 @@
 HEALTH_MOST = 6  # how slow one's own bad health makes one
 PAGE = 12  # members of one page
 AGAIN_S = 3.0  # s between two asks of who is thought dead, or of a seed
-PAGE_S = 10.0  # s at most between two walks through the pages without a cause
-PAGE_FEW = 50  # members; for more the walks are rarer
 FORGET_S = 60.0  # s after which the dead are forgotten: they have been asked again by then
 
 
-@dataclass(frozen=True, slots=True)
-class Out:
-    """To be sent: to a member by name, or to a place of which the name is not known yet."""
-
-    to: str
-    place: str
-    items: tuple[Item, ...]
-
-
 class Members:
     """One life's view.  `now`: s of its clock, in every call."""
 
@@ -75,24 +74,26 @@
     ) -> None:
         self.name, self.life, self.incarnation = name, life, incarnation
         self._place, self._zone, self._period = place, zone, period
-        self._seeds = Seeds(seeds, place)
         self._random, self._changed = random, changed
-        self.members: dict[str, Member] = {}
-        self._up = UpNames()
-        self._doubted = Doubted()
+        self._list = MemberList(seeds, place)
+        self.members = self._list.members
+        self._up, self._doubted = self._list.up, self._list.doubted
+        self._seeds = self._list.seeds
         self.health = 0  # 0 is well
         self.twin: Member | None = None  # another life of our name, above us
         self._order: list[str] = []
         self._probe: Probe | None = None
         self._probe_at = now + period * random.random()
         self._again_at = now + min(period, 0.2) * random.random()
-        self._page_at = now + PAGE_S * random.random()
         self._number = random.getrandbits(30)
         self._rumors = Rumors()
         self._relays = Relays()
+        take = partial(self._take, send_on=False)  # who lacks it finds that by comparing
+        self._anti_entropy = AntiEntropy(self._list, self._listed, take, random, now)
         self._ticked_at = now
         self._postponed = False  # by the last tick, an end of a probe or of a suspicion
         self.leaving = False
+        self._list.digests.file(self._listed())
 
     # --- what is known ---
     def up(self) -> list[str]:
@@ -139,14 +140,8 @@
             self._unwell(1)
         if now >= self._again_at:
             self._again_at = now + AGAIN_S * (0.75 + 0.5 * self._random.random())
-            out += self._again()
-        if now >= self._page_at:
-            # A larger fleet's pages are more: asked for as much more rarely.
-            self._page_at = now + PAGE_S * (1.0 + self.size / PAGE_FEW) * self._random.random()
-            if names := self.up():
-                after = self._random.choice(["", *names])
-                out.append(Out(self._random.choice(names), "", (Page(after),)))
-        return out
+            out += self._again(now)
+        return out + self._anti_entropy.tick(now)
 
     def _postpone(self, judged: Probe | Member, now: float) -> bool:
         """Let what lies unread in the socket be read first; False if that was done before."""
@@ -210,8 +205,7 @@
             return
         self._judge_suspects(now, late)
         for name in self._doubted.forgettable(now, FORGET_S):
-            self._doubted.forget(name)
-            self._changed(name, "", self.members.pop(name).state)
+            self._changed(name, "", self._list.forget(name).state)
 
     def _judge_suspects(self, now: float, late: bool) -> None:
         size, health = self.size, self.health  # those that a tick takes for dead change them
@@ -228,7 +222,7 @@
         """Whether one whose time is over had that time indeed."""
         return now >= suspect.not_before and not (late and self._postpone(suspect, now))
 
-    def _again(self) -> list[Out]:
+    def _again(self, now: float) -> list[Out]:
         """Those thought dead may be back, and seeds may know a part that we do not."""
         out = []
         if dead := self._doubted.dead:
@@ -237,7 +231,7 @@
             out.append(Out(member.name, "", (Ping(self._number), member.rumor(self.name))))
         if unknown := self._seeds.unknown():
             self._number += 1
-            items = (Ping(self._number), self.own(), Page())
+            items = (Ping(self._number), self.own(), *self._anti_entropy.greeting(now))
             out.append(Out("", self._random.choice(unknown), items))
         return out
 
@@ -279,6 +273,8 @@
                 return [Out(back, at, self._page(name, after))]
             case Paged(last) if last:
                 return [Out(back, at, (Page(last),))]
+            case _ if isinstance(item, ANTI_ENTROPY):
+                return self._anti_entropy.heard(now, back, at, item)
         return []
 
     def _acked(self, number: int, name: str, life: str) -> list[Out]:
@@ -315,6 +311,7 @@
         before = self.twin
         if before is None or twin.incarnation >= before.incarnation:
             self.twin = twin
+            self._list.digests.file(self._listed())
             if before is None:
                 self._rumors.drop(self.name)
                 self._changed(self.name, "twin", "a")
@@ -322,10 +319,10 @@
     def _alone_again(self, above: int) -> None:
         self.twin, self.incarnation = None, max(self.incarnation, above) + 1
         self._changed(self.name, "a", "twin")
-        self._rumors.add(self.own())
+        self._tell_own()
 
     # --- rumors ---
-    def _take(self, rumor: Rumor, now: float) -> list[Out]:
+    def _take(self, rumor: Rumor, now: float, send_on: bool = True) -> list[Out]:
         if rumor.name == self.name:
             self._of_me(rumor, now)
             return []
@@ -336,7 +333,8 @@
             known = self.know(rumor, now)
             self._changed(rumor.name, "a", "")
             if rumor.state == "a":
-                self._rumors.add(known.rumor())
+                if send_on:
+                    self._rumors.add(known.rumor())
                 return []
         if known.same_suspicion(rumor):
             if known.confirm(rumor.by):
@@ -345,30 +343,29 @@
             return []
         if not overrides(rumor, known.state, known.life, known.incarnation):
             return []
-        was, life, was_up, place = known.state, known.life, known.up, known.place
-        known.take(rumor, now)
-        if was_up:
-            self._seeds.left(place)
-        if known.up:
-            self._seeds.joined(known.place)
-        if known.up != was_up:
-            self._up.changed(known)
-        self._doubted.file(known)
+        was, life = known.state, known.life
+        self._list.take(known, rumor, now)
         if was != known.state or life != known.life:
             self._changed(rumor.name, known.state if life == known.life else "a", was)
-        self._rumors.add(rumor)
+        if send_on:
+            self._rumors.add(rumor)
         return []
 
     def know(self, rumor: Rumor, now: float) -> Member:
         """Take one that is not known yet for alive, without sending it on."""
-        known = self.members[rumor.name] = Member(
-            rumor.name, rumor.life, rumor.incarnation, "a", rumor.place, rumor.zone, now
-        )
+        known = self._list.add(rumor, now)
         self._order.insert(int(self._random.random() * (len(self._order) + 1)), rumor.name)
-        self._up.added(known)
-        self._seeds.joined(rumor.place)
         return known
 
+    def _listed(self) -> Rumor:
+        """The process that others are to list under this name."""
+        return self.own() if self.twin is None else self.twin.rumor()
+
+    def _tell_own(self) -> None:
+        """This process has another incarnation."""
+        self._list.digests.file(self._listed())
+        self._rumors.add(self.own())
+
     def _of_me(self, rumor: Rumor, now: float) -> None:
         if rumor.life != self.life:
             if rumor.state in ("a", "s"):
@@ -380,11 +377,11 @@
                 self._alone_again(rumor.incarnation)
             elif self.twin is None and rumor.incarnation >= self.incarnation:
                 self.incarnation = rumor.incarnation + 1
-                self._rumors.add(self.own())
+                self._tell_own()
         elif rumor.state != "a" and not self.leaving and rumor.incarnation >= self.incarnation:
             self.incarnation = rumor.incarnation + 1
             self._unwell(1)
-            self._rumors.add(self.own())
+            self._tell_own()
 
     def rumors(self) -> list[Rumor]:
         """What goes with the next datagram."""
@@ -393,6 +390,7 @@
     def leave(self) -> list[Out]:
         """The process ends: some are told, who tell the others."""
         self.leaving = True
+        self._list.digests.file(self._listed())
         names = self.up()
         return [
             Out(name, "", (self.own(),))
--- a/violetroute/sharing/rumors.py
+++ b/violetroute/sharing/rumors.py
@@ -7,7 +7,7 @@
 from typing import Literal
 
 from .ordered import OrderedEntries
-from .wire import Rumor
+from .wire import MemberEntry, Rumor
 
 SPREAD = 6.0  # times the fleet's size's logarithm: how often a rumor is sent on
 MOST = 512  # that wait
@@ -49,6 +49,17 @@
         """A rumor that it is in this state, by who says so."""
         return Rumor(self.name, self.life, self.incarnation, state, self.place, self.zone, by)
 
+    def is_over(self, entry: MemberEntry) -> bool:
+        """Whether the process that an entry tells of has ended, as far as is known."""
+        return not self.up and self.incarnation >= entry.incarnation
+
+    def objection(self, by: str) -> Rumor:
+        """What one is told who still lists this member, which is not up any more.
+
+        One that is dead is told of as suspected: so it is asked there too, and can deny it.
+        """
+        return self.rumored("l" if self.state == "l" else "s", by)
+
     def same_suspicion(self, rumor: Rumor) -> bool:
         """Whether the rumor is of the suspicion that is known already."""
         return (
@@ -140,3 +151,13 @@
             rumor.incarnation == incarnation and state == "a"
         )
     return rumor.incarnation >= incarnation and state in ("a", "s")
+
+
+def entry_of(member: Member | Rumor) -> MemberEntry:
+    """How another is told that a member is up."""
+    return MemberEntry(member.name, member.life, member.incarnation, member.place, member.zone)
+
+
+def rumor_of(entry: MemberEntry) -> Rumor:
+    """The rumor that says the same."""
+    return Rumor(entry.name, entry.life, entry.incarnation, "a", entry.place, entry.zone)
--- a/violetroute/sharing/service.py
+++ b/violetroute/sharing/service.py
@@ -281,7 +281,10 @@
             room = wire.room(self.name, to)
             raw: list[bytes] = []
             free = room
-            for item in (*items, *self.members.rumors()):
+            # Anti-entropy keeps to its own bytes a second, and rumors would add to them.
+            paced = all(isinstance(item, wire.ANTI_ENTROPY) for item in items)
+            rumors = () if paced else self.members.rumors()
+            for item in (*items, *rumors):
                 data = wire.packed(item)
                 if len(data) > free or len(raw) >= wire.ITEMS_MOST:
                     self._send(now, to, address, raw)
--- a/violetroute/sharing/wire.py
+++ b/violetroute/sharing/wire.py
@@ -45,6 +45,14 @@
 Budget = Annotated[str, msgspec.Meta(min_length=1, max_length=32)]
 Amount = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
 Small = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+Hash = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+SHORT = 4  # bytes of a shortened hash or digest
+BUCKETS_MOST = 128  # into which a list of members is divided
+BUCKET_DIGESTS_MOST = BUCKETS_MOST * SHORT  # bytes of the digests of all buckets
+HELD_MOST = 512  # bytes of hashes of one bucket's members
+Buckets = Annotated[int, msgspec.Meta(ge=1, le=BUCKETS_MOST)]
+BucketIndex = Annotated[int, msgspec.Meta(ge=0, lt=BUCKETS_MOST)]
+Hashes = Annotated[bytes, msgspec.Meta(max_length=HELD_MOST)]
 
 
 class Item(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -96,6 +104,58 @@
     last: Annotated[str, msgspec.Meta(max_length=64)] = ""
 
 
+class MemberEntry(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A member that is up.  Fields may be added at the end, with defaults."""
+
+    name: Name
+    life: Life
+    incarnation: Number
+    place: Place = ""
+    zone: Annotated[str, msgspec.Meta(max_length=64)] = ""
+
+
+class Compare(Item, frozen=True, tag="d"):
+    """The digest of the sender's list of members; asks for that of the receiver's."""
+
+    number: Number
+    count: Number
+    whole: Hash
+
+
+class Digests(Item, frozen=True, tag="D"):
+    """Answers `Compare`.  `digests`: of all buckets, SHORT bytes each; none if not needed."""
+
+    number: Number
+    count: Number
+    whole: Hash
+    digests: Annotated[bytes, msgspec.Meta(max_length=BUCKET_DIGESTS_MOST)] = b""
+
+
+class BucketRequest(Item, frozen=True, tag="e"):
+    """Asks for the members of one of so many buckets.  `held`: hashes of those that are known."""
+
+    number: Number
+    buckets: Buckets
+    index: BucketIndex
+    held: Hashes = b""
+
+
+class BucketMembers(Item, frozen=True, tag="E"):
+    """Members of one bucket: answers `BucketRequest` (number 0: a `wanted`).
+
+    `wanted`: hashes that the receiver holds and the sender lacks.
+    """
+
+    number: Number
+    buckets: Buckets
+    index: BucketIndex
+    members: Annotated[list[MemberEntry], msgspec.Meta(max_length=256)]
+    wanted: Hashes = b""
+
+
+ANTI_ENTROPY = (Compare, Digests, BucketRequest, BucketMembers)
+
+
 class Spare(Item, frozen=True, tag="s"):
     budget: Budget
     amount: Amount
@@ -155,6 +215,10 @@
     | Rumor
     | Page
     | Paged
+    | Compare
+    | Digests
+    | BucketRequest
+    | BucketMembers
     | Spare
     | Ask
     | Lend
@@ -183,7 +247,7 @@
 _pack = msgspec.msgpack.Encoder()
 
 
-def packed(item: Item) -> bytes:
+def packed(item: Item | MemberEntry) -> bytes:
     return _pack.encode(item)
 
 
