--- a/tests/support/session_world.py
+++ b/tests/support/session_world.py
@@ -378,8 +378,7 @@
     def _fault(self, fault: Fault) -> None:
         until = self.time + fault.lasts
         if fault.kind == "end":
-            proxy = self._process(fault.target)
-            assert isinstance(proxy, Proxy)
+            proxy = self.proxies[int(fault.target[1:]) % len(self.proxies)]
             proxy.end_session()
             self.later(fault.lasts, proxy, proxy.start)
             return
