The test of clients that ask on runs on a clock that stands without the CPU

Need: it failed once in a whole run with five workers beside other work: the client that asks on was closed as idle. All peers are in one process; who is not run for 2 s between connecting and asking again has been idle on the machine's clock. Change: the loop of tests/support/stall_free_loop.py, as the other tests of one process have; nothing else. Measured: with 2.2 s without a turn planted after the others have connected, 3 of 3 fail before and 3 of 3 pass now; with the listener's line for an answer at once taken out the test still fails. The whole suite otherwise: 2,232 passed.

--- a/tests/violetroute/test_own_load.py
+++ b/tests/violetroute/test_own_load.py
@@ -26,6 +26,7 @@
 )
 from snowstall.balance import OWN_EACH, OWN_TURN, OWN_WORTHY
 from snowstall.gate import OWN_INTERVAL, OWN_TARGET
+from tests.support import stall_free_loop
 from tests.support.rig import CacheNode, Discovery, Rig, get, put, read_answer, serves, soon, until
 from tests.violetroute.test_program import program
 from violetroute.clients.connection import ClientConnection
@@ -253,7 +254,7 @@
                     assert (await read_answer(reader)).startswith(b"-BUSY")
                     await asyncio.sleep(0.01)
 
-    asyncio.run(part())
+    stall_free_loop.run(part())  # who is not run for 2 s is idle, on the machine's clock
 
 
 class Unread:
