The test of a port in use binds as every listener does, and forces TIME_WAIT

Need: failed once in a whole run (2,302 passed): its user of the port bound without SO_REUSEADDR, and the port had been a daemon's that had just ended, so that a connection there was in TIME_WAIT. free_ports rightly calls such a port free. Change: the test leaves a connection in TIME_WAIT first and binds with the option; what it requires is unchanged.

--- a/tests/limebridge/test_ports.py
+++ b/tests/limebridge/test_ports.py
@@ -66,12 +66,26 @@
         blocks.close()
 
 
+def leave_in_time_wait(port: int) -> None:
+    """Listen on the port, and close a connection there from the listener's side first."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", port))
+        listener.listen()
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            listener.accept()[0].close()
+            assert client.recv(1) == b""
+
+
 @pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
 def test_a_port_in_use_is_left_out_for_tcp_and_udp(kind: socket.SocketKind) -> None:
     blocks = PortBlocks()
     try:
         (port,) = blocks.free_ports(1)
+        leave_in_time_wait(port)
         with socket.socket(type=kind) as user:
+            # As every listener does: connections of an earlier one may still be in TIME_WAIT.
+            user.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, kind == socket.SOCK_STREAM)
             user.bind(("127.0.0.1", port))
             if kind == socket.SOCK_STREAM:
                 user.listen()
