--- /dev/null
+++ b/tests/violetroute/test_large_lists.py
@@ -0,0 +1,129 @@
+"""A real daemon before thousands of cache nodes: requests in time while the list changes."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from limebridge.ports import free_ports
+from limebridge.standins.clients import Ask, Crowd
+from limebridge.standins.configuration import SETTINGS
+from limebridge.standins.large_list import LargeList
+from tests.support.rig import Discovery, configuration, until
+from tests.violetroute.test_program import Program, launch
+
+NODES = 3200
+FIFTH = range(0, NODES, 5)
+RATE = 60.0  # requests a second
+WAIT = 0.5  # s that each client waits
+SLACK = 0.05  # s by which each time limit is longer on sockets
+BEFORE, AFTER = 1.0, 3.0  # s of requests on each side of the change
+
+
+def settings() -> dict[str, Any]:
+    classes = copy.deepcopy(SETTINGS["classes"])
+    classes[0] |= {"promiseMs": WAIT * 600.0, "deadlineMs": WAIT * 1000.0}
+    return SETTINGS | {"classes": classes}
+
+
+@dataclass
+class LargeFleet:
+    """The daemon with its discovery, its nodes and a crowd of clients."""
+
+    daemon: Program
+    discovery: Discovery
+    nodes: LargeList
+    crowd: Crowd
+
+    async def play(self, seconds: float) -> None:
+        await self.crowd.play(RATE, seconds)
+
+    async def judge(self) -> None:
+        """Every request has its final answer in time, and nearly all are served."""
+        await self.crowd.rest()
+        late = [ask for ask in self.crowd.asks if waited(ask) > WAIT + SLACK]
+        worst = max(map(waited, self.crowd.asks))
+        kinds = self.crowd.kinds()
+        assert not late and not kinds["expired"], f"{len(late)} late, the latest {worst:.3f} s"
+        assert kinds["served"] >= 0.9 * self.crowd.asked, kinds
+        assert "Traceback" not in "".join(self.daemon.log)
+        assert len(self.discovery.asked) == 1, "the watch ended and was opened again"
+
+
+def waited(ask: Ask) -> float:
+    """Seconds from the question to its end."""
+    return ask.answered_at - ask.asked_at
+
+
+@asynccontextmanager
+async def large_fleet(tmp_path: Path) -> AsyncIterator[LargeFleet]:
+    """Requests flow through a daemon that has its list from the configuration and from a watch."""
+    nodes = await LargeList(NODES).listen(free_ports(1)[0])
+    discovery = await Discovery().start()
+    raw = configuration(discovery.port, nodes.nodes(), listen=free_ports(1)[0])
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw | {"settings": settings()}))
+    daemon = Program(await launch(path, PROXY_DISCOVERY=raw["discovery"]), path, raw)
+    crowd = Crowd(daemon.port, clients=30, wait=WAIT + 2 * SLACK, told=b"%d" % (WAIT * 1000.0))
+    try:
+        await daemon.logged("listens on")
+        await until(lambda: discovery.open)
+        await crowd.connect()
+        yield LargeFleet(daemon, discovery, nodes, crowd)
+    finally:
+        crowd.close()
+        if daemon.process.returncode is None:
+            daemon.process.kill()
+            await daemon.ended()
+        await discovery.stop()
+        await nodes.stop()
+
+
+@pytest.mark.long
+def test_no_answer_is_late_while_a_fifth_of_3200_nodes_drains(tmp_path: Path) -> None:
+    """Incident 65d06d: the daemon stood for seconds in the turn that took such a list."""
+
+    async def play() -> None:
+        async with large_fleet(tmp_path) as fleet:
+            await fleet.play(BEFORE)
+            fleet.discovery.tell(*fleet.nodes.nodes(FIFTH, "terminating"))
+            await fleet.play(AFTER)
+            await fleet.judge()
+
+    asyncio.run(play())
+
+
+@pytest.mark.long
+def test_no_answer_is_late_while_a_whole_list_lacks_a_fifth_of_3200_nodes(tmp_path: Path) -> None:
+    """Incident 65d06d, by another way: nodes that a whole list does not name are removed."""
+
+    async def play() -> None:
+        async with large_fleet(tmp_path) as fleet:
+            await fleet.play(BEFORE)
+            left = [number for number in range(NODES) if number not in FIFTH]
+            fleet.discovery.tell(*fleet.nodes.nodes(left), reset=True)
+            await fleet.play(AFTER)
+            await fleet.judge()
+
+    asyncio.run(play())
+
+
+@pytest.mark.long
+def test_a_whole_list_of_3200_nodes_is_taken_from_one_watch(tmp_path: Path) -> None:
+    """Found with incident 65d06d: lists over 512 KiB ended each watch, and nothing was told."""
+
+    async def play() -> None:
+        async with large_fleet(tmp_path) as fleet:
+            fleet.discovery.tell(*fleet.nodes.nodes(), reset=True)
+            await fleet.play(AFTER)
+            await fleet.judge()
+
+    asyncio.run(play())
