--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -14,7 +14,18 @@
 from .choice import SPARE_CANDIDATES, Choice
 from .gate import Gate, OwnLoad
 from .learning import ERROR_LIMIT, FAIR_ANSWERS, LIFE_SIGN, PROBE_CAP, PROBE_EARN
-from .messages import Action, Effect, Judged, ListKind, Member, Outcome, Request, Result, Settings
+from .messages import (
+    Action,
+    CacheState,
+    Effect,
+    Judged,
+    ListKind,
+    Member,
+    Outcome,
+    Request,
+    Result,
+    Settings,
+)
 
 RETRY_EARN, RETRY_CAP = 0.15, 6.0  # further attempts per request, and saved up at most
 FORGIVEN = 30_000.0  # ms until it is asked like any other though nothing could ask it
@@ -60,11 +71,13 @@
             mean = sum(m.weight for m in members) / len(members)
             # A power of two, so that proxies with slightly different lists agree.
             self._unit_weight = 2.0 ** round(math.log2(mean)) if mean > 0 else 1.0
-        fresh = [cache for m in members if (cache := self._update(m)) is not None]
-        self._join(fresh)
+        ready = [m for m in members if m.state is CacheState.READY]
+        leaving = [m.id for m in members if m.state is not CacheState.READY]
         if kind is not ListKind.CHANGES:
-            for cache in [c for c in self._caches.values() if c.id not in listed]:
-                self._drop(cache)
+            leaving += [cache_id for cache_id in self._caches if cache_id not in listed]
+        self._drop([self._caches[name] for name in leaving if name in self._caches])
+        fresh = [cache for m in ready if (cache := self._update(m)) is not None]
+        self._join(fresh)
         if kind is not ListKind.CACHED and self._asking:
             self._asking, self._subscribed, self._ask_failures = False, True, 0
         if kind is ListKind.CACHED and self.settings.must_subscribe:
@@ -80,7 +93,7 @@
             gate.configure(settings, now)
         moved, self.settings = settings.zone != self.settings.zone, settings
         if moved:
-            self._rebuild()
+            self._forget_orders()
         self._classes = {c.name: c for c in settings.classes}
         return []
 
--- a/snowstall/cache.py
+++ b/snowstall/cache.py
@@ -32,10 +32,37 @@
 class Cache:
     """What this proxy knows of one cache server."""
 
+    __slots__ = (
+        "absent_until",
+        "cell",
+        "cold_since",
+        "errors",
+        "id",
+        "kind",
+        "listed",
+        "listed_weight",
+        "out",
+        "owing_since",
+        "point_count",
+        "ring_slot",
+        "salt",
+        "sent",
+        "sent_at",
+        "served_at",
+        "slow_at",
+        "slow_sum",
+        "slow_weight",
+        "started_at",
+        "suspect",
+        "weight",
+        "zone",
+    )
+
     def __init__(self, member: Member, weight: float) -> None:
         self.id, self.zone, self.kind, self.cell = member.id, member.zone, member.kind, member.cell
         self.started_at = self.cold_since = member.started_at
         self.listed_weight = weight
+        self.ring_slot: int | None = None  # where it stands on the ring, as the ring knows it
         self.resize(weight)
         self.salt = mix(member.id, 1 << 20)
         self.listed = True
@@ -50,8 +77,7 @@
     def resize(self, weight: float) -> None:
         """Take this share of the keys, 1 being even, 0 none; only the difference moves."""
         self.weight = max(SIZE_LEAST, weight)
-        points = max(1, round(POINTS_PER_CACHE * weight)) if weight else 0
-        self.points = [mix(self.id, index) for index in range(points)]
+        self.point_count = max(1, round(POINTS_PER_CACHE * weight)) if weight else 0
 
     def load(self, now: float) -> float:
         """Own requests in flight and sent lately, for its size."""
--- a/snowstall/caches.py
+++ b/snowstall/caches.py
@@ -4,11 +4,12 @@
 import random
 from collections.abc import Mapping
 from itertools import islice
+from operator import attrgetter
 
 from .cache import Cache, Mean
 from .hashing import mix
 from .head import SpaceSaving, find_optimal_choices
-from .messages import Action, CacheState, Member, RequestClass, Settings, require
+from .messages import Action, Member, RequestClass, Settings, require
 from .ring import Ring
 
 HEAD_FRACTION = 5.0  # theta = 1/(5n), the paper's default
@@ -26,7 +27,7 @@
         self._caches: dict[int, Cache] = {}
         self._origins: list[Cache] = []
         self._ready: list[Cache] = []
-        self._ring, self._zone_ring = Ring(), Ring()
+        self._ring = Ring()
         self._sizes: dict[int, float] = {}  # a plan's, by cache; empty without one
         self._placements: Orders = {}
         self._zone_placements: Orders = {}
@@ -44,12 +45,8 @@
         self._now = now
 
     def _update(self, member: Member) -> Cache | None:
-        """Take in one entry; a cache that is new to the ring comes back."""
+        """Take in the entry of a ready cache; one that is new to the ring comes back."""
         cache = self._caches.get(member.id)
-        if member.state is not CacheState.READY:
-            if cache is not None:
-                self._drop(cache)
-            return None
         if cache is None:
             weight = member.weight / self._unit_weight if self.settings.weighted else 1.0
             cache = Cache(member, min(4.0, max(0.25, weight)))
@@ -69,31 +66,28 @@
 
     def _join(self, fresh: list[Cache]) -> None:
         """Give new caches their share of the keys; orders that were remembered are void."""
-        self._ready = sorted(self._ready + fresh, key=lambda c: c.id)
-        self._ring.add(fresh)
-        self._zone_ring.add([c for c in fresh if c.zone == self.settings.zone])
-        self._placements.clear()
-        self._zone_placements.clear()
+        if fresh:
+            self._ready += fresh
+            self._ready.sort(key=attrgetter("id"))
+            self._ring.add(fresh)
+            self._forget_orders()
         self._head_due = self._now
 
-    def _drop(self, cache: Cache) -> None:
+    def _drop(self, caches: list[Cache]) -> None:
         """Draining, gone or no longer listed: nothing new goes there from now on."""
-        del self._caches[cache.id]
-        cache.listed = False
-        if cache in self._origins:
-            self._origins.remove(cache)
-            return
-        self._ready.remove(cache)
-        self.unproven.pop(cache.id, None)
-        self._ring.remove(cache)
-        if cache.zone == self.settings.zone:
-            self._zone_ring.remove(cache)
-
-    def _rebuild(self) -> None:
-        """The rings anew; what is out goes on where it is."""
-        self._ring, self._zone_ring = Ring(), Ring()
-        ready, self._ready = self._ready, []
-        self._join(ready)
+        for cache in caches:
+            del self._caches[cache.id]
+            cache.listed = False
+            self.unproven.pop(cache.id, None)
+            self._ring.remove(cache)
+        if caches:
+            self._ready = [cache for cache in self._ready if cache.listed]
+            self._origins = [cache for cache in self._origins if cache.listed]
+            self._forget_orders()
+
+    def _forget_orders(self) -> None:
+        self._placements.clear()
+        self._zone_placements.clear()
 
     def on_sizes(self, now: float, sizes: Mapping[int, float]) -> list[Action]:
         """Set each cache's share of the keys from a plan; 1 is an even share.
@@ -103,13 +97,18 @@
         self._tick(now)
         require(all(0.0 <= size < math.inf for size in sizes.values()), "a size is no number")
         self._sizes = {name: min(SIZE_MOST, size) for name, size in sizes.items()}
-        moved = False
+        moved = []
         for cache in self._ready:
-            before = len(cache.points)
+            before = cache.point_count
             cache.resize(self._sizes.get(cache.id, cache.listed_weight))
-            moved = moved or len(cache.points) != before
+            if cache.point_count != before:
+                moved.append(cache)
+        for cache in moved:
+            self._ring.remove(cache)
         if moved:
-            self._rebuild()
+            self._ring.add(moved)
+            self._forget_orders()
+            self._head_due = now
         return []
 
     def _refresh_head(self, now: float) -> None:
@@ -123,16 +122,21 @@
 
     def _placement(self, key: int, count: int) -> list[Cache]:
         """The first caches in the key's order; candidates are nested in it."""
-        return self._in_order(self._placements, self._ring, key, count)
+        count = min(count, self._ring.size)
+        order = self._placements.get(key)
+        if order is None or len(order) < count:
+            order = list(islice(self._ring.walk(mix(key)), count))
+            _remember(self._placements, key, order)
+        return order
 
-    def _in_order(self, known: Orders, ring: Ring, key: int, count: int) -> list[Cache]:
-        order = known.get(key)
-        count = min(count, ring.size)
+    def _zone_placement(self, key: int, count: int) -> list[Cache]:
+        """The first caches of this proxy's zone in the key's order."""
+        zone = self.settings.zone
+        count = min(count, self._ring.zone_size(zone))
+        order = self._zone_placements.get(key)
         if order is None or len(order) < count:
-            order = list(islice(ring.walk(mix(key)), count))
-            if len(known) >= PLACEMENTS:
-                known.clear()
-            known[key] = order
+            order = list(islice(self._ring.walk(mix(key), zone), count))
+            _remember(self._zone_placements, key, order)
         return order
 
     def _warmth(self, cache: Cache, now: float) -> float:
@@ -149,3 +153,9 @@
         if mean is None:
             mean = self._times[place] = Mean(cls.aim / 2)
         return mean
+
+
+def _remember(orders: Orders, key: int, order: list[Cache]) -> None:
+    if len(orders) >= PLACEMENTS:
+        orders.clear()
+    orders[key] = order
--- a/snowstall/choice.py
+++ b/snowstall/choice.py
@@ -26,7 +26,7 @@
         Who owes answers and gives none while the others do is left alone before a request fails.
         Harm: a pause as long as a slow answer turns its keys to others for that time.
         """
-        if not cache.points or now < cache.absent_until or cache.id in self.unproven:
+        if not cache.point_count or now < cache.absent_until or cache.id in self.unproven:
             return False
         return now - cache.owing_since <= self._silence
 
@@ -54,12 +54,12 @@
         key = pending.key
         is_head = key in self.head
         count = self.choices if is_head else 2
-        zonal = self.settings.cross_zone_price >= ZONE_PRICE and self._zone_ring.size >= 2
+        zone_size = self._ring.zone_size(self.settings.zone)
+        zonal = self.settings.cross_zone_price >= ZONE_PRICE and zone_size >= 2
         if is_head and zonal:
             # Departure: crossings are priced, so each zone keeps its part of the d copies.
-            count = max(2, math.ceil(count * self._zone_ring.size / self._ring.size))
-            placements, ring = self._zone_placements, self._zone_ring
-            order = self._in_order(placements, ring, key, count + SPARE_CANDIDATES)
+            count = max(2, math.ceil(count * zone_size / self._ring.size))
+            order = self._zone_placement(key, count + SPARE_CANDIDATES)
         elif is_head and count >= self._ring.size:  # W-Choices
             order = self._ready
         else:
@@ -97,7 +97,7 @@
             return None
         for cache in self._placement(pending.key, 2):
             due = cache.id in self.unproven and now >= cache.absent_until and not cache.out
-            if due and cache.points and self._warmth(cache, now) >= 1.0:
+            if due and cache.point_count and self._warmth(cache, now) >= 1.0:
                 self._probes -= 1.0
                 return cache
         return None
