Lists of thousands of nodes are read whole and quickly; SIGHUP does not read the list

What callers saw: before 3,200 nodes a proxy never took a whole list. Each watch ended with "line too long", was opened again at once and sent the list again, so nothing was told, drains neither. Cause: LINE_LIMIT of 512 KiB; 3,200 entries are 530 to 590 KB. The same turn also spent 64 ms looking for braces and 30 ms on addresses and entries, and SIGHUP parsed the list of the configuration only to throw it away.

Change: a bound of 2 MiB. A line that is whole JSON is found so by msgspec, which also cuts it into entries; an entry whose text was read before is the same object again. What msgspec refuses is read as before. Entries and addresses are msgspec structs. A reload checks the form of `known` and does not read it. native.py is split: entries.py, list_reader.py and the watch.

--- a/limebridge/scale/capacity_rows_others.py
+++ b/limebridge/scale/capacity_rows_others.py
@@ -111,7 +111,7 @@
         "open watches, one a proxy",
         "watches",
         lambda figures: figures.target.proxies,
-        "violetroute/membership/native.py",
+        "violetroute/membership/list_reader.py",
     ),
     _other_programs("discovery-cpu", Role.DISCOVERY, Kind.PROCESSOR_TIME, "its own work"),
     _other_programs("discovery-memory", Role.DISCOVERY, Kind.MEMORY, "its own"),
--- a/limebridge/scale/measure_list.py
+++ b/limebridge/scale/measure_list.py
@@ -7,7 +7,7 @@
 
 from limebridge.virtual.session import quiet
 from violetroute.membership import Listing, parse_listing
-from violetroute.membership.native import Lists
+from violetroute.membership.list_reader import Lists
 
 from .cost_definition import define_cost
 from .process_facts import cpu_seconds, least_cpu_seconds, resident_bytes
@@ -75,7 +75,7 @@
     return seconds / len(nodes)
 
 
-_cost = partial(define_cost, "list", "violetroute/membership/native.py")
+_cost = partial(define_cost, "list", "violetroute/membership/list_reader.py")
 
 SUBJECT = Subject(
     name="list",
--- a/limebridge/virtual/process.py
+++ b/limebridge/virtual/process.py
@@ -10,14 +10,13 @@
 import asyncio
 import heapq
 from collections.abc import Callable
-from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from limebridge.rules.judge import PAUSE_SEEN
 from violetroute.clients import Listener
 from violetroute.config import Config
 from violetroute.proxy import Proxy
-from violetroute.transport import Turns
+from violetroute.transport import Address, Turns
 from violetroute.transport.sockets import SocketNetwork
 
 from .costs import Costs, Meter, Metered, ProcessLoop
@@ -103,7 +102,7 @@
         self.listener = Listener(
             self.proxy, config.client_sockets, config.value_room, net, config.limits
         )
-        listen = replace(config.listen, port=port or config.listen.port)
+        listen = Address(config.listen.host, port or config.listen.port)
         self.state = "up"
         self._longest = config.longest_deadline + DRAIN_SLACK
         self.sharing = None if self.joins is None else self.joins(self, net)
--- a/limebridge/virtual/troubles.py
+++ b/limebridge/virtual/troubles.py
@@ -14,6 +14,7 @@
 from limebridge.standins.node_list import Lifecycle, NodeEntry
 from violetroute.config import Config
 from violetroute.membership import parse_listing
+from violetroute.transport import Address
 
 from .client import Client
 from .kernel import Kernel
@@ -176,7 +177,7 @@
         ]
         self.discovery.tell(*entries, reset=True)
         self.config = replace(
-            self.config, discovery=replace(self.config.discovery, port=self.discovery.port)
+            self.config, discovery=Address(self.config.discovery.host, self.discovery.port)
         )
         await self._reloads(lambda: self.config)
         for _ in range(3):
--- a/tests/bad_builds/drains_ignored.py
+++ b/tests/bad_builds/drains_ignored.py
@@ -1,8 +1,8 @@
 """A node that drains is taken for one in service."""
 
 from snowstall import CacheState
-from violetroute.membership import native
+from violetroute.membership import entries
 
 
 def plant():
-    native.STATES["terminating"] = CacheState.READY
+    entries.STATES["terminating"] = CacheState.READY
--- a/tests/limebridge/virtual/test_virtual.py
+++ b/tests/limebridge/virtual/test_virtual.py
@@ -14,7 +14,8 @@
 from limebridge.virtual import Deadlock, Kernel, Livelock, VirtualLoop
 from violetroute.clients import Listener
 from violetroute.config import parse
-from violetroute.membership.native import Listing, Watch
+from violetroute.membership import Listing
+from violetroute.membership.native import Watch
 from violetroute.proxy import Proxy
 from violetroute.transport import Address
 from violetroute.transport.loop_lag import PAUSE
--- a/tests/violetroute/membership/test_consul.py
+++ b/tests/violetroute/membership/test_consul.py
@@ -245,11 +245,11 @@
 def test_changes_say_what_is_new_different_or_gone() -> None:
     one, two = (Entry(n, READY, Address("10.0.0.1", 1), "", "", 0, 1.0, 0.0) for n in ("a", "b"))
     assert changes({"a": one, "b": two}, {"a": one, "b": two}) == []
-    assert changes({"a": one}, {"a": replace(one, state=DRAINING), "b": two}) == [
-        replace(one, state=DRAINING),
+    assert changes({"a": one}, {"a": msgspec.structs.replace(one, state=DRAINING), "b": two}) == [
+        msgspec.structs.replace(one, state=DRAINING),
         two,
     ]
-    assert changes({"a": one}, {}) == [replace(one, state=GONE, address=None)]
+    assert changes({"a": one}, {}) == [msgspec.structs.replace(one, state=GONE, address=None)]
 
 
 def test_a_drain_in_an_answer_that_is_old_is_kept_and_nothing_else_of_it() -> None:
--- a/tests/violetroute/membership/test_crossings_lists.py
+++ b/tests/violetroute/membership/test_crossings_lists.py
@@ -12,7 +12,8 @@
 from limebridge.standins.configuration import SETTINGS
 from tests.support.rig import CacheNode, Rig, until
 from tests.support.scene import Scene, get, read_answer, scene
-from violetroute.membership.native import CONNECT, LINE_LIMIT, SILENCE, Broken, Lists
+from violetroute.membership.list_reader import LINE_LIMIT, Broken, Lists
+from violetroute.membership.native import CONNECT, SILENCE
 
 TOLD = 6.0  # s after discovery had it and could be reached, a change counts as told
 GRACE = 0.5  # s that a drain may take from then on
--- /dev/null
+++ b/tests/violetroute/membership/test_list_reader.py
@@ -0,0 +1,125 @@
+"""What discovery sends, read in bounded time and memory; the good entries of a bad list hold."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+import pytest
+
+from limebridge.scale.process_facts import cpu_seconds
+from limebridge.virtual.session import quiet
+from violetroute.membership import parse_listing
+from violetroute.membership.list_reader import LINE_LIMIT, Broken, ListReader, Lists
+from violetroute.transport import Address, parse_address
+
+CPU_FOR_TEN_THOUSAND = 0.3  # s; a list of 10,000 was not bounded by any time before
+
+
+def instance(number: int, **fields: object) -> dict[str, Any]:
+    return {
+        "instanceId": f"s-{number}",
+        "hostPort": f"10.0.{number // 250}.{number % 250}:6379",
+        "zone": "a",
+        "machineType": "m",
+        "cell": 3,
+        "lifecycle": "in_service",
+        "weight": 1.0,
+        "startedAtMs": 0,
+    } | fields
+
+
+def line(*instances: object, reset: bool = True, generation: object = 4) -> bytes:
+    told = {"generation": generation, "reset": reset, "instances": list(instances)}
+    return json.dumps(told).encode()
+
+
+BAD = [
+    {},
+    None,
+    5,
+    "s-1",
+    [],
+    instance(1, hostPort="somewhere"),
+    instance(1, hostPort="10.0.0.1:99999"),
+    instance(1, hostPort="010.0.0.1:80"),
+    instance(1, lifecycle="asleep"),
+    instance(1, weight=-1.0),
+    instance(1, weight=math.nan),
+    instance(1, startedAtMs=math.inf),
+    instance(1, cell="thirteen"),
+    {key: value for key, value in instance(1).items() if key != "hostPort"},
+    {key: value for key, value in instance(1).items() if key != "instanceId"},
+]
+ODD = [
+    instance(2, cell="13", weight="2.5", startedAtMs="7"),
+    instance(3, hostPort="[::1]:80", more={"a": ["}"]}),
+    instance(4, lifecycle="terminated", hostPort=None),
+    instance(5, lifecycle="terminating", zone="{"),
+    instance(6, weight=2, cell=3.0),
+]
+
+
+def test_the_quick_way_reads_what_the_plain_one_reads() -> None:
+    """Each bad and odd entry alone among good ones, and all of them together."""
+    cases = [[one] for one in BAD + ODD] + [BAD + ODD]
+    for entries in cases:
+        text = line(instance(0), *entries, instance(9), generation="41")
+        with quiet(50):
+            assert ListReader().read(text) == parse_listing(json.loads(text))
+
+
+def test_an_entry_that_says_the_same_is_the_same_object() -> None:
+    reader = ListReader()
+    first = reader.read(line(*map(instance, range(5))))
+    again = reader.read(line(instance(2), instance(3, weight=2.0), instance(4)))
+    assert again.entries[0] is first.entries[2] and again.entries[2] is first.entries[4]
+    assert again.entries[1].weight == 2.0
+    assert reader.read(line(instance(1))).entries[0] == first.entries[1]
+
+
+def test_what_is_kept_is_bounded_by_the_lists() -> None:
+    reader = ListReader()
+    for start in range(0, 200_000, 1000):
+        reader.read(line(*map(instance, range(start, start + 1000)), reset=False))
+    assert len(reader._by_text) <= 13_000 and len(reader._addresses) <= 13_000
+
+
+@pytest.mark.parametrize("text", [b"[]", b"5", b"{}", b'{"instances": 5}', b'{"instances": [}'])
+def test_what_is_no_list_is_a_value_error(text: bytes) -> None:
+    with pytest.raises(ValueError):
+        ListReader().read(text)
+
+
+def test_ten_thousand_entries_are_read_and_one_of_a_megabyte_harms_no_other() -> None:
+    text = line(*map(instance, range(10_000)))
+    assert Lists().line(text) == text and len(text) <= LINE_LIMIT
+    assert cpu_seconds(lambda: ListReader().read(text)) <= CPU_FOR_TEN_THOUSAND
+    text = line(instance(0), instance(1, note="x" * 1_000_000), instance(2))
+    assert Lists().line(text) == text
+    assert [e.instance for e in ListReader().read(text).entries] == ["s-0", "s-1", "s-2"]
+
+
+def test_a_list_beyond_the_bound_ends_the_watch() -> None:
+    with pytest.raises(Broken):
+        Lists().line(line(instance(1, note="x" * LINE_LIMIT)))
+
+
+@pytest.mark.parametrize(
+    ("text", "host"),
+    [
+        ("127.0.0.1:80", "127.0.0.1"),
+        ("[::1]:80", "::1"),
+        ("::1:80", "::1"),
+        ("[1.2.3.4]:80", "1.2.3.4"),
+    ],
+)
+def test_addresses_are_kept_in_one_form(text: str, host: str) -> None:
+    assert parse_address(text) == Address(host, 80)
+
+
+@pytest.mark.parametrize("text", ["1.2.3:80", "01.2.3.4:80", "1.2.3.4", "a:80", "1.2.3.4:x", ":80"])
+def test_what_is_no_address_is_a_value_error(text: str) -> None:
+    with pytest.raises(ValueError, match="not an address"):
+        parse_address(text)
--- a/tests/violetroute/placement/test_placement.py
+++ b/tests/violetroute/placement/test_placement.py
@@ -21,7 +21,7 @@
 from tests.support.rig import CacheNode, Rig, configuration, get, serves
 from violetroute.config import ConfigError, load
 from violetroute.config.operator import parse_operator
-from violetroute.membership.native import stable_hash
+from violetroute.membership import stable_hash
 from violetroute.placement import Keeper, Like, PlacementTable, Plan, Ramp, load_plan
 from violetroute.placement.keeper import STEP
 from violetroute.placement.ramp import moved, parts
--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -15,7 +15,7 @@
 from snowstall.adapter import parse_settings
 from violetroute.cluster import Topology, topology
 from violetroute.error_text import one_line
-from violetroute.membership.native import Listing, parse_listing
+from violetroute.membership.entries import Listing, parse_listing
 from violetroute.placement.plan import Plan, load_plan
 from violetroute.transport import Address, parse_address
 from violetroute.transport.tls import TlsKeys
@@ -191,10 +191,13 @@
     env: Mapping[str, str] = os.environ,
     operator: str | None = None,
     merged: MergeTables | None = None,
+    with_known: bool = True,
 ) -> Config:
     """The configuration that `env` names; `operator`, a path, wins over LIMEBRIDGE_OPERATOR.
 
     `merged` is given the operator's file as TOML has it, and answers with what is checked.
+    `with_known`: read the list that it hands over; a reload has no use for it, and with thousands
+    of nodes the daemon would stand meanwhile.
     ConfigError: one line with the file, and the key where it is one that is wrong.
     """
     path = env.get("PROXY_CONFIG")
@@ -203,8 +206,7 @@
     operator = operator or env.get("LIMEBRIDGE_OPERATOR") or None
     ours, plan = load_ours(operator, merged)
     try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
+        raw = _read(path) if with_known else _read_without_known(path)
         config = replace(_config(raw, env, ours, operator), plan=plan)
     except msgspec.ValidationError as error:
         text, _, place = str(error).partition(" - at `$")
@@ -250,6 +252,30 @@
     return ours, plan
 
 
+def _read(path: str) -> Any:
+    with open(path, encoding="utf-8") as file:
+        return json.load(file)
+
+
+class _KnownForm(msgspec.Struct):
+    """As much as is checked of a list that is not read."""
+
+    instances: list[msgspec.Raw]
+
+
+def _read_without_known(path: str) -> Any:
+    """The file with an empty `known`, if that has the form of a list; else the whole file."""
+    with open(path, "rb") as file:
+        data = file.read()
+    try:
+        parts = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+        if "known" in parts:
+            msgspec.json.decode(parts.pop("known"), type=_KnownForm)
+    except msgspec.MsgspecError:
+        return _read(path)
+    return {key: json.loads(bytes(value)) for key, value in parts.items()}
+
+
 def parse(raw: dict[str, Any], operator: Operator | None = None) -> Config:
     """A configuration that is at hand already.  ValueError and its kin where it is wrong."""
     config = _config(raw, {}, operator or Operator(), None)
--- a/violetroute/membership/__init__.py
+++ b/violetroute/membership/__init__.py
@@ -1,7 +1,7 @@
 """Where the list of cache nodes comes from, and what is believed of it."""
 
 from .addresses import Places
-from .native import Entry, Listing, as_member, parse_listing, stable_hash
+from .entries import Entry, Listing, as_member, parse_listing, stable_hash
 from .source import Membership, order
 from .table import ConsulTable, MembershipTable
 
--- a/violetroute/membership/consul.py
+++ b/violetroute/membership/consul.py
@@ -14,7 +14,9 @@
 from violetroute.transport.tls import TlsKeys, TlsStream
 
 from .consul_health import Reader
-from .native import READ_SIZE, Broken, Follower, Listing
+from .entries import Listing
+from .list_reader import Broken
+from .native import READ_SIZE, Follower
 from .query import Query, Refused
 from .staleness import Belief, Differences
 from .table import ConsulTable
--- a/violetroute/membership/file.py
+++ b/violetroute/membership/file.py
@@ -17,7 +17,8 @@
 from violetroute.error_text import one_line
 from violetroute.transport import Network
 
-from .native import Follower, parse_listing
+from .entries import parse_listing
+from .native import Follower
 
 LARGEST = 4 * 1024 * 1024  # bytes: some ten thousand nodes
 
--- a/violetroute/membership/merge.py
+++ b/violetroute/membership/merge.py
@@ -15,11 +15,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+import msgspec
 
 from snowstall import CacheState
 
-from .native import Entry, Listing
+from .entries import Entry, Listing
 from .table import MembershipTable
 
 PLANS_MOST = 4096  # drains and goings remembered of one source; the oldest make way
@@ -206,7 +208,7 @@
             continue
         if not plan.gone:
             if entry.state is CacheState.READY:
-                told[entry.instance] = replace(entry, state=CacheState.DRAINING)
+                told[entry.instance] = msgspec.structs.replace(entry, state=CacheState.DRAINING)
         # Who is gone may be told of after another one has started at its address.
         elif (
             entry.instance == plan.entry.instance
--- a/violetroute/membership/native.py
+++ b/violetroute/membership/native.py
@@ -1,20 +1,16 @@
-"""The list of cache nodes: its JSON form, and the watch that follows its changes."""
+"""Discovery's watch: one call, from the connect until its end is told."""
 
 from __future__ import annotations
 
-import hashlib
-import json
-import math
-import re
-from dataclasses import dataclass
-from typing import Any
 from typing import Protocol as Interface
 
 import h11
 
-from snowstall import CacheState, Member
 from violetroute import logs
-from violetroute.transport import Address, Network, parse_address
+from violetroute.transport import Address, Network
+
+from .entries import Listing
+from .list_reader import LINE_LIMIT, Broken, ListReader, Lists
 
 # What a watch misses counts as told 6 s after it fell silent, and a change 6 s after discovery had
 # it and could be reached: each wait here, the module's own before it asks again and the next answer
@@ -22,100 +18,10 @@
 CONNECT = 1.5  # s until a connection stands: one lost packet is sent again after 1 s
 CALL_TIMEOUT = 2.5  # s from a call's begin to its first line; discovery itself lets it wait 1 to 2
 SILENCE = 2.7  # s without a whole line, in however many bytes; an empty one comes every 2 s
-LINE_LIMIT = 512 * 1024  # bytes of a line: some thousand entries
 READ_SIZE = 16 * 1024  # bytes read at once, into a buffer that all watches share
 
 _shared = memoryview(bytearray(READ_SIZE))
 
-# A string, in which braces mean nothing, or one that does.
-_BRACES = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')
-STATES = {
-    "in_service": CacheState.READY,
-    "terminating": CacheState.DRAINING,
-    "terminated": CacheState.GONE,
-}
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    instance: str
-    state: CacheState
-    address: Address | None
-    zone: str
-    kind: str
-    cell: int
-    weight: float
-    started_at: float
-    inferred: bool = False  # its start is when it was first seen, not what it says
-    hint: bool = False  # gone by its health alone: another source may know better
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    generation: int
-    whole: bool
-    entries: tuple[Entry, ...]
-
-
-def parse_listing(raw: Any) -> Listing:
-    """Raises ValueError on anything that is not a list of cache nodes.
-
-    One entry that makes no sense is left out and the others hold: as an error it would end
-    each watch anew, and a fleet that nobody hears of costs more than one node.
-    """
-    entries, senseless = [], 0
-    try:
-        for item in raw["instances"]:
-            try:
-                entries.append(_entry(item))
-            except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
-                senseless += 1
-        listing = Listing(
-            int(raw.get("generation", 0)), bool(raw.get("reset", False)), tuple(entries)
-        )
-    except (KeyError, TypeError, AttributeError, OverflowError) as error:
-        raise ValueError(f"not a list of cache nodes: {error!r}") from error
-    if senseless:
-        logs.event("discovery.entries_left_out", count=senseless)
-    return listing
-
-
-def _entry(raw: dict[str, Any]) -> Entry:
-    state = STATES[raw["lifecycle"]]
-    gone = state is CacheState.GONE  # nobody will connect there
-    weight, started_at = float(raw.get("weight", 1.0)), float(raw.get("startedAtMs", 0.0))
-    if not (0.0 <= weight < math.inf and 0.0 <= started_at < math.inf):
-        raise ValueError("weight or start is no number")
-    return Entry(
-        str(raw["instanceId"]),
-        state,
-        None if gone else parse_address(raw["hostPort"]),
-        str(raw.get("zone", "")),
-        str(raw.get("machineType", "")),
-        int(raw.get("cell", 0)),
-        weight,
-        started_at,
-    )
-
-
-def stable_hash(name: bytes) -> int:
-    """53 bits, the same in every process: keys and nodes have the same number everywhere."""
-    return int.from_bytes(hashlib.blake2b(name, digest_size=8).digest(), "big") >> 11
-
-
-def as_member(entry: Entry, now: float) -> Member:
-    """What the module is told of an entry; `now` as it knows it, in ms."""
-    # A start that is yet to come would keep the node cold until then.
-    return Member(
-        stable_hash(entry.instance.encode()),
-        entry.state,
-        entry.zone,
-        entry.kind,
-        entry.cell,
-        entry.weight,
-        min(entry.started_at, now),
-    )
-
 
 class Follower(Interface):
     """What the watch knows of the proxy."""
@@ -125,44 +31,17 @@
         """The watch has ended; `silent`: it stood, and nothing came any more."""
 
 
-class Broken(Exception):
-    """The watch has ended, or can no longer be believed."""
-
-
-class Lists:
-    """The objects that lines hold: one on each, or indented over many."""
-
-    def __init__(self) -> None:
-        self._held = bytearray()  # of an object that has begun
-        self._depth = 0
-
-    def line(self, line: bytes) -> bytes | None:
-        """The object that ends with this line; empty for an empty line, None inside of one."""
-        line = line.strip()
-        if not line:
-            return None if self._held else b""
-        for token in _BRACES.findall(line):
-            self._depth += (token in b"{[") - (token in b"}]")
-        self._held += line
-        if len(self._held) > LINE_LIMIT:
-            raise Broken("list too long")
-        if self._depth > 0:
-            return None
-        text, self._depth = bytes(self._held), 0
-        self._held.clear()
-        return text
-
-
 class Watch:
     """One watch at a time; its end is told once, and asking again is not decided here."""
 
     def __init__(self, follower: Follower, address: Address, net: Network) -> None:
         self._follower, self._address, self._net = follower, address, net
         self._call: Call | None = None
+        self._reader = ListReader()
 
     def start(self, since: int) -> None:
         self.stop()
-        self._call = Call(self._follower, self._net, self._address, since)
+        self._call = Call(self._follower, self._net, self._address, since, self._reader)
 
     def stop(self) -> None:
         if self._call is not None:
@@ -173,12 +52,14 @@
 class Call:
     """One call to discovery, from the connect until its end is told or it is called off."""
 
-    def __init__(self, follower: Follower, net: Network, address: Address, since: int) -> None:
+    def __init__(
+        self, follower: Follower, net: Network, address: Address, since: int, reader: ListReader
+    ) -> None:
         self._follower, self._loop = follower, net.loop
         self._address, self._since = address, since
         self._http = h11.Connection(h11.CLIENT)
         self._line = bytearray()
-        self._lists = Lists()
+        self._lists, self._reader = Lists(), reader
         self._told = self._over = False
         self._line_until = net.loop.time() + CALL_TIMEOUT
         self._timer = net.loop.call_at(self._line_until, self._look)
@@ -271,7 +152,7 @@
         if text is None:
             return
         self._line_until = self._loop.time() + SILENCE
-        listing = parse_listing(json.loads(text)) if text else None
+        listing = self._reader.read(text) if text else None
         first, self._told = not self._told, True
         # The first answer is told even when nothing changed: the module waits for it.
         if listing is not None or first:
--- a/violetroute/membership/source.py
+++ b/violetroute/membership/source.py
@@ -7,12 +7,15 @@
 from functools import partial
 from typing import Protocol
 
+import msgspec
+
 from snowstall import CacheState
 from violetroute.transport import Address, Network
 
 from .consul import ConsulWatch
+from .entries import Entry, Listing
 from .file import FileWatch
-from .native import Entry, Follower, Listing, Watch
+from .native import Follower, Watch
 from .sources import Sources, Watching
 from .table import ConsulTable, MembershipTable
 
@@ -71,7 +74,9 @@
             listing = replace(
                 listing,
                 entries=tuple(
-                    replace(entry, instance=at.get(entry.address, entry.instance)) if new else entry
+                    msgspec.structs.replace(entry, instance=at.get(entry.address, entry.instance))
+                    if new
+                    else entry
                     for entry, new in zip(listing.entries, unknown, strict=True)
                 ),
             )
@@ -79,7 +84,9 @@
         here = {} if listing.whole else self._here
         for entry in listing.entries:
             name = self._called.get(entry.instance, entry.instance)
-            named = entry if name == entry.instance else replace(entry, instance=name)
+            named = (
+                entry if name == entry.instance else msgspec.structs.replace(entry, instance=name)
+            )
             told.append(named)
             if entry.state is CacheState.GONE:
                 here.pop(name, None)  # it keeps its name for when it comes back
@@ -89,6 +96,10 @@
         return Listing(listing.generation, listing.whole, tuple(told))
 
 
+def _renamed(entry: Entry, name: str) -> Entry:
+    return entry if name == entry.instance else msgspec.structs.replace(entry, instance=name)
+
+
 class Membership:
     """The source in use, or all of them as one.  `start` and `stop` as the module says."""
 
--- a/violetroute/membership/sources.py
+++ b/violetroute/membership/sources.py
@@ -8,8 +8,9 @@
 
 from violetroute import logs
 
+from .entries import Entry, Listing
 from .merge import Merge
-from .native import Entry, Follower, Listing
+from .native import Follower
 from .staleness import changes
 from .table import MembershipTable
 
--- a/violetroute/membership/staleness.py
+++ b/violetroute/membership/staleness.py
@@ -15,12 +15,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+
+import msgspec
 
 from snowstall import CacheState
 
 from .consul_health import Health, Instance
-from .native import Entry
+from .entries import Entry
 from .table import ConsulTable
 
 FLAPS_HALVE = 60.0  # s
@@ -207,13 +209,13 @@
             ]
         for entry in found:
             if entry.state is CacheState.GONE and belief.knows(entry.instance):
-                entry = self._hints[entry.instance] = replace(entry, hint=True)
+                entry = self._hints[entry.instance] = msgspec.structs.replace(entry, hint=True)
             told.append(entry)
         for name in list(self._hints):
             if name in entries:
                 del self._hints[name]
             elif not belief.knows(name):  # deregistered while it was left out already
-                told.append(replace(self._hints.pop(name), hint=False))
+                told.append(msgspec.structs.replace(self._hints.pop(name), hint=False))
         self._told = entries
         return whole, told
 
