--- a/snowstall/choice.py
+++ b/snowstall/choice.py
@@ -10,6 +10,8 @@
 from .messages import Effect
 
 SCAN_LIMIT = 12  # candidates compared per request; beyond it a random sample
+DRAWN = 4 * SCAN_LIMIT  # drawn of more candidates than that, so that enough may be asked
+FALLBACK_SCAN = 256  # caches looked at where no candidate takes a key; beyond it a random sample
 SPARE_CANDIDATES = 3  # candidates kept behind the chosen ones, for cold or ejected ones
 STICKINESS = 1.2  # loads by which a tail key's second cache must be better: a copy costs a fetch
 ZONE_PRICE = 0.02  # crossings at this price or more outweigh a further copy of a head key
@@ -64,11 +66,18 @@
             order = self._ready
         else:
             order = self._placement(key, count + SPARE_CANDIDATES)
+        if count > DRAWN and len(found := self._drawn(order[:count], key, now)) >= 2:
+            return found
         found = list(islice((c for c in order if self._admits(c, key, now)), count))
         if len(found) > SCAN_LIMIT:
             found = self._random.sample(found, SCAN_LIMIT)
         return found
 
+    def _drawn(self, candidates: list[Cache], key: int, now: float) -> list[Cache]:
+        """Some candidates that may be asked, without a look at each of many."""
+        drawn = self._random.sample(candidates, min(DRAWN, len(candidates)))
+        return list(islice((c for c in drawn if self._admits(c, key, now)), SCAN_LIMIT))
+
     def _choose(self, pending: Pending, now: float) -> Cache | None:
         """The candidate with the least local load, scaled by how slow it has been."""
         if pending.request.write and self._origins:
@@ -128,11 +137,14 @@
 
     def _fallback(self, pending: Pending, now: float) -> list[Cache]:
         """No candidate takes the key: any warm cache, else any at all."""
-        warm = [c for c in self._ready if self._sound(c, now) and self._warmth(c, now) >= 1.0]
+        caches = self._ready
+        if len(caches) > FALLBACK_SCAN:
+            caches = self._random.sample(caches, FALLBACK_SCAN)
+        warm = [c for c in caches if self._sound(c, now) and self._warmth(c, now) >= 1.0]
         if not warm:
-            warm = [c for c in self._ready if self._admits(c, pending.key, now)]
+            warm = [c for c in caches if self._admits(c, pending.key, now)]
         if not warm:  # all are away or cold: those that failed lately can still carry more
-            warm = [c for c in self._ready if self._warmth(c, now) >= 1.0]
+            warm = [c for c in caches if self._warmth(c, now) >= 1.0]
         return [self._least(warm, now)] if warm else []
 
     def _owner(self, pending: Pending, cache_id: int | None) -> Cache | None:
--- a/snowstall/hashing.py
+++ b/snowstall/hashing.py
@@ -4,6 +4,7 @@
 
 import sys
 from array import array
+from functools import cache
 
 _MASK = (1 << 64) - 1
 _GOLDEN = 0x9E3779B97F4A7C15
@@ -34,16 +35,22 @@
     Of each hash the highest `kept_bits` are kept, and `low` fills the others.
     Takes about a fifth of the time of `count` calls.
     """
-    high_bits = (_MASK << (64 - kept_bits)) & _MASK
+    kept = _kept(kept_bits)
     mixed: array[int] = array("Q")
     for first_salt in range(0, count, LANES):
         start = (value + first_salt * _GOLDEN) & _MASK
         lanes = _mix_lanes((start * _ONES + _STEPS) & _LOW_HALVES)
-        mixed += _low_halves((lanes & (high_bits * _ONES)) | (low * _ONES))
+        mixed += _low_halves((lanes & kept) | (low * _ONES))
     del mixed[count:]
     return mixed
 
 
+@cache
+def _kept(bits: int) -> int:
+    """A mask of so many of the highest bits of each lane's 64."""
+    return ((_MASK << (64 - bits)) & _MASK) * _ONES
+
+
 def _mix_lanes(lanes: int) -> int:
     """The steps of `mix` after its sum, on all lanes."""
     lanes = ((lanes ^ (lanes >> 30 & _LOW_HALVES)) * _FACTORS[0]) & _LOW_HALVES
--- a/snowstall/learning.py
+++ b/snowstall/learning.py
@@ -181,9 +181,9 @@
             cache.errors += ERROR_GAIN * (1.0 - cache.errors)
             fails = cache.errors >= OWN_ERRORS and cache.listed and cache not in self._origins
             if fails and self._warmth(cache, self._now) >= 1.0:
-                # The middle one: of several at fault none may excuse the others.
-                middle = sorted(c.errors for c in self._ready)[len(self._ready) // 2]
-                attempt.own_error = middle < OTHERS_ERRORS
+                # Most others: of several at fault none may excuse the others.
+                well = sum(c.errors < OTHERS_ERRORS for c in self._ready)
+                attempt.own_error = well > len(self._ready) // 2
         if attempt.own_error:
             self._eject(cache, self._now)
         else:
@@ -191,7 +191,8 @@
 
     def _may_suspect(self, now: float) -> bool:
         """Whether one more may be held for cold, unlisted: a cut network looks like restarts."""
-        cold = sum(self._warmth(c, now) < 1.0 for c in self._ready)
+        settled = now - self.settings.warm_time  # who started before is warm
+        cold = sum(c.cold_since > settled and self._warmth(c, now) < 1.0 for c in self._ready)
         return cold + 1 <= max(1.0, SUSPECT_SHARE * len(self._ready))
 
     def _eject(self, cache: Cache, now: float) -> None:
