The log says why requests are not served, of long turns and of large list changes

Change: `requests.refused` counts refusals and failures by reason once a second (admission, no_node, attempts, own_load, budget); the module names the reason with its action. `daemon.long_turn` tells a turn of 50 ms or more, what it was busy with and how many requests waited. `membership.changed` tells a list that takes 100 nodes or more in or out of service. A served request counts nothing.

--- a/limebridge/virtual/process.py
+++ b/limebridge/virtual/process.py
@@ -98,7 +98,8 @@
         self.proxy_config = config
         self.proxy = Proxy(config, net)
         if self.meter is not None:
-            self.proxy._balancer = Metered(self.proxy._balancer, self.meter)  # type: ignore[assignment]
+            metered: Any = Metered(self.proxy._balancer, self.meter)
+            self.proxy._balancer = self.proxy._arrivals.balancer = metered
         self.listener = Listener(
             self.proxy, config.client_sockets, config.value_room, net, config.limits
         )
--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -22,6 +22,7 @@
     ListKind,
     Member,
     Outcome,
+    Reason,
     Request,
     Result,
     Settings,
@@ -176,7 +177,7 @@
         if gate.admits(worth, now):
             self._start(pending, actions)
         else:  # incident i2c4cb1: with nothing shed, full queues answer everybody too late
-            self._end(pending, actions)
+            self._end(pending, actions, Reason.ADMISSION)
         return actions
 
     def on_outcome(self, now: float, outcome: Outcome) -> list[Action]:
@@ -244,11 +245,13 @@
                 self._asking = True
                 actions.append(messages.Subscribe())
             return actions
+        if label == messages.RESIZING:
+            return self._resize_some()
         pending = self._pending.get(label)
         if pending is None or pending.done:
             return actions
         if label in self._held:
-            self._end(pending, actions)
+            self._end(pending, actions, Reason.NO_NODE)
         elif pending.outstanding() == 1 and not pending.streaming and self._may_hedge():
             cache = self._another(pending, now)
             if cache is not None and len(pending.attempts) < self.settings.max_attempts:
@@ -272,9 +275,9 @@
             self._held.pop(pending.request.id, None)
             self._send(pending, cache, actions, asking=False)
             self._plan_hedge(pending, actions)
-        elif self._ready:  # none of them may take it now: waiting would mend nothing
+        elif self._ready and not self._filling:  # none may take it now: waiting mends nothing
             self._judge(pending, 1.0)
-            self._end(pending, actions)
+            self._end(pending, actions, Reason.NO_NODE)
         elif pending.request.id not in self._held:
             self._held[pending.request.id] = pending
             wait = HELD_SHARE * max(0.0, pending.request.give_up_at - self._now)
@@ -352,16 +355,22 @@
                 return cache
         return None
 
-    def _end(self, pending: Pending, actions: list[Action], failed: bool = False) -> None:
+    def _end(
+        self,
+        pending: Pending,
+        actions: list[Action],
+        reason: Reason = Reason.ATTEMPTS,
+        failed: bool = False,
+    ) -> None:
         """The final answer when it was not served: a refusal where that is true."""
         if not failed and pending.may_refuse():
             wait = self._backoff(pending.gate)
             gives = pending.request.give_up_at - pending.arrived_at
             back_within = wait * RETURN_SPREAD + RETURN_SLACK
             pending.gate.sent_away(pending.key, gives, self._now, back_within)
-            actions.append(messages.Refuse(pending.request.id, wait))
+            actions.append(messages.Refuse(pending.request.id, wait, reason))
         else:
-            actions.append(messages.Fail(pending.request.id))
+            actions.append(messages.Fail(pending.request.id, reason))
         self._finish(pending, actions)
 
     def _backoff(self, gate: Gate) -> float:
--- a/snowstall/messages.py
+++ b/snowstall/messages.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
 HOUSEKEEPING = 1 << 52  # a timer's labels from here on are not request ids
+RESIZING = HOUSEKEEPING + 1  # of the timer after which more caches get their sizes
 
 
 def require(condition: bool, message: str) -> None:
@@ -170,15 +171,25 @@
     asking: bool = False  # as one that follows ASKED
 
 
+class Reason(Enum):
+    """Why a request was refused or failed, for whoever counts."""
+
+    ADMISSION = "admission"  # more is asked than comes back in time
+    NO_NODE = "no_node"  # no cache was known or might be asked
+    ATTEMPTS = "attempts"  # what was tried failed, and nothing more may be tried
+
+
 @dataclass(slots=True)
 class Refuse:
     request_id: int
     backoff: float = 0.0
+    reason: Reason = field(default=Reason.ATTEMPTS, compare=False)
 
 
 @dataclass(slots=True)
 class Fail:
     request_id: int
+    reason: Reason = field(default=Reason.ATTEMPTS, compare=False)
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/violetroute/test_refusals.py
@@ -0,0 +1,88 @@
+"""The log says why requests were not served, and what a long turn was busy with."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from tests.support.rig import CacheNode, Rig, get, put, serves, until
+from violetroute import logs
+from violetroute.refusals import Refusals
+from violetroute.transport.loop_lag import LONG_TURN, Turns, TurnSelector
+from violetroute.turn_log import TurnLog
+
+Said = list[tuple[str, dict[str, Any]]]
+
+
+@pytest.fixture
+def said(monkeypatch: pytest.MonkeyPatch) -> Said:
+    found: Said = []
+    monkeypatch.setattr(logs, "event", lambda name, **fields: found.append((name, fields)))
+    return found
+
+
+def test_refusals_are_told_by_reason_once_a_second_and_at_the_end(said: Said) -> None:
+    async def play() -> None:
+        refusals = Refusals(asyncio.get_running_loop())
+        for reason in ("admission", "no_node", "admission"):
+            refusals.count(reason)
+        refusals.close()
+        refusals.close()
+        assert said == [("requests.refused", {"count": 3, "reasons": "admission:2 no_node:1"})]
+        refusals.count("budget")
+        await until(lambda: len(said) == 2)
+        assert said[1] == ("requests.refused", {"count": 1, "reasons": "budget:1"})
+
+    asyncio.run(play())
+
+
+def test_a_request_that_no_node_may_take_is_told_with_its_reason(said: Said) -> None:
+    async def play() -> None:
+        async with Rig() as rig:
+            answer = (await rig.ask(get(1, wait=200)))[0]
+            assert answer.startswith(b"-")
+        assert ("requests.refused", {"count": 1, "reasons": "no_node:1"}) in said
+
+    asyncio.run(play())
+
+
+def test_a_request_whose_attempts_failed_is_told_with_its_reason(said: Said) -> None:
+    async def fails(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+        writer.write(b"-ERR failed\r\n")
+
+    async def play() -> None:
+        async with Rig(await CacheNode(fails).start()) as rig:
+            await rig.ask(put(1, cls=b"once"))
+        assert ("requests.refused", {"count": 1, "reasons": "attempts:1"}) in said
+
+    asyncio.run(play())
+
+
+def test_what_is_served_is_not_told(said: Said) -> None:
+    async def play() -> None:
+        async with Rig(await CacheNode(serves).start()) as rig:
+            await rig.ask(get(1))
+        assert not [name for name, _ in said if name == "requests.refused"]
+
+    asyncio.run(play())
+
+
+def test_a_long_turn_is_told_with_what_it_did(said: Said) -> None:
+    now = [100.0]
+    selector = TurnSelector(clock=lambda: now[0], cpu=lambda: now[0])
+    turn_log = TurnLog(Turns(selector), [1, 2])
+    selector.select(0)
+    turn_log.doing("list of 640")
+    now[0] += 1.2 * LONG_TURN
+    selector.select(0)
+    now[0] += LONG_TURN / 2
+    selector.select(0)
+    now[0] += 2 * LONG_TURN
+    selector.select(0)
+    assert said == [
+        ("daemon.long_turn", {"ms": 60, "doing": "list of 640", "open": 2}),
+        ("daemon.long_turn", {"ms": 100, "doing": "requests", "open": 2}),
+    ]
+    selector.close()
--- a/violetroute/arrivals.py
+++ b/violetroute/arrivals.py
@@ -8,6 +8,7 @@
 from snowstall import Balancer, RequestClass
 
 from .parts import Parts
+from .refusals import Refusals
 from .requests import refusal
 from .resp import Command
 from .transport.loop_lag import Turns
@@ -24,14 +25,15 @@
         loop: asyncio.AbstractEventLoop,
         turns: Turns,
         clock: Callable[[], float],
+        balancer: Balancer,
         parts: Parts,
+        refusals: Refusals,
     ) -> None:
         self._loop, self._turns, self._clock, self._parts = loop, turns, clock, parts
+        self.balancer, self._refusals = balancer, refusals
         self.classes: Mapping[str, RequestClass] = {}  # may be replaced at any time
 
-    def turned_away(
-        self, balancer: Balancer, command: Command, taken: int, waited: float
-    ) -> bytes | None:
+    def turned_away(self, command: Command, taken: int, waited: float) -> bytes | None:
         """The refusal of a command, or None: then its wait counts from when it was sent.
 
         `taken`: commands taken from the same connection in this turn.  `waited`: seconds for which
@@ -43,7 +45,7 @@
         cls = self.classes.get(command.class_name)
         if cls is not None and command.wait > cls.deadline:
             command.wait = cls.deadline  # who says that it waits longer is not believed
-        backoff = balancer.on_arrival(
+        backoff = self.balancer.on_arrival(
             self._clock(),
             command.class_name,
             stood,
@@ -51,9 +53,12 @@
             self._turns.spent(now) * 1000.0,
             taken,
         )
+        reason = "own_load"
         if backoff is None and self._parts.admits is not None:
             backoff = self._parts.admits(command.tenant, command.class_name)
+            reason = "budget"
         if backoff is None:
             command.wait -= unread
             return None
+        self._refusals.count(reason)
         return refusal(backoff)
--- a/violetroute/listing.py
+++ b/violetroute/listing.py
@@ -16,12 +16,15 @@
 
 from snowstall import CacheState, Member
 
+from . import logs
 from .membership import Entry, Listing, Places, as_member, stable_hash
 from .placement import Keeper, Like
 from .upstream import Pool
 
 SLICE = 16  # nodes that one turn brings into service: about 2 ms of CPU
 
+LOGGED_FROM = 100  # nodes that one list takes in or out of service
+
 
 @dataclass(slots=True)
 class Step:
@@ -93,14 +96,18 @@
         At once: nodes that leave, and news of nodes that serve (another start makes a node cold).
         """
         now, later = [], []
+        applied, ids, has_place = self._applied, self._ids, self._places.has
         for name, entry in latest.items():
-            applied = self._applied.get(name)
+            before = applied.get(name)
+            # Of thousands few have changed, and one that has not is the same object.
+            if before is entry and entry.state is CacheState.READY and has_place(ids[name]):
+                continue
             if entry.state is not CacheState.READY:
                 self._waiting.pop(name, None)
                 now.append(entry)
-            elif applied is None or applied.state is not CacheState.READY:
+            elif before is None or before.state is not CacheState.READY:
                 later.append(entry)
-            elif not (applied is entry or applied == entry) or not self._has_place(name):
+            elif before != entry or not has_place(ids[name]):  # displaced at its address
                 now.append(entry)
         return now, later
 
@@ -108,10 +115,6 @@
         known = self._ids.get(name)
         return stable_hash(name.encode()) if known is None else known
 
-    def _has_place(self, name: str) -> bool:
-        """Whether the node was not displaced by another one at its address."""
-        return self._places.has(self._ids[name])
-
     def _remove_unnamed(self, latest: dict[str, Entry], step: Step) -> None:
         """Take nodes out of service that a whole list does not name."""
         kept = [cache_id for name, cache_id in self._ids.items() if name in latest]
@@ -153,6 +156,12 @@
         return members
 
 
+def log_step(step: Step, joining: int, serving: int) -> None:
+    """Log a list that takes many nodes in or out of service at once."""
+    if len(step.serving) + len(step.left) >= LOGGED_FROM:
+        logs.event("membership.changed", left=len(step.left), joining=joining, serving=serving)
+
+
 def tell_placement(step: Step, whole: bool, keeper: Keeper) -> None:
     """Tell the placement plan which nodes serve, and which do not any more.
 
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -91,6 +91,9 @@
     "daemon.drains": Event(logging.INFO, "drains", ("proxy",)),
     "daemon.fault": Event(logging.ERROR, "a fault of ours in a callback", ("what",)),
     "daemon.listens": Event(logging.INFO, "listens on", ("address", "proxy")),
+    "daemon.long_turn": Event(
+        logging.WARNING, "the event loop was busy with one turn", ("ms", "doing", "open")
+    ),
     "daemon.paused": Event(logging.INFO, "the process stood still", ("ms",)),
     "clients.accept_failed": Event(logging.WARNING, "cannot accept", ("reason",)),
     "clients.left_open": Event(logging.WARNING, "connections were open at the end", ("count",)),
@@ -172,6 +175,9 @@
     "sharing.twin": Event(
         logging.ERROR, "another process has this name, nothing of a budget is ours", ("proxy",)
     ),
+    "membership.changed": Event(
+        logging.INFO, "a list changes many nodes at once", ("left", "joining", "serving")
+    ),
     "membership.file_unusable": Event(
         logging.WARNING, "the file of nodes can't be read", ("reason",)
     ),
@@ -222,6 +228,9 @@
     "placement.taken": Event(logging.INFO, "a plan was read", ("nodes", "age_h")),
     "placement.unkept": Event(logging.WARNING, "which plan was taken can't be kept", ("reason",)),
     "requests.fault": Event(logging.ERROR, "a fault of ours cost a request", ("what",)),
+    "requests.refused": Event(
+        logging.WARNING, "requests of the last second were not served", ("count", "reasons")
+    ),
     "tls.unusable": Event(
         logging.ERROR, "new TLS files can't be used, the old ones hold", ("reason",)
     ),
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -35,14 +35,16 @@
 from .cluster import Redirect, SlotMap
 from .config import Config
 from .deadlines import Deadlines
-from .listing import ListApplier, tell_placement
+from .listing import ListApplier, log_step, tell_placement
 from .membership import Listing, Membership, Places, stable_hash
 from .parts import Parts
 from .placement import Keeper
 from .pulse import Pulse
+from .refusals import Refusals
 from .requests import FAILED, OpenRequest, fault, refusal, time_for
 from .resp import Command, CommandError
 from .transport import Network
+from .turn_log import TurnLog
 from .unix_clock import UnixClock
 from .upstream import Attempt, Pool
 
@@ -63,13 +65,18 @@
         self._pulse = Pulse(loop, self._open, self._look)
         self._housekeeping: asyncio.TimerHandle | None = None  # the module's own, one at a time
         self._turns.tell_pauses(self._paused)
+        self._turn_log = TurnLog(self._turns, self._open)
+        self._refusals = Refusals(loop)
         self._balancer = Balancer(config.settings, config.seed, self.clock())
         self.judged = self._balancer.judged  # what came of requests, for who tells others
         self._settings = config.settings
         self._beliefs = Beliefs(loop.time, self.places.name)
         self._classes = {c.name: c for c in config.settings.classes}
-        self._arrivals = Arrivals(loop, self._turns, self.clock, self.parts)
+        self._arrivals = Arrivals(
+            loop, self._turns, self.clock, self._balancer, self.parts, self._refusals
+        )
         self._arrivals.classes = self._classes
+        self.turned_away = self._arrivals.turned_away  # called once for each command
         self._pool = Pool.of(self, net, config)
         self._slots = SlotMap()
         self._lists = ListApplier(loop, self.places, self._pool, self.clock, self._tell_members)
@@ -107,10 +114,6 @@
         return self._generation
 
     # --- from clients ---
-    def turned_away(self, command: Command, taken: int, waited: float) -> bytes | None:
-        """The refusal of a command that cannot be served in time; see `Arrivals`."""
-        return self._arrivals.turned_away(self._balancer, command, taken, waited)
-
     def _look(self) -> None:
         module = self._balancer
         self._beliefs.look(module.unproven, module.gate.limit, module.fetches.limit)
@@ -221,6 +224,7 @@
 
     def reload(self, config: Config) -> None:
         """Take on what a new configuration may change while requests are open."""
+        self._turn_log.doing("reload")
         self._pool.reload(config)
         if not self._pool.follows:
             self._slots = SlotMap()
@@ -237,9 +241,11 @@
     def _tell_list(self, listing: Listing, kind: ListKind = ListKind.CHANGES) -> None:
         self._generation = listing.generation
         first = kind is ListKind.CACHED
+        self._turn_log.doing(f"list of {len(listing.entries)}")
         step = self._lists.apply(listing, listing.whole or first, at_once=first)
         self._tell_members(step.members, kind)
         tell_placement(step, first, self._placement)
+        log_step(step, self._lists.waiting, len(self._pool.ids()))
 
     def _tell_members(self, members: list[Member], kind: ListKind = ListKind.CHANGES) -> None:
         self._tell(None, self._balancer.on_list, kind, members, self._lists.waiting > 0)
@@ -256,6 +262,7 @@
     def close(self) -> None:
         self._watch.stop()
         self._lists.close()
+        self._refusals.close()
         self._placement.close()
         self.deadlines.close()
         self._pulse.close()
@@ -287,8 +294,10 @@
             if action.label == HOUSEKEEPING:  # the others end with their requests
                 self._housekeeping = timer
         elif type(action) is Refuse:
+            self._refusals.count(action.reason.value)
             self._answer(self._open[action.request_id], refusal(action.backoff))
         elif type(action) is Fail:
+            self._refusals.count(action.reason.value)
             self._answer(self._open[action.request_id], FAILED)
         elif type(action) is Cancel:
             request = self._open.get(action.request_id)
@@ -334,7 +343,7 @@
 
     def _timer(self, label: int) -> None:
         request = self._open.get(label)
-        if request is not None or label == HOUSEKEEPING:
+        if request is not None or label >= HOUSEKEEPING:
             self._tell(request, self._balancer.on_timer, label)
             if request is not None:
                 self._forget(request)
--- a/violetroute/transport/loop_lag.py
+++ b/violetroute/transport/loop_lag.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 STRIDE = 7_919  # a prime: each place comes first in its turn, neighbours far apart
+LONG_TURN = 0.05  # s of a turn from which it is told
 PAUSE = 0.1  # s without the CPU, or beyond the time asked for, that are told as a pause
 LATE = 0.03  # s that a turn's events may have stood, by the middle of twice that
 CPU_READ = 0.05  # s between readings of the CPU time
@@ -36,6 +37,7 @@
         self._clock, self._cpu = clock, cpu
         self._cpu_at = clock(), cpu()  # the last reading, which costs a system call
         self.paused: Callable[[float], None] | None = None  # told before the turn's events
+        self.was_long: Callable[[float], None] | None = None  # likewise, of the turn before
         self._rotation = 0
         self.first: set[int] = set()  # descriptors to be handed out before the others
         self.turn_at = self.readable_at = clock()  # s: this turn's start, and when its
@@ -50,6 +52,8 @@
         now = self._clock()
         before, self.turn_at = self.turn_at, now
         self.lost = 0.0
+        if asked_at - before >= LONG_TURN and self.was_long is not None:
+            self.was_long(asked_at - before)
         if now - self._cpu_at[0] > CPU_READ or now - before >= PAUSE:
             self._look_for_a_pause(before, asked_at, timeout, now)
         self.readable_at = now if now - asked_at > SLEPT else (before + now) / 2.0
@@ -123,6 +127,11 @@
         if self._selector is not None:
             self._selector.paused = told
 
+    def tell_long_turns(self, told: Callable[[float], None]) -> None:
+        """Call `told` with the seconds of each turn of LONG_TURN or more, in the turn after it."""
+        if self._selector is not None:
+            self._selector.was_long = told
+
     def prefer(self, descriptor: int, on: bool) -> None:
         """Whether this descriptor's events come first."""
         if self._selector is not None:
--- /dev/null
+++ b/violetroute/turn_log.py
@@ -0,0 +1,25 @@
+"""Tells the log of long turns of the event loop, and what they were busy with."""
+
+from __future__ import annotations
+
+from collections.abc import Sized
+
+from . import logs
+from .transport.loop_lag import Turns
+
+
+class TurnLog:
+    """`open_requests`: those that wait for the turn."""
+
+    def __init__(self, turns: Turns, open_requests: Sized) -> None:
+        self._turns, self._open = turns, open_requests
+        self._turn, self._work = 0, ""
+        turns.tell_long_turns(self._was_long)
+
+    def doing(self, work: str) -> None:
+        """What this turn does beside requests."""
+        self._turn, self._work = self._turns.count, work
+
+    def _was_long(self, seconds: float) -> None:
+        work = self._work if self._turn == self._turns.count else "requests"
+        logs.event("daemon.long_turn", ms=round(seconds * 1e3), doing=work, open=len(self._open))
