A soak of real daemons from seeds: lists and signals in series, clients until the kill

It judges from outside: answers in time, none for nobody, nothing a second time, nothing to a node 0.5 s after it left, an end by itself in time.

--- a/limebridge/faults/command.py
+++ b/limebridge/faults/command.py
@@ -34,12 +34,14 @@
 )
 from .runner import play
 from .sharing.command import app as sharing
+from .soak_command import soak
 from .state_space import check
 from .summary import FleetTotals, RunSummary, summary_of_run
 
 app = typer.Typer(no_args_is_help=True, help="Several processes, and what breaks between them.")
 app.add_typer(sharing, name="sharing")
 app.add_typer(distribution, name="distribution")
+app.command()(interruptible(soak))
 
 
 @app.command()
--- a/limebridge/scale/measure_list.py
+++ b/limebridge/scale/measure_list.py
@@ -1,21 +1,28 @@
-"""Costs of the list of cache nodes in a proxy: bytes, parsing, applying, one change, memory."""
+"""Costs of the list of cache nodes in a proxy: bytes, parsing, applying, changes, memory.
+
+A change is measured of one node and of a fifth of all nodes at once: a batch that is applied as
+single steps shows in the second and not in the first.
+"""
 
 from __future__ import annotations
 
-import json
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
 from functools import partial
 
 from limebridge.virtual.session import quiet
-from violetroute.membership import Listing, parse_listing
-from violetroute.membership.list_reader import Lists
+from violetroute.membership import Listing
+from violetroute.membership.list_reader import ListReader, Lists
 
 from .cost_definition import define_cost
 from .process_facts import cpu_seconds, least_cpu_seconds, resident_bytes
 from .registry import Subject, Values
-from .sample_list import DRAINING, READY, ProxyOnVirtualNetwork, changed_node, whole_list
+from .sample_list import DRAINING, READY, ProxyOnVirtualNetwork, changed_nodes, whole_list
 
 PARSE_ROUNDS = 15
 CHANGE_ROUNDS, CHANGES_PER_ROUND = 5, 8
+BATCH_SHARE = 5  # one of so many nodes changes in a batch
 NODES_IN_ALL = 9600  # of all copies of the proxy together, so that small lists show in memory
 LEAST_COPIES, MOST_COPIES = 3, 40
 LOG_LEVEL = 50  # nothing of the daemon's log
@@ -33,12 +40,16 @@
         apply_seconds = [_apply(proxy, _parse(line)) for proxy in proxies]
         memory = (resident_bytes() - before) / copies
         drain_seconds, join_seconds = _changes(proxies[0], size)
+        batch = _batches(proxies[0], size)
     return {
         "list.bytes": len(line),
         "list.parse_ms": least_cpu_seconds(lambda: _parse(line), PARSE_ROUNDS) * 1e3,
         "list.apply_ms": min(apply_seconds) * 1e3,
         "list.change_ms": drain_seconds * 1e3,
         "list.join_ms": join_seconds * 1e3,
+        "list.batch_drain_ms": batch.drain * 1e3,
+        "list.batch_join_ms": batch.join * 1e3,
+        "list.batch_turn_ms": batch.longest_turn * 1e3,
         "list.memory_mb": memory / 1e6,
     }
 
@@ -47,12 +58,44 @@
     """What a watch does with a line of discovery's answer."""
     text = Lists().line(line)
     assert text is not None
-    return parse_listing(json.loads(text))
+    return ListReader().read(text)
 
 
 def _apply(target: ProxyOnVirtualNetwork, listing: Listing) -> float:
-    """CPU seconds until the proxy has taken the list."""
-    return cpu_seconds(lambda: target.proxy.list_changed(listing))
+    """CPU seconds until the proxy has taken the list, in all turns."""
+    return sum(_turns(target, listing))
+
+
+def _turns(target: ProxyOnVirtualNetwork, listing: Listing) -> Iterator[float]:
+    """CPU seconds of each turn of the event loop that takes the list."""
+    proxy = target.proxy
+    yield cpu_seconds(lambda: proxy.list_changed(listing))
+    while proxy._lists.waiting:
+        yield cpu_seconds(proxy._lists._next_slice)
+
+
+@dataclass(slots=True)
+class _Batch:
+    """CPU seconds, the least of some rounds."""
+
+    drain: float = math.inf
+    join: float = math.inf
+    longest_turn: float = math.inf
+
+
+def _batches(target: ProxyOnVirtualNetwork, size: int) -> _Batch:
+    """A fifth of the nodes drains in one change and comes back in another."""
+    least = _Batch()
+    fifth = range(0, size, BATCH_SHARE)
+    for _ in range(CHANGE_ROUNDS):
+        target.advance(1.0)
+        drain = list(_turns(target, changed_nodes(fifth, DRAINING)))
+        target.advance(1.0)
+        join = list(_turns(target, changed_nodes(fifth, READY)))
+        least.drain = min(least.drain, sum(drain))
+        least.join = min(least.join, sum(join))
+        least.longest_turn = min(least.longest_turn, max(drain + join))
+    return least
 
 
 def _changes(target: ProxyOnVirtualNetwork, size: int) -> tuple[float, float]:
@@ -71,7 +114,7 @@
     seconds = 0.0
     for node in nodes:
         target.advance(1.0)
-        seconds += _apply(target, changed_node(node, lifecycle))
+        seconds += _apply(target, changed_nodes([node], lifecycle))
     return seconds / len(nodes)
 
 
@@ -83,12 +126,17 @@
     costs=(
         _cost("bytes", "bytes", "The whole list as discovery sends it in one line."),
         _cost("parse_ms", "ms", "CPU time from the line's bytes to typed entries."),
-        _cost("apply_ms", "ms", "CPU time of a proxy that takes its first whole list."),
+        _cost("apply_ms", "ms", "CPU time of a first whole list, in all turns."),
         _cost("change_ms", "ms", "CPU time of a proxy that is told of one node that drains."),
         _cost("join_ms", "ms", "CPU time of a proxy that is told of one node that comes back."),
+        _cost(
+            "batch_drain_ms", "ms", "CPU time of a fifth of the nodes that drains, in all turns."
+        ),
+        _cost("batch_join_ms", "ms", "CPU time of a fifth that comes back, in all turns."),
+        _cost("batch_turn_ms", "ms", "CPU time of the longest turn of these two."),
         _cost("memory_mb", "MB", "Resident memory that the list takes in a proxy."),
     ),
-    sizes=(46, 200, 600, 1200, 2400),
+    sizes=(46, 200, 600, 1200, 3200),
     quick_sizes=(20, 46, 80, 140, 200),
     measure=measure,
     runs=3,
--- a/limebridge/scale/sample_list.py
+++ b/limebridge/scale/sample_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
 from typing import Any
 
 from limebridge.standins.configuration import configuration
@@ -39,9 +40,9 @@
     return json.dumps({"generation": 1, "reset": True, "instances": instances}).encode()
 
 
-def changed_node(number: int, lifecycle: str) -> Listing:
-    """A list of changes that names one node."""
-    instances = [instance(number, lifecycle)]
+def changed_nodes(numbers: Iterable[int], lifecycle: str) -> Listing:
+    """A list of changes that names these nodes."""
+    instances = [instance(number, lifecycle) for number in numbers]
     return parse_listing({"generation": 2, "reset": False, "instances": instances})
 
 
--- a/tests/limebridge/scale/test_scale_slopes.py
+++ b/tests/limebridge/scale/test_scale_slopes.py
@@ -146,7 +146,16 @@
 
 
 EXPECTED_COSTS = {
-    "list": {"bytes", "parse_ms", "apply_ms", "change_ms", "memory_mb"},
+    "list": {
+        "bytes",
+        "parse_ms",
+        "apply_ms",
+        "change_ms",
+        "batch_drain_ms",
+        "batch_join_ms",
+        "batch_turn_ms",
+        "memory_mb",
+    },
     "module": {"request_us", "change_us"},
     "gossip": {"bytes_per_s", "datagrams_per_s", "cpu_share", "memory_bytes", "death_known_s"},
     "judgements": {f"bytes_per_s_{bad}" for bad in (0, 1, 43, 120)},
--- /dev/null
+++ b/tests/planted/soak_drain_cuts.py
@@ -0,0 +1,11 @@
+"""A drain that closes connections at once, whatever was read on them."""
+
+from violetroute.clients.listener import Listener
+
+
+def plant():
+    async def cut(self, within):
+        for connection in [*self._serving, *self._idle, *self._partial, *self._silent]:
+            connection.abort()
+
+    Listener.drain = cut
