--- a/limebridge/faults/soak.py
+++ b/limebridge/faults/soak.py
@@ -31,7 +31,8 @@
 LONGEST_DEADLINE = 3.0  # s that count of a deadline for the kill
 GRACE = 0.5  # s in which a node that drains may still be sent something
 SLACK = 0.15  # s that a busy machine may add to a time that is judged
-SETTLES = 0.05  # s for stand-ins to end
+NODE_DELAYS = (0.0, 0.01, 0.05, 0.3)  # s until a node answers
+SETTLES = 0.35  # s for stand-ins to end: beyond those delays
 CHANGED_SHARE = 5  # one of so many nodes changes at once
 
 ListKind = Literal["drain", "gone", "whole", "back", "restart", "one_by_one", "watch_ends"]
@@ -207,7 +208,7 @@
         since = self._out_since.get(host)
         if since is not None and now > since + GRACE + SLACK:
             self._broken("drain", f"{host} was asked {now - since:.3f} s after it left service")
-        await asyncio.sleep(self._chance.choice((0.0, 0.01, 0.05, 0.3)))
+        await asyncio.sleep(self._chance.choice(NODE_DELAYS))
         writer.write(reply(b"value of " + id_))
 
     # --- discovery ---
