Soak: nodes answer within shares of the deadline, so that half can be served

Change: a node's delays are shares of the plan's deadline, at most 0.15 of it, below each client's wait. The check and its bound stay, and now bind on every plan.

--- a/limebridge/faults/soak.py
+++ b/limebridge/faults/soak.py
@@ -31,8 +31,8 @@
 LONGEST_DEADLINE = 3.0  # s that count of a deadline for the kill
 GRACE = 0.5  # s in which a node that drains may still be sent something
 SLACK = 0.15  # s that a busy machine may add to a time that is judged
-NODE_DELAYS = (0.0, 0.01, 0.05, 0.3)  # s until a node answers
-SETTLES = 0.35  # s for stand-ins to end: beyond those delays
+NODE_DELAYS = (0.0, 0.01, 0.03, 0.15)  # shares of the longest deadline until a node answers
+SETTLES = 0.5  # s for stand-ins to end: beyond those delays
 CHANGED_SHARE = 5  # one of so many nodes changes at once
 
 ListKind = Literal["drain", "gone", "whole", "back", "restart", "one_by_one", "watch_ends"]
@@ -208,7 +208,7 @@
         since = self._out_since.get(host)
         if since is not None and now > since + GRACE + SLACK:
             self._broken("drain", f"{host} was asked {now - since:.3f} s after it left service")
-        await asyncio.sleep(self._chance.choice(NODE_DELAYS))
+        await asyncio.sleep(self.plan.deadline * self._chance.choice(NODE_DELAYS))
         writer.write(reply(b"value of " + id_))
 
     # --- discovery ---
