Soak: a request unread behind one in service may cross its close

With each command that the daemon reads written to a file, none of the three requests concerned was read (823 others were): they came 0.57 to 0.7 s after SIGTERM, behind a request in service, when the daemon reads no more of that connection; it ends with that request's answer. The protocol allows a close that crosses what was not read.

Change: such a request's time on a connection that closed counts from the answer before it. Everything else is judged as before, and what came to a node is lost in any case (a test of the four cases). The plants stand in tests/planted_in_soaks, the plan in soak_plan.py; the slopes' test has 3,200, the size that they now go to.

--- a/limebridge/faults/soak_clients.py
+++ b/limebridge/faults/soak_clients.py
@@ -6,15 +6,12 @@
 import random
 from collections import deque
 from collections.abc import Mapping
-from typing import TYPE_CHECKING
 
 from limebridge.standins.wire import command, read_answer
 
+from .soak_plan import SoakPlan, SoakResult
 from .violation import Violation
 
-if TYPE_CHECKING:
-    from .soak import SoakPlan, SoakResult
-
 CLASSES = (b"lookup", b"lookup", b"lookup", b"optout", b"once")
 WAITS = (0.2, 0.5, 1.0)  # shares of the longest deadline that a client waits
 LATE = 0.5  # s after its time in which an answer only earns nothing
@@ -179,6 +176,9 @@
     ) -> None:
         closed_at = question.closed_at - self._began if question.closed_at else ended_at
         stood = closed_at - at
+        if question.before is not None and question.before.answered_at:
+            # Behind another one: the connection may end with that one's answer, this one unread.
+            stood = min(stood, closed_at + self._began - question.before.answered_at)
         name = question.id.decode()
         if self._arrivals.get(question.id):
             self._broken(result, at, f"{name} came to a node and got no answer")
--- a/limebridge/faults/soak_command.py
+++ b/limebridge/faults/soak_command.py
@@ -10,7 +10,8 @@
 from .launch import daemon_command
 from .many import explore
 from .options import FirstSeed, Jobs, Json, PatchFile, SeedCount, patch_path
-from .soak import SoakResult, play
+from .soak import play
+from .soak_plan import SoakResult
 
 
 class PlaySeed:
--- a/tests/limebridge/faults/test_soak.py
+++ b/tests/limebridge/faults/test_soak.py
@@ -10,10 +10,11 @@
 import pytest
 
 from limebridge.faults.launch import daemon_command
-from limebridge.faults.soak import SoakPlan, draw, play
-from limebridge.faults.soak_clients import LATE, Question
+from limebridge.faults.soak import play
+from limebridge.faults.soak_clients import LATE, Question, SoakClients
+from limebridge.faults.soak_plan import SoakPlan, SoakResult, draw
 
-PLANTED = Path(__file__).parent.parent.parent / "planted"
+PLANTED = Path(__file__).parent.parent.parent / "planted_in_soaks"
 SEEDS = range(100, 114)
 
 
@@ -29,9 +30,9 @@
 @pytest.mark.parametrize(
     ("plant", "seed", "rule"),
     [
-        ("soak_drain_ignored", 1, "drain"),  # what leaves service waits
-        ("soak_long_turn", 0, "lost"),  # incident 65d06d
-        ("soak_drain_cuts", 0, "lost"),  # a drain that drops what was read
+        ("drain_ignored", 1, "drain"),  # what leaves service waits
+        ("long_turn", 0, "lost"),  # incident 65d06d
+        ("drain_cuts", 0, "lost"),  # a drain that drops what was read
     ],
 )
 def test_a_planted_fault_is_found(plant: str, seed: int, rule: str) -> None:
@@ -66,3 +67,22 @@
     assert second.late_by > LATE
     second.before = first
     assert second.late_by == pytest.approx(LATE / 2)
+
+
+@pytest.mark.parametrize(
+    ("before_answered_at", "at_a_node", "broken"),
+    [(None, False, True), (1.3, False, False), (0.9, False, True), (1.3, True, True)],
+)
+def test_only_what_was_never_read_behind_the_last_answer_may_cross_a_close(
+    before_answered_at: float | None, at_a_node: bool, broken: bool
+) -> None:
+    """Seed 105: unread behind one in service, the connection ended with that one's answer."""
+    question = Question(b"2", 1.0, 3.0)
+    question.closed_at = 1.301
+    if before_answered_at is not None:
+        question.before = Question(b"1", 0.5, 3.0)
+        question.before.answered_at = before_answered_at
+    clients = SoakClients(draw(105), 0, {b"2": 1} if at_a_node else {})
+    result = SoakResult(draw(105))
+    clients._judge_unanswered(result, question, 1.0, ended_at=5.0)
+    assert bool(result.broken) is broken and result.crossed == (not broken)
--- a/tests/limebridge/scale/test_scale_slopes.py
+++ b/tests/limebridge/scale/test_scale_slopes.py
@@ -277,7 +277,7 @@
     assert slopes.combined(costs["list.parse_ms"], runs) == [(10.0, 4.0), (20.0, 1.0)]
     assert slopes.combined(costs["list.memory_mb"], runs) == [(10.0, 8.0), (20.0, 2.0)]
     full = slopes.planned_jobs(slopes.Options(only="list"))
-    assert [job.size for job in full[:6]] == [46, 200, 600, 1200, 2400, 46]
+    assert [job.size for job in full[:6]] == [46, 200, 600, 1200, 3200, 46]
 
 
 def test_a_cost_with_too_few_sizes_has_no_figure(monkeypatch: pytest.MonkeyPatch) -> None:
