Client connections: writing and the charge of unsent answers move to clients/output.py

Change: Output owns the combined write of a batch, the budget bytes that the kernel has not taken and the time without progress; no behaviour changes.

--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -14,6 +14,7 @@
 from .answers import Answer
 from .assembly import CommandAssembler
 from .budget import REQUEST_OVERHEAD
+from .output import Output
 from .read_delay import ReadDelay
 
 if TYPE_CHECKING:
@@ -38,7 +39,7 @@
         self._assembly = CommandAssembler(self.budget)
         self._reading_paused = False
         self._pumping = self._flushing = False
-        self._batch: list[bytes | bytearray] = []  # answers for one combined write
+        self._output = Output(self.budget)
         self._loop_turn = self._taken_in_turn = 0  # a turn, and requests accepted in it
         self._session: Session | None = None  # state of the cluster dialect, if it is on
         self._read_delay = ReadDelay()
@@ -48,13 +49,12 @@
         self.state: dict[ClientConnection, None] | None = None  # the listener's set that holds it
         self.since = 0.0  # loop time at which it entered its state
         self.consecutive_errors = 0  # invalid commands in a row
-        self._unsent, self._unsent_since = 0, 0.0
-        self._written = 0  # bytes charged to the budget that the kernel has not yet taken
 
     # --- stream ---
     def accepted(self, stream: Stream) -> None:
         """The connection was accepted as `stream`; it may have waited in the backlog."""
         self._stream = stream
+        self._output.attach(stream)
         turns, now = self._listener.turns, self._loop.time()
         self._read_delay.accepted(turns.count, now - max(turns.paused_for, turns.readable_for(now)))
         self._listener.connection_accepted(self)
@@ -87,13 +87,14 @@
     def lost(self, error: OSError | None) -> None:
         """The stream is closed: release everything and leave the listener."""
         self._stream = None
-        self._release_written()
+        self._output.taken()
+        self._output.attach(None)
         self._release_all()
         self._listener.connection_lost(self)
 
     def drained(self) -> None:
         """Return the sent bytes to the budget; restart the linger time, or write more answers."""
-        self._release_written()
+        self._output.taken()
         if self.lingering_since:
             self.lingering_since = self._loop.time()  # the client can see the close only now
         self.flush()
@@ -102,10 +103,6 @@
         """Whether the client has closed, checked in the kernel, even behind unread input."""
         return self._stream is None or self._stream.closing or self._stream.peer_ended()
 
-    def _release_written(self) -> None:
-        written, self._written = self._written, 0
-        self.budget.release(written)
-
     def _release_all(self) -> None:
         """The client has left: drop its answers and return all their budget bytes."""
         self.ending = True
@@ -126,6 +123,7 @@
             self.update_state()
             return
         self._pumping = True
+        self._output.begin_batch()
         try:
             while not self.ending and not self._assembly.awaited_bytes:
                 if not self._assembly.missing_arguments:
@@ -148,9 +146,7 @@
             self.end_after_answers()
         finally:
             self._pumping = False
-            batch, self._batch = self._batch, []
-            if batch:
-                self._write(*batch)
+            self._output.end_batch()
         self.update_state()
 
     @property
@@ -222,7 +218,7 @@
         if self._answers or self._assembly.charged or self._stream is None or self._stream.unsent:
             self._new_charged_answer().finish(rejection)
         else:
-            self._write(rejection)
+            self._output.write(rejection)
 
     def _new_charged_answer(self) -> Answer:
         """Append an answer that takes over the budget bytes of the current command."""
@@ -276,25 +272,13 @@
         ):
             return False
         self._answers.popleft()
-        self._write(*parts)
+        self._output.write(*parts)
         if self._answers:
             self.flush()  # later answers that were already finished
         if not self._pumping:
             self._pump()
         return True
 
-    def _write(self, *parts: bytes | bytearray) -> None:
-        """Write, or collect for one combined write while commands are being decoded."""
-        if self._pumping:
-            self._batch.extend(parts)
-            return
-        stream = self._stream
-        if stream is None or stream.closing:
-            return
-        if not (stream.write(parts[0]) if len(parts) == 1 else stream.write_all(parts)):
-            self.budget.hold(stream.unsent - self._written)
-            self._written = stream.unsent
-
     def flush(self) -> None:
         """Write the finished answers in order, until the kernel stops taking data."""
         stream = self._stream
@@ -307,7 +291,7 @@
                 break
             data = self._answers.popleft().take_unwritten()
             self.budget.release(len(data))
-            self._write(data)
+            self._output.write(data)
             progressed = True
         self._flushing = False
         if progressed and not self._pumping:
@@ -377,14 +361,11 @@
         stream = self._stream
         if stream is None:
             return
-        unsent = stream.unsent
-        if unsent != self._unsent or not unsent:
-            self._unsent, self._unsent_since = unsent, now
-        elif now - self._unsent_since > self._listener.limits.reader_s:
+        if self._output.stalled_for(now) > self._listener.limits.reader_s:
             stream.abort()
             return
         if self.lingering_since:
-            if now - self.lingering_since > LINGER_TIME and not unsent:
+            if now - self.lingering_since > LINGER_TIME and not stream.unsent:
                 stream.abort()
         elif self._reading_paused:
             self._pump()
