Drain: commands that were sent before a connection ends are answered

Cause, by a trace of the sockets (FIONREAD at the drain and at the end): a draining connection was not read any more and counted as drained when its open commands were answered. At 0.70 s it had 128 open commands and 12.6 KB unread in the kernel; at 2.41 s it was ended with these bytes unread. Ruled out: a grace that is too short (the connection is at its depth and does not read), commands dropped by the decoder (it was empty), an early exit (1.3 s were left).

Change: a draining connection ends only when nothing is open, unread in the kernel or possibly on its way behind a closed TCP window. Reading goes on under the usual limits; commands read later than 0.7 s after SIGTERM are refused, so a client that keeps sending cannot hold the process, and requests accepted in the drain are answered before its end. The schedule is in clients/drain.py; clients.draining logs what is open and unread.

--- a/tests/support/rig.py
+++ b/tests/support/rig.py
@@ -20,7 +20,7 @@
 from limebridge.standins.nodes import Behaviour, CacheNode, serves
 from limebridge.standins.wire import bulk, command, read_words, reply
 from violetroute import config as config_module
-from violetroute.clients import Listener, listener
+from violetroute.clients import Listener, drain
 from violetroute.proxy import Proxy
 from violetroute.transport.loop_lag import Turns
 from violetroute.transport.sockets import SocketNetwork
@@ -136,7 +136,7 @@
     async def __aexit__(self, *_: object) -> None:
         # All clients of a test are connected by now, so this drain need not accept late ones.
         # Tests of the drain call `drain` themselves, with its grace period for late clients.
-        with mock.patch.object(listener, "ACCEPT_AFTER_TERM", 0.0):
+        with mock.patch.object(drain, "ACCEPT_AFTER_TERM", 0.0):
             await with_timeout(self.listener.drain(0.2))
         self.proxy.close()
         for node in self.nodes:
--- a/tests/violetroute/clients/test_clients.py
+++ b/tests/violetroute/clients/test_clients.py
@@ -396,16 +396,16 @@
         writer.write(get(1))
         await wait_until(lambda: rig.proxy.open_requests)
         connection = next(iter(rig.listener._serving))
-        ends = rig.listener._accept_backlog
+        ends = rig.listener.stop_accepting
 
         def cut() -> None:  # arrives in the turn in which accepting ends
             writer.write(get(2))
             ends()
 
-        rig.listener._accept_backlog = cut  # type: ignore[method-assign]
+        rig.listener.stop_accepting = cut  # type: ignore[method-assign]
         drained = asyncio.create_task(rig.listener.drain(5.0))
         await wait_until(lambda: connection.draining)
-        assert rig.proxy.open_requests == 2
+        await wait_until(lambda: rig.proxy.open_requests == 2)
         served.set()
         assert [await read_answer(reader) for _ in range(2)] == [b"id1", b"id2"]
         await with_timeout(drained)
@@ -421,12 +421,11 @@
         reader, writer = await idle_with_unread(rig)
         connection = next(iter(listener._idle))
         listener.draining = True
-        if drain:  # otherwise a client that keeps sending would never be closed
-            listener._accept_backlog()
+        if drain:  # accepting has ended
+            listener.stop_accepting()
         writer.write(get(1))
         listener.mark_idle(connection)  # as after the previous answer
-        if not drain:
-            assert await read_answer(reader) == b"value of id1"
+        assert await read_answer(reader) == b"value of id1"
         assert await read_until_closed(reader) == b""
 
     run_case(part)
--- a/tests/violetroute/clients/test_crossings.py
+++ b/tests/violetroute/clients/test_crossings.py
@@ -281,9 +281,9 @@
         assert connection._input.undecoded
         stopped = asyncio.ensure_future(here.process.term())
         await here.wait_until(lambda: connection.draining)
-        writer.write(get(1000))  # races with the close: its client retries elsewhere
-        answers = [await read_answer(reader) for _ in range(170)]  # some requests are refused
-        served = [b"id%d" % n for n in range(170) if answers[n] == b"value of id%d" % n]
+        writer.write(get(170))  # sent while the connection is open: it is answered as well
+        answers = [await read_answer(reader) for _ in range(171)]  # some requests are refused
+        served = [b"id%d" % n for n in range(171) if answers[n] == b"value of id%d" % n]
         assert all(answer.startswith((b"value", b"-BUSY")) for answer in answers)
         assert await reader.read() == b""
         writer.close()
--- a/violetroute/admission.py
+++ b/violetroute/admission.py
@@ -7,6 +7,7 @@
 
 from snowstall import Balancer, RequestClass
 
+from .clients import LocalRefusal
 from .hooks import EventHooks
 from .refusals import RefusalCounter
 from .requests import refusal
@@ -34,7 +35,7 @@
         self.classes: Mapping[str, RequestClass] = {}  # replaced on reload
 
     def rejection(self, command: Command, taken: int, waited: float) -> bytes | None:
-        """The BUSY reply for a rejected command, or None if it is admitted.
+        """The BUSY reply for a rejected command, or None if it is admitted; call it once for each.
 
         For an admitted command, the time that it was readable but unread is deducted from
         `command.wait`.  `taken`: commands taken from this connection in this loop iteration.
@@ -63,3 +64,8 @@
             return None
         self._refusals.count(reason)
         return refusal(backoff)
+
+    def refuse(self, reason: LocalRefusal) -> bytes:
+        """Count a command that its connection refuses by itself, and return its BUSY reply."""
+        self._refusals.count(reason.value)
+        return refusal(0.0)
--- a/violetroute/clients/answers.py
+++ b/violetroute/clients/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
 from violetroute import resp
@@ -10,9 +11,19 @@
     from .connection import ClientConnection
 
 
+class LocalRefusal(Enum):
+    """Why a connection refuses a command by itself; the value is the reason in the log."""
+
+    DRAINING = "draining"  # the process is about to exit
+
+
 class RequestHandler(Protocol):
     """The proxy as the client connections use it."""
 
+    def refuse(self, reason: LocalRefusal) -> bytes:
+        """Count a command that is refused for this reason, and return its reply."""
+        ...
+
     def rejection(self, command: resp.Command, taken: int, waited: float) -> bytes | None:
         """The error line for a command that is not admitted, or None.
 
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -11,12 +11,13 @@
 from violetroute.transport import Stream
 from violetroute.transport.loop_lag import LATE_AFTER
 
-from .answers import Answer
+from .answers import Answer, LocalRefusal
 from .budget import REQUEST_OVERHEAD
 from .input import READ_SIZE, CommandReader, read_buffer
 from .output import Output
 
 if TYPE_CHECKING:
+    from .drain import DrainSchedule
     from .listener import Listener
 
 LINGER_TIME = 0.5  # s for the client to read and close first; a reset could lose the last answer
@@ -37,7 +38,7 @@
         self._output = Output(self.budget)
         self._loop_turn = self._taken_in_turn = 0  # a turn, and requests accepted in it
         self._session: Session | None = None  # state of the cluster dialect, if it is on
-        self.draining = False  # reads no more, answers what was read, then ends
+        self.draining = False  # ends once it is quiet, even behind a part of a command
         self.ending = False  # takes no further command; ends after the pending answers
         self.lingering_since = 0.0
         self.state: dict[ClientConnection, None] | None = None  # the listener's set that holds it
@@ -60,11 +61,11 @@
 
     def received(self, count: int) -> None:
         """Decode the bytes and run the commands that are complete."""
-        if self.ending:
+        if self.ending or self._stream is None:
             return  # input after this close is discarded; reading only detects the client's close
-        self._input.feed(count, self._listener.turns, self._loop.time())
+        self._input.feed(count, self._listener.turns, self._loop.time(), self._stream)
         self._pump()
-        self._input.end_read(count, self._loop.time(), self._stream)
+        self._input.end_read(count, self._loop.time)
 
     def ended(self) -> None:
         """The client closed its side, so it has left.  Written data may still reach it."""
@@ -157,7 +158,10 @@
             if dialect is not None and (moved := dialect.moved_reply(command.key)) is not None:
                 self._new_charged_answer().finish(moved)
                 return
-            rejection = handler.rejection(command, self._requests_this_turn(), delay)
+            if self._listener.drain_schedule is None:
+                rejection = handler.rejection(command, self._requests_this_turn(), delay)
+            else:
+                rejection = self._rejection_in_drain(self._listener.drain_schedule, command, delay)
             if rejection is not None:  # frequent in an overload of this process: must be cheap
                 self._reject(rejection)
                 return
@@ -175,6 +179,17 @@
             self._taken_in_turn += 1
             self.consecutive_errors = 0
 
+    def _rejection_in_drain(
+        self, schedule: DrainSchedule, command: resp.Command, delay: float
+    ) -> bytes | None:
+        """As `RequestHandler.rejection`; an admitted command is answered before the drain ends."""
+        handler, now = self._listener.handler, self._loop.time()
+        if now >= schedule.serve_until:
+            return handler.refuse(LocalRefusal.DRAINING)
+        rejection = handler.rejection(command, self._requests_this_turn(), delay)
+        command.wait = min(command.wait, (schedule.answer_by - now) * 1000.0)
+        return rejection
+
     def _answer_dialect(self, dialect: Dialect, args: Sequence[bytes | bytearray]) -> bool:
         """Answer a command about the connection or the cluster; False if it is a request."""
         if self._session is None:
@@ -221,7 +236,8 @@
             return
         blocked = self._input.awaits_memory or (not self._input.assembling and self._at_capacity)
         # Input on a connection that is about to end stays unread: its client retries.
-        pause = blocked or self._input.undecoded > READ_SIZE or self.ending or self.draining
+        unread = not self._input.idle and self._input.undecoded > READ_SIZE
+        pause = blocked or unread or self.ending
         if pause != self._reading_paused:
             self._reading_paused = pause
             if pause:
@@ -230,10 +246,12 @@
             self._listener.set_reading(self, not pause)
         if self._answers:
             self._listener.mark_serving(self)
-        elif self.ending or (self.draining and not blocked):
+        elif self.ending:
             self.end()
         elif not self._input.idle:
             self._listener.mark_partial(self)
+            if self.draining:
+                self.end_if_quiet()
         else:
             self._listener.mark_idle(self)
 
@@ -281,11 +299,28 @@
         self.ending = True
         self.update_state()
 
+    @property
+    def pending_answers(self) -> int:
+        """The number of commands without a written answer."""
+        return len(self._answers)
+
     def drain(self) -> None:
-        """Read no more, answer the commands that were read completely, and end."""
+        """End as soon as the connection is quiet, even if a part of a command was received."""
         self.draining = True
         self._pump()
 
+    def end_if_quiet(self) -> None:
+        """In a drain: end if no command is open, unread, or on its way behind a closed window.
+
+        Otherwise the next answer or input, or the end of that way, leads here again.
+        """
+        if self._answers or self._reading_paused or self._stream is None:
+            return
+        if not self.has_unread_input():
+            self.end()
+        elif (left := self._input.expected_until - self._loop.time()) > 0.0:
+            self._loop.call_later(left, self.end_if_quiet)
+
     def end(self) -> None:
         """Half-close between requests; the client's close or LINGER_TIME completes it.
 
@@ -304,7 +339,9 @@
             self._listener.set_reading(self, True)
 
     def has_unread_input(self) -> bool:
-        """Whether the kernel holds input of the client that the loop has not read yet.
+        """Whether input of the client is unread in this kernel, or may be on its way.
+
+        After reads that may have reopened a closed TCP window, the rest arrives a round trip later.
 
         Without this check, a connection was closed as idle in the turn that would have read its
         request: in an overload, input is read many milliseconds after it arrived.  The connection
@@ -316,7 +353,7 @@
             stream is not None
             and not stream.closing
             and not self.lingering_since
-            and not stream.no_pending_input()
+            and (not stream.no_pending_input() or self._loop.time() < self._input.expected_until)
         )
 
     def try_evict(self) -> bool:
@@ -340,7 +377,7 @@
         stream = self._stream
         if stream is None:
             return
-        if self._output.stalled_for(now) > self._listener.limits.reader_s:
+        if stream.unsent and self._output.stalled_for(now) > self._listener.limits.reader_s:
             stream.abort()
             return
         if self.lingering_since:
--- a/violetroute/clients/input.py
+++ b/violetroute/clients/input.py
@@ -10,7 +10,7 @@
 
 from .assembly import CommandAssembler
 from .budget import Budget
-from .read_delay import ReadDelay
+from .read_delay import WINDOW_REOPEN_TIME, ReadDelay
 
 READ_SIZE = 16 * 1024  # bytes of one read, into a buffer that all connections share
 
@@ -20,26 +20,46 @@
 class CommandReader:
     """Decodes the commands of one connection.  Times are seconds of the loop's clock."""
 
-    __slots__ = ("_assembly", "_decoder", "_delay")
+    __slots__ = (
+        "_assembly",
+        "_decoder",
+        "_delay",
+        "_receive_buffer",
+        "assembling",
+        "awaits_memory",
+        "expected_until",
+        "idle",
+    )
 
     def __init__(self, budget: Budget) -> None:
         self._decoder = resp.Decoder()
         self._assembly = CommandAssembler(budget)
         self._delay = ReadDelay()
+        self._receive_buffer = 0  # bytes; the kernel's, when a marked read began
+        # Attributes instead of properties, since each request reads them several times.
+        self.idle = True  # no input is left and no command is incomplete
+        self.assembling = False  # the first tokens of a command were taken, but not yet all
+        self.awaits_memory = False  # the current command waits for bytes of the budget
+        self.expected_until = 0.0  # up to which input of the sender's kernel may still arrive
 
     def accepted(self, turns: Turns, now: float) -> None:
         """The connection was accepted; it may have waited in the backlog."""
         self._delay.accepted(turns.count, now - max(turns.paused_for, turns.readable_for(now)))
 
-    def feed(self, count: int, turns: Turns, now: float) -> None:
-        """Take `count` bytes of `read_buffer`."""
+    def feed(self, count: int, turns: Turns, now: float, stream: Stream) -> None:
+        """Take `count` bytes of `read_buffer`, which were read from the stream."""
         self._delay.begin_read(turns.count, now, turns.paused_for)
+        if self._delay.marked:
+            self._receive_buffer = stream.receive_buffer()
+        if count == READ_SIZE or self._delay.window_may_be_closed(count, self._receive_buffer):
+            self.expected_until = now + WINDOW_REOPEN_TIME
         self._decoder.feed(read_buffer[:count])
+        self.idle = False
 
-    def end_read(self, count: int, now: float, stream: Stream | None) -> None:
+    def end_read(self, count: int, clock: Callable[[], float]) -> None:
         """The commands in the `count` bytes that were fed have been run as far as possible."""
-        if self._delay.marked and stream is not None:
-            self._delay.end_read(count, now, count < READ_SIZE, stream.receive_buffer())
+        if self._delay.marked:
+            self._delay.end_read(count, clock(), count < READ_SIZE, self._receive_buffer)
 
     def pause(self, now: float) -> None:
         """The connection is not read from now on."""
@@ -49,26 +69,6 @@
         """Seconds for which the current command may have waited to be read."""
         return self._delay.delay(now)
 
-    @property
-    def may_be_old(self) -> bool:
-        """Whether the next input may have waited for a paused read or behind a closed window."""
-        return self._delay.marked
-
-    @property
-    def idle(self) -> bool:
-        """Whether no input is left and no command is incomplete."""
-        return self._decoder.idle and not self._assembly.missing_arguments
-
-    @property
-    def assembling(self) -> bool:
-        """Whether the first tokens of a command were taken, but not yet all."""
-        return self._assembly.missing_arguments > 0
-
-    @property
-    def awaits_memory(self) -> bool:
-        """Whether the current command waits for bytes of the budget."""
-        return self._assembly.awaited_bytes > 0
-
     @property
     def undecoded(self) -> int:
         """Bytes that were read and are not decoded yet."""
@@ -91,23 +91,35 @@
         None if it is incomplete or waits for the budget; then `granted` is called once there is
         room, and has to call `grant`.  Raises ProtocolError.
         """
-        if not self._assembly.missing_arguments:
+        if not self.assembling:
             args = self._decoder.command()
             if args is not None:
+                self.idle = self._decoder.idle
                 head = args.pop()
                 return args, head
+        complete = self._assemble(owner, granted)
+        self.assembling = self._assembly.missing_arguments > 0
+        self.awaits_memory = self._assembly.awaited_bytes > 0
+        self.idle = self._decoder.idle and not self.assembling
+        return None if complete is None else (complete, b"")
+
+    def _assemble(
+        self, owner: Hashable, granted: Callable[[], None]
+    ) -> list[bytes | bytearray] | None:
+        """Take tokens until a command is complete; None if there are not enough."""
         while not self._assembly.awaited_bytes:
             token = self._decoder.next()
             if token is None:
                 return None
             complete = self._assembly.take(token, owner, granted)
             if complete is not None:
-                return complete, b""
+                return complete
         return None
 
     def grant(self) -> None:
         """Take over the bytes that the budget has reserved for the current command."""
         self._assembly.grant()
+        self.awaits_memory = False
 
     def drop(self, owner: Hashable) -> None:
         """Discard the current command and release its budget; the connection has ended."""
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -13,6 +13,7 @@
 from .answers import RequestHandler
 from .budget import Budget
 from .connection import ClientConnection
+from .drain import DrainSchedule, run_drain
 
 BACKLOG = 4096  # connections that the kernel queues while no slot is free
 MAX_ACCEPTS_PER_TURN = 32  # leaves time in the turn for open connections
@@ -22,8 +23,6 @@
 FIRST_BYTE_TIMEOUT_WHEN_FULL = 0.15  # s; a real client sends a command at once
 MAX_EVICTION_CANDIDATES = 8  # connections checked per state in one turn
 MIN_IDLE_TIME = 0.2  # s for which an idle connection keeps its slot when others need one
-ACCEPT_AFTER_TERM = 0.55  # s; new ones arrive for 0.4 s and must be accepted within 0.7 s
-UNREAD_AFTER_TERM = 0.15  # s more to read the input that is unread by then
 DEFAULTS = Limits()
 
 
@@ -49,6 +48,7 @@
         self._idle_limit = max(1, int(slots * limits.idle_share))
         self.budget = Budget(budget_bytes)
         self.draining = False
+        self.drain_schedule: DrainSchedule | None = None  # set once the drain has begun
         self._server_socket: ListeningSocket | None = None
         self._accept_timer: asyncio.TimerHandle | None = None  # set while accepting is paused
         self._slots_used = 0  # slots are used from accept until the stream is lost
@@ -177,16 +177,14 @@
 
     def mark_idle(self, connection: ClientConnection) -> None:
         """All commands are answered; ends the connection in a drain."""
+        if connection.state is self._idle:  # answered within the turn: restart its idle time
+            del self._idle[connection]
+            connection.state = None
+        self._set_state(connection, self._idle)
         if self.draining:
-            # A turn handles replies of nodes first, so the client's next command may be unread. It
-            # is read and answered before the connection ends, unless accepting has stopped.
-            if self._server_socket is None or not connection.has_unread_input():
-                connection.end()
+            # A turn handles replies of nodes first, so the client's next command may be unread.
+            connection.end_if_quiet()
         else:
-            if connection.state is self._idle:  # answered within the turn: restart its idle time
-                del self._idle[connection]
-                connection.state = None
-            self._set_state(connection, self._idle)
             self._trim_idle()
 
     def _trim_idle(self) -> None:
@@ -269,39 +267,34 @@
 
     # --- draining ---
     async def drain(self, longest: float) -> None:
-        """Drain after SIGTERM: accept for a while, answer the accepted requests, close the rest.
+        """Drain after SIGTERM: accept for a while, answer what was sent, close the connections.
 
         Connections still open `longest` seconds after accepting has ended are aborted.
         """
         self.draining = True
-        for connection in list(self._idle):
-            if not connection.has_unread_input():  # otherwise it ends after its answer
-                connection.end()
-        await asyncio.sleep(ACCEPT_AFTER_TERM)
-        self._accept_backlog()
-        for connection in [*self._awaiting_first_byte, *self._partial]:
-            if not connection.has_unread_input():  # otherwise after its answer or time limit
-                connection.drain()
-        for connection in list(self._serving):
-            if connection.has_unread_input():  # commands behind the current ones are answered too
-                self.loop.call_later(UNREAD_AFTER_TERM, connection.drain)
-            else:
-                connection.drain()
-        self._all_closed.clear()
-        if self._slots_used:
-            try:
-                async with asyncio.timeout(longest):
-                    await self._all_closed.wait()
-            except TimeoutError:
-                logs.event("clients.left_open", count=self._slots_used)
-                for state in self._states:
-                    for connection in list(state):
-                        connection.abort()
+        self.drain_schedule = DrainSchedule.starting(self.loop.time(), longest)
+        await run_drain(self, self.drain_schedule)
         for timer in (self._sweep_timer, self._departure_timer):
             if timer is not None:
                 timer.cancel()
 
-    def _accept_backlog(self) -> None:
+    @property
+    def open_connections(self) -> list[ClientConnection]:
+        """All open connections."""
+        return [connection for state in self._states for connection in state]
+
+    @property
+    def idle_connections(self) -> list[ClientConnection]:
+        """The connections without a command."""
+        return list(self._idle)
+
+    async def all_closed(self) -> None:
+        """Wait until no connection is open."""
+        self._all_closed.clear()
+        if self._slots_used:
+            await self._all_closed.wait()
+
+    def stop_accepting(self) -> None:
         """Accept all of the backlog and stop listening: a close would reset what it holds."""
         if self._accept_timer is not None:
             self._accept_timer.cancel()
--- a/violetroute/clients/output.py
+++ b/violetroute/clients/output.py
@@ -57,12 +57,16 @@
 
     def taken(self) -> None:
         """The kernel has taken everything, or the stream is lost: return the bytes."""
+        self._unsent = 0
         charged, self._charged = self._charged, 0
         self._budget.release(charged)
 
     def stalled_for(self, now: float) -> float:
-        """Seconds at least for which the kernel has taken nothing; call it at intervals."""
+        """Seconds at least for which the kernel has taken nothing of the unsent data.
+
+        Call it at intervals while there is some.
+        """
         unsent = 0 if self._stream is None else self._stream.unsent
-        if unsent != self._unsent or not unsent:
+        if unsent != self._unsent:
             self._unsent, self._unsent_since = unsent, now
         return now - self._unsent_since
--- a/violetroute/clients/read_delay.py
+++ b/violetroute/clients/read_delay.py
@@ -84,6 +84,13 @@
         self._accepted = -1
         self._read_at = now
 
+    def window_may_be_closed(self, count: int, buffer: int) -> bool:
+        """Whether a read of `count` bytes of marked data may have reopened a closed TCP window.
+
+        `buffer`: size of the kernel's receive buffer in bytes.
+        """
+        return self._since is not None and (self._read + count) * WINDOW_DIVISOR >= buffer
+
     def _mark(self, since: float) -> None:
         self._since = self._next_since = since
         self._read, self._clear_at, self._advance_at = 0, None, None
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -98,8 +98,15 @@
     ),
     "daemon.paused": Event(logging.INFO, "the process was paused", ("ms",)),
     "clients.accept_failed": Event(logging.WARNING, "cannot accept connections", ("reason",)),
+    "clients.draining": Event(
+        logging.INFO,
+        "stopped accepting, answering what is open or unread",
+        ("count", "answers", "unread"),
+    ),
     "clients.left_open": Event(
-        logging.WARNING, "client connections were still open at exit", ("count",)
+        logging.WARNING,
+        "client connections were still open at exit",
+        ("count", "answers", "unread"),
     ),
     "discovery.entries_left_out": Event(
         logging.WARNING, "ignored invalid entries of the list", ("count",)
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -77,7 +77,7 @@
             loop, self._turns, self.clock, self._balancer, self.hooks, self._refusals
         )
         self._admission.classes = self._classes
-        self.rejection = self._admission.rejection  # call once for each command
+        self.rejection, self.refuse = self._admission.rejection, self._admission.refuse
         self._pool = Pool.from_config(self, net, config)
         self._slots = SlotMap()
         self._lists = ListApplier(loop, self.places, self._pool, self.clock, self._dispatch_members)
