Client connections: running of commands moves to clients/dispatch.py

Change: CommandDispatcher answers, rejects or hands on a command; the connection reads, orders answers and ends. No behaviour changes.

--- a/violetroute/clients/answers.py
+++ b/violetroute/clients/answers.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from violetroute import resp
 
-if TYPE_CHECKING:
-    from .connection import ClientConnection
+from .budget import Budget
 
 
 class LocalRefusal(Enum):
@@ -41,12 +40,30 @@
         ...
 
 
+class AnsweringConnection(Protocol):
+    """The connection that an answer belongs to."""
+
+    budget: Budget
+
+    def client_left(self) -> bool:
+        """Whether the client has closed, checked in the kernel."""
+        ...
+
+    def write_now(self, answer: Answer, parts: tuple[bytes | bytearray, ...]) -> bool:
+        """Write the next answer at once; False if it has to be queued."""
+        ...
+
+    def flush(self) -> None:
+        """Write the finished answers in order."""
+        ...
+
+
 class Answer:
     """The answer to one command, in its position among the answers of its connection."""
 
     __slots__ = ("_connection", "_unwritten", "charge", "done", "request")
 
-    def __init__(self, connection: ClientConnection) -> None:
+    def __init__(self, connection: AnsweringConnection) -> None:
         self._connection = connection
         self._unwritten: list[bytes | bytearray] = []  # finished before it could be written
         self.charge = 0  # bytes of the budget that its command holds
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from violetroute import resp
-from violetroute.cluster import Dialect, Session
 from violetroute.transport import Stream
-from violetroute.transport.loop_lag import LATE_AFTER
 
-from .answers import Answer, LocalRefusal
+from .answers import Answer
 from .budget import REQUEST_OVERHEAD
+from .dispatch import CommandDispatcher
 from .input import READ_SIZE, CommandReader, read_buffer
 from .output import Output
 
 if TYPE_CHECKING:
-    from .drain import DrainSchedule
     from .listener import Listener
 
 LINGER_TIME = 0.5  # s for the client to read and close first; a reset could lose the last answer
@@ -36,14 +33,12 @@
         self._reading_paused = False
         self._pumping = self._flushing = False
         self._output = Output(self.budget)
-        self._loop_turn = self._taken_in_turn = 0  # a turn, and requests accepted in it
-        self._session: Session | None = None  # state of the cluster dialect, if it is on
+        self._dispatcher = CommandDispatcher(listener)
         self.draining = False  # ends once it is quiet, even behind a part of a command
         self.ending = False  # takes no further command; ends after the pending answers
         self.lingering_since = 0.0
         self.state: dict[ClientConnection, None] | None = None  # the listener's set that holds it
         self.since = 0.0  # loop time at which it entered its state
-        self.consecutive_errors = 0  # invalid commands in a row
 
     # --- stream ---
     def accepted(self, stream: Stream) -> None:
@@ -120,7 +115,8 @@
                 command = self._input.next_command(self, self._budget_granted)
                 if command is None:
                     break
-                self._run_command(*command)
+                delay = self._input.delay(self._loop.time())
+                self._dispatcher.run(self, *command, delay)
                 if self._input.idle:
                     break
         except resp.ProtocolError as error:
@@ -140,83 +136,15 @@
         self.since = self._loop.time()  # the proxy caused the wait: restart the client's time limit
         self._loop.call_soon(self._pump)
 
-    def _run_command(self, args: Sequence[bytes | bytearray], head: bytes) -> None:
-        dialect = self._listener.dialect
-        if dialect is not None:
-            if self._answer_dialect(dialect, args):
-                return
-        elif len(args) == 1 and bytes(args[0]).upper() == b"PING":
-            self._new_charged_answer().finish(b"+PONG\r\n")
-            return
-        handler, answer = self._listener.handler, None
-        delay = self._input.delay(self._loop.time())
-        if delay > LATE_AFTER and self.client_left():
-            self.ended()  # found by exploring event orders: read in the 2nd turn after a pause
-            return
-        try:
-            command = resp.parse_command(args, head)
-            if dialect is not None and (moved := dialect.moved_reply(command.key)) is not None:
-                self._new_charged_answer().finish(moved)
-                return
-            if self._listener.drain_schedule is None:
-                rejection = handler.rejection(command, self._requests_this_turn(), delay)
-            else:
-                rejection = self._rejection_in_drain(self._listener.drain_schedule, command, delay)
-            if rejection is not None:  # frequent in an overload of this process: must be cheap
-                self._reject(rejection)
-                return
-            answer = self._new_charged_answer()
-            handler.take(command, answer)
-        except resp.CommandError as error:
-            # The framing is intact, so an invalid command only gets an error.  A connection that
-            # sends nothing else is closed: the cost of a flood of them would have no bound.
-            text = b"-ERR %b\r\n" % str(error).encode()
-            (answer if answer is not None else self._new_charged_answer()).finish(text)
-            self.consecutive_errors += 1
-            if self.consecutive_errors >= self._listener.limits.mistakes:
-                self.end_after_answers()
-        else:
-            self._taken_in_turn += 1
-            self.consecutive_errors = 0
-
-    def _rejection_in_drain(
-        self, schedule: DrainSchedule, command: resp.Command, delay: float
-    ) -> bytes | None:
-        """As `RequestHandler.rejection`; an admitted command is answered before the drain ends."""
-        handler, now = self._listener.handler, self._loop.time()
-        if now >= schedule.serve_until:
-            return handler.refuse(LocalRefusal.DRAINING)
-        rejection = handler.rejection(command, self._requests_this_turn(), delay)
-        command.wait = min(command.wait, (schedule.answer_by - now) * 1000.0)
-        return rejection
-
-    def _answer_dialect(self, dialect: Dialect, args: Sequence[bytes | bytearray]) -> bool:
-        """Answer a command about the connection or the cluster; False if it is a request."""
-        if self._session is None:
-            self._session = dialect.session()
-        reply = dialect.answer(self._session, args)
-        if reply is None:
-            return False
-        self._new_charged_answer().finish(reply)
-        if self._session.ends:
-            self.end_after_answers()
-        return True
-
-    def _requests_this_turn(self) -> int:
-        """Requests accepted from this connection in the current loop turn."""
-        turn = self._listener.turns.count
-        if turn != self._loop_turn:
-            self._loop_turn, self._taken_in_turn = turn, 0
-        return self._taken_in_turn
-
-    def _reject(self, rejection: bytes) -> None:
+    def reject(self, rejection: bytes) -> None:
+        """Answer the current command with an error line."""
         # Queued if the client does not read: only so do depth and the budget bound rejections.
         if self._answers or self._input.charged or self._stream is None or self._stream.unsent:
-            self._new_charged_answer().finish(rejection)
+            self.new_charged_answer().finish(rejection)
         else:
             self._output.write(rejection)
 
-    def _new_charged_answer(self) -> Answer:
+    def new_charged_answer(self) -> Answer:
         """Append an answer that takes over the budget bytes of the current command."""
         answer = self._new_answer()
         answer.charge += self._input.transfer_charge()
