Memory: unfinished commands give way to complete ones, and no wait is without a limit

Ruled out: open requests (8 to 17), nodes and CPU (all served without the half commands).

Change: partial commands give way to complete ones, those without progress for longest first; the rest of such a command is discarded and it is refused. Values wait for bytes half of their own wait, small commands 0.1 s, then they are refused; a full budget no longer stops the reading of idle connections. Arguments of one command are charged together. clients.memory_full and the reason memory of requests.refused tell who holds the memory.

--- a/violetroute/clients/answers.py
+++ b/violetroute/clients/answers.py
@@ -14,6 +14,7 @@
     """Why a connection refuses a command by itself; the value is the reason in the log."""
 
     DRAINING = "draining"  # the process is about to exit
+    MEMORY = "memory"  # the budget had no room for it
 
 
 class RequestHandler(Protocol):
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -9,6 +9,7 @@
 from violetroute.transport import Stream
 
 from .answers import Answer
+from .assembly import MEMORY_WAIT
 from .budget import REQUEST_OVERHEAD
 from .dispatch import CommandDispatcher
 from .input import READ_SIZE, CommandReader, read_buffer
@@ -31,6 +32,8 @@
         self._answers: deque[Answer] = deque()
         self._input = CommandReader(self.budget)
         self._reading_paused = False
+        self._paused_at = 0.0  # loop time at which reading was paused
+        self.out_of_memory = False  # commands can only be refused: the budget has no room for them
         self._pumping = self._flushing = False
         self._output = Output(self.budget)
         self._dispatcher = CommandDispatcher(listener)
@@ -91,7 +94,7 @@
         """The client has left: drop its answers and return all their budget bytes."""
         self.ending = True
         self._listener.set_reading(self, True)
-        self._input.drop(self)
+        self._input.drop()
         answers, self._answers = self._answers, deque()
         for answer in answers:
             answer.drop()
@@ -112,7 +115,7 @@
             while not self.ending:
                 if not self._input.assembling and self._at_capacity:
                     break
-                command = self._input.next_command(self, self._budget_granted)
+                command = self._input.next_command(self._budget_granted)
                 if command is None:
                     break
                 delay = self._input.delay(self._loop.time())
@@ -129,13 +132,34 @@
 
     @property
     def _at_capacity(self) -> bool:
-        return len(self._answers) >= self._listener.limits.depth or self.budget.full
+        """Whether no further command may be started."""
+        if len(self._answers) >= self._listener.limits.depth:
+            return True
+        if self.out_of_memory or not self.budget.full:
+            return False
+        return not self.budget.make_room(self._loop.time())
 
     def _budget_granted(self) -> None:
-        self._input.grant()
-        self.since = self._loop.time()  # the proxy caused the wait: restart the client's time limit
+        self._input.grant(self._loop.time())
         self._loop.call_soon(self._pump)
 
+    def check_memory_wait(self, now: float) -> None:
+        """Refuse what has waited for memory for too long; called while the input is not read.
+
+        Commands behind open ones of their connection wait for those, whose time is limited.
+        """
+        if self._input.awaits_memory:
+            if self._input.end_memory_wait(now):
+                self._pump()
+            return
+        if self.ending or len(self._answers) >= self._listener.limits.depth:
+            return
+        if self.budget.full and now - self._paused_at >= MEMORY_WAIT:
+            unsent = self._stream is not None and self._stream.unsent > 0
+            self.out_of_memory = not (self._answers or unsent or self.budget.make_room(now, 0.0))
+        self._pump()
+        self.out_of_memory = False
+
     def reject(self, rejection: bytes) -> None:
         """Answer the current command with an error line."""
         # Queued if the client does not read: only so do depth and the budget bound rejections.
@@ -162,14 +186,13 @@
         stream = self._stream
         if stream is None or stream.closing or self.lingering_since or self._pumping:
             return
-        blocked = self._input.awaits_memory or (not self._input.assembling and self._at_capacity)
         # Input on a connection that is about to end stays unread: its client retries.
-        unread = not self._input.idle and self._input.undecoded > READ_SIZE
-        pause = blocked or unread or self.ending
+        pause = self.ending or self._blocked
         if pause != self._reading_paused:
             self._reading_paused = pause
             if pause:
-                self._input.pause(self._loop.time())
+                self._paused_at = self._loop.time()
+                self._input.pause(self._paused_at)
             (stream.pause if pause else stream.resume)()
             self._listener.set_reading(self, not pause)
         if self._answers:
@@ -183,6 +206,19 @@
         else:
             self._listener.mark_idle(self)
 
+    @property
+    def _blocked(self) -> bool:
+        """Whether input that was read has to wait.
+
+        A connection without such input is read even if the budget is full: only then is its next
+        command noticed, and refused if it must be.
+        """
+        if self._input.idle:
+            return len(self._answers) >= self._listener.limits.depth
+        if self._input.awaits_memory or self._input.undecoded > READ_SIZE:
+            return True
+        return not self._input.assembling and self._at_capacity
+
     # --- answers ---
     def write_now(self, answer: Answer, parts: tuple[bytes | bytearray, ...]) -> bool:
         """Write the next answer at once; False if it has to be queued."""
--- a/violetroute/clients/dispatch.py
+++ b/violetroute/clients/dispatch.py
@@ -18,6 +18,8 @@
 class CommandSource(Protocol):
     """The connection that a command came from."""
 
+    out_of_memory: bool  # commands can only be refused, since the budget has no room for them
+
     def new_charged_answer(self) -> Answer:
         """Append an answer that takes over the budget bytes of the current command."""
 
@@ -65,9 +67,13 @@
     ) -> None:
         """Run a command that may have been unread for `delay` seconds.
 
-        `head`: the bytes up to the end of the id, if they are known.
+        No arguments: it was refused for lack of memory while it was received.  `head`: the bytes up
+        to the end of the id, if they are known.
         """
         context = self._context
+        if not args:  # refused while it was received
+            source.reject(context.handler.refuse(LocalRefusal.MEMORY))
+            return
         dialect = context.dialect
         if dialect is not None:
             if self._answer_dialect(source, dialect, args):
@@ -84,7 +90,10 @@
             if dialect is not None and (moved := dialect.moved_reply(command.key)) is not None:
                 source.new_charged_answer().finish(moved)
                 return
-            if context.drain_schedule is None:
+            rejection: bytes | None
+            if source.out_of_memory:
+                rejection = context.handler.refuse(LocalRefusal.MEMORY)
+            elif context.drain_schedule is None:
                 rejection = context.handler.rejection(command, self._requests_this_turn(), delay)
             else:
                 rejection = self._rejection_in_drain(context.drain_schedule, command, delay)
--- a/violetroute/clients/input.py
+++ b/violetroute/clients/input.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Hashable, Sequence
+from collections.abc import Callable, Sequence
 
 from violetroute import resp
 from violetroute.transport import Stream
@@ -54,6 +54,7 @@
         if count == READ_SIZE or self._delay.window_may_be_closed(count, self._receive_buffer):
             self.expected_until = now + WINDOW_REOPEN_TIME
         self._decoder.feed(read_buffer[:count])
+        self._assembly.received_at = now
         self.idle = False
 
     def end_read(self, count: int, clock: Callable[[], float]) -> None:
@@ -84,12 +85,13 @@
         return self._assembly.transfer_charge()
 
     def next_command(
-        self, owner: Hashable, granted: Callable[[], None]
+        self, granted: Callable[[], None]
     ) -> tuple[Sequence[bytes | bytearray], bytes] | None:
         """The arguments of the next command, and its bytes up to the id if they are known.
 
-        None if it is incomplete or waits for the budget; then `granted` is called once there is
-        room, and has to call `grant`.  Raises ProtocolError.
+        No arguments: the command was refused while it was received, for lack of memory.  None if it
+        is incomplete or waits for the budget; then `granted` is called once there is room, and has
+        to call `grant`.  Raises ProtocolError.
         """
         if not self.assembling:
             args = self._decoder.command()
@@ -97,30 +99,36 @@
                 self.idle = self._decoder.idle
                 head = args.pop()
                 return args, head
-        complete = self._assemble(owner, granted)
+        complete = self._assemble(granted)
         self.assembling = self._assembly.missing_arguments > 0
         self.awaits_memory = self._assembly.awaited_bytes > 0
         self.idle = self._decoder.idle and not self.assembling
         return None if complete is None else (complete, b"")
 
-    def _assemble(
-        self, owner: Hashable, granted: Callable[[], None]
-    ) -> list[bytes | bytearray] | None:
+    def _assemble(self, granted: Callable[[], None]) -> list[bytes | bytearray] | None:
         """Take tokens until a command is complete; None if there are not enough."""
         while not self._assembly.awaited_bytes:
             token = self._decoder.next()
             if token is None:
                 return None
-            complete = self._assembly.take(token, owner, granted)
+            complete = self._assembly.take(token, granted)
             if complete is not None:
                 return complete
         return None
 
-    def grant(self) -> None:
+    def grant(self, now: float) -> None:
         """Take over the bytes that the budget has reserved for the current command."""
+        self._assembly.received_at = now  # it was the proxy that kept it waiting
         self._assembly.grant()
         self.awaits_memory = False
 
-    def drop(self, owner: Hashable) -> None:
+    def end_memory_wait(self, now: float) -> bool:
+        """Refuse the current command if it has waited too long; whether it waits no more."""
+        if now >= self._assembly.wait_until:
+            self._assembly.refuse()
+        self.awaits_memory = self._assembly.awaited_bytes > 0  # the budget may have refused it
+        return not self.awaits_memory
+
+    def drop(self) -> None:
         """Discard the current command and release its budget; the connection has ended."""
-        self._assembly.drop(owner)
+        self._assembly.drop()
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -18,7 +18,7 @@
 BACKLOG = 4096  # connections that the kernel queues while no slot is free
 MAX_ACCEPTS_PER_TURN = 32  # leaves time in the turn for open connections
 ACCEPT_RETRY_INTERVAL = 0.05  # s until the next accept when no connection could be evicted
-DEPARTURE_CHECK_INTERVAL = 0.04  # s; a client's departure must be noticed within 0.1 s
+PAUSED_CHECK_INTERVAL = 0.04  # s; a client's departure must be noticed within 0.1 s
 SWEEP_INTERVAL = 0.25  # s between checks of all connections for expired time limits
 FIRST_BYTE_TIMEOUT_WHEN_FULL = 0.15  # s; a real client sends a command at once
 MAX_EVICTION_CANDIDATES = 8  # connections checked per state in one turn
@@ -67,6 +67,7 @@
         )
         self._paused: dict[ClientConnection, None] = {}  # connections that are not being read
         self._departure_timer: asyncio.TimerHandle | None = None  # set while `_paused` is checked
+        self._reclaimed_logged = 0  # partial commands that gave way, up to the last log line
         self._all_closed = asyncio.Event()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -222,26 +223,30 @@
             self._paused[connection] = None
             if self._departure_timer is None:
                 self._departure_timer = self.loop.call_later(
-                    DEPARTURE_CHECK_INTERVAL, self._close_departed
+                    PAUSED_CHECK_INTERVAL, self._check_paused
                 )
 
-    def _close_departed(self) -> None:
-        """End the paused connections whose client has left.
+    def _check_paused(self) -> None:
+        """Check the connections that are not read: for departed clients, and for waits for memory.
 
         Requests that wait for a retry, a node connection or budget must not be sent after their
         client has left, but its FIN is queued behind unread input.  Not detected: a FIN that a
         closed window holds back at the client.  Cost: a system call for each paused connection in
-        each DEPARTURE_CHECK_INTERVAL.
+        each PAUSED_CHECK_INTERVAL.
         """
         # Set the timer first: an exception for one connection must not stop further checks.
         self._departure_timer = (
-            self.loop.call_later(DEPARTURE_CHECK_INTERVAL, self._close_departed)
+            self.loop.call_later(PAUSED_CHECK_INTERVAL, self._check_paused)
             if self._paused
             else None
         )
+        now = self.loop.time()
+        self.budget.grant_stalled(now)
         for connection in list(self._paused):
             if connection.client_left():
                 connection.ended()
+            else:
+                connection.check_memory_wait(now)
 
     def mark_lingering(self, connection: ClientConnection) -> None:
         """The connection is half-closed and waits for the client's close."""
@@ -264,6 +269,18 @@
             for connection in list(state):
                 connection.check_timeouts(now)
         self._trim_idle()
+        self._log_memory()
+
+    def _log_memory(self) -> None:
+        """Log a lack of memory for commands, if there was one since the last call."""
+        budget = self.budget
+        reclaimed = budget.reclaimed - self._reclaimed_logged
+        if not (budget.full or budget.waiting or reclaimed):
+            return
+        self._reclaimed_logged = budget.reclaimed
+        logs.event(
+            "clients.memory_full", used=budget.used, waiting=budget.waiting, reclaimed=reclaimed
+        )
 
     # --- draining ---
     async def drain(self, longest: float) -> None:
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -103,6 +103,11 @@
         "stopped accepting, answering what is open or unread",
         ("count", "answers", "unread"),
     ),
+    "clients.memory_full": Event(
+        logging.WARNING,
+        "no memory is left for commands",
+        ("used", "waiting", "reclaimed"),
+    ),
     "clients.left_open": Event(
         logging.WARNING,
         "client connections were still open at exit",
--- a/violetroute/resp/__init__.py
+++ b/violetroute/resp/__init__.py
@@ -1,6 +1,6 @@
 """RESP2 without I/O: framing, the platform's commands, and the replies of cache nodes."""
 
-from .commands import Command, CommandError, parse_command
+from .commands import Command, CommandError, parse_command, wait_seconds
 from .framing import (
     BULK_LIMIT,
     CRLF,
@@ -31,4 +31,5 @@
     "bulk",
     "parse_command",
     "parse_report",
+    "wait_seconds",
 ]
--- a/violetroute/resp/commands.py
+++ b/violetroute/resp/commands.py
@@ -53,6 +53,13 @@
         return [head, memoryview(self.value), CRLF]
 
 
+def wait_seconds(options: bytes) -> float:
+    """The wait in an option list, in seconds; 0 if it is missing or invalid."""
+    found = _WAIT_OPTION.search(options)
+    text = b"" if found is None else found[1][2:]
+    return float(text) / 1000.0 if _WAIT_FORMAT.fullmatch(text) else 0.0
+
+
 def parse_command(args: Sequence[bytes | bytearray], head: bytes = b"") -> Command:
     """Parse the arguments of a command.  Raises CommandError.
 
