Slots: a partial command without progress gives way when all slots are taken

Cause: with all slots taken a silent connection was evicted after 0.15 s, one with a part of a command after 2.4 s, which lets 52 connections a second in.

Change: a new connection evicts the partial command without progress for longest, from 30 ms on; if none has stalled and none is idle, the one that began first, from 0.25 s on. With free slots nothing changes.

--- /dev/null
+++ b/tests/violetroute/clients/test_slots.py
@@ -0,0 +1,114 @@
+"""Client slots: clients that stop in the middle of a command cannot lock others out."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tests.support import stall_free_loop
+from tests.support.rig import CacheNode, Rig, get, put, read_answer, wait_until
+
+ANSWER_TIME = 1.0  # s in which a request on a new connection has to be answered
+OWED = 3.0  # s in which a client that stops in the middle of a command gets an error or a close
+
+
+class Crowd:
+    """Clients that send a part of a command and stay; turned away, they do the same again.
+
+    `trickle_s`: seconds between further bytes of each; 0 for none.
+    """
+
+    def __init__(self, rig: Rig, sent_bytes: int, trickle_s: float) -> None:
+        self._rig, self._sent_bytes, self._trickle_s = rig, sent_bytes, trickle_s
+        self.waits: list[float] = []  # s until each was answered or closed
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self, count: int) -> None:
+        self._tasks = [asyncio.create_task(self._run()) for _ in range(count)]
+
+    async def _run(self) -> None:
+        while True:
+            began = self._rig.listener.loop.time()
+            reader, writer = await self._rig.client()
+            writer.write(put(1, b"v" * 4000)[: self._sent_bytes])
+            waiting = asyncio.ensure_future(reader.read(200))
+            while self._trickle_s and not waiting.done():
+                await asyncio.sleep(self._trickle_s)
+                writer.write(b"v")
+            with contextlib.suppress(ConnectionError):
+                await waiting
+            self.waits.append(self._rig.listener.loop.time() - began)
+            writer.close()
+
+    async def __aenter__(self) -> Crowd:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+@pytest.mark.parametrize(
+    ("sockets", "count", "sent_bytes", "trickle_s"),
+    [
+        (80, 40, 27, 0.0),
+        (80, 120, 27, 0.0),
+        (128, 60, 1, 0.0),
+        (256, 300, 200, 0.0),
+        (80, 60, 1000, 0.01),
+        (128, 100, 1000, 0.1),
+    ],
+)
+def test_new_connections_are_served_while_unfinished_commands_take_the_slots(
+    sockets: int, count: int, sent_bytes: int, trickle_s: float
+) -> None:
+    # Guards against a fault found by the review: a connection with a part of a command kept its
+    # slot for 2.4 s, so that requests on new connections waited in the backlog without an answer.
+    async def run() -> None:
+        async with Rig(CacheNode(), sockets=sockets) as rig:
+            loop = rig.listener.loop
+            async with Crowd(rig, sent_bytes, trickle_s) as crowd:
+                crowd.start(count)
+                await wait_until(lambda: rig.listener.connections >= rig.config.client_sockets)
+                for number in range(15):
+                    began = loop.time()
+                    assert (await rig.request(get(number)))[0] == b"value of id%d" % number
+                    assert loop.time() - began < ANSWER_TIME
+                    await asyncio.sleep(0.02)
+                await wait_until(lambda: len(crowd.waits) > count)
+            assert max(crowd.waits) < OWED
+
+    stall_free_loop.run(run())
+
+
+def test_a_slow_command_keeps_its_slot_while_others_have_stalled() -> None:
+    async def run() -> None:
+        async with Rig(CacheNode(), sockets=80) as rig:
+            reader, writer = await rig.client()
+            data = put(1, b"v" * 3000)
+            async with Crowd(rig, 27, 0.0) as crowd:
+                crowd.start(20)
+                for start in range(0, len(data), 150):
+                    writer.write(data[start : start + 150])
+                    await asyncio.sleep(0.02)
+                assert await read_answer(reader) == b"value of id1"
+            writer.close()
+
+    stall_free_loop.run(run())
+
+
+def test_a_slow_command_is_served_while_slots_are_free() -> None:
+    async def run() -> None:
+        async with Rig(CacheNode()) as rig:
+            reader, writer = await rig.client()
+            data = put(1, b"v" * 1000)
+            for start in range(0, len(data), 100):
+                writer.write(data[start : start + 100])
+                await asyncio.sleep(0.15)
+            assert await read_answer(reader) == b"value of id1"
+            writer.close()
+
+    stall_free_loop.run(run())
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -86,6 +86,11 @@
             self.lingering_since = self._loop.time()  # the client can see the close only now
         self.flush()
 
+    @property
+    def received_at(self) -> float:
+        """Loop time of the last read."""
+        return self._input.received_at
+
     def client_left(self) -> bool:
         """Whether the client has closed, checked in the kernel, even behind unread input."""
         return self._stream is None or self._stream.closing or self._stream.peer_ended()
--- a/violetroute/clients/input.py
+++ b/violetroute/clients/input.py
@@ -70,6 +70,11 @@
         """Seconds for which the current command may have waited to be read."""
         return self._delay.delay(now)
 
+    @property
+    def received_at(self) -> float:
+        """The time of the last read."""
+        return self._assembly.received_at
+
     @property
     def undecoded(self) -> int:
         """Bytes that were read and are not decoded yet."""
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -21,6 +21,8 @@
 PAUSED_CHECK_INTERVAL = 0.04  # s; a client's departure must be noticed within 0.1 s
 SWEEP_INTERVAL = 0.25  # s between checks of all connections for expired time limits
 FIRST_BYTE_TIMEOUT_WHEN_FULL = 0.15  # s; a real client sends a command at once
+STALL_TIMEOUT_WHEN_FULL = 0.03  # s without a byte of a command that has begun
+COMMAND_TIMEOUT_WHEN_FULL = 0.25  # s for a command whose bytes keep coming
 MAX_EVICTION_CANDIDATES = 8  # connections checked per state in one turn
 MIN_IDLE_TIME = 0.2  # s for which an idle connection keeps its slot when others need one
 DEFAULTS = Limits()
@@ -52,7 +54,8 @@
         self._server_socket: ListeningSocket | None = None
         self._accept_timer: asyncio.TimerHandle | None = None  # set while accepting is paused
         self._slots_used = 0  # slots are used from accept until the stream is lost
-        # Each connection is in one of these sets; the one that entered it first comes first.
+        # Each connection is in one of these sets; the one that entered it first comes first, of the
+        # partial ones the one without progress for longest.
         self._awaiting_first_byte: dict[ClientConnection, None] = {}
         self._partial: dict[ClientConnection, None] = {}
         self._idle: dict[ClientConnection, None] = {}
@@ -124,27 +127,53 @@
         The connections longest in a state go first, and states in which no answer can be lost go
         before those in which one might.  This protects against many connections that send nothing,
         send half a command, or stay open after a request.  Cost: while all slots are taken, a
-        client whose first byte needs longer than FIRST_BYTE_TIMEOUT_WHEN_FULL is locked out.
+        client whose first byte needs longer than FIRST_BYTE_TIMEOUT_WHEN_FULL is locked out, and of
+        commands that are sent slowly the one without progress for longest loses its connection.
         """
         now = self.loop.time()
-        for state, min_age in (
-            (self._lingering, 0.1),
-            (self._idle, self.limits.idle_s),
-            (self._awaiting_first_byte, FIRST_BYTE_TIMEOUT_WHEN_FULL),
-            (self._partial, self.limits.command_s),
-            (self._idle, MIN_IDLE_TIME),
-        ):
-            for connection in list(islice(state, MAX_EVICTION_CANDIDATES)):
-                if now - connection.since < min_age:
-                    break
-                if state is not self._partial and connection.has_unread_input():
-                    self._requeue(connection, now)
-                elif connection.try_evict():
-                    return True
-                else:
-                    break
+        return (
+            self._evict_from(self._lingering, 0.1, now)
+            or self._evict_from(self._idle, self.limits.idle_s, now)
+            or self._evict_from(self._awaiting_first_byte, FIRST_BYTE_TIMEOUT_WHEN_FULL, now)
+            or self._evict_partial(now)
+            or self._evict_from(self._idle, MIN_IDLE_TIME, now)
+            or self._evict_slow(now)
+        )
+
+    def _evict_from(self, state: dict[ClientConnection, None], min_age: float, now: float) -> bool:
+        """Evict a connection that has been in this state for `min_age` seconds, if there is one."""
+        for connection in list(islice(state, MAX_EVICTION_CANDIDATES)):
+            if now - connection.since < min_age:
+                return False
+            if not connection.has_unread_input():
+                return connection.try_evict()
+            self._requeue(connection, now)
+        return False
+
+    def _evict_partial(self, now: float) -> bool:
+        """Evict a connection whose command makes no progress or takes too long, if there is one."""
+        for connection in list(islice(self._partial, MAX_EVICTION_CANDIDATES)):
+            if now - connection.since >= self.limits.command_s:
+                return connection.try_evict()
+            if now - connection.received_at < STALL_TIMEOUT_WHEN_FULL:
+                return False
+            if not connection.has_unread_input():
+                return connection.try_evict()
+            self._requeue_partial(connection)
         return False
 
+    def _evict_slow(self, now: float) -> bool:
+        """Evict the connection whose command began first, if it is slow, even if it progresses."""
+        slowest = min(self._partial, key=lambda connection: connection.since, default=None)
+        if slowest is None or now - slowest.since < COMMAND_TIMEOUT_WHEN_FULL:
+            return False
+        return slowest.try_evict()
+
+    def _requeue_partial(self, connection: ClientConnection) -> None:
+        """Move a partial connection that makes progress behind all others."""
+        del self._partial[connection]
+        self._partial[connection] = None
+
     def idle_expired(self, connection: ClientConnection, now: float) -> bool:
         """Whether a connection without a command or pending answer has been idle for too long."""
         delay = now - connection.since
@@ -173,8 +202,11 @@
         self._set_state(connection, self._serving)
 
     def mark_partial(self, connection: ClientConnection) -> None:
-        """A part of a command was received."""
-        self._set_state(connection, self._partial)
+        """More of a command was received, and it is not complete."""
+        if connection.state is self._partial:
+            self._requeue_partial(connection)
+        else:
+            self._set_state(connection, self._partial)
 
     def mark_idle(self, connection: ClientConnection) -> None:
         """All commands are answered; ends the connection in a drain."""
