Partial commands: open requests and waits for memory do not stop their time limit

Change: it begins with the first bytes of the command and is not stopped; at the limit the command's memory is released at once and the error is queued behind the open answers. Input that is unread at that moment is read first.

--- a/tests/violetroute/clients/test_memory.py
+++ b/tests/violetroute/clients/test_memory.py
@@ -240,3 +240,33 @@
         await wait_until(lambda: not budget.used)
 
     run_memory(part, 20)
+
+
+@pytest.mark.parametrize("value_bytes", [64 * KIB, 100])
+def test_an_open_request_does_not_stop_the_time_of_a_partial_command(value_bytes: int) -> None:
+    # Guards against a fault: the time limit of a part of a command began once the requests before
+    # it were answered, and a wait for memory began it anew, so that it held memory for longer.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        release = asyncio.Event()
+
+        async def hang(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await release.wait()
+            writer.write(reply(words[2]))
+
+        node.behaviour = hang
+        reader, writer = await rig.client()
+        writer.write(get(1))
+        await wait_until(lambda: rig.proxy.open_requests)
+        open_bytes = rig.listener.budget.used
+        writer.write(put(2, b"v" * value_bytes)[:-10])
+        await asyncio.sleep(OWED)
+        assert rig.listener.budget.used <= open_bytes + 4 * KIB
+        release.set()
+        answered = rig.listener.loop.time()
+        assert await read_answer(reader) == b"id1"
+        assert (await read_answer(reader)).startswith(b"-ERR half")
+        assert rig.listener.loop.time() - answered < ANSWER_TIME
+        assert await reader.read() == b""
+        writer.close()
+
+    run_memory(part, 24)
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -341,6 +341,20 @@
         if self._stream is not None:
             self._stream.abort()
 
+    def _command_expired(self, now: float) -> bool:
+        """Whether the incomplete command takes too long.
+
+        Its time starts with its first bytes.  Neither open requests before it nor a wait for memory
+        stop the time, since it holds memory and a slot.
+        """
+        since = self._input.partial_since
+        return (
+            since > 0.0
+            and not self.ending
+            and now - since > self._listener.limits.command_s
+            and not self.has_unread_input()
+        )
+
     def check_timeouts(self, now: float) -> None:
         """End the connection if a time limit has passed; called every SWEEP_INTERVAL."""
         stream = self._stream
@@ -352,13 +366,13 @@
         if self.lingering_since:
             if now - self.lingering_since > LINGER_TIME and not stream.unsent:
                 stream.abort()
+        elif self._command_expired(now):
+            self._input.drop()
+            self._new_answer().finish(b"-ERR half a command\r\n")
+            self.end_after_answers()
         elif self._reading_paused:
             self._pump()
-        elif self._answers or self._input.awaits_memory:
-            pass  # the proxy makes the client wait
-        elif not self._input.idle:
-            if now - self.since > self._listener.limits.command_s:
-                self._new_answer().finish(b"-ERR half a command\r\n")
-                self.end_after_answers()
+        elif self._answers or not self._input.idle:
+            pass  # other time limits apply
         elif self._listener.idle_expired(self, now) and not self.has_unread_input():
             self.end()
--- a/violetroute/clients/input.py
+++ b/violetroute/clients/input.py
@@ -29,6 +29,7 @@
         "awaits_memory",
         "expected_until",
         "idle",
+        "partial_since",
     )
 
     def __init__(self, budget: Budget) -> None:
@@ -40,6 +41,7 @@
         self.idle = True  # no input is left and no command is incomplete
         self.assembling = False  # the first tokens of a command were taken, but not yet all
         self.awaits_memory = False  # the current command waits for bytes of the budget
+        self.partial_since = 0.0  # first bytes of the incomplete command; 0 without one
         self.expected_until = 0.0  # up to which input of the sender's kernel may still arrive
 
     def accepted(self, turns: Turns, now: float) -> None:
@@ -102,13 +104,19 @@
             args = self._decoder.command()
             if args is not None:
                 self.idle = self._decoder.idle
+                self.partial_since = 0.0
                 head = args.pop()
                 return args, head
         complete = self._assemble(granted)
         self.assembling = self._assembly.missing_arguments > 0
         self.awaits_memory = self._assembly.awaited_bytes > 0
         self.idle = self._decoder.idle and not self.assembling
-        return None if complete is None else (complete, b"")
+        if complete is not None:
+            self.partial_since = 0.0
+            return complete, b""
+        if not self.idle and not self.partial_since:
+            self.partial_since = self._assembly.received_at
+        return None
 
     def _assemble(self, granted: Callable[[], None]) -> list[bytes | bytearray] | None:
         """Take tokens until a command is complete; None if there are not enough."""
@@ -135,5 +143,6 @@
         return not self.awaits_memory
 
     def drop(self) -> None:
-        """Discard the current command and release its budget; the connection has ended."""
+        """Discard the current command and release its budget; the connection ends."""
         self._assembly.drop()
+        self.partial_since = 0.0
