Memory: clients that do not read give way when the budget is full

What callers saw: 20 clients that pipeline lookups of 60 KB and do not read took the budget; others were served 15.1 s later.

--- a/tests/violetroute/clients/test_memory.py
+++ b/tests/violetroute/clients/test_memory.py
@@ -270,3 +270,34 @@
         writer.close()
 
     run_memory(part, 24)
+
+
+def test_clients_that_do_not_read_give_way_when_no_memory_is_left() -> None:
+    # Guards against a fault: answers that their clients did not read held the memory for 15 s, and
+    # the commands of other clients were not read meanwhile.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def long_answers(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            writer.write(reply(b"x" * 60_000 if words[2] != b"id9" else b"short"))
+
+        node.behaviour = long_answers
+        budget = rig.listener.budget
+        crowd = []
+        for client in range(20):
+            reader, writer = await rig.client()
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
+            writer.write(b"".join(get(client * 1000 + number + 10) for number in range(300)))
+            crowd.append((reader, writer))
+        await wait_until(lambda: budget.full)
+        reader, writer = await rig.client()
+        began = rig.listener.loop.time()
+        answer = b"-BUSY"
+        while answer.startswith(b"-BUSY"):
+            answer, seconds = await timed_request(rig, reader, writer, get(9))
+            assert seconds < ANSWER_TIME
+        assert answer == b"short"
+        assert rig.listener.loop.time() - began < OWED
+        for _, each in [*crowd, (reader, writer)]:
+            each.transport.abort()
+        await wait_until(lambda: not budget.used)
+
+    run_memory(part, 20)
