Drain: connections that wait for a slot at SIGTERM are accepted and answered

What callers saw: with all client slots taken at SIGTERM, connections in the kernel's queue were reset 0.55 s later with the commands sent on them.

Cause: the listening socket was closed at that time whether or not its queue could be accepted.

Change: while all slots are taken it stays open, up to 0.15 s before the end of the drain; connections that are accepted late get refusals.

--- a/tests/violetroute/clients/test_drain.py
+++ b/tests/violetroute/clients/test_drain.py
@@ -22,11 +22,11 @@
     """A node that takes commands and answers none."""
 
 
-def run_drains(part: Callable[[Rig], Awaitable[None]], memory_mb: int = 64) -> None:
+def run_drains(part: Callable[[Rig], Awaitable[None]]) -> None:
     """Run `part` with a proxy whose only node hangs."""
 
     async def run() -> None:
-        async with Rig(CacheNode(never), memory_mb=memory_mb) as rig:
+        async with Rig(CacheNode(never)) as rig:
             await part(rig)
 
     stall_free_loop.run(run())
@@ -164,3 +164,22 @@
         await draining
 
     run_drains(part)
+
+
+def test_a_connection_that_waits_for_a_slot_at_sigterm_is_answered() -> None:
+    # Guards against a fault: the listening socket was closed while all slots were taken, which
+    # reset the connections that the kernel had queued, with the commands that were sent on them.
+    async def part(rig: Rig) -> None:
+        slots = rig.listener._slots = 10
+        wait_ms = int((ACCEPT_AFTER_TERM + 0.1) * 1000.0)
+        crowd = [await send(rig, put(number, deadline_ms=wait_ms)) for number in range(slots)]
+        await wait_until(lambda: rig.proxy.open_requests == slots)
+        draining = asyncio.create_task(rig.listener.drain(LONGEST))
+        waiting = [await send(rig, get(1000 + number)) for number in range(3)]
+        counts = await asyncio.gather(
+            *(answers_until_closed(reader) for reader, _ in [*crowd, *waiting])
+        )
+        assert all(each.total() == 1 for each in counts), counts
+        await draining
+
+    run_drains(part)
--- a/violetroute/clients/drain.py
+++ b/violetroute/clients/drain.py
@@ -20,13 +20,14 @@
 # s before the end by which requests are answered.  Commands beyond a connection's depth are read
 # only after that, and have to be refused.
 REFUSE_TIME = 0.15
+SLOT_CHECK_INTERVAL = 0.01  # s between checks for a free slot when accepting should end
 
 
 @dataclass(frozen=True, slots=True)
 class DrainSchedule:
     """The times of a drain, in seconds of the loop's clock."""
 
-    accept_until: float  # the proxy stops listening
+    accept_until: float  # the proxy stops listening, unless all slots are taken
     serve_until: float  # commands that are read later are refused
     answer_by: float  # latest deadline of a request that is accepted during the drain
     ends_at: float  # connections that are still open are aborted
@@ -74,6 +75,13 @@
     def idle_connections(self) -> Sequence[DrainingConnection]:
         """The connections without a command."""
 
+    @property
+    def slots_full(self) -> bool:
+        """Whether no further connection can be accepted."""
+
+    def accept_waiting(self) -> None:
+        """Accept what the kernel has queued, as far as slots are free."""
+
     def stop_accepting(self) -> None:
         """Accept what the kernel has queued, and stop listening."""
 
@@ -86,8 +94,14 @@
     for connection in listener.idle_connections:
         connection.end_if_quiet()
     await asyncio.sleep(schedule.accept_until - listener.loop.time())
-    listener.stop_accepting()
     _log_draining(listener.open_connections)
+    for connection in listener.open_connections:
+        connection.drain()
+    # Connections that wait in the kernel for a slot are accepted as slots become free.
+    while listener.slots_full and listener.loop.time() < schedule.answer_by:
+        await asyncio.sleep(SLOT_CHECK_INTERVAL)
+        listener.accept_waiting()
+    listener.stop_accepting()
     for connection in listener.open_connections:
         connection.drain()
     try:
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -99,7 +99,7 @@
 
     def _accept(self) -> None:
         for _ in range(MAX_ACCEPTS_PER_TURN):
-            if self._slots_used >= self._slots:
+            if self.slots_full:
                 if not self._evict_one():
                     self._pause_accepting()
                 return  # the slot becomes free once the loop has closed that connection
@@ -337,20 +337,29 @@
         """The connections without a command."""
         return list(self._idle)
 
+    @property
+    def slots_full(self) -> bool:
+        """Whether no further connection can be accepted."""
+        return self._slots_used >= self._slots
+
     async def all_closed(self) -> None:
         """Wait until no connection is open."""
         self._all_closed.clear()
         if self._slots_used:
             await self._all_closed.wait()
 
+    def accept_waiting(self) -> None:
+        """Accept what the kernel has queued, as far as slots are free."""
+        while not self.slots_full and self._accept_one():
+            pass
+
     def stop_accepting(self) -> None:
         """Accept all of the backlog and stop listening: a close would reset what it holds."""
         if self._accept_timer is not None:
             self._accept_timer.cancel()
         if self._server_socket is None:
             return
-        while self._slots_used < self._slots and self._accept_one():
-            pass
+        self.accept_waiting()
         if self._accept_timer is not None:
             self._accept_timer.cancel()
         self._server_socket.close()
