--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,9 @@
 
 test: .venv/tested-from
 	.venv/bin/python -m compileall -q snowstall violetroute limebridge
-	.venv/bin/ruff format --check . && .venv/bin/ruff check . && .venv/bin/mypy && .venv/bin/python -m pytest -q
+	.venv/bin/ruff format --check . && .venv/bin/ruff check . && .venv/bin/mypy && \
+	  .venv/bin/python -m pytest -q -n0 tests/violetroute/test_turns_of_lists.py && \
+	  .venv/bin/python -m pytest -q --ignore=tests/violetroute/test_turns_of_lists.py
 
 # Links the files that the bench requires beside a site's file.  They are in a folder of the bench
 # and must not be committed.
