Drain: a scheduled check does not end a connection in the middle of a command

Found by reading. Cause: end_if_quiet, scheduled while a connection was idle behind a closed window, ended it later even if a part of its next command had come and accepting still went on. Nothing that was complete was lost.

Change: while accepting goes on, a connection with a part of a command stays open. The mark for refusals without memory is reset even if running a command raises.

Test: test_a_command_whose_rest_arrives_while_accepting_goes_on_is_answered fails before and passes; test_drain.py: 14 passed.

--- a/tests/violetroute/clients/test_drain.py
+++ b/tests/violetroute/clients/test_drain.py
@@ -153,6 +153,24 @@
     run_drains(part)
 
 
+def test_a_command_whose_rest_arrives_while_accepting_goes_on_is_answered() -> None:
+    # Guards against a fault found by reading: a check that was scheduled while the connection was
+    # idle ended it in the middle of its next command.
+    async def part(rig: Rig) -> None:
+        data = get(1, deadline_ms=DEADLINE_MS)
+        reader, writer = await send(rig, data[:20])
+        await wait_until(lambda: rig.listener._partial)
+        draining = asyncio.create_task(rig.listener.drain(LONGEST))
+        await asyncio.sleep(0.2)
+        next(iter(rig.listener._partial)).end_if_quiet()
+        writer.write(data[20:])
+        assert (await answers_until_closed(reader)).total() == 1
+        writer.close()
+        await draining
+
+    run_drains(part)
+
+
 def test_an_idle_connection_ends_at_once() -> None:
     async def part(rig: Rig) -> None:
         idle, _writer = await send(rig, command(b"PING"))
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -163,8 +163,10 @@
         if self.budget.full and now - self._paused_at >= MEMORY_WAIT:
             unsent = self._stream is not None and self._stream.unsent > 0
             self.out_of_memory = not (self._answers or unsent or self.budget.make_room(now, 0.0))
-        self._pump()
-        self.out_of_memory = False
+        try:
+            self._pump()
+        finally:
+            self.out_of_memory = False
 
     def reject(self, rejection: bytes) -> None:
         """Answer the current command with an error line."""
@@ -286,6 +288,8 @@
         """
         if self._answers or self._reading_paused or self._stream is None:
             return
+        if not (self._input.idle or self.draining):
+            return  # while accepting goes on, the rest of a command is waited for
         if not self.has_unread_input():
             self.end()
         elif (left := self._input.expected_until - self._loop.time()) > 0.0:
