--- a/tests/violetroute/test_list_applier.py
+++ b/tests/violetroute/test_list_applier.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
+import msgspec
 import pytest
 
 from snowstall import CacheState, Member
@@ -142,6 +143,28 @@
     assert sum(member.started_at == 5e5 for member in applied.ready.values()) == 90
 
 
+@pytest.mark.parametrize("restarted_at", [4e5, 6e5])
+def test_a_restart_and_a_takeover_of_its_address_in_one_list(restarted_at: float) -> None:
+    """The node that started later has the address, whichever of the two entries comes first."""
+    restarted, taking_over = entry(1, started=restarted_at), entry(2, host=1, started=5e5)
+    for entries in ((restarted, taking_over), (taking_over, restarted)):
+        applied = fleet(3)
+        applied.apply(*entries)
+        applied.run_all()
+        winner = 1 if restarted_at > 5e5 else 2
+        assert set(applied.ready) == {name(0), name(winner)} == set(applied.pool.at)
+        assert applied.ready[name(winner)].started_at == max(restarted_at, 5e5)
+
+
+def test_the_plan_is_told_of_updated_nodes_only_if_their_zone_or_kind_changes() -> None:
+    applied = fleet(3)
+    restarted = entry(1, started=5e5)
+    moved = msgspec.structs.replace(entry(2), zone="b")
+    listing = Listing(1, False, (restarted, moved))
+    change = applied.lists.apply(listing, whole=False)
+    assert change.joining == [(name(2), moved)] and len(change.members) == 2
+
+
 def test_an_unchanged_list_applies_nothing() -> None:
     applied = fleet(100)
     applied.apply(*map(entry, range(100)), whole=True)
--- a/violetroute/listing.py
+++ b/violetroute/listing.py
@@ -31,7 +31,8 @@
     """The effect of one list."""
 
     members: list[Member] = field(default_factory=list)  # entries that the balancer applies at once
-    # Ids and entries of nodes that enter service, now or in a later slice.
+    # Ids and entries of nodes that enter service, now or in a later slice, and of nodes in service
+    # that the placement plan has to know anew.
     joining: list[tuple[int, Entry]] = field(default_factory=list)
     removed: list[str] = field(default_factory=list)  # names of nodes out of service
 
@@ -73,8 +74,10 @@
         if whole:
             self._waiting.clear()
             self._remove_unnamed(latest, list_change)
-        now, later = self._split(latest)
+        now, updates, later = self._split(latest)
         list_change.members += self._apply_entries(now)
+        placed_anew = [entry for entry in updates if self._is_placed_anew(entry)]
+        list_change.members += self._update_entries(updates)
         list_change.removed += [
             entry.instance for entry in now if entry.state is not CacheState.READY
         ]
@@ -83,7 +86,8 @@
         else:
             self._waiting |= {entry.instance: entry for entry in later}
             self._schedule_slice()
-        serving = [entry for entry in now if entry.state is CacheState.READY] + later
+        moved = [entry for entry in now if entry.state is CacheState.READY]
+        serving = moved + placed_anew + later
         list_change.joining = [(self._id(entry.instance), entry) for entry in serving]
         return list_change
 
@@ -93,13 +97,13 @@
             self._next.cancel()
             self._next = None
 
-    def _split(self, latest: dict[str, Entry]) -> tuple[list[Entry], list[Entry]]:
-        """Split entries into those to apply now and those that may wait for a slice.
+    def _split(self, latest: dict[str, Entry]) -> tuple[list[Entry], list[Entry], list[Entry]]:
+        """Split entries into changes to apply now, updates in place, and those that may wait.
 
-        Applied now: nodes that leave service, and updates of nodes in service (a restart makes a
-        node cold).
+        Applied now: nodes that leave service or their address.  Updates in place are applied now
+        too, since a restart makes a node cold: these nodes stay in service at their address.
         """
-        now, later = [], []
+        now, updates, later = [], [], []
         applied, ids, has_place = self._applied, self._ids, self._places.has_address
         none_displaced = len(self._places) == len(ids)
         for name, entry in latest.items():
@@ -116,9 +120,16 @@
                 now.append(entry)
             elif before is None or before.state is not CacheState.READY:
                 later.append(entry)
-            elif before != entry or not has_place(ids[name]):  # another node took its address
-                now.append(entry)
-        return now, later
+            elif before.address != entry.address or not has_place(ids[name]):
+                now.append(entry)  # it has moved, or another node took its address
+            elif before != entry:
+                updates.append(entry)
+        return now, updates, later
+
+    def _is_placed_anew(self, entry: Entry) -> bool:
+        """Whether an update of a node in service changes what the placement plan knows of it."""
+        before = self._applied[entry.instance]
+        return before.zone != entry.zone or before.kind != entry.kind
 
     def _id(self, name: str) -> int:
         known = self._ids.get(name)
@@ -174,6 +185,20 @@
             members += change.members
         return members
 
+    def _update_entries(self, entries: Iterable[Entry]) -> list[Member]:
+        """As `_apply_entries`, but faster, for nodes in service that keep their address."""
+        now, members, displaced = self._clock(), list[Member](), list[Entry]()
+        applied, ids, update_in_place = self._applied, self._ids, self._places.update_in_place
+        for entry in entries:
+            member = as_member(entry, now, ids[entry.instance])
+            assert entry.address is not None
+            if update_in_place(member, entry.address, entry.inferred):
+                applied[entry.instance] = entry
+                members.append(member)
+            else:
+                displaced.append(entry)  # an entry of this list has taken its address
+        return members + self._apply_entries(displaced)
+
 
 def log_step(list_change: ListChange, joining: int, serving: int) -> None:
     """Log a list that adds or removes at least MIN_LOGGED_CHANGES nodes."""
