Memory: a value is held no longer than its bytes are charged

Cause, by a trace of malloc's statistics and of live objects: a timer of the repeat window or the delivery bound held each attempt, with its command and value, for up to 2.5 s after the answer, when the budget had its bytes back (589 commands beside 26 open requests). Ruled out: fragmentation (five settings of malloc, 72 to 83 MB), reference cycles (a collection freed nothing), output and decoders (counted: none).

Change: the timers hold numbers and are in violetroute/attempt_limits.py; a command drops its value when its request is answered.

Test: test_a_value_is_held_no_longer_than_it_is_charged fails before (1.0 to 2.6 MB held) and passes.

--- a/tests/planted/delivery_limits_removed.py
+++ b/tests/planted/delivery_limits_removed.py
@@ -3,10 +3,10 @@
 Both limits on delivery are removed: the daemon's check and the kernel's TCP_USER_TIMEOUT.
 """
 
-from violetroute.proxy import Proxy
+from violetroute.attempt_limits import AttemptLimits
 from violetroute.transport.stream import SocketStream
 
 
 def plant():
-    Proxy._check_delivery = lambda self, attempt: None
+    AttemptLimits._check_delivery = lambda self, attempt: None
     SocketStream.deliver_within = lambda self, seconds: None
--- a/tests/planted/late_keyed_repeat.py
+++ b/tests/planted/late_keyed_repeat.py
@@ -1,9 +1,9 @@
 """Injected bug: a keyed request is repeated up to 100 ms late, without a check of its delivery."""
 
 from snowstall import attempts
-from violetroute.proxy import Proxy
+from violetroute.attempt_limits import AttemptLimits
 
 
 def plant():
     attempts.REPEAT_MARGIN_MS = -100.0
-    Proxy._check_delivery = lambda self, attempt: None
+    AttemptLimits._check_delivery = lambda self, attempt: None
--- a/tests/violetroute/clients/test_memory.py
+++ b/tests/violetroute/clients/test_memory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -20,6 +21,8 @@
     wait_until,
     with_timeout,
 )
+from violetroute.resp import Command
+from violetroute.upstream import Attempt
 
 KIB = 1024
 ANSWER_TIME = 0.4  # s in which each small command has to be answered
@@ -301,3 +304,36 @@
         await wait_until(lambda: not budget.used)
 
     run_memory(part, 20)
+
+
+def held_values() -> int:
+    """Bytes of the values that commands in this process hold."""
+    commands = [each for each in gc.get_objects() if isinstance(each, Command)]
+    return sum(len(each.value) for each in commands if each.value is not None)
+
+
+@pytest.mark.parametrize(
+    ("value_bytes", "count", "at_once"), [(64 * KIB, 30, 1), (64 * KIB, 40, 20), (5 * KIB, 200, 50)]
+)
+def test_a_value_is_held_no_longer_than_it_is_charged(
+    value_bytes: int, count: int, at_once: int
+) -> None:
+    # Guards against a fault: a timer of the repeat window kept each saved value for up to 2 s after
+    # its answer, outside the budget; a proxy with a limit of 64 MB grew to 84 MB.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        peers = [await rig.client() for _ in range(at_once)]
+        for first in range(0, count, at_once):
+            await asyncio.gather(
+                *(
+                    timed_request(rig, *peer, put(first + place, b"v" * value_bytes))
+                    for place, peer in enumerate(peers)
+                )
+            )
+        await wait_until(lambda: not rig.proxy.open_requests)
+        assert not rig.listener.budget.used
+        assert not held_values()
+        assert not [each for each in gc.get_objects() if isinstance(each, Attempt)]
+        for _, writer in peers:
+            writer.close()
+
+    run_memory(part, 32)
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -29,6 +29,7 @@
 
 from . import logs
 from .admission import AdmissionCheck
+from .attempt_limits import AttemptLimits
 from .clients import Answer
 from .cluster import Redirect, SlotMap
 from .config import Config
@@ -79,6 +80,7 @@
         self._admission.classes = self._classes
         self.rejection, self.refuse = self._admission.rejection, self._admission.refuse
         self._pool = Pool.from_config(self, net, config)
+        self._attempt_limits = AttemptLimits(loop, self._open, self._pool, self._give_up)
         self._slots = SlotMap()
         self._lists = ListApplier(loop, self.places, self._pool, self.clock, self._dispatch_members)
         self._watch = Membership(self, net, config.discovery, config.operator, self.clock)
@@ -330,10 +332,7 @@
         if request.answered:
             self._loop.call_soon(self.attempt_ended, attempt, Result.NEVER_SENT)
             return
-        if until < request.give_up_at:
-            self._loop.call_later((until - now) / 1000.0, self._end_attempt_window, attempt)
-        if 0.0 < action.deliver_by < until:
-            self._loop.call_later((action.deliver_by - now) / 1000.0, self._check_delivery, attempt)
+        self._attempt_limits.watch(attempt, request.give_up_at, now)
         self._pool.send(attempt)
 
     def may_send(self, attempt: Attempt) -> bool:
@@ -351,14 +350,6 @@
             if request is not None:
                 self._remove_if_finished(request)
 
-    def _end_attempt_window(self, attempt: Attempt) -> None:
-        self._give_up(attempt, Result.LATE)
-
-    def _check_delivery(self, attempt: Attempt) -> None:
-        """Give the attempt up unless its node's kernel has acknowledged the whole command."""
-        if not attempt.ended and not self._pool.delivered(attempt):
-            self._give_up(attempt, Result.LATE)
-
     def _deadline_expired(self, number: int) -> None:
         """Fail a request without an answer shortly before its client stops waiting."""
         request = self._open[number]
@@ -392,6 +383,7 @@
 
     def _mark_answered(self, request: OpenRequest) -> None:
         request.answered = True
+        request.command.value = None  # its bytes go back to the clients' budget with the answer
         self._open_by_client_id.pop(request.command.id, None)
 
     def _remove_if_finished(self, request: OpenRequest) -> None:
