Slots: clients that do not read their answers give way when no slot is free

What callers saw: while such clients held all slots, a request on a new connection was answered after 15.1 s (test), when reader_s ended one of them.

Change: while all slots are taken, a client that has taken nothing of its answers for 0.5 s gives way, after all connections without an answer.

Test: test_clients_that_do_not_read_give_way_when_no_slot_is_free (three sizes) fails before, 15.1 s of at most 1, and passes.

--- a/tests/violetroute/clients/test_slots.py
+++ b/tests/violetroute/clients/test_slots.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -14,9 +15,13 @@
     get,
     put,
     read_answer,
+    reply,
     wait_until,
 )
-from violetroute.clients.listener import STALL_TIMEOUT_WHEN_FULL
+from violetroute.clients.listener import (
+    STALL_TIMEOUT_WHEN_FULL,
+)
+from violetroute.transport.stream import SocketStream
 
 ANSWER_TIME = 1.0  # s in which a request on a new connection has to be answered
 OWED = 3.0  # s in which a client that stops in the middle of a command gets an error or a close
@@ -146,3 +151,51 @@
                     writer.close()
 
     stall_free_loop.run(run())
+
+
+async def client_that_does_not_read(
+    rig: Rig, commands: bytes
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """A client that sends commands and leaves the answers; the kernels buffer little of them."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", rig.port))
+    reader, writer = await asyncio.open_connection(sock=sock)
+    await wait_until(lambda: rig.listener._awaiting_first_byte)
+    stream = next(iter(rig.listener._awaiting_first_byte))._stream
+    assert isinstance(stream, SocketStream) and stream._socket is not None
+    stream._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    writer.transport.pause_reading()  # type: ignore[attr-defined]
+    writer.write(commands)
+    await wait_until(lambda: not rig.listener._awaiting_first_byte)
+    return reader, writer
+
+
+@pytest.mark.parametrize(
+    ("sockets", "value_bytes", "pipeline"), [(80, 60_000, 3), (80, 20_000, 10), (128, 40_000, 4)]
+)
+def test_clients_that_do_not_read_give_way_when_no_slot_is_free(
+    sockets: int, value_bytes: int, pipeline: int
+) -> None:
+    # Guards against a fault: clients that did not read their answers kept their slots for 15 s.
+    async def run() -> None:
+        async def long_answers(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            writer.write(reply(b"x" * value_bytes if words[2] != b"id9" else b"short"))
+
+        async with Rig(CacheNode(long_answers), sockets=sockets, memory_mb=1024) as rig:
+            crowd = []
+            for client in range(rig.config.client_sockets):
+                numbers = range(100 * client + 100, 100 * client + 100 + pipeline)
+                commands = b"".join(get(number) for number in numbers)
+                crowd.append(await client_that_does_not_read(rig, commands))
+            await wait_until(lambda: not rig.proxy.open_requests)
+            assert rig.listener.slots_full and not rig.listener.budget.full
+            assert len(rig.listener._serving) == len(crowd)
+            began = rig.listener.loop.time()
+            assert (await rig.request(get(9)))[0] == b"short"
+            assert rig.listener.loop.time() - began < ANSWER_TIME
+            for _, writer in crowd:
+                writer.transport.abort()
+
+    stall_free_loop.run(run())
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -18,7 +18,6 @@
 if TYPE_CHECKING:
     from .listener import Listener
 
-READER_TIMEOUT_WHEN_FULL = 1.0  # s for a client that reads nothing, if its memory is needed
 LINGER_TIME = 0.5  # s for the client to read and close first; a reset could lose the last answer
 
 
@@ -351,11 +350,9 @@
         if self._stream is not None:
             self._stream.abort()
 
-    @property
-    def _reader_timeout(self) -> float:
-        """Seconds for which the client may take nothing of its answers."""
-        timeout = self._listener.limits.reader_s
-        return min(timeout, READER_TIMEOUT_WHEN_FULL) if self.budget.full else timeout
+    def output_stalled_for(self, now: float) -> float:
+        """Seconds at least for which the client has taken nothing of its unsent answers."""
+        return self._output.stalled_for(now)
 
     def _command_expired(self, now: float) -> bool:
         """Whether the incomplete command takes too long.
@@ -376,7 +373,7 @@
         stream = self._stream
         if stream is None:
             return
-        if stream.unsent and self._output.stalled_for(now) > self._reader_timeout:
+        if self.output_stalled_for(now) > self._listener.reader_timeout:
             stream.abort()
             return
         if self.lingering_since:
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -22,6 +22,8 @@
 SWEEP_INTERVAL = 0.25  # s between checks of all connections for expired time limits
 FIRST_BYTE_TIMEOUT_WHEN_FULL = 0.15  # s; a real client sends a command at once
 STALL_TIMEOUT_WHEN_FULL = 0.03  # s without a byte of a command that has begun
+READER_TIMEOUT_WHEN_FULL = 1.0  # s for a client that reads nothing, if its memory is needed
+READER_TIMEOUT_WITHOUT_SLOTS = 0.5  # s for a client that reads nothing, if its slot is needed
 COMMAND_TIMEOUT_WHEN_FULL = 0.25  # s for a command whose bytes keep coming
 MAX_EVICTION_CANDIDATES = 8  # connections checked per state in one turn
 MIN_IDLE_TIME = 0.2  # s for which an idle connection keeps its slot when others need one
@@ -137,6 +139,7 @@
             or self._evict_partial(now)
             or self._evict_from(self._idle, MIN_IDLE_TIME, now)
             or self._evict_slow(now)
+            or self._evict_reader(now)
         )
 
     def _evict_from(self, state: dict[ClientConnection, None], min_age: float, now: float) -> bool:
@@ -168,6 +171,20 @@
             return False
         return slowest.try_evict()
 
+    def _evict_reader(self, now: float) -> bool:
+        """Evict a connection whose client does not take its answers, if there is one."""
+        for connection in self._serving:
+            if connection.output_stalled_for(now) >= READER_TIMEOUT_WITHOUT_SLOTS:
+                connection.evict()
+                return True
+        return False
+
+    @property
+    def reader_timeout(self) -> float:
+        """Seconds for which a client may take nothing of its answers."""
+        timeout = self.limits.reader_s
+        return min(timeout, READER_TIMEOUT_WHEN_FULL) if self.budget.full else timeout
+
     def _requeue_partial(self, connection: ClientConnection) -> None:
         """Move a partial connection that makes progress behind all others."""
         del self._partial[connection]
--- a/violetroute/clients/output.py
+++ b/violetroute/clients/output.py
@@ -64,9 +64,9 @@
     def stalled_for(self, now: float) -> float:
         """Seconds at least for which the kernel has taken nothing of the unsent data.
 
-        Call it at intervals while there is some.
+        Zero if there is none.  Call it at intervals.
         """
         unsent = 0 if self._stream is None else self._stream.unsent
         if unsent != self._unsent:
             self._unsent, self._unsent_since = unsent, now
-        return now - self._unsent_since
+        return now - self._unsent_since if unsent else 0.0
