Partial commands: the kernel's input is read before a connection ends amid one

By reading: a slow command whose last byte was in the kernel could lose its connection to a new client, and with it its answer.

Cause: both checks judged by the decoder. The time limit was put off while any input was unread, which a byte every few milliseconds makes likely at each check; the eviction of slow commands did not look at the kernel at all.

Change: ClientConnection.read_rest reads up to eight times, then the limit or the eviction holds if the command is still incomplete. A command that waits for memory at its limit is refused if its rest is there.

Tests: four in test_slots.py; the two of the time limit and the one of the eviction fail before.

--- a/tests/violetroute/clients/test_slots.py
+++ b/tests/violetroute/clients/test_slots.py
@@ -17,8 +17,11 @@
     read_answer,
     reply,
     wait_until,
+    with_timeout,
 )
+from violetroute.clients.connection import ClientConnection
 from violetroute.clients.listener import (
+    COMMAND_TIMEOUT_WHEN_FULL,
     STALL_TIMEOUT_WHEN_FULL,
 )
 from violetroute.transport.stream import SocketStream
@@ -199,3 +202,85 @@
                 writer.transport.abort()
 
     stall_free_loop.run(run())
+
+
+async def partial_connection(
+    rig: Rig, data: bytes
+) -> tuple[ClientConnection, asyncio.StreamReader, asyncio.StreamWriter]:
+    """A connection on which only `data`, a part of a command, has been received."""
+    reader, writer = await rig.client()
+    writer.write(data)
+    await wait_until(lambda: rig.listener._partial)
+    return next(iter(rig.listener._partial)), reader, writer
+
+
+def test_a_command_that_is_complete_in_the_kernel_is_answered_instead_of_evicted() -> None:
+    # Guards against a fault: a slow command gave way although its last byte was in the kernel.
+    async def run() -> None:
+        async with Rig(CacheNode()) as rig:
+            data = get(1)
+            connection, reader, writer = await partial_connection(rig, data[:-20])
+            await asyncio.sleep(COMMAND_TIMEOUT_WHEN_FULL)
+            writer.write(data[-20:-10])
+            await wait_until(lambda: connection.received_at > connection.since + 0.2)
+            writer.write(data[-10:])
+            assert not rig.listener._evict_one()
+            assert await read_answer(reader) == b"value of id1"
+            writer.close()
+
+    stall_free_loop.run(run())
+
+
+@pytest.mark.parametrize("rest", [b"v", b"v" * 100])
+def test_bytes_that_keep_coming_do_not_extend_the_time_of_a_command(rest: bytes) -> None:
+    # Guards against a fault: the limit was put off while input was unread at its check, so that a
+    # client that sends a byte every few milliseconds had no error or close within 3 s.
+    async def run() -> None:
+        async with Rig(CacheNode()) as rig:
+            connection, reader, writer = await partial_connection(rig, put(1, b"v" * 4000)[:200])
+            writer.write(rest)
+            now = rig.listener.loop.time() + rig.listener.limits.command_s
+            connection.check_timeouts(now + 0.1)
+            async with asyncio.timeout(ANSWER_TIME):
+                assert (await read_answer(reader)).startswith(b"-ERR half")
+            assert await with_timeout(reader.read()) == b""
+            writer.close()
+
+    stall_free_loop.run(run())
+
+
+def test_a_command_that_is_complete_in_the_kernel_at_its_time_limit_is_answered() -> None:
+    async def run() -> None:
+        async with Rig(CacheNode()) as rig:
+            data = put(1, b"v" * 60_000)
+            connection, reader, writer = await partial_connection(rig, data[:30_000])
+            await wait_until(lambda: not connection.has_unread_input())
+            writer.write(data[30_000:])
+            await wait_until(lambda: not writer.transport.get_write_buffer_size())
+            now = rig.listener.loop.time() + rig.listener.limits.command_s
+            connection.check_timeouts(now + 0.1)
+            assert await read_answer(reader) == b"value of id1"
+            writer.close()
+
+    stall_free_loop.run(run())
+
+
+def test_a_command_that_waits_for_memory_at_its_time_limit_is_refused() -> None:
+    # Its rest is in the kernel, so it was taken; an error would say that it was incomplete.
+    async def run() -> None:
+        async with Rig(CacheNode()) as rig:
+            budget = rig.listener.budget
+            budget.hold(budget._size)
+            data = put(1, b"v" * 60_000)
+            connection, reader, writer = await partial_connection(rig, data)
+            await wait_until(lambda: budget.waiting)
+            now = rig.listener.loop.time() + rig.listener.limits.command_s
+            connection.check_timeouts(now + 0.1)
+            async with asyncio.timeout(ANSWER_TIME):
+                assert await read_answer(reader) == b"-BUSY"
+            budget.release(budget._size)
+            writer.write(get(2))
+            assert await read_answer(reader) == b"value of id2"
+            writer.close()
+
+    stall_free_loop.run(run())
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 if TYPE_CHECKING:
     from .listener import Listener
 
+READS_OF_REST = 8  # reads in a row for the rest of a command; the longest value needs four
 LINGER_TIME = 0.5  # s for the client to read and close first; a reset could lose the last answer
 
 
@@ -354,19 +356,26 @@
         """Seconds at least for which the client has taken nothing of its unsent answers."""
         return self._output.stalled_for(now)
 
-    def _command_expired(self, now: float) -> bool:
-        """Whether the incomplete command takes too long.
+    def read_rest(self) -> None:
+        """Read what the kernel has of an incomplete command.
 
-        Its time starts with its first bytes.  Neither open requests before it nor a wait for memory
-        stop the time, since it holds memory and a slot.
+        A command is taken once its last byte is in the kernel, so this comes before a connection is
+        ended in the middle of a command.
         """
-        since = self._input.partial_since
-        return (
-            since > 0.0
-            and not self.ending
-            and now - since > self._listener.limits.command_s
-            and not self.has_unread_input()
-        )
+        for _ in range(READS_OF_REST):
+            if self._stream is None or not self._input.partial_since:
+                return
+            self._stream.read_now()
+
+    def _command_expired(self, now: float) -> bool:
+        """Whether the incomplete command takes too long, and its rest has not arrived."""
+        limit = self._listener.limits.command_s
+        if self.ending or not self._input.expired(now, limit):
+            return False
+        if self._input.awaits_memory:
+            self.check_memory_wait(math.inf)  # refused if the rest is in the kernel
+        self.read_rest()
+        return self._stream is not None and not self.ending and self._input.expired(now, limit)
 
     def check_timeouts(self, now: float) -> None:
         """End the connection if a time limit has passed; called every SWEEP_INTERVAL."""
--- a/violetroute/clients/input.py
+++ b/violetroute/clients/input.py
@@ -129,6 +129,14 @@
                 return complete
         return None
 
+    def expired(self, now: float, limit: float) -> bool:
+        """Whether a command is incomplete for more than `limit` seconds since its first bytes.
+
+        Neither open requests before it nor a wait for memory stop that time, since it holds memory
+        and a slot.
+        """
+        return self.partial_since > 0.0 and now - self.partial_since > limit
+
     def grant(self, now: float) -> None:
         """Take over the bytes that the budget has reserved for the current command."""
         self._assembly.received_at = now  # it was the proxy that kept it waiting
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -153,10 +153,8 @@
         return False
 
     def _evict_partial(self, now: float) -> bool:
-        """Evict a connection whose command makes no progress or takes too long, if there is one."""
+        """Evict a connection whose command makes no progress, if there is one."""
         for connection in list(islice(self._partial, MAX_EVICTION_CANDIDATES)):
-            if now - connection.since >= self.limits.command_s:
-                return connection.try_evict()
             if now - connection.received_at < STALL_TIMEOUT_WHEN_FULL:
                 return False
             if not connection.has_unread_input():
@@ -169,6 +167,10 @@
         slowest = min(self._partial, key=lambda connection: connection.since, default=None)
         if slowest is None or now - slowest.since < COMMAND_TIMEOUT_WHEN_FULL:
             return False
+        began = slowest.since
+        slowest.read_rest()
+        if slowest.state is not self._partial or slowest.since != began:
+            return False  # the command was complete
         return slowest.try_evict()
 
     def _evict_reader(self, now: float) -> bool:
--- a/violetroute/transport/interfaces.py
+++ b/violetroute/transport/interfaces.py
@@ -70,6 +70,9 @@
     def resume(self) -> None:
         """Continue reading."""
 
+    def read_now(self) -> None:
+        """Read once, as the event loop would in its next iteration; nothing while paused."""
+
     def end(self) -> None:
         """Half-close once all written data has been taken.  Reading goes on."""
 
--- a/violetroute/transport/stream.py
+++ b/violetroute/transport/stream.py
@@ -125,6 +125,10 @@
 
     resume = read
 
+    def read_now(self) -> None:
+        if self._reading:
+            self._readable()
+
     def _readable(self) -> None:
         sock, handler = self._socket, self._handler
         if sock is None:
--- a/violetroute/transport/tls.py
+++ b/violetroute/transport/tls.py
@@ -205,6 +205,9 @@
     def delivered(self) -> bool:
         return not self._pending_writes and self._lower.delivered()
 
+    def read_now(self) -> None:
+        self._lower.read_now()
+
     def no_pending_input(self) -> bool:
         return not self._in.pending and self._lower.no_pending_input()
 
