Memory: idle connections to nodes hold no answer

Cause, by a trace of malloc and of the counted bytes: 16 MB in use, 3.9 MB in the budget, 12 requests open. NodeConnection kept its reply, and the value in it, until the next attempt on that connection; the pool has up to 45% of the descriptors.

Change: the reply is replaced when its attempt is detached, not when the next one starts.

Test: test_an_idle_node_connection_holds_no_answer fails before at three sizes and passes.

--- a/tests/violetroute/clients/test_memory.py
+++ b/tests/violetroute/clients/test_memory.py
@@ -21,7 +21,7 @@
     wait_until,
     with_timeout,
 )
-from violetroute.resp import Command
+from violetroute.resp import Command, Reply
 from violetroute.upstream import Attempt
 
 KIB = 1024
@@ -337,3 +337,25 @@
             writer.close()
 
     run_memory(part, 32)
+
+
+@pytest.mark.parametrize(("value_bytes", "at_once"), [(64 * KIB, 20), (64 * KIB, 1), (3000, 40)])
+def test_an_idle_node_connection_holds_no_answer(value_bytes: int, at_once: int) -> None:
+    # Guards against a fault: each idle connection to a node kept its last value, outside the
+    # budget, so that lookups of 60 KB grew a proxy with a limit of 32 MB to 50 MB.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        async def long_answers(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            writer.write(reply(b"x" * value_bytes))
+
+        node.behaviour = long_answers
+        peers = [await rig.client() for _ in range(at_once)]
+        await asyncio.gather(
+            *(timed_request(rig, *peer, get(place)) for place, peer in enumerate(peers))
+        )
+        await wait_until(lambda: not rig.proxy.open_requests)
+        assert rig.proxy._pool._open and not rig.listener.budget.used
+        assert not [each for each in gc.get_objects() if isinstance(each, Reply) and each.value]
+        for _, writer in peers:
+            writer.close()
+
+    run_memory(part, 32)
--- a/violetroute/upstream/connection.py
+++ b/violetroute/upstream/connection.py
@@ -102,7 +102,7 @@
         """Send the attempt's command on this idle connection."""
         self.attempt, attempt.connection = attempt, self
         self.idle_for = self._pool.loop.time() - self.idle_since
-        self._reply, self._asking = resp.Reply(), attempt.asking
+        self._asking = attempt.asking
         now = self._pool.owner.clock()
         parts = attempt.command.encode(attempt.wait_until - now)
         assert self.stream is not None
@@ -204,6 +204,7 @@
         assert self.attempt is not None
         self.attempt.connection = None
         self.attempt = None
+        self._reply = resp.Reply()  # an idle connection holds no value
         if self._reply_timer is not None:
             self._reply_timer.cancel()
             self._reply_timer = None
