Slots: clients.slots_full says who holds the client slots when none is left

For the slots there was none; that requests waited in the backlog while connections gave way one by one was found by a trace outside the proxy.

Logging of shortages is in clients/shortage_log.py, out of the listener.

--- a/tests/violetroute/clients/test_slots.py
+++ b/tests/violetroute/clients/test_slots.py
@@ -130,8 +130,16 @@
     stall_free_loop.run(run())
 
 
+def slots_full_lines(caplog: pytest.LogCaptureFixture) -> list[dict[str, int]]:
+    """The fields of each line `clients.slots_full`."""
+    lines = (vars(record) for record in caplog.records)
+    return [line["fields"] for line in lines if line.get("event") == "clients.slots_full"]
+
+
 @pytest.mark.parametrize(("sockets", "waiting"), [(80, 5), (80, 20), (256, 30)])
-def test_several_stalled_commands_give_way_in_one_turn(sockets: int, waiting: int) -> None:
+def test_several_stalled_commands_give_way_in_one_turn(
+    sockets: int, waiting: int, caplog: pytest.LogCaptureFixture
+) -> None:
     # Guards against a fault: one connection gave way in each loop iteration, so that with
     # iterations of 20 ms requests on new connections waited for a second.
     async def run() -> None:
@@ -152,6 +160,8 @@
                     writer.write(get(number))
                     assert await read_answer(reader) == b"value of id%d" % number
                     writer.close()
+                await wait_until(lambda: slots_full_lines(caplog))
+                assert slots_full_lines(caplog)[0]["evicted"] >= waiting
 
     stall_free_loop.run(run())
 
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -345,7 +345,7 @@
     def evict(self) -> None:
         """Close at once, discarding unsent answers, and free the slot."""
         self.abort()
-        self._listener.free_slot(self)
+        self._listener.connection_evicted(self)
 
     def abort(self) -> None:
         """Close at once, discarding unsent answers."""
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -14,6 +14,7 @@
 from .budget import Budget
 from .connection import ClientConnection
 from .drain import DrainSchedule, run_drain
+from .shortage_log import ShortageLog
 
 BACKLOG = 4096  # connections that the kernel queues while no slot is free
 MAX_ACCEPTS_PER_TURN = 32  # leaves time in the turn for open connections
@@ -72,7 +73,7 @@
         )
         self._paused: dict[ClientConnection, None] = {}  # connections that are not being read
         self._departure_timer: asyncio.TimerHandle | None = None  # set while `_paused` is checked
-        self._reclaimed_logged = 0  # partial commands that gave way, up to the last log line
+        self._shortages = ShortageLog(self.budget)
         self._all_closed = asyncio.Event()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -302,8 +303,13 @@
         """The connection is half-closed and waits for the client's close."""
         self._set_state(connection, self._lingering)
 
-    def free_slot(self, connection: ClientConnection) -> None:
-        """The descriptor of this connection is closed; `connection_lost` follows."""
+    def connection_evicted(self, connection: ClientConnection) -> None:
+        """The connection gave way to a new one; `connection_lost` follows."""
+        self._shortages.evicted += 1
+        self._free_slot(connection)
+
+    def _free_slot(self, connection: ClientConnection) -> None:
+        """The descriptor of this connection is closed."""
         if connection.state is not None:
             del connection.state[connection]
             connection.state = None
@@ -312,7 +318,7 @@
     def connection_lost(self, connection: ClientConnection) -> None:
         """The connection is closed: free its slot if that has not been done."""
         self._paused.pop(connection, None)
-        self.free_slot(connection)
+        self._free_slot(connection)
         if not self._slots_used:
             self._all_closed.set()
 
@@ -323,18 +329,7 @@
             for connection in list(state):
                 connection.check_timeouts(now)
         self._trim_idle()
-        self._log_memory()
-
-    def _log_memory(self) -> None:
-        """Log a lack of memory for commands, if there was one since the last call."""
-        budget = self.budget
-        reclaimed = budget.reclaimed - self._reclaimed_logged
-        if not (budget.full or budget.waiting or reclaimed):
-            return
-        self._reclaimed_logged = budget.reclaimed
-        logs.event(
-            "clients.memory_full", used=budget.used, waiting=budget.waiting, reclaimed=reclaimed
-        )
+        self._shortages.write(self._idle, self._partial, self._serving)
 
     # --- draining ---
     async def drain(self, longest: float) -> None:
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -108,6 +108,11 @@
         "no memory is left for commands",
         ("used", "waiting", "reclaimed"),
     ),
+    "clients.slots_full": Event(
+        logging.WARNING,
+        "no client slot is left",
+        ("evicted", "idle", "partial", "serving"),
+    ),
     "clients.left_open": Event(
         logging.WARNING,
         "client connections were still open at exit",
