Slots: clients that read slowly give way when no slot is free

What callers saw (forced in a test, found by reading): clients that take 2 KB of their answers every 0.1 s held all slots, and a request on a new connection was answered after 19 s.

Cause: the stall of 0.5 s begins anew with each byte that the client takes, so a reservation could be kept by slow progress.

Change: while all slots are taken, a client to which one answer has not been delivered for 2 s gives way too. The connection's output is a public attribute, since the listener asks it for both times.

Test: test_clients_that_read_slowly_give_way_when_no_slot_is_free fails without the limit (19.2 and 19.3 s of at most 2.5) and passes.

--- a/tests/violetroute/clients/test_slots.py
+++ b/tests/violetroute/clients/test_slots.py
@@ -22,7 +22,9 @@
 from violetroute.clients.connection import ClientConnection
 from violetroute.clients.listener import (
     COMMAND_TIMEOUT_WHEN_FULL,
+    SLOW_READER_TIMEOUT_WITHOUT_SLOTS,
     STALL_TIMEOUT_WHEN_FULL,
+    SWEEP_INTERVAL,
 )
 from violetroute.transport.stream import SocketStream
 
@@ -214,6 +216,39 @@
     stall_free_loop.run(run())
 
 
+def test_clients_that_read_slowly_give_way_when_no_slot_is_free() -> None:
+    # Guards against a fault: a client that takes some bytes of its answers again and again makes
+    # progress, and kept its slot for as long as it liked.
+    async def run() -> None:
+        async def long_answers(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            writer.write(reply(b"x" * 60_000 if words[2] != b"id9" else b"short"))
+
+        async with Rig(CacheNode(long_answers), sockets=80, memory_mb=1024) as rig:
+            loop, crowd = rig.listener.loop, []
+            for client in range(rig.config.client_sockets):
+                numbers = range(100 * client + 100, 100 * client + 106)
+                commands = b"".join(get(number) for number in numbers)
+                crowd.append(await client_that_does_not_read(rig, commands))
+            await wait_until(lambda: not rig.proxy.open_requests)
+
+            async def read_slowly(client: socket.socket) -> None:
+                while True:
+                    with contextlib.suppress(BlockingIOError):
+                        client.recv(2000)
+                    await asyncio.sleep(0.1)
+
+            clients = [writer.get_extra_info("socket")._sock for _, writer in crowd]
+            readers = [loop.create_task(read_slowly(client)) for client in clients]
+            began = loop.time()
+            assert (await rig.request(get(9)))[0] == b"short"
+            assert loop.time() - began < SLOW_READER_TIMEOUT_WITHOUT_SLOTS + 2 * SWEEP_INTERVAL
+            for reader, (_, writer) in zip(readers, crowd, strict=True):
+                reader.cancel()
+                writer.transport.abort()
+
+    stall_free_loop.run(run())
+
+
 async def partial_connection(
     rig: Rig, data: bytes
 ) -> tuple[ClientConnection, asyncio.StreamReader, asyncio.StreamWriter]:
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -37,7 +37,7 @@
         self._paused_at = 0.0  # loop time at which reading was paused
         self.out_of_memory = False  # commands can only be refused: the budget has no room for them
         self._pumping = self._flushing = False
-        self._output = Output(self.budget)
+        self.output = Output(self.budget)
         self._dispatcher = CommandDispatcher(listener)
         self.draining = False  # ends once it is quiet, even behind a part of a command
         self.ending = False  # takes no further command; ends after the pending answers
@@ -49,7 +49,7 @@
     def accepted(self, stream: Stream) -> None:
         """The connection was accepted as `stream`; it may have waited in the backlog."""
         self._stream = stream
-        self._output.attach(stream)
+        self.output.attach(stream)
         self._input.accepted(self._listener.turns, self._loop.time())
         self._listener.connection_accepted(self)
 
@@ -76,14 +76,14 @@
     def lost(self, error: OSError | None) -> None:
         """The stream is closed: release everything and leave the listener."""
         self._stream = None
-        self._output.taken()
-        self._output.attach(None)
+        self.output.taken()
+        self.output.attach(None)
         self._release_all()
         self._listener.connection_lost(self)
 
     def drained(self) -> None:
         """Return the sent bytes to the budget; restart the linger time, or write more answers."""
-        self._output.taken()
+        self.output.taken()
         if self.lingering_since:
             self.lingering_since = self._loop.time()  # the client can see the close only now
         self.flush()
@@ -117,7 +117,7 @@
             self.update_state()
             return
         self._pumping = True
-        self._output.begin_batch()
+        self.output.begin_batch()
         try:
             while not self.ending:
                 if not self._input.assembling and self._at_capacity:
@@ -134,7 +134,7 @@
             self.end_after_answers()
         finally:
             self._pumping = False
-            self._output.end_batch()
+            self.output.end_batch()
         self.update_state()
 
     @property
@@ -175,7 +175,7 @@
         if self._answers or self._input.charged or self._stream is None or self._stream.unsent:
             self.new_charged_answer().finish(rejection)
         else:
-            self._output.write(rejection)
+            self.output.write(rejection)
 
     def new_charged_answer(self) -> Answer:
         """Append an answer that takes over the budget bytes of the current command."""
@@ -242,7 +242,7 @@
         ):
             return False
         self._answers.popleft()
-        self._output.write(*parts)
+        self.output.write(*parts)
         if self._answers:
             self.flush()  # later answers that were already finished
         if not self._pumping:
@@ -261,7 +261,7 @@
                 break
             data = self._answers.popleft().take_unwritten()
             self.budget.release(len(data))
-            self._output.write(data)
+            self.output.write(data)
             progressed = True
         self._flushing = False
         if progressed and not self._pumping:
@@ -352,10 +352,6 @@
         if self._stream is not None:
             self._stream.abort()
 
-    def output_stalled_for(self, now: float) -> float:
-        """Seconds at least for which the client has taken nothing of its unsent answers."""
-        return self._output.stalled_for(now)
-
     def read_rest(self) -> None:
         """Read what the kernel has of an incomplete command.
 
@@ -382,7 +378,7 @@
         stream = self._stream
         if stream is None:
             return
-        if self.output_stalled_for(now) > self._listener.reader_timeout:
+        if self.output.stalled_for(now) > self._listener.reader_timeout:
             stream.abort()
             return
         if self.lingering_since:
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -25,6 +25,7 @@
 STALL_TIMEOUT_WHEN_FULL = 0.03  # s without a byte of a command that has begun
 READER_TIMEOUT_WHEN_FULL = 1.0  # s for a client that reads nothing, if its memory is needed
 READER_TIMEOUT_WITHOUT_SLOTS = 0.5  # s for a client that reads nothing, if its slot is needed
+SLOW_READER_TIMEOUT_WITHOUT_SLOTS = 2.0  # s for a client that is behind with its answers
 COMMAND_TIMEOUT_WHEN_FULL = 0.25  # s for a command whose bytes keep coming
 MAX_EVICTION_CANDIDATES = 8  # connections checked per state in one turn
 MIN_IDLE_TIME = 0.2  # s for which an idle connection keeps its slot when others need one
@@ -175,9 +176,13 @@
         return slowest.try_evict()
 
     def _evict_reader(self, now: float) -> bool:
-        """Evict a connection whose client does not take its answers, if there is one."""
+        """Evict a connection whose client does not take its answers, or only slowly."""
         for connection in self._serving:
-            if connection.output_stalled_for(now) >= READER_TIMEOUT_WITHOUT_SLOTS:
+            output = connection.output
+            if (
+                output.stalled_for(now) >= READER_TIMEOUT_WITHOUT_SLOTS
+                or output.blocked_for(now) >= SLOW_READER_TIMEOUT_WITHOUT_SLOTS
+            ):
                 connection.evict()
                 return True
         return False
--- a/violetroute/clients/output.py
+++ b/violetroute/clients/output.py
@@ -13,6 +13,7 @@
     __slots__ = (
         "_batch",
         "_batching",
+        "_blocked_since",
         "_budget",
         "_charged",
         "_stream",
@@ -27,6 +28,7 @@
         self._batching = False
         self._charged = 0  # bytes charged to the budget that the kernel has not yet taken
         self._unsent, self._unsent_since = 0, 0.0
+        self._blocked_since = 0.0  # since when there was always unsent data; 0 without any
 
     def attach(self, stream: Stream | None) -> None:
         """Write to this stream; None once it is closed."""
@@ -57,7 +59,7 @@
 
     def taken(self) -> None:
         """The kernel has taken everything, or the stream is lost: return the bytes."""
-        self._unsent = 0
+        self._unsent, self._blocked_since = 0, 0.0
         charged, self._charged = self._charged, 0
         self._budget.release(charged)
 
@@ -69,4 +71,9 @@
         unsent = 0 if self._stream is None else self._stream.unsent
         if unsent != self._unsent:
             self._unsent, self._unsent_since = unsent, now
+            self._blocked_since = self._blocked_since or now
         return now - self._unsent_since if unsent else 0.0
+
+    def blocked_for(self, now: float) -> float:
+        """Seconds at least for which there was always unsent data, after `stalled_for`."""
+        return now - self._blocked_since if self._unsent else 0.0
