Virtual runs: the log of the process is as before after an isolated run

Cause: isolated_run set the logger's level back by its attribute, so the logger kept its cached answer that warnings are disabled, for all later tests of the same worker.

Change: the level is set back with setLevel, which clears the cache; the test of the slots sets the level that it needs.

--- a/limebridge/virtual/session.py
+++ b/limebridge/virtual/session.py
@@ -34,7 +34,8 @@
     finally:
         for handler in handlers:
             ours.removeHandler(handler)
-        ours.level, ours.propagate = before
+        ours.setLevel(before[0])  # also clears the logger's cache of enabled levels
+        ours.propagate = before[1]
         if collects:
             gc.enable()
 
--- a/tests/violetroute/clients/test_slots.py
+++ b/tests/violetroute/clients/test_slots.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 
 import pytest
@@ -19,6 +20,7 @@
     wait_until,
     with_timeout,
 )
+from violetroute import logs
 from violetroute.clients.connection import ClientConnection
 from violetroute.clients.listener import (
     COMMAND_TIMEOUT_WHEN_FULL,
@@ -144,6 +146,8 @@
 ) -> None:
     # Guards against a fault: one connection gave way in each loop iteration, so that with
     # iterations of 20 ms requests on new connections waited for a second.
+    caplog.set_level(logging.WARNING, logger=logs.NAME)  # other tests configure another level
+
     async def run() -> None:
         async with Rig(CacheNode(), sockets=sockets) as rig:
             listener = rig.listener
