Slots: no connection gives way while none waits for a slot

What callers saw (second reading of the change, forced in a test): the connection that took the last slot made another one give way, an idle one or one in the middle of a command, although no further connection waited. So one slot was always empty.

Cause: since several connections are accepted in one turn, the loop made room for the next one before it asked whether there was one.

Change: ListeningSocket.has_waiting polls the accept queue, also on the virtual network, and room is made only for a connection that waits.

--- a/limebridge/virtual/net.py
+++ b/limebridge/virtual/net.py
@@ -16,8 +16,8 @@
 ) -> SocketNetwork:
     """The network interface of process `owner`; `clock` gives its wall clock in Unix s.
 
-    `hung_up` is set as an attribute, so that older builds of the daemon, which don't have it, can
-    run as well.
+    `hung_up` and `connection_waits` are set as attributes, so that older builds of the daemon,
+    which don't have them, can run as well.
     """
     net = SocketNetwork(
         loop,
@@ -27,9 +27,15 @@
         undelivered=lambda sock: int(sock.undelivered()),  # type: ignore[attr-defined]
     )
     net.hung_up = _hung_up
+    net.connection_waits = _connection_waits
     return net
 
 
+def _connection_waits(sock: Any) -> bool:
+    """Whether poll would report POLLIN for a listening socket."""
+    return bool(sock._queue)
+
+
 def _hung_up(sock: Any) -> bool:
     """Whether poll would report POLLRDHUP, POLLHUP or POLLERR."""
     return bool(sock._fin_received or sock._reset or sock._error)
--- a/tests/violetroute/clients/test_slots.py
+++ b/tests/violetroute/clients/test_slots.py
@@ -160,7 +160,7 @@
                 clients = [await rig.client() for _ in range(waiting)]
                 listener._accept()
                 assert len(listener._awaiting_first_byte) == waiting
-                assert listener.connections <= rig.config.client_sockets
+                assert listener.connections == rig.config.client_sockets
                 listener._server_socket.watch(True)
                 for number, (reader, writer) in enumerate(clients):
                     writer.write(get(number))
@@ -172,6 +172,27 @@
     stall_free_loop.run(run())
 
 
+@pytest.mark.parametrize("sent", [b"", get(1)[:27], get(1)])
+def test_no_connection_gives_way_while_none_waits(sent: bytes) -> None:
+    # Guards against a fault: the connection that took the last slot made another one give way.
+    async def run() -> None:
+        async with Rig(CacheNode(), sockets=80) as rig:
+            slots = rig.config.client_sockets
+            crowd = [await rig.client() for _ in range(slots - 1)]
+            for _, writer in crowd:
+                writer.write(sent)
+            await wait_until(lambda: rig.listener.connections == slots - 1)
+            await asyncio.sleep(COMMAND_TIMEOUT_WHEN_FULL)  # each may give way now
+            crowd.append(await rig.client())
+            await wait_until(lambda: rig.listener.slots_full)
+            await asyncio.sleep(0)
+            assert rig.listener.connections == slots
+            for _, writer in crowd:
+                writer.close()
+
+    stall_free_loop.run(run())
+
+
 async def client_that_does_not_read(
     rig: Rig, commands: bytes
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -103,12 +103,20 @@
 
     def _accept(self) -> None:
         for _ in range(MAX_ACCEPTS_PER_TURN):
-            if self.slots_full and not self._evict_one():
-                self._pause_accepting()
+            if self.slots_full and not self._make_room():
                 return
             if not self._accept_one():
                 return
 
+    def _make_room(self) -> bool:
+        """Free a slot for a connection that waits for one; False if none waits or none is free."""
+        if self._server_socket is None or not self._server_socket.has_waiting():
+            return False
+        if self._evict_one():
+            return True
+        self._pause_accepting()
+        return False
+
     def _accept_one(self) -> bool:
         assert self._server_socket is not None
         connection = ClientConnection(self)
--- a/violetroute/transport/interfaces.py
+++ b/violetroute/transport/interfaces.py
@@ -123,6 +123,9 @@
     def watch(self, on: bool) -> None:
         """Set whether `ready` is called."""
 
+    def has_waiting(self) -> bool:
+        """Whether a connection is waiting to be accepted."""
+
     def accept(self, handler: Handler) -> Stream | None:
         """Accept the oldest waiting connection and start reading it; None if there is none.
 
--- a/violetroute/transport/sockets.py
+++ b/violetroute/transport/sockets.py
@@ -43,6 +43,9 @@
         else:
             self._net.loop.remove_reader(self._socket.fileno())
 
+    def has_waiting(self) -> bool:
+        return self._socket is not None and self._net.connection_waits(self._socket)
+
     def accept(self, handler: Handler) -> SocketStream | None:
         """Accept one connection and read it; None if there is none or its client reset it.
 
@@ -94,6 +97,7 @@
         self.undelivered = undelivered or _undelivered
         # Replaceable by tests, as `make` is.
         self.hung_up: Callable[[socket.socket], bool] = _hung_up
+        self.connection_waits: Callable[[socket.socket], bool] = _connection_waits
 
     def wall(self) -> float:
         return self._clock()
@@ -147,8 +151,17 @@
 
 def _hung_up(sock: socket.socket) -> bool:
     """POLLRDHUP reports a FIN even while earlier bytes are unread (poll(2))."""
+    return _polled(sock, select.POLLRDHUP)
+
+
+def _connection_waits(sock: socket.socket) -> bool:
+    """POLLIN reports a connection in the accept queue of a listening socket (accept(2))."""
+    return _polled(sock, select.POLLIN)
+
+
+def _polled(sock: socket.socket, events: int) -> bool:
     poll = select.poll()
-    poll.register(sock, select.POLLRDHUP)
+    poll.register(sock, events)
     return bool(poll.poll(0))
 
 
