Test: an attempt that goes on holds no value of an ended request

Change: a client leaves while its save hangs at a node that may not be called off; the value is gone with the budget's bytes.

--- a/tests/violetroute/clients/test_memory.py
+++ b/tests/violetroute/clients/test_memory.py
@@ -6,11 +6,13 @@
 import contextlib
 import gc
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import pytest
 
 from tests.support import stall_free_loop
 from tests.support.rig import (
+    SETTINGS,
     CacheNode,
     Rig,
     bulk,
@@ -339,6 +341,30 @@
     run_memory(part, 32)
 
 
+def test_an_attempt_that_goes_on_holds_no_value_of_an_ended_request() -> None:
+    # The client has left, its bytes are back in the budget, and the node may not be called off.
+    async def part(rig: Rig, node: CacheNode) -> None:
+        release = asyncio.Event()
+
+        async def hang(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await release.wait()
+            writer.write(reply(b"late"))
+
+        node.behaviour = hang
+        _, writer = await rig.client()
+        writer.write(put(1, b"v" * 64 * KIB))
+        await wait_until(lambda: node.commands)
+        writer.transport.abort()
+        await wait_until(lambda: not rig.listener.budget.used)
+        assert rig.proxy.open_requests == 1
+        assert not held_values()
+        release.set()
+        await wait_until(lambda: not rig.proxy.open_requests)
+
+    with mock.patch.dict(SETTINGS["caps"], cancel=False):
+        run_memory(part, 32)
+
+
 @pytest.mark.parametrize(("value_bytes", "at_once"), [(64 * KIB, 20), (64 * KIB, 1), (3000, 40)])
 def test_an_idle_node_connection_holds_no_answer(value_bytes: int, at_once: int) -> None:
     # Guards against a fault: each idle connection to a node kept its last value, outside the
