Review case 8: long answers in pieces take a proxy over its memory limit

Cause: what has been received of an answer from a node is not charged to the budget, and the number of connections to nodes follows the descriptors, not the memory.

--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -148,6 +148,7 @@
         limits: dict[str, Any] | None = None,
     ) -> None:
         self.case, self.name, self.port = case, name, free_port()
+        self.killed = False  # by the case, in the place of the platform
         folder = case.folder / name
         (folder / "tmp").mkdir(parents=True)
         config = {
@@ -242,7 +243,7 @@
         try:
             breaks = body(self)
             for daemon in self.daemons:
-                if daemon.process.poll() is not None:
+                if daemon.process.poll() is not None and not daemon.killed:
                     raise CaseError(f"{daemon.name} has ended: {daemon.log_text()[-400:]}")
             if self.errors:
                 raise CaseError("; ".join(self.errors[:3]))
@@ -365,8 +366,12 @@
         self.sock.close()
 
     def call(self, *words: bytes) -> bytes:
-        """Send a command; its answer: the line, or `$` and the value of a bulk string."""
+        """Send a command; its answer."""
         self.sock.sendall(command(*words))
+        return self.answer()
+
+    def answer(self) -> bytes:
+        """The next answer: the line, or `$` and the value of a bulk string."""
         line = self._reader.line()
         if line.startswith(b"$") and line != b"$-1":
             return b"$" + self._reader.body(int(line[1:]) + 2)[:-2]
