Answers of nodes: a value counts once its whole answer has been read and fits

Cause: an attempt whose answer turned out malformed, or never ended, was completed with its value if that had been read. But the error shows that a length is wrong, not which. By the same reasoning: a length 9 too long made the report the outcome, and the value was served after reply_s; a value that contains the end of an answer was cut short; and a value that came before the node had the whole command was served, though it was made for an earlier one.

Change: an answer that does not fit or end has failed, also behind its value. An answer followed by bytes that may be the rest of its value is malformed (resp.may_continue_value), and so is a value read before the kernel has the acknowledgement of the command. New log event nodes.malformed with the reasons. RefusalCounter is ReasonCounter, which both events use.

The test of the daemon in memory asks the virtual kernel for acknowledgements now.

--- a/tests/violetroute/upstream/test_pool.py
+++ b/tests/violetroute/upstream/test_pool.py
@@ -20,6 +20,7 @@
 class Stream:
     def __init__(self) -> None:
         self.unsent, self.closing, self.discarded = 0, False, False
+        self.unacknowledged = 0
         self.written: list[bytes] = []
         self.is_quiet = True
         self.within: list[float] = []
@@ -31,6 +32,9 @@
         self.written.append(data)
         return True
 
+    def delivered(self) -> bool:
+        return not (self.unsent or self.unacknowledged)
+
     def no_pending_input(self) -> bool:
         return self.is_quiet
 
--- a/violetroute/admission.py
+++ b/violetroute/admission.py
@@ -9,7 +9,7 @@
 
 from .clients import LocalRefusal
 from .hooks import EventHooks
-from .refusals import RefusalCounter
+from .reason_counter import ReasonCounter
 from .requests import refusal
 from .resp import Command
 from .transport.loop_lag import Turns
@@ -28,7 +28,7 @@
         clock: Callable[[], float],
         balancer: Balancer,
         hooks: EventHooks,
-        refusals: RefusalCounter,
+        refusals: ReasonCounter,
     ) -> None:
         self._loop, self._turns, self._clock, self._hooks = loop, turns, clock, hooks
         self.balancer, self._refusals = balancer, refusals
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -230,6 +230,9 @@
         "nodes do not answer while others do, sending them few requests",
         ("count", "nodes"),
     ),
+    "nodes.malformed": Event(
+        logging.WARNING, "answers of nodes could not be used", ("count", "reasons")
+    ),
     "nodes.trusted": Event(logging.INFO, "no suspected nodes any more"),
     "placement.fits": Event(logging.INFO, "the plan matches the listed nodes again", ("nodes",)),
     "placement.late": Event(
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -40,7 +40,7 @@
 from .loop_lag_probe import LoopLagProbe
 from .membership import Listing, Membership, NodeAddresses, stable_hash
 from .placement import PlanManager
-from .refusals import RefusalCounter
+from .reason_counter import ReasonCounter, log_refused
 from .requests import FAILED, OpenRequest, log_fault, refusal, service_time_ms
 from .resp import Command, CommandError
 from .transport import Network
@@ -68,7 +68,7 @@
         self._housekeeping: asyncio.TimerHandle | None = None  # the balancer's periodic timer
         self._turns.call_on_pause(self._on_pause)
         self._turn_log = LongTurnLog(self._turns, self._open)
-        self._refusals = RefusalCounter(loop)
+        self._refusals = ReasonCounter(loop, log_refused)
         self._balancer = Balancer(config.settings, config.seed, self.clock())
         self.load_samples = self._balancer.load_samples  # sharing reports them to peers
         self._settings = config.settings
--- a/violetroute/resp/__init__.py
+++ b/violetroute/resp/__init__.py
@@ -13,7 +13,7 @@
     Token,
     bulk,
 )
-from .replies import Reply, parse_report
+from .replies import Reply, may_continue_value, parse_report
 
 __all__ = [
     "BULK_LIMIT",
@@ -29,6 +29,7 @@
     "Reply",
     "Token",
     "bulk",
+    "may_continue_value",
     "parse_command",
     "parse_report",
     "wait_seconds",
--- a/violetroute/resp/framing.py
+++ b/violetroute/resp/framing.py
@@ -167,6 +167,10 @@
         self._advance(tail.end())
         return value, outcome, report
 
+    def rest(self) -> bytes:
+        """The bytes that are not decoded yet."""
+        return bytes(memoryview(self._buffer)[self._position :])
+
     def _advance(self, end: int) -> None:
         if end == len(self._buffer):
             self._buffer.clear()
--- a/violetroute/upstream/connection.py
+++ b/violetroute/upstream/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from snowstall import Result
@@ -27,6 +28,17 @@
 ERROR_RESULTS = {b"BUSY": Result.FULL, b"ERR": Result.ERROR}
 CACHE_STATES = {b"hit": True, b"miss": False, b"pending": False}
 
+
+class Malformation(Enum):
+    """Why an answer of a node is not used; the value is the reason in the log."""
+
+    FRAMING = "framing"  # a length, a line or a type that does not fit
+    STALLED = "stalled"  # it did not end in time
+    UNKNOWN_ERROR = "unknown_error"  # an error line that does not say whether the command ran
+    AMBIGUOUS_LENGTH = "ambiguous_length"  # its value may go on behind its apparent end
+    EARLY = "early"  # it came before the node had received the whole command
+
+
 _shared = memoryview(bytearray(READ_SIZE))
 
 
@@ -72,12 +84,12 @@
         try:
             self._read()
         except resp.ProtocolError:
-            self._fail_malformed()
+            self._fail_malformed(Malformation.FRAMING)
         # The reply to ASKING does not start the timer: the real answer has not begun.
         begun = not (self._asking or (self._reply.is_empty and self._decoder.idle))
         if self.attempt is not None and self._reply_timer is None and begun:
             self._reply_timer = self._pool.loop.call_later(
-                self._pool.limits.reply_s, self._fail_malformed
+                self._pool.limits.reply_s, self._fail_malformed, Malformation.STALLED
             )
 
     def ended(self) -> None:
@@ -142,27 +154,44 @@
             if self._reply.complete:
                 self._complete()
 
-    def _fail_malformed(self) -> None:
+    def _fail_malformed(self, reason: Malformation) -> None:
         """End the attempt whose reply is malformed or stops before its end.
 
         This covers noise, invalid lines and lengths, values over the size limit, partial replies
         and a node that hangs during its reply.  The request has run.  The result is not RESET,
-        which would count against the node, since any node can send such replies.  A value that
-        was complete before the error is used.  Drawback: on a network that stalls for longer than
-        `reply_s` within one reply, good replies are discarded.
+        which would count against the node, since any node can send such replies.  A value before
+        the error is not used: the length that framed it may be the one that is wrong.  Drawback:
+        on a network that stalls for longer than `reply_s` within one reply, good replies are
+        discarded.
         """
-        if self.attempt is None:
-            return
-        if self.fully_sent and self._reply.has_value:
-            self._complete(clean=False)
-        else:
+        if self.attempt is not None:
+            self._pool.malformed_replies.count(reason.value)
             self._fail_attempt(Result.MALFORMED)
 
-    def _complete(self, clean: bool = True) -> None:
+    def _foreign_value(self) -> Malformation | None:
+        """Why the complete reply may not be the one made for this attempt; None if it is.
+
+        The node's kernel acknowledges a command with the first byte of its reply, at the latest.
+        So a value that comes before is a late copy of an earlier one.
+        """
+        assert self.stream is not None
+        if not self.stream.delivered():
+            return Malformation.EARLY
+        if not self._decoder.idle and resp.may_continue_value(
+            self._reply.extras, self._decoder.rest()
+        ):
+            return Malformation.AMBIGUOUS_LENGTH
+        return None
+
+    def _complete(self) -> None:
         attempt, reply = self.attempt, self._reply
         assert attempt is not None
+        if reply.line is None and (reason := self._foreign_value()) is not None:
+            self._pool.malformed_replies.count(reason.value)
+            self._fail_attempt(Result.MALFORMED if self.fully_sent else Result.NO_CONNECTION)
+            return
         extra_bytes = not self._decoder.idle
-        clean = clean and self.fully_sent and not extra_bytes
+        clean = self.fully_sent and not extra_bytes
         self._detach_attempt()
         self.used = True
         if clean:
@@ -170,7 +199,7 @@
         else:  # extra bytes after the answer, or an answer before the command was sent
             self.close()
         if reply.line is None:
-            how, load = (*reply.extras, None, None)[:2]
+            how, load = reply.extras
             self._pool.owner.attempt_ended(
                 attempt,
                 Result.OK,
@@ -197,6 +226,8 @@
             # reply counts as malformed.  Drawback: an unsafe request whose refusal is sent twice is
             # reported as failed.
             result = Result.MALFORMED
+        if result is Result.MALFORMED:
+            self._pool.malformed_replies.count(Malformation.UNKNOWN_ERROR.value)
         report = resp.parse_report(rest.rpartition(b" ")[2]) if b"=" in rest else None
         self._pool.owner.attempt_ended(attempt, result, report=report)
 
--- a/violetroute/upstream/pool.py
+++ b/violetroute/upstream/pool.py
@@ -7,6 +7,7 @@
 
 from snowstall import Result
 from violetroute.config import Config, Limits
+from violetroute.reason_counter import ReasonCounter, log_malformed
 from violetroute.transport import Address, Network
 
 from .attempt import Attempt, AttemptOwner
@@ -61,6 +62,7 @@
         self._break_shares = [(0.0, 0.0)] * (len(AGE_BOUNDS) + 1)
         # The recent longest delay (s) of unsolicited data after an answer, and its loop time.
         self._stray_delay, self._stray_seen_at = 0.0, 0.0
+        self.malformed_replies = ReasonCounter(self.loop, log_malformed)
         self._nodes: dict[int, Node] = {}
         self._open: dict[NodeConnection, None] = {}
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL, self._sweep)
@@ -299,5 +301,6 @@
     def close(self) -> None:
         """Close all connections and stop the sweep."""
         self._sweep_timer.cancel()
+        self.malformed_replies.close()
         for connection in list(self._open):
             self._discard(connection)
