Client connections: the queue of answers is a class of its own

Change: AnswerQueue writes the answers in the order of their commands; Output.blocked says whether anything can be written. No behaviour changes.

--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from typing import TYPE_CHECKING
 
 from violetroute import resp
 from violetroute.transport import Stream
 
+from .answer_queue import AnswerQueue
 from .answers import Answer
 from .assembly import MEMORY_WAIT
 from .budget import REQUEST_OVERHEAD
@@ -32,13 +32,13 @@
         self._loop = listener.loop
         self.budget = listener.budget
         self._stream: Stream | None = None
-        self._answers: deque[Answer] = deque()
         self._input = CommandReader(self.budget)
         self._reading_paused = False
         self._paused_at = 0.0  # loop time at which reading was paused
         self.out_of_memory = False  # commands can only be refused: the budget has no room for them
-        self._pumping = self._flushing = False
+        self._pumping = False
         self.output = Output(self.budget)
+        self._answers = AnswerQueue(self.output, self.budget)
         self._dispatcher = CommandDispatcher(listener)
         self.draining = False  # ends once it is quiet, even behind a part of a command
         self.ending = False  # takes no further command; ends after the pending answers
@@ -103,8 +103,7 @@
         self.ending = True
         self._listener.set_reading(self, True)
         self._input.drop()
-        answers, self._answers = self._answers, deque()
-        for answer in answers:
+        for answer in self._answers.clear():
             answer.drop()
             if not answer.done:
                 self._listener.handler.client_gone(answer)
@@ -232,18 +231,8 @@
     # --- answers ---
     def write_now(self, answer: Answer, parts: tuple[bytes | bytearray, ...]) -> bool:
         """Write the next answer at once; False if it has to be queued."""
-        stream = self._stream
-        if (
-            stream is None
-            or stream.unsent
-            or self._flushing
-            or stream.closing
-            or not self._answers
-            or self._answers[0] is not answer
-        ):
+        if not self._answers.write_first(answer, parts):
             return False
-        self._answers.popleft()
-        self.output.write(*parts)
         if self._answers:
             self.flush()  # later answers that were already finished
         if not self._pumping:
@@ -252,20 +241,7 @@
 
     def flush(self) -> None:
         """Write the finished answers in order, until the kernel stops taking data."""
-        stream = self._stream
-        if stream is None or self._flushing:
-            return
-        self._flushing = True
-        progressed = False
-        while self._answers and not stream.unsent and not stream.closing:
-            if not self._answers[0].done:
-                break
-            data = self._answers.popleft().take_unwritten()
-            self.budget.release(len(data))
-            self.output.write(data)
-            progressed = True
-        self._flushing = False
-        if progressed and not self._pumping:
+        if self._answers.flush() and not self._pumping:
             self._pump()
 
     def end_after_answers(self) -> None:
--- a/violetroute/clients/output.py
+++ b/violetroute/clients/output.py
@@ -34,6 +34,12 @@
         """Write to this stream; None once it is closed."""
         self._stream = stream
 
+    @property
+    def blocked(self) -> bool:
+        """Whether nothing can be written now: the kernel takes no more, or the stream is closed."""
+        stream = self._stream
+        return stream is None or stream.unsent > 0 or stream.closing
+
     def write(self, *parts: bytes | bytearray) -> None:
         """Write, or collect the data if a batch has begun."""
         if self._batching:
