Clients: a connection has a bounded share of each turn of the event loop

A read of 16 KiB has 1,170 PINGs, which ran in one turn, about 25 ms; commands of others were read after that time, and the admission check refused them for the lag.

Change: a connection runs at most 64 commands or 1 ms in a row, then waits unread in a queue that gets 2 ms of each turn, round robin (clients/turn_share.py). It keeps its slot, since its commands are complete, and a drain answers them. Log event clients.many_commands.

Why it works: a turn lasts 2 ms longer than without such clients, whatever their number, so the others' commands are read in time.

--- a/violetroute/clients/answer_queue.py
+++ b/violetroute/clients/answer_queue.py
@@ -4,8 +4,8 @@
 
 from collections import deque
 
-from .answers import Answer
-from .budget import Budget
+from .answers import Answer, AnsweringConnection
+from .budget import REQUEST_OVERHEAD, Budget
 from .output import Output
 
 
@@ -22,9 +22,13 @@
     def __len__(self) -> int:
         return len(self._answers)
 
-    def append(self, answer: Answer) -> None:
-        """Add the answer of the latest command."""
+    def new(self, connection: AnsweringConnection) -> Answer:
+        """The answer of the latest command of `connection`, behind all others."""
+        answer = Answer(connection)
+        answer.charge = REQUEST_OVERHEAD
+        self._budget.hold(REQUEST_OVERHEAD)
         self._answers.append(answer)
+        return answer
 
     def write_first(self, answer: Answer, parts: tuple[bytes | bytearray, ...]) -> bool:
         """Write this answer at once if it is the next; False if it has to be queued."""
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -11,11 +11,11 @@
 from .answer_queue import AnswerQueue
 from .answers import Answer
 from .assembly import MEMORY_WAIT
-from .budget import REQUEST_OVERHEAD
 from .dispatch import CommandDispatcher
 from .input import READ_SIZE, CommandReader, read_buffer
 from .output import Output
 from .read_delay import WINDOW_REOPEN_TIME
+from .turn_share import SLICE_COMMANDS, CommandSlices, slice_time
 
 if TYPE_CHECKING:
     from .listener import Listener
@@ -37,6 +37,7 @@
         self._paused_at = 0.0  # loop time at which reading was paused
         self.out_of_memory = False  # commands can only be refused: the budget has no room for them
         self._pumping = False
+        self._slices = CommandSlices(listener.turn_share)
         self.output = Output(self.budget)
         self._answers = AnswerQueue(self.output, self.budget)
         self._dispatcher = CommandDispatcher(listener)
@@ -64,8 +65,13 @@
         """Decode the bytes and run the commands that are complete."""
         if self.ending or self._stream is None:
             return  # input after this close is discarded; reading only detects the client's close
-        self._input.feed(count, self._listener.turns, self._loop.time(), self._stream)
-        self._pump()
+        now = self._loop.time()
+        self._input.feed(count, self._listener.turns, now, self._stream)
+        if self._slices.is_heavy(now):
+            self._slices.wait(self, now)
+            self.update_state()
+        else:
+            self._pump()
         self._input.end_read(count, self._loop.time)
 
     def ended(self) -> None:
@@ -101,6 +107,7 @@
     def _release_all(self) -> None:
         """The client has left: drop its answers and return all their budget bytes."""
         self.ending = True
+        self._slices.end(self)
         self._listener.set_reading(self, True)
         self._input.drop()
         for answer in self._answers.clear():
@@ -111,32 +118,50 @@
 
     # --- commands ---
     def _pump(self) -> None:
-        if self._pumping:
-            return  # called again by an answer that was given at once
+        if self._pumping or self._slices.waiting:
+            return  # called again by an answer that was given at once, or later by `run_slice`
         if self._input.idle:  # an answer was written and no input is left
             self.update_state()
             return
         self._pumping = True
         self.output.begin_batch()
         try:
-            while not self.ending:
-                if not self._input.assembling and self._at_capacity:
-                    break
-                command = self._input.next_command(self._budget_granted)
-                if command is None:
-                    break
-                delay = self._input.delay(self._loop.time())
-                self._dispatcher.run(self, *command, delay)
-                if self._input.idle:
-                    break
+            self._run_commands()
         except resp.ProtocolError as error:
-            self._new_answer().finish(b"-ERR %b\r\n" % str(error).encode())
+            self._answers.new(self).finish(b"-ERR %b\r\n" % str(error).encode())
             self.end_after_answers()
         finally:
             self._pumping = False
             self.output.end_batch()
         self.update_state()
 
+    def _run_commands(self) -> None:
+        """Run the commands that were read, for a slice of the turn.  Raises ProtocolError."""
+        now = self._loop.time()
+        ends_at = now + slice_time(self._listener.turns.elapsed(now))
+        for _ in range(SLICE_COMMANDS):
+            if self.ending or (not self._input.assembling and self._at_capacity):
+                return
+            command = self._input.next_command(self._budget_granted)
+            if command is None:
+                return
+            self._dispatcher.run(self, *command, self._input.delay(now))
+            if self._input.idle:
+                return
+            now = self._loop.time()
+            if now >= ends_at:
+                break
+        if not self.ending:
+            self._slices.wait(self, now)
+
+    def run_slice(self) -> None:
+        """Run further commands, unless the client has left meanwhile."""
+        self._slices.waiting = False
+        if self.client_left():
+            self.ended()
+        else:
+            self._pump()
+
     @property
     def _at_capacity(self) -> bool:
         """Whether no further command may be started."""
@@ -179,24 +204,17 @@
 
     def new_charged_answer(self) -> Answer:
         """Append an answer that takes over the budget bytes of the current command."""
-        answer = self._new_answer()
+        answer = self._answers.new(self)
         answer.charge += self._input.transfer_charge()
         return answer
 
-    def _new_answer(self) -> Answer:
-        answer = Answer(self)
-        answer.charge = REQUEST_OVERHEAD
-        self.budget.hold(REQUEST_OVERHEAD)
-        self._answers.append(answer)
-        return answer
-
     def update_state(self) -> None:
         """Pause or resume reading, and update the state that the listener keeps."""
         stream = self._stream
         if stream is None or stream.closing or self.lingering_since or self._pumping:
             return
         # Input on a connection that is about to end stays unread: its client retries.
-        pause = self.ending or self._blocked
+        pause = self.ending or self._slices.waiting or self._blocked
         if pause != self._reading_paused:
             self._reading_paused = pause
             if pause:
@@ -204,7 +222,7 @@
                 self._input.pause(self._paused_at)
             (stream.pause if pause else stream.resume)()
             self._listener.set_reading(self, not pause)
-        if self._answers:
+        if self._answers or self._slices.waiting:
             self._listener.mark_serving(self)
         elif self.ending:
             self.end()
@@ -365,7 +383,7 @@
                 stream.abort()
         elif self._command_expired(now):
             self._input.drop()
-            self._new_answer().finish(b"-ERR half a command\r\n")
+            self._answers.new(self).finish(b"-ERR half a command\r\n")
             self.end_after_answers()
         elif self._reading_paused:
             self._pump()
--- a/violetroute/clients/listener.py
+++ b/violetroute/clients/listener.py
@@ -16,6 +16,7 @@
 from .drain import DrainSchedule, run_drain
 from .eviction import slow_command, stalled_reader
 from .shortage_log import ShortageLog
+from .turn_share import TurnShare
 
 BACKLOG = 4096  # connections that the kernel queues while no slot is free
 MAX_ACCEPTS_PER_TURN = 32  # leaves time in the turn for open connections
@@ -51,6 +52,7 @@
         self.dialect = dialect  # may be replaced at any time
         self._idle_limit = max(1, int(slots * limits.idle_share))
         self.budget = Budget(budget_bytes)
+        self.turn_share = TurnShare(net.loop)
         self.draining = False
         self.drain_schedule: DrainSchedule | None = None  # set once the drain has begun
         self._server_socket: ListeningSocket | None = None
@@ -72,7 +74,7 @@
         )
         self._paused: dict[ClientConnection, None] = {}  # connections that are not being read
         self._departure_timer: asyncio.TimerHandle | None = None  # set while `_paused` is checked
-        self._shortages = ShortageLog(self.budget)
+        self._shortages = ShortageLog(self.budget, self.turn_share)
         self._all_closed = asyncio.Event()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -103,6 +103,11 @@
         "stopped accepting, answering what is open or unread",
         ("count", "answers", "unread"),
     ),
+    "clients.many_commands": Event(
+        logging.WARNING,
+        "connections send more commands than fit into their share of the time",
+        ("slices", "waiting"),
+    ),
     "clients.memory_full": Event(
         logging.WARNING,
         "no memory is left for commands",
