Clients: nothing is sent for a client whose close may be behind unread input

What callers saw: 12 clients wrote 60 saves of 16 or 60 KB each and closed at once.

Cause: a close was taken for seen unless POLLRDHUP reported it. The close comes behind all data, and most of that waits in the sender's kernel for the TCP window to open. Decoded and queued commands, and input unread in our kernel, were checked already.

Change: ClientPresence says when the client was last certainly there: while little is unread, and 10 ms after much was. An attempt is sent only within 0.05 s of that (SendCheck, before each first byte). Uncertain commands wait while their input is read ahead within the connection's share of turns, up to the close if there is one; that input is charged, and has half of the budget. Beyond it commands are refused (unseen_client), which is harmless since nothing ran.

--- a/violetroute/clients/answers.py
+++ b/violetroute/clients/answers.py
@@ -15,6 +15,7 @@
 
     DRAINING = "draining"  # the process is about to exit
     MEMORY = "memory"  # the budget had no room for it
+    UNSEEN_CLIENT = "unseen_client"  # its client may have closed, behind much unread input
 
 
 class RequestHandler(Protocol):
@@ -50,6 +51,10 @@
         """Whether the client has closed, checked in the kernel."""
         ...
 
+    def client_may_have_left(self) -> bool:
+        """Whether the client has closed, or may have closed without this process seeing it."""
+        ...
+
     def write_now(self, answer: Answer, parts: tuple[bytes | bytearray, ...]) -> bool:
         """Write the next answer at once; False if it has to be queued."""
         ...
@@ -75,6 +80,10 @@
         """Whether the client has closed the connection, checked in the kernel."""
         return self._connection.client_left()
 
+    def client_may_have_left(self) -> bool:
+        """Whether the client has closed, or may have closed without this process seeing it."""
+        return self._connection.client_may_have_left()
+
     def finish(self, *parts: bytes | bytearray) -> None:
         """Set the complete answer; it is written once all earlier answers have been."""
         self.done = True
--- a/violetroute/clients/budget.py
+++ b/violetroute/clients/budget.py
@@ -51,6 +51,11 @@
         """Whether no further command may be started."""
         return self.used > self._for_commands
 
+    @property
+    def half_free(self) -> bool:
+        """Whether there is room for what may give way, such as input that is read ahead."""
+        return self.used * 2 < self._for_commands
+
     @property
     def waiting(self) -> int:
         """The number of reservations that wait for room."""
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -14,6 +14,7 @@
 from .dispatch import CommandDispatcher
 from .input import READ_SIZE, CommandReader, read_buffer
 from .output import Output
+from .read_ahead import read_ahead
 from .read_delay import WINDOW_REOPEN_TIME
 from .turn_share import SLICE_COMMANDS, CommandSlices, slice_time
 
@@ -37,6 +38,7 @@
         self._paused_at = 0.0  # loop time at which reading was paused
         self.out_of_memory = False  # commands can only be refused: the budget has no room for them
         self._pumping = False
+        self._reading_ahead = False
         self._slices = CommandSlices(listener.turn_share)
         self.output = Output(self.budget)
         self._answers = AnswerQueue(self.output, self.budget)
@@ -67,7 +69,9 @@
             return  # input after this close is discarded; reading only detects the client's close
         now = self._loop.time()
         self._input.feed(count, self._listener.turns, now, self._stream)
-        if self._slices.is_heavy(now):
+        if self._reading_ahead:
+            self._input.charge_ahead()
+        elif self._slices.is_heavy(now):
             self._slices.wait(self, now)
             self.update_state()
         else:
@@ -104,6 +108,13 @@
         """Whether the client has closed, checked in the kernel, even behind unread input."""
         return self._stream is None or self._stream.closing or self._stream.peer_ended()
 
+    def client_may_have_left(self) -> bool:
+        """Whether the client has closed, or may have closed without this process seeing it."""
+        stream = self._stream
+        if stream is None or stream.closing:
+            return True
+        return self._input.client_may_have_left(stream, self._loop.time())
+
     def _release_all(self) -> None:
         """The client has left: drop its answers and return all their budget bytes."""
         self.ending = True
@@ -133,6 +144,7 @@
         finally:
             self._pumping = False
             self.output.end_batch()
+            self._input.charge_ahead()
         self.update_state()
 
     def _run_commands(self) -> None:
@@ -142,6 +154,9 @@
         for _ in range(SLICE_COMMANDS):
             if self.ending or (not self._input.assembling and self._at_capacity):
                 return
+            if self._stream is not None and self._input.awaits_client(self._stream, now):
+                self._slices.hold(self, now)  # `run_slice` reads on, up to its close if any
+                return
             command = self._input.next_command(self._budget_granted)
             if command is None:
                 return
@@ -155,8 +170,13 @@
             self._slices.wait(self, now)
 
     def run_slice(self) -> None:
-        """Run further commands, unless the client has left meanwhile."""
+        """Read ahead and run further commands, unless the client has left meanwhile."""
         self._slices.waiting = False
+        if self._stream is not None and self._reading_paused:
+            self._reading_ahead = True
+            read_ahead(self._stream, self._input)
+            self._reading_ahead = False
+            self._input.pause(self._loop.time())
         if self.client_left():
             self.ended()
         else:
@@ -235,11 +255,7 @@
 
     @property
     def _blocked(self) -> bool:
-        """Whether input that was read has to wait.
-
-        A connection without such input is read even if the budget is full: only then is its next
-        command noticed, and refused if it must be.
-        """
+        """Whether input that was read has to wait.  Without any, the next command is read."""
         if self._input.idle:
             return len(self._answers) >= self._listener.limits.depth
         if self._input.awaits_memory or self._input.undecoded > READ_SIZE:
@@ -278,10 +294,7 @@
         self._pump()
 
     def end_if_quiet(self) -> None:
-        """In a drain: end if no command is open, unread, or on its way behind a closed window.
-
-        Otherwise the next answer or input, or the end of that way, leads here again.
-        """
+        """In a drain: end if no command is open, unread, or on its way behind a closed window."""
         if self._answers or self._reading_paused or self._stream is None:
             return
         if not (self._input.idle or self.draining):
@@ -311,12 +324,8 @@
     def has_unread_input(self) -> bool:
         """Whether input of the client is unread in this kernel, or may be on its way.
 
+        Input may be read long after it arrived, in an overload or after a pause of the process.
         After reads that may have reopened a closed TCP window, the rest arrives a round trip later.
-
-        Without this check, a connection was closed as idle in the turn that would have read its
-        request: in an overload, input is read many milliseconds after it arrived.  The connection
-        on which the client retried was closed the same way.  It also covers input that arrives
-        during a pause of the process.  Cost: one system call for each close.
         """
         stream = self._stream
         return (
@@ -348,11 +357,7 @@
             self._stream.abort()
 
     def read_rest(self) -> None:
-        """Read what the kernel has of an incomplete command.
-
-        A command is taken once its last byte is in the kernel, so this comes before a connection is
-        ended in the middle of a command.
-        """
+        """Read the rest of an incomplete command: it is taken once the kernel has all of it."""
         for _ in range(READS_OF_REST):
             if self._stream is None or not self._input.partial_since:
                 return
@@ -366,6 +371,8 @@
         if self._input.awaits_memory:
             self.check_memory_wait(math.inf)  # refused if the rest is in the kernel
         self.read_rest()
+        if self._slices.waiting:
+            return False  # its rest was read, and waits for a slice
         if self._loop.time() < self._input.expected_until:
             limit += WINDOW_REOPEN_TIME  # the rest may be in the sender's kernel
         return self._stream is not None and not self.ending and self._input.expired(now, limit)
--- a/violetroute/clients/dispatch.py
+++ b/violetroute/clients/dispatch.py
@@ -32,6 +32,9 @@
     def client_left(self) -> bool:
         """Whether the client has closed, checked in the kernel."""
 
+    def client_may_have_left(self) -> bool:
+        """Whether the client has closed, or may have closed without this process seeing it."""
+
     def ended(self) -> None:
         """The client has left: release everything."""
 
@@ -82,7 +85,8 @@
             source.new_charged_answer().finish(b"+PONG\r\n")
             return
         answer = None
-        if delay > LATE_AFTER and source.client_left():
+        unseen = source.client_may_have_left()
+        if (unseen or delay > LATE_AFTER) and source.client_left():
             source.ended()  # found by exploring event orders: read in the 2nd turn after a pause
             return
         try:
@@ -93,6 +97,8 @@
             rejection: bytes | None
             if source.out_of_memory:
                 rejection = context.handler.refuse(LocalRefusal.MEMORY)
+            elif unseen:
+                rejection = context.handler.refuse(LocalRefusal.UNSEEN_CLIENT)
             elif context.drain_schedule is None:
                 rejection = context.handler.rejection(command, self._requests_this_turn(), delay)
             else:
--- a/violetroute/clients/input.py
+++ b/violetroute/clients/input.py
@@ -10,9 +10,11 @@
 
 from .assembly import CommandAssembler
 from .budget import Budget
+from .presence import ClientPresence
 from .read_delay import WINDOW_REOPEN_TIME, ReadDelay
 
 READ_SIZE = 16 * 1024  # bytes of one read, into a buffer that all connections share
+MAX_READ_AHEAD = 4 * 1024 * 1024  # bytes of one connection; what a sender's kernel holds at most
 
 read_buffer = memoryview(bytearray(READ_SIZE))
 
@@ -21,9 +23,12 @@
     """Decodes the commands of one connection.  Times are seconds of the loop's clock."""
 
     __slots__ = (
+        "_ahead",
         "_assembly",
+        "_budget",
         "_decoder",
         "_delay",
+        "_presence",
         "_receive_buffer",
         "assembling",
         "awaits_memory",
@@ -33,9 +38,12 @@
     )
 
     def __init__(self, budget: Budget) -> None:
+        self._budget = budget
         self._decoder = resp.Decoder()
+        self._ahead = 0  # bytes of input read ahead that are charged to the budget
         self._assembly = CommandAssembler(budget)
         self._delay = ReadDelay()
+        self._presence = ClientPresence()
         self._receive_buffer = 0  # bytes; the kernel's, when a marked read began
         # Attributes instead of properties, since each request reads them several times.
         self.idle = True  # no input is left and no command is incomplete
@@ -46,11 +54,15 @@
 
     def accepted(self, turns: Turns, now: float) -> None:
         """The connection was accepted; it may have waited in the backlog."""
-        self._delay.accepted(turns.count, now - max(turns.paused_for, turns.readable_for(now)))
+        waits_since = now - max(turns.paused_for, turns.readable_for(now))
+        self._delay.accepted(turns.count, waits_since)
+        self._presence.accepted(waits_since)
 
     def feed(self, count: int, turns: Turns, now: float, stream: Stream) -> None:
         """Take `count` bytes of `read_buffer`, which were read from the stream."""
         self._delay.begin_read(turns.count, now, turns.paused_for)
+        arrived_at = now - max(turns.paused_for, turns.readable_for(now))
+        self._presence.read(count, count < READ_SIZE, arrived_at, now, stream)
         if self._delay.marked:
             self._receive_buffer = stream.receive_buffer()
         if count == READ_SIZE or self._delay.window_may_be_closed(count, self._receive_buffer):
@@ -67,6 +79,34 @@
     def pause(self, now: float) -> None:
         """The connection is not read from now on."""
         self._delay.pause_reading(now)
+        self._presence.pause_reading()
+
+    @property
+    def may_read_ahead(self) -> bool:
+        """Whether there is room for more input before the commands in it are run."""
+        return self._budget.half_free and self.undecoded < MAX_READ_AHEAD
+
+    def charge_ahead(self) -> None:
+        """Charge the input beyond one read that is not decoded yet, or return what was charged."""
+        ahead = max(0, self.undecoded - READ_SIZE)
+        change, self._ahead = ahead - self._ahead, ahead
+        if change > 0:
+            self._budget.hold(change)
+        elif change < 0:
+            self._budget.release(-change)
+
+    def client_may_have_left(self, stream: Stream, now: float) -> bool:
+        """Whether the client may have closed for longer than it may go unnoticed."""
+        return self._presence.may_have_left(stream, now)
+
+    def awaits_client(self, stream: Stream, now: float) -> bool:
+        """Whether it is uncertain that the client is there, and will be certain soon.
+
+        That needs room for the input before its close, if any is unread.
+        """
+        return self.client_may_have_left(stream, now) and (
+            self.may_read_ahead or not stream.unread_bytes()
+        )
 
     def delay(self, now: float) -> float:
         """Seconds for which the current command may have waited to be read."""
@@ -151,6 +191,8 @@
         return not self.awaits_memory
 
     def drop(self) -> None:
-        """Discard the current command and release its budget; the connection ends."""
+        """Discard all input and release its budget; the connection ends."""
+        ahead, self._ahead = self._ahead, 0
+        self._budget.release(ahead)
         self._assembly.drop()
         self.partial_since = 0.0
--- /dev/null
+++ b/violetroute/clients/presence.py
@@ -0,0 +1,90 @@
+"""Whether a client may have closed its connection without this process being able to see it.
+
+The kernel reports a close (POLLRDHUP) even behind unread data, but only once it has received it.  A
+client that writes much and closes leaves data in its own kernel, which waits for the TCP window to
+open, and the close waits behind that data.  So a close is certain to be seen only while the window
+is open: while little is unread here, and for `QUIET_TIME` after much was.
+
+Not detected: data that the sender's kernel holds back although the window is open, as after losses
+or at the start of a connection over a long path.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+QUIET_TIME = 0.01  # s from reading much until the rest of the sender's kernel arrives
+MAX_UNSEEN_TIME = 0.05  # s; nothing may be sent for a client that closed 0.1 s ago
+# Unread data of 1 / WINDOW_DIVISOR of the receive buffer may have closed the TCP window, since
+# small segments occupy several times their size.
+WINDOW_DIVISOR = 4
+# Unread data that may have closed the initial window, which grows more slowly than the buffer.
+MAX_OPEN_BYTES = 32 * 1024
+
+
+class ReadableStream(Protocol):
+    """The stream of a client as it is examined here."""
+
+    def peer_ended(self) -> bool:
+        """Whether the kernel has received the client's close."""
+
+    def unread_bytes(self) -> int:
+        """The bytes that the kernel has received and this process has not read."""
+
+    def receive_buffer(self) -> int:
+        """The size of the kernel's receive buffer in bytes."""
+
+
+def _may_close_window(size: int, stream: ReadableStream) -> bool:
+    """Whether `size` unread bytes may close the TCP window."""
+    return size >= MAX_OPEN_BYTES or size * WINDOW_DIVISOR >= stream.receive_buffer()
+
+
+class ClientPresence:
+    """When the client of one connection was last certainly there.  Times are of the loop's clock.
+
+    While a connection is read and not much comes, the event loop reports a close at once, and no
+    system call is made.
+    """
+
+    __slots__ = ("_crowded_at", "_paused", "_run", "_seen_at")
+
+    def __init__(self) -> None:
+        self._seen_at = 0.0  # the client was there, if that cannot be seen now
+        self._crowded_at = 0.0  # the window may have been closed
+        self._run = 0  # bytes read since the receive buffer was empty
+        self._paused = False
+
+    def accepted(self, since: float) -> None:
+        """The connection was accepted; it may have waited since then."""
+        self._seen_at = since
+
+    def pause_reading(self) -> None:
+        """Reading stops until the next `read`."""
+        self._paused = True
+
+    def read(
+        self, count: int, emptied: bool, arrived_at: float, now: float, stream: ReadableStream
+    ) -> None:
+        """`count` bytes were read, which may have arrived at `arrived_at`."""
+        if not (self._paused or self._run) and now - self._crowded_at >= QUIET_TIME:
+            self._seen_at = max(self._seen_at, arrived_at)
+        self._paused = False
+        if self._run or not emptied:
+            self._run += count
+            if _may_close_window(self._run, stream):
+                self._crowded_at = now
+        if emptied:
+            self._run = 0
+
+    def may_have_left(self, stream: ReadableStream, now: float) -> bool:
+        """Whether the client has closed, or may have, more than MAX_UNSEEN_TIME ago."""
+        if not (self._paused or self._run) and now - self._crowded_at >= QUIET_TIME:
+            return False
+        if stream.peer_ended():
+            return True
+        if _may_close_window(stream.unread_bytes(), stream):
+            self._crowded_at = now
+        if now - self._crowded_at >= QUIET_TIME:
+            self._seen_at = now
+        return now - self._seen_at > MAX_UNSEEN_TIME
--- a/violetroute/clients/turn_share.py
+++ b/violetroute/clients/turn_share.py
@@ -15,6 +15,7 @@
 SLICE_COMMANDS = 64  # commands of one connection in a row, however fast they are
 QUEUE_TIME = 0.002  # s of each turn for the connections that wait
 LONG_TURN = 0.005  # s of a turn after which a slice is only one command
+HOLD_TIME = 0.002  # s until a connection whose client may have left is looked at again
 HEAVY_TIME = 0.1  # s after a wait for which a connection waits before its next slice too
 
 
@@ -39,6 +40,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._waiting: dict[WaitingConnection, None] = {}  # the one that waits for longest first
+        self._held: dict[WaitingConnection, asyncio.TimerHandle] = {}
         self._scheduled = False
         self.waits = 0  # how often a connection has had to wait
 
@@ -48,14 +50,25 @@
         self._waiting[connection] = None
         self._schedule()
 
+    def hold(self, connection: WaitingConnection) -> None:
+        """Continue the connection after HOLD_TIME, in its turn."""
+        self._held[connection] = self._loop.call_later(HOLD_TIME, self._end_hold, connection)
+
+    def _end_hold(self, connection: WaitingConnection) -> None:
+        del self._held[connection]
+        self.wait(connection)
+
     def remove(self, connection: WaitingConnection) -> None:
         """Forget a connection that has ended."""
         self._waiting.pop(connection, None)
+        timer = self._held.pop(connection, None)
+        if timer is not None:
+            timer.cancel()
 
     @property
     def waiting(self) -> int:
         """The number of connections that wait."""
-        return len(self._waiting)
+        return len(self._waiting) + len(self._held)
 
     def _schedule(self) -> None:
         if not self._scheduled:
@@ -97,6 +110,12 @@
         self._heavy_until = now + HEAVY_TIME
         self._share.wait(connection)
 
+    def hold(self, connection: WaitingConnection, now: float) -> None:
+        """Continue the connection after HOLD_TIME."""
+        self.waiting = True
+        self._heavy_until = now + HEAVY_TIME
+        self._share.hold(connection)
+
     def end(self, connection: WaitingConnection) -> None:
         """The connection runs no further commands."""
         self.waiting = False
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -30,7 +30,7 @@
 from . import logs
 from .admission import AdmissionCheck
 from .attempt_limits import AttemptLimits
-from .clients import Answer
+from .clients import Answer, LocalRefusal
 from .cluster import Redirect, SlotMap
 from .config import Config
 from .deadlines import Deadlines
@@ -43,6 +43,7 @@
 from .reason_counter import ReasonCounter, log_refused
 from .requests import FAILED, OpenRequest, log_fault, refusal, service_time_ms
 from .resp import Command, CommandError
+from .send_check import SendCheck
 from .transport import Network
 from .turn_log import LongTurnLog
 from .unix_clock import UnixClock
@@ -79,6 +80,9 @@
         )
         self._admission.classes = self._classes
         self.rejection, self.refuse = self._admission.rejection, self._admission.refuse
+        self.may_send = SendCheck(
+            loop, self._turns, self.clock, self._open, self._end_unseen
+        ).may_send
         self._pool = Pool.from_config(self, net, config)
         self._attempt_limits = AttemptLimits(loop, self._open, self._pool, self._give_up)
         self._slots = SlotMap()
@@ -335,13 +339,15 @@
         self._attempt_limits.watch(attempt, request.give_up_at, now)
         self._pool.send(attempt)
 
-    def may_send(self, attempt: Attempt) -> bool:
-        request = self._open.get(attempt.request_id)
-        return (
-            request is not None
-            and request.may_begin(attempt, self.clock())
-            and not (self._turns.reads_late(self._loop.time()) and request.answer.client_left())
-        )
+    def _end_unseen(self, request: OpenRequest) -> None:
+        """End a request whose client may have left; it is refused if no attempt can have run."""
+        if request.answered:
+            return
+        never_ran = len(request.attempts) == 1  # the one that was not sent now
+        refused = self.refuse(LocalRefusal.UNSEEN_CLIENT)
+        self._answer(request, refused if never_ran else FAILED)
+        self._dispatch(request, self._balancer.on_client_gone, request.id)
+        self._remove_if_finished(request)
 
     def _on_timer(self, label: int) -> None:
         request = self._open.get(label)
--- a/violetroute/resp/framing.py
+++ b/violetroute/resp/framing.py
@@ -17,6 +17,7 @@
 MAX_WORD_BYTES = 1024  # longest name, key or id of a command
 MAX_OPTIONS_BYTES = 4 * 1024  # longest option list of a command
 MAX_ARRAY_ITEMS = 64  # commands have at most five, replies three
+MIN_COMPACTED_BYTES = 64 * 1024  # decoded bytes that are removed before the buffer is empty
 CRLF = b"\r\n"
 
 
@@ -88,6 +89,9 @@
 
     def feed(self, data: bytes | memoryview) -> None:
         """Append received bytes; they are copied."""
+        if self._position >= MIN_COMPACTED_BYTES:
+            del self._buffer[: self._position]
+            self._position = 0
         self._buffer += data
 
     @property
--- a/violetroute/transport/interfaces.py
+++ b/violetroute/transport/interfaces.py
@@ -104,6 +104,9 @@
     def receive_buffer(self) -> int:
         """The current size of the kernel's receive buffer in bytes; 0 after the end."""
 
+    def unread_bytes(self) -> int:
+        """The bytes that the kernel has received and this process has not read; 0 after the end."""
+
     def no_pending_input(self) -> bool:
         """Whether the kernel currently holds no unread data and no close of the peer."""
 
--- a/violetroute/transport/sockets.py
+++ b/violetroute/transport/sockets.py
@@ -97,6 +97,7 @@
         self.undelivered = undelivered or _undelivered
         # Replaceable by tests, as `make` is.
         self.hung_up: Callable[[socket.socket], bool] = _hung_up
+        self.unread: Callable[[socket.socket], int] = _unread
         self.connection_waits: Callable[[socket.socket], bool] = _connection_waits
 
     def wall(self) -> float:
@@ -149,6 +150,11 @@
     return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4))[0])
 
 
+def _unread(sock: socket.socket) -> int:
+    """Bytes in the receive buffer (SIOCINQ of tcp(7))."""
+    return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4))[0])
+
+
 def _hung_up(sock: socket.socket) -> bool:
     """POLLRDHUP reports a FIN even while earlier bytes are unread (poll(2))."""
     return _polled(sock, select.POLLRDHUP)
--- a/violetroute/transport/stream.py
+++ b/violetroute/transport/stream.py
@@ -157,6 +157,9 @@
             return 0
         return int(self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF))
 
+    def unread_bytes(self) -> int:
+        return 0 if self._socket is None else self._net.unread(self._socket)
+
     def no_pending_input(self) -> bool:
         """As in the interface; also False after `close`, after the end, and after a write error."""
         if self._socket is None or self.closing or self._write_error is not None:
--- a/violetroute/transport/tls.py
+++ b/violetroute/transport/tls.py
@@ -208,6 +208,9 @@
     def read_now(self) -> None:
         self._lower.read_now()
 
+    def unread_bytes(self) -> int:
+        return self._lower.unread_bytes()
+
     def no_pending_input(self) -> bool:
         return not self._in.pending and self._lower.no_pending_input()
 
