Balancer: an id that comes back in another cell or zone is another machine

What callers see: a keyed request that may have run in one cell was sent again to an id that the list names in another cell since then, whose nodes do not know its key.

Cause: Caches._update took cell, zone and kind from the first entry of an id; only a later start reset anything.

Change: an entry with another cell, zone or kind ends the record and begins a new one. Open attempts keep the old record, so the group in which they may have run stays known. Such nodes enter service in slices, since a source with other zones changes all at once.

--- a/snowstall/caches.py
+++ b/snowstall/caches.py
@@ -9,7 +9,7 @@
 from .cache import Cache, Mean
 from .hashing import mix
 from .head import SpaceSaving, find_optimal_choices
-from .messages import RESIZING, Action, Member, RequestClass, Settings, Timer, require
+from .messages import RESIZING, Action, CacheState, Member, RequestClass, Settings, Timer, require
 from .ring import Ring
 
 HEAD_THRESHOLD_DIVISOR = 5.0  # theta = 1/(5n), the paper's default
@@ -49,6 +49,18 @@
             raise ValueError(f"the clock stepped back from {self._now} to {now}")
         self._now = now
 
+    def _leaves(self, member: Member) -> bool:
+        """Whether a list entry ends the service of the machine that its id stands for.
+
+        An id that comes back in another cell or zone is another machine, and gets a new record: the
+        attempts keep the old one, with the cell and zone in which they may have run.
+        """
+        cache = self._caches.get(member.id)
+        return member.state is not CacheState.READY or (
+            cache is not None
+            and (member.zone, member.kind, member.cell) != (cache.zone, cache.kind, cache.cell)
+        )
+
     def _update(self, member: Member) -> Cache | None:
         """Apply the list entry of a ready cache; return it if it must be added to the ring."""
         cache = self._caches.get(member.id)
--- a/tests/snowstall/test_rules.py
+++ b/tests/snowstall/test_rules.py
@@ -578,3 +578,34 @@
     for number, name in ((2, "read"), (3, "unsafe")):
         request = Request(number, name, 1440.0, key=7)
         assert sent(balancer.on_request(1040.0, request)) == [0.0]
+
+
+@pytest.mark.parametrize("group", [Group.CELL, Group.ZONE])
+@pytest.mark.parametrize("moves", [1, 2])
+def test_a_keyed_request_is_not_repeated_at_a_machine_that_has_left_its_group(
+    group: Group, moves: int
+) -> None:
+    # Guards against a fault that the review showed: a cache whose id came back in another cell or
+    # zone was taken for the earlier machine, and an effect ran in two groups.
+    keyed = RequestClass("keyed", 100, 400, Effect.KEYED, repeat_window=300, group=group)
+    for seed in range(20):
+        balancer = Balancer(replace(SETTINGS, classes=(keyed,)), seed=seed, now=0.0)
+        members = [Member(number, zone="z0", cell=7) for number in (1, 2)]
+        members += [Member(number, zone="z1", cell=8) for number in (3, 4)]
+        balancer.on_list(0.0, ListKind.FULL, members)
+        sends = [
+            action
+            for number in range(20)
+            for action in balancer.on_request(1.0, Request(number, "keyed", 400.0, number))
+            if isinstance(action, Send)
+        ]
+        groups = {member.id: member.zone for member in members}
+        moved = Member(moves, zone="z1", cell=8)
+        balancer.on_list(2.0, ListKind.CHANGES, [moved])
+        assert sends
+        for send in sends:
+            outcome = Outcome(send.request_id, 0, Result.RESET, False, 2.0, None, None, None)
+            for action in balancer.on_outcome(3.0, outcome):
+                if isinstance(action, Send):
+                    now = "z1" if action.cache_id == moves else groups[action.cache_id]
+                    assert now == groups[send.cache_id], (seed, send, action)
--- a/violetroute/listing.py
+++ b/violetroute/listing.py
@@ -76,7 +76,6 @@
             self._remove_unnamed(latest, list_change)
         now, updates, later = self._split(latest)
         list_change.members += self._apply_entries(now)
-        placed_anew = [entry for entry in updates if self._is_placed_anew(entry)]
         list_change.members += self._update_entries(updates)
         list_change.removed += [
             entry.instance for entry in now if entry.state is not CacheState.READY
@@ -87,7 +86,7 @@
             self._waiting |= {entry.instance: entry for entry in later}
             self._schedule_slice()
         moved = [entry for entry in now if entry.state is CacheState.READY]
-        serving = moved + placed_anew + later
+        serving = moved + later
         list_change.joining = [(self._id(entry.instance), entry) for entry in serving]
         return list_change
 
@@ -122,15 +121,12 @@
                 later.append(entry)
             elif before.address != entry.address or not has_place(ids[name]):
                 now.append(entry)  # it has moved, or another node took its address
+            elif _is_other_machine(before, entry):
+                later.append(entry)
             elif before != entry:
                 updates.append(entry)
         return now, updates, later
 
-    def _is_placed_anew(self, entry: Entry) -> bool:
-        """Whether an update of a node in service changes what the placement plan knows of it."""
-        before = self._applied[entry.instance]
-        return before.zone != entry.zone or before.kind != entry.kind
-
     def _id(self, name: str) -> int:
         known = self._ids.get(name)
         return stable_hash(name.encode()) if known is None else known
@@ -200,6 +196,11 @@
         return members + self._apply_entries(displaced)
 
 
+def _is_other_machine(before: Entry, entry: Entry) -> bool:
+    """Whether a node in service is on another machine now, which the balancer adds anew."""
+    return (before.zone, before.kind, before.cell) != (entry.zone, entry.kind, entry.cell)
+
+
 def log_step(list_change: ListChange, joining: int, serving: int) -> None:
     """Log a list that adds or removes at least MIN_LOGGED_CHANGES nodes."""
     if len(list_change.joining) + len(list_change.removed) >= MIN_LOGGED_CHANGES:
