Test of the layout: no finalizer runs while sources are parsed

Cause: test_only_the_transport_uses_the_transports_of_asyncio fails with SystemError (AST constructor recursion depth mismatch) if a garbage collection within ast.parse runs a finalizer that raises, here of a stream writer whose loop is closed. Change: garbage is collected before the test. The check is unchanged.

--- a/tests/repository/test_layout.py
+++ b/tests/repository/test_layout.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import ast
+import gc
 import os
 import shutil
 import subprocess
@@ -177,6 +178,17 @@
 }
 
 
+@pytest.fixture
+def collected_garbage() -> None:
+    """Finalizers of objects that earlier tests left do not run while a test parses sources.
+
+    One that raises within `ast.parse` makes CPython 3.11 raise SystemError ("AST constructor
+    recursion depth mismatch").
+    """
+    gc.collect()
+
+
+@pytest.mark.usefixtures("collected_garbage")
 def test_only_the_transport_uses_the_transports_of_asyncio() -> None:
     seen = 0
     for path in (ROOT / "violetroute").rglob("*.py"):
