Consul: an instance is known by its id and machine, not by its place in the answer

What operators see: of two instances with one id on two machines, the second took the name of the first when that was deregistered or the order of the answer changed. It was reported gone under its own name, took over the other's drain and start, and counted as cold. An instance that another machine registers under the id and address of one that has gone was taken for the earlier process.

Cause: HealthReader named the first instance of an id by the id and the others by id and machine, anew in each answer; CatalogueState compared addresses alone.

Change: the reader keeps the name of each id and machine while it is listed, and an instance of another machine is another process.

Tests: two in test_consul.py, three cases, fail before.

--- a/tests/violetroute/membership/test_consul.py
+++ b/tests/violetroute/membership/test_consul.py
@@ -58,7 +58,7 @@
     )
     assert found == {
         "c1": Instance(
-            "c1", Address("10.0.0.1", 6379), Health.PASSING, "paterno", "old", 3, 4.0, 1700.0
+            "c1", Address("10.0.0.1", 6379), Health.PASSING, "paterno", "old", 3, 4.0, 1700.0, "m1"
         )
     }
 
@@ -124,6 +124,43 @@
     assert set(read(one, two, three)) == {"c1", "c1@m2", "m1"}
 
 
+def registered(machine: str, address: str, *, drains: bool = False) -> dict[str, Any]:
+    """An instance c1 of a machine, as the answers have it."""
+    found = element(Address=address, Tags=["draining"] if drains else [])
+    return found | {"Node": {"Node": machine, "Address": address}}
+
+
+@pytest.mark.parametrize("order", [1, -1])
+def test_an_instance_keeps_its_name_whatever_happens_to_another_one_of_its_id(order: int) -> None:
+    # Guards against a fault found by reading: the name of an instance depended on its place in the
+    # answer, so a machine took over the drain, the start and the place of another one.
+    first, second = registered("m1", "10.0.0.1"), registered("m2", "10.0.0.2")
+    draining = registered("m1", "10.0.0.1", drains=True)
+    reader, state, pending = HealthReader(TABLE), CatalogueState(TABLE), PendingUpdates()
+    answers = [[first, second], [draining, second][::order], [second], [first, second][::order]]
+    entries: list[dict[str, Entry]] = []
+    for number, answer in enumerate(answers):
+        instances = reader.read(json.dumps(answer).encode())
+        state.apply(100.0 * number, 1e6 * (number + 1), instances, confirmed=True)
+        pending.collect(state, 100.0 * number)
+        entries.append(state.entries(100.0 * number))
+    unchanged = entries[0]["c1@m2"]
+    assert [found["c1@m2"] for found in entries] == [unchanged] * 4
+    assert unchanged.address == Address("10.0.0.2", 6379) and unchanged.state is READY
+    states = [found["c1"].state if "c1" in found else None for found in entries]
+    assert states == [READY, DRAINING, None, READY]
+    assert entries[3]["c1"].started_at == 4e6  # it has come back: another process
+
+
+def test_an_id_that_another_machine_registers_at_the_same_address_is_another_process() -> None:
+    reader, state = HealthReader(TABLE), CatalogueState(TABLE)
+    for number, machine in enumerate(("m1", "m1", "m2")):
+        answer = [registered(machine, "10.0.0.1")]
+        state.apply(1.0, 1e6 * number, reader.read(json.dumps(answer).encode()), confirmed=True)
+        expected = 2e6 if machine == "m2" else 0.0
+        assert state.entries(1.0)["c1"].started_at == expected
+
+
 @given(
     st.recursive(
         st.none() | st.booleans() | st.integers() | st.text(),
--- a/violetroute/membership/consul_health.py
+++ b/violetroute/membership/consul_health.py
@@ -44,6 +44,7 @@
     cell: int = 0
     weight: float = 1.0
     started_at: float = 0.0  # Unix ms; 0 if not given
+    machine: str = ""  # name of the machine whose agent has registered it
 
 
 class _Node(msgspec.Struct):
@@ -113,12 +114,15 @@
 class HealthReader:
     """Parses answers, and reuses the parsed instances of the last answer by their bytes.
 
-    Usually one of two thousand instances changes at a time.
+    Usually one of two thousand instances changes at a time.  A service's id is unique per agent
+    only, so an instance is known by its id and machine.  The first one has the id as its name, and
+    further ones the id and the machine, for as long as they are listed, in whatever order.
     """
 
     def __init__(self, table: ConsulTable) -> None:
         self._table = table
-        self._cache: dict[bytes, tuple[Instance, str] | None] = {}
+        self._cache: dict[bytes, Instance | None] = {}
+        self._names: dict[tuple[str, str], str] = {}  # by id and machine, of the last answer
         self.skipped = 0  # invalid entries of the last answer
 
     def read(self, body: bytes | bytearray) -> dict[str, Instance]:
@@ -126,31 +130,40 @@
         raw = _elements.decode(body)
         if len(raw) > MAX_INSTANCES:
             raise ValueError(f"more than {MAX_INSTANCES} instances")
-        cache: dict[bytes, tuple[Instance, str] | None] = {}
-        found: dict[str, Instance] = {}
-        self.skipped = 0
+        cache: dict[bytes, Instance | None] = {}
         for item in raw:
             data = bytes(item)
-            read = cache[data] = self._cache[data] if data in self._cache else self._read(data)
-            if read is None:
-                self.skipped += 1
-                continue
-            instance, machine = read
-            if instance.name in found:  # an id is unique per agent only
-                instance = replace(instance, name=f"{instance.name}@{machine}")
-            found[instance.name] = instance
+            cache[data] = self._cache[data] if data in self._cache else self._read(data)
         self._cache = cache
+        instances = [instance for instance in cache.values() if instance is not None]
+        self.skipped = len(raw) - len(instances)
+        return self._named(instances)
+
+    def _named(self, instances: list[Instance]) -> dict[str, Instance]:
+        """The instances by the names that they keep while they are listed."""
+        before = self._names
+        keys = [(instance.name, instance.machine) for instance in instances]
+        taken = {before[key] for key in keys if key in before}
+        self._names = {}
+        found: dict[str, Instance] = {}
+        for key, instance in zip(keys, instances, strict=True):
+            name = before.get(key)
+            if name is None:
+                name = instance.name if instance.name not in taken else f"{key[0]}@{key[1]}"
+                taken.add(name)
+            self._names[key] = name
+            found[name] = instance if name == instance.name else replace(instance, name=name)
         return found
 
-    def _read(self, data: bytes) -> tuple[Instance, str] | None:
-        """One instance and its machine's name; None if invalid, so that the others are used."""
+    def _read(self, data: bytes) -> Instance | None:
+        """One instance; None if it is invalid, so that the others are used."""
         try:
             element = (
                 _element.decode(data)
                 if self._table.endpoint == "health"
                 else _catalog_row.decode(data).element()
             )
-            return self._instance(element), element.Node.Node
+            return self._instance(element)
         except (ValueError, OverflowError):
             return None
 
@@ -183,6 +196,7 @@
             cell,
             weight,
             started,
+            element.Node.Node,
         )
 
 
--- a/violetroute/membership/staleness.py
+++ b/violetroute/membership/staleness.py
@@ -108,8 +108,10 @@
             node = self._nodes[name] = _Node(instance, started)
         elif instance.started_at > node.started_at:
             node.started_at = instance.started_at
-        elif instance.address != node.instance.address:
-            node.started_at = wall  # a new address is another process, even with the same id
+        elif instance.address != node.instance.address or (
+            instance.machine != node.instance.machine
+        ):
+            node.started_at = wall  # another process, even with the same id
         node.instance = instance
         is_critical = instance.health is Health.CRITICAL
         if is_critical and node.critical_since is None:
