Balancer: a source that names no kinds does not make all nodes new

Change: cell and zone alone, on which the repeats of keyed requests depend. A changed kind is still told to the placement plan.

--- a/snowstall/caches.py
+++ b/snowstall/caches.py
@@ -57,8 +57,7 @@
         """
         cache = self._caches.get(member.id)
         return member.state is not CacheState.READY or (
-            cache is not None
-            and (member.zone, member.kind, member.cell) != (cache.zone, cache.kind, cache.cell)
+            cache is not None and (member.zone, member.cell) != (cache.zone, cache.cell)
         )
 
     def _update(self, member: Member) -> Cache | None:
--- a/tests/violetroute/membership/test_sources.py
+++ b/tests/violetroute/membership/test_sources.py
@@ -326,8 +326,12 @@
         ).encode()
     )
     assert found == {
-        "c1": Instance("c1", Address("10.0.0.9", 7), Health.PASSING, "paterno", 0, 2.0, 0.0, "m1"),
-        "c2": Instance("c2", Address("10.0.0.9", 7), Health.DRAINS, "paterno", 0, 2.0, 0.0, "m1"),
+        "c1": Instance(
+            "c1", Address("10.0.0.9", 7), Health.PASSING, "paterno", "", 0, 2.0, 0.0, "m1"
+        ),
+        "c2": Instance(
+            "c2", Address("10.0.0.9", 7), Health.DRAINS, "paterno", "", 0, 2.0, 0.0, "m1"
+        ),
     }
 
 
--- a/violetroute/listing.py
+++ b/violetroute/listing.py
@@ -76,6 +76,9 @@
             self._remove_unnamed(latest, list_change)
         now, updates, later = self._split(latest)
         list_change.members += self._apply_entries(now)
+        of_other_kind = [
+            entry for entry in updates if entry.kind != self._applied[entry.instance].kind
+        ]
         list_change.members += self._update_entries(updates)
         list_change.removed += [
             entry.instance for entry in now if entry.state is not CacheState.READY
@@ -86,7 +89,7 @@
             self._waiting |= {entry.instance: entry for entry in later}
             self._schedule_slice()
         moved = [entry for entry in now if entry.state is CacheState.READY]
-        serving = moved + later
+        serving = moved + of_other_kind + later
         list_change.joining = [(self._id(entry.instance), entry) for entry in serving]
         return list_change
 
@@ -121,8 +124,8 @@
                 later.append(entry)
             elif before.address != entry.address or not has_place(ids[name]):
                 now.append(entry)  # it has moved, or another node took its address
-            elif _is_other_machine(before, entry):
-                later.append(entry)
+            elif (before.zone, before.cell) != (entry.zone, entry.cell):
+                later.append(entry)  # another machine, which the balancer adds anew
             elif before != entry:
                 updates.append(entry)
         return now, updates, later
@@ -196,11 +199,6 @@
         return members + self._apply_entries(displaced)
 
 
-def _is_other_machine(before: Entry, entry: Entry) -> bool:
-    """Whether a node in service is on another machine now, which the balancer adds anew."""
-    return (before.zone, before.kind, before.cell) != (entry.zone, entry.kind, entry.cell)
-
-
 def log_step(list_change: ListChange, joining: int, serving: int) -> None:
     """Log a list that adds or removes at least MIN_LOGGED_CHANGES nodes."""
     if len(list_change.joining) + len(list_change.removed) >= MIN_LOGGED_CHANGES:
