Consul: the silence of a held query is noticed before a missed drain counts as told

Cause: the watch noticed the silence 3 s after the wait of the query, a missed change counts as told 2 s after it; and the end was reported as a failure, after which the balancer waits up to 0.5 s.

Change: a held query has 1.7 s beyond its wait, and a query of which nothing came is reported as silent.

Test: test_a_drain_that_a_silent_query_misses_takes_effect_in_time, two waits, fails before and passes.

--- a/tests/violetroute/membership/test_consul.py
+++ b/tests/violetroute/membership/test_consul.py
@@ -26,7 +26,7 @@
 from violetroute.membership import ConsulTable, Entry, Listing, stable_hash
 from violetroute.membership import consul as watching
 from violetroute.membership.consul_health import Health, HealthReader, Instance
-from violetroute.membership.query import BlockingQuery, UnusableAnswer
+from violetroute.membership.query import WAIT_JITTER_DIVISOR, BlockingQuery, UnusableAnswer
 from violetroute.membership.source import MAX_UNMERGED_LISTS, NodeNames
 from violetroute.membership.staleness import CatalogueState, PendingUpdates, diff_entries
 from violetroute.transport import Address
@@ -618,6 +618,25 @@
     follow(part, body_mb=0.05)
 
 
+@pytest.mark.parametrize("wait_s", [0.5, 2.0])
+def test_a_drain_that_a_silent_query_misses_takes_effect_in_time(wait_s: float) -> None:
+    # Guards against review/10: the silence of a query was noticed 3 s after its wait, and reported
+    # like a failure, after which a proxy waits before it asks again.
+    async def part(setting: Setting) -> None:
+        agent, loop = setting.agent, setting.rig.listener.loop
+        count = len(agent.requests)
+        await wait_until(lambda: len(agent.requests) > count)
+        asked_at, longest_wait = loop.time(), wait_s * (1.0 + 1.0 / WAIT_JITTER_DIVISOR)
+        agent.delay = 60.0
+        await asyncio.sleep(longest_wait + 0.1)
+        agent.delay = 0.0  # the query stays without an answer, new ones get one
+        setting.catalogue.set_maintenance("c1", True)
+        await setting.uses("s-0", "s-2", "s-3")
+        assert loop.time() - asked_at < longest_wait + 2.0 + 0.5
+
+    follow(part, wait_s=wait_s)
+
+
 @pytest.mark.parametrize("header", ["X-Consul-KnownLeader", "X-Consul-LastContact"])
 def test_a_drain_applies_that_only_an_old_answer_has(header: str) -> None:
     async def part(setting: Setting) -> None:
--- a/violetroute/membership/consul.py
+++ b/violetroute/membership/consul.py
@@ -21,7 +21,10 @@
 from .staleness import CatalogueState, PendingUpdates
 from .table import ConsulTable
 
-CALL_TIMEOUT = 3.0  # s until the first byte, beyond the wait that was requested
+CALL_TIMEOUT = 3.0  # s until the first byte of an answer that Consul does not hold back
+# s until the first byte, beyond the wait that was requested: a change that a silent query misses
+# counts as told 2 s after the wait, and a new query has to be answered until then.
+SILENCE_TIMEOUT = 1.7
 BODY_IDLE_TIMEOUT = 3.0  # s between bytes of a body
 BODY_TIMEOUT = 10.0  # s for a whole body
 # s between a request and its confirmation, even if `least_interval_s` is longer.
@@ -104,8 +107,14 @@
                 round(self._table.body_mb * 1024 * 1024),
                 self._keys,
             )
-        limit = CONFIRM_TIMEOUT if confirm else CALL_TIMEOUT + self._query.max_wait
-        self._call.request(self._query.target(confirm), token, limit, confirm)
+        self._call.request(self._query.target(confirm), token, self._time_limit(confirm), confirm)
+
+    def _time_limit(self, confirm: bool) -> float:
+        """Seconds within which the answer has to begin."""
+        if confirm:
+            return CONFIRM_TIMEOUT
+        waits = self._query.max_wait
+        return waits + SILENCE_TIMEOUT if waits else CALL_TIMEOUT
 
     def answered(
         self, status: int, headers: dict[str, str], body: bytearray, confirm: bool
@@ -166,18 +175,18 @@
         self._not_before = self._loop.time() + unusable.wait
         self._failed(unusable.reason)
 
-    def failed(self, reason: str) -> None:
-        """Handle the end of a call that got no answer."""
-        self._failed(reason)
+    def failed(self, reason: str, silent: bool = False) -> None:
+        """Handle the end of a call that got no answer; `silent`: nothing came of it."""
+        self._failed(reason, silent)
 
-    def _failed(self, reason: str) -> None:
+    def _failed(self, reason: str, silent: bool = False) -> None:
         """Log the last list's age and report the end.  The next watch uses the next agent."""
         agent = self._table.agents[self._agent]
         self._stop_requests()
         self._agent = (self._agent + 1) % len(self._table.agents)
         age = -1.0 if self._answered_at is None else self._loop.time() - self._answered_at
         logs.event("consul.failed", reason=reason, agent=agent, age_s=round(age, 1))
-        self._observer.list_failed()
+        self._observer.list_failed(silent)
 
     # --- reports ---
     def _report_changes(self, repeat_drains: bool = False) -> None:
@@ -246,12 +255,15 @@
     def _set_timeout(self, seconds: float) -> None:
         if self._timeout is not None:
             self._timeout.cancel()
-        self._timeout = self._loop.call_later(seconds, self._fail, "no answer in time")
+        self._timeout = self._loop.call_later(seconds, self._expired)
+
+    def _expired(self) -> None:
+        self._fail("no answer in time", silent=not (self._confirm or self._status))
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, silent: bool = False) -> None:
         if not self._closed:
             self.stop()
-            self._watch.failed(reason)
+            self._watch.failed(reason, silent)
 
     # --- stream ---
     def opened(self) -> None:
