Balancer: a keyed request is refused only while the caches remember its key

Cause: Pending.may_refuse looked at the group alone.

Change: the time at which the client is told to come back must lie within the window, less the margin that repeats keep. Later the request has failed, which promises nothing.

Tests: test_a_refused_request_comes_back_while_the_caches_remember_its_key, seven times, and the case keyed of test_at_the_deadline_a_request_is_refused_only_if_a_retry_is_safe fail before. That case expected a refusal 400 ms after the send with a window of 300 ms, which is the fault; a class with a window of 2 s took its place as one that is refused.

--- a/snowstall/attempts.py
+++ b/snowstall/attempts.py
@@ -44,11 +44,21 @@
         """Return the number of attempts in flight."""
         return sum(a.in_flight for a in self.attempts)
 
-    def may_refuse(self) -> bool:
-        """Whether the request may be refused, which tells the client that a retry is safe."""
-        if self.cls.effect is Effect.PURE or not any(a.ran for a in self.attempts):
+    def may_refuse(self, returns_at: float) -> bool:
+        """Whether the request may be refused, which tells the client that a retry is safe.
+
+        `returns_at`: when the client is told to try again.  The caches must remember the key then.
+        """
+        cls = self.cls
+        ran = [a for a in self.attempts if a.ran]
+        if cls.effect is Effect.PURE or not ran:
             return True
-        return self.cls.effect is Effect.KEYED and self.cls.group is Group.ALL
+        remembered = cls.effect is Effect.KEYED and returns_at <= self._repeat_until(ran)
+        return remembered and cls.group is Group.ALL
+
+    def _repeat_until(self, ran: list[Attempt]) -> float:
+        """When the caches may begin to forget the first of the attempts that may have run."""
+        return min(a.sent_at for a in ran) + self.cls.repeat_window - REPEAT_MARGIN_MS
 
     def may_send(self, cache: Cache, now: float) -> bool:
         """Whether one more attempt, at this cache, can't apply the request's effect twice."""
@@ -60,7 +70,7 @@
             return True
         if cls.effect is Effect.UNSAFE:
             return False
-        if now > min(a.sent_at for a in ran) + cls.repeat_window - REPEAT_MARGIN_MS:
+        if now > self._repeat_until(ran):
             return False  # the caches may have forgotten the first attempt by then
         if cls.group is Group.ZONE:
             return all(a.cache.zone == cache.zone for a in ran)
--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -368,8 +368,8 @@
         failed: bool = False,
     ) -> None:
         """Give the final answer of a request that was not served: refuse it if a retry is safe."""
-        if not failed and pending.may_refuse():
-            wait = self._backoff(pending.limiter)
+        wait = self._backoff(pending.limiter)
+        if not failed and pending.may_refuse(self._now + wait):
             timeout = pending.request.give_up_at - pending.arrived_at
             back_within = wait * RETURN_FACTOR + RETURN_SLACK_MS
             pending.limiter.record_refusal(pending.key, timeout, self._now, back_within)
