Clients: ordinary connections pay less for shares of turns and certainty

Change: ClientPresence.certain is an attribute, and is called only for reads that may matter; the end of a slice is computed once a second command follows; charges of read-ahead only if there is any.

--- a/limebridge/scale/measure_connections.py
+++ b/limebridge/scale/measure_connections.py
@@ -75,6 +75,10 @@
         """False: there is no client that could close its connection."""
         return False
 
+    def client_may_have_left(self) -> bool:
+        """False: it is certain that the client is there."""
+        return False
+
     def finish(self, *parts: bytes | bytearray) -> None:
         """Record the end of the request; it is served if the reply is a bulk string."""
         self.done, self.request = True, None
--- a/tests/benchmarks/test_request_cost.py
+++ b/tests/benchmarks/test_request_cost.py
@@ -19,7 +19,7 @@
 from request_load import RunResult
 
 LOAD, REQUESTS = "target", 24
-ITERATIONS = 30  # of a loop that does nothing
+ITERATIONS = 33  # of a loop that does nothing
 # The number of instructions: three per iteration, and 18 in the rest of the function.
 ADDED_INSTRUCTIONS = 3 * ITERATIONS + 18
 SLOWER_REQUESTS = f"""
--- a/tests/violetroute/clients/test_presence.py
+++ b/tests/violetroute/clients/test_presence.py
@@ -147,7 +147,7 @@
 
 def paused_with_little_unread(scene: Scene) -> None:
     scene.read(100, True)
-    scene.presence.pause_reading()
+    scene.presence.pause_reading(scene.now)
     scene.stream.unread = 1000
     scene.now += 5.0
 
@@ -180,7 +180,7 @@
     scene.stream.unread = BUFFER
     scene.read(16 * 1024, False)
     if paused:
-        scene.presence.pause_reading()
+        scene.presence.pause_reading(scene.now)
     assert not scene.after(MAX_UNSEEN_TIME * 0.9)
     assert scene.after(MAX_UNSEEN_TIME * 0.2)
     scene.stream.unread = 0
@@ -191,7 +191,7 @@
 
 def test_a_close_behind_little_unread_input_is_seen() -> None:
     scene = Scene()
-    scene.presence.pause_reading()
+    scene.presence.pause_reading(scene.now)
     scene.stream.unread = 1000
     assert not scene.after(5.0)
     scene.stream.has_ended = True
--- a/violetroute/clients/answer_queue.py
+++ b/violetroute/clients/answer_queue.py
@@ -32,12 +32,9 @@
 
     def write_first(self, answer: Answer, parts: tuple[bytes | bytearray, ...]) -> bool:
         """Write this answer at once if it is the next; False if it has to be queued."""
-        if (
-            self._flushing
-            or self._output.blocked
-            or not self._answers
-            or self._answers[0] is not answer
-        ):
+        if not self._answers or self._answers[0] is not answer:
+            return False
+        if self._flushing or self._output.blocked:
             return False
         self._answers.popleft()
         self._output.write(*parts)
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -71,7 +71,7 @@
         self._input.feed(count, self._listener.turns, now, self._stream)
         if self._reading_ahead:
             self._input.charge_ahead()
-        elif self._slices.is_heavy(now):
+        elif now < self._slices.heavy_until:
             self._slices.wait(self, now)
             self.update_state()
         else:
@@ -110,10 +110,10 @@
 
     def client_may_have_left(self) -> bool:
         """Whether the client has closed, or may have closed without this process seeing it."""
+        if self._input.presence.certain:
+            return False
         stream = self._stream
-        if stream is None or stream.closing:
-            return True
-        return self._input.client_may_have_left(stream, self._loop.time())
+        return stream is None or self._input.client_may_have_left(stream, self._loop.time())
 
     def _release_all(self) -> None:
         """The client has left: drop its answers and return all their budget bytes."""
@@ -144,13 +144,14 @@
         finally:
             self._pumping = False
             self.output.end_batch()
-            self._input.charge_ahead()
+            if self._reading_paused or self._input.ahead:
+                self._input.charge_ahead()
         self.update_state()
 
     def _run_commands(self) -> None:
         """Run the commands that were read, for a slice of the turn.  Raises ProtocolError."""
         now = self._loop.time()
-        ends_at = now + slice_time(self._listener.turns.elapsed(now))
+        ends_at = 0.0  # known once a second command follows
         for _ in range(SLICE_COMMANDS):
             if self.ending or (not self._input.assembling and self._at_capacity):
                 return
@@ -163,6 +164,7 @@
             self._dispatcher.run(self, *command, self._input.delay(now))
             if self._input.idle:
                 return
+            ends_at = ends_at or now + slice_time(self._listener.turns.elapsed(now))
             now = self._loop.time()
             if now >= ends_at:
                 break
@@ -196,16 +198,13 @@
         self._loop.call_soon(self._pump)
 
     def check_memory_wait(self, now: float) -> None:
-        """Refuse what has waited for memory for too long; called while the input is not read.
-
-        Commands behind open ones of their connection wait for those, whose time is limited.
-        """
+        """Refuse what has waited for memory for too long; called while the input is not read."""
         if self._input.awaits_memory:
             if self._input.end_memory_wait(now):
                 self._pump()
             return
         if self.ending or len(self._answers) >= self._listener.limits.depth:
-            return
+            return  # it waits for open commands, whose time is limited
         if self.budget.full and now - self._paused_at >= MEMORY_WAIT:
             unsent = self._stream is not None and self._stream.unsent > 0
             self.out_of_memory = not (self._answers or unsent or self.budget.make_room(now, 0.0))
--- a/violetroute/clients/input.py
+++ b/violetroute/clients/input.py
@@ -23,27 +23,27 @@
     """Decodes the commands of one connection.  Times are seconds of the loop's clock."""
 
     __slots__ = (
-        "_ahead",
         "_assembly",
         "_budget",
         "_decoder",
         "_delay",
-        "_presence",
         "_receive_buffer",
+        "ahead",
         "assembling",
         "awaits_memory",
         "expected_until",
         "idle",
         "partial_since",
+        "presence",
     )
 
     def __init__(self, budget: Budget) -> None:
         self._budget = budget
         self._decoder = resp.Decoder()
-        self._ahead = 0  # bytes of input read ahead that are charged to the budget
+        self.ahead = 0  # bytes of input read ahead that are charged to the budget
         self._assembly = CommandAssembler(budget)
         self._delay = ReadDelay()
-        self._presence = ClientPresence()
+        self.presence = ClientPresence()
         self._receive_buffer = 0  # bytes; the kernel's, when a marked read began
         # Attributes instead of properties, since each request reads them several times.
         self.idle = True  # no input is left and no command is incomplete
@@ -56,13 +56,14 @@
         """The connection was accepted; it may have waited in the backlog."""
         waits_since = now - max(turns.paused_for, turns.readable_for(now))
         self._delay.accepted(turns.count, waits_since)
-        self._presence.accepted(waits_since)
+        self.presence.accepted(waits_since)
 
     def feed(self, count: int, turns: Turns, now: float, stream: Stream) -> None:
         """Take `count` bytes of `read_buffer`, which were read from the stream."""
         self._delay.begin_read(turns.count, now, turns.paused_for)
-        arrived_at = now - max(turns.paused_for, turns.readable_for(now))
-        self._presence.read(count, count < READ_SIZE, arrived_at, now, stream)
+        if count == READ_SIZE or not self.presence.certain:
+            arrived_at = now - max(turns.paused_for, turns.readable_for(now))
+            self.presence.read(count, count < READ_SIZE, arrived_at, now, stream)
         if self._delay.marked:
             self._receive_buffer = stream.receive_buffer()
         if count == READ_SIZE or self._delay.window_may_be_closed(count, self._receive_buffer):
@@ -79,7 +80,7 @@
     def pause(self, now: float) -> None:
         """The connection is not read from now on."""
         self._delay.pause_reading(now)
-        self._presence.pause_reading()
+        self.presence.pause_reading(now)
 
     @property
     def may_read_ahead(self) -> bool:
@@ -89,7 +90,7 @@
     def charge_ahead(self) -> None:
         """Charge the input beyond one read that is not decoded yet, or return what was charged."""
         ahead = max(0, self.undecoded - READ_SIZE)
-        change, self._ahead = ahead - self._ahead, ahead
+        change, self.ahead = ahead - self.ahead, ahead
         if change > 0:
             self._budget.hold(change)
         elif change < 0:
@@ -97,15 +98,17 @@
 
     def client_may_have_left(self, stream: Stream, now: float) -> bool:
         """Whether the client may have closed for longer than it may go unnoticed."""
-        return self._presence.may_have_left(stream, now)
+        return self.presence.may_have_left(stream, now)
 
     def awaits_client(self, stream: Stream, now: float) -> bool:
         """Whether it is uncertain that the client is there, and will be certain soon.
 
         That needs room for the input before its close, if any is unread.
         """
-        return self.client_may_have_left(stream, now) and (
-            self.may_read_ahead or not stream.unread_bytes()
+        return (
+            not self.presence.certain
+            and self.client_may_have_left(stream, now)
+            and (self.may_read_ahead or not stream.unread_bytes())
         )
 
     def delay(self, now: float) -> float:
@@ -192,7 +195,7 @@
 
     def drop(self) -> None:
         """Discard all input and release its budget; the connection ends."""
-        ahead, self._ahead = self._ahead, 0
+        ahead, self.ahead = self.ahead, 0
         self._budget.release(ahead)
         self._assembly.drop()
         self.partial_since = 0.0
--- a/violetroute/clients/presence.py
+++ b/violetroute/clients/presence.py
@@ -47,9 +47,12 @@
     system call is made.
     """
 
-    __slots__ = ("_crowded_at", "_paused", "_run", "_seen_at")
+    __slots__ = ("_crowded_at", "_paused", "_run", "_seen_at", "certain")
 
     def __init__(self) -> None:
+        # Whether the event loop reports a close at once.  While it does, `read` need not be called
+        # for reads that empty the receive buffer.
+        self.certain = True
         self._seen_at = 0.0  # the client was there, if that cannot be seen now
         self._crowded_at = 0.0  # the window may have been closed
         self._run = 0  # bytes read since the receive buffer was empty
@@ -59,15 +62,17 @@
         """The connection was accepted; it may have waited since then."""
         self._seen_at = since
 
-    def pause_reading(self) -> None:
+    def pause_reading(self, now: float) -> None:
         """Reading stops until the next `read`."""
+        if self.certain:
+            self._seen_at, self.certain = now, False
         self._paused = True
 
     def read(
         self, count: int, emptied: bool, arrived_at: float, now: float, stream: ReadableStream
     ) -> None:
         """`count` bytes were read, which may have arrived at `arrived_at`."""
-        if not (self._paused or self._run) and now - self._crowded_at >= QUIET_TIME:
+        if self.certain or self._is_open(now):
             self._seen_at = max(self._seen_at, arrived_at)
         self._paused = False
         if self._run or not emptied:
@@ -76,10 +81,15 @@
                 self._crowded_at = now
         if emptied:
             self._run = 0
+        self.certain = self._is_open(now)
+
+    def _is_open(self, now: float) -> bool:
+        """Whether the connection is read, and its window has been open for long enough."""
+        return not (self._paused or self._run) and now - self._crowded_at >= QUIET_TIME
 
     def may_have_left(self, stream: ReadableStream, now: float) -> bool:
         """Whether the client has closed, or may have, more than MAX_UNSEEN_TIME ago."""
-        if not (self._paused or self._run) and now - self._crowded_at >= QUIET_TIME:
+        if self.certain:
             return False
         if stream.peer_ended():
             return True
@@ -87,4 +97,5 @@
             self._crowded_at = now
         if now - self._crowded_at >= QUIET_TIME:
             self._seen_at = now
+            self.certain = not (self._paused or self._run)
         return now - self._seen_at > MAX_UNSEEN_TIME
--- a/violetroute/clients/turn_share.py
+++ b/violetroute/clients/turn_share.py
@@ -93,27 +93,24 @@
 class CommandSlices:
     """The state of one connection.  It is no attribute, since a reference cycle would keep both."""
 
-    __slots__ = ("_heavy_until", "_share", "waiting")
+    __slots__ = ("_share", "heavy_until", "waiting")
 
     def __init__(self, share: TurnShare) -> None:
         self._share = share
         self.waiting = False  # has more commands than fit into its slice of a turn
-        self._heavy_until = 0.0  # loop time
-
-    def is_heavy(self, now: float) -> bool:
-        """Whether the connection has recently had to wait, and so waits before each slice."""
-        return now < self._heavy_until
+        # Loop time up to which the connection waits before each slice, as it had to wait recently.
+        self.heavy_until = 0.0
 
     def wait(self, connection: WaitingConnection, now: float) -> None:
         """Continue the connection in a later turn."""
         self.waiting = True
-        self._heavy_until = now + HEAVY_TIME
+        self.heavy_until = now + HEAVY_TIME
         self._share.wait(connection)
 
     def hold(self, connection: WaitingConnection, now: float) -> None:
         """Continue the connection after HOLD_TIME."""
         self.waiting = True
-        self._heavy_until = now + HEAVY_TIME
+        self.heavy_until = now + HEAVY_TIME
         self._share.hold(connection)
 
     def end(self, connection: WaitingConnection) -> None:
