Consul: a doubted removal takes effect in time, whatever becomes of its confirmation

Cause: an answer without more than half of the nodes is doubted until a consistent read confirms it. The missing nodes stayed in service until then without a limit, and a read of over 0.3 s ended the watch, which got the same list, doubted it again, and so on. An empty list was never applied at all.

Change: missing nodes drain 0.3 s after the first answer without them, by a timer that no end of a watch stops; they keep start and name, and return if the leader or a newer answer lists them. The read has a connection of its own and is repeated while the doubt lasts. Answers are ordered by X-Consul-Index: one that is not newer takes nodes out of service and brings none back. A SIGHUP carries the accepted state over.

The virtual world's checker had the same two exceptions; it now counts every removal. The HTTP call moved to agent_call.py and the differences to updates.py.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -32,6 +32,7 @@
 from limebridge.virtual.world import Outcome
 from snowstall import Balancer, Effect, ListKind, RequestClass, Settings, Timer
 from violetroute.membership import ConsulTable, Listing
+from violetroute.membership.agent_call import AgentAnswer
 from violetroute.membership.consul import ConsulWatch
 from violetroute.transport.sockets import SocketNetwork
 
@@ -112,7 +113,7 @@
         catalogue.check(f"cache-{number}", "critical")
         body = bytearray(json.dumps(catalogue.health_entries("cache")).encode())
         started = time.perf_counter()
-        watch.answered(200, {"x-consul-index": str(number + 10)}, body, False)
+        watch.call_answered(AgentAnswer(200, {"x-consul-index": str(number + 10)}, body))
         durations.append(time.perf_counter() - started)
     watch.stop()
     return {
--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -54,6 +54,7 @@
         self.agents: list[Consul] = []
         self._reported_nodes: set[str] = set()  # nodes in the accepted Consul responses
         self._last_answer: tuple[str, bytes, str | None] | None = None  # index, body, known leader
+        self._last_index = 0  # of the newest of these responses
         self._active_faults: dict[Fault, dict[str, Any]] = {}  # fault -> changed agent attributes
         self._recovering = 0  # number of faults that ended in the last 2 s
 
@@ -134,18 +135,17 @@
                 set(),
                 {name: entry for name, entry in entries.items() if _is_draining(entry)},
             )
-        if not entries:
-            return  # the proxy ignores an empty catalogue
-        if (
-            len(removed) > self.table.floor * len(self._reported_nodes)
-            and "consistent" not in target
-        ):
-            removed = set()  # the proxy confirms a large removal by a consistent read first
+        # An answer that is not newer takes nodes out of service, but brings none back.
+        index = int(headers.get("x-consul-index", "0"))
+        is_newest = index > self._last_index or "consistent" in target
+        self._last_index = index if is_newest else self._last_index
         self._reported_nodes = (self._reported_nodes - removed) | entries.keys()
         now = self.kernel.now
         for name in removed:
             self.checker.node_reported(now, name, False, "consul")
         for name, entry in entries.items():
+            if not is_newest and not _is_draining(entry):
+                continue
             started = float(entry["Service"]["Meta"]["started_at_ms"])
             self.checker.node_reported(
                 now, name, not _is_draining(entry), "consul", self._started_at_by_ms.get(started)
@@ -154,12 +154,12 @@
     def _proxy_restarted(self, states: dict[str, bool]) -> None:
         super()._proxy_restarted(states)
         self._reported_nodes.clear()
-        self._last_answer = None
+        self._last_answer, self._last_index = None, 0
 
     def _sources_changed(self) -> None:
         super()._sources_changed()
         self._reported_nodes.clear()  # the proxy's new reader has no earlier response
-        self._last_answer = None
+        self._last_answer, self._last_index = None, 0
 
     # --- faults of Consul ---
     async def _with_agent_fault(self, fault: Fault, **attributes: Any) -> None:
--- a/tests/violetroute/membership/test_sources.py
+++ b/tests/violetroute/membership/test_sources.py
@@ -31,7 +31,8 @@
 from violetroute.membership.consul_health import Health, HealthReader, Instance
 from violetroute.membership.merge import MAX_REMOVALS, ListMerger
 from violetroute.membership.query import BlockingQuery, UnusableAnswer
-from violetroute.membership.staleness import CatalogueState, PendingUpdates
+from violetroute.membership.staleness import CatalogueState
+from violetroute.membership.updates import PendingUpdates
 from violetroute.transport import Address
 
 READY, DRAINING, GONE = CacheState.READY, CacheState.DRAINING, CacheState.GONE
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -60,10 +60,10 @@
         logging.ERROR, "not reloaded, the old configuration stays", ("reason",)
     ),
     "consul.doubted": Event(
-        logging.WARNING, "many nodes vanished at once, querying the leader", ("count",)
+        logging.WARNING, "an answer is doubted, querying the leader", ("count",)
     ),
     "consul.emptied": Event(
-        logging.ERROR, "the catalogue is empty, keeping the last list", ("count",)
+        logging.ERROR, "the catalogue is empty, no node gets new requests", ("count",)
     ),
     "consul.entries_left_out": Event(logging.WARNING, "ignored invalid instances", ("count",)),
     "consul.failed": Event(
@@ -72,6 +72,9 @@
     "consul.panic": Event(
         logging.WARNING, "too many nodes critical at once, ignoring health checks", ("floor",)
     ),
+    "consul.unconfirmed": Event(
+        logging.WARNING, "no usable response of the leader, querying again", ("reason", "agent")
+    ),
     "control.cannot_lead": Event(
         logging.WARNING, "holds the lease but cannot lead, releasing it", ("reason",)
     ),
--- a/violetroute/membership/consul_health.py
+++ b/violetroute/membership/consul_health.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -116,17 +117,22 @@
 
     Usually one of two thousand instances changes at a time.  A service's id is unique per agent
     only, so an instance is known by its id and machine.  The first one has the id as its name, and
-    further ones the id and the machine, for as long as they are listed, in whatever order.
+    further ones the id and the machine, for as long as they are listed or held, in whatever order.
     """
 
     def __init__(self, table: ConsulTable) -> None:
-        self._table = table
+        self.table = table  # replaced when the settings change
         self._cache: dict[bytes, Instance | None] = {}
-        self._names: dict[tuple[str, str], str] = {}  # by id and machine, of the last answer
+        # By id and machine: the names of the last answer, and those that are held.
+        self._names: dict[tuple[str, str], str] = {}
+        self._listed: set[tuple[str, str]] = set()  # ids and machines of the last answer
         self.skipped = 0  # invalid entries of the last answer
 
-    def read(self, body: bytes | bytearray) -> dict[str, Instance]:
-        """The instances by name.  Raises ValueError if the body is not a list of instances."""
+    def read(self, body: bytes | bytearray, held: Collection[str] = ()) -> dict[str, Instance]:
+        """The instances by name.  Raises ValueError if the body is not a list of instances.
+
+        `held`: names that are kept for instances that the last answers lacked.
+        """
         raw = _elements.decode(body)
         if len(raw) > MAX_INSTANCES:
             raise ValueError(f"more than {MAX_INSTANCES} instances")
@@ -137,13 +143,14 @@
         self._cache = cache
         instances = [instance for instance in cache.values() if instance is not None]
         self.skipped = len(raw) - len(instances)
-        return self._named(instances)
+        return self._named(instances, held)
 
-    def _named(self, instances: list[Instance]) -> dict[str, Instance]:
-        """The instances by the names that they keep while they are listed."""
+    def _named(self, instances: list[Instance], held: Collection[str]) -> dict[str, Instance]:
+        """The instances by the names that they keep while they are listed or held."""
         before = self._names
         keys = [(instance.name, instance.machine) for instance in instances]
         taken = {before[key] for key in keys if key in before}
+        taken.update(held)
         self._names = {}
         found: dict[str, Instance] = {}
         for key, instance in zip(keys, instances, strict=True):
@@ -153,6 +160,12 @@
                 taken.add(name)
             self._names[key] = name
             found[name] = instance if name == instance.name else replace(instance, name=name)
+        for key, name in before.items():
+            # Whether an instance that is missing for the first time is held, the next read tells.
+            kept = key in self._listed or name in held
+            if kept and key not in self._names and name not in found:
+                self._names[key] = name
+        self._listed = set(keys)
         return found
 
     def _read(self, data: bytes) -> Instance | None:
@@ -160,7 +173,7 @@
         try:
             element = (
                 _element.decode(data)
-                if self._table.endpoint == "health"
+                if self.table.endpoint == "health"
                 else _catalog_row.decode(data).element()
             )
             return self._instance(element)
@@ -168,7 +181,7 @@
             return None
 
     def _instance(self, element: _Element) -> Instance:
-        service, table = element.Service, self._table
+        service, table = element.Service, self.table
         host = service.Address or element.Node.Address
         if not 0 < service.Port < 65536:
             raise ValueError("port out of range")
--- a/violetroute/membership/entries.py
+++ b/violetroute/membership/entries.py
@@ -43,12 +43,14 @@
 class Listing:
     """A full list of nodes, or the changes to one.
 
-    `whole`: the entries are the full list, and nodes without an entry are gone.
+    `whole`: the entries are the full list, and nodes without an entry are gone.  `answered`: the
+    source was heard; False if only a time has passed at which nodes change their state.
     """
 
     generation: int
     whole: bool
     entries: tuple[Entry, ...]
+    answered: bool = True
 
 
 def parse_listing(raw: Any) -> Listing:
--- a/violetroute/membership/merge.py
+++ b/violetroute/membership/merge.py
@@ -86,9 +86,9 @@
 
     # --- input from sources ---
     def apply(self, now: float, wall: float, source: str, listing: Listing) -> None:
-        """Apply a full list or changes from `source`, which thereby is available."""
+        """Apply a full list or changes from `source`, which is available if it has answered."""
         reports = self._sources[source]
-        if reports.unavailable_since is not None:
+        if listing.answered and reports.unavailable_since is not None:
             reports.unavailable_since, reports.available_since = None, now
         before = reports.entries
         latest = {} if listing.whole else dict(before)
--- a/violetroute/membership/query.py
+++ b/violetroute/membership/query.py
@@ -31,7 +31,8 @@
 
     def __init__(self, table: ConsulTable) -> None:
         self._table = table
-        self.index = 0
+        self.index = 0  # sent with the next request; 0: that is not a blocking one
+        self.answer_index = 0  # of the last usable answer; 0: it has none
 
     @property
     def max_wait(self) -> float:
@@ -79,8 +80,8 @@
         if age.isdecimal() and (len(age) > 9 or int(age) > table.stale_within_s):
             return UnusableAnswer(f"{age[:12]} s old in the agent's cache", drains_valid=True)
         text = headers.get("x-consul-index", "0")
-        index = int(text) if text.isdecimal() and len(text) < 20 else 0
-        self.index = 0 if index < self.index or index < 1 else index
+        self.answer_index = int(text) if text.isdecimal() and len(text) < 20 else 0
+        self.index = 0 if self.answer_index < self.index else self.answer_index
         return None
 
 
--- a/violetroute/membership/source.py
+++ b/violetroute/membership/source.py
@@ -129,7 +129,7 @@
                 entries.pop(name, None)  # `_name_map` still has its name for its return
             else:
                 entries[name] = named
-        return Listing(listing.generation, listing.whole, tuple(renamed))
+        return replace(listing, entries=tuple(renamed))
 
 
 def _renamed(entry: Entry, name: str) -> Entry:
@@ -150,6 +150,7 @@
         self._observer, self._net, self._clock = observer, net, clock
         self._discovery, self._operator = discovery, operator
         self._names = NodeNames()
+        self._consul: ConsulWatch | None = None  # also if it is one of several sources
         self._watch = self._create_watch()
 
     def _create_watch(self, before: SourceWatch | None = None) -> SourceWatch:
@@ -170,7 +171,8 @@
 
     def _create_source(self, name: str, observer: ListObserver) -> SourceWatch:
         if name == "consul":
-            return ConsulWatch(observer, self._operator.consul, self._net, self._clock)
+            self._consul = ConsulWatch(observer, self._operator.consul, self._net, self._clock)
+            return self._consul
         if name == "file":
             table = self._operator.membership
             return FileWatch(observer, table.file, table.file_every_s, self._net)
@@ -194,13 +196,21 @@
             and ("consul" not in now or operator.consul == self._operator.consul)
             and ("platform" not in now or discovery == self._discovery)
         )
+        continues = "consul" in now and (
+            operator.consul.service_key == self._operator.consul.service_key
+        )
         self._discovery, self._operator = discovery, operator
         if same:
             return False
+        consul_before, self._consul = self._consul, None
+        if consul_before is not None and not continues:
+            consul_before.assume_removed()
         self._watch.stop()
         if before != now:
             self.expect_new_source()
         self._watch = self._create_watch(self._watch)
+        if continues and consul_before is not None and self._consul is not None:
+            self._consul.continue_from(consul_before)
         return True
 
     def start(self, since: int) -> None:
--- a/violetroute/membership/sources.py
+++ b/violetroute/membership/sources.py
@@ -11,8 +11,8 @@
 from .entries import Entry, Listing
 from .merge import ListMerger
 from .native import ListObserver
-from .staleness import diff_entries
 from .table import MembershipTable
+from .updates import diff_entries
 
 
 class SourceWatch(Protocol):
--- a/violetroute/membership/staleness.py
+++ b/violetroute/membership/staleness.py
@@ -9,15 +9,22 @@
   before each return. When more than the fraction `floor` is critical at once, the checks are more
   likely at fault than the nodes, and health is ignored for all (Envoy's panic threshold).
 - If more than the fraction `floor` **disappears** in one answer, a consistent read from the leader
-  has to confirm it. An empty answer is never accepted: it is no evidence about single nodes.
+  has to confirm it. Until then the missing nodes drain, from CONFIRMATION_GRACE after the first
+  answer without them: they get no new requests, but keep their start, and return unchanged if the
+  leader lists them. An empty answer is never accepted as a removal, not even the leader's: it is no
+  evidence about single nodes. But it is a report, so the guarantee on drains holds: all nodes drain
+  until an answer lists them again.
+
+Agents lag, each by its own time, so an answer may be older than the last one. X-Consul-Index orders
+them: an answer that is not newer can take a node out of service, but only a newer one or the leader
+can bring it back.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-
-import msgspec
+import math
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, replace
 
 from snowstall import CacheState
 
@@ -27,6 +34,9 @@
 
 FLAP_HALF_LIFE = 60.0  # s; the weight of a past flap halves in it
 TOLERATED_FLAPS = 1.5  # flaps, weighted by age, up to which a return is accepted at once
+# s from the first answer without a node until it drains, unless the leader is heard before. The
+# guarantee on drains allows 0.5 s, of which a paused process needs up to 0.15 s.
+CONFIRMATION_GRACE = 0.3
 
 
 @dataclass(slots=True)
@@ -37,6 +47,7 @@
     returns_at: float = 0.0  # loop time before which a flapping node stays out
     flaps: float = 0.0
     flapped_at: float = 0.0
+    missing_since: float | None = None  # loop time of the first answer without it
     entry: Entry | None = None  # cached result of `_entry`
     entry_instance: Instance | None = None  # the instance that `entry` was made from
 
@@ -48,38 +59,58 @@
         self.table = table
         self._nodes: dict[str, _Node] = {}
         self._has_answer = False
+        self._index = 0  # X-Consul-Index of the newest answer; 0 if unknown
+        self._index_at = -math.inf  # loop time at which that answer was applied
         self.panic_mode = False  # more than the fraction `floor` is critical
-        self.unconfirmed = 0  # nodes missing from the last answer, kept until a read confirms it
         self.answer_empty = False  # the last answer had no nodes
 
+    @property
+    def missing(self) -> Collection[str]:
+        """Nodes that the last answers lacked, kept until their removal is confirmed."""
+        return [name for name, node in self._nodes.items() if node.missing_since is not None]
+
+    @property
+    def has_nodes(self) -> bool:
+        """Whether any node is registered, or was and is kept."""
+        return bool(self._nodes)
+
+    # --- answers ---
     def apply(
-        self, now: float, wall: float, instances: Mapping[str, Instance], confirmed: bool = False
+        self, now: float, wall: float, instances: Mapping[str, Instance], index: int = 0
     ) -> bool:
-        """Apply an answer.  Returns whether a consistent read from the leader has to confirm it."""
-        missing = [name for name in self._nodes if name not in instances]
-        self.unconfirmed, self.answer_empty = 0, bool(self._nodes) and not instances
-        if missing and (
-            self.answer_empty
-            or (len(missing) > self.table.floor * len(self._nodes) and not confirmed)
-        ):
-            self.unconfirmed = len(missing)
+        """Apply an answer with its index.  Returns whether the leader has to confirm it."""
+        if 0 < index <= self._index:
+            return self._apply_older(now, instances)
+        missing = self._missing_from(instances)
+        if instances and len(missing) <= self.table.floor * len(self._nodes):
+            self._remove(missing)
         else:
-            for name in missing:
-                del self._nodes[name]
-        for name, instance in instances.items():
-            node = self._nodes.get(name)
-            # Of thousands usually one has changed; the reader returns the same object for the rest.
-            if node is None or node.instance is not instance:
-                self._update_node(now, wall, name, instance)
-        self._has_answer = True
-        listed = [
-            node
-            for name, node in self._nodes.items()
-            if name in instances and node.instance.health is not Health.DRAINS
-        ]
-        critical = sum(node.instance.health is Health.CRITICAL for node in listed)
-        self.panic_mode = critical > self.table.floor * len(listed)
-        return bool(self.unconfirmed) and not confirmed
+            self._mark_missing(now, missing)
+        self._accept(now, wall, instances, index)
+        return self._is_in_doubt()
+
+    def confirm(
+        self,
+        now: float,
+        wall: float,
+        instances: Mapping[str, Instance],
+        index: int = 0,
+        requested_at: float = math.inf,
+    ) -> bool:
+        """Apply a consistent read from the leader.  Returns whether another one is necessary.
+
+        `requested_at`: the loop time at which it was sent.  An answer that was applied after that
+        is newer than the read if its index is higher, or unknown; then the read settles nothing.
+        """
+        if (index < self._index or not index) and self._index_at > requested_at:
+            return self._is_in_doubt()
+        missing = self._missing_from(instances)
+        if instances:
+            self._remove(missing)
+        else:
+            self._mark_missing(now, missing)
+        self._accept(now, wall, instances, index)
+        return False
 
     def apply_drains(self, instances: Mapping[str, Instance]) -> list[Entry]:
         """Apply only the drains of an answer that is otherwise not used.
@@ -93,13 +124,75 @@
         for name, instance in instances.items():
             if instance.health is not Health.DRAINS:
                 continue
-            if name in self._nodes:
-                self._nodes[name].instance = instance
+            node = self._nodes.get(name)
+            if node is not None:
+                _drain(node)
             else:
                 node = _Node(instance, instance.started_at)
                 others.append(_entry(name, node, CacheState.DRAINING))
         return others
 
+    def assume_removed(self) -> None:
+        """Let the missing nodes drain now, because no more answers will be applied."""
+        for node in self._nodes.values():
+            if node.missing_since is not None:
+                node.missing_since = -math.inf
+
+    def _apply_older(self, now: float, instances: Mapping[str, Instance]) -> bool:
+        """Apply an answer that is not newer than the last: it only takes nodes out of service.
+
+        Returns whether it contradicts the accepted state, so that the leader has to be asked.
+        """
+        self._mark_missing(now, self._missing_from(instances))
+        contradicts = False
+        for name, instance in instances.items():
+            node = self._nodes.get(name)
+            if node is None:
+                contradicts = True
+            elif node.instance is not instance and node.instance != instance:
+                contradicts = True
+                if instance.health is Health.DRAINS:
+                    _drain(node)
+        return contradicts or self._is_in_doubt()
+
+    def _missing_from(self, instances: Mapping[str, Instance]) -> list[str]:
+        return [name for name in self._nodes if name not in instances]
+
+    def _mark_missing(self, now: float, names: list[str]) -> None:
+        for name in names:
+            node = self._nodes[name]
+            if node.missing_since is None:
+                node.missing_since = now
+
+    def _remove(self, names: list[str]) -> None:
+        for name in names:
+            del self._nodes[name]
+
+    def _is_in_doubt(self) -> bool:
+        return any(node.missing_since is not None for node in self._nodes.values())
+
+    def _accept(
+        self, now: float, wall: float, instances: Mapping[str, Instance], index: int
+    ) -> None:
+        """Apply the listed nodes of an answer that is the newest one."""
+        self._index, self._index_at = index or self._index, now
+        self.answer_empty = bool(self._nodes) and not instances
+        for name, instance in instances.items():
+            node = self._nodes.get(name)
+            # Of thousands usually one has changed; the reader returns the same object for the rest.
+            if node is None or node.instance is not instance:
+                self._update_node(now, wall, name, instance)
+            elif node.missing_since is not None:
+                node.missing_since = None
+        self._has_answer = self._has_answer or bool(instances)
+        listed = [
+            node
+            for name, node in self._nodes.items()
+            if name in instances and node.instance.health is not Health.DRAINS
+        ]
+        critical = sum(node.instance.health is Health.CRITICAL for node in listed)
+        self.panic_mode = critical > self.table.floor * len(listed)
+
     def _update_node(self, now: float, wall: float, name: str, instance: Instance) -> None:
         node = self._nodes.get(name)
         if node is None:
@@ -112,7 +205,7 @@
             instance.machine != node.instance.machine
         ):
             node.started_at = wall  # another process, even with the same id
-        node.instance = instance
+        node.instance, node.missing_since = instance, None
         is_critical = instance.health is Health.CRITICAL
         if is_critical and node.critical_since is None:
             node.critical_since = now
@@ -136,9 +229,14 @@
         return name in self._nodes
 
     def next_change_at(self, now: float) -> float | None:
-        """When `entries` changes without an answer: the next return of a flapping node."""
-        times = [node.returns_at for node in self._nodes.values() if node.returns_at > now]
-        return min(times, default=None)
+        """When `entries` changes without an answer: a node returns, or a missing one drains."""
+        times = [node.returns_at for node in self._nodes.values()]
+        times += [
+            node.missing_since + CONFIRMATION_GRACE
+            for node in self._nodes.values()
+            if node.missing_since is not None
+        ]
+        return min((at for at in times if at > now), default=None)
 
     def entries(self, now: float) -> dict[str, Entry]:
         """The entries for the proxy, by name; a node without an entry is gone."""
@@ -152,6 +250,8 @@
         health = node.instance.health
         if health is Health.DRAINS:
             return CacheState.DRAINING
+        if node.missing_since is not None and now >= node.missing_since + CONFIRMATION_GRACE:
+            return CacheState.DRAINING
         if self.panic_mode:
             return CacheState.READY
         if health is Health.CRITICAL or node.returns_at > now:
@@ -159,6 +259,12 @@
         return CacheState.READY
 
 
+def _drain(node: _Node) -> None:
+    """Mark a node as draining, and keep all else that newer answers have said of it."""
+    if node.instance.health is not Health.DRAINS:
+        node.instance = replace(node.instance, health=Health.DRAINS)
+
+
 def _entry(name: str, node: _Node, state: CacheState) -> Entry:
     entry, instance = node.entry, node.instance
     if (
@@ -180,71 +286,3 @@
         )
         node.entry_instance = instance
     return entry
-
-
-class PendingUpdates:
-    """The changes of a `CatalogueState` that are not reported yet."""
-
-    def __init__(self) -> None:
-        self._reported: dict[str, Entry] | None = None  # None: no full list was reported yet
-        self._hints: dict[str, Entry] = {}  # reported gone for their health, but still registered
-
-    @property
-    def full_list_sent(self) -> bool:
-        """Whether the first full list was reported."""
-        return self._reported is not None
-
-    def collect(
-        self, catalogue: CatalogueState, now: float, repeat_drains: bool = False
-    ) -> tuple[bool, list[Entry]]:
-        """The entries to report, and before them whether they are the first (full) list.
-
-        `repeat_drains`: report drains even if they are unchanged, since a new answer repeats them.
-        In the meantime the node may have restarted, by another source's report, and been drained
-        again.
-        """
-        entries = catalogue.entries(now)
-        whole, before = self._reported is None, self._reported or {}
-        updates = []
-        changed = diff_entries(before, entries)
-        if repeat_drains:
-            changed += [
-                entry
-                for name, entry in entries.items()
-                if entry.state is CacheState.DRAINING and before.get(name) == entry
-            ]
-        for entry in changed:
-            if entry.state is CacheState.GONE and catalogue.is_registered(entry.instance):
-                entry = self._hints[entry.instance] = msgspec.structs.replace(entry, hint=True)
-            updates.append(entry)
-        for name in list(self._hints):
-            if name in entries:
-                del self._hints[name]
-            elif not catalogue.is_registered(name):  # deregistered while it was out for its health
-                updates.append(msgspec.structs.replace(self._hints.pop(name), hint=False))
-        self._reported = entries
-        return whole, updates
-
-
-def diff_entries(before: Mapping[str, Entry], after: Mapping[str, Entry]) -> list[Entry]:
-    """The entries that turn list `before` into list `after`; removed nodes are GONE."""
-    updates = [
-        entry
-        for name, entry in after.items()
-        if (previous := before.get(name)) is not entry and previous != entry
-    ]
-    for name, entry in before.items():
-        if name not in after:
-            updates.append(
-                Entry(
-                    name,
-                    CacheState.GONE,
-                    None,
-                    entry.zone,
-                    entry.kind,
-                    entry.cell,
-                    entry.weight,
-                    entry.started_at,
-                )
-            )
-    return updates
--- a/violetroute/membership/table.py
+++ b/violetroute/membership/table.py
@@ -59,6 +59,23 @@
     cell_meta: str = "cell"
     started_meta: str = "started_at_ms"  # holds Unix ms of the last start
 
+    @property
+    def service_key(self) -> tuple[str, ...]:
+        """What makes the answers of two tables comparable: the same nodes, by the same index."""
+        return (
+            self.service,
+            self.datacenter,
+            self.namespace,
+            self.tag,
+            self.filter,
+            self.endpoint,
+        )
+
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest body of an answer in bytes."""
+        return round(self.body_mb * 1024 * 1024)
+
     @property
     def tls(self) -> TlsFiles:
         """The TLS files for calls to the agents; without a CA file the calls are plain HTTP."""
