--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -53,7 +53,8 @@
         super().__init__(plan)
         self.agents: list[Consul] = []
         self._reported_nodes: set[str] = set()  # nodes in the accepted Consul responses
-        self._last_answer: tuple[str, bytes, str | None] | None = None  # index, body, known leader
+        # Index, body, known leader, and whether it is a consistent read.
+        self._last_answer: tuple[str, bytes, str | None, bool] | None = None
         self._last_index = 0  # of the newest of these responses
         self._active_faults: dict[Fault, dict[str, Any]] = {}  # fault -> changed agent attributes
         self._recovering = 0  # number of faults that ended in the last 2 s
@@ -123,7 +124,8 @@
     ) -> None:
         """Report the nodes in a Consul response to the checker, as the proxy must apply it."""
         leader = headers.get("x-consul-knownleader")
-        answer = headers.get("x-consul-index", ""), body, leader
+        is_leader_read = "consistent" in target
+        answer = headers.get("x-consul-index", ""), body, leader, is_leader_read
         if answer == self._last_answer or not answer[0]:
             return  # an expired blocking query or an invalid response: no new data
         self._last_answer = answer
@@ -137,8 +139,9 @@
             )
         # An answer that is not newer takes nodes out of service, but brings none back.
         index = int(headers.get("x-consul-index", "0"))
-        is_newest = index > self._last_index or "consistent" in target
-        self._last_index = index if is_newest else self._last_index
+        is_newest = index > self._last_index or is_leader_read
+        if is_newest and leader != "false":
+            self._last_index = index
         self._reported_nodes = (self._reported_nodes - removed) | entries.keys()
         now = self.kernel.now
         for name in removed:
--- /dev/null
+++ b/tests/planted/lagging_agent_believed.py
@@ -0,0 +1,12 @@
+"""Reverts a fix: an older answer of an agent that lags brings nodes back into service."""
+
+from violetroute.membership.staleness import CatalogueState
+
+
+def plant():
+    original = CatalogueState.apply
+
+    def apply(self, now, wall, instances, index=0):
+        return original(self, now, wall, instances, 0)
+
+    CatalogueState.apply = apply
