Balancer: a cache that drains and returns keeps what was learned of it

Cause: a cache that left service lost its record, also if its drain was withdrawn.

Change: the record of a draining cache is kept until the cache is gone, is not listed, or is another machine (zone or cell). A later start makes it cold as before. At most one record per listed draining cache.

--- a/snowstall/balance.py
+++ b/snowstall/balance.py
@@ -82,10 +82,7 @@
             # Rounded to a power of two, so that proxies with slightly different lists agree.
             self._unit_weight = 2.0 ** round(math.log2(mean)) if mean > 0 else 1.0
         ready = [m for m in members if m.state is CacheState.READY]
-        leaving = [m.id for m in members if self._leaves(m)]
-        if kind is not ListKind.CHANGES:
-            leaving += [cache_id for cache_id in self._caches if cache_id not in listed]
-        self._drop([self._caches[name] for name in leaving if name in self._caches])
+        self._remove_leaving(listed, kind is not ListKind.CHANGES)
         joined = [cache for m in ready if (cache := self._update(m)) is not None]
         self._list_partial = more and (self._list_partial or not self._ready)
         self._join(joined)
--- a/snowstall/caches.py
+++ b/snowstall/caches.py
@@ -17,6 +17,7 @@
 MAX_REMEMBERED_ORDERS = 2_048  # keys whose cache order is remembered, per instance
 Orders = dict[int, list[Cache]]  # the caches in a key's order, by key
 MAX_RESIZES_PER_TURN = 32  # caches resized in one event: 1 to 6 ms of CPU
+MIN_LISTED_WEIGHT, MAX_LISTED_WEIGHT = 0.25, 4.0  # times the usual weight
 MAX_SIZE = 8.0  # times an even share of the keys, the most that a plan may give one cache
 
 
@@ -26,6 +27,8 @@
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.settings, self._now, self._random = settings, now, random.Random(seed)
         self._caches: dict[int, Cache] = {}
+        # Caches that drain: one that returns is the same process, with all that was learned of it.
+        self._draining: dict[int, Cache] = {}
         self._origins: list[Cache] = []
         self._ready: list[Cache] = []
         self._ring = Ring()
@@ -57,28 +60,65 @@
         """
         cache = self._caches.get(member.id)
         return member.state is not CacheState.READY or (
-            cache is not None and (member.zone, member.cell) != (cache.zone, cache.cell)
+            cache is not None and not _is_same_machine(cache, member)
         )
 
+    def _remove_leaving(self, listed: Mapping[int, Member], whole: bool) -> None:
+        """Remove caches that drain, are gone, or are another machine now.
+
+        `whole`: also those that are not listed.
+        """
+        leaving = [member.id for member in listed.values() if self._leaves(member)]
+        if whole:
+            leaving += (self._caches.keys() | self._draining.keys()) - listed.keys()
+        caches = [self._caches[cache_id] for cache_id in leaving if cache_id in self._caches]
+        self._drop(caches)
+        drains = {m.id for m in listed.values() if m.state is CacheState.DRAINING}
+        for cache_id in leaving:
+            if cache_id not in drains:
+                self._draining.pop(cache_id, None)
+        self._draining |= {cache.id: cache for cache in caches if cache.id in drains}
+
     def _update(self, member: Member) -> Cache | None:
         """Apply the list entry of a ready cache; return it if it must be added to the ring."""
         cache = self._caches.get(member.id)
         if cache is None:
-            weight = member.weight / self._unit_weight if self.settings.weighted else 1.0
-            cache = Cache(member, min(4.0, max(0.25, weight)))
-            if cache.id in self._sizes:
-                cache.resize(self._sizes[cache.id])
+            cache = self._returning(member) or self._new_cache(member)
             self._caches[cache.id] = cache
             if member.kind == self.settings.origin_kind:
                 self._origins.append(cache)
                 return None
             return cache
-        if member.started_at > cache.started_at:  # restarted: empty and cold again
-            cache.started_at = cache.cold_since = member.started_at
+        self._note_start(cache, member.started_at)
+        return None
+
+    def _new_cache(self, member: Member) -> Cache:
+        cache = Cache(member, self._listed_weight(member))
+        if cache.id in self._sizes:
+            cache.resize(self._sizes[cache.id])
+        return cache
+
+    def _returning(self, member: Member) -> Cache | None:
+        """Return the record of a cache that was draining, unless this is another machine."""
+        cache = self._draining.pop(member.id, None)
+        if cache is None or not _is_same_machine(cache, member):
+            return None
+        cache.listed, cache.listed_weight = True, self._listed_weight(member)
+        cache.resize(self._sizes.get(cache.id, cache.listed_weight))
+        self._note_start(cache, member.started_at)
+        return cache
+
+    def _listed_weight(self, member: Member) -> float:
+        weight = member.weight / self._unit_weight if self.settings.weighted else 1.0
+        return min(MAX_LISTED_WEIGHT, max(MIN_LISTED_WEIGHT, weight))
+
+    def _note_start(self, cache: Cache, started_at: float) -> None:
+        """Note the listed start of a cache; after a restart it is empty and cold again."""
+        if started_at > cache.started_at:
+            cache.started_at = cache.cold_since = started_at
             cache.maybe_restarted, cache.excluded_until = False, 0.0
             self.ejected.pop(cache.id, None)
             cache.slow_weight = cache.slow_sum = 0.0
-        return None
 
     def _join(self, caches: list[Cache]) -> None:
         """Add new caches to the ring and forget the remembered orders."""
@@ -179,6 +219,10 @@
         return mean
 
 
+def _is_same_machine(cache: Cache, member: Member) -> bool:
+    return (member.zone, member.cell) == (cache.zone, cache.cell)
+
+
 def _remember(orders: Orders, key: int, order: list[Cache]) -> None:
     if len(orders) >= MAX_REMEMBERED_ORDERS:
         orders.clear()
--- a/tests/snowstall/test_rules.py
+++ b/tests/snowstall/test_rules.py
@@ -634,3 +634,52 @@
                 if isinstance(action, Send):
                     now = "z1" if action.cache_id == moves else groups[action.cache_id]
                     assert now == groups[send.cache_id], (seed, send, action)
+
+
+def test_a_cache_that_drains_and_returns_keeps_what_was_learned_of_it() -> None:
+    # Guards against a cache that was presumed cold, or known to be slow, and came back from a
+    # withdrawn drain as a warm and unknown one.
+    balancer = Balancer(SETTINGS, 1, 1000.0)
+    ready = [Member(n, zone="z0", started_at=500.0) for n in range(4)]
+    balancer.on_list(1000.0, ListKind.FULL, ready)
+    before = balancer._caches[1]
+    before.cold_since = 900.0
+    for state in (CacheState.DRAINING, CacheState.DRAINING, CacheState.READY):
+        balancer.on_list(1100.0, ListKind.CHANGES, [ready[1]._replace(state=state)])
+    assert balancer._caches[1] is before and before.listed and before.cold_since == 900.0
+    assert before in balancer._placement(7, 4)
+    balancer.on_list(1200.0, ListKind.CHANGES, [ready[1]._replace(state=CacheState.DRAINING)])
+    balancer.on_list(1300.0, ListKind.CHANGES, [ready[1]._replace(started_at=1250.0)])
+    assert balancer._caches[1].cold_since == 1250.0  # it has restarted meanwhile
+
+
+@pytest.mark.parametrize(
+    "ending",
+    [
+        (ListKind.CHANGES, [Member(1, CacheState.GONE)]),
+        (ListKind.FULL, [Member(2, zone="z0")]),
+        (ListKind.CHANGES, [Member(1, zone="z1")]),
+        (ListKind.CHANGES, [Member(1, zone="z0", cell=1)]),
+    ],
+    ids=["gone", "not listed", "another zone", "another cell"],
+)
+def test_a_draining_cache_that_is_gone_or_another_machine_returns_as_a_new_one(
+    ending: tuple[ListKind, list[Member]],
+) -> None:
+    balancer = Balancer(SETTINGS, 1, 1000.0)
+    balancer.on_list(1000.0, ListKind.FULL, [Member(1, zone="z0"), Member(2, zone="z0")])
+    before = balancer._caches[1]
+    balancer.on_list(1100.0, ListKind.CHANGES, [Member(1, CacheState.DRAINING, zone="z0")])
+    balancer.on_list(1200.0, *ending)
+    balancer.on_list(1300.0, ListKind.CHANGES, [Member(1, zone="z0")])
+    assert balancer._caches[1] is not before and not balancer._draining
+
+
+def test_a_draining_cache_gets_nothing_while_its_record_is_kept() -> None:
+    balancer = Balancer(SETTINGS, 1, 1000.0)
+    balancer.on_list(1000.0, ListKind.FULL, [Member(n, zone="z0") for n in range(3)])
+    drains = [Member(n, CacheState.DRAINING, zone="z0") for n in range(2)]
+    balancer.on_list(1000.0, ListKind.CHANGES, drains)
+    for number in range(40):
+        actions = balancer.on_request(1000.0, Request(number, "read", 1400.0, key=number))
+        assert all(action.cache_id == 2 for action in actions if isinstance(action, Send))
