--- a/tests/violetroute/membership/test_merge_whole.py
+++ b/tests/violetroute/membership/test_merge_whole.py
@@ -28,7 +28,17 @@
 READY, DRAINING, GONE = CacheState.READY, CacheState.DRAINING, CacheState.GONE
 TABLE = MembershipTable(patience_s=10.0, settle_s=5.0, least_match=0.5)
 SOURCES = ("a", "b")
-REPORTS = ("ready", "drains", "gone", "starts", "whole", "whole drains", "whole without", "silent")
+REPORTS = (
+    "ready",
+    "drains",
+    "gone",
+    "starts",
+    "whole",
+    "whole drains",
+    "whole without",
+    "whole empty",
+    "silent",
+)
 EVENTS = [(source, event) for source in SOURCES for event in REPORTS] + [
     ("", "time"),
     ("", "restart"),
@@ -84,14 +94,15 @@
             self.started = self.wall
             self.wall += 1.0
         state = {"drains": DRAINING, "whole drains": DRAINING, "gone": GONE}.get(event, READY)
-        listed = [] if event == "whole without" else [entry("n", state, self.started)]
+        is_without = event in ("whole without", "whole empty")
+        listed = [] if is_without else [entry("n", state, self.started)]
         is_whole = event.startswith("whole")
-        if is_whole or not self.merge._sources[source].entries:
+        if event != "whole empty" and (is_whole or not self.merge._sources[source].entries):
             listed += [entry(name) for name in OTHERS]
             is_whole = True
         known = "n" in self.merge._sources[source].entries
         self.merge.apply(self.now, self.wall, source, Listing(1, is_whole, tuple(listed)))
-        if event == "whole without":
+        if is_without:
             if known:
                 self.removed_at[source] = self.wall
         elif state is READY:
--- a/tests/violetroute/membership/test_sources.py
+++ b/tests/violetroute/membership/test_sources.py
@@ -118,13 +118,24 @@
 
 
 @pytest.mark.parametrize(("listing", "share"), [(some(1), 0.25), (some(4, 4), 0.0)])
-def test_a_source_that_lists_other_nodes_is_not_selected(listing: Listing, share: float) -> None:
-    made = merge()
+@pytest.mark.parametrize("listed_before", [False, True])
+def test_a_source_that_lists_other_nodes_is_not_selected(
+    listed_before: bool, listing: Listing, share: float
+) -> None:
+    made = ListMerger(("a", "b"), TABLE, 0.0)
+    made.apply(0.0, WALL, "a", some(4))
+    if listed_before:
+        made.apply(0.0, WALL, "b", some(4))
     made.apply(0.5, WALL, "b", listing)
     made.source_failed(1.0, "a")
     made.tick(11.0)
     assert made.current_source == "a" and made.dissimilar == ("b", share)
-    assert states(made)["n0"] is READY
+    # What it never listed, it doesn't report as removed.
+    listed = {each.instance for each in listing.entries}
+    vanished = {f"n{n}" for n in range(4)} - listed if listed_before else set[str]()
+    assert states(made) == {
+        name: DRAINING if name in vanished else READY for name in ("n0", "n1", "n2", "n3")
+    }
     made.apply(12.0, WALL, "b", some(2))
     assert made.current_source == "b" and made.dissimilar is None
 
@@ -224,10 +235,25 @@
     assert names(made) == {"n0", "n2", "n3", "m1"}
 
 
-def test_a_list_that_loses_most_nodes_removes_none() -> None:
+def test_the_nodes_that_a_list_loses_with_most_others_drain_until_it_lists_them() -> None:
+    # They stayed in service: the guarantee on drains had an exception for doubted lists.
     made = merge()
     made.apply(1.0, WALL, "b", some(1))
-    assert names(made) == {"n0", "n1", "n2", "n3"}
+    assert states(made) == {"n0": READY, "n1": DRAINING, "n2": DRAINING, "n3": DRAINING}
+    made.apply(2.0, WALL, "b", whole())
+    assert set(states(made).values()) == {DRAINING} and names(made) == {"n0", "n1", "n2", "n3"}
+    made.apply(3.0, WALL, "b", some(4))
+    assert states(made) == dict.fromkeys(("n0", "n1", "n2", "n3"), READY)
+
+
+def test_a_report_that_a_time_has_passed_makes_no_source_available() -> None:
+    made = merge()
+    made.source_failed(2.0, "a")
+    timed = Listing(0, False, (entry("n1", DRAINING),), answered=False)
+    made.apply(5.0, WALL, "a", timed)
+    assert states(made)["n1"] is DRAINING and made.next_change_at(5.0) == 12.0
+    made.tick(12.0)
+    assert made.current_source == "b" and states(made)["n1"] is DRAINING
 
 
 def test_a_critical_node_of_another_source_is_no_planned_removal() -> None:
--- a/violetroute/membership/merge.py
+++ b/violetroute/membership/merge.py
@@ -5,9 +5,10 @@
 list yet would flicker. There are two exceptions to the precedence:
 
 - A **drain or removal** applies at once, whichever source reports it (the guarantee on drains),
-  until that source withdraws it or the current source reports a later start of the node. Drawback:
-  a list that is emptied by hand takes nodes out of service while another source is current, so
-  such a source must be removed from `sources` first.
+  until that source withdraws it or the current source reports a later start of the node. If most
+  of a list vanishes at once, its nodes drain and are not removed: the report is doubted, and the
+  guarantee has no exception for that. Drawback: a list that is emptied by hand takes nodes out of
+  service while another source is current, so such a source must be removed from `sources` first.
 - A current source that becomes unavailable stays current for `patience_s`: its last list is better
   than switching lists at each short outage. A source of higher rank that recovers waits `settle_s`,
   so that an unstable one doesn't make the fleet switch back and forth.
@@ -107,10 +108,11 @@
                     reports.removals.pop(entry.instance, None)
         if listing.whole:
             vanished = [entry for name, entry in before.items() if name not in latest]
-            # A list that loses most nodes at once is no reliable evidence about a single node.
-            if len(vanished) <= (1.0 - self._table.least_match) * len(before):
-                for entry in vanished:
-                    self._record_removal(reports, wall, entry, gone=True)
+            # A list that loses most nodes at once is no reliable evidence about a single node: they
+            # get no new requests, but are not removed.
+            is_reliable = len(vanished) <= (1.0 - self._table.least_match) * len(before)
+            for entry in vanished:
+                self._record_removal(reports, wall, entry, gone=is_reliable)
         reports.entries = latest
         self._select_source(now)
 
