Consul: removals in unusable answers and answers read after a pause take effect in time

Cause: of an answer without a leader, or too old, only the drains were applied; its removals were dropped.

Change: nodes that such an answer lacks are doubted like others; not those of an answer that says it was filtered for the token's rights. The time counts from the earliest moment at which the answer may have arrived, and what became due during a pause is reported before other events. CONFIRMATION_GRACE is 0.2 s: 0.15 s of a pause before the answer is read and 0.15 s before a request is written fit into 0.5 s.

--- a/limebridge/virtual/consul.py
+++ b/limebridge/virtual/consul.py
@@ -132,11 +132,8 @@
         entries = {entry["Service"]["ID"]: entry for entry in json.loads(body)}
         removed = self._reported_nodes - entries.keys()
         if leader == "false":
-            # Without a leader the response may be stale: the proxy uses only the drains in it.
-            removed, entries = (
-                set(),
-                {name: entry for name, entry in entries.items() if _is_draining(entry)},
-            )
+            # Without a leader the response may be stale: it can't bring nodes into service.
+            entries = {name: entry for name, entry in entries.items() if _is_draining(entry)}
         # An answer that is not newer takes nodes out of service, but brings none back.
         index = int(headers.get("x-consul-index", "0"))
         is_newest = index > self._last_index or is_leader_read
--- a/tests/planted/lagging_agent_believed.py
+++ b/tests/planted/lagging_agent_believed.py
@@ -6,7 +6,7 @@
 def plant():
     original = CatalogueState.apply
 
-    def apply(self, now, wall, instances, index=0):
-        return original(self, now, wall, instances, 0)
+    def apply(self, now, wall, instances, index=0, arrived_at=None):
+        return original(self, now, wall, instances, 0, arrived_at)
 
     CatalogueState.apply = apply
--- a/tests/planted/leaderless_drain_ignored.py
+++ b/tests/planted/leaderless_drain_ignored.py
@@ -4,4 +4,4 @@
 
 
 def plant():
-    ConsulWatch.apply_drains = lambda self, body: None
+    ConsulWatch.apply_unusable = lambda self, body, is_complete: None
--- a/tests/violetroute/membership/test_consul.py
+++ b/tests/violetroute/membership/test_consul.py
@@ -228,8 +228,8 @@
     before = belief.entries(0.0)
     assert belief.apply(1.0, 1e9, {})
     assert not belief.confirm(1.1, 1e9, {})
-    assert states(belief, 1.2) == dict.fromkeys(before, READY) and belief.answer_empty
-    due = belief.next_change_at(1.2)
+    assert states(belief, 1.15) == dict.fromkeys(before, READY) and belief.answer_empty
+    due = belief.next_change_at(1.15)
     assert due == 1.0 + CONFIRMATION_GRACE  # the leader's empty answer does not extend it
     assert states(belief, due) == dict.fromkeys(before, DRAINING)
     belief.apply(20.0, 9e9, some(4))
--- a/tests/violetroute/membership/test_consul_removals.py
+++ b/tests/violetroute/membership/test_consul_removals.py
@@ -11,6 +11,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import replace
+from unittest import mock
 
 import msgspec
 import pytest
@@ -158,6 +159,62 @@
     follow(part, agents=2 if disturb is second_agent_lags else 1, nodes=nodes)
 
 
+@pytest.mark.parametrize(
+    "headers", [{"X-Consul-KnownLeader": "false"}, {"X-Consul-LastContact": "60000"}]
+)
+def test_a_removal_applies_that_only_an_unusable_answer_has(headers: dict[str, str]) -> None:
+    # The removals of such answers were dropped, though their drains were applied.
+    async def part(setting: Setting) -> None:
+        told = Told(setting)
+        before = start_times(setting)
+        setting.agent.headers = headers
+        kept = dict(setting.catalogue.services)
+        setting.catalogue.deregister("c1")
+        await told.check_out_of_service({"s-1"})
+        setting.agent.headers = {}
+        setting.catalogue.services.update(kept)
+        setting.catalogue.raise_index()
+        await setting.uses("s-0", "s-1", "s-2", "s-3")
+        assert start_times(setting) == before
+
+    follow(part)
+
+
+def test_what_a_filtered_answer_lacks_is_no_removal() -> None:
+    async def part(setting: Setting) -> None:
+        setting.agent.headers = {"X-Consul-Results-Filtered-By-ACLs": "true"}
+        setting.catalogue.deregister("c1")
+        for _ in range(3):
+            await setting.next_requests()
+        assert setting.used() == {"s-0", "s-1", "s-2", "s-3"}
+        assert not setting.consul_watch._catalogue.missing
+
+    follow(part)
+
+
+def test_the_grace_counts_from_the_arrival_of_an_answer_that_is_read_late() -> None:
+    # Found by exploration: an answer that came during a pause of 0.8 s had its grace after it.
+    state = CatalogueState(ConsulTable())
+    state.apply(0.0, 1e9, instances("a", "b", "c"), 10)
+    state.apply(5.0, 2e9, instances("a"), 11, arrived_at=4.2)
+    assert states(state, 5.0) == {"a": READY, "b": DRAINING, "c": DRAINING}
+
+
+def test_a_pause_of_the_process_does_not_keep_missing_nodes_in_service() -> None:
+    async def part(setting: Setting) -> None:
+        leader_hangs(setting)
+        setting.catalogue.deregister("c1", "c2", "c3")
+        await wait_until(lambda: setting.consul_watch._catalogue.missing)
+        assert len(setting.used()) == 4
+        loop = asyncio.get_running_loop()
+        resumed_at = loop.time() + CONFIRMATION_GRACE + 0.2
+        with mock.patch.object(loop, "time", lambda: resumed_at):
+            setting.rig.proxy._on_pause(0.4)  # the end of a pause, before other events
+        assert setting.used() == {"s-0"}
+
+    follow(part)
+
+
 def test_a_second_removal_while_the_first_one_is_doubted_takes_effect_in_time() -> None:
     async def part(setting: Setting) -> None:
         told = Told(setting)
@@ -330,9 +387,9 @@
 
 
 def test_the_grace_counts_from_the_first_answer_without_the_node(accepted: CatalogueState) -> None:
-    for index, at in ((30, 2.0), (31, 2.2), (25, 2.25)):
+    for index, at in ((30, 2.0), (31, 2.1), (25, 2.15)):
         assert accepted.apply(at, 3e9, instances("a"), index)
-    assert accepted.next_change_at(2.26) == 2.0 + CONFIRMATION_GRACE
+    assert accepted.next_change_at(2.16) == 2.0 + CONFIRMATION_GRACE
     assert states(accepted, 2.0 + CONFIRMATION_GRACE) == {"a": READY, "b": DRAINING, "c": DRAINING}
 
 
--- a/violetroute/membership/confirmation.py
+++ b/violetroute/membership/confirmation.py
@@ -32,8 +32,8 @@
         Raises ValueError if the body is not a list of nodes.
         """
 
-    def apply_drains(self, body: bytearray) -> None:
-        """Apply only the drains of an answer that is otherwise not used."""
+    def apply_unusable(self, body: bytearray, is_complete: bool) -> None:
+        """Apply the drains, and if it is complete the removals, of an answer not used otherwise."""
 
 
 class LeaderRead:
@@ -88,9 +88,9 @@
         query = BlockingQuery(self._table)
         unusable = query.check(answer.status, answer.headers)
         if unusable is not None:
-            if unusable.drains_valid:
-                self._owner.apply_drains(answer.body)
             self._retry(unusable.reason, unusable.wait)
+            if unusable.drains_valid:
+                self._owner.apply_unusable(answer.body, unusable.is_complete)
             return
         try:
             self._owner.confirmed(answer.body, query.answer_index, self._requested_at)
--- a/violetroute/membership/consul.py
+++ b/violetroute/membership/consul.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from asyncio import TimerHandle
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +26,7 @@
 # counts as told 2 s after the wait, and a new query has to be answered until then.
 SILENCE_TIMEOUT = 1.7
 DIGEST_SIZE = 16  # bytes
+TIMER_SLACK = 0.001  # s by which a timer may fire early
 
 
 class ConsulWatch:
@@ -55,7 +57,7 @@
         self._answered_at: float | None = None
         self._call: AgentCall | None = None
         self._request_timer: Any = None  # timer of a request that may not be sent yet
-        self._change_timer: Any = None
+        self._change_timer: TimerHandle | None = None
         self._logged_state: tuple[bool, bool] = (False, False)
 
     def continue_from(self, before: ConsulWatch) -> None:
@@ -127,7 +129,7 @@
         unusable = self._query.check(answer.status, answer.headers)
         if unusable is not None:
             if unusable.drains_valid:
-                self.apply_drains(answer.body)
+                self.apply_unusable(answer.body, unusable.is_complete)
             self._back_off(unusable)
             return
         digest = hashlib.blake2b(answer.body, digest_size=DIGEST_SIZE).digest()
@@ -156,7 +158,11 @@
         if self._reader.skipped:
             logs.event("consul.entries_left_out", count=self._reader.skipped)
         in_doubt = self._catalogue.apply(
-            self._loop.time(), self._clock(), instances, self._query.answer_index
+            self._loop.time(),
+            self._clock(),
+            instances,
+            self._query.answer_index,
+            self._arrived_at(),
         )
         if in_doubt:
             logs.event("consul.doubted", count=len(self._catalogue.missing))
@@ -165,12 +171,19 @@
             self._leader_read.stop()
         self._log_state()
 
-    def apply_drains(self, body: bytearray) -> None:
-        """Apply only the drains of an answer that is otherwise not used."""
+    def apply_unusable(self, body: bytearray, is_complete: bool) -> None:
+        """Apply the drains of an answer that is otherwise not used.
+
+        `is_complete`: also its removals, which are in doubt.
+        """
         try:
-            others = self._catalogue.apply_drains(self._reader.read(body, self._catalogue.missing))
+            instances = self._reader.read(body, self._catalogue.missing)
         except ValueError:
             return
+        others = self._catalogue.apply_drains(instances)
+        if is_complete and self._catalogue.doubt_missing(self._arrived_at(), instances):
+            logs.event("consul.doubted", count=len(self._catalogue.missing))
+            self._leader_read.request(self._agent)
         if self._pending.full_list_sent or self._catalogue.has_nodes:
             self._report_changes()
         elif others:
@@ -189,6 +202,11 @@
         if in_doubt:
             self._leader_read.request(self._agent)
 
+    def _arrived_at(self) -> float:
+        """The earliest loop time at which the data of this turn may have arrived."""
+        now, turns = self._loop.time(), self._net.turns
+        return now - max(turns.paused_for, turns.readable_for(now))
+
     def _log_state(self) -> None:
         catalogue = self._catalogue
         now = catalogue.panic_mode, catalogue.answer_empty
@@ -234,7 +252,12 @@
             self._change_timer = None
         change_at = self._catalogue.next_change_at(self._loop.time())
         if change_at is not None:
-            self._change_timer = self._loop.call_at(change_at + 0.001, self._time_passed)
+            self._change_timer = self._loop.call_at(change_at + TIMER_SLACK, self._change_due)
+
+    def report_due(self) -> None:
+        """Report changes that became due during a pause, before other events are handled."""
+        if self._change_timer is not None and self._change_timer.when() <= self._loop.time():
+            self._change_due()
 
-    def _time_passed(self) -> None:
+    def _change_due(self) -> None:
         self._report_changes(answered=False)
--- a/violetroute/membership/query.py
+++ b/violetroute/membership/query.py
@@ -23,7 +23,8 @@
 
     reason: str
     wait: float = 0.0  # s to wait before the next request
-    drains_valid: bool = False  # complete but old: its drains were true when it was written
+    drains_valid: bool = False  # its drains were true when it was written
+    is_complete: bool = False  # so were its removals: it lists all nodes of that time
 
 
 class BlockingQuery:
@@ -70,15 +71,16 @@
                 _retry_after(headers.get("retry-after", "")) if status in (429, 503) else 0.0,
             )
         if headers.get("x-consul-knownleader", "true").lower() == "false":
-            return UnusableAnswer("no leader", drains_valid=True)
+            return UnusableAnswer("no leader", drains_valid=True, is_complete=True)
         if headers.get("x-consul-results-filtered-by-acls", "").lower() == "true":
             return UnusableAnswer("the token may not see all of it", drains_valid=True)
         contact = headers.get("x-consul-lastcontact", "0")
         if contact.isdecimal() and int(contact) > table.stale_within_s * 1000.0:
-            return UnusableAnswer(f"{contact} ms old", drains_valid=True)
+            return UnusableAnswer(f"{contact} ms old", drains_valid=True, is_complete=True)
         age = headers.get("age", "0") if table.cached else "0"  # s in the agent's cache
         if age.isdecimal() and (len(age) > 9 or int(age) > table.stale_within_s):
-            return UnusableAnswer(f"{age[:12]} s old in the agent's cache", drains_valid=True)
+            reason = f"{age[:12]} s old in the agent's cache"
+            return UnusableAnswer(reason, drains_valid=True, is_complete=True)
         text = headers.get("x-consul-index", "0")
         self.answer_index = int(text) if text.isdecimal() and len(text) < 20 else 0
         self.index = 0 if self.answer_index < self.index else self.answer_index
--- a/violetroute/membership/source.py
+++ b/violetroute/membership/source.py
@@ -221,6 +221,11 @@
         """Stop the watch without a report."""
         self._watch.stop()
 
+    def report_due(self) -> None:
+        """Report changes that became due during a pause of the process, before other events."""
+        if self._consul is not None:
+            self._consul.report_due()
+
     # --- from the watch ---
     def expect_new_source(self) -> None:
         """Treat the next full list as the first of another source."""
--- a/violetroute/membership/staleness.py
+++ b/violetroute/membership/staleness.py
@@ -35,8 +35,9 @@
 FLAP_HALF_LIFE = 60.0  # s; the weight of a past flap halves in it
 TOLERATED_FLAPS = 1.5  # flaps, weighted by age, up to which a return is accepted at once
 # s from the first answer without a node until it drains, unless the leader is heard before. The
-# guarantee on drains allows 0.5 s, of which a paused process needs up to 0.15 s.
-CONFIRMATION_GRACE = 0.3
+# guarantee on drains allows 0.5 s, of which a paused process may need 0.15 s before it reads the
+# answer, and 0.15 s before it writes a request.
+CONFIRMATION_GRACE = 0.2
 
 
 @dataclass(slots=True)
@@ -76,16 +77,25 @@
 
     # --- answers ---
     def apply(
-        self, now: float, wall: float, instances: Mapping[str, Instance], index: int = 0
+        self,
+        now: float,
+        wall: float,
+        instances: Mapping[str, Instance],
+        index: int = 0,
+        arrived_at: float | None = None,
     ) -> bool:
-        """Apply an answer with its index.  Returns whether the leader has to confirm it."""
+        """Apply an answer with its index.  Returns whether the leader has to confirm it.
+
+        `arrived_at`: the earliest time at which it may have arrived, by default `now`.
+        """
+        arrived_at = now if arrived_at is None else arrived_at
         if 0 < index <= self._index:
-            return self._apply_older(now, instances)
+            return self._apply_older(arrived_at, instances)
         missing = self._missing_from(instances)
         if instances and len(missing) <= self.table.floor * len(self._nodes):
             self._remove(missing)
         else:
-            self._mark_missing(now, missing)
+            self._mark_missing(arrived_at, missing)
         self._accept(now, wall, instances, index)
         return self._is_in_doubt()
 
@@ -132,18 +142,24 @@
                 others.append(_entry(name, node, CacheState.DRAINING))
         return others
 
+    def doubt_missing(self, arrived_at: float, instances: Mapping[str, Instance]) -> bool:
+        """Doubt the nodes that a complete but unusable answer lacks; returns whether any is new."""
+        before = len(self.missing)
+        self._mark_missing(arrived_at, self._missing_from(instances))
+        return len(self.missing) > before
+
     def assume_removed(self) -> None:
         """Let the missing nodes drain now, because no more answers will be applied."""
         for node in self._nodes.values():
             if node.missing_since is not None:
                 node.missing_since = -math.inf
 
-    def _apply_older(self, now: float, instances: Mapping[str, Instance]) -> bool:
+    def _apply_older(self, arrived_at: float, instances: Mapping[str, Instance]) -> bool:
         """Apply an answer that is not newer than the last: it only takes nodes out of service.
 
         Returns whether it contradicts the accepted state, so that the leader has to be asked.
         """
-        self._mark_missing(now, self._missing_from(instances))
+        self._mark_missing(arrived_at, self._missing_from(instances))
         contradicts = False
         for name, instance in instances.items():
             node = self._nodes.get(name)
@@ -158,11 +174,11 @@
     def _missing_from(self, instances: Mapping[str, Instance]) -> list[str]:
         return [name for name in self._nodes if name not in instances]
 
-    def _mark_missing(self, now: float, names: list[str]) -> None:
+    def _mark_missing(self, since: float, names: list[str]) -> None:
         for name in names:
             node = self._nodes[name]
             if node.missing_since is None:
-                node.missing_since = now
+                node.missing_since = since
 
     def _remove(self, names: list[str]) -> None:
         for name in names:
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -131,6 +131,7 @@
     def _on_pause(self, seconds: float) -> None:
         logs.event("daemon.paused", ms=round(seconds * 1000.0))
         self._dispatch(None, self._balancer.on_pause, seconds * 1000.0)
+        self._watch.report_due()
 
     def take(self, command: Command, answer: Answer) -> None:
         """Open a request, which gets one final answer; CommandError if the command is invalid."""
