Clients: a TCP window that is shut while little is unread counts as shut

Cause: a sender holds a segment back until the whole of it fits into the window. Segments of loopback have up to 65,483 bytes, so data and close waited for a window probe (0.2 s) while 9 KB and more were unread here. Less than 32 KB unread was taken for an open window.

Checked: 15,923 samples of a real connection, with the sender's SIOCOUTQNSD: with nothing unread, or with room in tcpi_rcv_wnd for the unread bytes, an unacknowledged segment and the longest one, the sender was never held back.

Change: transport/tcp_info.py reads the window; ClientPresence asks it while little is unread, and what is read after a pause counts as behind a shut window for QUIET_TIME. A kernel that doesn't report the window is treated as before.

--- a/limebridge/virtual/net.py
+++ b/limebridge/virtual/net.py
@@ -16,8 +16,8 @@
 ) -> SocketNetwork:
     """The network interface of process `owner`; `clock` gives its wall clock in Unix s.
 
-    `hung_up`, `unread` and `connection_waits` are set as attributes, so that older builds of the
-    daemon, which don't have them, can run as well.
+    `hung_up`, `unread`, `receive_window` and `connection_waits` are set as attributes, so that
+    older builds of the daemon, which don't have them, can run as well.
     """
     net = SocketNetwork(
         loop,
@@ -27,6 +27,7 @@
         undelivered=lambda sock: int(sock.undelivered()),  # type: ignore[attr-defined]
     )
     net.hung_up = _hung_up
+    net.receive_window = lambda sock: None  # virtual segments have no length
     net.unread = lambda sock: len(sock._received)  # type: ignore[attr-defined]
     net.connection_waits = _connection_waits
     return net
--- a/violetroute/clients/presence.py
+++ b/violetroute/clients/presence.py
@@ -3,22 +3,26 @@
 The kernel reports a close (POLLRDHUP) even behind unread data, but only once it has received it.  A
 client that writes much and closes leaves data in its own kernel, which waits for the TCP window to
 open, and the close waits behind that data.  So a close is certain to be seen only while the window
-is open: while little is unread here, and for `QUIET_TIME` after much was.
+is open for a whole segment: while nothing is unread here, or so little that the window which was
+advertised has room beside it, and not for `QUIET_TIME` after it may have been closed.  A kernel
+that doesn't report the window is taken to keep it open while little is unread.
 
-Not detected: data that the sender's kernel holds back although the window is open, as after losses
-or at the start of a connection over a long path.
+Not detected: data that the sender's kernel holds back although the window is open, as after losses,
+by Nagle's algorithm, or at the start of a connection over a long path.
 """
 
 from __future__ import annotations
 
 from typing import Protocol
 
+from violetroute.transport.tcp_info import ReceiveWindow
+
 QUIET_TIME = 0.01  # s from reading much until the rest of the sender's kernel arrives
 MAX_UNSEEN_TIME = 0.05  # s; nothing may be sent for a client that closed 0.1 s ago
 # Unread data of 1 / WINDOW_DIVISOR of the receive buffer may have closed the TCP window, since
 # small segments occupy several times their size.
 WINDOW_DIVISOR = 4
-# Unread data that may have closed the initial window, which grows more slowly than the buffer.
+# Unread bytes that may have closed the initial window, which grows more slowly than the buffer.
 MAX_OPEN_BYTES = 32 * 1024
 
 
@@ -34,12 +38,26 @@
     def receive_buffer(self) -> int:
         """The size of the kernel's receive buffer in bytes."""
 
+    def receive_window(self) -> ReceiveWindow | None:
+        """The receive window; None if the kernel doesn't report it."""
+
 
 def _may_close_window(size: int, stream: ReadableStream) -> bool:
-    """Whether `size` unread bytes may close the TCP window."""
+    """Whether `size` unread bytes may close the TCP window, by the size of the buffer."""
     return size >= MAX_OPEN_BYTES or size * WINDOW_DIVISOR >= stream.receive_buffer()
 
 
+def _window_may_be_closed(stream: ReadableStream) -> bool:
+    """Whether the TCP window may have no room for the peer's next segment now."""
+    unread = stream.unread_bytes()
+    if not unread:
+        return False
+    if _may_close_window(unread, stream):
+        return True
+    window = stream.receive_window()
+    return window is not None and not window.has_room(unread)
+
+
 class ClientPresence:
     """When the client of one connection was last certainly there.  Times are of the loop's clock.
 
@@ -74,7 +92,8 @@
         """`count` bytes were read, which may have arrived at `arrived_at`."""
         if self.certain or self._is_open(now):
             self._seen_at = max(self._seen_at, arrived_at)
-        self._paused = False
+        if self._paused:
+            self._paused, self._crowded_at = False, now  # what was unread may have closed it
         if self._run or not emptied:
             self._run += count
             if _may_close_window(self._run, stream):
@@ -93,7 +112,7 @@
             return False
         if stream.peer_ended():
             return True
-        if _may_close_window(stream.unread_bytes(), stream):
+        if _window_may_be_closed(stream):
             self._crowded_at = now
         if now - self._crowded_at >= QUIET_TIME:
             self._seen_at = now
--- a/violetroute/transport/interfaces.py
+++ b/violetroute/transport/interfaces.py
@@ -19,6 +19,7 @@
 
 from .address import Address
 from .loop_lag import Turns
+from .tcp_info import ReceiveWindow
 
 Data = bytes | bytearray | memoryview
 
@@ -107,6 +108,9 @@
     def unread_bytes(self) -> int:
         """The bytes that the kernel has received and this process has not read; 0 after the end."""
 
+    def receive_window(self) -> ReceiveWindow | None:
+        """The receive window; None if the kernel doesn't report it, and after the end."""
+
     def no_pending_input(self) -> bool:
         """Whether the kernel currently holds no unread data and no close of the peer."""
 
--- a/violetroute/transport/sockets.py
+++ b/violetroute/transport/sockets.py
@@ -17,6 +17,7 @@
 from .interfaces import DatagramHandler, Handler
 from .loop_lag import Turns
 from .stream import SocketStream
+from .tcp_info import ReceiveWindow, receive_window
 
 monotonic, wall = time.monotonic, time.time  # clocks for code that runs before the event loop
 ACCEPT_RETRY_ERRNOS = frozenset({errno.EAGAIN, errno.EINTR, errno.ECONNABORTED, errno.EPROTO})
@@ -98,6 +99,7 @@
         # Replaceable by tests, as `make` is.
         self.hung_up: Callable[[socket.socket], bool] = _hung_up
         self.unread: Callable[[socket.socket], int] = _unread
+        self.receive_window: Callable[[socket.socket], ReceiveWindow | None] = receive_window
         self.connection_waits: Callable[[socket.socket], bool] = _connection_waits
 
     def wall(self) -> float:
--- a/violetroute/transport/stream.py
+++ b/violetroute/transport/stream.py
@@ -21,6 +21,7 @@
 
 from .address import Address
 from .interfaces import Data, Handler
+from .tcp_info import ReceiveWindow
 
 if TYPE_CHECKING:
     from .sockets import SocketNetwork
@@ -160,6 +161,9 @@
     def unread_bytes(self) -> int:
         return 0 if self._socket is None else self._net.unread(self._socket)
 
+    def receive_window(self) -> ReceiveWindow | None:
+        return None if self._socket is None else self._net.receive_window(self._socket)
+
     def no_pending_input(self) -> bool:
         """As in the interface; also False after `close`, after the end, and after a write error."""
         if self._socket is None or self.closing or self._write_error is not None:
--- a/violetroute/transport/tls.py
+++ b/violetroute/transport/tls.py
@@ -19,6 +19,7 @@
 
 from .address import Address
 from .interfaces import Data, Handler, Network, Stream
+from .tcp_info import ReceiveWindow
 
 READ_SIZE = 16 * 1024
 MAX_PENDING_WRITES = 256 * 1024  # bytes of data written before the handshake is done
@@ -211,6 +212,9 @@
     def unread_bytes(self) -> int:
         return self._lower.unread_bytes()
 
+    def receive_window(self) -> ReceiveWindow | None:
+        return self._lower.receive_window()
+
     def no_pending_input(self) -> bool:
         return not self._in.pending and self._lower.no_pending_input()
 
