Clients: single bytes read after a pause don't count as behind a shut window

Seen: after the commit before, test_memory.py (20 MB, 64 KiB values, one byte each 10 ms) failed and others hung: commands that wait for memory were held for good.

Cause: each byte that was read after a pause restarted QUIET_TIME, so the client was never certain to be there.

Change: only 4 KiB and more read after a pause count. What is unread now is still compared with the window, down to one byte.

The new test of single bytes guards against it.

--- a/violetroute/clients/presence.py
+++ b/violetroute/clients/presence.py
@@ -24,6 +24,9 @@
 WINDOW_DIVISOR = 4
 # Unread bytes that may have closed the initial window, which grows more slowly than the buffer.
 MAX_OPEN_BYTES = 32 * 1024
+# Bytes read after a pause from which the window may have been closed before.  A sender that was
+# held back goes on with more, and a client that sends single bytes would never be certain.
+MIN_HELD_BACK = 4 * 1024
 
 
 class ReadableStream(Protocol):
@@ -92,8 +95,9 @@
         """`count` bytes were read, which may have arrived at `arrived_at`."""
         if self.certain or self._is_open(now):
             self._seen_at = max(self._seen_at, arrived_at)
-        if self._paused:
-            self._paused, self._crowded_at = False, now  # what was unread may have closed it
+        if self._paused and count >= MIN_HELD_BACK:
+            self._crowded_at = now  # what was unread may have closed the window
+        self._paused = False
         if self._run or not emptied:
             self._run += count
             if _may_close_window(self._run, stream):
