Proxy: timers for new subscriptions end with it

Cause: of several sources each that ends sets a timer for a new subscription, and only the last one was known to close(). An earlier one subscribed after the close.

Change: all of these timers are kept until they are due, and cancelled.

--- a/tests/violetroute/membership/test_sources.py
+++ b/tests/violetroute/membership/test_sources.py
@@ -595,3 +595,19 @@
     made.set_initial_list(some(3).entries)
     made.apply(1.0, WALL, "b", Listing(2, False, (entry("n1", DRAINING), entry("n2", GONE))))
     assert made.current_source is None and states(made) == {"n0": READY, "n1": DRAINING}
+
+
+def test_no_timer_for_a_new_subscription_outlives_the_proxy() -> None:
+    # Found by exploration (seed 5252): of two sources that end one after the other each left a
+    # timer, and only the later one was cancelled; the other one subscribed after the proxy's close.
+    async def run() -> None:
+        async with Rig(CacheNode()) as rig:
+            await rig.wait_for_watch()
+            rig.proxy.list_failed()
+            rig.proxy.list_failed()
+            timers = list(rig.proxy._housekeeping)
+            assert len(timers) == 2
+            rig.proxy.close()
+            assert all(timer.cancelled() for timer in timers)
+
+    asyncio.run(run())
--- a/violetroute/proxy.py
+++ b/violetroute/proxy.py
@@ -66,7 +66,7 @@
         self.deadlines = Deadlines(loop, self._deadline_expired, self._open)
         self._generation = 0
         self._lag_probe = LoopLagProbe(loop, self._open, self._log_estimates)
-        self._housekeeping: asyncio.TimerHandle | None = None  # the balancer's periodic timer
+        self._housekeeping: list[asyncio.TimerHandle] = []  # timers for new subscriptions
         self._turns.call_on_pause(self._on_pause)
         self._turn_log = LongTurnLog(self._turns, self._open)
         self._refusals = ReasonCounter(loop, log_refused)
@@ -279,8 +279,8 @@
         self._placement.close()
         self.deadlines.close()
         self._lag_probe.close()
-        if self._housekeeping is not None:
-            self._housekeeping.cancel()
+        for timer in self._housekeeping:
+            timer.cancel()
         self._pool.close()
 
     # --- events and actions of the balancer ---
@@ -302,7 +302,8 @@
         elif type(action) is Timer:
             timer = self._loop.call_later(action.delay / 1000.0, self._on_timer, action.label)
             if action.label == HOUSEKEEPING:  # other timers do nothing once their request is closed
-                self._housekeeping = timer
+                pending = [each for each in self._housekeeping if each.when() > self._loop.time()]
+                self._housekeeping = [*pending, timer]
         elif type(action) is Refuse:
             self._refusals.count(action.reason.value)
             self._answer(self._open[action.request_id], refusal(action.backoff))
