--- a/limebridge/standins/consul.py
+++ b/limebridge/standins/consul.py
@@ -20,7 +20,7 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from .consul_catalogue import FrozenAnswer, HealthEntry, MachineFields
+from .consul_catalogue import FrozenAnswer, HealthEntry, MachineFields, as_catalogue_row
 from .kv import KeyValues, duration
 
 DEFAULT_WAIT_S = 300.0  # s for a blocking query without a `wait` parameter
@@ -332,7 +332,9 @@
                     )
                 )
                 content = (
-                    listed if kind == "health" else [_as_catalogue(instance) for instance in listed]
+                    listed
+                    if kind == "health"
+                    else [as_catalogue_row(instance) for instance in listed]
                 )
                 return 200, json.dumps(content).encode()
             case ["v1", "catalog", "services"]:
@@ -397,9 +399,3 @@
             case _:
                 return 404, b"unknown service"
         return 200, b""
-
-
-def _as_catalogue(entry: HealthEntry) -> dict[str, object]:
-    """The entry in the format of /v1/catalog/service/NAME."""
-    service = {f"Service{key}": value for key, value in entry["Service"].items()}
-    return entry["Node"] | service
--- a/limebridge/standins/consul_catalogue.py
+++ b/limebridge/standins/consul_catalogue.py
@@ -51,3 +51,9 @@
 
     index: int
     entries: list[HealthEntry]
+
+
+def as_catalogue_row(entry: HealthEntry) -> dict[str, object]:
+    """The entry in the format of /v1/catalog/service/NAME."""
+    service = {f"Service{key}": value for key, value in entry["Service"].items()}
+    return entry["Node"] | service
