--- a/limebridge/standins/consul.py
+++ b/limebridge/standins/consul.py
@@ -331,11 +331,7 @@
                         name, query.get("tag", ""), "passing" in query
                     )
                 )
-                content = (
-                    listed
-                    if kind == "health"
-                    else [as_catalogue_row(instance) for instance in listed]
-                )
+                content = listed if kind == "health" else [as_catalogue_row(e) for e in listed]
                 return 200, json.dumps(content).encode()
             case ["v1", "catalog", "services"]:
                 tags: dict[str, list[str]] = {}
