Clients: bytes that keep coming do not extend the time limit of a command

A trace: all connections above 2.5 s were skipped while they waited for a slice.

The reads of the rest move beside the reads ahead.

--- a/tests/violetroute/clients/test_slots.py
+++ b/tests/violetroute/clients/test_slots.py
@@ -34,6 +34,8 @@
 from violetroute.clients.listener import STALL_TIMEOUT_WHEN_FULL, SWEEP_INTERVAL
 from violetroute.clients.output import Output
 from violetroute.clients.read_delay import WINDOW_REOPEN_TIME
+from violetroute.clients.turn_share import SLICE_COMMANDS
+from violetroute.config.operator import Limits
 from violetroute.transport.loop_lag import Turns
 from violetroute.transport.stream import SocketStream
 
@@ -385,6 +387,39 @@
     stall_free_loop.run(run())
 
 
+async def time_of_slow_command_after_many(rig: Rig, first_id: int) -> float:
+    """Seconds until a client gets an error that sends many commands, then one byte by byte."""
+    loop = rig.listener.loop
+    reader, writer = await rig.client()
+    writer.write(b"".join(get(first_id + number) for number in range(2 * SLICE_COMMANDS)))
+    for _ in range(2 * SLICE_COMMANDS):
+        assert await read_answer(reader)  # a value, or -BUSY on a slow machine
+    began = loop.time()
+    writer.write(put(first_id + 1000, b"v" * 60_000)[:1000])
+    error = asyncio.create_task(reader.readline())
+    while not error.done() and loop.time() - began < OWED:
+        writer.write(b"v")
+        await asyncio.sleep(0)
+    assert error.done()
+    assert error.result().startswith(b"-ERR half a command")
+    writer.close()
+    return loop.time() - began
+
+
+def test_bytes_that_keep_coming_on_a_busy_connection_do_not_extend_its_time_limit() -> None:
+    # Guards against a fault (CI, 3.001 s of 3 s): each check of the time limit read a further byte,
+    # which waited for a slice of a turn, and so left the decision to the next check.
+    async def run() -> None:
+        async with Rig(CacheNode(), sockets=1024) as rig:
+            limits = Limits(command_s=0.5)
+            rig.listener.limits = limits
+            clients = (time_of_slow_command_after_many(rig, 10_000 * place) for place in range(6))
+            times = await asyncio.gather(*clients)
+            assert max(times) < limits.command_s + SWEEP_INTERVAL + WINDOW_REOPEN_TIME, times
+
+    stall_free_loop.run(run())
+
+
 class PausedTurns(Turns):
     """Turns that report a pause of the process while `paused` is set."""
 
--- a/violetroute/clients/connection.py
+++ b/violetroute/clients/connection.py
@@ -14,14 +14,12 @@
 from .dispatch import CommandDispatcher
 from .input import READ_SIZE, CommandReader, read_buffer
 from .output import Output
-from .read_ahead import read_ahead
-from .read_delay import WINDOW_REOPEN_TIME
+from .read_ahead import read_ahead, read_rest
 from .turn_share import SLICE_COMMANDS, CommandSlices, slice_time
 
 if TYPE_CHECKING:
     from .listener import Listener
 
-READS_OF_REST = 8  # reads in a row for the rest of a command; the longest value needs four
 LINGER_TIME = 0.5  # s for the client to read and close first; a reset could lose the last answer
 
 
@@ -183,6 +181,8 @@
             self.ended()
         else:
             self._pump()
+            if self._overdue(self._loop.time()):
+                self._refuse_partial_command()
 
     @property
     def _at_capacity(self) -> bool:
@@ -327,12 +327,9 @@
         After reads that may have reopened a closed TCP window, the rest arrives a round trip later.
         """
         stream = self._stream
-        return (
-            stream is not None
-            and not stream.closing
-            and not self.lingering_since
-            and (not stream.no_pending_input() or self._loop.time() < self._input.expected_until)
-        )
+        if stream is None or stream.closing or self.lingering_since:
+            return False
+        return not stream.no_pending_input() or self._loop.time() < self._input.expected_until
 
     def try_evict(self) -> bool:
         """Free the slot; False if the client still has to take written data."""
@@ -357,24 +354,29 @@
 
     def read_rest(self) -> None:
         """Read the rest of an incomplete command: it is taken once the kernel has all of it."""
-        for _ in range(READS_OF_REST):
-            if self._stream is None or not self._input.partial_since:
-                return
-            self._stream.read_now()
+        if self._stream is not None:
+            read_rest(self._stream, self._input)
 
     def _command_expired(self, now: float) -> bool:
         """Whether the incomplete command takes too long, and its rest has not arrived."""
-        limit = self._listener.limits.command_s
-        if self.ending or not self._input.expired(now, limit):
+        if self.ending or not self._input.expired(now, self._listener.limits.command_s):
             return False
         if self._input.awaits_memory:
             self.check_memory_wait(math.inf)  # refused if the rest is in the kernel
         self.read_rest()
-        if self._slices.waiting:
-            return False  # its rest was read, and waits for a slice
-        if self._loop.time() < self._input.expected_until:
-            limit += WINDOW_REOPEN_TIME  # the rest may be in the sender's kernel
-        return self._stream is not None and not self.ending and self._input.expired(now, limit)
+        return self._overdue(now)
+
+    def _overdue(self, now: float) -> bool:
+        """Whether the command is incomplete for too long, judged by the input that was read."""
+        if self.ending or self._input.awaits_memory or self._slices.waiting:
+            return False  # input that waits may complete it; `run_slice` and the next sweep check
+        limit = self._listener.limits.command_s + self._input.reopen_delay(self._loop.time())
+        return self._input.expired(now, limit)
+
+    def _refuse_partial_command(self) -> None:
+        self._input.drop()
+        self._answers.new(self).finish(b"-ERR half a command\r\n")
+        self.end_after_answers()
 
     def check_timeouts(self, now: float) -> None:
         """End the connection if a time limit has passed; called every SWEEP_INTERVAL."""
@@ -383,14 +385,11 @@
             return
         if self.output.stalled_for(now) > self._listener.reader_timeout:
             stream.abort()
-            return
-        if self.lingering_since:
+        elif self.lingering_since:
             if now - self.lingering_since > LINGER_TIME and not stream.unsent:
                 stream.abort()
         elif self._command_expired(now):
-            self._input.drop()
-            self._answers.new(self).finish(b"-ERR half a command\r\n")
-            self.end_after_answers()
+            self._refuse_partial_command()
         elif self._reading_paused:
             self._pump()
         elif self._answers or not self._input.idle:
--- a/violetroute/clients/input.py
+++ b/violetroute/clients/input.py
@@ -180,6 +180,10 @@
         """
         return self.partial_since > 0.0 and now - self.partial_since > limit
 
+    def reopen_delay(self, now: float) -> float:
+        """Seconds that the rest of a command may need from the sender's kernel."""
+        return WINDOW_REOPEN_TIME if now < self.expected_until else 0.0
+
     def grant(self, now: float) -> None:
         """Take over the bytes that the budget has reserved for the current command."""
         self._assembly.received_at = now  # it was the proxy that kept it waiting
