Control machines: a request names the machine and log it is meant for

The process of another machine or another log at a known address was counted as the machine before it: one process could count twice in a majority, and an empty folder of another log gave promises, so records were committed without the machine that had the earlier ones.

Change: Prepare, Fetch and Report carry their destination, machine and log. Any other process refuses them with status 421, which the sender takes for no answer; distribution.refused logs the reason. Requests of earlier builds carry none and are served as before.

--- a/tests/violetroute/distribution/test_distribution_builds.py
+++ b/tests/violetroute/distribution/test_distribution_builds.py
@@ -18,6 +18,7 @@
 from violetroute.distribution import messages
 from violetroute.distribution.messages import (
     Batch,
+    Destination,
     Fetch,
     FetchReply,
     Lagging,
@@ -43,6 +44,7 @@
 POINT = LogPoint(3, 7)
 RECORD = Record(Topic.CONFIGURATION, "log", b"level = 'info'")
 BATCH = Batch(7, 3, 1_000, (RECORD,))
+DESTINATION = Destination("c1", "log")
 SNAPSHOT = Snapshot(POINT, (RECORD,))
 SESSION = SessionState("p0", "i0", "north", 7, ((6, "why"),))
 LAGGING = Lagging("p0", "i0", "north", 5, 1.5, True)
@@ -54,11 +56,12 @@
     SNAPSHOT,
     SESSION,
     LAGGING,
-    Prepare("c0", 3),
+    DESTINATION,
+    Prepare("c0", 3, DESTINATION),
     Promise(True, 3, POINT, 6, True),
-    Fetch("c1", 3, POINT, 6, True, True, 9),
+    Fetch("c1", 3, POINT, 6, True, True, 9, DESTINATION),
     FetchReply(0, 3, "c0", 7, (BATCH,), 5, SNAPSHOT, 9, 7),
-    Report("c1", "i1", 3, 2, True, (SESSION,), (("p1", "i2"),), 12.0),
+    Report("c1", "i1", 3, 2, True, (SESSION,), (("p1", "i2"),), 12.0, DESTINATION),
     ReportReply(True, 3, 7, 15.0, True),
     Poll("p0", "i0", "north", "log", 7, ((6, "why"),)),
     PollReply(0, "log", 7, 15.0, (RAW,), SNAPSHOT),
--- a/tests/violetroute/distribution/test_distribution_daemon.py
+++ b/tests/violetroute/distribution/test_distribution_daemon.py
@@ -34,25 +34,32 @@
 from tests.support.paths import ROOT
 from violetroute import __main__ as proxy_main
 from violetroute.distribution import __main__ as control_main
+from violetroute.distribution.actions import Request
 from violetroute.distribution.descriptors import (
     COMMAND_CONNECTIONS,
     PROXY_CONNECTIONS_MIN,
     RESERVED_DESCRIPTORS,
     connection_bounds,
 )
+from violetroute.distribution.destination import addressed
 from violetroute.distribution.http_client import CLIENTS_PER_ADDRESS, HttpClient
 from violetroute.distribution.http_server import MAX_CONNECTIONS
 from violetroute.distribution.messages import (
+    Fetch,
+    LogPoint,
+    Prepare,
     Publish,
     Published,
     PublishStatus,
     Record,
+    Report,
     StatusReply,
     StatusRequest,
     Topic,
 )
-from violetroute.distribution.routes import decode_reply, encode
+from violetroute.distribution.routes import AnyRequest, decode_reply, encode, path_of
 from violetroute.distribution.service import CountingReceiver, DistributionService
+from violetroute.distribution.storage import init_folder
 from violetroute.distribution.table import DistributionTable
 from violetroute.sharing.table import read_keys
 from violetroute.transport import Address, parse_address
@@ -283,6 +290,70 @@
     asyncio.run(scenario())
 
 
+async def reason_of_refusal(deployment: Deployment, request: AnyRequest) -> str:
+    """Why the first control machine gave no answer to a request; empty if it answered."""
+    loop = asyncio.get_running_loop()
+    reason: asyncio.Future[str] = loop.create_future()
+    client = HttpClient(
+        SocketNetwork(loop), deployment.machines.addresses[0], deployment.machines.keys
+    )
+    client.request(path_of(request), encode(request), 10.0, lambda _, why: reason.set_result(why))
+    try:
+        return await reason
+    finally:
+        client.close()
+
+
+@pytest.mark.parametrize(
+    "request_",
+    [
+        Prepare("c1", 1),
+        Fetch("c1", 1, LogPoint(), 0, copying=True),
+        Report("c1", "incarnation", 1, 1, True),
+    ],
+    ids=lambda request: type(request).__name__,
+)
+def test_a_request_for_another_machine_or_log_is_refused(request_: Request, tmp_path: Path) -> None:
+    # Guards against a fault found by reading: whoever listened at an address was taken for the
+    # machine that had been there, so one process could count twice in a majority.
+    async def scenario() -> None:
+        async with Deployment(tmp_path, machines=1, daemons=0) as deployment:
+            for machine, log in (("c1", "log"), ("c0", "another log")):
+                misdirected = addressed(request_, machine, log)
+                assert await reason_of_refusal(deployment, misdirected) == "status 421"
+            assert await reason_of_refusal(deployment, addressed(request_, "c0", "log")) == ""
+            assert await reason_of_refusal(deployment, request_) == ""  # of an earlier build
+
+    asyncio.run(scenario())
+
+
+def test_a_machine_of_another_log_at_a_known_address_is_no_part_of_a_majority(
+    tmp_path: Path,
+) -> None:
+    # Guards against a fault found by reading: its empty log was counted, and a committed record
+    # that only the other machines had was replaced.
+    async def scenario() -> None:
+        async with Deployment(tmp_path, daemons=0) as deployment:
+            controls = deployment.controls
+            await controls.processes[2].kill()
+            kept = await deployment.publish("kept")
+            for process in controls.processes[:2]:
+                await process.kill()
+            shutil.rmtree(controls.data_folder(1))
+            init_folder(controls.data_folder(1), "c1", "another log", recovering=False)
+            for process in controls.processes[1:]:
+                await process.start()
+            with pytest.raises(NoAnswerError):
+                await control_client.publish(
+                    deployment.machines, Publish("x", (Record(Topic.PURGE, "early"),)), 6.0
+                )
+            assert deployment.logged("distribution.refused")
+            await controls.processes[0].start()
+            assert await deployment.publish("after") > kept
+
+    asyncio.run(scenario())
+
+
 def test_sigterm_releases_the_lease(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with Deployment(tmp_path, daemons=0) as deployment:
--- a/violetroute/distribution/control.py
+++ b/violetroute/distribution/control.py
@@ -36,6 +36,7 @@
 )
 from .control_file import ControlFile
 from .descriptors import connection_bounds, soft_limit
+from .destination import MISDIRECTED, MISDIRECTED_STATUS, addressed, is_for
 from .http_client import BusyError, HttpPool
 from .http_server import HttpServer
 from .lease import WORK, LeaderWork
@@ -81,9 +82,11 @@
         self._persister = Persister(
             self._storage, ThreadWriter(net.loop), self._persisted, self._end
         )
+        stored = self._storage.take_stored()
+        self._name, self._log = file.name, stored.log
         self._machine = Machine(
             _settings(file, net),
-            self._storage.take_stored(),
+            stored,
             Random(secrets.randbits(64)),
             self._loop.time(),
         )
@@ -124,6 +127,9 @@
         except UnreadableError:
             self._server.refuse(ticket, BAD_REQUEST)
             return
+        if not is_for(message, self._name, self._log):
+            self._server.refuse(ticket, MISDIRECTED_STATUS, MISDIRECTED)
+            return
         if isinstance(message, Poll) and not message.ends_session:
             if len(self._polls) >= self._bounds.proxies:
                 self._server.refuse(ticket, UNAVAILABLE, "too many proxies")
@@ -184,7 +190,8 @@
             self._event(lambda now: self._machine.replied(now, send.ticket, reply))
 
         address = self._addresses[send.to]
-        path, body = path_of(send.message), encode(send.message)
+        path = path_of(send.message)
+        body = encode(addressed(send.message, send.to, self._log))
         try:
             self._pool.request(address, path, body, send.timeout_s, reply_received)
         except BusyError:
--- a/violetroute/distribution/messages.py
+++ b/violetroute/distribution/messages.py
@@ -94,11 +94,22 @@
 
 
 # --- between control machines ---
+class Destination(Message, frozen=True):
+    """The control machine that a request is meant for, and the identity of its log."""
+
+    machine: Name
+    log: Annotated[str, msgspec.Meta(max_length=64)]
+
+
 class Prepare(Message, frozen=True):
-    """A leader's first message of a term.  The receiver promises to follow no lower fence."""
+    """A leader's first message of a term.  The receiver promises to follow no lower fence.
+
+    `to`: the machine it is meant for; any other refuses it (`destination.py`).
+    """
 
     leader: Name
     fence: Number
+    to: Destination | None = None
 
 
 class Promise(Message, frozen=True):
@@ -129,6 +140,8 @@
 
     `answered`: the number of the last reply from this leader.  It proves that the fetch was written
     after that reply.
+
+    `to`: the machine it is meant for; any other refuses it (`destination.py`).
     """
 
     replica: Name
@@ -138,6 +151,7 @@
     recovering: bool = False
     copying: bool = False
     answered: Number = 0
+    to: Destination | None = None
 
 
 class FetchStatus(IntEnum):
@@ -185,6 +199,8 @@
 
     `running_ms`: uptime of this incarnation.  Shortly before it ended, the previous incarnation may
     have confirmed to proxies that they are fresh, and no machine knows these sessions any more.
+
+    `to`: the machine it is meant for; any other refuses it (`destination.py`).
     """
 
     replica: Name
@@ -197,6 +213,7 @@
         tuple[tuple[Name, Name], ...], msgspec.Meta(max_length=SESSIONS_PER_REPORT)
     ] = ()
     running_ms: Milliseconds = 0.0
+    to: Destination | None = None
 
 
 class ReportReply(Message, frozen=True):
