Upstream: long answers being received are bounded by memory, not by descriptors

Cause: each connection to a node stored what it had received of an answer, and nothing was charged; 446 such connections may be open.

Change: an answer announced with over 4 KiB is charged to a memory of its own, half of that for client connections. While it is used up a connection reads 4 KiB at a time: short answers are served as before, long ones stay in the kernel and wait in order; reply_s does not run meanwhile. New log event nodes.replies_held. Half of the client memory bounds it and needs no new setting.

--- a/violetroute/config/platform.py
+++ b/violetroute/config/platform.py
@@ -25,6 +25,7 @@
 
 RESERVED_SOCKETS = 32  # standard streams, event loop, listener, discovery, log, and a margin
 PROCESS_MB = 20  # memory of the program without open requests
+REPLY_SHARE = 0.5  # memory for replies that are received, by that for client connections
 MIN_VALUE_BYTES = 1024 * 1024  # some values of maximum length must always fit
 Number = float  # accepts JSON integers too
 # Python's JSON parser accepts NaN and Infinity; bounds on both sides reject them.
@@ -184,6 +185,11 @@
         room = (self.memory_mb - PROCESS_MB) * self.limits.value_share * 1024 * 1024
         return max(MIN_VALUE_BYTES, int(room))
 
+    @property
+    def reply_memory_bytes(self) -> int:
+        """Bytes of long replies of nodes that may be received at the same time."""
+        return max(MIN_VALUE_BYTES, int(self.client_memory_bytes * REPLY_SHARE))
+
     @property
     def longest_deadline(self) -> float:
         """The longest deadline of any class, in seconds."""
--- a/violetroute/logs.py
+++ b/violetroute/logs.py
@@ -241,6 +241,11 @@
     "nodes.malformed": Event(
         logging.WARNING, "answers of nodes could not be used", ("count", "reasons")
     ),
+    "nodes.replies_held": Event(
+        logging.WARNING,
+        "long answers of nodes had to wait, since no memory was left for them",
+        ("count", "reasons"),
+    ),
     "nodes.trusted": Event(logging.INFO, "no suspected nodes any more"),
     "placement.fits": Event(logging.INFO, "the plan matches the listed nodes again", ("nodes",)),
     "placement.late": Event(
--- a/violetroute/reason_counter.py
+++ b/violetroute/reason_counter.py
@@ -25,6 +25,11 @@
     logs.event("nodes.malformed", count=count, reasons=reasons)
 
 
+def log_held_replies(count: int, reasons: str) -> None:
+    """Log long replies of nodes that had to wait before they were received."""
+    logs.event("nodes.replies_held", count=count, reasons=reasons)
+
+
 class ReasonCounter:
     """Counters by reason.  A timer runs only while there are counts to log.
 
--- a/violetroute/resp/replies.py
+++ b/violetroute/resp/replies.py
@@ -23,11 +23,12 @@
 class Reply:
     """Assembles one reply from tokens."""
 
-    __slots__ = ("_item", "_text", "complete", "extras", "line", "value")
+    __slots__ = ("_item", "_text", "complete", "extras", "length", "line", "value")
 
     def __init__(self) -> None:
         self._item = -1  # index of the array item being read; -1 before the array
         self._text = bytearray()
+        self.length = 0  # announced bytes of the value; 0 until they are known
         self.value: bytes | bytearray = bytearray()
         self.extras: list[bytes | None] = []  # the outcome and the load report
         self.line: Line | None = None
@@ -49,8 +50,8 @@
                 self.line, self.complete = token, True
             case Array(3) if self._item < 0:
                 self._item = 0
-            case Bulk() if self._item == 0:
-                pass  # the decoder bounds its length
+            case Bulk(length) if self._item == 0:
+                self.length = length  # the decoder bounds it
             case Bulk(length) if self._item > 0 and length <= MAX_EXTRA_BYTES:
                 self._text.clear()
             case Piece(data, last) if self._item == 0:
--- a/violetroute/upstream/connection.py
+++ b/violetroute/upstream/connection.py
@@ -17,6 +17,7 @@
 from violetroute.transport import Stream
 
 from .attempt import Attempt
+from .reply_memory import UNCHARGED_REPLY
 
 if TYPE_CHECKING:
     from .pool import Node, Pool
@@ -40,6 +41,7 @@
 
 
 _shared = memoryview(bytearray(READ_SIZE))
+_short = _shared[:UNCHARGED_REPLY]  # for the start of a reply while no memory is left
 
 
 class NodeConnection:
@@ -61,6 +63,8 @@
         self._decoder = resp.Decoder()
         self._reply = resp.Reply()
         self._reply_timer: asyncio.TimerHandle | None = None  # bounds a reply that has begun
+        self._charge = 0  # bytes of the pool's reply memory that the reply holds
+        self._awaits_memory = False  # not read: the reply waits for the pool's reply memory
 
     # --- stream ---
     def opened(self) -> None:
@@ -69,7 +73,7 @@
         self._pool.opened(self)
 
     def buffer(self) -> memoryview:
-        return _shared
+        return _short if self._pool.reply_memory.full and not self._charge else _shared
 
     def received(self, count: int) -> None:
         """Parse `count` bytes of the buffer as the reply of the current attempt."""
@@ -87,10 +91,46 @@
             self._fail_malformed(Malformation.FRAMING)
         # The reply to ASKING does not start the timer: the real answer has not begun.
         begun = not (self._asking or (self._reply.is_empty and self._decoder.idle))
-        if self.attempt is not None and self._reply_timer is None and begun:
-            self._reply_timer = self._pool.loop.call_later(
-                self._pool.limits.reply_s, self._fail_malformed, Malformation.STALLED
-            )
+        if self.attempt is not None and begun:
+            if self._reply.length > UNCHARGED_REPLY and not self._charge:
+                self._charge_reply()
+            if self._reply_timer is None and not self._awaits_memory:
+                self._start_reply_timer()
+
+    def _start_reply_timer(self) -> None:
+        self._reply_timer = self._pool.loop.call_later(
+            self._pool.limits.reply_s, self._fail_malformed, Malformation.STALLED
+        )
+
+    def _charge_reply(self) -> None:
+        """Charge the long reply that has begun, or stop reading until there is memory for it."""
+        memory = self._pool.reply_memory
+        if not memory.full:
+            self._charge = self._reply.length
+            memory.charge(self._charge)
+            return
+        assert self.stream is not None
+        self._awaits_memory = True
+        self._stop_reply_timer()  # it is this process that keeps the node waiting
+        self.stream.pause()
+        self._pool.held_replies.count("memory")
+        memory.wait(self, self._reply.length)
+
+    def memory_granted(self) -> None:
+        """Receive the rest of the reply, for which the memory was charged."""
+        self._awaits_memory = False
+        self._charge = self._reply.length
+        self._start_reply_timer()
+        if self.stream is not None:
+            self.stream.resume()
+
+    def _release_memory(self) -> None:
+        if self._awaits_memory:
+            self._awaits_memory = False
+            self._pool.reply_memory.forget(self)
+        charge, self._charge = self._charge, 0
+        if charge:
+            self._pool.reply_memory.release(charge)
 
     def ended(self) -> None:
         """Close at the peer's end of data, so that the rest of a command is not sent either."""
@@ -236,6 +276,11 @@
         self.attempt.connection = None
         self.attempt = None
         self._reply = resp.Reply()  # an idle connection holds no value
+        self._stop_reply_timer()
+        if self._charge or self._awaits_memory:
+            self._release_memory()
+
+    def _stop_reply_timer(self) -> None:
         if self._reply_timer is not None:
             self._reply_timer.cancel()
             self._reply_timer = None
--- a/violetroute/upstream/pool.py
+++ b/violetroute/upstream/pool.py
@@ -7,11 +7,12 @@
 
 from snowstall import Result
 from violetroute.config import Config, Limits
-from violetroute.reason_counter import ReasonCounter, log_malformed
+from violetroute.reason_counter import ReasonCounter, log_held_replies, log_malformed
 from violetroute.transport import Address, Network
 
 from .attempt import Attempt, AttemptOwner
 from .connection import NodeConnection
+from .reply_memory import ReplyMemory
 
 IDLE_TIME_SHARE = 0.6  # share of the node's idle timeout, so that no request meets its close
 AGE_BOUNDS = (0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0)  # s; upper bounds of the idle-time buckets
@@ -23,6 +24,7 @@
 MAX_QUIET_TIME, QUIET_TIME_FACTOR = 0.1, 2.0
 SWEEP_INTERVAL = 0.5  # s between checks for expired idle connections
 DEFAULTS = Limits()
+DEFAULT_REPLY_BYTES = 16 * 1024 * 1024
 
 
 class Node:
@@ -41,7 +43,8 @@
 class Pool:
     """Opens, reuses and closes connections to cache nodes.
 
-    `limit`: connections in total.  Timeouts are in seconds.
+    `limit`: connections in total.  Timeouts are in seconds.  `reply_bytes`: memory for long replies
+    while they are received.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         connect_timeout: float,
         idle_timeout: float,
         limits: Limits = DEFAULTS,
+        reply_bytes: int = DEFAULT_REPLY_BYTES,
     ) -> None:
         self.limits = limits  # replaced on reload
         self.follows_redirects = False  # whether cluster redirects are parsed; replaced on reload
@@ -63,6 +67,8 @@
         # The recent longest delay (s) of unsolicited data after an answer, and its loop time.
         self._stray_delay, self._stray_seen_at = 0.0, 0.0
         self.malformed_replies = ReasonCounter(self.loop, log_malformed)
+        self.reply_memory = ReplyMemory(reply_bytes)
+        self.held_replies = ReasonCounter(self.loop, log_held_replies)
         self._nodes: dict[int, Node] = {}
         self._open: dict[NodeConnection, None] = {}
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL, self._sweep)
@@ -70,7 +76,14 @@
     @classmethod
     def from_config(cls, owner: AttemptOwner, net: Network, config: Config) -> Pool:
         """A pool with the limits and times of the configuration."""
-        pool = cls(owner, net, config.upstream_sockets, config.connect_timeout, config.idle_timeout)
+        pool = cls(
+            owner,
+            net,
+            config.upstream_sockets,
+            config.connect_timeout,
+            config.idle_timeout,
+            reply_bytes=config.reply_memory_bytes,
+        )
         pool.reload(config)
         return pool
 
@@ -302,5 +315,6 @@
         """Close all connections and stop the sweep."""
         self._sweep_timer.cancel()
         self.malformed_replies.close()
+        self.held_replies.close()
         for connection in list(self._open):
             self._discard(connection)
