Tests of long replies: the bound is checked once all replies have begun

Cause: the test read the bytes that the connections hold when the first reply waited for memory, so replies that came later were not in the sum; and two tests set up the same proxy and clients.

The bound is unchanged.

--- a/tests/violetroute/upstream/test_reply_memory.py
+++ b/tests/violetroute/upstream/test_reply_memory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
 
 from limebridge.standins import wire
 from tests.support import stall_free_loop
@@ -57,7 +56,6 @@
 
     def __init__(self) -> None:
         super().__init__(self.serve)
-        self.begun = 0
         self.finish = asyncio.Event()
 
     async def serve(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
@@ -67,15 +65,35 @@
             return
         answer = wire.reply(LONG)
         writer.write(answer[: len(answer) * 7 // 8])
-        self.begun += 1
         await self.finish.wait()
         writer.write(answer[len(answer) * 7 // 8 :])
 
 
+def small_rig(node: LongNode) -> Rig:
+    """A proxy with little memory, which waits long for the second piece of a reply."""
+    operator = Operator(limits=Limits(reply_s=5.0))
+    return Rig(node, operator=operator, memory_mb=MEMORY_MB, sockets=1024)
+
+
+def connections(proxy: Proxy) -> list[NodeConnection]:
+    """The connections to nodes."""
+    return list(proxy._pool._open)
+
+
 def received(proxy: Proxy) -> int:
     """The bytes of incomplete replies that the connections to nodes hold."""
-    connections: Sequence[NodeConnection] = list(proxy._pool._open)
-    return sum(len(each._reply.value) + each._decoder.unread for each in connections)
+    return sum(len(each._reply.value) + each._decoder.unread for each in connections(proxy))
+
+
+def all_begun(proxy: Proxy) -> bool:
+    """Whether each lookup's reply has begun to arrive, and is charged or waits for memory."""
+    begun = [each for each in connections(proxy) if each._charge or each._awaits_memory]
+    return len(begun) == CLIENTS * EACH
+
+
+def start_lookups(rig: Rig) -> list[asyncio.Task[list[bytes]]]:
+    """Let all clients send their lookups of long values."""
+    return [asyncio.create_task(long_lookups(rig, number)) for number in range(CLIENTS)]
 
 
 async def long_lookups(rig: Rig, client: int) -> list[bytes]:
@@ -94,12 +112,10 @@
     # a long answer, and a proxy with 32 MB went over its limit.
     async def run() -> None:
         node = LongNode()
-        operator = Operator(limits=Limits(reply_s=5.0))
-        async with Rig(node, operator=operator, memory_mb=MEMORY_MB, sockets=1024) as rig:
+        async with small_rig(node) as rig:
             memory = rig.proxy._pool.reply_memory
-            clients = [asyncio.create_task(long_lookups(rig, number)) for number in range(CLIENTS)]
-            await wait_until(lambda: node.begun == CLIENTS * EACH)
-            await wait_until(lambda: memory.waiting)
+            clients = start_lookups(rig)
+            await wait_until(lambda: all_begun(rig.proxy))
             bound = rig.config.reply_memory_bytes + len(LONG)
             start = UNCHARGED_REPLY * CLIENTS * EACH
             assert received(rig.proxy) <= bound + start
@@ -133,10 +149,9 @@
 def test_a_client_that_leaves_frees_the_memory_of_its_replies() -> None:
     async def run() -> None:
         node = LongNode()
-        operator = Operator(limits=Limits(reply_s=5.0))
-        async with Rig(node, operator=operator, memory_mb=MEMORY_MB, sockets=1024) as rig:
+        async with small_rig(node) as rig:
             memory = rig.proxy._pool.reply_memory
-            clients = [asyncio.create_task(long_lookups(rig, number)) for number in range(CLIENTS)]
+            clients = start_lookups(rig)
             await wait_until(lambda: memory.waiting)
             for client in clients:
                 client.cancel()
